--- /dev/null
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -0,0 +1,282 @@
+package weldpoint.boot;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The checked settings of one process, read from "name = value" lines. Unknown names are ignored. */
+public final class Boot {
+  /** The environment variable that names the settings file. */
+  public static final String VARIABLE = "WELDPOINT_SETTINGS";
+
+  /** A TCP address. */
+  public record Address(String host, int port) {
+    /** Reads "host:port". */
+    public static Address parse(final String field, final String text) {
+      final int colon = text.lastIndexOf(':');
+      try {
+        final int port = Integer.parseInt(text.substring(colon + 1));
+        if (colon > 0 && port > 0 && port < 65536) {
+          return new Address(text.substring(0, colon), port);
+        }
+      } catch (final NumberFormatException ignored) {
+        // reported below, with the field's name
+      }
+      throw bad(field, text, "write it as host:port, for example 10.0.0.1:8080");
+    }
+
+    @Override
+    public String toString() {
+      return host + ":" + port;
+    }
+  }
+
+  private final Map<String, String> values;
+
+  private Boot(final Map<String, String> values) {
+    this.values = values;
+  }
+
+  /** Reads the file that the environment names. */
+  public static Boot load() {
+    final String path = System.getenv(VARIABLE);
+    return load(Path.of(path == null || path.isEmpty() ? "/etc/weldpoint/local.conf" : path));
+  }
+
+  /** Reads a settings file. */
+  public static Boot load(final Path path) {
+    try {
+      return parse(Files.readString(path));
+    } catch (final IOException problem) {
+      throw new Breakdown(Breakdown.Kind.SETTING, "settings file " + path + " cannot be read; name a readable file in " + VARIABLE);
+    }
+  }
+
+  /** Reads settings from text and checks them. */
+  public static Boot parse(final String text) {
+    final Map<String, String> values = new LinkedHashMap<>();
+    int number = 0;
+    for (final String raw : text.split("\n", -1)) {
+      number++;
+      final String line = raw.strip();
+      if (line.isEmpty() || line.charAt(0) == '#') {
+        continue;
+      }
+      final int equals = line.indexOf('=');
+      if (equals < 1) {
+        throw bad("line " + number, line, "write it as name = value");
+      }
+      values.put(line.substring(0, equals).strip(), line.substring(equals + 1).strip());
+    }
+    final Boot boot = new Boot(values);
+    boot.check();
+    return boot;
+  }
+
+  private void check() {
+    name();
+    address();
+    site();
+    region();
+    voter();
+    firstStart();
+    trunkPort(0);
+    seeds();
+    sites();
+    for (final String field : new String[] {"listen.traffic", "listen.readiness", "listen.control", "listen.directory"}) {
+      optionalAddress(field);
+    }
+    beatMillis();
+    drainMillis();
+    graceMillis();
+    historyMillis();
+    retryRatio();
+    retryWindowMillis();
+    retrySlack();
+    warmupOvershoot();
+    warmupTolerance();
+    resolutionTtl();
+  }
+
+  private static Breakdown bad(final String field, final String value, final String remedy) {
+    return new Breakdown(Breakdown.Kind.SETTING, "setting " + field + " has the value '" + value + "'; " + remedy);
+  }
+
+  private String text(final String field) {
+    final String value = values.get(field);
+    if (value == null || value.isEmpty()) {
+      throw bad(field, "", "it is required, give it a value");
+    }
+    return value;
+  }
+
+  private double number(final String field, final double fallback, final double least, final double most) {
+    final String value = values.get(field);
+    if (value == null || value.isEmpty()) {
+      return fallback;
+    }
+    try {
+      final double parsed = Double.parseDouble(value);
+      if (parsed >= least && parsed <= most) {
+        return parsed;
+      }
+    } catch (final NumberFormatException ignored) {
+      // reported below, with the field's name
+    }
+    throw bad(field, value, "give a number from " + least + " to " + most);
+  }
+
+  private boolean flag(final String field) {
+    final String value = values.getOrDefault(field, "");
+    return switch (value) {
+      case "true" -> true;
+      case "false", "" -> false;
+      default -> throw bad(field, value, "give true or false");
+    };
+  }
+
+  /** The name of this machine. */
+  public String name() {
+    return text("station.name");
+  }
+
+  /** The IP address that everything binds to. */
+  public String address() {
+    final String value = text("station.address");
+    if (!value.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}")) {
+      throw bad("station.address", value, "give an IPv4 address such as 10.0.0.1");
+    }
+    return value;
+  }
+
+  /** The site of this machine. */
+  public String site() {
+    return text("station.site");
+  }
+
+  /** The region of this machine. */
+  public String region() {
+    return text("station.region");
+  }
+
+  /** Whether the disk of this machine may count toward a majority. */
+  public boolean voter() {
+    return flag("station.voter");
+  }
+
+  /** Whether this is the very first start of the whole system. */
+  public boolean firstStart() {
+    return flag("station.first-start");
+  }
+
+  /** Where this process keeps its files; empty where it has no disk. */
+  public String folder() {
+    return values.getOrDefault("station.folder", "");
+  }
+
+  /** An address that may be left out; null then. */
+  public Address optionalAddress(final String field) {
+    final String value = values.get(field);
+    return value == null || value.isEmpty() ? null : Address.parse(field, value);
+  }
+
+  /** An address that must be there. */
+  public Address requiredAddress(final String field) {
+    return Address.parse(field, text(field));
+  }
+
+  /** The port of the inner protocol: 0 is the exchange's, 1 the frame's. */
+  public int trunkPort(final int index) {
+    final String value = text("trunk.ports");
+    final String[] parts = value.split(",");
+    try {
+      final int first = Integer.parseInt(parts[0].strip());
+      final int last = Integer.parseInt(parts[1].strip());
+      if (parts.length == 2 && first > 0 && last < 65536 && first + 1 <= last) {
+        return first + index;
+      }
+    } catch (final NumberFormatException | ArrayIndexOutOfBoundsException ignored) {
+      // reported below, with the field's name
+    }
+    throw bad("trunk.ports", value, "give the first and last of at least two free ports, as 7000,7015");
+  }
+
+  /** The hosts of the seeds. */
+  public List<String> seeds() {
+    final List<String> seeds = new ArrayList<>();
+    for (final String part : text("trunk.seeds").split(",")) {
+      seeds.add(Address.parse("trunk.seeds", part.strip()).host());
+    }
+    return seeds;
+  }
+
+  /** The region of every site. */
+  public Map<String, String> sites() {
+    final Map<String, String> sites = new LinkedHashMap<>();
+    for (final String part : values.getOrDefault("sites", "").split(",")) {
+      if (part.isBlank()) {
+        continue;
+      }
+      final int colon = part.indexOf(':');
+      if (colon < 1) {
+        throw bad("sites", part, "write it as site:region, separated by commas");
+      }
+      sites.put(part.substring(0, colon).strip(), part.substring(colon + 1).strip());
+    }
+    return sites;
+  }
+
+  /** How often an upstream beats. */
+  public long beatMillis() {
+    return (long) number("beat.every-ms", 1500, 1, 600_000);
+  }
+
+  /** How long after the word of a drain an upstream still serves. */
+  public long drainMillis() {
+    return (long) number("bound.drain-ms", 2000, 0, 600_000);
+  }
+
+  /** How long a process has between SIGTERM and SIGKILL. */
+  public long graceMillis() {
+    return (long) (1000 * number("bound.grace-s", 6, 0, 3600));
+  }
+
+  /** How far back a watch may resume. */
+  public long historyMillis() {
+    return (long) (1000 * number("bound.history-s", 20, 0, 86_400));
+  }
+
+  /** Further tries allowed for each request. */
+  public double retryRatio() {
+    return number("bound.retry-ratio", 0.2, 0, 100);
+  }
+
+  /** The window of the budget of further tries. */
+  public long retryWindowMillis() {
+    return (long) (1000 * number("bound.retry-window-s", 10, 0.001, 3600));
+  }
+
+  /** Further tries allowed besides, over all switchboards. */
+  public double retrySlack() {
+    return number("bound.retry-slack", 10, 0, 1_000_000);
+  }
+
+  /** The factor by which a cold upstream's bound may be exceeded. */
+  public double warmupOvershoot() {
+    return number("bound.warmup-overshoot", 1.5, 0, 1000);
+  }
+
+  /** What a cold upstream may get besides in a second. */
+  public double warmupTolerance() {
+    return number("bound.warmup-tolerance", 5, 0, 1_000_000);
+  }
+
+  /** The longest time in seconds that a directory answer may be kept. */
+  public double resolutionTtl() {
+    return number("bound.resolution-ttl-s", 5, 0, 3600);
+  }
+}
--- /dev/null
+++ b/boot/src/main/java/weldpoint/boot/Logs.java
@@ -0,0 +1,42 @@
+package weldpoint.boot;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Sets up logging: one line a record on standard error. */
+public final class Logs {
+  private Logs() {
+  }
+
+  /** Directs all logs to standard error, at the level named by WELDPOINT_LOG (INFO where it is unset). */
+  public static void start(final String program) {
+    final Logger root = Logger.getLogger("");
+    for (final Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    final ConsoleHandler handler = new ConsoleHandler();
+    handler.setLevel(Level.ALL);
+    handler.setFormatter(new Formatter() {
+      @Override
+      public String format(final LogRecord line) {
+        final String cause = line.getThrown() == null ? "" : " " + trace(line.getThrown());
+        return program + " " + line.getLevel() + " " + line.getMessage() + cause + "\n";
+      }
+    });
+    root.addHandler(handler);
+    final String level = System.getenv("WELDPOINT_LOG");
+    root.setLevel(level == null || level.isEmpty() ? Level.INFO : Level.parse(level));
+  }
+
+  private static String trace(final Throwable thrown) {
+    final StringBuilder text = new StringBuilder(thrown.toString());
+    for (int index = 0; index < Math.min(8, thrown.getStackTrace().length); index++) {
+      text.append(" < ").append(thrown.getStackTrace()[index]);
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -0,0 +1,144 @@
+package weldpoint.console;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import weldpoint.boot.Boot;
+import weldpoint.boot.Breakdown;
+import weldpoint.boot.Logs;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.exchange.ExchangeDaemon;
+import weldpoint.frame.FrameDaemon;
+import weldpoint.jack.SwitchboardDaemon;
+
+/** The command line. */
+public final class Weldpoint {
+  private static final String VERSION = "0.1.0";
+  private static final int BAD_USAGE = 2;
+
+  /** The commands. */
+  private enum Command {
+    SWITCHBOARD("runs the proxy on an edge machine") {
+      @Override
+      int run(final OptionSet options) throws IOException, InterruptedException {
+        final SwitchboardDaemon daemon = new SwitchboardDaemon(boot("switchboard"));
+        daemon.start();
+        return stay(daemon::stop);
+      }
+    },
+    EXCHANGE("runs the registry on a core machine") {
+      @Override
+      int run(final OptionSet options) throws IOException, InterruptedException {
+        final ExchangeDaemon daemon = new ExchangeDaemon(boot("exchange"));
+        daemon.start();
+        return stay(daemon::stop);
+      }
+    },
+    FRAME("runs the store on a core machine") {
+      @Override
+      int run(final OptionSet options) throws IOException, InterruptedException {
+        final FrameDaemon daemon = new FrameDaemon(boot("frame"));
+        daemon.start();
+        return stay(daemon::stop);
+      }
+    },
+    CHECK("checks files without starting anything: check settings FILE, check spec FILE") {
+      @Override
+      int run(final OptionSet options) throws IOException {
+        final List<?> words = options.nonOptionArguments();
+        if (words.size() != 2) {
+          throw new Breakdown(Breakdown.Kind.USAGE, "check takes what to check and a file: check settings FILE, or check spec FILE");
+        }
+        final Path file = Path.of(words.get(1).toString());
+        if (words.get(0).equals("settings")) {
+          Boot.load(file);
+        } else if (words.get(0).equals("spec")) {
+          if (!Files.isReadable(file)) {
+            throw new Breakdown(Breakdown.Kind.UNREADABLE, "the file " + file + " cannot be read; name a readable file");
+          }
+          final Dialplan plan = Dialplan.compile(Files.readAllBytes(file));
+          System.out.println("version " + Long.toHexString(plan.version()) + ", " + plan.routes() + " routes, " + plan.services().size() + " services");
+        } else {
+          throw new Breakdown(Breakdown.Kind.USAGE, "'" + words.get(0) + "' cannot be checked; check settings or spec");
+        }
+        System.out.println("good");
+        return 0;
+      }
+    };
+
+    private final String help;
+
+    Command(final String help) {
+      this.help = help;
+    }
+
+    abstract int run(OptionSet options) throws IOException, InterruptedException;
+  }
+
+  private Weldpoint() {
+  }
+
+  private static Boot boot(final String program) {
+    Logs.start(program);
+    return Boot.load();
+  }
+
+  private static int stay(final Runnable stop) throws InterruptedException {
+    Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
+    Thread.currentThread().join();
+    return 0;
+  }
+
+  private static String usage() {
+    final StringBuilder text = new StringBuilder("usage: weldpoint COMMAND\n");
+    for (final Command command : Command.values()) {
+      text.append(String.format("  %-12s %s%n", command.name().toLowerCase(java.util.Locale.ROOT), command.help));
+    }
+    return text.append("  --help       shows this\n  --version    shows the version\nsettings are read from the file that ").append(Boot.VARIABLE).append(" names\n").toString();
+  }
+
+  /** Runs a command and ends with its exit code. */
+  public static void main(final String[] arguments) {
+    final int code = execute(arguments);
+    if (code >= 0) {
+      System.exit(code);
+    }
+  }
+
+  static int execute(final String[] arguments) {
+    try {
+      if (arguments.length > 0 && arguments[0].equals("--help")) {
+        System.out.print(usage());
+        return 0;
+      }
+      if (arguments.length > 0 && arguments[0].equals("--version")) {
+        System.out.println("weldpoint " + VERSION);
+        return 0;
+      }
+      for (final Command command : Command.values()) {
+        if (arguments.length > 0 && command.name().toLowerCase(java.util.Locale.ROOT).equals(arguments[0])) {
+          return command.run(new OptionParser().parse(Arrays.copyOfRange(arguments, 1, arguments.length)));
+        }
+      }
+      System.err.print((arguments.length == 0 ? "no command was given\n" : "the command '" + arguments[0] + "' is unknown\n") + usage());
+      return BAD_USAGE;
+    } catch (final OptionException problem) {
+      System.err.print(problem.getMessage() + "\n" + usage());
+      return BAD_USAGE;
+    } catch (final Breakdown breakdown) {
+      System.err.println("weldpoint: " + breakdown.getMessage());
+      return breakdown.kind() == Breakdown.Kind.USAGE ? BAD_USAGE : 1;
+    } catch (final IOException problem) {
+      System.err.println("weldpoint: " + problem.getMessage());
+      return 1;
+    } catch (final InterruptedException ended) {
+      Thread.currentThread().interrupt();
+      return 1;
+    }
+  }
+}
--- /dev/null
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -0,0 +1,363 @@
+package weldpoint.cord;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import weldpoint.boot.Boot;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.dialplan.Route;
+
+/** The upstreams of all services, their connections, and the choice among them. All of it lives on the traffic thread. */
+public final class Cords {
+  private static final double USUAL_MILLIS = 150;
+  private static final int SAMPLE = 4;
+  private static final double ROOM = 0.8;
+  private static final long COLD_MARGIN_MILLIS = 300;
+
+  private final Bootstrap bootstrap;
+  private final String site;
+  private final String region;
+  private final Map<String, String> regions;
+  private final Boot boot;
+  private final Random random;
+  private final Map<String, Upstream> upstreams = new HashMap<>();
+  private final Map<String, List<Upstream>> services = new HashMap<>();
+  private final Map<String, Budget> budgets = new HashMap<>();
+  private final Map<String, Double> usual = new HashMap<>();
+  private Set<String> evacuated = Set.of();
+  private int switchboards = 1;
+
+  /** No upstreams yet. */
+  public Cords(final EventLoopGroup loop, final Boot boot, final Random random) {
+    this.boot = boot;
+    this.site = boot.site();
+    this.region = boot.region();
+    this.regions = boot.sites();
+    this.random = random;
+    this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 400);
+  }
+
+  /** Takes what changed in the registry. */
+  public void apply(final List<Change> changes, final long now) {
+    for (final Change change : changes) {
+      final Upstream known = upstreams.get(change.registration.id);
+      if (!change.open) {
+        if (known != null) {
+          known.open = false;
+          upstreams.remove(known.id);
+          services.get(known.service).remove(known);
+          for (final Cord cord : new ArrayList<>(known.idle)) {
+            cord.close();
+          }
+          known.idle.clear();
+        }
+        continue;
+      }
+      final Upstream upstream;
+      if (known == null) {
+        upstream = new Upstream(change.registration, regions.getOrDefault(change.registration.site, ""), now);
+        upstreams.put(upstream.id, upstream);
+        services.computeIfAbsent(upstream.service, name -> new ArrayList<>()).add(upstream);
+      } else {
+        upstream = known;
+      }
+      if (change.registration.warmupMillis > 0) {
+        upstream.coldUntil = now + change.registration.warmupMillis + COLD_MARGIN_MILLIS;
+      } else if (known != null) {
+        upstream.coldUntil = 0;
+      }
+    }
+  }
+
+  /** A change in the registry. */
+  public record Change(weldpoint.trunk.Words.Registration registration, boolean open) {
+  }
+
+  /** Takes which sites are evacuated; those taken back count as cold until told otherwise. */
+  public void evacuated(final Set<String> sites, final long now) {
+    for (final String back : evacuated) {
+      if (!sites.contains(back)) {
+        for (final Upstream upstream : upstreams.values()) {
+          if (upstream.site.equals(back)) {
+            upstream.coldUntil = Math.max(upstream.coldUntil, now + boot.beatMillis() + 1000);
+          }
+        }
+      }
+    }
+    evacuated = new HashSet<>(sites);
+  }
+
+  /** Takes which upstreams have not been heard of. */
+  public void suspects(final Set<String> ids) {
+    for (final Upstream upstream : upstreams.values()) {
+      upstream.suspect = ids.contains(upstream.id);
+    }
+  }
+
+  /** Takes how many switchboards share budgets and cold bounds. */
+  public void switchboards(final int count) {
+    switchboards = Math.max(1, count);
+  }
+
+  /** The budget of a service. */
+  public Budget budget(final String service) {
+    return budgets.computeIfAbsent(service, name -> new Budget(boot.retryRatio(), boot.retrySlack(), boot.retryWindowMillis()));
+  }
+
+  /** Takes a further try from a service's budget. */
+  public boolean repeat(final String service, final long now) {
+    return budget(service).take(switchboards, now);
+  }
+
+  /** What came of a choice. */
+  public enum Choice {
+    /** One was chosen. */
+    CHOSEN,
+    /** All that may be used are full. */
+    FULL,
+    /** There is none that may be used. */
+    NONE,
+  }
+
+  private Upstream chosen;
+
+  /** The upstream that the last successful choice found. */
+  public Upstream chosen() {
+    return chosen;
+  }
+
+  /** Chooses an upstream for a request, not among those tried before. */
+  public Choice choose(final Dialplan.Service service, final Route route, final List<Upstream> tried, final long now) {
+    chosen = null;
+    final List<Upstream> all = services.getOrDefault(service.name(), List.of());
+    Upstream best = null;
+    double bestCost = Double.MAX_VALUE;
+    boolean any = false;
+    for (int pass = 0; pass < 2 && best == null; pass++) {
+      for (int tier = 0; tier < 3; tier++) {
+        final Upstream candidate = sample(all, service, route, tried, tier, pass == 1, now);
+        if (candidate == null) {
+          continue;
+        }
+        any = true;
+        final double cost = candidate.cost(now, usual(service.name())) + (tier == 0 ? 0 : tier == 1 ? 3 : 30);
+        if (cost < bestCost) {
+          best = candidate;
+          bestCost = cost;
+        }
+        if (best.busy(now) + 1 <= best.capacity * ROOM) {
+          break;
+        }
+      }
+    }
+    if (best == null) {
+      return any ? Choice.FULL : Choice.NONE;
+    }
+    final double most = route.kind.repeatable() ? best.capacity * 1.5 : best.capacity * 2.0;
+    if (best.busy(now) >= most) {
+      return Choice.FULL;
+    }
+    if (best.cold(now)) {
+      best.nextColdAt = now + pace(service);
+    }
+    chosen = best;
+    return Choice.CHOSEN;
+  }
+
+  private long pace(final Dialplan.Service service) {
+    return (long) Math.ceil(1000.0 * switchboards / Math.max(0.5, 0.9 * service.warmupPerSecond()));
+  }
+
+  private double usual(final String service) {
+    return usual.getOrDefault(service, USUAL_MILLIS);
+  }
+
+  private Upstream sample(final List<Upstream> all, final Dialplan.Service service, final Route route, final List<Upstream> tried, final int tier, final boolean desperate, final long now) {
+    final List<Upstream> fit = new ArrayList<>();
+    for (final Upstream upstream : all) {
+      final int distance = upstream.site.equals(site) ? 0 : upstream.region.equals(region) ? 1 : 2;
+      if (distance != tier || !upstream.open || evacuated.contains(upstream.site) || !route.home(upstream.region) || tried.contains(upstream)) {
+        continue;
+      }
+      if (upstream.cold(now) && (service.warmupPerSecond() > 0 && now < upstream.nextColdAt)) {
+        continue;
+      }
+      if (!desperate && (upstream.suspect || upstream.dim(now, usual(service.name())))) {
+        continue;
+      }
+      fit.add(upstream);
+    }
+    if (fit.isEmpty()) {
+      return null;
+    }
+    Upstream best = null;
+    double bestCost = 0;
+    for (int draw = 0; draw < Math.min(SAMPLE, fit.size()); draw++) {
+      final int index = draw + random.nextInt(fit.size() - draw);
+      final Upstream one = fit.get(index);
+      fit.set(index, fit.get(draw));
+      final double cost = one.cost(now, usual(service.name()));
+      if (best == null || cost < bestCost) {
+        best = one;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  /** One request at one upstream. */
+  public final class Attempt {
+    private final Upstream upstream;
+    private final long startedAt;
+    private final long[] token;
+    private Cord cord;
+    private boolean over;
+
+    private Attempt(final Upstream upstream, final long startedAt) {
+      this.upstream = upstream;
+      this.startedAt = startedAt;
+      this.token = new long[] {startedAt};
+    }
+
+    private void end() {
+      if (!over) {
+        over = true;
+        upstream.ended(token);
+      }
+    }
+
+    /** Whether it is still under way. */
+    public boolean running() {
+      return !over;
+    }
+
+    /** The upstream it was sent to. */
+    public Upstream upstream() {
+      return upstream;
+    }
+
+    /** Stops it; nobody hears of its end. */
+    public void abandon() {
+      if (!over) {
+        end();
+        if (cord != null) {
+          cord.abandon();
+        }
+      }
+    }
+  }
+
+  /** Sends a request to the chosen upstream. */
+  public Attempt send(final Upstream upstream, final FullHttpRequest request, final String id, final long now, final Cord.Done listener) {
+    final Attempt attempt = new Attempt(upstream, now);
+    upstream.sent(attempt.token);
+    final Cord.Done done = (end, head, body) -> {
+      if (attempt.over) {
+        if (body != null) {
+          body.release();
+        }
+        return;
+      }
+      attempt.end();
+      settle(attempt, end, head);
+      listener.done(end, head, body);
+    };
+    Cord idle = upstream.idle.pollFirst();
+    while (idle != null && !idle.usable(now)) {
+      idle.close();
+      idle = upstream.idle.pollFirst();
+    }
+    if (idle != null) {
+      attempt.cord = idle;
+      idle.send(request, id, done);
+      return attempt;
+    }
+    connect(upstream, attempt, request, id, done);
+    return attempt;
+  }
+
+  private void connect(final Upstream upstream, final Attempt attempt, final FullHttpRequest request, final String id, final Cord.Done done) {
+    final Cord.Decoder decoder = new Cord.Decoder();
+    final Cord cord = new Cord(upstream, decoder);
+    final ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+      @Override
+      protected void initChannel(final SocketChannel channel) {
+        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), cord);
+      }
+    }).connect(new InetSocketAddress(upstream.host, upstream.port));
+    future.addListener(result -> {
+      if (!result.isSuccess()) {
+        request.release();
+        done.done(Cord.End.UNSENT, null, null);
+        return;
+      }
+      cord.connected(future.channel());
+      if (attempt.over || !upstream.open) {
+        request.release();
+        cord.close();
+        done.done(Cord.End.UNSENT, null, null);
+        return;
+      }
+      attempt.cord = cord;
+      cord.send(request, id, done);
+    });
+  }
+
+  private void settle(final Attempt attempt, final Cord.End end, final HttpResponse head) {
+    final Upstream upstream = attempt.upstream;
+    final long now = System.nanoTime() / 1_000_000;
+    if (end != Cord.End.ANSWERED) {
+      upstream.failed(now);
+      return;
+    }
+    final int status = head.status().code();
+    final String load = head.headers().get(Headers.LOAD);
+    if (load != null) {
+      upstream.told(load, now);
+    }
+    final long took = now - attempt.startedAt;
+    if (status == 421) {
+      upstream.failed(now);
+    } else if (head.headers().contains(Headers.NOT_EXECUTED)) {
+      upstream.failed(now);
+    } else {
+      upstream.answered(now, status < 300 ? took : -1);
+      if (status < 300) {
+        usual.merge(upstream.service, (double) took, (before, after) -> before * 0.98 + after * 0.02);
+      }
+    }
+    if (attempt.cord != null && upstream.open && attempt.cord.usable(now)) {
+      upstream.idle.addFirst(attempt.cord);
+    }
+  }
+
+  /** Closes connections that have been idle for too long. */
+  public void sweep(final long now) {
+    for (final Upstream upstream : upstreams.values()) {
+      while (!upstream.idle.isEmpty() && !upstream.idle.peekLast().usable(now)) {
+        upstream.idle.pollLast().close();
+      }
+    }
+  }
+
+  /** How many upstreams are known. */
+  public int count() {
+    return upstreams.size();
+  }
+}
--- /dev/null
+++ b/cord/src/main/java/weldpoint/cord/Upstream.java
@@ -0,0 +1,117 @@
+package weldpoint.cord;
+
+import java.util.ArrayDeque;
+import weldpoint.trunk.Words.Registration;
+
+/** One upstream as this switchboard knows it: what it was told, and what it has seen itself. */
+public final class Upstream {
+  private static final long TOLD_MILLIS = 1500;
+  private static final int MOST_HOLD_MILLIS = 4000;
+
+  final String id;
+  final String service;
+  final String host;
+  final int port;
+  final String site;
+  final String region;
+  int capacity;
+  boolean open = true;
+  boolean suspect;
+  long coldUntil;
+  long nextColdAt;
+  int inFlight;
+  final ArrayDeque<Cord> idle = new ArrayDeque<>();
+  private int toldBusy;
+  private int toldOwn;
+  private long toldAt = Long.MIN_VALUE / 2;
+  double expectedMillis;
+  private int failures;
+  private long holdUntil;
+  private long answeredAt;
+  final ArrayDeque<long[]> outstanding = new ArrayDeque<>();
+
+  Upstream(final Registration registration, final String region, final long now) {
+    this.id = registration.id;
+    this.service = registration.service;
+    final int colon = registration.address.lastIndexOf(':');
+    this.host = registration.address.substring(0, colon);
+    this.port = Integer.parseInt(registration.address.substring(colon + 1));
+    this.site = registration.site;
+    this.region = region;
+    this.capacity = Math.max(1, registration.capacity);
+    this.answeredAt = now;
+  }
+
+  /** The id of this life of the upstream. */
+  public String id() {
+    return id;
+  }
+
+  void told(final String load, final long now) {
+    final String[] parts = load.split(",");
+    if (parts.length != 3) {
+      return;
+    }
+    try {
+      toldBusy = Integer.parseInt(parts[0].strip()) + Integer.parseInt(parts[1].strip());
+      capacity = Math.max(1, Integer.parseInt(parts[2].strip()));
+      toldOwn = inFlight;
+      toldAt = now;
+    } catch (final NumberFormatException ignored) {
+      toldAt = Long.MIN_VALUE / 2;
+    }
+  }
+
+  /** How many requests it probably has, over all switchboards. */
+  double busy(final long now) {
+    if (now - toldAt > TOLD_MILLIS) {
+      return inFlight;
+    }
+    final double others = Math.max(0, toldBusy - toldOwn) * (1 - (now - toldAt) / (double) TOLD_MILLIS);
+    return others + inFlight;
+  }
+
+  /** How long a further request would probably take. */
+  double cost(final long now, final double usual) {
+    final double expected = expectedMillis == 0 ? usual : expectedMillis;
+    final double fill = (busy(now) + 1) / capacity;
+    return expected * (fill <= 0.8 ? 1 + 0.2 * fill : fill <= 1 ? 1 + 1.5 * (fill - 0.7) : 1.45 + 2 * (fill - 1));
+  }
+
+  boolean cold(final long now) {
+    return now < coldUntil;
+  }
+
+  /** Whether it has been silent for so long, with requests waiting there, that it may be gone. */
+  boolean dim(final long now, final double usual) {
+    if (now < holdUntil) {
+      return true;
+    }
+    final long[] oldest = outstanding.peekFirst();
+    return oldest != null && answeredAt < oldest[0] && now - oldest[0] > Math.max(500, 4 * (expectedMillis == 0 ? usual : expectedMillis));
+  }
+
+  void sent(final long[] token) {
+    inFlight++;
+    outstanding.addLast(token);
+  }
+
+  void ended(final long[] token) {
+    inFlight--;
+    outstanding.remove(token);
+  }
+
+  void answered(final long now, final long tookMillis) {
+    failures = 0;
+    holdUntil = 0;
+    answeredAt = now;
+    if (tookMillis >= 0) {
+      expectedMillis = expectedMillis == 0 ? tookMillis : expectedMillis * 0.9 + tookMillis * 0.1;
+    }
+  }
+
+  void failed(final long now) {
+    failures++;
+    holdUntil = now + Math.min(MOST_HOLD_MILLIS, 250L << Math.min(4, failures));
+  }
+}
--- /dev/null
+++ b/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
@@ -0,0 +1,223 @@
+package weldpoint.dialplan;
+
+import io.avaje.jsonb.JsonType;
+import io.avaje.jsonb.Jsonb;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import weldpoint.boot.Breakdown;
+
+/** A configuration compiled into a small program: names have become dense indices. */
+public final class Dialplan {
+  private static final JsonType<SpecDocument> TYPE = Jsonb.builder().build().type(SpecDocument.class);
+
+  /** The steps of the program that every request runs through, in order. */
+  enum Step {
+    FIND_HOST {
+      @Override
+      boolean run(final Dialplan plan, final Interpreter request) {
+        request.prefixes = plan.hosts.get(request.host);
+        return request.prefixes != null;
+      }
+    },
+    FIND_LONGEST_PREFIX {
+      @Override
+      boolean run(final Dialplan plan, final Interpreter request) {
+        for (int slash = request.pathEnd; slash >= 0; slash = request.path.lastIndexOf('/', slash - 1)) {
+          final Route found = request.prefixes.get(request.path.substring(0, slash + 1));
+          if (found != null) {
+            request.route = found;
+            return true;
+          }
+          if (slash == 0) {
+            break;
+          }
+        }
+        return false;
+      }
+    },
+    CHOOSE_SERVICE {
+      @Override
+      boolean run(final Dialplan plan, final Interpreter request) {
+        final Route route = request.route;
+        int chosen = 0;
+        if (route.services.length > 1) {
+          final double at = request.chance * route.upTo[route.upTo.length - 1];
+          while (chosen < route.services.length - 1 && at >= route.upTo[chosen]) {
+            chosen++;
+          }
+        }
+        request.service = route.services[chosen];
+        return true;
+      }
+    };
+
+    abstract boolean run(Dialplan plan, Interpreter request);
+  }
+
+  private static final Step[] PROGRAM = Step.values();
+
+  /** What is known of a service. */
+  public record Service(int index, String name, String healthPath, int maxConnections, double warmupPerSecond) {
+  }
+
+  private final long version;
+  private final Map<String, Map<String, Route>> hosts;
+  private final List<Service> services;
+  private final Map<String, Integer> serviceIndices;
+  private final int maxHeaderBytes;
+  private final long maxBodyBytes;
+  private final long headerMillis;
+  private final long idleMillis;
+  private final int routes;
+
+  private Dialplan(final long version, final Map<String, Map<String, Route>> hosts, final List<Service> services, final Map<String, Integer> serviceIndices, final SpecDocument.Limits limits, final int routes) {
+    this.version = version;
+    this.hosts = hosts;
+    this.services = services;
+    this.serviceIndices = serviceIndices;
+    this.routes = routes;
+    this.maxHeaderBytes = (int) orElse(limits == null ? null : limits.maxHeaderBytes(), 16_384);
+    this.maxBodyBytes = (long) orElse(limits == null ? null : limits.maxBodyBytes(), 64 << 20);
+    this.headerMillis = (long) orElse(limits == null ? null : limits.headerTimeoutMs(), 5000);
+    this.idleMillis = (long) orElse(limits == null ? null : limits.idleTimeoutMs(), 15_000);
+  }
+
+  private static double orElse(final Double value, final double fallback) {
+    return value == null || value <= 0 ? fallback : value;
+  }
+
+  /** The version in an operator's words: eight hexadecimal digits. */
+  public static long version(final String text) {
+    try {
+      return Long.parseUnsignedLong(text, 16);
+    } catch (final NumberFormatException | NullPointerException problem) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the version '" + text + "' is no number; write it as eight hexadecimal digits");
+    }
+  }
+
+  /** Reads, checks and compiles a configuration. */
+  public static Dialplan compile(final byte[] body) {
+    final SpecDocument document;
+    try {
+      document = TYPE.fromJson(new String(body, StandardCharsets.UTF_8));
+    } catch (final RuntimeException problem) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the configuration cannot be read whole (" + problem.getMessage() + "); send complete JSON");
+    }
+    if (document == null || document.listeners() == null || document.pools() == null) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the configuration lacks listeners or pools; send it whole");
+    }
+    final long version = version(document.version());
+    final List<Service> services = new ArrayList<>();
+    final Map<String, Integer> indices = new HashMap<>();
+    for (final SpecDocument.Pool pool : document.pools()) {
+      if (pool.name() == null) {
+        throw invalid("a pool has no name; give it one");
+      }
+      indices.put(pool.name(), services.size());
+      services.add(new Service(services.size(), pool.name(), pool.healthPath() == null ? "/health" : pool.healthPath(), (int) orElse(pool.maxConns(), 100), orElse(pool.warmupPerS(), 0)));
+    }
+    final Map<String, Map<String, Route>> hosts = new HashMap<>();
+    int count = 0;
+    for (final SpecDocument.Listener listener : document.listeners()) {
+      if (listener.host() == null || listener.host().isEmpty()) {
+        throw invalid("a listener has an empty host; name the host it serves");
+      }
+      final Map<String, Route> prefixes = hosts.computeIfAbsent(listener.host().toLowerCase(java.util.Locale.ROOT), host -> new HashMap<>());
+      if (listener.rules() == null) {
+        continue;
+      }
+      for (final SpecDocument.Rule rule : listener.rules()) {
+        final Route route = route(rule, count++, indices);
+        prefixes.put(rule.match().pathPrefix(), route);
+      }
+    }
+    return new Dialplan(version, hosts, services, indices, document.limits(), count);
+  }
+
+  private static Breakdown invalid(final String message) {
+    return new Breakdown(Breakdown.Kind.INVALID, message);
+  }
+
+  private static Route route(final SpecDocument.Rule rule, final int index, final Map<String, Integer> indices) {
+    final String name = rule.name() == null ? "#" + index : rule.name();
+    final SpecDocument.Action action = rule.action();
+    if (rule.match() == null || rule.match().pathPrefix() == null || action == null) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "route " + name + " lacks its match or its action; send it whole");
+    }
+    if (action.timeoutMs() == null || action.timeoutMs() <= 0) {
+      throw invalid("route " + name + " has no timeoutMs; give it more than 0");
+    }
+    if (action.maxAttempts() == null || action.maxAttempts() < 1) {
+      throw invalid("route " + name + " has 0 maxAttempts; give it at least 1");
+    }
+    final List<SpecDocument.Share> shares = action.split() != null && !action.split().isEmpty() ? action.split() : List.of(new SpecDocument.Share(action.service(), 1.0));
+    final int[] services = new int[shares.size()];
+    final double[] upTo = new double[shares.size()];
+    double sum = 0;
+    for (int place = 0; place < services.length; place++) {
+      final Integer service = indices.get(shares.get(place).service());
+      if (service == null) {
+        throw invalid("route " + name + " names the unknown service " + shares.get(place).service() + "; add it to pools or name another");
+      }
+      services[place] = service;
+      sum += shares.get(place).weight() == null ? 0 : Math.max(0, shares.get(place).weight());
+      upTo[place] = sum;
+    }
+    final List<String> homes = action.homeRegions() == null ? List.of() : action.homeRegions();
+    return new Route(index, name, RouteKind.of(rule.routeKind()), (int) orElse(rule.priority(), 0), (long) orElse(rule.targetLatencyMs(), 1000),
+        Math.max(1, action.timeoutMs().longValue()), action.maxAttempts().intValue(), homes.toArray(new String[0]), services, upTo);
+  }
+
+  /** Runs the program for a request; false where no route matches. */
+  public boolean interpret(final Interpreter request) {
+    for (final Step step : PROGRAM) {
+      if (!step.run(this, request)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The version of the configuration. */
+  public long version() {
+    return version;
+  }
+
+  /** The services, by index. */
+  public List<Service> services() {
+    return services;
+  }
+
+  /** The index of a service, or -1. */
+  public int service(final String name) {
+    return serviceIndices.getOrDefault(name, -1);
+  }
+
+  /** How many routes there are. */
+  public int routes() {
+    return routes;
+  }
+
+  /** The most bytes that the head of a request may have. */
+  public int maxHeaderBytes() {
+    return maxHeaderBytes;
+  }
+
+  /** The most bytes that the body of a request may have. */
+  public long maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  /** How long the head of a request may take. */
+  public long headerMillis() {
+    return headerMillis;
+  }
+
+  /** How long a connection may be idle. */
+  public long idleMillis() {
+    return idleMillis;
+  }
+}
--- /dev/null
+++ b/dialplan/src/main/java/weldpoint/dialplan/Route.java
@@ -0,0 +1,46 @@
+package weldpoint.dialplan;
+
+/** A compiled route: names have become indices of services. */
+public final class Route {
+  public final int index;
+  public final String name;
+  public final RouteKind kind;
+  public final int priority;
+  public final long targetMillis;
+  public final long timeoutMillis;
+  public final int maxAttempts;
+  public final String[] homes;
+  final int[] services;
+  final double[] upTo;
+
+  Route(final int index, final String name, final RouteKind kind, final int priority, final long targetMillis, final long timeoutMillis, final int maxAttempts, final String[] homes, final int[] services, final double[] upTo) {
+    this.index = index;
+    this.name = name;
+    this.kind = kind;
+    this.priority = priority;
+    this.targetMillis = targetMillis;
+    this.timeoutMillis = timeoutMillis;
+    this.maxAttempts = maxAttempts;
+    this.homes = homes;
+    this.services = services;
+    this.upTo = upTo;
+  }
+
+  /** Whether upstreams in this region may serve it. */
+  public boolean home(final String region) {
+    if (homes.length == 0) {
+      return true;
+    }
+    for (final String home : homes) {
+      if (home.equals(region)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** The services that the route may lead to. */
+  public int[] services() {
+    return services.clone();
+  }
+}
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/Calls.java
@@ -0,0 +1,85 @@
+package weldpoint.exchange;
+
+import io.avaje.jsonb.Json;
+import io.avaje.jsonb.JsonType;
+import io.avaje.jsonb.Jsonb;
+import java.util.List;
+
+/** The bodies of calls to the system's own interfaces, and of its answers. */
+public final class Calls {
+  private static final Jsonb JSON = Jsonb.builder().build();
+  static final JsonType<Beat> BEAT = JSON.type(Beat.class);
+  static final JsonType<Grip> GRIP = JSON.type(Grip.class);
+  static final JsonType<CellPut> CELL_PUT = JSON.type(CellPut.class);
+  static final JsonType<BeatAnswer> BEAT_ANSWER = JSON.type(BeatAnswer.class);
+  static final JsonType<Resolution> RESOLUTION = JSON.type(Resolution.class);
+  static final JsonType<Fence> FENCE = JSON.type(Fence.class);
+  static final JsonType<NumberAnswer> NUMBER = JSON.type(NumberAnswer.class);
+  static final JsonType<Revision> REVISION = JSON.type(Revision.class);
+  static final JsonType<CellAnswer> CELL = JSON.type(CellAnswer.class);
+  static final JsonType<WatchAnswer> WATCH = JSON.type(WatchAnswer.class);
+  static final JsonType<Problem> PROBLEM = JSON.type(Problem.class);
+
+  private Calls() {
+  }
+
+  /** A beat of an upstream. */
+  @Json
+  public record Beat(String service, String address, String zone, String version, Double capacity, String state, Double warmupLeftMs, Long callSeq) {
+  }
+
+  /** A call about a lock. */
+  @Json
+  public record Grip(String owner, Long fenceNumber, Double holdMs) {
+  }
+
+  /** A put of a key. */
+  @Json
+  public record CellPut(String value, Long enabled) {
+  }
+
+  /** The answer to a beat. */
+  @Json
+  public record BeatAnswer(String beatTarget) {
+  }
+
+  /** A directory answer. */
+  @Json
+  public record Resolution(List<String> addresses, double ttlS) {
+  }
+
+  /** A lock was taken. */
+  @Json
+  public record Fence(long fenceNumber) {
+  }
+
+  /** A number. */
+  @Json
+  public record NumberAnswer(long value) {
+  }
+
+  /** A revision of a key. */
+  @Json
+  public record Revision(long revision) {
+  }
+
+  /** What a key holds. */
+  @Json
+  public record CellAnswer(String value, long revision) {
+  }
+
+  /** A put that a watch saw. */
+  @Json
+  public record Event(String name, String value, long revision) {
+  }
+
+  /** What a watch saw. */
+  @Json
+  public record WatchAnswer(List<Event> events, long revision) {
+  }
+
+  /** Why a call was refused, with the remedy. */
+  @Json
+  public record Problem(String error) {
+  }
+}
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -0,0 +1,364 @@
+package weldpoint.exchange;
+
+import io.avaje.jsonb.JsonType;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import weldpoint.boot.Boot;
+import weldpoint.boot.Breakdown;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.frame.Deed;
+import weldpoint.frame.Values;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/** The system's own interfaces over HTTP: each call is decoded into a command, which runs on the control thread. */
+final class ControlDoor {
+  private static final int MOST_BYTES = 16 << 20;
+  private static final long CALL_MILLIS = 900;
+  private static final int MOST_ADDRESSES = 64;
+
+  /** An answer: a status and a JSON body. */
+  private record Reply(int status, byte[] body) {
+    static final Reply EMPTY = new Reply(200, "{}".getBytes(StandardCharsets.UTF_8));
+
+    static <T> Reply of(final int status, final JsonType<T> type, final T value) {
+      return new Reply(status, type.toJson(value).getBytes(StandardCharsets.UTF_8));
+    }
+
+    static Reply problem(final int status, final String message) {
+      return of(status, Calls.PROBLEM, new Calls.Problem(message));
+    }
+  }
+
+  /** One decoded call. */
+  private interface Command {
+    CompletableFuture<Reply> run(long now);
+  }
+
+  /** The calls of the control interface, by their names on the wire. */
+  private enum Rpc {
+    BEAT("instances.heartbeat") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return door.beat(id, read(Calls.BEAT, body));
+      }
+    },
+    DEREGISTER("instances.deregister") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return now -> door.core.deregister(named(id), System.currentTimeMillis(), now).thenApply(done -> Reply.EMPTY);
+      }
+    },
+    SPEC_REPLACE("configuration.replace") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return now -> {
+          final Dialplan plan = Dialplan.compile(body);
+          return door.core.call(Deed.SPEC_REPLACE, "", null, plan.version(), 0, ControlSpec.deflate(body), CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
+        };
+      }
+    },
+    SPEC_READ("configuration.read") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return now -> door.core.call(Deed.SPEC_READ, "", null, 0, 0, null, CALL_MILLIS, now).thenApply(answer -> answer.status == 200 ? new Reply(200, ControlSpec.inflate(answer.body))
+            : status(answer, Reply.problem(answer.status, "no configuration has been taken yet; send one")));
+      }
+    },
+    EVACUATION_BEGIN("evacuation.begin") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return door.evacuate(named(id), 1);
+      }
+    },
+    EVACUATION_FINISH("evacuation.finish") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return door.evacuate(named(id), 0);
+      }
+    },
+    LOCK_BEGIN("locks.begin") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return door.lock(Deed.LOCK_BEGIN, named(id), read(Calls.GRIP, body));
+      }
+    },
+    LOCK_HEARTBEAT("locks.heartbeat") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return door.lock(Deed.LOCK_HEARTBEAT, named(id), read(Calls.GRIP, body));
+      }
+    },
+    LOCK_FINISH("locks.finish") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return door.lock(Deed.LOCK_FINISH, named(id), read(Calls.GRIP, body));
+      }
+    },
+    CELL_REPLACE("cells.replace") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        final Calls.CellPut put = read(Calls.CELL_PUT, body);
+        if (put.value() == null) {
+          throw new Breakdown(Breakdown.Kind.UNREADABLE, "a put lacks its value; send value as a string");
+        }
+        return now -> door.core.call(Deed.CELL_REPLACE, group(named(id)), put.value(), put.enabled() == null ? -1 : put.enabled(), 0, id.getBytes(StandardCharsets.UTF_8), CALL_MILLIS, now)
+            .thenApply(answer -> status(answer, Reply.of(answer.status, Calls.REVISION, new Calls.Revision(answer.first))));
+      }
+    },
+    CELL_READ("cells.read") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body) {
+        return now -> door.core.call(Deed.CELL_READ, group(named(id)), null, 0, 0, id.getBytes(StandardCharsets.UTF_8), CALL_MILLIS, now)
+            .thenApply(answer -> answer.status == 200 ? Reply.of(200, Calls.CELL, new Calls.CellAnswer(new String(answer.body, StandardCharsets.UTF_8), answer.first))
+                : status(answer, Reply.problem(answer.status, "the key holds nothing; put a value first")));
+      }
+    };
+
+    private final String wire;
+
+    Rpc(final String wire) {
+      this.wire = wire;
+    }
+
+    static Rpc of(final String wire) {
+      for (final Rpc rpc : values()) {
+        if (rpc.wire.equals(wire)) {
+          return rpc;
+        }
+      }
+      throw new Breakdown(Breakdown.Kind.UNKNOWN_CALL, "the call '" + wire + "' is unknown; see the protocol page for the calls there are");
+    }
+
+    abstract Command decode(ControlDoor door, String id, byte[] body);
+  }
+
+  private final Boot boot;
+  private final ExchangeCore core;
+  private final Executor desk;
+  private final Map<String, String> regions;
+  private final int controlPort;
+
+  ControlDoor(final Boot boot, final ExchangeCore core, final Executor desk) {
+    this.boot = boot;
+    this.core = core;
+    this.desk = desk;
+    this.regions = boot.sites();
+    this.controlPort = boot.requiredAddress("listen.control").port();
+  }
+
+  void serve(final EventLoopGroup loop, final Boot.Address address) throws InterruptedException {
+    new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.SO_BACKLOG, 512)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(new ChannelInitializer<SocketChannel>() {
+          @Override
+          protected void initChannel(final SocketChannel channel) {
+            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BYTES), new Handler());
+          }
+        }).bind(address.host(), address.port()).sync();
+  }
+
+  private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(final ChannelHandlerContext context, final FullHttpRequest request) {
+      final boolean keep = HttpUtil.isKeepAlive(request);
+      if (request.decoderResult().isFailure()) {
+        write(context, Reply.problem(400, "the request cannot be read; send proper HTTP/1.1"), false);
+        return;
+      }
+      final Command command;
+      try {
+        command = decode(request);
+      } catch (final Breakdown breakdown) {
+        write(context, Reply.problem(Math.max(400, breakdown.kind().status()), breakdown.getMessage()), keep);
+        return;
+      }
+      desk.execute(() -> run(command, context, keep));
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+      context.close();
+    }
+  }
+
+  private void run(final Command command, final ChannelHandlerContext context, final boolean keep) {
+    CompletableFuture<Reply> future;
+    try {
+      future = command.run(System.nanoTime() / 1_000_000);
+    } catch (final Breakdown breakdown) {
+      future = CompletableFuture.failedFuture(breakdown);
+    }
+    future.whenComplete((reply, problem) -> {
+      if (problem == null) {
+        write(context, reply, keep);
+        return;
+      }
+      final Throwable cause = problem instanceof CompletionException ? problem.getCause() : problem;
+      write(context, cause instanceof Breakdown ? Reply.problem(((Breakdown) cause).kind().status(), cause.getMessage()) : Reply.problem(500, "internal failure: " + cause), keep);
+    });
+  }
+
+  private static void write(final ChannelHandlerContext context, final Reply reply, final boolean keep) {
+    final FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status), Unpooled.wrappedBuffer(reply.body));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONTENT_LENGTH, reply.body.length);
+    if (!keep) {
+      response.headers().set(HttpHeaderNames.CONNECTION, "close");
+      context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    } else {
+      context.writeAndFlush(response, context.voidPromise());
+    }
+  }
+
+  private Command decode(final FullHttpRequest request) {
+    final QueryStringDecoder query = new QueryStringDecoder(request.uri());
+    final String path = query.path();
+    if (path.equals("/api/rpc")) {
+      final Rpc rpc = Rpc.of(parameter(query, "call"));
+      wants(request, HttpMethod.POST);
+      final byte[] body = new byte[request.content().readableBytes()];
+      request.content().readBytes(body);
+      return rpc.decode(this, parameter(query, "of"), body);
+    }
+    if (path.startsWith("/api/numbers/")) {
+      wants(request, HttpMethod.POST);
+      final String id = named(path.substring("/api/numbers/".length()));
+      return now -> core.call(Deed.NUMBER, id, null, 0, 0, null, CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.of(200, Calls.NUMBER, new Calls.NumberAnswer(answer.first))));
+    }
+    if (path.startsWith("/api/watch/")) {
+      wants(request, HttpMethod.GET);
+      return watch(named(path.substring("/api/watch/".length())), whole(query, "after", 0), whole(query, "waitMs", 0));
+    }
+    if (path.equals("/api/resolution")) {
+      wants(request, HttpMethod.GET);
+      final String region = parameter(query, "region");
+      final String site = parameter(query, "zone");
+      return now -> {
+        final List<String> addresses = core.resolve(region, site, MOST_ADDRESSES, now);
+        return CompletableFuture.completedFuture(addresses.isEmpty() ? Reply.problem(503, "no switchboard is known yet; ask again shortly")
+            : Reply.of(200, Calls.RESOLUTION, new Calls.Resolution(addresses, Math.min(2, boot.resolutionTtl()))));
+      };
+    }
+    throw new Breakdown(Breakdown.Kind.UNKNOWN_CALL, "nothing is served at " + path + "; see the protocol page for the calls there are");
+  }
+
+  private static void wants(final FullHttpRequest request, final HttpMethod method) {
+    if (!request.method().equals(method)) {
+      throw new Breakdown(Breakdown.Kind.WRONG_METHOD, "the method " + request.method() + " does not fit this call; use " + method);
+    }
+  }
+
+  private static String parameter(final QueryStringDecoder query, final String name) {
+    final List<String> values = query.parameters().get(name);
+    return values == null || values.isEmpty() ? "" : values.get(0);
+  }
+
+  private static long whole(final QueryStringDecoder query, final String name, final long fallback) {
+    final String text = parameter(query, name);
+    try {
+      return text.isEmpty() ? fallback : Long.parseLong(text);
+    } catch (final NumberFormatException problem) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, name + " is '" + text + "'; give a whole number");
+    }
+  }
+
+  private static String named(final String id) {
+    if (id.isEmpty()) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the call names nothing; give the id");
+    }
+    return id;
+  }
+
+  private static String group(final String key) {
+    final int dot = key.indexOf('.');
+    return dot < 0 ? key : key.substring(0, dot + 1);
+  }
+
+  private static <T> T read(final JsonType<T> type, final byte[] body) {
+    try {
+      final T value = type.fromJson(new String(body, StandardCharsets.UTF_8));
+      if (value != null) {
+        return value;
+      }
+    } catch (final RuntimeException problem) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the body cannot be read (" + problem.getMessage() + "); send complete JSON");
+    }
+    throw new Breakdown(Breakdown.Kind.UNREADABLE, "the body is empty; send a JSON object");
+  }
+
+  private static Reply status(final Words.Answer answer, final Reply good) {
+    return switch (answer.status) {
+      case 504 -> Reply.problem(504, "the duty changed hands while the call was under way; send it again");
+      case 409 -> Reply.problem(409, "another holds it, or it was lost; try again later");
+      default -> good;
+    };
+  }
+
+  private Command beat(final String id, final Calls.Beat beat) {
+    named(id);
+    final boolean draining = "draining".equals(beat.state());
+    if (beat.service() == null || beat.address() == null || beat.zone() == null || beat.callSeq() == null || beat.capacity() == null || beat.capacity() < 0 || !draining && !"ready".equals(beat.state())) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the beat of " + id + " lacks service, address, zone, capacity, callSeq or a state of ready or draining; send them all");
+    }
+    Boot.Address.parse("address", beat.address());
+    final long warmup = beat.warmupLeftMs() == null ? 0 : Math.max(0, beat.warmupLeftMs().longValue());
+    final Words.Registration registration = new Words.Registration(id, beat.service(), beat.address(), beat.zone(), beat.version() == null ? "" : beat.version(), beat.capacity().intValue(), (draining ? Stage.DRAINING : Stage.JOINED).ordinal(), beat.callSeq(), System.currentTimeMillis(), warmup);
+    return now -> core.beat(registration, now).thenApply(done -> Reply.of(200, Calls.BEAT_ANSWER, new Calls.BeatAnswer(core.keeper(id, beat.zone(), regions, now) + ":" + controlPort)));
+  }
+
+  private Command evacuate(final String site, final long on) {
+    return now -> core.call(Deed.EVACUATE, site, null, on, 0, null, CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
+  }
+
+  private Command lock(final Deed deed, final String id, final Calls.Grip grip) {
+    if (grip.owner() == null || grip.owner().isEmpty() || deed != Deed.LOCK_BEGIN && grip.fenceNumber() == null || deed != Deed.LOCK_FINISH && (grip.holdMs() == null || grip.holdMs() <= 0)) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the call for lock " + id + " lacks owner, fenceNumber or holdMs; send what the call needs");
+    }
+    final long hold = grip.holdMs() == null ? 0 : grip.holdMs().longValue();
+    final long fence = grip.fenceNumber() == null ? 0 : grip.fenceNumber();
+    return now -> core.call(deed, id, grip.owner(), hold, fence, null, CALL_MILLIS, now)
+        .thenApply(answer -> status(answer, deed == Deed.LOCK_BEGIN ? Reply.of(200, Calls.FENCE, new Calls.Fence(answer.first)) : Reply.EMPTY));
+  }
+
+  private Command watch(final String group, final long after, final long wait) {
+    final long patience = Math.max(0, Math.min(wait, 60_000));
+    return now -> core.call(Deed.WATCH, group, null, after, patience, null, patience + CALL_MILLIS, now).thenApply(answer -> {
+      if (answer.status != 200) {
+        return status(answer, Reply.problem(answer.status, "the history no longer reaches back to " + after + "; begin again with after=0"));
+      }
+      final Values.Events events = Wire.value(answer.body, Values.Events.class);
+      final List<Calls.Event> list = new java.util.ArrayList<>();
+      for (final Values.Put put : Words.list(events.events)) {
+        list.add(new Calls.Event(put.name, put.value, put.revision));
+      }
+      return Reply.of(200, Calls.WATCH, new Calls.WatchAnswer(list, events.revision));
+    });
+  }
+}
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/ControlSpec.java
@@ -0,0 +1,49 @@
+package weldpoint.exchange;
+
+import java.io.ByteArrayOutputStream;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import weldpoint.boot.Breakdown;
+
+/** The form in which a configuration is stored and sent: compressed, otherwise as the operator wrote it. */
+public final class ControlSpec {
+  private ControlSpec() {
+  }
+
+  /** The compressed form. */
+  public static byte[] deflate(final byte[] bytes) {
+    final Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+    deflater.setInput(bytes);
+    deflater.finish();
+    final ByteArrayOutputStream out = new ByteArrayOutputStream(Math.max(64, bytes.length / 4));
+    final byte[] chunk = new byte[4096];
+    while (!deflater.finished()) {
+      out.write(chunk, 0, deflater.deflate(chunk));
+    }
+    deflater.end();
+    return out.toByteArray();
+  }
+
+  /** The bytes that were deflated. */
+  public static byte[] inflate(final byte[] bytes) {
+    final Inflater inflater = new Inflater();
+    inflater.setInput(bytes);
+    final ByteArrayOutputStream out = new ByteArrayOutputStream(bytes.length * 6);
+    final byte[] chunk = new byte[4096];
+    try {
+      while (!inflater.finished()) {
+        final int got = inflater.inflate(chunk);
+        if (got == 0 && inflater.needsInput()) {
+          throw new Breakdown(Breakdown.Kind.UNREADABLE, "a stored configuration is cut short; send it again");
+        }
+        out.write(chunk, 0, got);
+      }
+    } catch (final DataFormatException problem) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "a stored configuration is damaged; send it again");
+    } finally {
+      inflater.end();
+    }
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -0,0 +1,750 @@
+package weldpoint.exchange;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import weldpoint.boot.Breakdown;
+import weldpoint.frame.Deed;
+import weldpoint.frame.Tokens;
+import weldpoint.frame.Values;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+import weldpoint.trunk.Words.Board;
+import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.Words.Roster;
+import weldpoint.trunk.Words.Voter;
+
+/**
+ * The membership: a persisted history of upstreams, reconciled with a random peer every second and pushed at once, and
+ * the map of tokens that says which daemon keeps whose beats. It knows neither threads nor clocks nor sockets.
+ */
+public final class ExchangeCore {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final long GOSSIP_MILLIS = 1000;
+  private static final long BOARD_LIVE_MILLIS = 2500;
+  private static final long BOARD_KEEP_MILLIS = 60_000;
+  private static final long REACH_MILLIS = 500;
+  private static final long RESEND_MILLIS = 300;
+  private static final long LAPSE_BEATS = 20;
+  private static final long SUSPECT_BEATS = 4;
+  private static final long MAJORITY_MILLIS = 2500;
+  private static final int MOST_REMOVED = 2000;
+
+  /** What the core does to the world. */
+  public interface Outlet {
+    /** Sends to another exchange; false where there is no line to it. */
+    boolean member(String address, Message message);
+
+    /** Sends to a frame; false where there is no line to it. */
+    boolean frame(String address, Words.Call call);
+
+    /** Sends to a switchboard's stream. */
+    void board(Object stream, Message message);
+
+    /** Puts a record on disk; the callback runs once it is lasting. */
+    void append(byte[] record, Runnable synced);
+
+    /** The machines whose exchanges and frames to keep lines to. */
+    void peers(List<String> members);
+  }
+
+  private static final class Quorum {
+    final List<Registration> registrations;
+    final Set<String> kept = new HashSet<>();
+    final CompletableFuture<Void> future = new CompletableFuture<>();
+    final long cutoff;
+    long sentAt;
+
+    Quorum(final List<Registration> registrations, final long cutoff) {
+      this.registrations = registrations;
+      this.cutoff = cutoff;
+    }
+  }
+
+  private static final class BoardEntry {
+    Board board;
+    long heardAt;
+  }
+
+  private final String self;
+  private final long beatMillis;
+  private final Random random;
+  private final Outlet outlet;
+  private final List<String> seeds;
+  private final boolean firstStart;
+  private final StoreCaller store;
+  private final Map<String, Registration> history = new LinkedHashMap<>();
+  private final Map<String, Long> beatAt = new HashMap<>();
+  private final Set<String> suspects = new HashSet<>();
+  private final Set<String> durable = new HashSet<>();
+  private final Map<String, BoardEntry> boards = new LinkedHashMap<>();
+  private final Set<Object> streams = new LinkedHashSet<>();
+  private final Map<Long, Quorum> quorums = new LinkedHashMap<>();
+  private final Map<String, Long> members = new LinkedHashMap<>();
+  private final Set<String> connected = new HashSet<>();
+  private Roster roster = new Roster(0, List.of());
+  private long digest;
+  private long number;
+  private long gossipAt;
+  private long reachAt;
+  private long startedAt;
+  private boolean reconciled;
+  private long version;
+  private byte[] spec;
+  private List<String> evacuated = List.of();
+  private long evacuationMark;
+  private long majorityAt = Long.MIN_VALUE / 2;
+  private boolean controlOut;
+  private int mostBoards;
+  private long mostBoardsAt;
+  private boolean leaving;
+  private long beats;
+  private long gossips;
+
+  /** A core for these settings. */
+  public ExchangeCore(final String self, final List<String> seeds, final boolean firstStart, final long beatMillis, final Random random, final Outlet outlet) {
+    this.self = self;
+    this.seeds = seeds;
+    this.firstStart = firstStart;
+    this.beatMillis = beatMillis;
+    this.random = random;
+    this.outlet = outlet;
+    this.store = new StoreCaller(self, random, outlet::frame);
+  }
+
+  // ---- disk
+
+  /** Takes what the disk held and begins. */
+  public void start(final List<byte[]> records, final long now) {
+    startedAt = now;
+    for (final byte[] record : records) {
+      final Words.Gossip kept = Wire.value(record, Words.Gossip.class);
+      for (final Registration registration : Words.list(kept.history)) {
+        put(registration);
+      }
+      if (kept.roster != null && kept.roster.number > roster.number) {
+        roster = kept.roster;
+      }
+    }
+    reconciled = firstStart || !history.isEmpty();
+    for (final Registration registration : history.values()) {
+      beatAt.put(registration.id, now);
+    }
+    for (final String seed : seeds) {
+      members.put(seed, now);
+    }
+    tellPeers(now);
+    LOGGER.atInfo().log("exchange %s starts with %s registrations, roster %s", self, history.size(), roster.number);
+  }
+
+  /** The live state as records. */
+  public List<byte[]> view() {
+    final List<Registration> all = new ArrayList<>(history.values());
+    return List.of(Wire.bytes(new Words.Gossip(0, 0, roster.number == 0 ? null : roster, null, all, null, null, null)));
+  }
+
+  private void persist(final List<Registration> registrations, final Roster news, final Runnable synced) {
+    outlet.append(Wire.bytes(new Words.Gossip(0, 0, news, null, registrations, null, null, null)), synced);
+  }
+
+  private boolean put(final Registration registration) {
+    final Registration before = history.get(registration.id);
+    if (before != null && Stage.later(before, registration) == before) {
+      return false;
+    }
+    history.put(registration.id, registration);
+    digest += Stage.digest(registration) - (before == null ? 0 : Stage.digest(before));
+    return before == null || before.stage != registration.stage || warms(before, registration) || !before.address.equals(registration.address);
+  }
+
+  private static boolean warms(final Registration before, final Registration after) {
+    return after.warmupMillis > 0 && after.warmupMillis > before.warmupMillis || after.warmupMillis == 0 && before.warmupMillis > 0;
+  }
+
+  private void forget() {
+    int removed = 0;
+    for (final Registration registration : history.values()) {
+      removed += Stage.of(registration) == Stage.REMOVED ? 1 : 0;
+    }
+    if (removed > MOST_REMOVED) {
+      for (final Registration registration : new ArrayList<>(history.values())) {
+        if (Stage.of(registration) == Stage.REMOVED) {
+          history.remove(registration.id);
+          digest -= Stage.digest(registration);
+          break;
+        }
+      }
+    }
+  }
+
+  // ---- upstreams
+
+  /** Who keeps the beats of an upstream: the token's owner if it can be reached, otherwise the next of the list. */
+  public String keeper(final String id, final String site, final Map<String, String> regions, final long now) {
+    final int size = roster.voters.size();
+    if (size == 0) {
+      return self;
+    }
+    final int token = Math.floorMod(id.hashCode() * 0x9e3779b1, Tokens.COUNT);
+    int first = 0;
+    for (int index = 0; index < size; index++) {
+      if (Words.list(roster.voters.get(index).tokens).contains(token)) {
+        first = index;
+      }
+    }
+    final List<Voter> preference = new ArrayList<>();
+    for (int pass = 0; pass < 2; pass++) {
+      for (int step = 0; step < size; step++) {
+        final Voter voter = roster.voters.get((first + step) % size);
+        boolean sameSite = false;
+        for (final Voter before : preference) {
+          sameSite |= before.site.equals(voter.site);
+        }
+        if (!preference.contains(voter) && (pass == 1 || !sameSite)) {
+          preference.add(voter);
+        }
+      }
+    }
+    final String region = regions.get(site);
+    for (int index = 0; index < Math.min(3, preference.size()); index++) {
+      final Voter voter = preference.get(index);
+      if (voter.region.equals(region) && reachable(voter.address, now)) {
+        return voter.address;
+      }
+    }
+    for (final Voter voter : preference) {
+      if (reachable(voter.address, now)) {
+        return voter.address;
+      }
+    }
+    return self;
+  }
+
+  private boolean reachable(final String address, final long now) {
+    return address.equals(self) || connected.contains(address);
+  }
+
+  /** A beat of an upstream; completes once it may be acknowledged. */
+  public CompletableFuture<Void> beat(final Registration beat, final long now) {
+    beats++;
+    final Registration before = history.get(beat.id);
+    beatAt.put(beat.id, now);
+    if (suspects.remove(beat.id)) {
+      tellSuspects();
+    }
+    if (before != null && Stage.of(before) == Stage.REMOVED || before != null && beat.sequence < before.sequence) {
+      return CompletableFuture.completedFuture(null);
+    }
+    final boolean drains = Stage.of(beat) == Stage.DRAINING;
+    if (put(beat)) {
+      final List<Registration> changes = new ArrayList<>();
+      changes.add(beat);
+      if (before == null) {
+        for (final Registration other : new ArrayList<>(history.values())) {
+          if (!other.id.equals(beat.id) && other.address.equals(beat.address) && Stage.of(other) != Stage.REMOVED) {
+            final Registration ended = step(other, Stage.REMOVED, beat.issued);
+            put(ended);
+            changes.add(ended);
+          }
+        }
+        LOGGER.atInfo().log("upstream %s joined %s at %s", beat.id, beat.service, beat.address);
+      } else if (before.stage != beat.stage) {
+        LOGGER.atInfo().log("upstream %s is %s", beat.id, Stage.of(beat));
+      }
+      if (drains) {
+        tellBoards(changes);
+        return quorum(changes, now);
+      }
+      persist(changes, null, () -> {
+      });
+      push(0, changes);
+      tellBoards(changes);
+    } else if (drains && !durable.contains(beat.id)) {
+      return quorum(List.of(history.get(beat.id)), now);
+    }
+    return CompletableFuture.completedFuture(null);
+  }
+
+  private static Registration step(final Registration from, final Stage stage, final long issued) {
+    return new Registration(from.id, from.service, from.address, from.site, from.software, from.capacity, stage.ordinal(), from.sequence, issued, from.warmupMillis);
+  }
+
+  /** An upstream signs off; completes once a majority of disks holds it. */
+  public CompletableFuture<Void> deregister(final String id, final long issued, final long now) {
+    final Registration before = history.get(id);
+    final Registration ended = before == null ? new Registration(id, "", "", "", "", 0, Stage.REMOVED.ordinal(), 0, issued, 0) : step(before, Stage.REMOVED, issued);
+    if (before == null || Stage.of(before) != Stage.REMOVED) {
+      put(ended);
+      durable.remove(id);
+      LOGGER.atInfo().log("upstream %s signed off", id);
+      tellBoards(List.of(ended));
+    } else if (durable.contains(id)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return quorum(List.of(history.get(id)), now);
+  }
+
+  private CompletableFuture<Void> quorum(final List<Registration> changes, final long now) {
+    final long key = ++number;
+    final Quorum quorum = new Quorum(changes, now + 900);
+    quorum.sentAt = now;
+    quorums.put(key, quorum);
+    push(key, changes);
+    persist(changes, null, () -> kept(self, key));
+    return quorum.future;
+  }
+
+  private void kept(final String from, final long key) {
+    final Quorum quorum = quorums.get(key);
+    if (quorum == null) {
+      return;
+    }
+    quorum.kept.add(from);
+    int count = 0;
+    for (final Voter voter : roster.voters) {
+      count += quorum.kept.contains(voter.address) ? 1 : 0;
+    }
+    if (count >= roster.majority()) {
+      quorums.remove(key);
+      for (final Registration registration : quorum.registrations) {
+        durable.add(registration.id);
+      }
+      quorum.future.complete(null);
+    }
+  }
+
+  private void push(final long key, final List<Registration> changes) {
+    final Words.Changes message = new Words.Changes(key, changes, null);
+    for (final String member : members.keySet()) {
+      if (!member.equals(self)) {
+        outlet.member(member, message);
+      }
+    }
+  }
+
+  // ---- other exchanges
+
+  /** Another exchange has said something. */
+  public void receive(final String from, final Message message, final java.util.function.Consumer<Message> reply, final long now) {
+    if (members.put(from, now) == null) {
+      tellPeers(now);
+    }
+    if (message instanceof Words.Changes) {
+      final Words.Changes changes = (Words.Changes) message;
+      merge(Words.list(changes.registrations), now);
+      mergeBoards(Words.list(changes.boards), now);
+      if (changes.number != 0) {
+        final List<Registration> held = new ArrayList<>();
+        for (final Registration registration : changes.registrations) {
+          held.add(history.get(registration.id));
+        }
+        persist(held, null, () -> reply.accept(new Words.Kept(changes.number)));
+      }
+    } else if (message instanceof Words.Kept) {
+      kept(from, ((Words.Kept) message).number);
+    } else if (message instanceof Words.Gossip) {
+      onGossip((Words.Gossip) message, reply, now);
+    }
+  }
+
+  private void merge(final List<Registration> registrations, final long now) {
+    final List<Registration> news = new ArrayList<>();
+    for (final Registration registration : registrations) {
+      final boolean unknown = !history.containsKey(registration.id);
+      if (put(registration)) {
+        news.add(registration);
+        durable.remove(registration.id);
+      }
+      if (unknown) {
+        beatAt.put(registration.id, now);
+      }
+    }
+    if (!news.isEmpty()) {
+      persist(news, null, () -> {
+      });
+      tellBoards(news);
+    }
+  }
+
+  private void mergeBoards(final List<Board> list, final long now) {
+    boolean changed = false;
+    for (final Board board : list) {
+      final BoardEntry entry = boards.computeIfAbsent(board.address, address -> new BoardEntry());
+      final long heardAt = now - board.ageMillis;
+      if (entry.board == null || board.incarnation == entry.board.incarnation && (heardAt > entry.heardAt || board.leaving && !entry.board.leaving)
+          || board.incarnation != entry.board.incarnation && heardAt > entry.heardAt) {
+        final boolean stays = entry.board != null && entry.board.incarnation == board.incarnation && entry.board.leaving;
+        entry.board = stays ? entry.board : board;
+        entry.heardAt = Math.max(entry.heardAt, heardAt);
+        changed = true;
+      }
+    }
+    if (changed) {
+      countBoards(now);
+    }
+  }
+
+  private void onGossip(final Words.Gossip gossip, final java.util.function.Consumer<Message> reply, final long now) {
+    merge(Words.list(gossip.history), now);
+    mergeBoards(Words.list(gossip.boards), now);
+    takeRoster(gossip.roster, now);
+    boolean more = false;
+    for (final String member : Words.list(gossip.members)) {
+      if (!members.containsKey(member) && !member.equals(self)) {
+        members.put(member, now - 1500);
+        more = true;
+      }
+    }
+    if (more) {
+      tellPeers(now);
+    }
+    final List<String> beaten = Words.list(gossip.beaten);
+    boolean cleared = false;
+    for (int index = 0; index < beaten.size(); index++) {
+      final long heardAt = now - gossip.ages.get(index);
+      if (heardAt > beatAt.getOrDefault(beaten.get(index), Long.MIN_VALUE)) {
+        beatAt.put(beaten.get(index), heardAt);
+        cleared |= now - heardAt < SUSPECT_BEATS * beatMillis && suspects.remove(beaten.get(index));
+      }
+    }
+    if (cleared) {
+      tellSuspects();
+    }
+    if (gossip.depth == 0) {
+      reply.accept(gossip(1, gossip.digest != digest, now));
+    } else {
+      if (gossip.depth == 1 && gossip.digest != digest) {
+        reply.accept(gossip(2, true, now));
+      }
+      if (!reconciled) {
+        reconciled = true;
+        LOGGER.atInfo().log("exchange %s has reconciled its history with a peer", self);
+      }
+    }
+  }
+
+  private Words.Gossip gossip(final int depth, final boolean whole, final long now) {
+    final List<String> beaten = new ArrayList<>();
+    final List<Long> ages = new ArrayList<>();
+    for (final Map.Entry<String, Long> entry : beatAt.entrySet()) {
+      final long age = now - entry.getValue();
+      if (age < SUSPECT_BEATS * beatMillis) {
+        beaten.add(entry.getKey());
+        ages.add(age);
+      }
+    }
+    final List<Board> list = new ArrayList<>();
+    for (final BoardEntry entry : boards.values()) {
+      final Board board = entry.board;
+      if (now - entry.heardAt < BOARD_KEEP_MILLIS) {
+        list.add(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, now - entry.heardAt));
+      }
+    }
+    return new Words.Gossip(depth, digest, roster.number == 0 ? null : roster, new ArrayList<>(members.keySet()), whole ? new ArrayList<>(history.values()) : null, list, beaten, ages);
+  }
+
+  private void takeRoster(final Roster news, final long now) {
+    if (news == null || news.number <= roster.number) {
+      return;
+    }
+    roster = news;
+    persist(List.of(), news, () -> {
+    });
+    for (final Voter voter : news.voters) {
+      members.putIfAbsent(voter.address, now - 1500);
+    }
+    tellPeers(now);
+  }
+
+  private void tellPeers(final long now) {
+    final List<String> addresses = new ArrayList<>();
+    for (final String member : members.keySet()) {
+      if (!member.equals(self)) {
+        addresses.add(member);
+      }
+    }
+    outlet.peers(addresses);
+    final List<String> frames = new ArrayList<>(addresses);
+    frames.add(self);
+    store.frames(frames);
+  }
+
+  // ---- switchboards
+
+  /** Whether this exchange knows enough to tell switchboards what to do. */
+  public boolean informed(final long now) {
+    return reconciled && version > 0 && !leaving;
+  }
+
+  /** A switchboard tells of itself over its stream. */
+  public void boardState(final Object stream, final Board board, final long now) {
+    final BoardEntry entry = boards.get(board.address);
+    final boolean news = entry == null || entry.board.incarnation != board.incarnation || entry.board.leaving != board.leaving || now - entry.heardAt > BOARD_LIVE_MILLIS;
+    mergeBoards(List.of(board), now);
+    if (news) {
+      for (final String member : members.keySet()) {
+        outlet.member(member, new Words.Changes(0, null, List.of(board)));
+      }
+    }
+    if (!streams.contains(stream) && informed(now)) {
+      streams.add(stream);
+      outlet.board(stream, new Words.View(version, spec, true, evacuated, evacuationMark, new ArrayList<>(history.values()), true, new ArrayList<>(suspects), mostBoards));
+      outlet.board(stream, reach(now));
+    }
+  }
+
+  /** A switchboard's stream has ended. */
+  public void streamClosed(final Object stream, final String address, final long now) {
+    streams.remove(stream);
+    final BoardEntry entry = boards.get(address);
+    if (entry != null) {
+      entry.heardAt = Math.min(entry.heardAt, now - BOARD_LIVE_MILLIS + 700);
+    }
+  }
+
+  private Words.Reach reach(final long now) {
+    return new Words.Reach(Math.min(Integer.MAX_VALUE, now - majorityAt), mostBoards, new ArrayList<>(members.keySet()));
+  }
+
+  private void tellBoards(final List<Registration> changes) {
+    if (!streams.isEmpty()) {
+      final Words.View view = new Words.View(0, null, false, null, 0, changes, false, null, mostBoards);
+      streams.forEach(stream -> outlet.board(stream, view));
+    }
+  }
+
+  private void tellSuspects() {
+    final Words.View view = new Words.View(0, null, false, null, 0, null, true, new ArrayList<>(suspects), mostBoards);
+    streams.forEach(stream -> outlet.board(stream, view));
+  }
+
+  private void countBoards(final long now) {
+    int live = 0;
+    for (final BoardEntry entry : boards.values()) {
+      live += now - entry.heardAt < 10_000 ? 1 : 0;
+    }
+    if (live >= mostBoards || now - mostBoardsAt > 20_000) {
+      mostBoards = live;
+      mostBoardsAt = now;
+    }
+  }
+
+  /** The fronts that a client in this place should use; empty where none is known. */
+  public List<String> resolve(final String region, final String site, final int most, final long now) {
+    final List<Board> live = new ArrayList<>();
+    final List<Board> dim = new ArrayList<>();
+    for (final BoardEntry entry : boards.values()) {
+      if (!entry.board.leaving) {
+        (now - entry.heardAt < BOARD_LIVE_MILLIS ? live : dim).add(entry.board);
+      }
+    }
+    final boolean cut = now - majorityAt > MAJORITY_MILLIS;
+    if (live.isEmpty() || cut) {
+      live.addAll(dim);
+    }
+    final List<String> near = new ArrayList<>();
+    for (final Board board : live) {
+      if (board.site.equals(site)) {
+        near.add(board.front);
+      }
+    }
+    if (near.size() < 2) {
+      for (final Board board : live) {
+        if (board.region.equals(region) && !near.contains(board.front)) {
+          near.add(board.front);
+        }
+      }
+    }
+    if (near.isEmpty()) {
+      for (final Board board : live) {
+        near.add(board.front);
+      }
+    }
+    return near.size() > most ? near.subList(0, most) : near;
+  }
+
+  // ---- control state
+
+  private void askControl(final long now) {
+    if (controlOut || leaving) {
+      return;
+    }
+    controlOut = true;
+    controlAskedAt = now;
+    store.call(Deed.CONTROL, "", null, version, evacuationMark, null, now, 2500).whenComplete((answer, problem) -> {
+      controlOut = false;
+      if (problem == null && answer.status == 200) {
+        takeControl(Wire.value(answer.body, Values.Control.class));
+      }
+    });
+  }
+
+  private long controlAskedAt;
+  private long clock;
+
+  private void takeControl(final Values.Control control) {
+    majorityAt = Math.max(majorityAt, controlAskedAt);
+    takeRoster(control.roster, clock);
+    boolean news = false;
+    byte[] newSpec = null;
+    if (control.version > version && control.spec != null) {
+      version = control.version;
+      spec = control.spec;
+      newSpec = spec;
+      news = true;
+      LOGGER.atInfo().log("exchange %s has spec %s", self, Long.toHexString(version));
+    }
+    final boolean evacuations = control.evacuationMark > evacuationMark;
+    if (evacuations) {
+      evacuationMark = control.evacuationMark;
+      evacuated = new ArrayList<>(Words.list(control.evacuated));
+      news = true;
+    }
+    if (news) {
+      final Words.View view = new Words.View(newSpec == null ? 0 : version, newSpec, evacuations, evacuated, evacuationMark, null, false, null, mostBoards);
+      streams.forEach(stream -> outlet.board(stream, view));
+    }
+    askControl(clock);
+  }
+
+  /** Calls the store. */
+  public CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final long timeout, final long now) {
+    return store.call(deed, name, owner, first, second, body, now, timeout);
+  }
+
+  /** A frame has answered. */
+  public void answered(final String from, final Words.Answer answer, final long now) {
+    clock = now;
+    store.answered(from, answer, now);
+  }
+
+  /** The line to a frame has ended. */
+  public void frameClosed(final String address, final long now) {
+    store.closed(address, now);
+  }
+
+  /** There is a line to an exchange. */
+  public void memberOpened(final String address, final long now) {
+    connected.add(address);
+    members.put(address, now);
+  }
+
+  /** The line to an exchange has ended. */
+  public void memberClosed(final String address, final long now) {
+    connected.remove(address);
+  }
+
+  // ---- time
+
+  /** Time has passed; to be called every few tens of milliseconds. */
+  public void tick(final long now) {
+    clock = now;
+    store.tick(now);
+    askControl(now);
+    if (now - reachAt >= REACH_MILLIS) {
+      reachAt = now;
+      countBoards(now);
+      final Words.Reach reach = reach(now);
+      streams.forEach(stream -> outlet.board(stream, reach));
+      judge(now);
+    }
+    for (final Map.Entry<Long, Quorum> entry : new ArrayList<>(quorums.entrySet())) {
+      final Quorum quorum = entry.getValue();
+      if (now >= quorum.cutoff) {
+        quorums.remove(entry.getKey());
+        quorum.future.completeExceptionally(new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no majority of disks has taken the change yet; send it to another daemon"));
+      } else if (now - quorum.sentAt > RESEND_MILLIS) {
+        quorum.sentAt = now;
+        push(entry.getKey(), quorum.registrations);
+      }
+    }
+    if (now - gossipAt >= GOSSIP_MILLIS) {
+      gossipAt = now;
+      gossipWithOne(now);
+    }
+  }
+
+  private void gossipWithOne(final long now) {
+    final List<String> others = new ArrayList<>();
+    members.entrySet().removeIf(entry -> now - entry.getValue() > 60_000 && !seeds.contains(entry.getKey()) && roster.index(entry.getKey()) < 0);
+    for (final String member : members.keySet()) {
+      if (!member.equals(self)) {
+        others.add(member);
+      }
+    }
+    java.util.Collections.shuffle(others, random);
+    final Words.Gossip message = gossip(0, false, now);
+    for (final String other : others) {
+      if (outlet.member(other, message)) {
+        gossips++;
+        return;
+      }
+    }
+    if (now - startedAt > 3000 && others.isEmpty()) {
+      reconciled = true;
+    }
+  }
+
+  private void judge(final long now) {
+    boolean changed = false;
+    final List<Registration> lapsed = new ArrayList<>();
+    for (final Registration registration : new ArrayList<>(history.values())) {
+      if (Stage.of(registration) == Stage.REMOVED || Stage.of(registration) == Stage.LAPSED) {
+        changed |= suspects.remove(registration.id);
+        continue;
+      }
+      final long silent = now - beatAt.getOrDefault(registration.id, now);
+      if (silent > SUSPECT_BEATS * beatMillis && Stage.of(registration) == Stage.JOINED) {
+        changed |= suspects.add(registration.id);
+      }
+      if (silent > LAPSE_BEATS * beatMillis && now - majorityAt < MAJORITY_MILLIS && self.equals(keeper(registration.id, registration.site, Map.of(), now))) {
+        lapsed.add(step(registration, Stage.of(registration) == Stage.DRAINING ? Stage.REMOVED : Stage.LAPSED, registration.issued));
+      }
+    }
+    if (!lapsed.isEmpty()) {
+      for (final Registration registration : lapsed) {
+        LOGGER.atInfo().log("upstream %s was silent for %s beats and is written off", registration.id, LAPSE_BEATS);
+        put(registration);
+      }
+      persist(lapsed, null, () -> {
+      });
+      push(0, lapsed);
+      tellBoards(lapsed);
+    }
+    if (changed) {
+      tellSuspects();
+    }
+    forget();
+  }
+
+  /** The process ends: its streams should go elsewhere. */
+  public void leave() {
+    leaving = true;
+  }
+
+  // ---- what tests and operators look at
+
+  /** The history, by upstream. */
+  public Map<String, Registration> history() {
+    return history;
+  }
+
+  /** The roster known here. */
+  public Roster roster() {
+    return roster;
+  }
+
+  /** The counters, as one line. */
+  public String counters() {
+    return "registrations " + history.size() + " beats " + beats + " gossips " + gossips + " streams " + streams.size() + " boards " + boards.size() + " roster " + roster.number + " spec " + Long.toHexString(version);
+  }
+}
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -0,0 +1,186 @@
+package weldpoint.exchange;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import weldpoint.boot.Boot;
+import weldpoint.boot.Breakdown;
+import weldpoint.boot.Desk;
+import weldpoint.tape.FolderFiles;
+import weldpoint.tape.Ring;
+import weldpoint.tape.Tape;
+import weldpoint.trunk.Line;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Trunk;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/** The registry as a process: it takes all outside calls, keeps the membership and tells switchboards. */
+public final class ExchangeDaemon {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int FILES = 3;
+  private static final int FILE_BYTES = 2 << 20;
+  private static final long TICK_MILLIS = 40;
+  private static final long COUNTERS_MILLIS = 10_000;
+
+  private final Boot boot;
+  private final Desk desk = new Desk("exchange");
+  private final EventLoopGroup loop = new NioEventLoopGroup(1);
+  private final Trunk trunk;
+  private final ExchangeCore core;
+  private final Map<String, Trunk.Dialler> members = new HashMap<>();
+  private final Map<String, Trunk.Dialler> frames = new HashMap<>();
+  private Tape tape;
+  private long countersAt;
+
+  /** A registry for these settings; nothing runs yet. */
+  public ExchangeDaemon(final Boot boot) {
+    this.boot = boot;
+    final long incarnation = new SecureRandom().nextLong() >>> 1;
+    this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
+    this.core = new ExchangeCore(boot.address(), boot.seeds(), boot.firstStart(), boot.beatMillis(), new Random(incarnation), new ExchangeCore.Outlet() {
+      @Override
+      public boolean member(final String address, final Message message) {
+        final Trunk.Dialler dialler = members.get(address);
+        return dialler != null && dialler.send(message);
+      }
+
+      @Override
+      public boolean frame(final String address, final Words.Call call) {
+        final Trunk.Dialler dialler = frames.get(address);
+        return dialler != null && dialler.send(call);
+      }
+
+      @Override
+      public void board(final Object stream, final Message message) {
+        ((Line) stream).send(message);
+      }
+
+      @Override
+      public void append(final byte[] record, final Runnable synced) {
+        tape.append(record, synced);
+      }
+
+      @Override
+      public void peers(final List<String> addresses) {
+        dial(members, addresses, boot.trunkPort(0), true);
+        final List<String> all = new ArrayList<>(addresses);
+        all.add(boot.address());
+        dial(frames, all, boot.trunkPort(1), false);
+      }
+    });
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private void dial(final Map<String, Trunk.Dialler> diallers, final List<String> addresses, final int port, final boolean member) {
+    for (final String address : addresses) {
+      diallers.computeIfAbsent(address, to -> trunk.dial(to, port, Trunk.on(desk, new Trunk.Ear() {
+        @Override
+        public void opened(final Line line) {
+          if (member) {
+            core.memberOpened(to, now());
+          }
+        }
+
+        @Override
+        public void heard(final Line line, final Message message) {
+          if (member) {
+            core.receive(to, message, line::send, now());
+          } else if (message instanceof Words.Answer) {
+            core.answered(to, (Words.Answer) message, now());
+          }
+        }
+
+        @Override
+        public void closed(final Line line) {
+          if (member) {
+            core.memberClosed(to, now());
+          } else {
+            core.frameClosed(to, now());
+          }
+        }
+      })));
+    }
+    diallers.entrySet().removeIf(entry -> {
+      if (addresses.contains(entry.getKey())) {
+        return false;
+      }
+      entry.getValue().close();
+      return true;
+    });
+  }
+
+  /** Reads the disk and starts everything. */
+  public void start() throws IOException, InterruptedException {
+    if (boot.folder().isEmpty()) {
+      throw new Breakdown(Breakdown.Kind.SETTING, "setting station.folder has the value ''; an exchange needs a folder on a disk of its own");
+    }
+    final Ring ring = new Ring(new FolderFiles(Path.of(boot.folder(), "exchange"), FILES), FILES, FILE_BYTES);
+    final Ring.Found found = ring.open();
+    if (found.lost()) {
+      LOGGER.atSevere().log("the disk of %s lost records that had been synced; what remains is completed by the other exchanges", boot.name());
+    }
+    tape = new Tape(ring, desk, core::view);
+    desk.execute(() -> core.start(found.records(), now()));
+    tape.start("tape");
+    trunk.serve(boot.address(), boot.trunkPort(0), Trunk.on(desk, new Trunk.Ear() {
+      @Override
+      public void opened(final Line line) {
+      }
+
+      @Override
+      public void heard(final Line line, final Message message) {
+        if (message instanceof Words.BoardState) {
+          core.boardState(line, ((Words.BoardState) message).board, now());
+        } else {
+          core.receive(line.peer().address, message, line::send, now());
+        }
+      }
+
+      @Override
+      public void closed(final Line line) {
+        if ("switchboard".equals(line.peer().program)) {
+          core.streamClosed(line, line.peer().address, now());
+        }
+      }
+    }));
+    final ControlDoor door = new ControlDoor(boot, core, desk);
+    door.serve(loop, boot.requiredAddress("listen.control"));
+    final Boot.Address directory = boot.optionalAddress("listen.directory");
+    if (directory != null && !directory.equals(boot.requiredAddress("listen.control"))) {
+      door.serve(loop, directory);
+    }
+    loop.scheduleAtFixedRate(() -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    final long now = now();
+    core.tick(now);
+    if (now - countersAt > COUNTERS_MILLIS) {
+      countersAt = now;
+      LOGGER.atInfo().log("counters: %s", core.counters());
+    }
+  }
+
+  /** Lets the process end: calls under way are answered, streams go elsewhere. */
+  public void stop() {
+    desk.execute(core::leave);
+    try {
+      Thread.sleep(150);
+    } catch (final InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/StoreCaller.java
@@ -0,0 +1,160 @@
+package weldpoint.exchange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import weldpoint.boot.Breakdown;
+import weldpoint.frame.Deed;
+import weldpoint.frame.FrameCore;
+import weldpoint.trunk.Words;
+
+/**
+ * Carries calls to the frames: to the holder of the duty where it is known, otherwise to the frame of the own machine,
+ * which names it. A call may be sent again, since every deed of the store bears repeating.
+ */
+final class StoreCaller {
+  private static final long RETRY_MILLIS = 30;
+  private static final long SILENCE_MILLIS = 400;
+
+  /** Sends a call to a frame; false where there is no line to it. */
+  interface Outlet {
+    boolean send(String address, Words.Call call);
+  }
+
+  private static final class Pending {
+    final Words.Call call;
+    final int partition;
+    final long cutoff;
+    final CompletableFuture<Words.Answer> future = new CompletableFuture<>();
+    String at;
+    long sentAt;
+    long resendAt;
+    int tries;
+    final long patience;
+
+    Pending(final Words.Call call, final int partition, final long cutoff, final long patience) {
+      this.call = call;
+      this.partition = partition;
+      this.cutoff = cutoff;
+      this.patience = patience;
+    }
+  }
+
+  private final String self;
+  private final Outlet outlet;
+  private final Random random;
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private final String[] holders = new String[FrameCore.PARTITIONS];
+  private List<String> frames = List.of();
+  private long number;
+
+  StoreCaller(final String self, final Random random, final Outlet outlet) {
+    this.self = self;
+    this.random = random;
+    this.outlet = outlet;
+  }
+
+  void frames(final List<String> addresses) {
+    frames = addresses;
+  }
+
+  CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final long now, final long timeout) {
+    final Words.Call call = new Words.Call(++number, deed.ordinal(), name, owner, first, second, body);
+    final long patience = deed == Deed.WATCH ? second + SILENCE_MILLIS : deed == Deed.CONTROL ? 700 + SILENCE_MILLIS : SILENCE_MILLIS;
+    final Pending one = new Pending(call, FrameCore.partition(deed.register(name)), now + timeout, patience);
+    pending.put(call.number, one);
+    send(one, now);
+    return one.future;
+  }
+
+  private void send(final Pending one, final long now) {
+    one.tries++;
+    one.sentAt = now;
+    one.resendAt = 0;
+    final String hint = holders[one.partition];
+    if (hint != null && outlet.send(hint, one.call)) {
+      one.at = hint;
+      return;
+    }
+    if (one.tries % 2 == 1 && outlet.send(self, one.call)) {
+      one.at = self;
+      return;
+    }
+    final List<String> others = new ArrayList<>(frames);
+    java.util.Collections.shuffle(others, random);
+    for (final String other : others) {
+      if (outlet.send(other, one.call)) {
+        one.at = other;
+        return;
+      }
+    }
+    one.at = null;
+    one.resendAt = now + RETRY_MILLIS;
+  }
+
+  void answered(final String from, final Words.Answer answer, final long now) {
+    final Pending one = pending.get(answer.number);
+    if (one == null) {
+      return;
+    }
+    if (answer.status == 0) {
+      if (!from.equals(one.at)) {
+        return;
+      }
+      if (answer.holder != null && !answer.holder.equals(from)) {
+        holders[one.partition] = answer.holder;
+        if (one.tries < 4) {
+          send(one, now);
+          return;
+        }
+      } else if (from.equals(holders[one.partition])) {
+        holders[one.partition] = null;
+      }
+      one.at = null;
+      one.resendAt = now + RETRY_MILLIS + random.nextInt(20);
+      one.tries = Math.min(one.tries, 2);
+      return;
+    }
+    if (answer.status != 504) {
+      holders[one.partition] = from;
+    }
+    pending.remove(answer.number);
+    one.future.complete(answer);
+  }
+
+  void closed(final String address, final long now) {
+    for (int index = 0; index < holders.length; index++) {
+      if (address.equals(holders[index])) {
+        holders[index] = null;
+      }
+    }
+    for (final Pending one : pending.values()) {
+      if (address.equals(one.at)) {
+        one.at = null;
+        one.resendAt = now + RETRY_MILLIS;
+      }
+    }
+  }
+
+  void tick(final long now) {
+    if (pending.isEmpty()) {
+      return;
+    }
+    for (final Pending one : new ArrayList<>(pending.values())) {
+      if (now >= one.cutoff) {
+        pending.remove(one.call.number);
+        one.future.completeExceptionally(new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no frame that holds the duty answered in time; ask another daemon"));
+      } else if (one.resendAt != 0 && now >= one.resendAt) {
+        send(one, now);
+      } else if (one.at != null && now - one.sentAt > one.patience) {
+        if (one.at.equals(holders[one.partition])) {
+          holders[one.partition] = null;
+        }
+        send(one, now);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/frame/src/main/java/weldpoint/frame/Deed.java
@@ -0,0 +1,188 @@
+package weldpoint.frame;
+
+import java.util.ArrayList;
+import java.util.List;
+import weldpoint.frame.Values.Evacuation;
+import weldpoint.frame.Values.Group;
+import weldpoint.frame.Values.Lock;
+import weldpoint.frame.Values.Put;
+import weldpoint.frame.Values.Spec;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words.Call;
+
+/** What may be asked of the store, each with how it is decided at the holder of the duty. */
+public enum Deed {
+  /** Takes a configuration: first is its version, body its compressed bytes. */
+  SPEC_REPLACE(Values.Kind.SPEC) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Spec spec = (Spec) value;
+      return spec != null && call.first <= spec.version ? Decision.confirm(200, spec.version)
+          : Decision.write(new Spec(call.first, call.body), null, call.first);
+    }
+  },
+  /** Reads the configuration: first is its version, body its compressed bytes. */
+  SPEC_READ(Values.Kind.SPEC) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      return Decision.read();
+    }
+
+    @Override
+    Decision read(final Object value, final Call call) {
+      final Spec spec = (Spec) value;
+      return spec == null ? Decision.tell(404, 0, null) : Decision.tell(200, spec.version, spec.body);
+    }
+  },
+  /** Begins (first is 1) or finishes (0) the evacuation of a site. */
+  EVACUATE(Values.Kind.EVACUATION) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Evacuation evacuation = value == null ? new Evacuation(false, 0) : (Evacuation) value;
+      final boolean wanted = call.first == 1;
+      return evacuation.on == wanted ? Decision.confirm(200, evacuation.serial)
+          : Decision.write(new Evacuation(wanted, evacuation.serial + 1), null, evacuation.serial + 1);
+    }
+  },
+  /** Waits for control state newer than version first and evacuation mark second. */
+  CONTROL(Values.Kind.SPEC) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      return Decision.read();
+    }
+  },
+  /** Takes a lock for first milliseconds. */
+  LOCK_BEGIN(Values.Kind.LOCK) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Lock lock = value == null ? new Lock("", 0, 0) : (Lock) value;
+      if (!lock.owner.isEmpty() && now < held.expiresAt) {
+        if (!lock.owner.equals(call.owner)) {
+          return Decision.confirm(409, 0);
+        }
+        return extend(held, lock, call, now);
+      }
+      return Decision.write(new Lock(call.owner, lock.fence + 1, call.first), null, lock.fence + 1);
+    }
+  },
+  /** Renews a lock of fence second for first milliseconds. */
+  LOCK_HEARTBEAT(Values.Kind.LOCK) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Lock lock = (Lock) value;
+      if (lock == null || !lock.owner.equals(call.owner) || lock.fence != call.second || now >= held.expiresAt) {
+        return Decision.confirm(409, 0);
+      }
+      return extend(held, lock, call, now);
+    }
+  },
+  /** Gives a lock of fence second back. */
+  LOCK_FINISH(Values.Kind.LOCK) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Lock lock = (Lock) value;
+      return lock == null || !lock.owner.equals(call.owner) || lock.fence != call.second ? Decision.confirm(200, 0)
+          : Decision.write(new Lock("", lock.fence, 0), null, lock.fence);
+    }
+  },
+  /** Gives the next number. */
+  NUMBER(Values.Kind.NUMBER) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final long next = value == null ? 1 : ((Values.Number) value).value + 1;
+      return Decision.write(new Values.Number(next), null, next);
+    }
+  },
+  /** Puts a value (owner carries it) under a key (body names it); first is the revision it must have, -1 for any. */
+  CELL_REPLACE(Values.Kind.GROUP) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Group group = value == null ? Group.EMPTY : (Group) value;
+      final String name = new String(call.body, java.nio.charset.StandardCharsets.UTF_8);
+      final Put before = group.first(name, call.owner);
+      if (before != null) {
+        return Decision.confirm(200, before.revision);
+      }
+      final Put present = group.cells.get(name);
+      final long revision = present == null ? 0 : present.revision;
+      if (call.first >= 0 && call.first != revision) {
+        return Decision.confirm(412, revision);
+      }
+      final Put put = new Put(name, call.owner, group.revision + 1);
+      return Decision.write(group.with(List.of(put), held.floor(now)), put, put.revision);
+    }
+  },
+  /** Reads a key (body names it). */
+  CELL_READ(Values.Kind.GROUP) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      return Decision.read();
+    }
+
+    @Override
+    Decision read(final Object value, final Call call) {
+      final Group group = value == null ? Group.EMPTY : (Group) value;
+      final Put put = group.cells.get(new String(call.body, java.nio.charset.StandardCharsets.UTF_8));
+      return put == null ? Decision.tell(404, 0, null) : Decision.tell(200, put.revision, put.value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+  },
+  /** Waits second milliseconds for puts above revision first. */
+  WATCH(Values.Kind.GROUP) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      if (call.first == 0) {
+        return Decision.read();
+      }
+      final Group group = value == null ? Group.EMPTY : (Group) value;
+      if (call.first < group.floor) {
+        return Decision.confirm(410, group.floor);
+      }
+      return call.first < group.revision ? events(group, call.first) : Decision.park();
+    }
+
+    @Override
+    Decision read(final Object value, final Call call) {
+      final Group group = value == null ? Group.EMPTY : (Group) value;
+      return Decision.tell(200, group.revision, Wire.bytes(new Values.Events(List.of(), group.revision)));
+    }
+  };
+
+  private static final Deed[] ALL = values();
+  private final Values.Kind kind;
+
+  Deed(final Values.Kind kind) {
+    this.kind = kind;
+  }
+
+  /** The deed of this number; null where there is none. */
+  public static Deed of(final int number) {
+    return number < 0 || number >= ALL.length ? null : ALL[number];
+  }
+
+  /** The register that a call of this deed concerns. */
+  public String register(final String identifier) {
+    return kind == Values.Kind.SPEC ? "spec" : kind.register(identifier);
+  }
+
+  abstract Decision decide(Held held, Object value, Call call, long now);
+
+  Decision read(final Object value, final Call call) {
+    throw new IllegalStateException(this + " reads nothing");
+  }
+
+  private static Decision extend(final Held held, final Lock lock, final Call call, final long now) {
+    held.expiresAt = Math.max(held.expiresAt, now + call.first);
+    return call.first > lock.holdMillis ? Decision.write(new Lock(lock.owner, lock.fence, call.first), null, lock.fence)
+        : Decision.confirm(200, lock.fence);
+  }
+
+  static Decision events(final Group group, final long after) {
+    final List<Put> events = new ArrayList<>();
+    for (final Put put : group.history) {
+      if (put.revision > after) {
+        events.add(put);
+      }
+    }
+    return Decision.tell(200, group.revision, Wire.bytes(new Values.Events(events, group.revision)));
+  }
+}
--- /dev/null
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -0,0 +1,1514 @@
+package weldpoint.frame;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import weldpoint.trunk.Mark;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+import weldpoint.trunk.Words.Entry;
+import weldpoint.trunk.Words.Roster;
+import weldpoint.trunk.Words.Voter;
+
+/**
+ * The store's state and rules: registers under marks, ballots for the duty of writing a partition, and the roster of
+ * voters. It knows neither threads nor clocks nor sockets: all that happens comes in through its methods, with the time
+ * of a steady clock in milliseconds.
+ */
+public final class FrameCore {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** How many partitions there are. */
+  public static final int PARTITIONS = 8;
+
+  private static final int SELF = 0;
+  private static final int PROMISE = 1;
+  private static final int REGISTERS = 2;
+  private static final int ROSTER = 3;
+  private static final int KNOWN = 4;
+  private static final long VACANT_MILLIS = 1000;
+  private static final long PULSE_MILLIS = 250;
+  private static final long RESEND_MILLIS = 400;
+  private static final long BALLOT_MILLIS = 900;
+  private static final long UNREACHABLE_MILLIS = 1600;
+  private static final long CONTROL_MILLIS = 700;
+  private static final long STALE_WORK_MILLIS = 1300;
+  private static final long DISK_STUCK_MILLIS = 700;
+
+  /** What the core does to the world. */
+  public interface Outlet {
+    /** Sends to another frame, where there is a line to it. */
+    void send(String address, Message message);
+
+    /** Puts a record on disk; the callback runs, in order, once it is lasting. */
+    void append(byte[] record, Runnable synced);
+
+    /** The frames to keep lines to. */
+    void peers(List<String> addresses);
+  }
+
+  private static final class Stored {
+    final Mark mark;
+    final Object value;
+
+    Stored(final Mark mark, final Object value) {
+      this.mark = mark;
+      this.value = value;
+    }
+  }
+
+  private enum Phase {
+    IDLE, PREPARING, ESTABLISHING, SERVING
+  }
+
+  private final class Partition {
+    final int number;
+    Mark promised = Mark.NONE;
+    Mark established = Mark.NONE;
+    final Map<String, Stored> stored = new HashMap<>();
+    long vacateAt;
+    String holder;
+    Phase phase = Phase.IDLE;
+    Mark ballot = Mark.NONE;
+    long count;
+    long startedAt;
+    Words.Promise[] promises = new Words.Promise[0];
+    List<Long> counted = List.of();
+    boolean[] establishAcked = new boolean[0];
+    long[] establishSentAt = new long[0];
+    boolean[] establishSent = new boolean[0];
+    Map<String, Held> held = new LinkedHashMap<>();
+    long pulseCount;
+    long pulsedAt;
+    boolean confirmOut;
+    long[] pulsed = new long[0];
+    final List<Waiter> waiters = new ArrayList<>();
+    long betterSince;
+
+    Partition(final int number) {
+      this.number = number;
+    }
+  }
+
+  private static final class Waiter {
+    final long needed;
+    final long receivedAt;
+    final Held.Work work;
+    final Runnable then;
+
+    Waiter(final long needed, final long receivedAt, final Held.Work work, final Runnable then) {
+      this.needed = needed;
+      this.receivedAt = receivedAt;
+      this.work = work;
+      this.then = then;
+    }
+  }
+
+  private final String self;
+  private final String site;
+  private final String region;
+  private final boolean mayVote;
+  private final int mostVoters;
+  private final long keepMillis;
+  private final long owner;
+  private final Random random;
+  private final Outlet outlet;
+  private final List<String> seeds;
+  private final Partition[] partitions = new Partition[PARTITIONS];
+  private final Map<String, Long> known = new HashMap<>();
+  private final Map<String, Long> heardAt = new HashMap<>();
+  private final Map<String, Long> leavingAt = new HashMap<>();
+  private final Map<String, Voter> joiners = new LinkedHashMap<>();
+  private final Map<String, Long> joinedAt = new HashMap<>();
+  private final long[] settled = new long[PARTITIONS];
+  private Roster roster = new Roster(0, List.of());
+  private long incarnation;
+  private boolean blank = true;
+  private boolean leaving;
+  private boolean diskTrouble;
+  private long enquireNumber;
+  private long enquiredAt = Long.MIN_VALUE / 2;
+  private final Map<String, Words.Enquired> enquired = new HashMap<>();
+  private final Map<String, Words.Fetched> fetched = new HashMap<>();
+  private long fetching;
+  private long rosterChangedAt;
+  private long ballots;
+  private long commits;
+
+  /** A core that has read nothing from disk yet. */
+  public FrameCore(final String self, final String site, final String region, final boolean mayVote, final int mostVoters, final long historyMillis, final long owner, final Random random, final List<String> seeds, final Outlet outlet) {
+    this.self = self;
+    this.site = site;
+    this.region = region;
+    this.mayVote = mayVote;
+    this.mostVoters = mostVoters;
+    this.keepMillis = historyMillis + 5000;
+    this.owner = owner;
+    this.random = random;
+    this.seeds = seeds;
+    this.outlet = outlet;
+    for (int index = 0; index < PARTITIONS; index++) {
+      partitions[index] = new Partition(index);
+    }
+  }
+
+  /** The partition of a register. */
+  public static int partition(final String register) {
+    final Values.Kind kind = Values.Kind.of(register);
+    return kind.ordinal() <= Values.Kind.EVACUATION.ordinal() ? 0 : 1 + Math.floorMod(register.hashCode(), PARTITIONS - 1);
+  }
+
+  // ---- disk
+
+  /** Takes what the disk held and begins; records are empty where the disk is blank or counts as lost. */
+  public void start(final List<byte[]> records, final boolean firstStart, final long now) {
+    for (final byte[] record : records) {
+      replay(Wire.value(record, Values.DiskRecord.class));
+    }
+    if (blank && firstStart) {
+      blank = false;
+      incarnation = 1;
+      final List<Voter> voters = new ArrayList<>();
+      for (int index = 0; index < seeds.size(); index++) {
+        voters.add(new Voter(seeds.get(index), "", "", Tokens.initial(index, seeds.size())));
+      }
+      roster = new Roster(1, voters);
+    }
+    for (final Partition partition : partitions) {
+      partition.vacateAt = now + 150 + rank(partition) * 150L + random.nextInt(150);
+    }
+    rosterChangedAt = now;
+    tellPeers();
+    LOGGER.atInfo().log("frame %s starts: blank %s, roster %s of %s, incarnation %s", self, blank, roster.number, roster.voters.size(), incarnation);
+  }
+
+  private void replay(final Values.DiskRecord record) {
+    switch (record.type) {
+      case SELF -> {
+        blank = false;
+        incarnation = record.incarnation;
+      }
+      case PROMISE -> {
+        final Partition partition = partitions[record.partition];
+        if (record.ballot.compareTo(partition.promised) > 0) {
+          partition.promised = record.ballot;
+        }
+      }
+      case REGISTERS -> store(partitions[record.partition], record.ballot, record.incarnation == 1, Words.list(record.entries), new ArrayList<>());
+      case ROSTER -> {
+        if (record.roster.number > roster.number) {
+          roster = record.roster;
+        }
+      }
+      case KNOWN -> known.merge(record.address, record.incarnation, Math::max);
+      default -> throw new IllegalStateException("disk record of type " + record.type + " is unknown; run the release that wrote it");
+    }
+  }
+
+  /** The live state as records. */
+  public List<byte[]> view() {
+    final List<byte[]> records = new ArrayList<>();
+    if (blank) {
+      return records;
+    }
+    records.add(Wire.bytes(new Values.DiskRecord(SELF, 0, null, null, null, null, incarnation)));
+    for (final Map.Entry<String, Long> entry : known.entrySet()) {
+      records.add(Wire.bytes(new Values.DiskRecord(KNOWN, 0, null, null, null, entry.getKey(), entry.getValue())));
+    }
+    records.add(Wire.bytes(new Values.DiskRecord(ROSTER, 0, null, null, roster, null, 0)));
+    for (final Partition partition : partitions) {
+      records.add(Wire.bytes(new Values.DiskRecord(PROMISE, partition.number, partition.promised, null, null, null, 0)));
+      records.add(Wire.bytes(new Values.DiskRecord(REGISTERS, partition.number, partition.established, entries(partition), null, null, 1)));
+    }
+    return records;
+  }
+
+  private static List<Entry> entries(final Partition partition) {
+    final List<Entry> entries = new ArrayList<>(partition.stored.size());
+    partition.stored.forEach((name, stored) -> entries.add(new Entry(name, stored.mark, Mark.NONE, null, Values.Kind.of(name).encode(stored.value))));
+    return entries;
+  }
+
+  private static void store(final Partition partition, final Mark ballot, final boolean establish, final List<Entry> entries, final List<Entry> lacking) {
+    if (ballot.compareTo(partition.promised) > 0) {
+      partition.promised = ballot.ballot();
+    }
+    if (establish && !partition.established.sameBallot(ballot) && ballot.compareTo(partition.established) > 0) {
+      partition.stored.values().removeIf(stored -> stored.mark.compareTo(ballot.ballot()) < 0);
+      partition.established = ballot.ballot();
+    }
+    for (final Entry entry : entries) {
+      final Stored before = partition.stored.get(entry.name);
+      if (before != null && before.mark.compareTo(entry.mark) >= 0) {
+        continue;
+      }
+      final Values.Kind kind = Values.Kind.of(entry.name);
+      if (entry.whole != null) {
+        partition.stored.put(entry.name, new Stored(entry.mark, kind.decode(entry.whole)));
+      } else if ((before == null ? Mark.NONE : before.mark).equals(entry.base)) {
+        partition.stored.put(entry.name, new Stored(entry.mark, kind.apply(before == null ? null : before.value, entry.difference)));
+      } else {
+        lacking.add(entry);
+      }
+    }
+  }
+
+  private void persist(final Values.DiskRecord record, final Runnable synced) {
+    outlet.append(Wire.bytes(record), synced);
+  }
+
+  // ---- peers
+
+  private void tellPeers() {
+    final List<String> addresses = new ArrayList<>();
+    for (final Voter voter : roster.voters) {
+      addresses.add(voter.address);
+    }
+    for (final String seed : seeds) {
+      if (!addresses.contains(seed)) {
+        addresses.add(seed);
+      }
+    }
+    for (final String joiner : joiners.keySet()) {
+      if (!addresses.contains(joiner)) {
+        addresses.add(joiner);
+      }
+    }
+    addresses.remove(self);
+    outlet.peers(addresses);
+  }
+
+  private List<Long> knownIncarnations() {
+    final List<Long> list = new ArrayList<>(roster.voters.size());
+    for (final Voter voter : roster.voters) {
+      list.add(incarnationOf(voter.address));
+    }
+    return list;
+  }
+
+  private long incarnationOf(final String address) {
+    return address.equals(self) ? incarnation : known.getOrDefault(address, 1L);
+  }
+
+  private void learn(final long rosterNumber, final List<Long> incarnations) {
+    if (rosterNumber != roster.number || Words.list(incarnations).size() != roster.voters.size()) {
+      return;
+    }
+    for (int index = 0; index < incarnations.size(); index++) {
+      final String address = roster.voters.get(index).address;
+      if (!address.equals(self) && incarnations.get(index) > incarnationOf(address)) {
+        known.put(address, incarnations.get(index));
+        overtaken(index);
+      }
+    }
+  }
+
+  private void overtaken(final int index) {
+    for (final Partition partition : partitions) {
+      if (partition.phase != Phase.IDLE && index < partition.promises.length) {
+        partition.promises[index] = null;
+        if (partition.phase != Phase.PREPARING && !restart.contains(partition)) {
+          restart.add(partition);
+        }
+      }
+    }
+  }
+
+  private final List<Partition> restart = new ArrayList<>();
+
+  private boolean votes() {
+    return !blank && mayVote && roster.index(self) >= 0;
+  }
+
+  // ---- messages from frames
+
+  /** A frame has said something; replies go back over the same line. */
+  public void receive(final String from, final Message message, final Consumer<Message> reply, final long now) {
+    if (leaving) {
+      return;
+    }
+    heardAt.put(from, now);
+    if (message instanceof Words.Enquire) {
+      onEnquire(from, (Words.Enquire) message, reply);
+    } else if (message instanceof Words.Enquired) {
+      onEnquired(from, (Words.Enquired) message, now);
+    } else if (message instanceof Words.Fetched) {
+      onFetched(from, (Words.Fetched) message, now);
+    } else if (blank) {
+      return;
+    } else if (message instanceof Words.RosterNews) {
+      adopt(((Words.RosterNews) message).roster, now);
+    } else if (message instanceof Words.Fetch) {
+      onFetch(from, (Words.Fetch) message, reply);
+    } else if (message instanceof Words.Join) {
+      onJoin((Words.Join) message, now);
+    } else if (message instanceof Words.Resign) {
+      onResign(from, (Words.Resign) message, now);
+    } else if (message instanceof Words.Prepare) {
+      onPrepare((Words.Prepare) message, reply, now);
+    } else if (message instanceof Words.Accept) {
+      onAccept(from, (Words.Accept) message, reply, now);
+    } else if (message instanceof Words.Pulse) {
+      onPulse(from, (Words.Pulse) message, reply, now);
+    } else if (message instanceof Words.Promise) {
+      onPromise(from, (Words.Promise) message, now);
+    } else if (message instanceof Words.Accepted) {
+      onAccepted(from, (Words.Accepted) message, now);
+    } else if (message instanceof Words.Pulsed) {
+      onPulsed(from, (Words.Pulsed) message, now);
+    } else if (message instanceof Words.Refused) {
+      onRefused(from, (Words.Refused) message, reply, now);
+    }
+    runRestarts(now);
+  }
+
+  private void runRestarts(final long now) {
+    while (!restart.isEmpty()) {
+      final Partition partition = restart.remove(restart.size() - 1);
+      if (partition.phase != Phase.IDLE) {
+        stepDown(partition, now);
+        begin(partition, now);
+      }
+    }
+  }
+
+  /** The line to a frame has ended. */
+  public void lineClosed(final String address, final long now) {
+    final int index = roster.index(address);
+    for (final Partition partition : partitions) {
+      if (address.equals(partition.holder) && partition.phase == Phase.IDLE) {
+        partition.vacateAt = Math.min(partition.vacateAt, now + 60 + rank(partition) * 120L + random.nextInt(60));
+      }
+      if (index >= 0 && index < partition.establishSent.length) {
+        partition.establishSent[index] = false;
+        partition.establishSentAt[index] = 0;
+        for (final Held held : partition.held.values()) {
+          held.sent[index] = -1;
+          held.sentAt[index] = 0;
+        }
+      }
+    }
+  }
+
+  private boolean agrees(final long theirs, final Consumer<Message> reply, final int partition, final Mark ballot) {
+    if (theirs == roster.number) {
+      return votes();
+    }
+    if (theirs < roster.number) {
+      reply.accept(new Words.RosterNews(roster));
+    } else {
+      reply.accept(new Words.Refused(partition, ballot, Mark.NONE, roster.number, null));
+    }
+    return false;
+  }
+
+  private void onPrepare(final Words.Prepare prepare, final Consumer<Message> reply, final long now) {
+    if (!agrees(prepare.roster, reply, prepare.partition, prepare.ballot)) {
+      return;
+    }
+    final Partition partition = partitions[prepare.partition];
+    if (prepare.ballot.compareTo(partition.promised) < 0) {
+      reply.accept(new Words.Refused(prepare.partition, prepare.ballot, partition.promised, roster.number, knownIncarnations()));
+      return;
+    }
+    if (prepare.ballot.owner != owner && partition.phase != Phase.IDLE && !partition.ballot.sameBallot(prepare.ballot)) {
+      stepDown(partition, now);
+    }
+    partition.promised = prepare.ballot;
+    partition.vacateAt = Math.max(partition.vacateAt, now + BALLOT_MILLIS + random.nextInt(200));
+    persist(new Values.DiskRecord(PROMISE, partition.number, prepare.ballot, null, null, null, 0), () -> {
+      if (partition.promised.equals(prepare.ballot)) {
+        reply.accept(new Words.Promise(partition.number, prepare.ballot, partition.established, entries(partition), incarnation, knownIncarnations()));
+      }
+    });
+  }
+
+  private void onAccept(final String from, final Words.Accept accept, final Consumer<Message> reply, final long now) {
+    if (!agrees(accept.roster, reply, accept.partition, accept.ballot)) {
+      return;
+    }
+    final Partition partition = partitions[accept.partition];
+    final List<Long> counted = Words.list(accept.counted);
+    for (int index = 0; index < counted.size() && index < roster.voters.size(); index++) {
+      if (counted.get(index) > 0 && counted.get(index) < incarnationOf(roster.voters.get(index).address)) {
+        reply.accept(new Words.Refused(accept.partition, accept.ballot, partition.promised, roster.number, knownIncarnations()));
+        return;
+      }
+    }
+    if (accept.ballot.compareTo(partition.promised) < 0) {
+      reply.accept(new Words.Refused(accept.partition, accept.ballot, partition.promised, roster.number, knownIncarnations()));
+      return;
+    }
+    if (accept.ballot.owner != owner && partition.phase != Phase.IDLE) {
+      stepDown(partition, now);
+    }
+    heardHolder(partition, from, now);
+    final List<Entry> entries = Words.list(accept.entries);
+    final List<Entry> lacking = new ArrayList<>();
+    store(partition, accept.ballot, accept.establish, entries, lacking);
+    final List<String> names = new ArrayList<>(entries.size());
+    final List<Long> counts = new ArrayList<>(entries.size());
+    final List<String> lackingNames = new ArrayList<>();
+    final List<Entry> kept = new ArrayList<>(entries.size());
+    for (final Entry entry : entries) {
+      if (lacking.contains(entry)) {
+        lackingNames.add(entry.name);
+      } else {
+        names.add(entry.name);
+        counts.add(entry.mark.count);
+        kept.add(entry);
+      }
+    }
+    persist(new Values.DiskRecord(REGISTERS, partition.number, accept.ballot, kept, null, null, accept.establish ? 1 : 0),
+        () -> reply.accept(new Words.Accepted(partition.number, accept.ballot, accept.establish, names, counts, lackingNames, incarnation, knownIncarnations())));
+  }
+
+  private void heardHolder(final Partition partition, final String from, final long now) {
+    partition.holder = from;
+    partition.vacateAt = now + VACANT_MILLIS + rank(partition) * 150L + random.nextInt(150);
+  }
+
+  private void onPulse(final String from, final Words.Pulse pulse, final Consumer<Message> reply, final long now) {
+    final List<Integer> numbers = Words.list(pulse.partitions);
+    if (numbers.isEmpty() || !agrees(pulse.roster, reply, numbers.get(0), pulse.ballots.get(0))) {
+      return;
+    }
+    final List<Integer> standing = new ArrayList<>(numbers.size());
+    final List<Mark> ballotsStanding = new ArrayList<>(numbers.size());
+    for (int index = 0; index < numbers.size(); index++) {
+      final Partition partition = partitions[numbers.get(index)];
+      final Mark ballot = pulse.ballots.get(index);
+      if (partition.promised.sameBallot(ballot)) {
+        standing.add(partition.number);
+        ballotsStanding.add(ballot);
+        heardHolder(partition, from, now);
+        settled[partition.number] = pulse.roster;
+      } else if (ballot.compareTo(partition.promised) > 0) {
+        heardHolder(partition, from, now);
+        settled[partition.number] = pulse.roster;
+      } else {
+        reply.accept(new Words.Refused(partition.number, ballot, partition.promised, roster.number, knownIncarnations()));
+      }
+    }
+    reply.accept(new Words.Pulsed(standing, ballotsStanding, incarnation, knownIncarnations()));
+  }
+
+  private void onRefused(final String from, final Words.Refused refused, final Consumer<Message> reply, final long now) {
+    if (refused.roster < roster.number) {
+      outlet.send(from, new Words.RosterNews(roster));
+      return;
+    }
+    learn(refused.roster, refused.known);
+    final Partition partition = partitions[refused.partition];
+    if (partition.phase != Phase.IDLE && partition.ballot.sameBallot(refused.ballot) && refused.promised.compareTo(partition.ballot) > 0) {
+      highest = Math.max(highest, refused.promised.round);
+      stepDown(partition, now);
+      partition.vacateAt = now + 300 + rank(partition) * 150L + random.nextInt(300);
+    }
+  }
+
+  private long highest;
+
+  private void onResign(final String from, final Words.Resign resign, final long now) {
+    if (resign.leaving) {
+      leavingAt.put(from, now);
+    }
+    for (final int number : Words.list(resign.partitions)) {
+      final Partition partition = partitions[number];
+      if (from.equals(partition.holder) && partition.phase == Phase.IDLE) {
+        partition.vacateAt = now + rank(partition) * 120L + random.nextInt(20);
+      }
+    }
+  }
+
+  // ---- blank disks and newcomers
+
+  private void onEnquire(final String from, final Words.Enquire enquire, final Consumer<Message> reply) {
+    final List<String> holders = new ArrayList<>();
+    for (final Partition partition : partitions) {
+      holders.add(partition.holder == null ? "" : partition.holder);
+    }
+    reply.accept(new Words.Enquired(enquire.number, blank, roster, incarnationOf(from), holders));
+  }
+
+  private void onEnquired(final String from, final Words.Enquired answer, final long now) {
+    if (!answer.blank) {
+      if (!blank) {
+        adopt(answer.roster, now);
+        if (roster.index(self) < 0) {
+          final List<String> holders = Words.list(answer.holders);
+          for (int index = 0; index < holders.size(); index++) {
+            partitions[index].holder = holders.get(index).isEmpty() ? null : holders.get(index);
+          }
+        }
+        return;
+      }
+      if (answer.roster.number > roster.number) {
+        roster = answer.roster;
+        tellPeers();
+      }
+      if (answer.number == enquireNumber) {
+        enquired.put(from, answer);
+        long most = 0;
+        int answers = 0;
+        for (final Voter voter : roster.voters) {
+          final Words.Enquired one = enquired.get(voter.address);
+          if (one != null && !voter.address.equals(self)) {
+            answers++;
+            most = Math.max(most, one.incarnation);
+          }
+        }
+        if (fetching == 0 && answers >= roster.majority()) {
+          fetching = most + 1;
+          fetched.clear();
+          for (final Voter voter : roster.voters) {
+            outlet.send(voter.address, new Words.Fetch(fetching));
+          }
+        }
+      }
+    }
+  }
+
+  private void onFetch(final String from, final Words.Fetch fetch, final Consumer<Message> reply) {
+    if (!votes() || fetch.incarnation <= incarnationOf(from) && known.containsKey(from) && fetch.incarnation < known.get(from)) {
+      return;
+    }
+    known.merge(from, fetch.incarnation, Math::max);
+    final int index = roster.index(from);
+    if (index >= 0) {
+      LOGGER.atInfo().log("frame %s learns that %s lost its disk and is now incarnation %s", self, from, fetch.incarnation);
+      overtaken(index);
+    }
+    persist(new Values.DiskRecord(KNOWN, 0, null, null, null, from, fetch.incarnation), () -> {
+      final List<Mark> promised = new ArrayList<>();
+      final List<Mark> established = new ArrayList<>();
+      final List<Entry> entries = new ArrayList<>();
+      for (final Partition partition : partitions) {
+        promised.add(partition.promised);
+        established.add(partition.established);
+        entries.addAll(entries(partition));
+      }
+      reply.accept(new Words.Fetched(fetch.incarnation, roster, promised, established, entries, knownIncarnations()));
+    });
+  }
+
+  private void onFetched(final String from, final Words.Fetched answer, final long now) {
+    if (!blank || answer.incarnation != fetching || fetching == 0) {
+      return;
+    }
+    if (answer.roster.number > roster.number) {
+      roster = answer.roster;
+      tellPeers();
+    }
+    fetched.put(from, answer);
+    int answers = 0;
+    for (final Voter voter : roster.voters) {
+      if (!voter.address.equals(self) && fetched.containsKey(voter.address) && fetched.get(voter.address).roster.number == roster.number) {
+        answers++;
+      }
+    }
+    if (answers < roster.majority()) {
+      return;
+    }
+    for (final Words.Fetched one : fetched.values()) {
+      if (one.roster.number == roster.number) {
+        for (int index = 0; index < roster.voters.size(); index++) {
+          known.merge(roster.voters.get(index).address, one.known.get(index), Math::max);
+        }
+      }
+      for (int index = 0; index < PARTITIONS; index++) {
+        final Partition partition = partitions[index];
+        if (one.promised.get(index).compareTo(partition.promised) > 0) {
+          partition.promised = one.promised.get(index);
+        }
+        if (one.established.get(index).compareTo(partition.established) > 0) {
+          partition.established = one.established.get(index);
+        }
+      }
+      for (final Entry entry : Words.list(one.entries)) {
+        final Partition partition = partitions[partition(entry.name)];
+        final Stored before = partition.stored.get(entry.name);
+        if (before == null || before.mark.compareTo(entry.mark) < 0) {
+          partition.stored.put(entry.name, new Stored(entry.mark, Values.Kind.of(entry.name).decode(entry.whole)));
+        }
+      }
+    }
+    for (final Partition partition : partitions) {
+      partition.stored.values().removeIf(stored -> stored.mark.compareTo(partition.established) < 0);
+      partition.vacateAt = now + VACANT_MILLIS + random.nextInt(300);
+    }
+    incarnation = fetching;
+    known.remove(self);
+    fetching = -1;
+    final List<byte[]> records = withSelf();
+    for (int index = 0; index < records.size(); index++) {
+      final boolean last = index == records.size() - 1;
+      outlet.append(records.get(index), last ? () -> {
+        blank = false;
+        LOGGER.atInfo().log("frame %s refetched everything as incarnation %s", self, incarnation);
+      } : () -> {
+      });
+    }
+  }
+
+  private List<byte[]> withSelf() {
+    blank = false;
+    final List<byte[]> records = view();
+    blank = true;
+    records.add(records.remove(0));
+    return records;
+  }
+
+  private void onJoin(final Words.Join join, final long now) {
+    if (roster.index(join.voter.address) >= 0) {
+      descriptions.put(join.voter.address, join.voter);
+      return;
+    }
+    final boolean unknown = joiners.put(join.voter.address, join.voter) == null;
+    joinedAt.put(join.voter.address, now);
+    leavingAt.remove(join.voter.address);
+    if (unknown) {
+      tellPeers();
+    }
+  }
+
+  private void adopt(final Roster news, final long now) {
+    if (news == null || news.number <= roster.number || blank) {
+      return;
+    }
+    persist(new Values.DiskRecord(ROSTER, 0, null, null, news, null, 0), () -> {
+      if (news.number <= roster.number) {
+        return;
+      }
+      roster = news;
+      rosterChangedAt = now;
+      for (final Voter voter : news.voters) {
+        joiners.remove(voter.address);
+      }
+      LOGGER.atInfo().log("frame %s adopts roster %s: %s", self, news.number, addresses(news));
+      tellPeers();
+      for (final Partition partition : partitions) {
+        final boolean held = partition.phase != Phase.IDLE;
+        if (held) {
+          stepDown(partition, now);
+        }
+        if (votes() && held) {
+          begin(partition, now);
+        }
+      }
+    });
+  }
+
+  private static List<String> addresses(final Roster roster) {
+    final List<String> list = new ArrayList<>();
+    for (final Voter voter : roster.voters) {
+      list.add(voter.address);
+    }
+    return list;
+  }
+
+  // ---- duties
+
+  private int rank(final Partition partition) {
+    final int size = roster.voters.size();
+    if (size == 0) {
+      return 0;
+    }
+    final String best = bestRegion();
+    final List<String> order = new ArrayList<>(size);
+    for (final Voter voter : roster.voters) {
+      if (voter.region.equals(best)) {
+        order.add(voter.address);
+      }
+    }
+    if (!order.isEmpty()) {
+      java.util.Collections.rotate(order, partition.number);
+    }
+    for (final Voter voter : roster.voters) {
+      if (!voter.region.equals(best)) {
+        order.add(voter.address);
+      }
+    }
+    final int index = order.indexOf(self);
+    return index < 0 ? size : index;
+  }
+
+  private String bestRegion() {
+    String best = "";
+    int most = 0;
+    for (final Voter voter : roster.voters) {
+      int count = 0;
+      for (final Voter other : roster.voters) {
+        count += other.region.equals(voter.region) ? 1 : 0;
+      }
+      if (count > most || count == most && voter.region.compareTo(best) < 0) {
+        most = count;
+        best = voter.region;
+      }
+    }
+    return best;
+  }
+
+  private void stepDown(final Partition partition, final long now) {
+    partition.phase = Phase.IDLE;
+    partition.holder = null;
+    partition.vacateAt = now + 300 + random.nextInt(200);
+    for (final Waiter waiter : partition.waiters) {
+      waiter.work.reply.accept(redirect(waiter.work.call, partition));
+    }
+    partition.waiters.clear();
+    partition.confirmOut = false;
+    if (partition.number == 0) {
+      controlParked.clear();
+    }
+    for (final Held held : partition.held.values()) {
+      for (final Held.Proposed proposed : held.uponCommit) {
+        proposed.work.reply.accept(new Words.Answer(proposed.work.call.number, 504, 0, null, null));
+      }
+      for (final Held.Work work : held.waiting) {
+        work.reply.accept(redirect(work.call, partition));
+      }
+      for (final Held.Work work : held.parked) {
+        work.reply.accept(redirect(work.call, partition));
+      }
+    }
+    partition.held = new LinkedHashMap<>();
+  }
+
+  private static Words.Answer redirect(final Words.Call call, final Partition partition) {
+    return new Words.Answer(call.number, 0, 0, null, partition.holder);
+  }
+
+  private void begin(final Partition partition, final long now) {
+    final int size = roster.voters.size();
+    highest = Math.max(highest, partition.promised.round);
+    highest = Math.max(highest, partition.ballot.round) + 1;
+    partition.ballot = new Mark(highest, owner, 0);
+    partition.phase = Phase.PREPARING;
+    partition.startedAt = now;
+    partition.promises = new Words.Promise[size];
+    partition.establishAcked = new boolean[size];
+    partition.establishSent = new boolean[size];
+    partition.establishSentAt = new long[size];
+    partition.pulsed = new long[size];
+    partition.pulseCount = 0;
+    partition.count = 0;
+    partition.confirmOut = false;
+    ballots++;
+    final Words.Prepare prepare = new Words.Prepare(partition.number, roster.number, partition.ballot);
+    broadcast(prepare, now);
+  }
+
+  private void broadcast(final Message message, final long now) {
+    for (final Voter voter : roster.voters) {
+      send(voter.address, message, now);
+    }
+  }
+
+  private void send(final String address, final Message message, final long now) {
+    if (address.equals(self)) {
+      loop.add(message);
+      runLoop(now);
+    } else {
+      outlet.send(address, message);
+    }
+  }
+
+  private final java.util.ArrayDeque<Message> loop = new java.util.ArrayDeque<>();
+  private boolean looping;
+  private long lastNow;
+
+  private void runLoop(final long now) {
+    lastNow = Math.max(lastNow, now);
+    if (looping) {
+      return;
+    }
+    looping = true;
+    try {
+      while (!loop.isEmpty()) {
+        receive(self, loop.poll(), answer -> {
+          loop.add(answer);
+          runLoop(lastNow);
+        }, now);
+      }
+    } finally {
+      looping = false;
+    }
+  }
+
+  private void onPromise(final String from, final Words.Promise promise, final long now) {
+    learn(roster.number, promise.known);
+    final Partition partition = partitions[promise.partition];
+    final int index = roster.index(from);
+    if (restart.contains(partition) || partition.phase != Phase.PREPARING || !partition.ballot.equals(promise.ballot) || index < 0 || promise.incarnation < incarnationOf(from)) {
+      return;
+    }
+    if (promise.incarnation > incarnationOf(from)) {
+      known.put(from, promise.incarnation);
+    }
+    partition.promises[index] = promise;
+    int count = 0;
+    for (final Words.Promise one : partition.promises) {
+      count += one == null ? 0 : 1;
+    }
+    if (count < roster.majority()) {
+      return;
+    }
+    Mark floor = Mark.NONE;
+    final Long[] counted = new Long[roster.voters.size()];
+    Arrays.fill(counted, 0L);
+    for (int place = 0; place < partition.promises.length; place++) {
+      final Words.Promise one = partition.promises[place];
+      if (one != null) {
+        counted[place] = one.incarnation;
+        if (one.established.compareTo(floor) > 0) {
+          floor = one.established;
+        }
+      }
+    }
+    partition.counted = List.of(counted);
+    final Map<String, Entry> best = new LinkedHashMap<>();
+    for (final Words.Promise one : partition.promises) {
+      if (one != null) {
+        for (final Entry entry : Words.list(one.entries)) {
+          final Entry before = best.get(entry.name);
+          if (entry.mark.compareTo(floor) >= 0 && (before == null || before.mark.compareTo(entry.mark) < 0)) {
+            best.put(entry.name, entry);
+          }
+        }
+      }
+    }
+    partition.held = new LinkedHashMap<>();
+    for (final Entry entry : best.values()) {
+      final Held held = new Held(entry.name, keepMillis);
+      held.proposed = held.kind.decode(entry.whole);
+      held.mark = partition.ballot.at(++partition.count);
+      Arrays.fill(held.acked, -1);
+      Arrays.fill(held.sent, -1);
+      partition.held.put(entry.name, held);
+    }
+    partition.phase = Phase.ESTABLISHING;
+    partition.startedAt = now;
+    for (int place = 0; place < roster.voters.size(); place++) {
+      sendEstablish(partition, place, now);
+    }
+  }
+
+  private void sendEstablish(final Partition partition, final int place, final long now) {
+    final List<Entry> entries = new ArrayList<>(partition.held.size());
+    for (final Held held : partition.held.values()) {
+      if (held.proposed != null) {
+        entries.add(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed)));
+        held.sent[place] = held.mark.count;
+        held.sentAt[place] = now;
+      }
+    }
+    partition.establishSent[place] = true;
+    partition.establishSentAt[place] = now;
+    send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, true, partition.counted, entries), now);
+  }
+
+  private void onAccepted(final String from, final Words.Accepted accepted, final long now) {
+    learn(roster.number, accepted.known);
+    final Partition partition = partitions[accepted.partition];
+    final int place = roster.index(from);
+    if (restart.contains(partition) || partition.phase != Phase.ESTABLISHING && partition.phase != Phase.SERVING || !partition.ballot.sameBallot(accepted.ballot) || place < 0 || accepted.incarnation != incarnationOf(from)) {
+      return;
+    }
+    final List<String> names = Words.list(accepted.names);
+    for (int index = 0; index < names.size(); index++) {
+      final Held held = partition.held.get(names.get(index));
+      if (held != null) {
+        held.acked[place] = Math.max(held.acked[place], accepted.counts.get(index));
+      }
+    }
+    if (accepted.establish) {
+      partition.establishAcked[place] = true;
+    }
+    for (final String name : Words.list(accepted.lacking)) {
+      final Held held = partition.held.get(name);
+      if (held != null) {
+        sendWhole(partition, held, place, now);
+      }
+    }
+    if (partition.phase == Phase.ESTABLISHING) {
+      if (count(partition.establishAcked) >= roster.majority()) {
+        serve(partition, now);
+      }
+    } else {
+      for (final String name : names) {
+        final Held held = partition.held.get(name);
+        if (held != null) {
+          tryCommit(partition, held, now);
+        }
+      }
+    }
+  }
+
+  private static int count(final boolean[] flags) {
+    int count = 0;
+    for (final boolean flag : flags) {
+      count += flag ? 1 : 0;
+    }
+    return count;
+  }
+
+  private void serve(final Partition partition, final long now) {
+    partition.phase = Phase.SERVING;
+    partition.holder = self;
+    partition.betterSince = 0;
+    settled[partition.number] = roster.number;
+    for (final Held held : partition.held.values()) {
+      held.committed = held.proposed;
+      if (held.kind == Values.Kind.LOCK) {
+        held.expiresAt = now + ((Values.Lock) held.committed).holdMillis;
+      } else if (held.kind == Values.Kind.GROUP) {
+        for (final Values.Put put : ((Values.Group) held.committed).history) {
+          held.putTimes.add(new long[] {put.revision, now});
+        }
+      }
+    }
+    LOGGER.atInfo().log("frame %s serves partition %s under ballot %s, roster %s, registers %s", self, partition.number, partition.ballot, roster.number, partition.held.size());
+    if (partition.number == 0) {
+      final Held held = partition.held.get("roster");
+      if (held != null && ((Roster) held.committed).number > roster.number) {
+        announce((Roster) held.committed, now);
+      }
+    }
+    pulse(partition, now);
+  }
+
+  private void announce(final Roster news, final long now) {
+    final List<String> told = new ArrayList<>(addresses(roster));
+    for (final String address : addresses(news)) {
+      if (!told.contains(address)) {
+        told.add(address);
+      }
+    }
+    for (final String address : told) {
+      if (!address.equals(self)) {
+        outlet.send(address, new Words.RosterNews(news));
+      }
+    }
+    adopt(news, now);
+  }
+
+  private void pulse(final Partition partition, final long now) {
+    partition.pulseCount++;
+    partition.pulsedAt = now;
+    broadcast(new Words.Pulse(roster.number, List.of(partition.number), List.of(partition.ballot.at(partition.pulseCount))), now);
+  }
+
+  private void onPulsed(final String from, final Words.Pulsed pulsed, final long now) {
+    learn(roster.number, pulsed.known);
+    final int place = roster.index(from);
+    if (place < 0 || pulsed.incarnation != incarnationOf(from)) {
+      return;
+    }
+    final List<Integer> numbers = Words.list(pulsed.partitions);
+    for (int index = 0; index < numbers.size(); index++) {
+      final Partition partition = partitions[numbers.get(index)];
+      final Mark mark = pulsed.ballots.get(index);
+      if (partition.phase == Phase.SERVING && partition.ballot.sameBallot(mark) && !restart.contains(partition)) {
+        partition.pulsed[place] = Math.max(partition.pulsed[place], mark.count);
+        confirmed(partition, now);
+      }
+    }
+  }
+
+  private void confirmed(final Partition partition, final long now) {
+    final long[] sorted = partition.pulsed.clone();
+    Arrays.sort(sorted);
+    final long reached = sorted[sorted.length - roster.majority()];
+    if (reached >= partition.pulseCount) {
+      partition.confirmOut = false;
+    }
+    if (!partition.waiters.isEmpty()) {
+      final List<Waiter> due = new ArrayList<>();
+      partition.waiters.removeIf(waiter -> waiter.needed <= reached && due.add(waiter));
+      for (final Waiter waiter : due) {
+        waiter.then.run();
+      }
+      if (!partition.waiters.isEmpty() && !partition.confirmOut && partition.phase == Phase.SERVING) {
+        partition.confirmOut = true;
+        pulse(partition, now);
+      }
+    }
+  }
+
+  private void confirm(final Partition partition, final long now, final Held.Work work, final Runnable then) {
+    if (!partition.confirmOut) {
+      partition.confirmOut = true;
+      partition.waiters.add(new Waiter(partition.pulseCount + 1, now, work, then));
+      pulse(partition, now);
+    } else {
+      partition.waiters.add(new Waiter(partition.pulseCount + 1, now, work, then));
+    }
+  }
+
+  // ---- calls
+
+  /** A call from an exchange. */
+  public void call(final Words.Call call, final Consumer<Words.Answer> reply, final long now) {
+    final Deed deed = Deed.of(call.deed);
+    if (deed == null) {
+      reply.accept(new Words.Answer(call.number, 400, 0, null, null));
+      return;
+    }
+    final String register = deed.register(call.name);
+    final Partition partition = partitions[partition(register)];
+    if (partition.phase != Phase.SERVING || leaving) {
+      reply.accept(new Words.Answer(call.number, 0, 0, null, self.equals(partition.holder) ? null : partition.holder));
+      return;
+    }
+    if (deed == Deed.CONTROL) {
+      control(partition, call, reply, now);
+      return;
+    }
+    final Held held = held(partition, register);
+    held.waiting.add(new Held.Work(call, deed, reply, now));
+    drain(partition, held, now);
+  }
+
+  private Held held(final Partition partition, final String register) {
+    return partition.held.computeIfAbsent(register, name -> {
+      final Held held = new Held(name, keepMillis);
+      held.mark = partition.ballot;
+      Arrays.fill(held.acked, -1);
+      Arrays.fill(held.sent, -1);
+      return held;
+    });
+  }
+
+  private static Words.Answer answer(final Held.Work work, final Decision decision) {
+    return new Words.Answer(work.call.number, decision.status, decision.first, decision.body, null);
+  }
+
+  private void drain(final Partition partition, final Held held, final long now) {
+    Object value = held.committed;
+    boolean changed = false;
+    final List<Values.Put> puts = new ArrayList<>();
+    final List<Held.Work> later = new ArrayList<>();
+    while (!held.waiting.isEmpty()) {
+      final Held.Work work = held.waiting.poll();
+      if (work.deed == Deed.CELL_READ || work.deed == Deed.SPEC_READ || work.deed == Deed.WATCH) {
+        look(partition, held, work, now);
+        continue;
+      }
+      if (held.inFlight) {
+        later.add(work);
+        continue;
+      }
+      final Decision decision = work.deed.decide(held, value, work.call, now);
+      if (decision.way == Decision.Way.WRITE) {
+        changed = true;
+        value = decision.value;
+        if (decision.put != null) {
+          puts.add(decision.put);
+        }
+        held.uponCommit.add(new Held.Proposed(work, decision));
+      } else if (changed) {
+        held.uponCommit.add(new Held.Proposed(work, decision));
+      } else {
+        confirm(partition, now, work, () -> work.reply.accept(answer(work, decision)));
+      }
+    }
+    held.waiting.addAll(later);
+    if (changed) {
+      propose(partition, held, value, puts, now);
+    }
+  }
+
+  private void look(final Partition partition, final Held held, final Held.Work work, final long now) {
+    final Decision decision = work.deed.decide(held, held.committed, work.call, now);
+    switch (decision.way) {
+      case READ -> confirm(partition, now, work, () -> work.reply.accept(answer(work, work.deed.read(held.committed, work.call))));
+      case PARK -> held.parked.add(work);
+      case CONFIRM -> confirm(partition, now, work, () -> work.reply.accept(answer(work, decision)));
+      default -> work.reply.accept(answer(work, decision));
+    }
+  }
+
+  private void propose(final Partition partition, final Held held, final Object value, final List<Values.Put> puts, final long now) {
+    final Mark base = held.mark;
+    final boolean fresh = held.committed == null;
+    held.inFlight = true;
+    held.proposed = value;
+    held.mark = partition.ballot.at(++partition.count);
+    byte[] whole = null;
+    byte[] difference = null;
+    for (int place = 0; place < roster.voters.size(); place++) {
+      final boolean follows = !puts.isEmpty() && !fresh && held.sent[place] == base.count;
+      final Entry entry;
+      if (follows) {
+        if (difference == null) {
+          difference = Wire.bytes(new Values.Difference(puts, ((Values.Group) value).floor));
+        }
+        entry = new Entry(held.name, held.mark, base, difference, null);
+      } else {
+        if (whole == null) {
+          whole = held.kind.encode(value);
+        }
+        entry = new Entry(held.name, held.mark, Mark.NONE, null, whole);
+      }
+      held.sent[place] = held.mark.count;
+      held.sentAt[place] = now;
+      send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, false, partition.counted, List.of(entry)), now);
+    }
+  }
+
+  private void sendWhole(final Partition partition, final Held held, final int place, final long now) {
+    if (held.proposed == null) {
+      return;
+    }
+    held.sent[place] = held.mark.count;
+    held.sentAt[place] = now;
+    send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, false, partition.counted,
+        List.of(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed)))), now);
+  }
+
+  private void tryCommit(final Partition partition, final Held held, final long now) {
+    if (!held.inFlight) {
+      return;
+    }
+    int count = 0;
+    for (int place = 0; place < roster.voters.size(); place++) {
+      count += held.acked[place] >= held.mark.count ? 1 : 0;
+    }
+    if (count < roster.majority()) {
+      return;
+    }
+    held.inFlight = false;
+    held.committed = held.proposed;
+    commits++;
+    if (held.kind == Values.Kind.LOCK) {
+      held.expiresAt = Math.max(held.expiresAt, now + ((Values.Lock) held.committed).holdMillis);
+      if (((Values.Lock) held.committed).owner.isEmpty()) {
+        held.expiresAt = 0;
+      }
+    } else if (held.kind == Values.Kind.GROUP) {
+      final Values.Group group = (Values.Group) held.committed;
+      final long last = held.putTimes.isEmpty() ? 0 : held.putTimes.peekLast()[0];
+      for (final Values.Put put : group.history) {
+        if (put.revision > last) {
+          held.putTimes.add(new long[] {put.revision, now});
+        }
+      }
+    }
+    final List<Held.Proposed> answers = new ArrayList<>(held.uponCommit);
+    held.uponCommit.clear();
+    for (final Held.Proposed one : answers) {
+      one.work.reply.accept(answer(one.work, one.decision));
+    }
+    if (!held.parked.isEmpty()) {
+      final List<Held.Work> parked = new ArrayList<>(held.parked);
+      held.parked.clear();
+      for (final Held.Work work : parked) {
+        look(partition, held, work, now);
+      }
+    }
+    if (partition.number == 0) {
+      if (held.kind == Values.Kind.ROSTER) {
+        announce((Roster) held.committed, now);
+        return;
+      }
+      wakeControl(partition, now);
+    }
+    drain(partition, held, now);
+  }
+
+  // ---- control state for exchanges
+
+  private final List<Held.Work> controlParked = new ArrayList<>();
+
+  private void control(final Partition partition, final Words.Call call, final Consumer<Words.Answer> reply, final long now) {
+    final Held.Work work = new Held.Work(call, Deed.CONTROL, reply, now);
+    confirm(partition, now, work, () -> {
+      if (!tellControl(partition, work, false)) {
+        controlParked.add(work);
+      }
+    });
+  }
+
+  private boolean tellControl(final Partition partition, final Held.Work work, final boolean always) {
+    final Held spec = partition.held.get("spec");
+    final Values.Spec value = spec == null ? null : (Values.Spec) spec.committed;
+    long mark = 0;
+    final List<String> evacuated = new ArrayList<>();
+    for (final Held held : partition.held.values()) {
+      if (held.kind == Values.Kind.EVACUATION && held.committed != null) {
+        final Values.Evacuation evacuation = (Values.Evacuation) held.committed;
+        mark += evacuation.serial;
+        if (evacuation.on) {
+          evacuated.add(held.name.substring("evacuation/".length()));
+        }
+      }
+    }
+    final long version = value == null ? 0 : value.version;
+    final boolean news = version > work.call.first || mark != work.call.second;
+    if (!news && !always) {
+      return false;
+    }
+    final Values.Control control = new Values.Control(version, version > work.call.first ? value.body : null, evacuated, mark, roster);
+    work.reply.accept(new Words.Answer(work.call.number, 200, version, Wire.bytes(control), null));
+    return true;
+  }
+
+  private void wakeControl(final Partition partition, final long now) {
+    final List<Held.Work> parked = new ArrayList<>(controlParked);
+    controlParked.clear();
+    for (final Held.Work work : parked) {
+      if (!tellControl(partition, work, false)) {
+        controlParked.add(work);
+      }
+    }
+  }
+
+  // ---- time
+
+  /** Tells how the disk fares: for how long the present write has lasted, and whether it refuses writes. */
+  public void disk(final long busyMillis, final boolean refusing, final long now) {
+    final boolean trouble = refusing || busyMillis > DISK_STUCK_MILLIS;
+    if (trouble && !diskTrouble) {
+      LOGGER.atWarning().log("frame %s gives its duties up: its disk has hung for %s ms or refuses writes", self, busyMillis);
+      resign(false, now);
+    }
+    diskTrouble = trouble;
+  }
+
+  /** Gives all duties up because the process ends. */
+  public void leave(final long now) {
+    resign(true, now);
+    leaving = true;
+  }
+
+  private void resign(final boolean ending, final long now) {
+    final List<Integer> numbers = new ArrayList<>();
+    for (final Partition partition : partitions) {
+      if (partition.phase != Phase.IDLE) {
+        numbers.add(partition.number);
+        stepDown(partition, now);
+        partition.vacateAt = now + 3000;
+      }
+    }
+    if (ending || !numbers.isEmpty()) {
+      for (final Voter voter : roster.voters) {
+        if (!voter.address.equals(self)) {
+          outlet.send(voter.address, new Words.Resign(ending, numbers));
+        }
+      }
+    }
+  }
+
+  /** Time has passed; to be called every few tens of milliseconds. */
+  public void tick(final long now) {
+    if (leaving) {
+      return;
+    }
+    final int place = roster.index(self);
+    if (blank || place < 0 || roster.voters.get(place).site.isEmpty()) {
+      outsider(now);
+    }
+    if (blank) {
+      return;
+    }
+    runRestarts(now);
+    for (final Partition partition : partitions) {
+      switch (partition.phase) {
+        case IDLE -> {
+          if (votes() && !diskTrouble && now >= partition.vacateAt) {
+            begin(partition, now);
+          }
+        }
+        case PREPARING, ESTABLISHING -> {
+          if (now - partition.startedAt > BALLOT_MILLIS) {
+            stepDown(partition, now);
+            partition.vacateAt = now + rank(partition) * 100L + random.nextInt(300);
+          }
+        }
+        default -> {
+          if (now - partition.pulsedAt >= PULSE_MILLIS) {
+            pulse(partition, now);
+          }
+          resend(partition, now);
+          expire(partition, now);
+          handOver(partition, now);
+        }
+      }
+    }
+    if (partitions[0].phase == Phase.SERVING) {
+      changeRoster(now);
+    }
+  }
+
+  private void resend(final Partition partition, final long now) {
+    for (int place = 0; place < roster.voters.size(); place++) {
+      if (!partition.establishAcked[place]) {
+        if (now - partition.establishSentAt[place] > RESEND_MILLIS) {
+          sendEstablish(partition, place, now);
+        }
+        continue;
+      }
+      for (final Held held : partition.held.values()) {
+        if (held.proposed != null && held.acked[place] < held.mark.count && now - held.sentAt[place] > RESEND_MILLIS) {
+          sendWhole(partition, held, place, now);
+        }
+      }
+    }
+  }
+
+  private void expire(final Partition partition, final long now) {
+    partition.waiters.removeIf(waiter -> now - waiter.receivedAt > STALE_WORK_MILLIS);
+    for (final Held held : partition.held.values()) {
+      if (!held.waiting.isEmpty()) {
+        held.waiting.removeIf(work -> now - work.receivedAt > STALE_WORK_MILLIS);
+      }
+      if (!held.parked.isEmpty()) {
+        held.parked.removeIf(work -> {
+          if (now - work.receivedAt < work.call.second) {
+            return false;
+          }
+          work.reply.accept(new Words.Answer(work.call.number, 200, work.call.first, Wire.bytes(new Values.Events(List.of(), work.call.first)), null));
+          return true;
+        });
+      }
+    }
+    if (partition.number == 0) {
+      controlParked.removeIf(work -> now - work.receivedAt >= CONTROL_MILLIS && tellControl(partition, work, true));
+    }
+  }
+
+  private void handOver(final Partition partition, final long now) {
+    final String best = bestRegion();
+    if (region.equals(best)) {
+      partition.betterSince = 0;
+      return;
+    }
+    int better = 0;
+    for (int place = 0; place < roster.voters.size(); place++) {
+      final Voter voter = roster.voters.get(place);
+      if (voter.region.equals(best) && partition.pulsed[place] >= partition.pulseCount - 2 && partition.establishAcked[place]) {
+        better++;
+      }
+    }
+    if (better < 2) {
+      partition.betterSince = 0;
+    } else if (partition.betterSince == 0) {
+      partition.betterSince = now;
+    } else if (now - partition.betterSince > 3000) {
+      stepDown(partition, now);
+      partition.vacateAt = now + 2000;
+      broadcast(new Words.Resign(false, List.of(partition.number)), now);
+    }
+  }
+
+  private void outsider(final long now) {
+    if (now - enquiredAt < 400) {
+      return;
+    }
+    enquiredAt = now;
+    enquireNumber++;
+    if (blank && fetching >= 0) {
+      fetching = 0;
+    }
+    enquired.clear();
+    final List<String> asked = new ArrayList<>(seeds);
+    for (final String address : addresses(roster)) {
+      if (!asked.contains(address)) {
+        asked.add(address);
+      }
+    }
+    descriptions.put(self, new Voter(self, site, region, List.of()));
+    for (final String address : asked) {
+      if (!address.equals(self)) {
+        outlet.send(address, new Words.Enquire(enquireNumber));
+        if (!blank && mayVote) {
+          outlet.send(address, new Words.Join(new Voter(self, site, region, List.of())));
+        }
+      }
+    }
+  }
+
+  private boolean unreachable(final String address, final long now) {
+    return !address.equals(self) && (now - heardAt.getOrDefault(address, rosterChangedAt) > UNREACHABLE_MILLIS
+        || leavingAt.containsKey(address) && leavingAt.get(address) >= heardAt.getOrDefault(address, 0L));
+  }
+
+  private void changeRoster(final long now) {
+    final Partition partition = partitions[0];
+    final Held held = held(partition, "roster");
+    if (held.inFlight || now - rosterChangedAt < 300) {
+      return;
+    }
+    for (final long number : settled) {
+      if (number < roster.number) {
+        return;
+      }
+    }
+    joiners.keySet().removeIf(address -> now - joinedAt.get(address) > 1500);
+    final Voter joiner = joiners.isEmpty() ? null : joiners.values().iterator().next();
+    final int size = roster.voters.size();
+    Voter gone = null;
+    int reachable = 0;
+    for (final Voter voter : roster.voters) {
+      if (unreachable(voter.address, now)) {
+        if (gone == null || joiner != null && voter.site.equals(joiner.site)) {
+          gone = voter;
+        }
+      } else {
+        reachable++;
+      }
+    }
+    Roster next = null;
+    if (joiner != null && (size < mostVoters || size == mostVoters && gone != null) && reachable >= roster.majority()) {
+      next = Tokens.with(roster, joiner);
+    } else if (size > mostVoters && gone != null && reachable >= (size - 1) / 2 + 1) {
+      next = Tokens.without(roster, gone);
+    } else {
+      next = Tokens.described(roster, descriptions);
+    }
+    if (next != null) {
+      propose(partition, held, next, List.of(), now);
+    }
+  }
+
+  private final Map<String, Voter> descriptions = new HashMap<>();
+
+  // ---- what tests and operators look at
+
+  /** The roster in force here. */
+  public Roster roster() {
+    return roster;
+  }
+
+  /** Whether this daemon has forgotten what it held and must not vote. */
+  public boolean blank() {
+    return blank;
+  }
+
+  /** The partitions that this daemon serves. */
+  public int serving() {
+    int count = 0;
+    for (final Partition partition : partitions) {
+      count += partition.phase == Phase.SERVING ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Ballots begun here. */
+  public long ballots() {
+    return ballots;
+  }
+
+  /** Values that became lasting here. */
+  public long commits() {
+    return commits;
+  }
+}
--- /dev/null
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -0,0 +1,158 @@
+package weldpoint.frame;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import weldpoint.boot.Boot;
+import weldpoint.boot.Breakdown;
+import weldpoint.boot.Desk;
+import weldpoint.tape.FolderFiles;
+import weldpoint.tape.Ring;
+import weldpoint.tape.Tape;
+import weldpoint.trunk.Line;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Trunk;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/** The store as a process: its core on one thread, its lines on another, its disk on a third. */
+public final class FrameDaemon {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int FILES = 3;
+  private static final int FILE_BYTES = 4 << 20;
+  private static final int MOST_VOTERS = 5;
+  private static final long TICK_MILLIS = 50;
+  private static final long COUNTERS_MILLIS = 10_000;
+
+  private final Boot boot;
+  private final Desk desk = new Desk("frame");
+  private final EventLoopGroup loop = new NioEventLoopGroup(1);
+  private final Map<String, Trunk.Dialler> diallers = new HashMap<>();
+  private final FrameCore core;
+  private final Trunk trunk;
+  private Tape tape;
+  private long countersAt;
+
+  /** A store for these settings; nothing runs yet. */
+  public FrameDaemon(final Boot boot) {
+    this.boot = boot;
+    final long owner = new SecureRandom().nextLong() >>> 1;
+    this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "frame", boot.address(), owner));
+    this.core = new FrameCore(boot.address(), boot.site(), boot.region(), boot.voter(), MOST_VOTERS, boot.historyMillis(), owner, new Random(owner), boot.seeds(), new FrameCore.Outlet() {
+      @Override
+      public void send(final String address, final Message message) {
+        final Trunk.Dialler dialler = diallers.get(address);
+        if (dialler != null) {
+          dialler.send(message);
+        }
+      }
+
+      @Override
+      public void append(final byte[] record, final Runnable synced) {
+        tape.append(record, synced);
+      }
+
+      @Override
+      public void peers(final List<String> addresses) {
+        dial(addresses);
+      }
+    });
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private void dial(final List<String> addresses) {
+    for (final String address : addresses) {
+      diallers.computeIfAbsent(address, to -> trunk.dial(to, boot.trunkPort(1), Trunk.on(desk, new Trunk.Ear() {
+        @Override
+        public void opened(final Line line) {
+        }
+
+        @Override
+        public void heard(final Line line, final Message message) {
+          core.receive(to, message, line::send, now());
+        }
+
+        @Override
+        public void closed(final Line line) {
+          core.lineClosed(to, now());
+        }
+      })));
+    }
+    diallers.entrySet().removeIf(entry -> {
+      if (addresses.contains(entry.getKey())) {
+        return false;
+      }
+      entry.getValue().close();
+      return true;
+    });
+  }
+
+  /** Reads the disk and starts everything. */
+  public void start() throws IOException, InterruptedException {
+    if (boot.folder().isEmpty()) {
+      throw new Breakdown(Breakdown.Kind.SETTING, "setting station.folder has the value ''; a frame needs a folder on a disk of its own");
+    }
+    final Ring ring = new Ring(new FolderFiles(Path.of(boot.folder(), "frame"), FILES), FILES, FILE_BYTES);
+    final Ring.Found found = ring.open();
+    if (found.lost()) {
+      LOGGER.atSevere().log("the disk of %s lost records that had been synced; it counts as blank and is refetched from the other frames", boot.name());
+    }
+    tape = new Tape(ring, desk, core::view);
+    desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), boot.firstStart() && found.blank() && !found.lost(), now()));
+    tape.start("tape");
+    trunk.serve(boot.address(), boot.trunkPort(1), Trunk.on(desk, new Trunk.Ear() {
+      @Override
+      public void opened(final Line line) {
+      }
+
+      @Override
+      public void heard(final Line line, final Message message) {
+        if (message instanceof Words.Call) {
+          core.call((Words.Call) message, line::send, now());
+        } else {
+          core.receive(line.peer().address, message, line::send, now());
+        }
+      }
+
+      @Override
+      public void closed(final Line line) {
+      }
+    }));
+    loop.scheduleAtFixedRate(() -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    final long now = now();
+    core.disk(tape.busyMillis(), tape.refusing(), now);
+    core.tick(now);
+    if (now - countersAt > COUNTERS_MILLIS) {
+      countersAt = now;
+      LOGGER.atInfo().log("counters: serving %s ballots %s commits %s syncs %s roster %s", core.serving(), core.ballots(), core.commits(), tape.syncs(), core.roster().number);
+    }
+  }
+
+  /** Gives the duties up; returns once the others have been told. */
+  public void stop() {
+    final java.util.concurrent.CountDownLatch done = new java.util.concurrent.CountDownLatch(1);
+    desk.execute(() -> {
+      core.leave(now());
+      loop.schedule(done::countDown, 60, TimeUnit.MILLISECONDS);
+    });
+    try {
+      done.await(1, TimeUnit.SECONDS);
+    } catch (final InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/frame/src/main/java/weldpoint/frame/Held.java
@@ -0,0 +1,66 @@
+package weldpoint.frame;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import weldpoint.trunk.Mark;
+import weldpoint.trunk.Words.Answer;
+import weldpoint.trunk.Words.Call;
+
+/** A register as the holder of its duty sees it. */
+final class Held {
+  static final class Work {
+    final Call call;
+    final Deed deed;
+    final Consumer<Answer> reply;
+    final long receivedAt;
+
+    Work(final Call call, final Deed deed, final Consumer<Answer> reply, final long receivedAt) {
+      this.call = call;
+      this.deed = deed;
+      this.reply = reply;
+      this.receivedAt = receivedAt;
+    }
+  }
+
+  static final class Proposed {
+    final Work work;
+    final Decision decision;
+
+    Proposed(final Work work, final Decision decision) {
+      this.work = work;
+      this.decision = decision;
+    }
+  }
+
+  final String name;
+  final Values.Kind kind;
+  final long keepMillis;
+  Mark mark = Mark.NONE;
+  Object proposed;
+  Object committed;
+  boolean inFlight;
+  final long[] acked = new long[64];
+  final long[] sent = new long[64];
+  final long[] sentAt = new long[64];
+  final ArrayDeque<Work> waiting = new ArrayDeque<>();
+  final List<Proposed> uponCommit = new ArrayList<>();
+  final List<Work> parked = new ArrayList<>();
+  final ArrayDeque<long[]> putTimes = new ArrayDeque<>();
+  long expiresAt;
+
+  Held(final String name, final long keepMillis) {
+    this.name = name;
+    this.kind = Values.Kind.of(name);
+    this.keepMillis = keepMillis;
+  }
+
+  long floor(final long now) {
+    long floor = 0;
+    while (!putTimes.isEmpty() && putTimes.peekFirst()[1] < now - keepMillis) {
+      floor = putTimes.pollFirst()[0];
+    }
+    return Math.max(floor, committed == null ? 0 : ((Values.Group) committed).floor);
+  }
+}
--- /dev/null
+++ b/frame/src/main/java/weldpoint/frame/Values.java
@@ -0,0 +1,251 @@
+package weldpoint.frame;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/** The values that registers hold. All are immutable. */
+public final class Values {
+  private Values() {
+  }
+
+  /** The kinds of registers, told apart by the beginning of their names. */
+  public enum Kind {
+    ROSTER("roster", Words.Roster.class), SPEC("spec", Spec.class), EVACUATION("evacuation/", Evacuation.class),
+    LOCK("lock/", Lock.class), NUMBER("number/", Number.class), GROUP("group/", Group.class);
+
+    private final String prefix;
+    private final Class<?> type;
+
+    Kind(final String prefix, final Class<?> type) {
+      this.prefix = prefix;
+      this.type = type;
+    }
+
+    /** The kind of the register of this name. */
+    public static Kind of(final String name) {
+      for (final Kind kind : values()) {
+        if (name.startsWith(kind.prefix)) {
+          return kind;
+        }
+      }
+      throw new IllegalArgumentException("no register is named " + name);
+    }
+
+    /** The name of the register of this kind for an identifier. */
+    public String register(final String identifier) {
+      return prefix + identifier;
+    }
+
+    /** Reads a whole value. */
+    public Object decode(final byte[] bytes) {
+      return this == GROUP ? Group.decode(bytes) : Wire.value(bytes, type);
+    }
+
+    /** The bytes of a whole value. */
+    public byte[] encode(final Object value) {
+      return this == GROUP ? ((Group) value).encode() : Wire.bytes(value);
+    }
+
+    /** A value changed by a difference; only groups have them. */
+    public Object apply(final Object value, final byte[] difference) {
+      final Difference change = Wire.value(difference, Difference.class);
+      return (value == null ? Group.EMPTY : (Group) value).with(Words.list(change.puts), change.floor);
+    }
+  }
+
+  /** The operators' configuration: its version and its compressed bytes. */
+  public static final class Spec {
+    public final long version;
+    public final byte[] body;
+
+    public Spec(final long version, final byte[] body) {
+      this.version = version;
+      this.body = body;
+    }
+  }
+
+  /** Whether a site is evacuated, and how often that has changed. */
+  public static final class Evacuation {
+    public final boolean on;
+    public final long serial;
+
+    public Evacuation(final boolean on, final long serial) {
+      this.on = on;
+      this.serial = serial;
+    }
+  }
+
+  /** Who holds a lock under which fence; an empty owner means nobody. */
+  public static final class Lock {
+    public final String owner;
+    public final long fence;
+    public final long holdMillis;
+
+    public Lock(final String owner, final long fence, final long holdMillis) {
+      this.owner = owner;
+      this.fence = fence;
+      this.holdMillis = holdMillis;
+    }
+  }
+
+  /** The last number given. */
+  public static final class Number {
+    public final long value;
+
+    public Number(final long value) {
+      this.value = value;
+    }
+  }
+
+  /** One put of a key. */
+  public static final class Put {
+    public final String name;
+    public final String value;
+    public final long revision;
+
+    public Put(final String name, final String value, final long revision) {
+      this.name = name;
+      this.value = value;
+      this.revision = revision;
+    }
+  }
+
+  /** What puts add to a group, and up to which revision its history is forgotten. */
+  public static final class Difference {
+    public final List<Put> puts;
+    public final long floor;
+
+    public Difference(final List<Put> puts, final long floor) {
+      this.puts = puts;
+      this.floor = floor;
+    }
+  }
+
+  /** How a group travels whole. */
+  public static final class Packed {
+    public final List<Put> cells;
+    public final List<Put> history;
+    public final long revision;
+    public final long floor;
+
+    public Packed(final List<Put> cells, final List<Put> history, final long revision, final long floor) {
+      this.cells = cells;
+      this.history = history;
+      this.revision = revision;
+      this.floor = floor;
+    }
+  }
+
+  /** A group of cells: the present puts by name, and all puts above the floor. */
+  public static final class Group {
+    /** A group that nothing was put to. */
+    public static final Group EMPTY = new Group(Map.of(), List.of(), 0, 0);
+
+    public final Map<String, Put> cells;
+    public final List<Put> history;
+    public final long revision;
+    public final long floor;
+
+    private Group(final Map<String, Put> cells, final List<Put> history, final long revision, final long floor) {
+      this.cells = cells;
+      this.history = history;
+      this.revision = revision;
+      this.floor = floor;
+    }
+
+    /** This group after further puts, its history forgotten up to the floor. */
+    public Group with(final List<Put> puts, final long newFloor) {
+      final Map<String, Put> nextCells = new LinkedHashMap<>(cells);
+      final List<Put> nextHistory = new ArrayList<>(history.size() + puts.size());
+      for (final Put put : history) {
+        if (put.revision > newFloor) {
+          nextHistory.add(put);
+        }
+      }
+      long last = revision;
+      for (final Put put : puts) {
+        nextCells.put(put.name, put);
+        nextHistory.add(put);
+        last = put.revision;
+      }
+      return new Group(nextCells, nextHistory, last, Math.max(floor, newFloor));
+    }
+
+    /** The first put of this value to this key that is still known; null where there is none. */
+    public Put first(final String name, final String value) {
+      for (final Put put : history) {
+        if (put.name.equals(name) && put.value.equals(value)) {
+          return put;
+        }
+      }
+      final Put present = cells.get(name);
+      return present != null && present.value.equals(value) ? present : null;
+    }
+
+    byte[] encode() {
+      return Wire.bytes(new Packed(new ArrayList<>(cells.values()), history, revision, floor));
+    }
+
+    static Group decode(final byte[] bytes) {
+      final Packed packed = Wire.value(bytes, Packed.class);
+      final Map<String, Put> cells = new LinkedHashMap<>();
+      for (final Put put : Words.list(packed.cells)) {
+        cells.put(put.name, put);
+      }
+      return new Group(cells, Words.list(packed.history), packed.revision, packed.floor);
+    }
+  }
+
+  /** What exchanges learn of control state. */
+  public static final class Control {
+    public final long version;
+    public final byte[] spec;
+    public final List<String> evacuated;
+    public final long evacuationMark;
+    public final Words.Roster roster;
+
+    public Control(final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final Words.Roster roster) {
+      this.version = version;
+      this.spec = spec;
+      this.evacuated = evacuated;
+      this.evacuationMark = evacuationMark;
+      this.roster = roster;
+    }
+  }
+
+  /** What a watch answers. */
+  public static final class Events {
+    public final List<Put> events;
+    public final long revision;
+
+    public Events(final List<Put> events, final long revision) {
+      this.events = events;
+      this.revision = revision;
+    }
+  }
+
+  /** What lies on disk. */
+  public static final class DiskRecord {
+    public final int type;
+    public final int partition;
+    public final weldpoint.trunk.Mark ballot;
+    public final List<Words.Entry> entries;
+    public final Words.Roster roster;
+    public final String address;
+    public final long incarnation;
+
+    public DiskRecord(final int type, final int partition, final weldpoint.trunk.Mark ballot, final List<Words.Entry> entries, final Words.Roster roster, final String address, final long incarnation) {
+      this.type = type;
+      this.partition = partition;
+      this.ballot = ballot;
+      this.entries = entries;
+      this.roster = roster;
+      this.address = address;
+      this.incarnation = incarnation;
+    }
+  }
+}
--- /dev/null
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -0,0 +1,177 @@
+package weldpoint.jack;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import weldpoint.boot.Breakdown;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.exchange.ControlSpec;
+import weldpoint.exchange.Stage;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Words;
+import weldpoint.trunk.Words.Board;
+import weldpoint.trunk.Words.Registration;
+
+/**
+ * The switchboard's side of the stream: it keeps to one exchange, leaves one that is silent or has lost touch with the
+ * majority, and never goes back to anything older. It runs on the control thread and knows neither sockets nor clocks.
+ */
+public final class BoardLink {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final long SILENT_MILLIS = 1400;
+  private static final long STALE_MILLIS = 2200;
+  private static final long TELL_MILLIS = 500;
+  private static final long VIEW_MILLIS = 1500;
+  private static final long STAY_MILLIS = 3000;
+
+  /** What the link does to the world. */
+  public interface Outlet {
+    /** Makes this exchange the one there is a line to. */
+    void dial(String address);
+
+    /** Sends over the line, where there is one. */
+    void send(Message message);
+
+    /** Tells the traffic thread. */
+    void outlook(Dialplan plan, Map<Registration, Boolean> changes, Set<String> evacuated, Set<String> suspects, int switchboards);
+  }
+
+  private final Outlet outlet;
+  private final Random random;
+  private final Board self;
+  private final List<String> seeds;
+  private final List<String> exchanges = new ArrayList<>();
+  private final Map<String, Registration> history = new HashMap<>();
+  private String current;
+  private long dialledAt;
+  private long heardAt;
+  private long toldAt;
+  private boolean viewed;
+  private boolean stale;
+  private long version;
+  private long evacuationMark = -1;
+  private boolean leaving;
+  private int next;
+
+  /** A link for the switchboard that describes itself so. */
+  public BoardLink(final Board self, final List<String> seeds, final Random random, final Outlet outlet) {
+    this.self = self;
+    this.seeds = seeds;
+    this.random = random;
+    this.outlet = outlet;
+    exchanges.addAll(seeds);
+    java.util.Collections.shuffle(exchanges, random);
+  }
+
+  /** Begins. */
+  public void start(final long now) {
+    move(now);
+  }
+
+  private void move(final long now) {
+    next = (next + 1) % exchanges.size();
+    if (exchanges.get(next).equals(current)) {
+      next = (next + 1) % exchanges.size();
+    }
+    current = exchanges.get(next);
+    dialledAt = now;
+    heardAt = now;
+    viewed = false;
+    stale = false;
+    outlet.dial(current);
+  }
+
+  private void tell(final long now) {
+    toldAt = now;
+    outlet.send(new Words.BoardState(new Board(self.address, self.front, self.site, self.region, self.incarnation, leaving, 0)));
+  }
+
+  /** The line is there. */
+  public void opened(final long now) {
+    heardAt = now;
+    tell(now);
+  }
+
+  /** The line has ended. */
+  public void closed(final long now) {
+    move(now);
+  }
+
+  /** The exchange has said something. */
+  public void heard(final Message message, final long now) {
+    heardAt = now;
+    if (message instanceof Words.View) {
+      viewed = true;
+      take((Words.View) message);
+    } else if (message instanceof Words.Reach) {
+      final Words.Reach reach = (Words.Reach) message;
+      for (final String member : Words.list(reach.members)) {
+        if (!exchanges.contains(member)) {
+          exchanges.add(member);
+        }
+      }
+      outlet.outlook(null, Map.of(), null, null, reach.boards);
+      if (reach.ageMillis > STALE_MILLIS && now - dialledAt > STAY_MILLIS) {
+        LOGGER.atInfo().log("exchange %s has not heard of a majority for %s ms; trying another", current, reach.ageMillis);
+        move(now);
+      }
+    }
+  }
+
+  private void take(final Words.View view) {
+    Dialplan plan = null;
+    if (view.spec != null && view.version > version) {
+      try {
+        plan = Dialplan.compile(ControlSpec.inflate(view.spec));
+        version = view.version;
+        LOGGER.atInfo().log("spec %s is in force with %s routes", Long.toHexString(version), plan.routes());
+      } catch (final Breakdown breakdown) {
+        LOGGER.atSevere().log("spec %s was not taken: %s", Long.toHexString(view.version), breakdown.getMessage());
+      }
+    }
+    final Map<Registration, Boolean> changes = new java.util.LinkedHashMap<>();
+    for (final Registration registration : Words.list(view.registrations)) {
+      final Registration before = history.get(registration.id);
+      if (before == null || Stage.later(before, registration) != before) {
+        history.put(registration.id, registration);
+        final boolean open = Stage.of(registration).open();
+        if (before == null && !open) {
+          continue;
+        }
+        changes.put(registration, open);
+      }
+    }
+    Set<String> evacuated = null;
+    if (view.evacuationsGiven && view.evacuationMark > evacuationMark) {
+      evacuationMark = view.evacuationMark;
+      evacuated = new HashSet<>(Words.list(view.evacuated));
+    }
+    outlet.outlook(plan, changes, evacuated, view.suspectsGiven ? new HashSet<>(Words.list(view.suspects)) : null, view.boards);
+  }
+
+  /** Time has passed. */
+  public void tick(final long now) {
+    if (now - heardAt > SILENT_MILLIS || !viewed && now - dialledAt > VIEW_MILLIS) {
+      move(now);
+    } else if (now - toldAt >= TELL_MILLIS) {
+      tell(now);
+    }
+  }
+
+  /** The process will end: clients should go elsewhere. */
+  public void leave(final long now) {
+    leaving = true;
+    tell(now);
+  }
+
+  /** The version of the spec in force. */
+  public long version() {
+    return version;
+  }
+}
