--- /dev/null
+++ b/rig/src/main/java/weldpoint/rig/Fleet.java
@@ -0,0 +1,283 @@
+package weldpoint.rig;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import weldpoint.frame.Deed;
+import weldpoint.frame.FrameCore;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/** Several frames on a fake clock, a fake network and fake disks, driven by one seed. */
+public final class Fleet {
+  private static final long HISTORY_MILLIS = 20_000;
+
+  private record Event(long at, long order, Runnable deed) {
+  }
+
+  /** One machine: a disk that may outlive its process, and the process of the moment. */
+  public final class Machine {
+    final String address;
+    final String site;
+    final String region;
+    private final List<byte[]> lasting = new ArrayList<>();
+    private final List<byte[]> written = new ArrayList<>();
+    private FrameCore core;
+    private int life;
+    private boolean frozen;
+    private long diskDelay = 2;
+
+    private Machine(final String address, final String site, final String region) {
+      this.address = address;
+      this.site = site;
+      this.region = region;
+    }
+
+    /** The process of the moment; null while there is none. */
+    public FrameCore core() {
+      return core;
+    }
+  }
+
+  private final Random random;
+  private final boolean syncsFirst;
+  private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Set<String> cuts = new HashSet<>();
+  private final List<String> seeds;
+  private long now = 1_000_000;
+  private long order;
+  private long owners;
+  private long calls;
+
+  /** A fleet whose disks sync before they say so; a broken one, for the checks to catch, says so at once. */
+  public Fleet(final long seed, final List<String> seeds, final boolean syncsFirst) {
+    this.random = new Random(seed);
+    this.seeds = seeds;
+    this.syncsFirst = syncsFirst;
+  }
+
+  /** The fake time. */
+  public long now() {
+    return now;
+  }
+
+  /** The one source of chance. */
+  public Random random() {
+    return random;
+  }
+
+  /** All machines, by address. */
+  public Map<String, Machine> machines() {
+    return machines;
+  }
+
+  /** Runs something after a while. */
+  public void after(final long millis, final Runnable deed) {
+    events.add(new Event(now + millis, order++, deed));
+  }
+
+  /** Lets time pass. */
+  public void run(final long millis) {
+    final long until = now + millis;
+    while (!events.isEmpty() && events.peek().at <= until) {
+      final Event event = events.poll();
+      now = event.at;
+      event.deed.run();
+    }
+    now = until;
+  }
+
+  /** Adds a machine without a process. */
+  public Machine add(final String address, final String site, final String region) {
+    return machines.computeIfAbsent(address, key -> new Machine(key, site, region));
+  }
+
+  /** Starts the process of a machine. */
+  public void start(final String address, final boolean first) {
+    final Machine machine = machines.get(address);
+    final int life = ++machine.life;
+    machine.written.clear();
+    machine.core = new FrameCore(address, machine.site, machine.region, true, 5, HISTORY_MILLIS, ++owners, new Random(random.nextLong()), seeds, new FrameCore.Outlet() {
+      @Override
+      public void send(final String to, final Message message) {
+        post(address, life, to, message);
+      }
+
+      @Override
+      public void append(final byte[] record, final Runnable synced) {
+        machine.written.add(record);
+        final Runnable lasting = () -> {
+          if (machine.life == life && machine.core != null) {
+            machine.written.remove(record);
+            machine.lasting.add(record);
+            if (syncsFirst) {
+              synced.run();
+            }
+          }
+        };
+        after(machine.diskDelay + random.nextInt(3), lasting);
+        if (!syncsFirst) {
+          after(0, () -> {
+            if (machine.life == life) {
+              synced.run();
+            }
+          });
+        }
+      }
+
+      @Override
+      public void peers(final List<String> addresses) {
+      }
+    });
+    machine.core.start(new ArrayList<>(machine.lasting), first && machine.lasting.isEmpty(), now);
+    tick(machine, life);
+  }
+
+  private void tick(final Machine machine, final int life) {
+    after(50, () -> {
+      if (machine.life == life && machine.core != null) {
+        if (!machine.frozen) {
+          machine.core.tick(now);
+        }
+        tick(machine, life);
+      }
+    });
+  }
+
+  private boolean cut(final String from, final String to) {
+    return cuts.contains(from + ">" + to);
+  }
+
+  private long delay(final String from, final String to) {
+    final Machine one = machines.get(from);
+    final Machine other = machines.get(to);
+    return (one != null && other != null && one.region.equals(other.region) ? 1 : 12) + random.nextInt(4);
+  }
+
+  private void post(final String from, final int fromLife, final String to, final Message message) {
+    final byte[] bytes = Wire.bytes(message);
+    after(delay(from, to), () -> {
+      final Machine target = machines.get(to);
+      if (target == null || target.core == null || target.frozen || cut(from, to)) {
+        return;
+      }
+      final Message copy = (Message) Wire.value(bytes, message.getClass());
+      final int life = target.life;
+      target.core.receive(from, copy, answer -> {
+        final byte[] answered = Wire.bytes(answer);
+        after(delay(to, from), () -> {
+          final Machine back = machines.get(from);
+          if (target.life == life && back != null && back.life == fromLife && back.core != null && !back.frozen && !cut(to, from)) {
+            back.core.receive(to, (Message) Wire.value(answered, answer.getClass()), Fleet::drop, now);
+          }
+        });
+      }, now);
+    });
+  }
+
+  private static void drop(final Message message) {
+  }
+
+  /** Ends a process; with power loss, only a part of what was not synced may remain, otherwise all that was written. */
+  public void kill(final String address, final boolean power) {
+    final Machine machine = machines.get(address);
+    if (machine.core == null) {
+      return;
+    }
+    final int kept = power ? random.nextInt(machine.written.size() + 1) : machine.written.size();
+    machine.lasting.addAll(machine.written.subList(0, syncsFirst ? kept : 0));
+    machine.written.clear();
+    machine.core = null;
+    machine.life++;
+    for (final Machine other : machines.values()) {
+      if (other.core != null && other != machine) {
+        final FrameCore core = other.core;
+        after(delay(address, other.address), () -> {
+          if (other.core == core) {
+            core.lineClosed(address, now);
+          }
+        });
+      }
+    }
+  }
+
+  /** Empties the disk of a machine whose process has ended. */
+  public void wipe(final String address) {
+    machines.get(address).lasting.clear();
+  }
+
+  /** Stops or resumes a process without ending it. */
+  public void freeze(final String address, final boolean on) {
+    machines.get(address).frozen = on;
+  }
+
+  /** Makes a disk slow. */
+  public void disk(final String address, final long millis) {
+    machines.get(address).diskDelay = millis;
+  }
+
+  /** Cuts or heals one direction between two machines. */
+  public void cut(final String from, final String to, final boolean on) {
+    if (on) {
+      cuts.add(from + ">" + to);
+    } else {
+      cuts.remove(from + ">" + to);
+    }
+  }
+
+  /** Heals all cuts, freezes and slow disks. */
+  public void heal() {
+    cuts.clear();
+    for (final Machine machine : machines.values()) {
+      machine.frozen = false;
+      machine.diskDelay = 2;
+    }
+  }
+
+  /** The addresses of machines whose process runs. */
+  public List<String> running() {
+    final List<String> list = new ArrayList<>();
+    machines.forEach((address, machine) -> {
+      if (machine.core != null) {
+        list.add(address);
+      }
+    });
+    Collections.sort(list);
+    return list;
+  }
+
+  /** Calls the store by way of one frame, following its word on who holds the duty; the answer may never come. */
+  public void call(final String at, final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final Consumer<Words.Answer> then) {
+    call(at, new Words.Call(++calls, deed.ordinal(), name, owner, first, second, body), 0, then);
+  }
+
+  /** Calls the store at one frame only; whatever it says of others is not followed. */
+  public void callOnly(final String at, final Deed deed, final String name, final Consumer<Words.Answer> then) {
+    call(at, new Words.Call(++calls, deed.ordinal(), name, null, 0, 0, null), 3, then);
+  }
+
+  private void call(final String at, final Words.Call call, final int hops, final Consumer<Words.Answer> then) {
+    after(1 + random.nextInt(3), () -> {
+      final Machine machine = machines.get(at);
+      if (machine == null || machine.core == null || machine.frozen) {
+        return;
+      }
+      machine.core.call(call, answer -> after(1 + random.nextInt(3), () -> {
+        if (answer.status == 0 && answer.holder != null && hops < 3 && !answer.holder.equals(at)) {
+          call(answer.holder, call, hops + 1, then);
+        } else if (answer.status != 0) {
+          then.accept(answer);
+        }
+      }), now);
+    });
+  }
+}
