--- /dev/null
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -0,0 +1,157 @@
+package weldpoint.console;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import weldpoint.boot.Boot;
+import weldpoint.boot.Breakdown;
+import weldpoint.cord.Headers;
+import weldpoint.exchange.ExchangeDaemon;
+import weldpoint.frame.FrameDaemon;
+import weldpoint.jack.SwitchboardDaemon;
+
+/** The whole system in one process on the loopback address, with a stand-in upstream: for trying it out. */
+final class Demo {
+  private static final String HOST = "127.0.0.1";
+  private static final long PATIENCE_MILLIS = 15_000;
+
+  private final int[] ports = new int[5];
+  private final Path folder;
+
+  Demo() throws IOException {
+    folder = Files.createTempDirectory("weldpoint-demo");
+    final ServerSocket[] sockets = new ServerSocket[ports.length];
+    for (int index = 0; index < ports.length; index++) {
+      sockets[index] = new ServerSocket(0);
+      ports[index] = sockets[index].getLocalPort();
+    }
+    for (final ServerSocket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  private Boot boot(final int trunk) {
+    return Boot.parse("station.name = demo\nstation.address = " + HOST + "\nstation.site = here\nstation.region = home\nstation.voter = true\nstation.first-start = true\nstation.folder = " + folder
+        + "\nlisten.traffic = " + HOST + ":" + ports[0] + "\nlisten.readiness = " + HOST + ":" + ports[1] + "\nlisten.control = " + HOST + ":" + ports[2]
+        + "\ntrunk.ports = " + trunk + "," + (trunk + 1) + "\ntrunk.seeds = " + HOST + ":" + ports[2] + "\nsites = here:home\n");
+  }
+
+  /** Starts everything, sends a configuration, a beat and some requests; prints what came back. */
+  int run(final boolean stay) throws IOException, InterruptedException {
+    final int trunk = 20_000 + new java.security.SecureRandom().nextInt(20_000);
+    final Boot boot = boot(trunk);
+    new FrameDaemon(boot).start();
+    new ExchangeDaemon(boot).start();
+    new SwitchboardDaemon(boot).start();
+    standIn();
+    final String spec = "{\"version\":\"00000001\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"listeners\":[{\"host\":\"demo.example\",\"rules\":["
+        + "{\"name\":\"look\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/look/\"},\"action\":{\"service\":\"desk\",\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[]}},"
+        + "{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"priority\":1,\"match\":{\"pathPrefix\":\"/book/\"},\"action\":{\"split\":[{\"service\":\"desk\",\"weight\":1}],\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[\"home\"]}}]}],"
+        + "\"pools\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":100,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":12.0}]}";
+    until(200, ports[2], "POST", "/api/rpc?call=configuration.replace", spec);
+    beat(1, "ready");
+    until(200, ports[1], "GET", "/api/readiness", "");
+    for (int index = 0; index < 5; index++) {
+      until(200, ports[0], "GET", "/look/" + index, "");
+      until(200, ports[0], "POST", "/book/" + index, "a booking");
+    }
+    until(200, ports[2], "GET", "/api/resolution?name=demo.example&region=home&zone=here", "");
+    until(200, ports[2], "POST", "/api/rpc?call=locks.begin&of=l", "{\"owner\":\"me\",\"holdMs\":3000}");
+    until(200, ports[2], "POST", "/api/rpc?call=locks.finish&of=l", "{\"owner\":\"me\",\"fenceNumber\":1}");
+    until(200, ports[2], "POST", "/api/numbers/n", "{}");
+    until(200, ports[2], "POST", "/api/rpc?call=cells.replace&of=g.k", "{\"value\":\"v\",\"enabled\":0}");
+    until(200, ports[2], "POST", "/api/rpc?call=cells.read&of=g.k", "");
+    until(200, ports[2], "GET", "/api/watch/g.?after=0&waitMs=10", "");
+    until(200, ports[2], "POST", "/api/rpc?call=evacuation.begin&of=there", "");
+    until(200, ports[2], "POST", "/api/rpc?call=configuration.read", "");
+    beat(2, "draining");
+    until(200, ports[2], "POST", "/api/rpc?call=instances.deregister&of=i-1", "");
+    System.out.println("the demonstration went well; clients at " + HOST + ":" + ports[0] + ", control at " + HOST + ":" + ports[2]);
+    if (stay) {
+      beat(3, "ready");
+      Thread.currentThread().join();
+    }
+    return 0;
+  }
+
+  private void beat(final int sequence, final String state) throws IOException, InterruptedException {
+    until(200, ports[2], "POST", "/api/rpc?call=instances.heartbeat&of=i-" + (sequence < 3 ? 1 : 2), "{\"service\":\"desk\",\"address\":\"" + HOST + ":" + ports[3]
+        + "\",\"zone\":\"here\",\"version\":\"v1\",\"capacity\":8,\"state\":\"" + state + "\",\"warmupLeftMs\":0,\"callSeq\":" + sequence + "}");
+  }
+
+  private void standIn() throws InterruptedException {
+    final EventLoopGroup loop = new NioEventLoopGroup(1);
+    new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).childHandler(new ChannelInitializer<SocketChannel>() {
+      @Override
+      protected void initChannel(final SocketChannel channel) {
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20), new SimpleChannelInboundHandler<FullHttpRequest>() {
+          @Override
+          protected void channelRead0(final ChannelHandlerContext context, final FullHttpRequest request) {
+            final FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.copiedBuffer("stand-in", StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes()).set(Headers.SEAL, "demo").set(Headers.LOAD, "0,0,8");
+            final String id = request.headers().get(Headers.ATTEMPT_ID);
+            if (id != null) {
+              response.headers().set(Headers.ATTEMPT_ID, id);
+            }
+            context.writeAndFlush(response);
+          }
+        });
+      }
+    }).bind(HOST, ports[3]).sync();
+  }
+
+  private void until(final int wanted, final int port, final String method, final String path, final String body) throws IOException, InterruptedException {
+    final long cutoff = System.nanoTime() + PATIENCE_MILLIS * 1_000_000;
+    String answer = "";
+    while (System.nanoTime() < cutoff) {
+      try {
+        answer = exchange(port, method, path, body);
+      } catch (final IOException problem) {
+        answer = "- " + problem.getMessage();
+      }
+      if (answer.startsWith("HTTP/1.1 " + wanted)) {
+        System.out.println(method + " " + path + " -> " + answer.lines().findFirst().orElse(""));
+        return;
+      }
+      Thread.sleep(100);
+    }
+    throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "the demonstration got no " + wanted + " for " + path + " but: " + answer.lines().findFirst().orElse("nothing") + "; see the log above");
+  }
+
+  private static String exchange(final int port, final String method, final String path, final String body) throws IOException {
+    try (Socket socket = new Socket()) {
+      socket.connect(new InetSocketAddress(HOST, port), 1000);
+      socket.setSoTimeout(2000);
+      final byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+      final OutputStream out = socket.getOutputStream();
+      out.write((method + " " + path + " HTTP/1.1\r\nHost: demo.example\r\nWeldpoint-Attempt-Id: " + Long.toHexString(System.nanoTime()) + "\r\nWeldpoint-Deadline-Ms: 2000\r\nConnection: close\r\nContent-Length: " + bytes.length + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+      out.write(bytes);
+      out.flush();
+      final InputStream in = socket.getInputStream();
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+}
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -47,6 +47,14 @@
         return stay(daemon::stop);
       }
     },
+    DEMO("runs everything in one process on the loopback address; demo once ends by itself") {
+      @Override
+      int run(final OptionSet options) throws IOException, InterruptedException {
+        Logs.start("demo");
+        quiet();
+        return new Demo().run(!options.nonOptionArguments().contains("once"));
+      }
+    },
     CHECK("checks files without starting anything: check settings FILE, check spec FILE") {
       @Override
       int run(final OptionSet options) throws IOException {
@@ -83,8 +91,17 @@
   private Weldpoint() {
   }
 
+  private static void quiet() {
+    System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
+    System.setProperty("io.netty.processId", "1");
+    System.setProperty("io.netty.noPreferDirect", "true");
+    System.setProperty("io.netty.allocator.type", "unpooled");
+    System.setProperty("io.netty.tryReflectionSetAccessible", "false");
+  }
+
   private static Boot boot(final String program) {
     Logs.start(program);
+    quiet();
     return Boot.load();
   }
 
