--- /dev/null
+++ b/cord/src/test/java/weldpoint/cord/BudgetTest.java
@@ -0,0 +1,50 @@
+package weldpoint.cord;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+
+/** The shares of all switchboards together stay within the budget in every sliding window. */
+public final class BudgetTest {
+  @Test
+  public void allSharesTogetherKeepTheBudgetInEveryWindow() {
+    final int boards = 10;
+    final double ratio = 0.2;
+    final double slack = 60;
+    final List<Budget> budgets = new ArrayList<>();
+    for (int index = 0; index < boards; index++) {
+      budgets.add(new Budget(ratio, slack, 10_000));
+    }
+    final List<long[]> events = new ArrayList<>();
+    final Random random = new Random(3);
+    int taken = 0;
+    for (long now = 100_000; now < 160_000; now += 10) {
+      final boolean busy = now / 7000 % 2 == 0;
+      for (final Budget budget : budgets) {
+        if (random.nextDouble() < (busy ? 0.6 : 0.05)) {
+          budget.request(now);
+          events.add(new long[] {now, 0});
+        }
+        if (random.nextDouble() < 0.5 && budget.take(boards, now)) {
+          taken++;
+          events.add(new long[] {now, 1});
+        }
+      }
+    }
+    assertTrue(taken > 100, "only " + taken);
+    for (long from = 100_000; from < 150_000; from += 130) {
+      int requests = 0;
+      int repeats = 0;
+      for (final long[] event : events) {
+        if (event[0] >= from && event[0] < from + 10_000) {
+          requests += event[1] == 0 ? 1 : 0;
+          repeats += event[1] == 1 ? 1 : 0;
+        }
+      }
+      assertTrue(repeats <= ratio * requests + slack, repeats + " of " + requests);
+    }
+  }
+}
--- /dev/null
+++ b/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
@@ -0,0 +1,162 @@
+package weldpoint.exchange;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.Test;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+import weldpoint.trunk.Words.Registration;
+
+/** Three exchanges that talk directly, on a fake clock, with disks that sync when told. */
+public final class ExchangeCoreTest {
+  private static final List<String> SEEDS = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
+
+  private static final class Net {
+    final Map<String, ExchangeCore> cores = new LinkedHashMap<>();
+    final Map<String, List<Runnable>> syncs = new HashMap<>();
+    final List<Runnable> queue = new ArrayList<>();
+    final List<String> down = new ArrayList<>();
+    long now = 1000;
+
+    Net() {
+      for (final String address : SEEDS) {
+        syncs.put(address, new ArrayList<>());
+        cores.put(address, new ExchangeCore(address, SEEDS, true, 1500, new Random(address.hashCode()), new ExchangeCore.Outlet() {
+          @Override
+          public boolean member(final String to, final Message message) {
+            if (down.contains(to) || down.contains(address) || !cores.containsKey(to)) {
+              return false;
+            }
+            queue.add(() -> cores.get(to).receive(address, message, answer -> queue.add(() -> cores.get(address).receive(to, answer, ignored -> {
+            }, now)), now));
+            return true;
+          }
+
+          @Override
+          public boolean frame(final String to, final Words.Call call) {
+            return false;
+          }
+
+          @Override
+          public void board(final Object stream, final Message message) {
+          }
+
+          @Override
+          public void append(final byte[] record, final Runnable synced) {
+            syncs.get(address).add(synced);
+          }
+
+          @Override
+          public void peers(final List<String> members) {
+          }
+        }));
+      }
+      final List<Words.Voter> voters = new ArrayList<>();
+      for (final String seed : SEEDS) {
+        voters.add(new Words.Voter(seed, seed, "r", List.of()));
+      }
+      final byte[] record = Wire.bytes(new Words.Gossip(0, 0, new Words.Roster(1, voters), null, null, null, null, null));
+      cores.values().forEach(core -> core.start(List.of(record), now));
+    }
+
+    void talk() {
+      while (!queue.isEmpty()) {
+        queue.remove(0).run();
+      }
+    }
+
+    void sync(final String address) {
+      final List<Runnable> due = new ArrayList<>(syncs.get(address));
+      syncs.get(address).clear();
+      due.forEach(Runnable::run);
+    }
+
+    void pass(final long millis) {
+      for (long step = 0; step < millis; step += 100) {
+        now += 100;
+        cores.forEach((address, core) -> {
+          if (!down.contains(address)) {
+            core.tick(now);
+          }
+        });
+        talk();
+        SEEDS.forEach(this::sync);
+        talk();
+      }
+    }
+  }
+
+  private static Registration beat(final String id, final String address, final Stage stage, final long sequence) {
+    return new Registration(id, "s", address, "z", "v", 4, stage.ordinal(), sequence, 1, 0);
+  }
+
+  @Test
+  public void drainIsAcknowledgedOnlyOnceAMajorityOfDisksHasIt() {
+    final Net net = new Net();
+    final ExchangeCore first = net.cores.get(SEEDS.get(0));
+    first.beat(beat("i", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(200);
+    final CompletableFuture<Void> done = first.beat(beat("i", "10.9.0.1:80", Stage.DRAINING, 2), net.now);
+    net.talk();
+    net.sync(SEEDS.get(0));
+    net.talk();
+    assertFalse(done.isDone(), "one disk of three is no majority");
+    net.sync(SEEDS.get(1));
+    net.talk();
+    assertTrue(done.isDone() && !done.isCompletedExceptionally());
+  }
+
+  @Test
+  public void withoutAMajorityTheDrainIsNotAcknowledged() {
+    final Net net = new Net();
+    net.down.add(SEEDS.get(1));
+    net.down.add(SEEDS.get(2));
+    final CompletableFuture<Void> done = net.cores.get(SEEDS.get(0)).beat(beat("i", "10.9.0.1:80", Stage.DRAINING, 2), net.now);
+    net.pass(1500);
+    assertTrue(done.isCompletedExceptionally());
+  }
+
+  @Test
+  public void aNewLifeAtAnAddressEndsTheOldOneEverywhere() {
+    final Net net = new Net();
+    net.cores.get(SEEDS.get(0)).beat(beat("old", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(300);
+    net.cores.get(SEEDS.get(1)).beat(beat("new", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(300);
+    for (final ExchangeCore core : net.cores.values()) {
+      assertEquals(Stage.of(core.history().get("old")), Stage.REMOVED);
+      assertEquals(Stage.of(core.history().get("new")), Stage.JOINED);
+    }
+  }
+
+  @Test
+  public void gossipRepairsWhatThePushMissed() {
+    final Net net = new Net();
+    net.down.add(SEEDS.get(2));
+    net.cores.get(SEEDS.get(0)).beat(beat("i", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(500);
+    assertFalse(net.cores.get(SEEDS.get(2)).history().containsKey("i"));
+    net.down.clear();
+    net.pass(5000);
+    assertTrue(net.cores.get(SEEDS.get(2)).history().containsKey("i"));
+  }
+
+  @Test
+  public void aStaleBeatChangesNothing() {
+    final Net net = new Net();
+    final ExchangeCore core = net.cores.get(SEEDS.get(0));
+    core.beat(beat("i", "10.9.0.1:80", Stage.JOINED, 7), net.now);
+    assertTrue(core.beat(beat("i", "10.9.0.2:80", Stage.JOINED, 3), net.now).isDone());
+    assertEquals(core.history().get("i").address, "10.9.0.1:80");
+  }
+}
--- /dev/null
+++ b/exchange/src/test/java/weldpoint/exchange/StageTest.java
@@ -0,0 +1,45 @@
+package weldpoint.exchange;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.Test;
+import weldpoint.trunk.Words.Registration;
+
+/** Merging histories must not depend on order, grouping or repetition. */
+public final class StageTest {
+  private static Registration one(final Random random) {
+    return new Registration("i", "s", "10.0.0." + random.nextInt(2) + ":80", "z", "v", 4, random.nextInt(4), random.nextInt(3), random.nextInt(3), random.nextInt(2) * 500L);
+  }
+
+  @Test
+  public void mergingIsCommutativeAssociativeAndIdempotent() {
+    final Random random = new Random(5);
+    for (int round = 0; round < 2000; round++) {
+      final List<Registration> all = new ArrayList<>();
+      for (int index = 0; index < 4; index++) {
+        all.add(one(random));
+      }
+      final Registration expected = all.stream().reduce(Stage::later).orElseThrow();
+      Collections.shuffle(all, random);
+      all.add(all.get(0));
+      assertEquals(Stage.compare(all.stream().reduce(Stage::later).orElseThrow(), expected), 0);
+      final Registration left = Stage.later(Stage.later(all.get(0), all.get(1)), all.get(2));
+      final Registration right = Stage.later(all.get(0), Stage.later(all.get(1), all.get(2)));
+      assertEquals(Stage.compare(left, right), 0);
+    }
+  }
+
+  @Test
+  public void aDrainingUpstreamNeverComesBackAndALapsedOneDoes() {
+    final Registration joined = new Registration("i", "s", "a:1", "z", "v", 4, Stage.JOINED.ordinal(), 9, 0, 0);
+    final Registration draining = new Registration("i", "s", "a:1", "z", "v", 4, Stage.DRAINING.ordinal(), 3, 0, 0);
+    final Registration lapsed = new Registration("i", "s", "a:1", "z", "v", 4, Stage.LAPSED.ordinal(), 8, 0, 0);
+    assertSame(Stage.later(joined, draining), draining);
+    assertSame(Stage.later(lapsed, joined), joined);
+  }
+}
