--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -1,5 +1,7 @@
 package weldpoint.console;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -92,6 +94,7 @@
   }
 
   private static void quiet() {
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
     System.setProperty("io.netty.processId", "1");
     System.setProperty("io.netty.noPreferDirect", "true");
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
+import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
 import weldpoint.tape.FolderFiles;
 import weldpoint.tape.Ring;
@@ -45,7 +45,7 @@
   /** A registry for these settings; nothing runs yet. */
   public ExchangeDaemon(final Boot boot) {
     this.boot = boot;
-    final long incarnation = new SecureRandom().nextLong() >>> 1;
+    final long incarnation = Chance.fresh();
     this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
     this.core = new ExchangeCore(boot.address(), boot.seeds(), boot.firstStart(), boot.beatMillis(), new Random(incarnation), new ExchangeCore.Outlet() {
       @Override
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -188,7 +188,7 @@
       roster = new Roster(1, voters);
     }
     for (final Partition partition : partitions) {
-      partition.vacateAt = now + 150 + rank(partition) * 150L + random.nextInt(150);
+      partition.vacateAt = now + 60 + rank(partition) * 60L + random.nextInt(60);
     }
     rosterChangedAt = now;
     tellPeers();
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
+import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
 import weldpoint.tape.FolderFiles;
 import weldpoint.tape.Ring;
@@ -44,7 +44,7 @@
   /** A store for these settings; nothing runs yet. */
   public FrameDaemon(final Boot boot) {
     this.boot = boot;
-    final long owner = new SecureRandom().nextLong() >>> 1;
+    final long owner = Chance.fresh();
     this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "frame", boot.address(), owner));
     this.core = new FrameCore(boot.address(), boot.site(), boot.region(), boot.voter(), MOST_VOTERS, boot.historyMillis(), owner, new Random(owner), boot.seeds(), new FrameCore.Outlet() {
       @Override
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -29,6 +29,7 @@
   private static final long TELL_MILLIS = 500;
   private static final long VIEW_MILLIS = 1500;
   private static final long STAY_MILLIS = 3000;
+  private static final long GLANCE_MILLIS = 150;
 
   /** What the link does to the world. */
   public interface Outlet {
@@ -53,7 +54,7 @@
   private long heardAt;
   private long toldAt;
   private boolean viewed;
-  private boolean stale;
+  private int disappointments;
   private long version;
   private long evacuationMark = -1;
   private boolean leaving;
@@ -83,7 +84,6 @@
     dialledAt = now;
     heardAt = now;
     viewed = false;
-    stale = false;
     outlet.dial(current);
   }
 
@@ -117,7 +117,10 @@
         }
       }
       outlet.outlook(null, Map.of(), null, null, reach.boards);
-      if (reach.ageMillis > STALE_MILLIS && now - dialledAt > STAY_MILLIS) {
+      if (reach.ageMillis <= STALE_MILLIS) {
+        disappointments = 0;
+      } else if (now - dialledAt > (disappointments < exchanges.size() ? GLANCE_MILLIS : STAY_MILLIS)) {
+        disappointments++;
         LOGGER.atInfo().log("exchange %s has not heard of a majority for %s ms; trying another", current, reach.ageMillis);
         move(now);
       }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -28,6 +27,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Boot;
+import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
@@ -58,7 +58,7 @@
   /** A proxy for these settings; nothing runs yet. */
   public SwitchboardDaemon(final Boot boot) {
     this.boot = boot;
-    final long incarnation = new SecureRandom().nextLong() >>> 1;
+    final long incarnation = Chance.fresh();
     this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "switchboard", boot.address(), incarnation));
     this.room = new Switchroom(loop, boot, new Random(incarnation));
     final Words.Board self = new Words.Board(boot.address(), boot.requiredAddress("listen.traffic").toString(), boot.site(), boot.region(), incarnation, false, 0);
