--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -28,6 +28,7 @@
   private static final double USUAL_MILLIS = 150;
   private static final int SAMPLE = 4;
   private static final double ROOM = 0.8;
+  private static final double DOUBT = 3;
   private static final long COLD_MARGIN_MILLIS = 300;
 
   private final Bootstrap bootstrap;
@@ -212,7 +213,7 @@
       final int index = draw + random.nextInt(fit.size() - draw);
       final Upstream one = fit.get(index);
       fit.set(index, fit.get(draw));
-      final double cost = one.cost(now, usual(service.name()));
+      final double cost = one.cost(now, usual(service.name())) * (one.doubtful(now, usual(service.name())) ? DOUBT : 1);
       if (best == null || cost < bestCost) {
         best = one;
         bestCost = cost;
