--- /dev/null
+++ b/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
@@ -0,0 +1,100 @@
+package weldpoint.jack;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.exchange.ControlSpec;
+import weldpoint.exchange.Stage;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Words;
+import weldpoint.trunk.Words.Registration;
+
+/** A switchboard's view never goes back, and a stale or silent exchange is left. */
+public final class BoardLinkTest {
+  private final List<Long> specs = new ArrayList<>();
+  private final Map<String, Boolean> open = new HashMap<>();
+  private final List<String> dialled = new ArrayList<>();
+  private Set<String> evacuated = Set.of();
+
+  private BoardLink link() {
+    specs.clear();
+    open.clear();
+    dialled.clear();
+    final BoardLink link = new BoardLink(new Words.Board("10.0.0.9", "10.0.0.9:80", "a", "r", 1, false, 0), List.of("e1", "e2", "e3"), new Random(1), new BoardLink.Outlet() {
+      @Override
+      public void dial(final String address) {
+        dialled.add(address);
+      }
+
+      @Override
+      public void send(final Message message) {
+      }
+
+      @Override
+      public void outlook(final Dialplan plan, final Map<Registration, Boolean> changes, final Set<String> sites, final Set<String> suspects, final int switchboards) {
+        if (plan != null) {
+          specs.add(plan.version());
+        }
+        changes.forEach((registration, opened) -> open.put(registration.id, opened));
+        if (sites != null) {
+          evacuated = sites;
+        }
+      }
+    });
+    link.start(0);
+    return link;
+  }
+
+  private static Words.View view(final int version, final long evacuationMark, final List<String> sites, final Registration... registrations) {
+    final byte[] spec = ControlSpec.deflate(("{\"version\":\"0000000" + version + "\",\"listeners\":[],\"pools\":[]}").getBytes(StandardCharsets.UTF_8));
+    return new Words.View(version, spec, true, sites, evacuationMark, List.of(registrations), true, List.of(), 3);
+  }
+
+  private static Registration upstream(final Stage stage, final long sequence) {
+    return new Registration("i", "s", "10.1.0.1:80", "a", "v", 4, stage.ordinal(), sequence, 0, 0);
+  }
+
+  @Test
+  public void nothingOlderIsTakenFromAnotherExchange() {
+    final BoardLink link = link();
+    link.heard(view(5, 2, List.of("a"), upstream(Stage.DRAINING, 3)), 10);
+    link.closed(20);
+    link.heard(view(4, 1, List.of(), upstream(Stage.JOINED, 9)), 30);
+    assertEquals(specs, List.of(5L));
+    assertEquals(evacuated, Set.of("a"));
+    assertNotEquals(open.get("i"), Boolean.TRUE);
+    link.heard(view(6, 3, List.of()), 40);
+    assertEquals(specs, List.of(5L, 6L));
+    assertEquals(evacuated, Set.of());
+  }
+
+  @Test
+  public void aSilentOrStaleExchangeIsLeft() {
+    final BoardLink link = link();
+    link.heard(view(5, 0, List.of()), 10);
+    link.heard(new Words.Reach(100, 3, List.of("e1", "e2", "e3")), 500);
+    link.tick(1000);
+    assertEquals(dialled.size(), 1);
+    link.tick(2100);
+    assertEquals(dialled.size(), 2);
+    assertNotEquals(dialled.get(0), dialled.get(1));
+    link.heard(view(5, 0, List.of()), 2200);
+    link.heard(new Words.Reach(9000, 3, List.of()), 2400);
+    assertEquals(dialled.size(), 3);
+    for (long now = 2600; now < 5000; now += 200) {
+      link.heard(view(5, 0, List.of()), now);
+      link.heard(new Words.Reach(9000, 3, List.of()), now);
+    }
+    assertTrue(dialled.size() <= 8, "it must not go round for ever while all are stale: " + dialled.size());
+  }
+}
