--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -1,5 +1,6 @@
 package weldpoint.console;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
@@ -7,11 +8,13 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
+import weldpoint.boot.Chance;
 import weldpoint.boot.Logs;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.exchange.ExchangeDaemon;
@@ -20,6 +23,7 @@
 
 /** The command line. */
 public final class Weldpoint {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final String VERSION = "0.1.0";
   private static final int BAD_USAGE = 2;
 
@@ -30,7 +34,7 @@
       int run(final OptionSet options) throws IOException, InterruptedException {
         final SwitchboardDaemon daemon = new SwitchboardDaemon(boot("switchboard"));
         daemon.start();
-        return stay(daemon::stop);
+        return stay(daemon::stop, daemon::reload);
       }
     },
     EXCHANGE("runs the registry on a core machine") {
@@ -38,7 +42,7 @@
       int run(final OptionSet options) throws IOException, InterruptedException {
         final ExchangeDaemon daemon = new ExchangeDaemon(boot("exchange"));
         daemon.start();
-        return stay(daemon::stop);
+        return stay(daemon::stop, daemon::reload);
       }
     },
     FRAME("runs the store on a core machine") {
@@ -46,7 +50,7 @@
       int run(final OptionSet options) throws IOException, InterruptedException {
         final FrameDaemon daemon = new FrameDaemon(boot("frame"));
         daemon.start();
-        return stay(daemon::stop);
+        return stay(daemon::stop, daemon::reload);
       }
     },
     DEMO("runs everything in one process on the loopback address; demo once ends by itself") {
@@ -97,6 +101,8 @@
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
     System.setProperty("io.netty.processId", "1");
+    System.setProperty("io.netty.initialSeedUniquifier", Long.toString(Chance.fresh()));
+    System.setProperty("io.netty.eventLoopThreads", "1");
     System.setProperty("io.netty.noPreferDirect", "true");
     System.setProperty("io.netty.allocator.type", "unpooled");
     System.setProperty("io.netty.tryReflectionSetAccessible", "false");
@@ -108,7 +114,15 @@
     return Boot.load();
   }
 
-  private static int stay(final Runnable stop) throws InterruptedException {
+  private static int stay(final Runnable stop, final Consumer<Boot> reload) throws InterruptedException {
+    sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> {
+      try {
+        reload.accept(Boot.load());
+        LOGGER.atInfo().log("the settings were read again");
+      } catch (final Breakdown breakdown) {
+        LOGGER.atWarning().log("the settings were not taken, the old ones stay: %s", breakdown.getMessage());
+      }
+    });
     Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
     Thread.currentThread().join();
     return 0;
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -79,7 +79,7 @@
   private final long beatMillis;
   private final Random random;
   private final Outlet outlet;
-  private final List<String> seeds;
+  private List<String> seeds;
   private final boolean firstStart;
   private final StoreCaller store;
   private final Map<String, Registration> history = new LinkedHashMap<>();
@@ -88,6 +88,7 @@
   private final Set<String> durable = new HashSet<>();
   private final Map<String, BoardEntry> boards = new LinkedHashMap<>();
   private final Set<Object> streams = new LinkedHashSet<>();
+  private final Set<Object> hopefuls = new LinkedHashSet<>();
   private final Map<Long, Quorum> quorums = new LinkedHashMap<>();
   private final Map<String, Long> members = new LinkedHashMap<>();
   private final Set<String> connected = new HashSet<>();
@@ -121,6 +122,15 @@
     this.store = new StoreCaller(self, random, outlet::frame);
   }
 
+  /** Takes another seed list. */
+  public void seeds(final List<String> given, final long now) {
+    seeds = given;
+    for (final String seed : given) {
+      members.putIfAbsent(seed, now);
+    }
+    tellPeers(now);
+  }
+
   // ---- disk
 
   /** Takes what the disk held and begins. */
@@ -495,16 +505,28 @@
         outlet.member(member, new Words.Changes(0, null, List.of(board)));
       }
     }
-    if (!streams.contains(stream) && informed(now)) {
+    if (!streams.contains(stream)) {
+      hopefuls.add(stream);
+      admit(now);
+    }
+  }
+
+  private void admit(final long now) {
+    if (hopefuls.isEmpty() || !informed(now)) {
+      return;
+    }
+    for (final Object stream : hopefuls) {
       streams.add(stream);
       outlet.board(stream, new Words.View(version, spec, true, evacuated, evacuationMark, new ArrayList<>(history.values()), true, new ArrayList<>(suspects), mostBoards));
       outlet.board(stream, reach(now));
     }
+    hopefuls.clear();
   }
 
   /** A switchboard's stream has ended. */
   public void streamClosed(final Object stream, final String address, final long now) {
     streams.remove(stream);
+    hopefuls.remove(stream);
     final BoardEntry entry = boards.get(address);
     if (entry != null) {
       entry.heardAt = Math.min(entry.heardAt, now - BOARD_LIVE_MILLIS + 700);
@@ -613,6 +635,7 @@
       final Words.View view = new Words.View(newSpec == null ? 0 : version, newSpec, evacuations, evacuated, evacuationMark, null, false, null, mostBoards);
       streams.forEach(stream -> outlet.board(stream, view));
     }
+    admit(clock);
     askControl(clock);
   }
 
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -28,7 +28,7 @@
 public final class ExchangeDaemon {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final int FILES = 3;
-  private static final int FILE_BYTES = 1 << 20;
+  private static final int FILE_BYTES = 1 << 19;
   private static final long TICK_MILLIS = 40;
   private static final long COUNTERS_MILLIS = 10_000;
 
@@ -174,6 +174,11 @@
     }
   }
 
+  /** Takes what changed in the settings: the seeds. */
+  public void reload(final Boot news) {
+    desk.execute(() -> core.seeds(news.seeds(), now()));
+  }
+
   /** Lets the process end: calls under way are answered, streams go elsewhere. */
   public void stop() {
     desk.execute(core::leave);
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -126,7 +126,7 @@
   private final long owner;
   private final Random random;
   private final Outlet outlet;
-  private final List<String> seeds;
+  private List<String> seeds;
   private final Partition[] partitions = new Partition[PARTITIONS];
   private final Map<String, Long> known = new HashMap<>();
   private final Map<String, Long> heardAt = new HashMap<>();
@@ -171,6 +171,12 @@
     return kind.ordinal() <= Values.Kind.EVACUATION.ordinal() ? 0 : 1 + Math.floorMod(register.hashCode(), PARTITIONS - 1);
   }
 
+  /** Takes another seed list. */
+  public void seeds(final List<String> given) {
+    seeds = given;
+    tellPeers();
+  }
+
   // ---- disk
 
   /** Takes what the disk held and begins; records are empty where the disk is blank or counts as lost. */
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -27,7 +27,7 @@
 public final class FrameDaemon {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final int FILES = 3;
-  private static final int FILE_BYTES = 2 << 20;
+  private static final int FILE_BYTES = 1 << 20;
   private static final int MOST_VOTERS = 5;
   private static final long TICK_MILLIS = 50;
   private static final long COUNTERS_MILLIS = 10_000;
@@ -142,6 +142,11 @@
     }
   }
 
+  /** Takes what changed in the settings: the seeds. */
+  public void reload(final Boot news) {
+    desk.execute(() -> core.seeds(news.seeds()));
+  }
+
   /** Gives the duties up; returns once the others have been told. */
   public void stop() {
     final java.util.concurrent.CountDownLatch done = new java.util.concurrent.CountDownLatch(1);
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -27,7 +27,7 @@
   private static final long SILENT_MILLIS = 1400;
   private static final long STALE_MILLIS = 2200;
   private static final long TELL_MILLIS = 500;
-  private static final long VIEW_MILLIS = 1500;
+  private static final long VIEW_MILLIS = 900;
   private static final long STAY_MILLIS = 3000;
   private static final long GLANCE_MILLIS = 150;
 
@@ -46,7 +46,6 @@
   private final Outlet outlet;
   private final Random random;
   private final Board self;
-  private final List<String> seeds;
   private final List<String> exchanges = new ArrayList<>();
   private final Map<String, Registration> history = new HashMap<>();
   private String current;
@@ -63,13 +62,21 @@
   /** A link for the switchboard that describes itself so. */
   public BoardLink(final Board self, final List<String> seeds, final Random random, final Outlet outlet) {
     this.self = self;
-    this.seeds = seeds;
     this.random = random;
     this.outlet = outlet;
     exchanges.addAll(seeds);
     java.util.Collections.shuffle(exchanges, random);
   }
 
+  /** Takes another seed list: what is known of exchanges besides stays known. */
+  public void seeds(final List<String> given) {
+    for (final String seed : given) {
+      if (!exchanges.contains(seed)) {
+        exchanges.add(seed);
+      }
+    }
+  }
+
   /** Begins. */
   public void start(final long now) {
     move(now);
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -183,6 +183,11 @@
     }
   }
 
+  /** Takes what changed in the settings: the seeds. */
+  public void reload(final Boot news) {
+    desk.execute(() -> link.seeds(news.seeds()));
+  }
+
   /** Leaves in order: clients are sent elsewhere, what is under way is finished. */
   public void stop() {
     final long began = Switchroom.now();
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -127,7 +127,7 @@
 
     private void again() {
       if (!ended) {
-        pauseMillis = Math.min(800, pauseMillis * 2);
+        pauseMillis = Math.min(250, pauseMillis * 2);
         loop.schedule(this::connect, pauseMillis, TimeUnit.MILLISECONDS);
       }
     }
