--- /dev/null
+++ b/console/src/main/java/weldpoint/console/Caller.java
@@ -0,0 +1,45 @@
+package weldpoint.console;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import weldpoint.boot.Breakdown;
+
+/** Calls the control interface of one of several exchanges: the first that gives a clear answer. */
+final class Caller {
+  private static final Duration PATIENCE = Duration.ofSeconds(3);
+
+  private final List<String> addresses;
+  private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).version(HttpClient.Version.HTTP_1_1).build();
+
+  Caller(final List<String> addresses) {
+    this.addresses = addresses;
+  }
+
+  /** The body of a good answer; anything else is a failure that names the remedy. */
+  String call(final String rpc, final String of, final String body) throws InterruptedException {
+    String last = "no address was given";
+    for (final String address : addresses) {
+      try {
+        final HttpResponse<String> response = client.send(HttpRequest.newBuilder(URI.create("http://" + address + "/api/rpc?call=" + rpc + "&of=" + URLEncoder.encode(of, StandardCharsets.UTF_8)))
+            .timeout(PATIENCE).POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString());
+        if (response.statusCode() == 200) {
+          return response.body();
+        }
+        if (response.statusCode() < 500) {
+          throw new Breakdown(response.statusCode() == 409 ? Breakdown.Kind.CONFLICT : Breakdown.Kind.INVALID, response.body());
+        }
+        last = address + " answered " + response.statusCode() + " " + response.body();
+      } catch (final IOException | IllegalArgumentException problem) {
+        last = address + ": " + problem;
+      }
+    }
+    throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no exchange answered (" + last + "); check --control, or that the core has its majority");
+  }
+}
--- a/console/src/main/java/weldpoint/console/Demo.java
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -66,7 +66,7 @@
     new FrameDaemon(boot).start();
     new ExchangeDaemon(boot).start();
     new SwitchboardDaemon(boot).start();
-    standIn();
+    standIn(ports[3], 0);
     final String spec = "{\"version\":\"00000001\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"listeners\":[{\"host\":\"demo.example\",\"rules\":["
         + "{\"name\":\"look\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/look/\"},\"action\":{\"service\":\"desk\",\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[]}},"
         + "{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"priority\":1,\"match\":{\"pathPrefix\":\"/book/\"},\"action\":{\"split\":[{\"service\":\"desk\",\"weight\":1}],\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[\"home\"]}}]}],"
@@ -97,12 +97,45 @@
     return 0;
   }
 
+  /** Shows a trial: the new version of a route loses one write in four while lookups are well, and is held in the rehearsal. */
+  int trial() throws IOException, InterruptedException {
+    final Boot boot = boot(20_000 + (int) (weldpoint.boot.Chance.fresh() % 20_000));
+    new FrameDaemon(boot).start();
+    new ExchangeDaemon(boot).start();
+    new SwitchboardDaemon(boot).start();
+    standIn(ports[3], 0);
+    standIn(ports[4], 4);
+    final String split = "\"split\":[{\"service\":\"desk-1\",\"weight\":100},{\"service\":\"desk-2\",\"weight\":0}],\"timeoutMs\":2000,\"maxAttempts\":2";
+    until(200, ports[2], "POST", "/api/rpc?call=configuration.replace", "{\"version\":\"00000001\",\"listeners\":[{\"host\":\"demo.example\",\"rules\":["
+        + "{\"name\":\"look\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"match\":{\"pathPrefix\":\"/look/\"},\"action\":{" + split + "}},"
+        + "{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"match\":{\"pathPrefix\":\"/book/\"},\"action\":{" + split + "}}]}],"
+        + "\"pools\":[{\"name\":\"desk-1\"},{\"name\":\"desk-2\"}]}");
+    for (int version = 1; version <= 2; version++) {
+      until(200, ports[2], "POST", "/api/rpc?call=instances.heartbeat&of=i-" + version, "{\"service\":\"desk-" + version + "\",\"address\":\"" + HOST + ":" + ports[2 + version]
+          + "\",\"zone\":\"here\",\"version\":\"v" + version + "\",\"capacity\":8,\"state\":\"ready\",\"warmupLeftMs\":0,\"callSeq\":1}");
+    }
+    until(200, ports[1], "GET", "/api/readiness", "");
+    final String control = HOST + ":" + ports[2];
+    new TrialCommand().run(new String[] {"begin", "book", "--control", control, "--old", "desk-1", "--new", "desk-2", "--token", "rehearsal-token", "--stages", "5,25,100", "--least-writes", "20"}, System.out);
+    Thread.sleep(500);
+    for (int index = 0; index < 40; index++) {
+      exchange(ports[0], "GET", "/look/" + index, "");
+      exchange(ports[0], "POST", "/book/" + index, "a household's booking");
+      exchange(ports[0], "POST", "/book/r" + index + "\r\nWeldpoint-Trial-Token: rehearsal-token", "a tester's booking");
+    }
+    Thread.sleep(2500);
+    final int code = new TrialCommand().run(new String[] {"status", "book", "--control", control}, System.out);
+    System.out.println(code == 3 ? "the fault was caught in the rehearsal; no booking without the token went to the new version" : "the fault was not caught");
+    return code == 3 ? 0 : 1;
+  }
+
   private void beat(final int sequence, final String state) throws IOException, InterruptedException {
     until(200, ports[2], "POST", "/api/rpc?call=instances.heartbeat&of=i-" + (sequence < 3 ? 1 : 2), "{\"service\":\"desk\",\"address\":\"" + HOST + ":" + ports[3]
         + "\",\"zone\":\"here\",\"version\":\"v1\",\"capacity\":8,\"state\":\"" + state + "\",\"warmupLeftMs\":0,\"callSeq\":" + sequence + "}");
   }
 
-  private void standIn() throws InterruptedException {
+  private static void standIn(final int port, final int losesOneIn) throws InterruptedException {
+    final int[] count = new int[1];
     final EventLoopGroup loop = new NioEventLoopGroup(1);
     new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class).childHandler(new ChannelInitializer<SocketChannel>() {
       @Override
@@ -110,6 +143,10 @@
         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20), new SimpleChannelInboundHandler<FullHttpRequest>() {
           @Override
           protected void channelRead0(final ChannelHandlerContext context, final FullHttpRequest request) {
+            if (losesOneIn > 0 && request.method().name().equals("POST") && ++count[0] % losesOneIn == 0) {
+              context.close();
+              return;
+            }
             final FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.copiedBuffer("stand-in", StandardCharsets.UTF_8));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes()).set(Headers.SEAL, "demo").set(Headers.LOAD, "0,0,8");
             final String id = request.headers().get(Headers.ATTEMPT_ID);
@@ -120,7 +157,7 @@
           }
         });
       }
-    }).bind(HOST, ports[3]).sync();
+    }).bind(HOST, port).sync();
   }
 
   private void until(final int wanted, final int port, final String method, final String path, final String body) throws IOException, InterruptedException {
@@ -147,7 +184,10 @@
       socket.setSoTimeout(2000);
       final byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
       final OutputStream out = socket.getOutputStream();
-      out.write((method + " " + path + " HTTP/1.1\r\nHost: demo.example\r\nWeldpoint-Attempt-Id: " + Long.toHexString(System.nanoTime()) + "\r\nWeldpoint-Deadline-Ms: 2000\r\nConnection: close\r\nContent-Length: " + bytes.length + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+      final int at = path.indexOf("\r\n");
+      final String target = at < 0 ? path : path.substring(0, at);
+      final String extra = at < 0 ? "" : path.substring(at + 2) + "\r\n";
+      out.write((method + " " + target + " HTTP/1.1\r\nHost: demo.example\r\n" + extra + "Weldpoint-Attempt-Id: " + Long.toHexString(System.nanoTime()) + "\r\nWeldpoint-Deadline-Ms: 2000\r\nConnection: close\r\nContent-Length: " + bytes.length + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
       out.write(bytes);
       out.flush();
       final InputStream in = socket.getInputStream();
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -53,12 +53,23 @@
         return stay(daemon::stop, daemon::reload);
       }
     },
-    DEMO("runs everything in one process on the loopback address; demo once ends by itself") {
+    TRIAL("tries a route's new version: trial begin|status|advance|hold|finish ROUTE --control HOST:PORT") {
+      @Override
+      int run(final String[] words) throws InterruptedException {
+        return new TrialCommand().run(words, System.out);
+      }
+
+      @Override
+      int run(final OptionSet options) {
+        throw new IllegalStateException("trial reads its own options");
+      }
+    },
+    DEMO("runs everything in one process on the loopback address; demo once ends by itself, demo trial shows a trial that catches a fault") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
         Logs.start("demo");
         quiet();
-        return new Demo().run(!options.nonOptionArguments().contains("once"));
+        return options.nonOptionArguments().contains("trial") ? new Demo().trial() : new Demo().run(!options.nonOptionArguments().contains("once"));
       }
     },
     CHECK("checks files without starting anything: check settings FILE, check spec FILE") {
@@ -91,6 +102,10 @@
       this.help = help;
     }
 
+    int run(final String[] words) throws IOException, InterruptedException {
+      return run(new OptionParser().parse(words));
+    }
+
     abstract int run(OptionSet options) throws IOException, InterruptedException;
   }
 
@@ -156,7 +171,7 @@
       }
       for (final Command command : Command.values()) {
         if (arguments.length > 0 && command.name().toLowerCase(java.util.Locale.ROOT).equals(arguments[0])) {
-          return command.run(new OptionParser().parse(Arrays.copyOfRange(arguments, 1, arguments.length)));
+          return command.run(Arrays.copyOfRange(arguments, 1, arguments.length));
         }
       }
       System.err.print((arguments.length == 0 ? "no command was given\n" : "the command '" + arguments[0] + "' is unknown\n") + usage());
--- /dev/null
+++ b/console/src/test/java/weldpoint/console/WeldpointTest.java
@@ -0,0 +1,68 @@
+package weldpoint.console;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The command line tells what was wrong, and its exit code too. */
+public final class WeldpointTest {
+  private static String[] run(final String... words) {
+    final PrintStream out = System.out;
+    final PrintStream err = System.err;
+    final ByteArrayOutputStream taken = new ByteArrayOutputStream();
+    final PrintStream both = new PrintStream(taken, true, StandardCharsets.UTF_8);
+    System.setOut(both);
+    System.setErr(both);
+    try {
+      final int code = Weldpoint.execute(words);
+      return new String[] {Integer.toString(code), taken.toString(StandardCharsets.UTF_8)};
+    } finally {
+      System.setOut(out);
+      System.setErr(err);
+    }
+  }
+
+  @DataProvider
+  public Object[][] calls() {
+    return new Object[][] {
+        {new String[] {}, 2, "usage"},
+        {new String[] {"fly"}, 2, "'fly' is unknown"},
+        {new String[] {"--help"}, 0, "usage"},
+        {new String[] {"--version"}, 0, "weldpoint"},
+        {new String[] {"frame", "--what"}, 2, "what"},
+        {new String[] {"check", "settings"}, 2, "check takes"},
+        {new String[] {"check", "settings", "/does/not/exist"}, 1, "cannot be read"},
+        {new String[] {"check", "spec", "/does/not/exist"}, 1, "cannot be read"},
+        {new String[] {"trial", "begin", "book"}, 2, "control"},
+        {new String[] {"trial", "fly", "book", "--control", "127.0.0.1:1"}, 2, "trial cannot"},
+        {new String[] {"trial", "status", "book", "--control", "127.0.0.1:1"}, 1, "no exchange answered"},
+    };
+  }
+
+  @Test(dataProvider = "calls")
+  public void codeAndTextFitTheCall(final String[] words, final int code, final String text) {
+    final String[] result = run(words);
+    assertEquals(Integer.parseInt(result[0]), code, result[1]);
+    assertTrue(result[1].contains(text), result[1]);
+  }
+
+  @Test
+  public void aSettingsFileIsCheckedWithoutStartingAnything() throws IOException {
+    final Path file = Files.createTempFile("weldpoint", ".conf");
+    Files.writeString(file, "station.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = r\nstation.voter = maybe\ntrunk.ports = 1,2\ntrunk.seeds = 10.0.0.1:80\n");
+    final String[] bad = run("check", "settings", file.toString());
+    assertEquals(bad[0], "1");
+    assertTrue(bad[1].contains("station.voter") && bad[1].contains("maybe") && bad[1].contains("give true or false"), bad[1]);
+    Files.writeString(file, Files.readString(file).replace("maybe", "true"));
+    assertEquals(run("check", "settings", file.toString())[0], "0");
+    Files.delete(file);
+  }
+}
