--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -144,13 +144,25 @@
   public void start(final List<byte[]> records, final long now) {
     startedAt = now;
     for (final byte[] record : records) {
-      final Words.Gossip kept = Wire.value(record, Words.Gossip.class);
+      final Remembered kept = Wire.value(record, Remembered.class);
       for (final Registration registration : Words.list(kept.history)) {
         put(registration);
       }
       if (kept.roster != null && kept.roster.number > roster.number) {
         roster = kept.roster;
       }
+      if (kept.spec != null && kept.version > version) {
+        version = kept.version;
+        spec = kept.spec;
+      }
+      if (kept.evacuationMark > evacuationMark) {
+        evacuationMark = kept.evacuationMark;
+        evacuated = new ArrayList<>(Words.list(kept.evacuated));
+      }
+      if (kept.trialMark > trialMark) {
+        trialMark = kept.trialMark;
+        takeTrials(Words.list(kept.trials));
+      }
     }
     reconciled = firstStart || !history.isEmpty();
     for (final Registration registration : history.values()) {
@@ -166,11 +178,11 @@
   /** The live state as records. */
   public List<byte[]> view() {
     final List<Registration> all = new ArrayList<>(history.values());
-    return List.of(Wire.bytes(new Words.Gossip(0, 0, roster.number == 0 ? null : roster, null, all, null, null, null)));
+    return List.of(Wire.bytes(new Remembered(all, roster.number == 0 ? null : roster, version, spec, evacuated, evacuationMark, panel.trials(), trialMark)));
   }
 
   private void persist(final List<Registration> registrations, final Roster news, final Runnable synced) {
-    outlet.append(Wire.bytes(new Words.Gossip(0, 0, news, null, registrations, null, null, null)), synced);
+    outlet.append(Wire.bytes(Remembered.membership(registrations, news)), synced);
   }
 
   private boolean put(final Registration registration) {
@@ -622,6 +634,17 @@
   private long controlAskedAt;
   private long clock;
 
+  private void takeTrials(final List<Words.Trial> given) {
+    panel.take(given);
+    trials = new ArrayList<>();
+    for (final Words.Trial trial : panel.trials()) {
+      if (Verdict.of(trial) != Verdict.FINISHED) {
+        trials.add(trial);
+      }
+      LOGGER.atInfo().log("trial %s of route %s: stage %s, %s %s", trial.number, trial.route, trial.stage, Verdict.of(trial), trial.reason);
+    }
+  }
+
   private void takeControl(final Values.Control control) {
     majorityAt = Math.max(majorityAt, controlAskedAt);
     takeRoster(control.roster, clock);
@@ -643,17 +666,12 @@
     final boolean trialNews = control.trialMark > trialMark;
     if (trialNews) {
       trialMark = control.trialMark;
-      panel.take(Words.list(control.trials));
-      trials = new ArrayList<>();
-      for (final Words.Trial trial : panel.trials()) {
-        if (Verdict.of(trial) != Verdict.FINISHED) {
-          trials.add(trial);
-        }
-        LOGGER.atInfo().log("trial %s of route %s: stage %s, %s %s", trial.number, trial.route, trial.stage, Verdict.of(trial), trial.reason);
-      }
+      takeTrials(Words.list(control.trials));
       news = true;
     }
     if (news) {
+      outlet.append(Wire.bytes(new Remembered(null, null, version, newSpec, evacuated, evacuationMark, panel.trials(), trialMark)), () -> {
+      });
       final Words.View view = new Words.View(newSpec == null ? 0 : version, newSpec, evacuations, evacuated, evacuationMark, null, false, null, mostBoards, trialNews ? trials : null, trialNews ? trialMark : -1);
       streams.forEach(stream -> outlet.board(stream, view));
     }
@@ -772,6 +790,7 @@
   public void tick(final long now) {
     clock = now;
     store.tick(now);
+    admit(now);
     askControl(now);
     if (now - reachAt >= REACH_MILLIS) {
       reachAt = now;
--- a/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
@@ -65,7 +65,7 @@
       for (final String seed : SEEDS) {
         voters.add(new Words.Voter(seed, seed, "r", List.of()));
       }
-      final byte[] record = Wire.bytes(new Words.Gossip(0, 0, new Words.Roster(1, voters), null, null, null, null, null));
+      final byte[] record = Wire.bytes(Remembered.membership(null, new Words.Roster(1, voters)));
       cores.values().forEach(core -> core.start(List.of(record), now));
     }
 
