--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -42,6 +43,7 @@
   private final Map<String, List<Upstream>> services = new HashMap<>();
   private final Map<String, Budget> budgets = new HashMap<>();
   private final Map<String, Double> usual = new HashMap<>();
+  private final Map<String, Quiet> quiets = new HashMap<>();
   private Set<String> evacuated = Set.of();
   private int switchboards = 1;
   private Consumer<String> surplus = id -> {
@@ -165,12 +167,12 @@
           continue;
         }
         any = true;
-        final double cost = candidate.cost(now, usual(service.name())) + (tier == 0 ? 0 : tier == 1 ? 3 : 30);
+        final double cost = candidate.cost(now, usual(service.name())) * (doubt(candidate, service, now) ? DOUBT : 1) + (tier == 0 ? 0 : tier == 1 ? 3 : 30);
         if (cost < bestCost) {
           best = candidate;
           bestCost = cost;
         }
-        if (best.busy(now) + 1 <= best.capacity * ROOM) {
+        if (best.busy(now) + 1 <= best.capacity * ROOM && !doubt(best, service, now)) {
           break;
         }
       }
@@ -221,7 +223,7 @@
       final int index = draw + random.nextInt(fit.size() - draw);
       final Upstream one = fit.get(index);
       fit.set(index, fit.get(draw));
-      final double cost = one.cost(now, usual(service.name())) * (one.doubtful(now, usual(service.name())) ? DOUBT : 1);
+      final double cost = one.cost(now, usual(service.name())) * (doubt(one, service, now) ? DOUBT : 1);
       if (best == null || cost < bestCost) {
         best = one;
         bestCost = cost;
@@ -230,6 +232,25 @@
     return best;
   }
 
+  /** What comes back from the upstreams of one site, taken together: when a site goes dark, all of it does. */
+  private static final class Quiet {
+    private final ArrayDeque<long[]> outstanding = new ArrayDeque<>();
+    private long answeredAt = Long.MIN_VALUE / 2;
+
+    private boolean doubtful(final long now, final double usual) {
+      final long[] oldest = outstanding.peekFirst();
+      return outstanding.size() > 1 && answeredAt < oldest[0] && now - oldest[0] > Math.max(100, 0.9 * usual);
+    }
+  }
+
+  private boolean doubt(final Upstream upstream, final Dialplan.Service service, final long now) {
+    return upstream.doubtful(now, usual(service.name())) || quiet(upstream.site).doubtful(now, usual(service.name()));
+  }
+
+  private Quiet quiet(final String place) {
+    return quiets.computeIfAbsent(place, name -> new Quiet());
+  }
+
   /** One request at one upstream. */
   public final class Attempt {
     private final Upstream upstream;
@@ -248,6 +269,7 @@
       if (!over) {
         over = true;
         upstream.ended(token);
+        quiet(upstream.site).outstanding.remove(token);
       }
     }
 
@@ -276,6 +298,7 @@
   public Attempt send(final Upstream upstream, final FullHttpRequest request, final String id, final long now, final Cord.Done listener) {
     final Attempt attempt = new Attempt(upstream, now);
     upstream.sent(attempt.token);
+    quiet(upstream.site).outstanding.addLast(attempt.token);
     final Cord.Done done = (end, head, body) -> {
       if (attempt.over) {
         if (body != null) {
@@ -335,6 +358,7 @@
       upstream.failed(now);
       return;
     }
+    quiet(upstream.site).answeredAt = now;
     final int status = head.status().code();
     final String load = head.headers().get(Headers.LOAD);
     if (load != null) {
--- a/cord/src/main/java/weldpoint/cord/Upstream.java
+++ b/cord/src/main/java/weldpoint/cord/Upstream.java
@@ -88,13 +88,13 @@
       return true;
     }
     final long[] oldest = outstanding.peekFirst();
-    return oldest != null && answeredAt < oldest[0] && now - oldest[0] > Math.max(500, 4 * (expectedMillis == 0 ? usual : expectedMillis));
+    return oldest != null && answeredAt < oldest[0] && now - oldest[0] > Math.max(300, 2 * (expectedMillis == 0 ? usual : expectedMillis));
   }
 
   /** Whether nothing has come back for longer than usual since the oldest request that waits there was sent. */
   boolean doubtful(final long now, final double usual) {
     final long[] oldest = outstanding.peekFirst();
-    return oldest != null && answeredAt < oldest[0] && now - oldest[0] > Math.max(150, 1.6 * (expectedMillis == 0 ? usual : expectedMillis));
+    return oldest != null && answeredAt < oldest[0] && now - oldest[0] > Math.max(100, 1.2 * (expectedMillis == 0 ? usual : expectedMillis));
   }
 
   void sent(final long[] token) {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -33,7 +33,7 @@
 public final class ExchangeCore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long GOSSIP_MILLIS = 1000;
-  private static final long BOARD_LIVE_MILLIS = 2500;
+  private static final long BOARD_LIVE_MILLIS = 1700;
   private static final long BOARD_KEEP_MILLIS = 60_000;
   private static final long REACH_MILLIS = 500;
   private static final long RESEND_MILLIS = 300;
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -185,7 +185,7 @@
   public void stop() {
     desk.execute(core::leave);
     try {
-      Thread.sleep(150);
+      Thread.sleep(400);
     } catch (final InterruptedException ended) {
       Thread.currentThread().interrupt();
     }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -47,6 +49,7 @@
   private static final long COUNTERS_MILLIS = 10_000;
   private static final int MOST_HEADER = 65_536;
   private static final long LINGER_MILLIS = 2300;
+  private static final int CALM_ROUNDS = 5;
 
   private final Boot boot;
   private final Desk desk = new Desk("switchboard");
@@ -56,6 +59,7 @@
   private final BoardLink link;
   private final Set<Session> sessions = new HashSet<>();
   private Trunk.Dialler dialler;
+  private volatile Channel doors;
 
   /** A proxy for these settings; nothing runs yet. */
   public SwitchboardDaemon(final Boot boot) {
@@ -173,8 +177,10 @@
             final int most = room.plan == null ? MOST_HEADER : room.plan.maxHeaderBytes();
             channel.pipeline().addLast(new Session.Decoder(most), new HttpResponseEncoder(), session);
           }
-        }).bind(front.host(), front.port()).addListener(bound -> {
-          if (!bound.isSuccess()) {
+        }).bind(front.host(), front.port()).addListener((ChannelFuture bound) -> {
+          if (bound.isSuccess()) {
+            doors = bound.channel();
+          } else {
             LOGGER.atSevere().withCause(bound.cause()).log("the address %s cannot be listened at; free it or set listen.traffic to another", front);
           }
         });
@@ -220,11 +226,15 @@
     loop.execute(() -> room.leaving = true);
     final long longest = Math.max(500, boot.graceMillis() - 700);
     try {
-      while (Switchroom.now() - began < longest) {
-        Thread.sleep(100);
-        if (Switchroom.now() - began > LINGER_MILLIS && room.active == 0) {
-          break;
-        }
+      Thread.sleep(Math.min(LINGER_MILLIS, longest));
+      final Channel open = doors;
+      if (open != null) {
+        open.close();
+      }
+      int calm = 0;
+      while (calm < CALM_ROUNDS && Switchroom.now() - began < longest) {
+        Thread.sleep(50);
+        calm = room.active == 0 ? calm + 1 : 0;
       }
     } catch (final InterruptedException ended) {
       Thread.currentThread().interrupt();
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -15,8 +15,8 @@
   final EventLoopGroup loop;
   Dialplan plan;
   Runnable uponPlan;
-  boolean leaving;
-  int active;
+  volatile boolean leaving;
+  volatile int active;
   long served;
   long refused;
   long failed;
