--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -286,6 +286,7 @@
     /** Stops it; nobody hears of its end. */
     public void abandon() {
       if (!over) {
+        upstream.left(startedAt, System.nanoTime() / 1_000_000);
         end();
         if (cord != null) {
           cord.abandon();
--- a/cord/src/main/java/weldpoint/cord/Upstream.java
+++ b/cord/src/main/java/weldpoint/cord/Upstream.java
@@ -116,6 +116,13 @@
     }
   }
 
+  /** A request that was sent then is given up: a failure, if nothing at all has come back since. */
+  void left(final long startedAt, final long now) {
+    if (answeredAt < startedAt && now - startedAt > Math.max(300, 2 * expectedMillis)) {
+      failed(now);
+    }
+  }
+
   void failed(final long now) {
     failures++;
     holdUntil = now + Math.min(MOST_HOLD_MILLIS, 250L << Math.min(4, failures));
