--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -41,10 +41,19 @@
     this.values = values;
   }
 
+  private static Path path() {
+    final String path = System.getenv(VARIABLE);
+    return Path.of(path == null || path.isEmpty() ? "/etc/weldpoint/local.conf" : path);
+  }
+
   /** Reads the file that the environment names. */
   public static Boot load() {
-    final String path = System.getenv(VARIABLE);
-    return load(Path.of(path == null || path.isEmpty() ? "/etc/weldpoint/local.conf" : path));
+    return load(path());
+  }
+
+  /** When that file was last changed; 0 where that cannot be told. */
+  public static long changedAt() {
+    return path().toFile().lastModified();
   }
 
   /** Reads a settings file. */
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -26,6 +26,7 @@
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final String VERSION = "0.1.0";
   private static final int BAD_USAGE = 2;
+  private static final long SETTINGS_MILLIS = 2000;
 
   /** The commands. */
   private enum Command {
@@ -130,17 +131,25 @@
   }
 
   private static int stay(final Runnable stop, final Consumer<Boot> reload) throws InterruptedException {
-    sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> {
+    final Runnable again = () -> {
       try {
         reload.accept(Boot.load());
         LOGGER.atInfo().log("the settings were read again");
       } catch (final Breakdown breakdown) {
         LOGGER.atWarning().log("the settings were not taken, the old ones stay: %s", breakdown.getMessage());
       }
-    });
+    };
+    sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> again.run());
     Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
-    Thread.currentThread().join();
-    return 0;
+    long seen = Boot.changedAt();
+    while (true) {
+      Thread.sleep(SETTINGS_MILLIS);
+      final long changed = Boot.changedAt();
+      if (changed != seen) {
+        seen = changed;
+        again.run();
+      }
+    }
   }
 
   private static String usage() {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -33,7 +33,9 @@
 public final class ExchangeCore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long GOSSIP_MILLIS = 1000;
-  private static final long BOARD_LIVE_MILLIS = 1700;
+  private static final long BOARD_LIVE_MILLIS = 4000;
+  private static final long BOARD_GONE_MILLIS = 20_000;
+  private static final long BOARD_PATIENCE_MILLIS = 700;
   private static final long BOARD_KEEP_MILLIS = 60_000;
   private static final long REACH_MILLIS = 500;
   private static final long RESEND_MILLIS = 300;
@@ -76,6 +78,7 @@
   private static final class BoardEntry {
     Board board;
     long heardAt;
+    long closedAt;
   }
 
   private final String self;
@@ -371,6 +374,11 @@
       final Words.Changes changes = (Words.Changes) message;
       merge(Words.list(changes.registrations), now);
       mergeBoards(Words.list(changes.boards), now);
+      for (final Board board : Words.list(changes.boards)) {
+        if (board.ageMillis >= BOARD_GONE_MILLIS) {
+          gone(board, now);
+        }
+      }
       if (changes.number != 0) {
         final List<Registration> held = new ArrayList<>();
         for (final Registration registration : changes.registrations) {
@@ -424,6 +432,28 @@
     }
   }
 
+  private void gone(final Board board, final long now) {
+    final BoardEntry entry = boards.get(board.address);
+    if (entry != null && entry.board.incarnation == board.incarnation && now - entry.heardAt > BOARD_PATIENCE_MILLIS) {
+      entry.heardAt = Math.min(entry.heardAt, now - BOARD_GONE_MILLIS);
+    }
+  }
+
+  private void missBoards(final long now) {
+    for (final BoardEntry entry : boards.values()) {
+      if (entry.closedAt != 0 && now - entry.closedAt > BOARD_PATIENCE_MILLIS) {
+        if (entry.heardAt <= entry.closedAt && now - entry.heardAt < BOARD_GONE_MILLIS) {
+          final Board board = entry.board;
+          gone(board, now);
+          for (final String member : members.keySet()) {
+            outlet.member(member, new Words.Changes(0, null, List.of(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, BOARD_GONE_MILLIS))));
+          }
+        }
+        entry.closedAt = 0;
+      }
+    }
+  }
+
   private void onGossip(final Words.Gossip gossip, final java.util.function.Consumer<Message> reply, final long now) {
     merge(Words.list(gossip.history), now);
     mergeBoards(Words.list(gossip.boards), now);
@@ -550,7 +580,7 @@
     hopefuls.remove(stream);
     final BoardEntry entry = boards.get(address);
     if (entry != null) {
-      entry.heardAt = Math.min(entry.heardAt, now - BOARD_LIVE_MILLIS + 700);
+      entry.closedAt = now;
     }
   }
 
@@ -795,6 +825,7 @@
     if (now - reachAt >= REACH_MILLIS) {
       reachAt = now;
       countBoards(now);
+      missBoards(now);
       judgeTrials(now);
       final Words.Reach reach = reach(now);
       streams.forEach(stream -> outlet.board(stream, reach));
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -1062,6 +1062,28 @@
     broadcast(new Words.Pulse(roster.number, List.of(partition.number), List.of(partition.ballot.at(partition.pulseCount))), now);
   }
 
+  private void pulseAll(final long now) {
+    final List<Integer> numbers = new ArrayList<>();
+    final List<Mark> marks = new ArrayList<>();
+    if (now - pulsedAllAt < PULSE_MILLIS) {
+      return;
+    }
+    pulsedAllAt = now;
+    for (final Partition partition : partitions) {
+      if (partition.phase == Phase.SERVING && now - partition.pulsedAt >= PULSE_MILLIS / 2) {
+        partition.pulseCount++;
+        partition.pulsedAt = now;
+        numbers.add(partition.number);
+        marks.add(partition.ballot.at(partition.pulseCount));
+      }
+    }
+    if (!numbers.isEmpty()) {
+      broadcast(new Words.Pulse(roster.number, numbers, marks), now);
+    }
+  }
+
+  private long pulsedAllAt;
+
   private void onPulsed(final String from, final Words.Pulsed pulsed, final long now) {
     learn(roster.number, pulsed.known);
     final int place = roster.index(from);
@@ -1381,6 +1403,7 @@
       return;
     }
     runRestarts(now);
+    pulseAll(now);
     for (final Partition partition : partitions) {
       switch (partition.phase) {
         case IDLE -> {
@@ -1401,9 +1424,6 @@
           }
         }
         default -> {
-          if (now - partition.pulsedAt >= PULSE_MILLIS) {
-            pulse(partition, now);
-          }
           resend(partition, now);
           expire(partition, now);
           handOver(partition, now);
