--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -26,6 +26,7 @@
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final String VERSION = "0.1.0";
   private static final int BAD_USAGE = 2;
+  private static final long SETTINGS_MILLIS = 2000;
 
   /** The commands. */
   private enum Command {
@@ -53,12 +54,23 @@
         return stay(daemon::stop, daemon::reload);
       }
     },
-    DEMO("runs everything in one process on the loopback address; demo once ends by itself") {
+    TRIAL("tries a route's new version: trial begin|status|advance|hold|finish ROUTE --control HOST:PORT") {
+      @Override
+      int run(final String[] words) throws InterruptedException {
+        return new TrialCommand().run(words, System.out);
+      }
+
+      @Override
+      int run(final OptionSet options) {
+        throw new IllegalStateException("trial reads its own options");
+      }
+    },
+    DEMO("runs everything in one process on the loopback address; demo once ends by itself, demo trial shows a trial that catches a fault") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
         Logs.start("demo");
         quiet();
-        return new Demo().run(!options.nonOptionArguments().contains("once"));
+        return options.nonOptionArguments().contains("trial") ? new Demo().trial() : new Demo().run(!options.nonOptionArguments().contains("once"));
       }
     },
     CHECK("checks files without starting anything: check settings FILE, check spec FILE") {
@@ -91,6 +103,10 @@
       this.help = help;
     }
 
+    int run(final String[] words) throws IOException, InterruptedException {
+      return run(new OptionParser().parse(words));
+    }
+
     abstract int run(OptionSet options) throws IOException, InterruptedException;
   }
 
@@ -115,17 +131,25 @@
   }
 
   private static int stay(final Runnable stop, final Consumer<Boot> reload) throws InterruptedException {
-    sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> {
+    final Runnable again = () -> {
       try {
         reload.accept(Boot.load());
         LOGGER.atInfo().log("the settings were read again");
       } catch (final Breakdown breakdown) {
         LOGGER.atWarning().log("the settings were not taken, the old ones stay: %s", breakdown.getMessage());
       }
-    });
+    };
+    sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> again.run());
     Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
-    Thread.currentThread().join();
-    return 0;
+    long seen = Boot.changedAt();
+    while (true) {
+      Thread.sleep(SETTINGS_MILLIS);
+      final long changed = Boot.changedAt();
+      if (changed != seen) {
+        seen = changed;
+        again.run();
+      }
+    }
   }
 
   private static String usage() {
@@ -156,7 +180,7 @@
       }
       for (final Command command : Command.values()) {
         if (arguments.length > 0 && command.name().toLowerCase(java.util.Locale.ROOT).equals(arguments[0])) {
-          return command.run(new OptionParser().parse(Arrays.copyOfRange(arguments, 1, arguments.length)));
+          return command.run(Arrays.copyOfRange(arguments, 1, arguments.length));
         }
       }
       System.err.print((arguments.length == 0 ? "no command was given\n" : "the command '" + arguments[0] + "' is unknown\n") + usage());
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -33,7 +33,9 @@
 public final class ExchangeCore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long GOSSIP_MILLIS = 1000;
-  private static final long BOARD_LIVE_MILLIS = 2500;
+  private static final long BOARD_LIVE_MILLIS = 4000;
+  private static final long BOARD_GONE_MILLIS = 20_000;
+  private static final long BOARD_PATIENCE_MILLIS = 700;
   private static final long BOARD_KEEP_MILLIS = 60_000;
   private static final long REACH_MILLIS = 500;
   private static final long RESEND_MILLIS = 300;
@@ -76,6 +78,7 @@
   private static final class BoardEntry {
     Board board;
     long heardAt;
+    long closedAt;
   }
 
   private final String self;
@@ -144,13 +147,25 @@
   public void start(final List<byte[]> records, final long now) {
     startedAt = now;
     for (final byte[] record : records) {
-      final Words.Gossip kept = Wire.value(record, Words.Gossip.class);
+      final Remembered kept = Wire.value(record, Remembered.class);
       for (final Registration registration : Words.list(kept.history)) {
         put(registration);
       }
       if (kept.roster != null && kept.roster.number > roster.number) {
         roster = kept.roster;
       }
+      if (kept.spec != null && kept.version > version) {
+        version = kept.version;
+        spec = kept.spec;
+      }
+      if (kept.evacuationMark > evacuationMark) {
+        evacuationMark = kept.evacuationMark;
+        evacuated = new ArrayList<>(Words.list(kept.evacuated));
+      }
+      if (kept.trialMark > trialMark) {
+        trialMark = kept.trialMark;
+        takeTrials(Words.list(kept.trials));
+      }
     }
     reconciled = firstStart || !history.isEmpty();
     for (final Registration registration : history.values()) {
@@ -166,11 +181,11 @@
   /** The live state as records. */
   public List<byte[]> view() {
     final List<Registration> all = new ArrayList<>(history.values());
-    return List.of(Wire.bytes(new Words.Gossip(0, 0, roster.number == 0 ? null : roster, null, all, null, null, null)));
+    return List.of(Wire.bytes(new Remembered(all, roster.number == 0 ? null : roster, version, spec, evacuated, evacuationMark, panel.trials(), trialMark)));
   }
 
   private void persist(final List<Registration> registrations, final Roster news, final Runnable synced) {
-    outlet.append(Wire.bytes(new Words.Gossip(0, 0, news, null, registrations, null, null, null)), synced);
+    outlet.append(Wire.bytes(Remembered.membership(registrations, news)), synced);
   }
 
   private boolean put(final Registration registration) {
@@ -359,6 +374,11 @@
       final Words.Changes changes = (Words.Changes) message;
       merge(Words.list(changes.registrations), now);
       mergeBoards(Words.list(changes.boards), now);
+      for (final Board board : Words.list(changes.boards)) {
+        if (board.ageMillis >= BOARD_GONE_MILLIS) {
+          gone(board, now);
+        }
+      }
       if (changes.number != 0) {
         final List<Registration> held = new ArrayList<>();
         for (final Registration registration : changes.registrations) {
@@ -412,6 +432,28 @@
     }
   }
 
+  private void gone(final Board board, final long now) {
+    final BoardEntry entry = boards.get(board.address);
+    if (entry != null && entry.board.incarnation == board.incarnation && now - entry.heardAt > BOARD_PATIENCE_MILLIS) {
+      entry.heardAt = Math.min(entry.heardAt, now - BOARD_GONE_MILLIS);
+    }
+  }
+
+  private void missBoards(final long now) {
+    for (final BoardEntry entry : boards.values()) {
+      if (entry.closedAt != 0 && now - entry.closedAt > BOARD_PATIENCE_MILLIS) {
+        if (entry.heardAt <= entry.closedAt && now - entry.heardAt < BOARD_GONE_MILLIS) {
+          final Board board = entry.board;
+          gone(board, now);
+          for (final String member : members.keySet()) {
+            outlet.member(member, new Words.Changes(0, null, List.of(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, BOARD_GONE_MILLIS))));
+          }
+        }
+        entry.closedAt = 0;
+      }
+    }
+  }
+
   private void onGossip(final Words.Gossip gossip, final java.util.function.Consumer<Message> reply, final long now) {
     merge(Words.list(gossip.history), now);
     mergeBoards(Words.list(gossip.boards), now);
@@ -538,7 +580,7 @@
     hopefuls.remove(stream);
     final BoardEntry entry = boards.get(address);
     if (entry != null) {
-      entry.heardAt = Math.min(entry.heardAt, now - BOARD_LIVE_MILLIS + 700);
+      entry.closedAt = now;
     }
   }
 
@@ -622,6 +664,17 @@
   private long controlAskedAt;
   private long clock;
 
+  private void takeTrials(final List<Words.Trial> given) {
+    panel.take(given);
+    trials = new ArrayList<>();
+    for (final Words.Trial trial : panel.trials()) {
+      if (Verdict.of(trial) != Verdict.FINISHED) {
+        trials.add(trial);
+      }
+      LOGGER.atInfo().log("trial %s of route %s: stage %s, %s %s", trial.number, trial.route, trial.stage, Verdict.of(trial), trial.reason);
+    }
+  }
+
   private void takeControl(final Values.Control control) {
     majorityAt = Math.max(majorityAt, controlAskedAt);
     takeRoster(control.roster, clock);
@@ -643,17 +696,12 @@
     final boolean trialNews = control.trialMark > trialMark;
     if (trialNews) {
       trialMark = control.trialMark;
-      panel.take(Words.list(control.trials));
-      trials = new ArrayList<>();
-      for (final Words.Trial trial : panel.trials()) {
-        if (Verdict.of(trial) != Verdict.FINISHED) {
-          trials.add(trial);
-        }
-        LOGGER.atInfo().log("trial %s of route %s: stage %s, %s %s", trial.number, trial.route, trial.stage, Verdict.of(trial), trial.reason);
-      }
+      takeTrials(Words.list(control.trials));
       news = true;
     }
     if (news) {
+      outlet.append(Wire.bytes(new Remembered(null, null, version, newSpec, evacuated, evacuationMark, panel.trials(), trialMark)), () -> {
+      });
       final Words.View view = new Words.View(newSpec == null ? 0 : version, newSpec, evacuations, evacuated, evacuationMark, null, false, null, mostBoards, trialNews ? trials : null, trialNews ? trialMark : -1);
       streams.forEach(stream -> outlet.board(stream, view));
     }
@@ -772,10 +820,12 @@
   public void tick(final long now) {
     clock = now;
     store.tick(now);
+    admit(now);
     askControl(now);
     if (now - reachAt >= REACH_MILLIS) {
       reachAt = now;
       countBoards(now);
+      missBoards(now);
       judgeTrials(now);
       final Words.Reach reach = reach(now);
       streams.forEach(stream -> outlet.board(stream, reach));
