--- /dev/null
+++ b/boot/src/main/java/weldpoint/boot/Program.java
@@ -0,0 +1,15 @@
+package weldpoint.boot;
+
+import java.io.IOException;
+
+/** One of the system's programs, as a process runs it. */
+public interface Program {
+  /** Starts everything. */
+  void start() throws IOException, InterruptedException;
+
+  /** Takes what may change while it runs. */
+  void reload(Boot news);
+
+  /** Leaves in order; returns when the process may end. */
+  void stop();
+}
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
-import java.util.function.Consumer;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -16,6 +15,7 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.boot.Chance;
 import weldpoint.boot.Logs;
+import weldpoint.boot.Program;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.exchange.ExchangeDaemon;
 import weldpoint.frame.FrameDaemon;
@@ -33,25 +33,19 @@
     SWITCHBOARD("runs the proxy on an edge machine") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
-        final SwitchboardDaemon daemon = new SwitchboardDaemon(boot("switchboard"));
-        daemon.start();
-        return stay(daemon::stop, daemon::reload);
+        return stay(new SwitchboardDaemon(boot("switchboard")));
       }
     },
     EXCHANGE("runs the registry on a core machine") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
-        final ExchangeDaemon daemon = new ExchangeDaemon(boot("exchange"));
-        daemon.start();
-        return stay(daemon::stop, daemon::reload);
+        return stay(new ExchangeDaemon(boot("exchange")));
       }
     },
     FRAME("runs the store on a core machine") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
-        final FrameDaemon daemon = new FrameDaemon(boot("frame"));
-        daemon.start();
-        return stay(daemon::stop, daemon::reload);
+        return stay(new FrameDaemon(boot("frame")));
       }
     },
     TRIAL("tries a route's new version: trial begin|status|advance|hold|finish ROUTE --control HOST:PORT") {
@@ -130,17 +124,18 @@
     return Boot.load();
   }
 
-  private static int stay(final Runnable stop, final Consumer<Boot> reload) throws InterruptedException {
+  private static int stay(final Program program) throws IOException, InterruptedException {
+    program.start();
     final Runnable again = () -> {
       try {
-        reload.accept(Boot.load());
+        program.reload(Boot.load());
         LOGGER.atInfo().log("the settings were read again");
       } catch (final Breakdown breakdown) {
         LOGGER.atWarning().log("the settings were not taken, the old ones stay: %s", breakdown.getMessage());
       }
     };
     sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> again.run());
-    Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
+    Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
     long seen = Boot.changedAt();
     while (true) {
       Thread.sleep(SETTINGS_MILLIS);
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -6,26 +6,25 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
 import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
-import weldpoint.tape.FolderFiles;
+import weldpoint.boot.Program;
 import weldpoint.tape.Ring;
 import weldpoint.tape.Tape;
 import weldpoint.trunk.Line;
+import weldpoint.trunk.Lines;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
 /** The registry as a process: it takes all outside calls, keeps the membership and tells switchboards. */
-public final class ExchangeDaemon {
+public final class ExchangeDaemon implements Program {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final int FILES = 3;
   private static final int FILE_BYTES = 1 << 19;
@@ -37,8 +36,8 @@
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final Trunk trunk;
   private final ExchangeCore core;
-  private final Map<String, Trunk.Dialler> members = new HashMap<>();
-  private final Map<String, Trunk.Dialler> frames = new HashMap<>();
+  private final Lines members;
+  private final Lines frames;
   private Tape tape;
   private long countersAt;
 
@@ -47,17 +46,44 @@
     this.boot = boot;
     final long incarnation = Chance.fresh();
     this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
+    this.members = new Lines(trunk, boot.trunkPort(0), to -> Trunk.on(desk, new Trunk.Ear() {
+      @Override
+      public void opened(final Line line) {
+        core().memberOpened(to, now());
+      }
+
+      @Override
+      public void heard(final Line line, final Message message) {
+        core().receive(to, message, line::send, now());
+      }
+
+      @Override
+      public void closed(final Line line) {
+        core().memberClosed(to, now());
+      }
+    }));
+    this.frames = new Lines(trunk, boot.trunkPort(1), to -> Trunk.on(desk, new Trunk.Ear() {
+      @Override
+      public void heard(final Line line, final Message message) {
+        if (message instanceof Words.Answer) {
+          core().answered(to, (Words.Answer) message, now());
+        }
+      }
+
+      @Override
+      public void closed(final Line line) {
+        core().frameClosed(to, now());
+      }
+    }));
     this.core = new ExchangeCore(boot.address(), boot.seeds(), boot.firstStart(), boot.beatMillis(), new Random(incarnation), new ExchangeCore.Outlet() {
       @Override
       public boolean member(final String address, final Message message) {
-        final Trunk.Dialler dialler = members.get(address);
-        return dialler != null && dialler.send(message);
+        return members.send(address, message);
       }
 
       @Override
       public boolean frame(final String address, final Words.Call call) {
-        final Trunk.Dialler dialler = frames.get(address);
-        return dialler != null && dialler.send(call);
+        return frames.send(address, call);
       }
 
       @Override
@@ -72,74 +98,36 @@
 
       @Override
       public void peers(final List<String> addresses) {
-        dial(members, addresses, boot.trunkPort(0), true);
+        members.keep(addresses);
         final List<String> all = new ArrayList<>(addresses);
         all.add(boot.address());
-        dial(frames, all, boot.trunkPort(1), false);
+        frames.keep(all);
       }
     });
   }
 
-  private static long now() {
-    return System.nanoTime() / 1_000_000;
+  private ExchangeCore core() {
+    return core;
   }
 
-  private void dial(final Map<String, Trunk.Dialler> diallers, final List<String> addresses, final int port, final boolean member) {
-    for (final String address : addresses) {
-      diallers.computeIfAbsent(address, to -> trunk.dial(to, port, Trunk.on(desk, new Trunk.Ear() {
-        @Override
-        public void opened(final Line line) {
-          if (member) {
-            core.memberOpened(to, now());
-          }
-        }
-
-        @Override
-        public void heard(final Line line, final Message message) {
-          if (member) {
-            core.receive(to, message, line::send, now());
-          } else if (message instanceof Words.Answer) {
-            core.answered(to, (Words.Answer) message, now());
-          }
-        }
-
-        @Override
-        public void closed(final Line line) {
-          if (member) {
-            core.memberClosed(to, now());
-          } else {
-            core.frameClosed(to, now());
-          }
-        }
-      })));
-    }
-    diallers.entrySet().removeIf(entry -> {
-      if (addresses.contains(entry.getKey())) {
-        return false;
-      }
-      entry.getValue().close();
-      return true;
-    });
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
   }
 
-  /** Reads the disk and starts everything. */
+  @Override
   public void start() throws IOException, InterruptedException {
     if (boot.folder().isEmpty()) {
       throw new Breakdown(Breakdown.Kind.SETTING, "setting station.folder has the value ''; an exchange needs a folder on a disk of its own");
     }
-    final Ring ring = new Ring(new FolderFiles(Path.of(boot.folder(), "exchange"), FILES), FILES, FILE_BYTES);
-    final Ring.Found found = ring.open();
+    final Tape.Opened opened = Tape.open(Path.of(boot.folder(), "exchange"), FILES, FILE_BYTES, desk, core::view);
+    final Ring.Found found = opened.found();
     if (found.lost()) {
       LOGGER.atSevere().log("the disk of %s lost records that had been synced; what remains is completed by the other exchanges", boot.name());
     }
-    tape = new Tape(ring, desk, core::view);
+    tape = opened.tape();
     desk.execute(() -> core.start(found.records(), now()));
     tape.start("tape");
     trunk.serve(boot.address(), boot.trunkPort(0), Trunk.on(desk, new Trunk.Ear() {
-      @Override
-      public void opened(final Line line) {
-      }
-
       @Override
       public void heard(final Line line, final Message message) {
         if (message instanceof Words.BoardState) {
@@ -176,12 +164,12 @@
     }
   }
 
-  /** Takes what changed in the settings: the seeds. */
+  @Override
   public void reload(final Boot news) {
     desk.execute(() -> core.seeds(news.seeds(), now()));
   }
 
-  /** Lets the process end: calls under way are answered, streams go elsewhere. */
+  @Override
   public void stop() {
     desk.execute(core::leave);
     try {
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -5,26 +5,25 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
 import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
-import weldpoint.tape.FolderFiles;
+import weldpoint.boot.Program;
 import weldpoint.tape.Ring;
 import weldpoint.tape.Tape;
 import weldpoint.trunk.Line;
+import weldpoint.trunk.Lines;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
 /** The store as a process: its core on one thread, its lines on another, its disk on a third. */
-public final class FrameDaemon {
+public final class FrameDaemon implements Program {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final int FILES = 3;
   private static final int FILE_BYTES = 1 << 20;
@@ -35,9 +34,9 @@
   private final Boot boot;
   private final Desk desk = new Desk("frame");
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
-  private final Map<String, Trunk.Dialler> diallers = new HashMap<>();
   private final FrameCore core;
   private final Trunk trunk;
+  private final Lines lines;
   private Tape tape;
   private long countersAt;
 
@@ -46,13 +45,21 @@
     this.boot = boot;
     final long owner = Chance.fresh();
     this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "frame", boot.address(), owner));
+    this.lines = new Lines(trunk, boot.trunkPort(1), to -> Trunk.on(desk, new Trunk.Ear() {
+      @Override
+      public void heard(final Line line, final Message message) {
+        core().receive(to, message, line::send, now());
+      }
+
+      @Override
+      public void closed(final Line line) {
+        core().lineClosed(to, now());
+      }
+    }));
     this.core = new FrameCore(boot.address(), boot.site(), boot.region(), boot.voter(), MOST_VOTERS, boot.historyMillis(), owner, new Random(owner), boot.seeds(), new FrameCore.Outlet() {
       @Override
       public void send(final String address, final Message message) {
-        final Trunk.Dialler dialler = diallers.get(address);
-        if (dialler != null) {
-          dialler.send(message);
-        }
+        lines.send(address, message);
       }
 
       @Override
@@ -62,60 +69,33 @@
 
       @Override
       public void peers(final List<String> addresses) {
-        dial(addresses);
+        lines.keep(addresses);
       }
     });
   }
 
-  private static long now() {
-    return System.nanoTime() / 1_000_000;
+  private FrameCore core() {
+    return core;
   }
 
-  private void dial(final List<String> addresses) {
-    for (final String address : addresses) {
-      diallers.computeIfAbsent(address, to -> trunk.dial(to, boot.trunkPort(1), Trunk.on(desk, new Trunk.Ear() {
-        @Override
-        public void opened(final Line line) {
-        }
-
-        @Override
-        public void heard(final Line line, final Message message) {
-          core.receive(to, message, line::send, now());
-        }
-
-        @Override
-        public void closed(final Line line) {
-          core.lineClosed(to, now());
-        }
-      })));
-    }
-    diallers.entrySet().removeIf(entry -> {
-      if (addresses.contains(entry.getKey())) {
-        return false;
-      }
-      entry.getValue().close();
-      return true;
-    });
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
   }
 
-  /** Reads the disk and starts everything. */
+  @Override
   public void start() throws IOException, InterruptedException {
     if (boot.folder().isEmpty()) {
       throw new Breakdown(Breakdown.Kind.SETTING, "setting station.folder has the value ''; a frame needs a folder on a disk of its own");
     }
-    final Ring ring = new Ring(new FolderFiles(Path.of(boot.folder(), "frame"), FILES), FILES, FILE_BYTES);
-    final Ring.Found found = ring.open();
+    final Tape.Opened opened = Tape.open(Path.of(boot.folder(), "frame"), FILES, FILE_BYTES, desk, core::view);
+    final Ring.Found found = opened.found();
     if (found.lost()) {
       LOGGER.atSevere().log("the disk of %s lost records that had been synced; it counts as blank and is refetched from the other frames", boot.name());
     }
-    tape = new Tape(ring, desk, core::view);
+    tape = opened.tape();
     desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), boot.firstStart() && found.blank() && !found.lost(), now()));
     tape.start("tape");
     trunk.serve(boot.address(), boot.trunkPort(1), Trunk.on(desk, new Trunk.Ear() {
-      @Override
-      public void opened(final Line line) {
-      }
-
       @Override
       public void heard(final Line line, final Message message) {
         if (message instanceof Words.Call) {
@@ -125,9 +105,6 @@
         }
       }
 
-      @Override
-      public void closed(final Line line) {
-      }
     }));
     loop.scheduleAtFixedRate(() -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -142,12 +119,12 @@
     }
   }
 
-  /** Takes what changed in the settings: the seeds. */
+  @Override
   public void reload(final Boot news) {
     desk.execute(() -> core.seeds(news.seeds()));
   }
 
-  /** Gives the duties up; returns once the others have been told. */
+  @Override
   public void stop() {
     final java.util.concurrent.CountDownLatch done = new java.util.concurrent.CountDownLatch(1);
     desk.execute(() -> {
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -31,6 +31,7 @@
 import weldpoint.boot.Boot;
 import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
+import weldpoint.boot.Program;
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.trial.TrialBook;
@@ -41,7 +42,7 @@
 import weldpoint.trunk.Words;
 
 /** The proxy as a process: traffic on one thread, control state on another. */
-public final class SwitchboardDaemon {
+public final class SwitchboardDaemon implements Program {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 100;
   private static final long REPORT_MILLIS = 1000;
@@ -131,7 +132,7 @@
     dialler = mine[0];
   }
 
-  /** Starts everything. */
+  @Override
   public void start() throws InterruptedException {
     final Boot.Address readiness = boot.requiredAddress("listen.readiness");
     desk.execute(() -> link.start(Switchroom.now()));
@@ -214,12 +215,12 @@
     }
   }
 
-  /** Takes what changed in the settings: the seeds. */
+  @Override
   public void reload(final Boot news) {
     desk.execute(() -> link.seeds(news.seeds()));
   }
 
-  /** Leaves in order: clients are sent elsewhere, what is under way is finished. */
+  @Override
   public void stop() {
     final long began = Switchroom.now();
     desk.execute(() -> link.leave(Switchroom.now()));
--- a/tape/src/main/java/weldpoint/tape/Tape.java
+++ b/tape/src/main/java/weldpoint/tape/Tape.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -31,6 +32,17 @@
     this.view = view;
   }
 
+  /** A tape that was opened, and what was found on it. */
+  public record Opened(Tape tape, Ring.Found found) {
+  }
+
+  /** Opens the ring in a folder; nothing is written before {@link #start}. */
+  public static Opened open(final Path folder, final int files, final int bytes, final Executor owner, final Supplier<List<byte[]>> view) throws IOException {
+    final Ring ring = new Ring(new FolderFiles(folder, files), files, bytes);
+    final Ring.Found found = ring.open();
+    return new Opened(new Tape(ring, owner, view), found);
+  }
+
   /** Starts the thread; the ring must have been opened. */
   public void start(final String name) {
     final Thread thread = new Thread(this::run, name);
--- a/trial/src/main/java/weldpoint/trial/TrialBook.java
+++ b/trial/src/main/java/weldpoint/trial/TrialBook.java
@@ -123,16 +123,18 @@
     return hash ^ hash >>> 29;
   }
 
+  private Page page(final String route, final String service) {
+    final Page page = covers(route) ? pages.get(route) : null;
+    return page != null && (service.equals(page.trial.newService) || service.equals(page.trial.oldService)) ? page : null;
+  }
+
   /** A write goes to one of the two versions. */
   public void sent(final String route, final String service, final String attempt) {
-    final Page page = pages.get(route);
-    if (page == null || !covers(route)) {
+    final Page page = page(route, service);
+    if (page == null) {
       return;
     }
     final boolean fresh = service.equals(page.trial.newService);
-    if (!fresh && !service.equals(page.trial.oldService)) {
-      return;
-    }
     (fresh ? Count.NEW_SENT : Count.OLD_SENT).more(page.counts);
     final long digest = digest(attempt);
     final Boolean before = page.sent.put(digest, fresh);
@@ -151,14 +153,11 @@
 
   /** A write has ended at one of the two versions, after so many milliseconds of the target's. */
   public void ended(final String route, final String service, final String attempt, final Fate fate, final long took, final long target) {
-    final Page page = pages.get(route);
-    if (page == null || !covers(route)) {
+    final Page page = page(route, service);
+    if (page == null) {
       return;
     }
     final boolean fresh = service.equals(page.trial.newService);
-    if (!fresh && !service.equals(page.trial.oldService)) {
-      return;
-    }
     switch (fate) {
       case CONFIRMED -> {
         (fresh ? Count.NEW_CONFIRMED : Count.OLD_CONFIRMED).more(page.counts);
--- /dev/null
+++ b/trunk/src/main/java/weldpoint/trunk/Lines.java
@@ -0,0 +1,41 @@
+package weldpoint.trunk;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/** Lines kept to a wanted set of addresses: missing ones are dialled, others are closed. */
+public final class Lines {
+  private final Trunk trunk;
+  private final int port;
+  private final Function<String, Trunk.Ear> ears;
+  private final Map<String, Trunk.Dialler> diallers = new HashMap<>();
+
+  /** Lines to this port, each with an ear of its own. */
+  public Lines(final Trunk trunk, final int port, final Function<String, Trunk.Ear> ears) {
+    this.trunk = trunk;
+    this.port = port;
+    this.ears = ears;
+  }
+
+  /** Makes these the addresses that lines are kept to. */
+  public void keep(final List<String> addresses) {
+    for (final String address : addresses) {
+      diallers.computeIfAbsent(address, to -> trunk.dial(to, port, ears.apply(to)));
+    }
+    diallers.entrySet().removeIf(entry -> {
+      if (addresses.contains(entry.getKey())) {
+        return false;
+      }
+      entry.getValue().close();
+      return true;
+    });
+  }
+
+  /** Sends to an address; false where there is no line to it. */
+  public boolean send(final String address, final Message message) {
+    final Trunk.Dialler dialler = diallers.get(address);
+    return dialler != null && dialler.send(message);
+  }
+}
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -30,13 +30,15 @@
   /** Hears what happens on lines; called on the traffic thread. */
   public interface Ear {
     /** The peer has said hello. */
-    void opened(Line line);
+    default void opened(final Line line) {
+    }
 
     /** The peer has said something. */
     void heard(Line line, Message message);
 
     /** The line has ended. */
-    void closed(Line line);
+    default void closed(final Line line) {
+    }
   }
 
   private final EventLoopGroup loop;
