--- a/rig/src/test/java/weldpoint/rig/TrialTest.java
+++ b/rig/src/test/java/weldpoint/rig/TrialTest.java
@@ -317,6 +317,26 @@
     assertEquals(Count.NEW_SENT.in(stage.panel.sum("book")), sent);
   }
 
+  @Test
+  public void aConfigurationWithoutTheSplitEndsTheTrialAndOneThatKeepsItDoesNot() {
+    final Stage stage = new Stage(7, Fault.NONE, 1, 3);
+    stage.begin(0.01);
+    assertTrue(stage.panel.verdicts(PLAN).isEmpty());
+    final Dialplan without = Dialplan.compile("{\"version\":\"2\",\"listeners\":[],\"pools\":[]}".getBytes(StandardCharsets.UTF_8));
+    final Trial ended = stage.panel.verdicts(without).get(0);
+    assertEquals(Verdict.of(ended), Verdict.FINISHED);
+    assertTrue(ended.reason.contains("configuration"), ended.reason);
+  }
+
+  @Test
+  public void anOrderOnTheMinoritySideIsNotAcknowledged() {
+    final Stage stage = new Stage(8, Fault.NONE, 1, 2);
+    final List<String> running = stage.fleet.running();
+    stage.fleet.kill(running.get(0), true);
+    stage.fleet.kill(running.get(1), true);
+    assertFalse(stage.write(stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN)));
+  }
+
   @DataProvider
   public Object[][] badOrders() {
     return new Object[][] {
