A trial shows and judges only its own evidence; the demonstration gives every order

Cause: status of a second trial showed the counts of the first until the next report, and a double seen in the first would have held the second. Found by the demonstration; test added.

--- a/console/src/main/java/weldpoint/console/Demo.java
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -124,11 +124,33 @@
       exchange(ports[0], "POST", "/book/r" + index + "\r\nWeldpoint-Trial-Token: rehearsal-token", "a tester's booking");
     }
     Thread.sleep(2500);
-    final int code = new TrialCommand().run(new String[] {"status", "book", "--control", control}, System.out);
+    final int code = order("status", "book", "--control", control);
+    order("advance", "book", "--control", control);
+    order("finish", "book", "--control", control);
+    order("begin", "book", "--control", control, "--old", "desk-1", "--new", "desk-2", "--token", "another-token", "--stages", "5,100", "--least-writes", "1");
+    order("begin", "book", "--control", control, "--old", "desk-1", "--new", "desk-2", "--token", "another-token", "--stages", "5,100");
+    Thread.sleep(500);
+    order("advance", "book", "--control", control);
+    exchange(ports[0], "POST", "/book/r1\r\nWeldpoint-Trial-Token: another-token", "a tester's booking");
+    Thread.sleep(1500);
+    order("advance", "book", "--control", control);
+    order("hold", "book", "--control", control, "--reason", "seen enough");
+    order("status", "book", "--control", control, "--json");
+    order("finish", "book", "--control", control);
     System.out.println(code == 3 ? "the fault was caught in the rehearsal; no booking without the token went to the new version" : "the fault was not caught");
     return code == 3 ? 0 : 1;
   }
 
+  private static int order(final String... words) throws InterruptedException {
+    System.out.println("$ weldpoint trial " + String.join(" ", words));
+    try {
+      return new TrialCommand().run(words, System.out);
+    } catch (final Breakdown breakdown) {
+      System.out.println("refused: " + breakdown.getMessage());
+      return 1;
+    }
+  }
+
   private void beat(final int sequence, final String state) throws IOException, InterruptedException {
     until(200, ports[2], "POST", "/api/rpc?call=instances.heartbeat&of=i-" + (sequence < 3 ? 1 : 2), "{\"service\":\"desk\",\"address\":\"" + HOST + ":" + ports[3]
         + "\",\"zone\":\"here\",\"version\":\"v1\",\"capacity\":8,\"state\":\"" + state + "\",\"warmupLeftMs\":0,\"callSeq\":" + sequence + "}");
--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -381,9 +381,15 @@
 
   private Reply trial(final Words.Trial trial) {
     final List<Calls.Counted> boards = new java.util.ArrayList<>();
-    core.panel().byBoard(trial.route).forEach((board, counts) -> boards.add(counted(board, trial, counts)));
+    final long[] sum = Count.none();
+    core.panel().byBoard(trial).forEach((board, counts) -> {
+      boards.add(counted(board, trial, counts));
+      for (int index = 0; index < sum.length; index++) {
+        sum[index] += counts[index];
+      }
+    });
     return Reply.of(200, Calls.TRIAL_STATUS, new Calls.TrialStatus(trial.route, trial.number, Verdict.of(trial).name(), trial.reason, trial.stage, trial.stages, trial.leastWrites, trial.lateAllowance, trial.writes,
-        Words.list(trial.attempts), counted("all", trial, core.panel().sum(trial.route)), boards));
+        Words.list(trial.attempts), counted("all", trial, sum), boards));
   }
 
   private static Calls.Counted counted(final String board, final Words.Trial trial, final long[] counts) {
--- a/rig/src/test/java/weldpoint/rig/TrialTest.java
+++ b/rig/src/test/java/weldpoint/rig/TrialTest.java
@@ -328,6 +328,30 @@
     assertTrue(ended.reason.contains("configuration"), ended.reason);
   }
 
+  @Test
+  public void aSecondTrialOnTheSameRouteIsRefusedUntilTheFirstIsFinished() {
+    final Stage stage = new Stage(9, Fault.NONE, 1, 2);
+    stage.begin(0.01);
+    assertEquals(expectThrows(Breakdown.class, () -> stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN)).kind(), Breakdown.Kind.CONFLICT);
+    assertTrue(stage.write(stage.panel.finish("book")));
+    assertEquals(stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN).number, 2);
+  }
+
+  @Test
+  public void anotherTrialIsNotJudgedByTheEvidenceOfTheOneBefore() {
+    final Stage stage = new Stage(10, Fault.ELSEWHERE, 2, 3);
+    stage.begin(0.01);
+    stage.run(30, true);
+    assertEquals(Verdict.of(stage.trial()), Verdict.HELD);
+    assertTrue(stage.write(stage.panel.finish("book")));
+    stage.begin(0.01);
+    stage.reports();
+    stage.fleet.run(600);
+    assertEquals(stage.trial().number, 2);
+    assertEquals(Verdict.of(stage.trial()), Verdict.RUNNING);
+    assertEquals(Count.NEW_SENT.in(stage.panel.sum("book")), 0);
+  }
+
   @Test
   public void anOrderOnTheMinoritySideIsNotAcknowledged() {
     final Stage stage = new Stage(8, Fault.NONE, 1, 2);
--- a/trial/src/main/java/weldpoint/trial/TrialPanel.java
+++ b/trial/src/main/java/weldpoint/trial/TrialPanel.java
@@ -37,6 +37,9 @@
       next.put(trial.route, before != null && before.serial > trial.serial ? before : trial);
       if (before == null || before.number != trial.number) {
         told.remove(trial.route);
+        if (trial.route.equals(doubledRoute)) {
+          doubles.clear();
+        }
       }
     }
     trials.clear();
@@ -272,10 +275,14 @@
     return list.size() > 20 ? list.subList(0, 20) : list;
   }
 
-  /** What each switchboard has counted in a route's trial. */
-  public Map<String, long[]> byBoard(final String route) {
+  /** What each switchboard has counted in a trial. */
+  public Map<String, long[]> byBoard(final Trial trial) {
     final Map<String, long[]> map = new LinkedHashMap<>();
-    told.getOrDefault(route, Map.of()).forEach((key, one) -> map.put(key, Count.array(one.tally.counts)));
+    told.getOrDefault(trial.route, Map.of()).forEach((key, one) -> {
+      if (one.tally.number == trial.number) {
+        map.put(key, Count.array(one.tally.counts));
+      }
+    });
     return map;
   }
 }
