--- /dev/null
+++ b/frame/src/test/java/weldpoint/frame/FencingTest.java
@@ -0,0 +1,97 @@
+package weldpoint.frame;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import weldpoint.trunk.Mark;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Words;
+
+/** One voter on its own: what carries an old roster, a lower ballot or an overtaken incarnation is refused. */
+public final class FencingTest {
+  private final List<Message> answers = new ArrayList<>();
+  private FrameCore core;
+
+  @BeforeMethod
+  public void start() {
+    answers.clear();
+    core = new FrameCore("10.0.0.1", "a", "r", true, 5, 20_000, 1, new Random(1), List.of("10.0.0.1", "10.0.0.2", "10.0.0.3"), new FrameCore.Outlet() {
+      @Override
+      public void send(final String address, final Message message) {
+      }
+
+      @Override
+      public void append(final byte[] record, final Runnable synced) {
+        synced.run();
+      }
+
+      @Override
+      public void peers(final List<String> addresses) {
+      }
+    });
+    core.start(List.of(), true, 0);
+  }
+
+  private Message say(final String from, final Message message) {
+    answers.clear();
+    core.receive(from, message, answers::add, 10);
+    return answers.isEmpty() ? null : answers.get(0);
+  }
+
+  private static Words.Accept accept(final long round, final long second) {
+    return new Words.Accept(3, 1, new Mark(round, 9, 0), true, List.of(1L, second, 1L), List.of());
+  }
+
+  @Test
+  public void aBallotThatCountedAnOvertakenIncarnationIsRefused() {
+    assertTrue(say("10.0.0.3", accept(5, 1)) instanceof Words.Accepted);
+    assertTrue(say("10.0.0.2", new Words.Fetch(2)) instanceof Words.Fetched);
+    final Message refused = say("10.0.0.3", accept(6, 1));
+    assertTrue(refused instanceof Words.Refused);
+    assertEquals(((Words.Refused) refused).known, List.of(1L, 2L, 1L));
+    assertTrue(say("10.0.0.3", accept(7, 2)) instanceof Words.Accepted);
+  }
+
+  @Test
+  public void aLowerBallotIsRefusedWithTheOnePromised() {
+    assertTrue(say("10.0.0.2", new Words.Prepare(3, 1, new Mark(8, 4, 0))) instanceof Words.Promise);
+    final Message refused = say("10.0.0.3", accept(7, 1));
+    assertEquals(((Words.Refused) refused).promised, new Mark(8, 4, 0));
+  }
+
+  @Test
+  public void anOldRosterIsAnsweredWithTheNewerOne() {
+    final Words.Roster next = new Words.Roster(2, core.roster().voters);
+    assertEquals(say("10.0.0.2", new Words.RosterNews(next)), null);
+    final Message answer = say("10.0.0.3", accept(9, 1));
+    assertEquals(((Words.RosterNews) answer).roster.number, 2);
+  }
+
+  @Test
+  public void aBlankDiskNeitherPromisesNorAccepts() {
+    final FrameCore blank = new FrameCore("10.0.0.2", "a", "r", true, 5, 20_000, 1, new Random(1), List.of("10.0.0.1", "10.0.0.2", "10.0.0.3"), new FrameCore.Outlet() {
+      @Override
+      public void send(final String address, final Message message) {
+      }
+
+      @Override
+      public void append(final byte[] record, final Runnable synced) {
+        synced.run();
+      }
+
+      @Override
+      public void peers(final List<String> addresses) {
+      }
+    });
+    blank.start(List.of(), false, 0);
+    answers.clear();
+    blank.receive("10.0.0.1", new Words.Prepare(3, 1, new Mark(8, 4, 0)), answers::add, 10);
+    blank.receive("10.0.0.1", accept(8, 1), answers::add, 10);
+    assertTrue(answers.isEmpty());
+  }
+}
--- /dev/null
+++ b/trunk/src/test/java/weldpoint/trunk/TrunkTest.java
@@ -0,0 +1,118 @@
+package weldpoint.trunk;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** The inner protocol: what does not speak it is refused before anything it says is heard. */
+public final class TrunkTest {
+  private final EventLoopGroup loop = new NioEventLoopGroup(1);
+  private final AtomicInteger heard = new AtomicInteger();
+  private int port;
+
+  @AfterClass
+  public void end() {
+    loop.shutdownGracefully();
+  }
+
+  private static Words.Hello hello(final int protocol) {
+    return new Words.Hello(protocol, "exchange", "127.0.0.1", 7);
+  }
+
+  @BeforeMethod
+  public void open() throws IOException, InterruptedException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      port = socket.getLocalPort();
+    }
+    heard.set(0);
+    new Trunk(loop, hello(Wire.PROTOCOL)).serve("127.0.0.1", port, new Trunk.Ear() {
+      @Override
+      public void heard(final Line line, final Message message) {
+        heard.incrementAndGet();
+        line.send(message);
+      }
+    });
+  }
+
+  private static byte[] frame(final int kind, final byte[] body) throws IOException {
+    final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    final DataOutputStream out = new DataOutputStream(bytes);
+    out.writeInt(body.length + 1);
+    out.writeByte(kind);
+    out.write(body);
+    return bytes.toByteArray();
+  }
+
+  @DataProvider
+  public Object[][] strangers() throws IOException {
+    final Message word = new Words.Kept(3);
+    final byte[] kept = frame(Wire.number(word), Wire.bytes(word));
+    return new Object[][] {
+        {frame(Wire.number(hello(99)), Wire.bytes(hello(99))), kept},
+        {kept, kept},
+        {frame(200, new byte[0]), kept},
+        {new byte[] {127, 127, 127, 127, 1}, kept},
+    };
+  }
+
+  @Test(dataProvider = "strangers")
+  public void whoDoesNotOpenWithThisProtocolsHelloIsRefused(final byte[] first, final byte[] then) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout(5000);
+      socket.getOutputStream().write(first);
+      socket.getOutputStream().write(then);
+      final DataInputStream in = new DataInputStream(socket.getInputStream());
+      final byte[] hello = new byte[in.readInt()];
+      in.readFully(hello);
+      int more = 0;
+      try {
+        more = in.read();
+      } catch (final IOException reset) {
+        more = -1;
+      }
+      assertEquals(more, -1, "the line must end");
+    }
+    assertEquals(heard.get(), 0);
+  }
+
+  @Test
+  public void wordsTravelWholeOverADialledLine() throws InterruptedException, ExecutionException, TimeoutException {
+    final CompletableFuture<Words.Gossip> answer = new CompletableFuture<>();
+    final Trunk.Dialler dialler = new Trunk(loop, hello(Wire.PROTOCOL)).dial("127.0.0.1", port, new Trunk.Ear() {
+      @Override
+      public void opened(final Line line) {
+        line.send(new Words.Gossip(1, 42, new Words.Roster(3, List.of(new Words.Voter("a", "s", "r", List.of(1, 2)))), List.of("x"), null, List.of(), List.of("i"), List.of(5L)));
+      }
+
+      @Override
+      public void heard(final Line line, final Message message) {
+        answer.complete((Words.Gossip) message);
+      }
+    });
+    final Words.Gossip gossip = answer.get(5, TimeUnit.SECONDS);
+    dialler.close();
+    assertEquals(gossip.digest, 42);
+    assertEquals(gossip.roster.voters.get(0).tokens, List.of(1, 2));
+    assertTrue(Words.list(gossip.history).isEmpty() && Words.list(gossip.boards).isEmpty());
+    assertEquals(gossip.ages, List.of(5L));
+  }
+}
