--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -82,7 +82,10 @@
       Command decode(final ControlDoor door, final String id, final byte[] body) {
         return (now, waits) -> {
           final Dialplan plan = Dialplan.compile(body);
-          return door.core.call(Deed.SPEC_REPLACE, "", null, plan.version(), 0, ControlSpec.deflate(body), CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
+          final byte[] packed = ControlSpec.deflate(body);
+          return door.core.call(Deed.SPEC_REPLACE, "", null, plan.version(), 0, packed, CALL_MILLIS, now).thenCompose(answer -> answer.status != 200 || answer.first != plan.version()
+              ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
+              : door.core.spread(plan.version(), packed, System.nanoTime() / 1_000_000).handle((done, late) -> Reply.EMPTY));
         };
       }
     },
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -39,6 +39,7 @@
   private static final long BOARD_KEEP_MILLIS = 60_000;
   private static final long REACH_MILLIS = 500;
   private static final long RESEND_MILLIS = 300;
+  private static final long SPREAD_MILLIS = 500;
   private static final long LAPSE_BEATS = 20;
   private static final long SUSPECT_BEATS = 4;
   private static final long MAJORITY_MILLIS = 2500;
@@ -64,6 +65,8 @@
 
   private static final class Quorum {
     final List<Registration> registrations;
+    long version;
+    byte[] spec;
     final Set<String> kept = new HashSet<>();
     final CompletableFuture<Void> future = new CompletableFuture<>();
     final long cutoff;
@@ -363,6 +366,41 @@
     }
   }
 
+  /** A configuration was acknowledged by the frames; completes once a majority of exchanges has it on disk too. */
+  public CompletableFuture<Void> spread(final long given, final byte[] body, final long now) {
+    final long key = ++number;
+    final Quorum quorum = new Quorum(List.of(), now + SPREAD_MILLIS);
+    quorum.sentAt = now;
+    quorum.version = given;
+    quorum.spec = body;
+    quorums.put(key, quorum);
+    takeSpec(given, body);
+    pushSpec(key, quorum);
+    persist(List.of(), null, () -> kept(self, key));
+    return quorum.future;
+  }
+
+  private void pushSpec(final long key, final Quorum quorum) {
+    final Words.Changes message = new Words.Changes(key, null, null, quorum.version, quorum.spec);
+    for (final String member : members.keySet()) {
+      if (!member.equals(self)) {
+        outlet.member(member, message);
+      }
+    }
+  }
+
+  private void takeSpec(final long given, final byte[] body) {
+    if (given <= version) {
+      return;
+    }
+    version = given;
+    spec = body;
+    outlet.append(Wire.bytes(new Remembered(null, null, version, spec, null, 0, null, 0)), () -> {
+    });
+    final Words.View view = new Words.View(version, spec, false, null, 0, null, false, null, mostBoards, null, -1);
+    streams.forEach(stream -> outlet.board(stream, view));
+  }
+
   // ---- other exchanges
 
   /** Another exchange has said something. */
@@ -373,6 +411,9 @@
     if (message instanceof Words.Changes) {
       final Words.Changes changes = (Words.Changes) message;
       merge(Words.list(changes.registrations), now);
+      if (changes.spec != null) {
+        takeSpec(changes.version, changes.spec);
+      }
       mergeBoards(Words.list(changes.boards), now);
       for (final Board board : Words.list(changes.boards)) {
         if (board.ageMillis >= BOARD_GONE_MILLIS) {
@@ -381,7 +422,7 @@
       }
       if (changes.number != 0) {
         final List<Registration> held = new ArrayList<>();
-        for (final Registration registration : changes.registrations) {
+        for (final Registration registration : Words.list(changes.registrations)) {
           held.add(history.get(registration.id));
         }
         persist(held, null, () -> reply.accept(new Words.Kept(changes.number)));
@@ -838,7 +879,11 @@
         quorum.future.completeExceptionally(new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no majority of disks has taken the change yet; send it to another daemon"));
       } else if (now - quorum.sentAt > RESEND_MILLIS) {
         quorum.sentAt = now;
-        push(entry.getKey(), quorum.registrations);
+        if (quorum.spec == null) {
+          push(entry.getKey(), quorum.registrations);
+        } else {
+          pushSpec(entry.getKey(), quorum);
+        }
       }
     }
     if (now - gossipAt >= GOSSIP_MILLIS) {
--- a/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
@@ -151,6 +151,50 @@
     assertTrue(net.cores.get(SEEDS.get(2)).history().containsKey("i"));
   }
 
+  @Test
+  public void anAcknowledgedConfigurationIsKeptByAMajorityOfExchangesAndNeverGoesBack() {
+    final Net net = new Net();
+    final ExchangeCore first = net.cores.get(SEEDS.get(0));
+    final CompletableFuture<Void> done = first.spread(7, new byte[] {1}, net.now);
+    net.talk();
+    net.sync(SEEDS.get(0));
+    net.talk();
+    assertFalse(done.isDone(), "one disk of three is no majority");
+    net.sync(SEEDS.get(2));
+    net.talk();
+    assertTrue(done.isDone());
+    net.cores.get(SEEDS.get(1)).spread(6, new byte[] {2}, net.now);
+    net.pass(300);
+    for (final ExchangeCore core : net.cores.values()) {
+      assertTrue(core.counters().endsWith("spec 7"), core.counters());
+      final ExchangeCore again = new ExchangeCore("10.0.0.9", SEEDS, false, 1500, new Random(1), new ExchangeCore.Outlet() {
+        @Override
+        public boolean member(final String to, final Message message) {
+          return false;
+        }
+
+        @Override
+        public boolean frame(final String to, final Words.Call call) {
+          return false;
+        }
+
+        @Override
+        public void board(final Object stream, final Message message) {
+        }
+
+        @Override
+        public void append(final byte[] record, final Runnable synced) {
+        }
+
+        @Override
+        public void peers(final List<String> members) {
+        }
+      });
+      again.start(core.view(), net.now);
+      assertTrue(again.counters().endsWith("spec 7"), "it is not there after a restart: " + again.counters());
+    }
+  }
+
   @Test
   public void aStaleBeatChangesNothing() {
     final Net net = new Net();
--- a/frame/src/main/java/weldpoint/frame/Deed.java
+++ b/frame/src/main/java/weldpoint/frame/Deed.java
@@ -12,12 +12,12 @@
 
 /** What may be asked of the store, each with how it is decided at the holder of the duty. */
 public enum Deed {
-  /** Takes a configuration: first is its version, body its compressed bytes. */
+  /** Takes a configuration: first is its version, body its compressed bytes; the answer's first is 0 if a later one, or another of this version, holds. */
   SPEC_REPLACE(Values.Kind.SPEC) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final Spec spec = (Spec) value;
-      return spec != null && call.first <= spec.version ? Decision.confirm(200, spec.version)
+      return spec != null && call.first <= spec.version ? Decision.confirm(200, 0)
           : Decision.write(new Spec(call.first, call.body), null, call.first);
     }
   },
--- a/trunk/src/main/java/weldpoint/trunk/Words.java
+++ b/trunk/src/main/java/weldpoint/trunk/Words.java
@@ -443,8 +443,16 @@
     public final long number;
     public final List<Registration> registrations;
     public final List<Board> boards;
+    public final long version;
+    public final byte[] spec;
 
     public Changes(final long number, final List<Registration> registrations, final List<Board> boards) {
+      this(number, registrations, boards, 0, null);
+    }
+
+    public Changes(final long number, final List<Registration> registrations, final List<Board> boards, final long version, final byte[] spec) {
+      this.version = version;
+      this.spec = spec;
       this.number = number;
       this.registrations = registrations;
       this.boards = boards;
