--- /dev/null
+++ b/audit/src/main/java/weldpoint/audit/HeapStore.java
@@ -0,0 +1,50 @@
+package weldpoint.audit;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Keeps entries in memory, for a replica that has no disk of its own. */
+public final class HeapStore implements AuditStore {
+  private final List<byte[]> entries = new ArrayList<>();
+  private long base;
+
+  /** A store without entries. */
+  public HeapStore() {
+  }
+
+  @Override
+  public long base() {
+    return base;
+  }
+
+  @Override
+  public long last() {
+    return base + entries.size();
+  }
+
+  @Override
+  public boolean append(final long sequence, final byte[] entry, final Runnable synced) {
+    entries.add(entry);
+    synced.run();
+    return true;
+  }
+
+  @Override
+  public byte[] read(final long sequence) {
+    return sequence <= base || sequence > last() ? null : entries.get((int) (sequence - base - 1));
+  }
+
+  @Override
+  public void trim(final long through) {
+    if (through > base && through <= last()) {
+      entries.subList(0, (int) (through - base)).clear();
+      base = through;
+    }
+  }
+
+  @Override
+  public void reset(final long newBase) {
+    entries.clear();
+    base = newBase;
+  }
+}
--- /dev/null
+++ b/audit/src/test/java/weldpoint/audit/AuditTest.java
@@ -0,0 +1,259 @@
+package weldpoint.audit;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import weldpoint.boot.Breakdown;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.trunk.Message;
+
+/** Entries, logs, segments on disk, differences and authors. */
+public final class AuditTest {
+  @BeforeClass
+  public void quiet() {
+    java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.OFF);
+  }
+
+  private static List<byte[]> chain(final int count, final int keep) {
+    final List<byte[]> entries = new ArrayList<>();
+    String digest = AuditEntry.NO_DIGEST;
+    for (int sequence = 1; sequence <= count; sequence++) {
+      final boolean trims = keep > 0 && sequence > keep && sequence % 50 == 0;
+      final AuditEntry.Draft draft = new AuditEntry.Draft(trims ? ChangeKind.RETENTION : ChangeKind.EVACUATION_BEGUN, "zone-" + sequence).origin("me", "10.0.0.9", "10.0.0.1", 1000 - sequence);
+      final byte[] bytes = (trims ? draft.trims(sequence - keep, AuditEntry.digest(entries.get(sequence - keep - 1))) : draft).bytes(sequence, digest);
+      digest = AuditEntry.digest(bytes);
+      entries.add(bytes);
+    }
+    return entries;
+  }
+
+  private static AuditLog log(final AuditStore store) {
+    return new AuditLog("here", store, () -> {
+    });
+  }
+
+  @Test
+  public void aLogTakesOnlyWhatFollowsAndReportsWhatDiffers() {
+    final List<byte[]> entries = chain(5, 0);
+    final AuditLog log = log(new HeapStore());
+    assertEquals(log.offer(entries.get(1)), AuditLog.Outcome.GAP);
+    assertEquals(log.offer(entries.get(0)), AuditLog.Outcome.APPENDED);
+    assertEquals(log.offer(entries.get(0)), AuditLog.Outcome.KNOWN);
+    final byte[] other = new AuditEntry.Draft(ChangeKind.TRIAL, "r").bytes(1, AuditEntry.NO_DIGEST);
+    assertEquals(log.offer(other), AuditLog.Outcome.CONFLICT);
+    final byte[] stranger = new AuditEntry.Draft(ChangeKind.TRIAL, "r").bytes(2, AuditEntry.digest(other));
+    assertEquals(log.offer(stranger), AuditLog.Outcome.CONFLICT);
+    assertEquals(log.conflicts(), 2);
+    assertEquals(log.last(), 1);
+    assertEquals(log.read(1), entries.get(0));
+    assertEquals(log.durable(), 1);
+  }
+
+  @Test
+  public void replicasThatDifferAreCountedAndNotMerged() {
+    final AuditLog one = log(new HeapStore());
+    final AuditLog other = log(new HeapStore());
+    one.offer(new AuditEntry.Draft(ChangeKind.TRIAL, "r").bytes(1, AuditEntry.NO_DIGEST));
+    other.offer(new AuditEntry.Draft(ChangeKind.TRIAL, "s").bytes(1, AuditEntry.NO_DIGEST));
+    reconcile(one, other);
+    assertEquals(other.conflicts(), 1);
+    assertFalse(one.digest().equals(other.digest()));
+  }
+
+  private static void reconcile(final AuditLog from, final AuditLog to) {
+    final AuditReplica[] replicas = new AuditReplica[2];
+    final List<Runnable> wire = new ArrayList<>();
+    for (int index = 0; index < 2; index++) {
+      final int self = index;
+      replicas[index] = new AuditReplica(index == 0 ? from : to, (peer, message) -> wire.add(() -> deliver(replicas, wire, self, message)), new Random(1));
+    }
+    replicas[0].tick(List.of("b"), 10_000);
+    for (int step = 0; step < wire.size() && step < 5000; step++) {
+      wire.get(step).run();
+    }
+  }
+
+  private static void deliver(final AuditReplica[] replicas, final List<Runnable> wire, final int from, final Message message) {
+    replicas[1 - from].receive("x", message, answer -> wire.add(() -> deliver(replicas, wire, 1 - from, answer)));
+  }
+
+  @Test
+  public void anEmptyReplicaIsFilledByOneMeetingAndATrimmedPastIsSkipped() {
+    final List<byte[]> entries = chain(3000, 700);
+    final AuditLog full = log(new HeapStore());
+    entries.forEach(full::offer);
+    assertEquals(full.base(), 2300);
+    final AuditLog empty = log(new HeapStore());
+    reconcile(empty, full);
+    assertEquals(empty.last(), 3000);
+    assertEquals(empty.base(), 2300);
+    assertEquals(empty.digest(), full.digest());
+    assertEquals(empty.baseDigest(), full.baseDigest());
+    final AuditLog behind = log(new HeapStore());
+    entries.subList(0, 2500).forEach(behind::offer);
+    reconcile(full, behind);
+    assertEquals(behind.digest(), full.digest());
+    assertEquals(behind.conflicts(), 0);
+  }
+
+  private static SegmentStore open(final Path folder, final long bytes) throws IOException {
+    return new SegmentStore(folder, bytes, Runnable::run);
+  }
+
+  private static void write(final SegmentStore store, final AuditLog log, final List<byte[]> entries) throws InterruptedException {
+    store.start("history");
+    final CountDownLatch done = new CountDownLatch(1);
+    for (final byte[] entry : entries) {
+      assertEquals(log.offer(entry), AuditLog.Outcome.APPENDED);
+    }
+    final long last = AuditEntry.read(entries.get(entries.size() - 1)).sequence;
+    final Thread waits = new Thread(() -> {
+      while (log.durable() < last) {
+        Thread.onSpinWait();
+      }
+      done.countDown();
+    });
+    waits.setDaemon(true);
+    waits.start();
+    assertTrue(done.await(30, TimeUnit.SECONDS), "not all became lasting");
+  }
+
+  @Test
+  public void segmentsOutliveTheProcessAndAreUsedAgainOnceTrimmed() throws Exception {
+    final Path folder = Files.createTempDirectory("history");
+    final List<byte[]> entries = chain(6000, 700);
+    final SegmentStore store = open(folder, 8 * 64 << 10);
+    final AuditLog log = log(store);
+    write(store, log, entries);
+    final AuditLog again = log(open(folder, 8 * 64 << 10));
+    assertEquals(again.last(), 6000);
+    assertEquals(again.base(), log.base());
+    assertEquals(again.digest(), log.digest());
+    assertEquals(again.read(5990), entries.get(5989));
+    long size = 0;
+    for (int number = 0; number < SegmentStore.SEGMENTS; number++) {
+      size += Files.size(folder.resolve("history-" + number));
+    }
+    assertEquals(size, 8 * 64 << 10);
+  }
+
+  @Test
+  public void aFullRingRefusesRatherThanForgets() throws Exception {
+    final SegmentStore store = open(Files.createTempDirectory("history"), 8 * 8 << 10);
+    final AuditLog log = log(store);
+    AuditLog.Outcome outcome = AuditLog.Outcome.APPENDED;
+    for (final byte[] entry : chain(2000, 0)) {
+      if (outcome == AuditLog.Outcome.APPENDED) {
+        outcome = log.offer(entry);
+      }
+    }
+    assertEquals(outcome, AuditLog.Outcome.FULL);
+    assertEquals(log.base(), 0);
+    assertTrue(log.read(1) != null);
+  }
+
+  @Test
+  public void aDamagedEntryAndAllBehindItAreFetchedAgainAndCounted() throws Exception {
+    final Path folder = Files.createTempDirectory("history");
+    final List<byte[]> entries = chain(900, 0);
+    final SegmentStore store = open(folder, 8 * 64 << 10);
+    write(store, log(store), entries);
+    try (RandomAccessFile file = new RandomAccessFile(folder.resolve("history-0").toFile(), "rw")) {
+      file.seek(20_000);
+      file.write("damage".getBytes(StandardCharsets.UTF_8));
+    }
+    final SegmentStore damaged = open(folder, 8 * 64 << 10);
+    final AuditLog log = log(damaged);
+    assertTrue(log.damaged() > 0);
+    assertTrue(log.last() > 50 && log.last() < 200, "kept " + log.last());
+    final AuditLog full = log(new HeapStore());
+    entries.forEach(full::offer);
+    damaged.start("history");
+    reconcile(log, full);
+    assertEquals(log.last(), 900);
+    assertEquals(log.digest(), full.digest());
+    assertEquals(log.conflicts(), 0);
+  }
+
+  @Test
+  public void aTornTailIsDropped() throws Exception {
+    final Path folder = Files.createTempDirectory("history");
+    final SegmentStore store = open(folder, 8 * 64 << 10);
+    write(store, log(store), chain(20, 0));
+    final AuditLog whole = log(open(folder, 8 * 64 << 10));
+    assertEquals(whole.last(), 20);
+    try (RandomAccessFile file = new RandomAccessFile(folder.resolve("history-0").toFile(), "rw")) {
+      long end = file.length();
+      final byte[] bytes = new byte[(int) end];
+      file.readFully(bytes);
+      while (bytes[(int) end - 1] == 0) {
+        end--;
+      }
+      file.seek(end - 3);
+      file.write(new byte[3]);
+    }
+    final AuditLog torn = log(open(folder, 8 * 64 << 10));
+    assertEquals(torn.last(), 19);
+    assertNull(torn.read(20));
+  }
+
+  @DataProvider
+  public Object[][] badAuthors() {
+    return new Object[][] {{"", 1, "empty"}, {"   ", 1, "empty"}, {"x".repeat(65), 1, "65 characters"}, {"dispatch\u0007lead", 1, "control character"}, {"one", 2, "2 times"}};
+  }
+
+  @Test(dataProvider = "badAuthors")
+  public void anAuthorThatIsNoNameIsRefusedWithTheRemedy(final String name, final int times, final String reason) {
+    final Breakdown breakdown = expectThrows(Breakdown.class, () -> Authors.check(name, times));
+    assertEquals(breakdown.kind().status(), 400);
+    assertTrue(breakdown.getMessage().contains(reason) && breakdown.getMessage().contains(Authors.HEADER), breakdown.getMessage());
+  }
+
+  @Test
+  public void noAuthorIsSaidSo() {
+    assertEquals(Authors.check("", 0), "unnamed");
+    assertEquals(Authors.check(" dispatch lead ", 1), "dispatch lead");
+  }
+
+  private static ConfigurationSummary summary(final int routes, final String service) {
+    final StringBuilder rules = new StringBuilder();
+    for (int index = 0; index < routes; index++) {
+      rules.append(index == 0 ? "" : ",").append("{\"name\":\"r").append(index).append("\",\"routeKind\":\"").append(index % 2 == 0 ? "mutating" : "idempotent").append("\",\"match\":{\"pathPrefix\":\"/").append(index)
+          .append("/\"},\"action\":{\"service\":\"").append(service).append("\",\"timeoutMs\":2000,\"maxAttempts\":2}}");
+    }
+    final byte[] body = ("{\"version\":\"00000001\",\"listeners\":[{\"host\":\"h\",\"rules\":[" + rules + "]}],\"pools\":[{\"name\":\"a\"},{\"name\":\"b\"}]}").getBytes(StandardCharsets.UTF_8);
+    return ConfigurationSummary.of(Dialplan.read(body), body);
+  }
+
+  @Test
+  public void writeRoutesComeFirstAndWhatDoesNotFitIsCounted() {
+    final ConfigurationDifference difference = new ConfigurationDifference(summary(40, "a"), summary(38, "b"));
+    assertEquals(difference.changed(), 38);
+    assertEquals(difference.removed(), 2);
+    assertEquals(difference.writes(), 20);
+    final List<String> lines = difference.lines(300);
+    assertTrue(lines.get(0).startsWith("~ write route h/0/ (r0): service a -> b"), lines.toString());
+    assertTrue(lines.get(lines.size() - 1).matches("and [0-9]+ more; .*"), lines.toString());
+    assertEquals(new ConfigurationDifference(summary(3, "a"), summary(3, "a")).lines(1000), Collections.emptyList());
+    final byte[] entry = new AuditEntry.Draft(ChangeKind.CONFIGURATION, "").number(7, 0).origin("x".repeat(64), "255.255.255.255", "255.255.255.255", Long.MAX_VALUE)
+        .digests("0".repeat(64), "1".repeat(64)).difference(difference, 1024 - 420).bytes(Long.MAX_VALUE, "2".repeat(64));
+    assertTrue(entry.length <= 1024, "an entry of " + entry.length + " bytes");
+  }
+}
--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -126,6 +126,14 @@
       throw bad("chief.wait-ms", values.get("chief.wait-ms"), "give at least 500, the pause between two words of an exchange");
     }
     purgeTrustMillis();
+    final long needed = auditNeeds(auditRetention(), auditEntryBytes());
+    if (needed > auditBytes()) {
+      throw bad("audit.disk-mb", values.getOrDefault("audit.disk-mb", "4"), "give at least " + ((needed >> 20) + 1) + " for " + auditRetention() + " entries of up to " + auditEntryBytes() + " bytes, or lower audit.retention or audit.entry-bytes");
+    }
+  }
+
+  private static long auditNeeds(final long entries, final int entryBytes) {
+    return (entries + entries / 4 + 64) * (32 + entryBytes) * 8 / 6;
   }
 
   private static Breakdown bad(final String field, final String value, final String remedy) {
@@ -366,6 +374,21 @@
     return (int) number("choice.width", 24, 1, 100_000);
   }
 
+  /** How many entries of the history of routing changes are kept at least. */
+  public long auditRetention() {
+    return (long) number("audit.retention", 2000, 100, 10_000_000);
+  }
+
+  /** The most bytes that one entry of the history takes; what a larger change would add to it is counted instead. */
+  public int auditEntryBytes() {
+    return (int) number("audit.entry-bytes", 1024, 512, 65_536);
+  }
+
+  /** The disk that the history takes, whatever happens. */
+  public long auditBytes() {
+    return (long) (number("audit.disk-mb", 4, 1, 8192) * (1 << 20));
+  }
+
   /** How many bytes of copies an announcer keeps. */
   public long copyBytes() {
     return (long) (number("copies.most-mb", 64, 0, 1_000_000) * (1 << 20));
--- a/console/src/main/java/weldpoint/console/Caller.java
+++ b/console/src/main/java/weldpoint/console/Caller.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import weldpoint.audit.Authors;
 import weldpoint.boot.Breakdown;
 
 /** Calls the control interface of one of several exchanges: the first that gives a clear answer. */
@@ -16,10 +17,30 @@
   private static final Duration PATIENCE = Duration.ofSeconds(3);
 
   private final List<String> addresses;
+  private final String author;
   private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).version(HttpClient.Version.HTTP_1_1).build();
 
   Caller(final List<String> addresses) {
+    this(addresses, null);
+  }
+
+  /** Calls in somebody's name; null where nothing is changed. */
+  Caller(final List<String> addresses, final String author) {
     this.addresses = addresses;
+    this.author = author;
+  }
+
+  /** Who an operator's command speaks for where no author is named: the user who runs it. */
+  static String user() {
+    return System.getProperty("user.name", "");
+  }
+
+  private HttpRequest request(final String address, final String rpc, final String of, final String body) {
+    final HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://" + address + "/api/rpc?call=" + rpc + "&of=" + URLEncoder.encode(of, StandardCharsets.UTF_8))).timeout(PATIENCE);
+    if (author != null) {
+      builder.header(Authors.HEADER, Authors.check(author, 1));
+    }
+    return builder.POST(HttpRequest.BodyPublishers.ofString(body)).build();
   }
 
   /** The bytes of a good answer. */
@@ -44,8 +65,7 @@
     String last = "no address was given";
     for (final String address : addresses) {
       try {
-        final HttpResponse<String> response = client.send(HttpRequest.newBuilder(URI.create("http://" + address + "/api/rpc?call=" + rpc + "&of=" + URLEncoder.encode(of, StandardCharsets.UTF_8)))
-            .timeout(PATIENCE).POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString());
+        final HttpResponse<String> response = client.send(request(address, rpc, of, body), HttpResponse.BodyHandlers.ofString());
         if (response.statusCode() == 200) {
           return response.body();
         }
--- a/console/src/main/java/weldpoint/console/Demo.java
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -87,6 +87,12 @@
     until(200, ports[2], "GET", "/api/watch/g.?after=0&waitMs=10", "");
     until(200, ports[2], "POST", "/api/rpc?call=evacuation.begin&of=there", "");
     until(200, ports[2], "POST", "/api/rpc?call=configuration.read", "");
+    until(200, ports[2], "POST", "/api/rpc?call=configuration.replace\r\nWeldpoint-Author: dispatch lead", spec.replace("00000001", "00000002").replace("\"timeoutMs\":2000", "\"timeoutMs\":2500"));
+    System.out.println("$ weldpoint history --control " + HOST + ":" + ports[2]);
+    new HistoryCommand().run(new String[] {"--control", HOST + ":" + ports[2]}, System.out, System.out);
+    Thread.sleep(1200);
+    System.out.println("$ weldpoint history --reach 3 --at " + HOST + ":" + ports[2]);
+    new HistoryCommand().run(new String[] {"--reach", "3", "--at", HOST + ":" + ports[2]}, System.out, System.out);
     beat(2, "draining");
     until(200, ports[2], "POST", "/api/rpc?call=instances.deregister&of=i-1", "");
     System.out.println("the demonstration went well; clients at " + HOST + ":" + ports[0] + ", control at " + HOST + ":" + ports[2]);
--- a/console/src/main/java/weldpoint/console/ReplayCommand.java
+++ b/console/src/main/java/weldpoint/console/ReplayCommand.java
@@ -13,10 +13,10 @@
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.exchange.ControlSpec;
 import weldpoint.replay.Replay;
 import weldpoint.replay.ReportDocument;
 import weldpoint.replay.Verdict;
+import weldpoint.trunk.Packing;
 
 /** weldpoint replay: plays a recorded day through proposed settings; whatever it cannot judge ends with 2. */
 final class ReplayCommand {
@@ -42,7 +42,7 @@
       }
       final String extra = options.has(settings) ? Files.readString(Path.of(options.valueOf(settings))) : "";
       Boot.parse(BASE + extra);
-      final Verdict verdict = new Replay(Path.of(names.get(0).toString()), Dialplan.compile(Files.readAllBytes(proposed)), extra, options.valueOf(error), ControlSpec::inflate).run();
+      final Verdict verdict = new Replay(Path.of(names.get(0).toString()), Dialplan.compile(Files.readAllBytes(proposed)), extra, options.valueOf(error), Packing::inflate).run();
       if (options.has(json)) {
         out.println(Jsonb.builder().build().type(ReportDocument.class).toJson(verdict.document()));
       } else {
--- a/console/src/main/java/weldpoint/console/TrialCommand.java
+++ b/console/src/main/java/weldpoint/console/TrialCommand.java
@@ -31,6 +31,7 @@
   private final OptionSpec<Integer> least = parser.accepts("least-writes", "writes to be confirmed at each stage").withRequiredArg().ofType(Integer.class).defaultsTo(30);
   private final OptionSpec<Double> allowance = parser.accepts("late-allowance", "held if the chance of so many late writes is below this; 0 holds at the first").withRequiredArg().ofType(Double.class).defaultsTo(0.01);
   private final OptionSpec<String> reason = parser.accepts("reason", "why it is held").withRequiredArg().defaultsTo("held by an operator");
+  private final OptionSpec<String> author = parser.accepts("author", "who wants it; the user's name by default").withRequiredArg().defaultsTo(Caller.user());
   private final OptionSpec<Void> json = parser.accepts("json", "prints JSON");
 
   int run(final String[] words, final PrintStream out) throws InterruptedException {
@@ -52,7 +53,7 @@
       case HOLD -> ORDER.toJson(new Calls.TrialOrder(null, null, null, null, null, null, options.valueOf(reason)));
       default -> "";
     };
-    final String answer = new Caller(options.valuesOf(control)).call("trial." + action.name().toLowerCase(java.util.Locale.ROOT), names.get(1).toString(), body);
+    final String answer = new Caller(options.valuesOf(control), action == Action.STATUS ? null : options.valueOf(author)).call("trial." + action.name().toLowerCase(java.util.Locale.ROOT), names.get(1).toString(), body);
     if (options.has(json)) {
       out.println(answer);
     } else {
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -66,6 +66,17 @@
         throw new IllegalStateException("trial reads its own options");
       }
     },
+    HISTORY("shows the changes of routing, from any replica: history --control HOST:PORT,... [--since --until --route --author --json] or --reach N; 3 not confirmed to be complete") {
+      @Override
+      int run(final String[] words) throws InterruptedException {
+        return new HistoryCommand().run(words, System.out, System.err);
+      }
+
+      @Override
+      int run(final OptionSet options) {
+        throw new IllegalStateException("history reads its own options");
+      }
+    },
     RECORD("records what all switchboards carry: record begin|status|end --control HOST:PORT,... --file FILE") {
       @Override
       int run(final String[] words) throws IOException, InterruptedException {
--- a/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
@@ -112,6 +112,11 @@
 
   /** Reads, checks and compiles a configuration. */
   public static Dialplan compile(final byte[] body) {
+    return compile(read(body));
+  }
+
+  /** Reads a configuration without checking what it says. */
+  public static SpecDocument read(final byte[] body) {
     final SpecDocument document;
     try {
       document = TYPE.fromJson(new String(body, StandardCharsets.UTF_8));
@@ -121,6 +126,11 @@
     if (document == null || document.listeners() == null || document.pools() == null) {
       throw new Breakdown(Breakdown.Kind.UNREADABLE, "the configuration lacks listeners or pools; send it whole");
     }
+    return document;
+  }
+
+  /** Checks and compiles a configuration that was read. */
+  public static Dialplan compile(final SpecDocument document) {
     final long version = version(document.version());
     final List<Service> services = new ArrayList<>();
     final Map<String, Integer> indices = new HashMap<>();
--- a/exchange/src/main/java/weldpoint/exchange/Calls.java
+++ b/exchange/src/main/java/weldpoint/exchange/Calls.java
@@ -25,9 +25,38 @@
   static final JsonType<TrialOrder> TRIAL_ORDER = JSON.type(TrialOrder.class);
   static final JsonType<TrialStatus> TRIAL_STATUS = JSON.type(TrialStatus.class);
 
+  static final JsonType<HistoryQuery> HISTORY_QUERY = JSON.type(HistoryQuery.class);
+  static final JsonType<HistoryAnswer> HISTORY = JSON.type(HistoryAnswer.class);
+  static final JsonType<ReachAnswer> REACH = JSON.type(ReachAnswer.class);
+
   private Calls() {
   }
 
+  /** What of the history of routing changes is asked for: entries by number, by time (both ends included), by route, zone or service, and by author. */
+  @Json
+  public record HistoryQuery(Long from, Long to, String since, String until, String route, String author, Long most) {
+  }
+
+  /** One change of routing. */
+  @Json
+  public record HistoryEntry(long sequence, String kind, String version, String subject, String author, String caller, String taker, String time, String before, String after, int added, int removed, int changed, int writeRoutes, List<String> changes, String digest, String previous) {
+  }
+
+  /** A part of the history: whether all decided entries of the range are in it, how far the history reaches, and where to go on. */
+  @Json
+  public record HistoryAnswer(boolean complete, String problem, long first, long through, String digest, long next, List<HistoryEntry> entries) {
+  }
+
+  /** How one daemon stands to a change: IN_FORCE, NOT_YET or UNHEARD. */
+  @Json
+  public record DaemonReach(String address, String program, String state, String since, String note) {
+  }
+
+  /** Which daemons had a change in force. */
+  @Json
+  public record ReachAnswer(boolean complete, String problem, HistoryEntry change, List<DaemonReach> daemons) {
+  }
+
   /** A beat of an upstream. */
   @Json
   public record Beat(String service, String address, String zone, String version, Double capacity, String state, Double warmupLeftMs, Long callSeq) {
--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -29,13 +29,17 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import weldpoint.audit.Authors;
+import weldpoint.audit.ConfigurationSummary;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
+import weldpoint.dialplan.SpecDocument;
 import weldpoint.frame.Deed;
 import weldpoint.frame.Values;
 import weldpoint.trial.Count;
 import weldpoint.trial.Verdict;
+import weldpoint.trunk.Packing;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
@@ -59,6 +63,10 @@
     }
   }
 
+  /** Who is behind a call: the author it names, and the address it came from. */
+  private record Origin(String author, String caller) {
+  }
+
   /** One decoded call. */
   private interface Command {
     CompletableFuture<Reply> run(long now, BooleanSupplier waits);
@@ -68,23 +76,25 @@
   private enum Rpc {
     BEAT("instances.heartbeat") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.beat(id, read(Calls.BEAT, body));
       }
     },
     DEREGISTER("instances.deregister") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> door.core.deregister(named(id), System.currentTimeMillis(), now).thenApply(done -> Reply.EMPTY);
       }
     },
     SPEC_REPLACE("configuration.replace") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> {
-          final Dialplan plan = Dialplan.compile(body);
-          final byte[] packed = ControlSpec.deflate(body);
-          return door.core.call(Deed.SPEC_REPLACE, "", null, plan.version(), 0, packed, CALL_MILLIS, now).thenCompose(answer -> answer.status != 200 || answer.first != plan.version()
+          final SpecDocument document = Dialplan.read(body);
+          final Dialplan plan = Dialplan.compile(document);
+          final byte[] packed = Packing.deflate(body);
+          final Words.Cause cause = door.core.cause(origin.author, origin.caller, Packing.deflate(Wire.bytes(ConfigurationSummary.of(document, body))));
+          return door.core.change(Deed.SPEC_REPLACE, "", plan.version(), packed, cause, CALL_MILLIS, now).thenCompose(answer -> answer.status != 200 || answer.first != plan.version()
               ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
               : door.core.spread(plan.version(), packed, System.nanoTime() / 1_000_000).handle((done, late) -> Reply.EMPTY));
         };
@@ -92,52 +102,52 @@
     },
     SPEC_READ("configuration.read") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
-        return (now, waits) -> door.core.call(Deed.SPEC_READ, "", null, 0, 0, null, CALL_MILLIS, now).thenApply(answer -> answer.status == 200 ? new Reply(200, ControlSpec.inflate(answer.body))
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) -> door.core.call(Deed.SPEC_READ, "", null, 0, 0, null, CALL_MILLIS, now).thenApply(answer -> answer.status == 200 ? new Reply(200, Packing.inflate(answer.body))
             : status(answer, Reply.problem(answer.status, "no configuration has been taken yet; send one")));
       }
     },
     EVACUATION_BEGIN("evacuation.begin") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
-        return door.evacuate(named(id), 1);
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return door.evacuate(named(id), 1, origin);
       }
     },
     EVACUATION_FINISH("evacuation.finish") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
-        return door.evacuate(named(id), 0);
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return door.evacuate(named(id), 0, origin);
       }
     },
     TRIAL_BEGIN("trial.begin") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         final Calls.TrialOrder order = read(Calls.TRIAL_ORDER, body);
-        return (now, waits) -> door.core.beginTrial(named(id), order, now).thenApply(door::trial);
+        return (now, waits) -> door.core.beginTrial(named(id), order, door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
       }
     },
     TRIAL_ADVANCE("trial.advance") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
-        return (now, waits) -> door.core.advanceTrial(named(id), now).thenApply(door::trial);
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) -> door.core.advanceTrial(named(id), door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
       }
     },
     TRIAL_HOLD("trial.hold") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         final String reason = body.length == 0 ? null : read(Calls.TRIAL_ORDER, body).reason();
-        return (now, waits) -> door.core.holdTrial(named(id), reason == null ? "held by an operator" : reason, now).thenApply(door::trial);
+        return (now, waits) -> door.core.holdTrial(named(id), reason == null ? "held by an operator" : reason, door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
       }
     },
     TRIAL_FINISH("trial.finish") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
-        return (now, waits) -> door.core.finishTrial(named(id), now).thenApply(door::trial);
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) -> door.core.finishTrial(named(id), door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
       }
     },
     TRIAL_STATUS("trial.status") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> {
           for (final Words.Trial trial : door.core.panel().trials()) {
             if (trial.route.equals(id)) {
@@ -148,51 +158,65 @@
         };
       }
     },
+    HISTORY_READ("history.read") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        final Calls.HistoryQuery query = body.length == 0 ? new Calls.HistoryQuery(null, null, null, null, null, null, null) : read(Calls.HISTORY_QUERY, body);
+        return (now, waits) -> door.core.audit().read(query, System.currentTimeMillis(), now).thenApply(answer -> Reply.of(200, Calls.HISTORY, answer));
+      }
+    },
+    HISTORY_REACH("history.reach") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        final long sequence = number("of", named(id));
+        return (now, waits) -> door.core.audit().reach(sequence, door.core.inForce(now), System.currentTimeMillis(), now).thenApply(answer -> Reply.of(200, Calls.REACH, answer));
+      }
+    },
     RECORD_BEGIN("record.begin") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.record(true);
       }
     },
     RECORD_END("record.end") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.record(false);
       }
     },
     RECORD_STATUS("record.status") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> CompletableFuture.completedFuture(Reply.of(200, Calls.STATE, new Calls.State(door.core.recording())));
       }
     },
     RECORD_DRAIN("record.drain") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> CompletableFuture.completedFuture(new Reply(200, Wire.bytes(door.core.drain(now))));
       }
     },
     LOCK_BEGIN("locks.begin") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.lock(Deed.LOCK_BEGIN, named(id), read(Calls.GRIP, body));
       }
     },
     LOCK_HEARTBEAT("locks.heartbeat") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.lock(Deed.LOCK_HEARTBEAT, named(id), read(Calls.GRIP, body));
       }
     },
     LOCK_FINISH("locks.finish") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.finish(named(id), read(Calls.GRIP, body));
       }
     },
     CELL_REPLACE("cells.replace") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         final Calls.CellPut put = read(Calls.CELL_PUT, body);
         if (put.value() == null) {
           throw new Breakdown(Breakdown.Kind.UNREADABLE, "a put lacks its value; send value as a string");
@@ -203,7 +227,7 @@
     },
     CELL_READ("cells.read") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body) {
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> door.core.call(Deed.CELL_READ, group(named(id)), null, 0, 0, id.getBytes(StandardCharsets.UTF_8), CALL_MILLIS, now)
             .thenApply(answer -> answer.status == 200 ? Reply.of(200, Calls.CELL, new Calls.CellAnswer(new String(answer.body, StandardCharsets.UTF_8), answer.first))
                 : status(answer, Reply.problem(answer.status, "the key holds nothing; put a value first")));
@@ -225,7 +249,7 @@
       throw new Breakdown(Breakdown.Kind.UNKNOWN_CALL, "the call '" + wire + "' is unknown; see the protocol page for the calls there are");
     }
 
-    abstract Command decode(ControlDoor door, String id, byte[] body);
+    abstract Command decode(ControlDoor door, String id, byte[] body, Origin origin);
   }
 
   private final Boot boot;
@@ -265,7 +289,7 @@
       }
       final Command command;
       try {
-        command = decode(request);
+        command = decode(request, address(context));
       } catch (final Breakdown breakdown) {
         write(context, Reply.problem(Math.max(400, breakdown.kind().status()), breakdown.getMessage()), keep);
         return;
@@ -307,7 +331,7 @@
     }
   }
 
-  private Command decode(final FullHttpRequest request) {
+  private Command decode(final FullHttpRequest request, final String caller) {
     final QueryStringDecoder query = new QueryStringDecoder(request.uri());
     final String path = query.path();
     if (path.equals("/api/rpc")) {
@@ -315,7 +339,7 @@
       wants(request, HttpMethod.POST);
       final byte[] body = new byte[request.content().readableBytes()];
       request.content().readBytes(body);
-      return rpc.decode(this, parameter(query, "of"), body);
+      return rpc.decode(this, parameter(query, "of"), body, new Origin(Authors.check(orEmpty(request.headers().get(Authors.HEADER)), request.headers().getAll(Authors.HEADER).size()), caller));
     }
     if (path.startsWith("/api/numbers/")) {
       wants(request, HttpMethod.POST);
@@ -356,10 +380,22 @@
     return values == null || values.isEmpty() ? "" : values.get(0);
   }
 
+  private static String orEmpty(final String text) {
+    return text == null ? "" : text;
+  }
+
+  private static String address(final ChannelHandlerContext context) {
+    return context.channel().remoteAddress() instanceof java.net.InetSocketAddress ? ((java.net.InetSocketAddress) context.channel().remoteAddress()).getAddress().getHostAddress() : "";
+  }
+
   private static long whole(final QueryStringDecoder query, final String name, final long fallback) {
     final String text = parameter(query, name);
+    return text.isEmpty() ? fallback : number(name, text);
+  }
+
+  private static long number(final String name, final String text) {
     try {
-      return text.isEmpty() ? fallback : Long.parseLong(text);
+      return Long.parseLong(text);
     } catch (final NumberFormatException problem) {
       throw new Breakdown(Breakdown.Kind.UNREADABLE, name + " is '" + text + "'; give a whole number");
     }
@@ -429,8 +465,8 @@
     return (now, waits) -> core.call(Deed.PURGE, "", object ? order.host().toLowerCase(java.util.Locale.ROOT) : null, 0, 0, named.getBytes(StandardCharsets.UTF_8), CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
   }
 
-  private Command evacuate(final String site, final long on) {
-    return (now, waits) -> core.call(Deed.EVACUATE, site, null, on, 0, null, CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
+  private Command evacuate(final String site, final long on, final Origin origin) {
+    return (now, waits) -> core.change(Deed.EVACUATE, site, on, null, core.cause(origin.author, origin.caller, null), CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
   }
 
   private Reply trial(final Words.Trial trial) {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import weldpoint.audit.Authors;
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.frame.Deed;
@@ -20,12 +21,13 @@
 import weldpoint.trial.TrialPanel;
 import weldpoint.trial.Verdict;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Packing;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Board;
 import weldpoint.trunk.Words.Registration;
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.Words;
 
 /**
  * The membership: a persisted history of upstreams, reconciled with a random peer every second and pushed at once, and
@@ -92,6 +94,7 @@
   private List<String> seeds;
   private final boolean firstStart;
   private final StoreCaller store;
+  private final HistoryDesk historyDesk;
   private final Map<String, Registration> history = new LinkedHashMap<>();
   private final Map<String, Long> beatAt = new HashMap<>();
   private final Set<String> suspects = new HashSet<>();
@@ -139,11 +142,12 @@
     this.random = random;
     this.outlet = outlet;
     this.store = new StoreCaller(self, random, outlet::frame);
+    this.historyDesk = new HistoryDesk(self, store);
   }
 
   /** Takes to keeping who may choose a region's chief. */
   public void chiefs() {
-    electorates = new Electorates((region, body, now) -> store.call(Deed.ELECTORATE, region, null, 0, 0, body, now, 900));
+    electorates = new Electorates((region, body, now) -> store.call(Deed.ELECTORATE, region, null, 0, 0, body, null, now, 900));
   }
 
   /** Takes to giving out permits. */
@@ -416,6 +420,7 @@
     }
     version = given;
     spec = body;
+    heldSince = clock;
     outlet.append(Wire.bytes(new Remembered(null, null, version, spec, null, 0, null, 0)), () -> {
     });
     final Words.View view = new Words.View(version, spec, false, null, 0, null, false, null, mostBoards, null, -1);
@@ -461,7 +466,7 @@
     } else if (message instanceof Words.PermitAnswer && booth != null) {
       booth.answered((Words.PermitAnswer) message);
     } else if (message instanceof Words.Gossip) {
-      onGossip((Words.Gossip) message, reply, now);
+      onGossip(from, (Words.Gossip) message, reply, now);
     }
   }
 
@@ -525,7 +530,7 @@
           final Board board = entry.board;
           gone(board, now);
           for (final String member : members.keySet()) {
-            outlet.member(member, new Words.Changes(0, null, List.of(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, BOARD_GONE_MILLIS, board.announcer))));
+            outlet.member(member, new Words.Changes(0, null, List.of(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, BOARD_GONE_MILLIS, board.announcer, board.version, board.mark, board.heldMillis))));
           }
         }
         entry.closedAt = 0;
@@ -533,8 +538,9 @@
     }
   }
 
-  private void onGossip(final Words.Gossip gossip, final java.util.function.Consumer<Message> reply, final long now) {
+  private void onGossip(final String from, final Words.Gossip gossip, final java.util.function.Consumer<Message> reply, final long now) {
     merge(Words.list(gossip.history), now);
+    membersInForce.put(from, new InForce(from, "exchange", gossip.version, gossip.mark, gossip.heldMillis, now));
     mergeBoards(Words.list(gossip.boards), now);
     takeRoster(gossip.roster, now);
     boolean more = false;
@@ -586,10 +592,10 @@
     for (final BoardEntry entry : boards.values()) {
       final Board board = entry.board;
       if (now - entry.heardAt < BOARD_KEEP_MILLIS) {
-        list.add(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, now - entry.heardAt, board.announcer));
+        list.add(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, now - entry.heardAt, board.announcer, board.version, board.mark, board.heldMillis));
       }
     }
-    return new Words.Gossip(depth, digest, roster.number == 0 ? null : roster, new ArrayList<>(members.keySet()), whole ? new ArrayList<>(history.values()) : null, list, beaten, ages);
+    return new Words.Gossip(depth, digest, roster.number == 0 ? null : roster, new ArrayList<>(members.keySet()), whole ? new ArrayList<>(history.values()) : null, list, beaten, ages, version, evacuationMark + trialMark, now - heldSince);
   }
 
   private void takeRoster(final Roster news, final long now) {
@@ -814,7 +820,7 @@
     }
     controlOut = true;
     controlAskedAt = now;
-    store.call(Deed.CONTROL, "", null, version, evacuationMark + trialMark + (purges == null ? 0 : purges.mark) + (electorates == null ? otherMarks : electorates.marks()), null, now, 2500).whenComplete((answer, problem) -> {
+    store.call(Deed.CONTROL, "", null, version, evacuationMark + trialMark + (purges == null ? 0 : purges.mark) + (electorates == null ? otherMarks : electorates.marks()), null, null, now, 2500).whenComplete((answer, problem) -> {
       controlOut = false;
       if (problem == null && answer.status == 200) {
         takeControl(Wire.value(answer.body, Values.Control.class));
@@ -855,11 +861,13 @@
       evacuated = new ArrayList<>(Words.list(control.evacuated));
       news = true;
     }
+    heldSince = news ? clock : heldSince;
     final boolean trialNews = control.trialMark > trialMark;
     if (trialNews) {
       trialMark = control.trialMark;
       takeTrials(Words.list(control.trials));
       news = true;
+      heldSince = clock;
     }
     if (electorates != null) {
       electorates.take(Words.list(control.electorates), outlet::board);
@@ -900,7 +908,7 @@
     }
     trialJudgedAt = now;
     for (final Words.Trial verdict : panel.verdicts(plan())) {
-      writeTrial(verdict, now);
+      writeTrial(verdict, new Words.Cause(Authors.SYSTEM, "", self, null), now);
     }
   }
 
@@ -908,13 +916,13 @@
 
   private Dialplan plan() {
     if (spec != null && (plan == null || plan.version() < version)) {
-      plan = Dialplan.compile(ControlSpec.inflate(spec));
+      plan = Dialplan.compile(Packing.inflate(spec));
     }
     return plan;
   }
 
-  private CompletableFuture<Words.Trial> writeTrial(final Words.Trial next, final long now) {
-    return store.call(Deed.TRIAL_WRITE, next.route, null, next.serial - 1, 0, Wire.bytes(next), now, 900).thenApply(answer -> {
+  private CompletableFuture<Words.Trial> writeTrial(final Words.Trial next, final Words.Cause cause, final long now) {
+    return store.call(Deed.TRIAL_WRITE, next.route, null, next.serial - 1, 0, Wire.bytes(next), cause, now, 900).thenApply(answer -> {
       if (answer.status == 200) {
         return next;
       }
@@ -923,34 +931,34 @@
   }
 
   /** Begins a trial. */
-  public CompletableFuture<Words.Trial> beginTrial(final String route, final Calls.TrialOrder order, final long now) {
+  public CompletableFuture<Words.Trial> beginTrial(final String route, final Calls.TrialOrder order, final Words.Cause cause, final long now) {
     final List<Integer> stages = new ArrayList<>();
     for (final Double stage : order.stages() == null ? List.<Double>of() : order.stages()) {
       stages.add(stage == null ? null : stage.intValue());
     }
     return writeTrial(panel.begin(route, String.valueOf(order.oldService()), String.valueOf(order.newService()), order.token(), stages,
-        order.leastWrites() == null ? 30 : order.leastWrites().intValue(), order.lateAllowance() == null ? 0.01 : order.lateAllowance(), plan()), now);
+        order.leastWrites() == null ? 30 : order.leastWrites().intValue(), order.lateAllowance() == null ? 0.01 : order.lateAllowance(), plan()), cause, now);
   }
 
   /** Moves a trial to its next stage, if the evidence is there. */
-  public CompletableFuture<Words.Trial> advanceTrial(final String route, final long now) {
+  public CompletableFuture<Words.Trial> advanceTrial(final String route, final Words.Cause cause, final long now) {
     final List<String> live = new ArrayList<>();
     for (final BoardEntry entry : boards.values()) {
       if (!entry.board.leaving && !entry.board.announcer && now - entry.heardAt < BOARD_LIVE_MILLIS) {
         live.add(entry.board.address);
       }
     }
-    return writeTrial(panel.advance(route, live, now - majorityAt < MAJORITY_MILLIS, now), now);
+    return writeTrial(panel.advance(route, live, now - majorityAt < MAJORITY_MILLIS, now), cause, now);
   }
 
   /** Holds a trial by an operator's order. */
-  public CompletableFuture<Words.Trial> holdTrial(final String route, final String reason, final long now) {
-    return writeTrial(panel.hold(route, reason), now);
+  public CompletableFuture<Words.Trial> holdTrial(final String route, final String reason, final Words.Cause cause, final long now) {
+    return writeTrial(panel.hold(route, reason), cause, now);
   }
 
   /** Ends a trial. */
-  public CompletableFuture<Words.Trial> finishTrial(final String route, final long now) {
-    return writeTrial(panel.finish(route), now);
+  public CompletableFuture<Words.Trial> finishTrial(final String route, final Words.Cause cause, final long now) {
+    return writeTrial(panel.finish(route), cause, now);
   }
 
   /** All that is known of trials. */
@@ -960,9 +968,50 @@
 
   /** Calls the store. */
   public CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final long timeout, final long now) {
-    return store.call(deed, name, owner, first, second, body, now, timeout);
+    return store.call(deed, name, owner, first, second, body, null, now, timeout);
+  }
+
+  /** Calls the store with a change of routing, and who wants it. */
+  public CompletableFuture<Words.Answer> change(final Deed deed, final String name, final long first, final byte[] body, final Words.Cause cause, final long timeout, final long now) {
+    return store.call(deed, name, null, first, 0, body, cause, now, timeout);
+  }
+
+  /** Who wants a change that came in here. */
+  public Words.Cause cause(final String author, final String caller, final byte[] extra) {
+    return new Words.Cause(author, caller, self, extra);
   }
 
+  /** The history of routing changes, read from the replica on this machine. */
+  public HistoryDesk audit() {
+    return historyDesk;
+  }
+
+  /** What each daemon has in force, as it told last. */
+  public List<InForce> inForce(final long now) {
+    final List<InForce> list = new ArrayList<>();
+    list.add(new InForce(self, "exchange", version, evacuationMark + trialMark, now - heldSince, 0));
+    for (final String member : members.keySet()) {
+      final InForce one = membersInForce.get(member);
+      if (!member.equals(self)) {
+        list.add(one == null ? new InForce(member, "exchange", 0, 0, 0, Long.MAX_VALUE) : new InForce(member, "exchange", one.version(), one.mark(), one.heldMillis(), now - one.ageMillis()));
+      }
+    }
+    for (final BoardEntry entry : boards.values()) {
+      final Board board = entry.board;
+      if (!board.leaving) {
+        list.add(new InForce(board.address, board.announcer ? "announcer" : "switchboard", board.version, board.mark, board.heldMillis, now - entry.heardAt));
+      }
+    }
+    return list;
+  }
+
+  /** What one daemon has in force: the configuration, the mark of evacuations and trials, for how long it had them, and how long ago it told. */
+  public record InForce(String address, String program, long version, long mark, long heldMillis, long ageMillis) {
+  }
+
+  private final Map<String, InForce> membersInForce = new HashMap<>();
+  private long heldSince;
+
   /** A frame has answered. */
   public void answered(final String from, final Words.Answer answer, final long now) {
     clock = now;
@@ -991,6 +1040,7 @@
   public void tick(final long now) {
     clock = now;
     store.tick(now);
+    historyDesk.tick(now);
     if (booth != null) {
       booth.tick(now);
     }
--- a/exchange/src/main/java/weldpoint/exchange/StoreCaller.java
+++ b/exchange/src/main/java/weldpoint/exchange/StoreCaller.java
@@ -34,8 +34,10 @@
     long resendAt;
     int tries;
     final long patience;
+    final String pinned;
 
-    Pending(final Words.Call call, final int partition, final long cutoff, final long patience) {
+    Pending(final Words.Call call, final int partition, final long cutoff, final long patience, final String pinned) {
+      this.pinned = pinned;
       this.call = call;
       this.partition = partition;
       this.cutoff = cutoff;
@@ -61,10 +63,19 @@
     frames = addresses;
   }
 
-  CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final long now, final long timeout) {
-    final Words.Call call = new Words.Call(++number, deed.ordinal(), name, owner, first, second, body);
+  /** Calls the frame of this very machine, whoever holds the duty. */
+  CompletableFuture<Words.Answer> here(final Deed deed, final long first, final long second, final long now, final long timeout) {
+    final Words.Call call = new Words.Call(++number, deed.ordinal(), "", null, first, second, null);
+    final Pending one = new Pending(call, 0, now + timeout, SILENCE_MILLIS, self);
+    pending.put(call.number, one);
+    send(one, now);
+    return one.future;
+  }
+
+  CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final Words.Cause cause, final long now, final long timeout) {
+    final Words.Call call = new Words.Call(++number, deed.ordinal(), name, owner, first, second, body, cause);
     final long patience = deed == Deed.WATCH ? second + SILENCE_MILLIS : deed == Deed.CONTROL ? 700 + SILENCE_MILLIS : SILENCE_MILLIS;
-    final Pending one = new Pending(call, FrameCore.partition(deed.register(name)), now + timeout, patience);
+    final Pending one = new Pending(call, FrameCore.partition(deed.register(name)), now + timeout, patience, null);
     pending.put(call.number, one);
     send(one, now);
     return one.future;
@@ -74,6 +85,11 @@
     one.tries++;
     one.sentAt = now;
     one.resendAt = 0;
+    if (one.pinned != null) {
+      one.at = outlet.send(one.pinned, one.call) ? one.pinned : null;
+      one.resendAt = one.at == null ? now + RETRY_MILLIS : 0;
+      return;
+    }
     final String hint = holders[one.partition];
     if (hint != null && outlet.send(hint, one.call)) {
       one.at = hint;
@@ -118,7 +134,7 @@
       one.tries = Math.min(one.tries, 2);
       return;
     }
-    if (answer.status != 504) {
+    if (answer.status != 504 && one.pinned == null) {
       holders[one.partition] = from;
     }
     pending.remove(answer.number);
--- /dev/null
+++ b/frame/src/main/java/weldpoint/frame/AuditBook.java
@@ -0,0 +1,199 @@
+package weldpoint.frame;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import weldpoint.audit.AuditEntry;
+import weldpoint.audit.AuditTail;
+import weldpoint.audit.ChangeKind;
+import weldpoint.audit.ConfigurationDifference;
+import weldpoint.audit.ConfigurationSummary;
+import weldpoint.trunk.Packing;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/**
+ * The history as the holder of partition 0 sees it: which entry is the last, and which are not yet in the logs of a
+ * majority and therefore travel with the register that changed. One change is under way at a time.
+ */
+class AuditBook {
+  private static final int FIXED_BYTES = 420;
+
+  private final int entryBytes;
+  private final ArrayDeque<byte[]> tail = new ArrayDeque<>();
+  private final long[] logged = new long[64];
+  private long tailBase;
+  private String tailDigest = AuditEntry.NO_DIGEST;
+  private long last;
+  private String digest = AuditEntry.NO_DIGEST;
+  private long decided;
+  private String decidedDigest = AuditEntry.NO_DIGEST;
+  private Held inFlight;
+
+  AuditBook(final int entryBytes) {
+    this.entryBytes = entryBytes;
+  }
+
+  /** Begins from what a majority told: the register whose tail reaches furthest carries all that may be missing in logs. */
+  void begin(final Iterable<Held> registers) {
+    tail.clear();
+    tailBase = 0;
+    tailDigest = AuditEntry.NO_DIGEST;
+    last = 0;
+    digest = AuditEntry.NO_DIGEST;
+    inFlight = null;
+    Arrays.fill(logged, 0);
+    Held best = null;
+    for (final Held held : registers) {
+      if (held.audit != null) {
+        final AuditTail one = Wire.value(held.audit, AuditTail.class);
+        final long reaches = one.base + Words.list(one.entries).size();
+        if (best == null || reaches > last) {
+          best = held;
+          last = reaches;
+          tailBase = one.base;
+          tailDigest = one.baseDigest == null ? AuditEntry.NO_DIGEST : one.baseDigest;
+          tail.clear();
+          tail.addAll(Words.list(one.entries));
+        }
+      }
+    }
+    for (final Held held : registers) {
+      if (held != best) {
+        held.audit = null;
+      }
+    }
+    digest = tail.isEmpty() ? tailDigest : AuditEntry.digest(tail.peekLast());
+    decided = 0;
+    decidedDigest = AuditEntry.NO_DIGEST;
+  }
+
+  /** All that was begun from is on a majority of disks now; the entries of the tail are thereby decided. */
+  List<byte[]> serve() {
+    decided = last;
+    decidedDigest = digest;
+    return new ArrayList<>(tail);
+  }
+
+  /** Whether another register's change is under way, so that this one's has to wait. */
+  boolean busy(final Held held) {
+    return inFlight != null && inFlight != held;
+  }
+
+  /** Adds an entry to the change that is being put together. */
+  void add(final AuditEntry.Draft draft) {
+    final byte[] bytes = draft.bytes(last + 1, digest);
+    tail.addLast(bytes);
+    last++;
+    digest = AuditEntry.digest(bytes);
+  }
+
+  /** The change of this register goes out with all entries that are not in the logs of a majority. */
+  void propose(final Held held) {
+    inFlight = held;
+    held.audit = Wire.bytes(new AuditTail(tailBase, tailDigest, new ArrayList<>(tail)));
+  }
+
+  /** The change of this register is on a majority of disks; the entries that it decided. */
+  List<byte[]> commit(final Held held) {
+    if (inFlight != held) {
+      return List.of();
+    }
+    inFlight = null;
+    final List<byte[]> news = new ArrayList<>();
+    int skip = (int) (decided - tailBase);
+    for (final byte[] entry : tail) {
+      if (skip-- <= 0) {
+        news.add(entry);
+      }
+    }
+    decided = last;
+    decidedDigest = digest;
+    return news;
+  }
+
+  /** A voter's disk has the history up to here. */
+  void logged(final int place, final long through) {
+    logged[place] = Math.max(logged[place], through);
+  }
+
+  /** Forgets the tail up to where a majority of voters has it in their logs. */
+  void settle(final Words.Roster roster) {
+    final long settled = settled(roster);
+    while (!tail.isEmpty() && tailBase < settled && tailBase < decided) {
+      tailDigest = AuditEntry.digest(tail.pollFirst());
+      tailBase++;
+    }
+  }
+
+  /** Forgets the whole tail, wherever else it may be. */
+  final void forget() {
+    tailBase = last;
+    tailDigest = digest;
+    tail.clear();
+  }
+
+  /** Up to where the logs of a majority reach. */
+  long settled(final Words.Roster roster) {
+    final long[] sorted = Arrays.copyOf(logged, roster.voters.size());
+    Arrays.sort(sorted);
+    return sorted.length == 0 ? 0 : sorted[sorted.length - roster.majority()];
+  }
+
+  /** The last decided entry. */
+  long decided() {
+    return decided;
+  }
+
+  /** Its digest. */
+  String decidedDigest() {
+    return decidedDigest;
+  }
+
+  /** Whether nothing is under way. */
+  boolean idle() {
+    return inFlight == null;
+  }
+
+  /** What a call changed, as an entry that has no place yet; null where its deed changes no routing. */
+  AuditEntry.Draft draft(final Deed deed, final Words.Call call, final Object before, final Object after, final long number, final long mark, final long time) {
+    final AuditEntry.Draft draft = switch (deed) {
+      case SPEC_REPLACE -> configuration((Values.Spec) before, (Values.Spec) after);
+      case EVACUATE -> new AuditEntry.Draft(((Values.Evacuation) after).on ? ChangeKind.EVACUATION_BEGUN : ChangeKind.EVACUATION_FINISHED, call.name).number(0, mark);
+      case TRIAL_WRITE -> trial((Words.Trial) before, (Words.Trial) after).number(0, mark);
+      default -> null;
+    };
+    if (draft == null) {
+      return null;
+    }
+    final Words.Cause cause = call.cause;
+    return cause == null ? draft.origin(null, null, null, time) : draft.origin(cause.author, cause.caller, cause.taker, time);
+  }
+
+  private AuditEntry.Draft configuration(final Values.Spec before, final Values.Spec after) {
+    final ConfigurationSummary old = summary(before);
+    final ConfigurationSummary fresh = summary(after);
+    return new AuditEntry.Draft(ChangeKind.CONFIGURATION, "").number(after.version, 0).digests(old.digest, fresh.digest).difference(new ConfigurationDifference(old, fresh), Math.max(0, entryBytes - FIXED_BYTES));
+  }
+
+  private AuditEntry.Draft trial(final Words.Trial before, final Words.Trial after) {
+    return new AuditEntry.Draft(ChangeKind.TRIAL, after.route).line("trial " + after.number + " of " + after.oldService + " -> " + after.newService + ": stage " + (before == null ? "" : before.stage + " -> ") + after.stage
+        + ", verdict " + (before == null ? "" : before.verdict + " -> ") + after.verdict + (after.reason == null || after.reason.isEmpty() ? "" : ", " + (after.reason.length() > 80 ? after.reason.substring(0, 80) : after.reason)));
+  }
+
+  private static ConfigurationSummary summary(final Values.Spec spec) {
+    return spec == null || spec.summary == null ? ConfigurationSummary.none() : Wire.value(Packing.inflate(spec.summary), ConfigurationSummary.class);
+  }
+
+  /** The first entry of a store that is older than its history. */
+  AuditEntry.Draft upgrade(final Values.Spec spec, final String taker, final long time) {
+    return new AuditEntry.Draft(ChangeKind.UPGRADE, "").number(spec == null ? 0 : spec.version, 0).origin(weldpoint.audit.Authors.SYSTEM, "", taker, time)
+        .line("the store is older than its history; what was changed before is not in it").digests("", spec == null ? "" : AuditEntry.digest(Packing.inflate(spec.body)));
+  }
+
+  /** The entry under which all replicas forget the oldest ones. */
+  AuditEntry.Draft retention(final long through, final String throughDigest, final String taker, final long time) {
+    return new AuditEntry.Draft(ChangeKind.RETENTION, "").origin(weldpoint.audit.Authors.SYSTEM, "", taker, time).trims(through, throughDigest).line("entries up to " + through + " are forgotten");
+  }
+}
--- a/frame/src/main/java/weldpoint/frame/Deed.java
+++ b/frame/src/main/java/weldpoint/frame/Deed.java
@@ -18,7 +18,7 @@
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final Spec spec = (Spec) value;
       return spec != null && call.first <= spec.version ? Decision.confirm(200, 0)
-          : Decision.write(new Spec(call.first, call.body), null, call.first);
+          : Decision.write(new Spec(call.first, call.body, call.cause == null ? null : call.cause.extra), null, call.first);
     }
   },
   /** Reads the configuration: first is its version, body its compressed bytes. */
@@ -198,6 +198,20 @@
       final Group group = value == null ? Group.EMPTY : (Group) value;
       return Decision.tell(200, group.revision, Wire.bytes(new Values.Events(List.of(), group.revision)));
     }
+  },
+  /** Asks how far the history of routing changes reaches: the answer's first is the last decided entry, its body the digest. */
+  HISTORY_HEAD(Values.Kind.AUDIT) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      return Decision.read();
+    }
+  },
+  /** Asks any replica, whoever holds the duty, for second entries of its history from first on. */
+  HISTORY_READ(Values.Kind.AUDIT) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      return Decision.read();
+    }
   };
 
   private static final int MOST_PURGES = 200;
@@ -215,7 +229,7 @@
 
   /** The register that a call of this deed concerns. */
   public String register(final String identifier) {
-    return kind == Values.Kind.SPEC || kind == Values.Kind.PURGES ? kind.register("") : kind.register(identifier);
+    return kind == Values.Kind.SPEC || kind == Values.Kind.PURGES || kind == Values.Kind.AUDIT ? kind.register("") : kind.register(identifier);
   }
 
   abstract Decision decide(Held held, Object value, Call call, long now);
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -9,13 +9,21 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import weldpoint.audit.AuditEntry;
+import weldpoint.audit.AuditLog;
+import weldpoint.audit.AuditReplica;
+import weldpoint.audit.AuditStore;
+import weldpoint.audit.HeapStore;
+import weldpoint.frame.Partition.Phase;
+import weldpoint.frame.Partition.Stored;
+import weldpoint.frame.Partition.Waiter;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Entry;
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.Words;
 
 /**
  * The store's state and rules: registers under marks, ballots for the duty of writing a partition, and the roster of
@@ -43,6 +51,7 @@
   private static final long CONTROL_MILLIS = 700;
   private static final long STALE_WORK_MILLIS = 1300;
   private static final long DISK_STUCK_MILLIS = 700;
+  private static final int HISTORY_BYTES = 96 << 10;
 
   /** What the core does to the world. */
   public interface Outlet {
@@ -54,66 +63,10 @@
 
     /** The frames to keep lines to. */
     void peers(List<String> addresses);
-  }
-
-  private static final class Stored {
-    final Mark mark;
-    final Object value;
-
-    Stored(final Mark mark, final Object value) {
-      this.mark = mark;
-      this.value = value;
-    }
-  }
-
-  private enum Phase {
-    IDLE, CANVASSING, PREPARING, ESTABLISHING, SERVING
-  }
 
-  private final class Partition {
-    final int number;
-    Mark promised = Mark.NONE;
-    Mark established = Mark.NONE;
-    final Map<String, Stored> stored = new HashMap<>();
-    long vacateAt;
-    String holder;
-    Phase phase = Phase.IDLE;
-    Mark ballot = Mark.NONE;
-    long count;
-    long startedAt;
-    Words.Promise[] promises = new Words.Promise[0];
-    List<Long> counted = List.of();
-    boolean[] establishAcked = new boolean[0];
-    long[] establishSentAt = new long[0];
-    boolean[] establishSent = new boolean[0];
-    Map<String, Held> held = new LinkedHashMap<>();
-    long pulseCount;
-    long pulsedAt;
-    boolean confirmOut;
-    long[] pulsed = new long[0];
-    final List<Waiter> waiters = new ArrayList<>();
-    long betterSince;
-    long heardAt = Long.MIN_VALUE / 2;
-    long canvass;
-    long canvassedAt;
-    boolean[] agreed = new boolean[0];
-
-    Partition(final int number) {
-      this.number = number;
-    }
-  }
-
-  private static final class Waiter {
-    final long needed;
-    final long receivedAt;
-    final Held.Work work;
-    final Runnable then;
-
-    Waiter(final long needed, final long receivedAt, final Held.Work work, final Runnable then) {
-      this.needed = needed;
-      this.receivedAt = receivedAt;
-      this.work = work;
-      this.then = then;
+    /** The time of day, in milliseconds; it is recorded and never used for order. */
+    default long timeOfDay() {
+      return 0;
     }
   }
 
@@ -147,6 +100,13 @@
   private long rosterChangedAt;
   private long ballots;
   private long commits;
+  private AuditReplica audit;
+  private AuditBook book;
+  private long retention = Long.MAX_VALUE;
+  private long wantedAudit;
+  private String wantedFrom;
+  private long wantedAskedAt;
+  private boolean registersKept;
 
   /** A core that has read nothing from disk yet. */
   public FrameCore(final String self, final String site, final String region, final boolean mayVote, final int mostVoters, final long historyMillis, final long owner, final Random random, final List<String> seeds, final Outlet outlet) {
@@ -163,12 +123,24 @@
     for (int index = 0; index < PARTITIONS; index++) {
       partitions[index] = new Partition(index);
     }
+    history(new HeapStore(), Long.MAX_VALUE, 1024);
+  }
+
+  /** Keeps the history of routing changes in this store: so many entries at least, none above so many bytes. To be called before the start. */
+  public void history(final AuditStore store, final long entries, final int entryBytes) {
+    history(store, entries, new AuditBook(entryBytes));
+  }
+
+  void history(final AuditStore store, final long entries, final AuditBook given) {
+    retention = entries;
+    book = given;
+    audit = new AuditReplica(new AuditLog(self, store, this::mayBeWhole), outlet::send, new Random(owner));
   }
 
   /** The partition of a register. */
   public static int partition(final String register) {
     final Values.Kind kind = Values.Kind.of(register);
-    return kind.ordinal() <= Values.Kind.ELECTORATE.ordinal() ? 0 : 1 + Math.floorMod(register.hashCode(), PARTITIONS - 1);
+    return kind.control() ? 0 : 1 + Math.floorMod(register.hashCode(), PARTITIONS - 1);
   }
 
   /** Takes another seed list. */
@@ -213,7 +185,7 @@
           partition.promised = record.ballot;
         }
       }
-      case REGISTERS -> store(partitions[record.partition], record.ballot, record.incarnation == 1, Words.list(record.entries), new ArrayList<>());
+      case REGISTERS -> partitions[record.partition].store(record.ballot, record.incarnation == 1, Words.list(record.entries), new ArrayList<>());
       case ROSTER -> {
         if (record.roster.number > roster.number) {
           roster = record.roster;
@@ -237,41 +209,11 @@
     records.add(Wire.bytes(new Values.DiskRecord(ROSTER, 0, null, null, roster, null, 0)));
     for (final Partition partition : partitions) {
       records.add(Wire.bytes(new Values.DiskRecord(PROMISE, partition.number, partition.promised, null, null, null, 0)));
-      records.add(Wire.bytes(new Values.DiskRecord(REGISTERS, partition.number, partition.established, entries(partition), null, null, 1)));
+      records.add(Wire.bytes(new Values.DiskRecord(REGISTERS, partition.number, partition.established, partition.entries(), null, null, 1)));
     }
     return records;
   }
 
-  private static List<Entry> entries(final Partition partition) {
-    final List<Entry> entries = new ArrayList<>(partition.stored.size());
-    partition.stored.forEach((name, stored) -> entries.add(new Entry(name, stored.mark, Mark.NONE, null, Values.Kind.of(name).encode(stored.value))));
-    return entries;
-  }
-
-  private static void store(final Partition partition, final Mark ballot, final boolean establish, final List<Entry> entries, final List<Entry> lacking) {
-    if (ballot.compareTo(partition.promised) > 0) {
-      partition.promised = ballot.ballot();
-    }
-    if (establish && !partition.established.sameBallot(ballot) && ballot.compareTo(partition.established) > 0) {
-      partition.stored.values().removeIf(stored -> stored.mark.compareTo(ballot.ballot()) < 0);
-      partition.established = ballot.ballot();
-    }
-    for (final Entry entry : entries) {
-      final Stored before = partition.stored.get(entry.name);
-      if (before != null && before.mark.compareTo(entry.mark) >= 0) {
-        continue;
-      }
-      final Values.Kind kind = Values.Kind.of(entry.name);
-      if (entry.whole != null) {
-        partition.stored.put(entry.name, new Stored(entry.mark, kind.decode(entry.whole)));
-      } else if ((before == null ? Mark.NONE : before.mark).equals(entry.base)) {
-        partition.stored.put(entry.name, new Stored(entry.mark, kind.apply(before == null ? null : before.value, entry.difference)));
-      } else {
-        lacking.add(entry);
-      }
-    }
-  }
-
   private void persist(final Values.DiskRecord record, final Runnable synced) {
     outlet.append(Wire.bytes(record), synced);
   }
@@ -353,6 +295,8 @@
       onEnquired(from, (Words.Enquired) message, now);
     } else if (message instanceof Words.Fetched) {
       onFetched(from, (Words.Fetched) message, now);
+    } else if (audit.receive(from, message, reply)) {
+      return;
     } else if (blank) {
       return;
     } else if (message instanceof Words.RosterNews) {
@@ -476,7 +420,7 @@
     partition.heardAt = now;
     persist(new Values.DiskRecord(PROMISE, partition.number, prepare.ballot, null, null, null, 0), () -> {
       if (partition.promised.equals(prepare.ballot)) {
-        reply.accept(new Words.Promise(partition.number, prepare.ballot, partition.established, entries(partition), incarnation, knownIncarnations()));
+        reply.accept(new Words.Promise(partition.number, prepare.ballot, partition.established, partition.entries(), incarnation, knownIncarnations()));
       }
     });
   }
@@ -503,7 +447,7 @@
     heardHolder(partition, from, now);
     final List<Entry> entries = Words.list(accept.entries);
     final List<Entry> lacking = new ArrayList<>();
-    store(partition, accept.ballot, accept.establish, entries, lacking);
+    partition.store(accept.ballot, accept.establish, entries, lacking);
     final List<String> names = new ArrayList<>(entries.size());
     final List<Long> counts = new ArrayList<>(entries.size());
     final List<String> lackingNames = new ArrayList<>();
@@ -552,7 +496,7 @@
         reply.accept(new Words.Refused(partition.number, ballot, partition.promised, roster.number, knownIncarnations()));
       }
     }
-    reply.accept(new Words.Pulsed(standing, ballotsStanding, incarnation, knownIncarnations()));
+    reply.accept(new Words.Pulsed(standing, ballotsStanding, incarnation, knownIncarnations(), audit.log().durable()));
   }
 
   private void onRefused(final String from, final Words.Refused refused, final Consumer<Message> reply, final long now) {
@@ -649,9 +593,9 @@
       for (final Partition partition : partitions) {
         promised.add(partition.promised);
         established.add(partition.established);
-        entries.addAll(entries(partition));
+        entries.addAll(partition.entries());
       }
-      reply.accept(new Words.Fetched(fetch.incarnation, roster, promised, established, entries, knownIncarnations()));
+      reply.accept(new Words.Fetched(fetch.incarnation, roster, promised, established, entries, knownIncarnations(), audit.log().last()));
     });
   }
 
@@ -692,7 +636,7 @@
         final Partition partition = partitions[partition(entry.name)];
         final Stored before = partition.stored.get(entry.name);
         if (before == null || before.mark.compareTo(entry.mark) < 0) {
-          partition.stored.put(entry.name, new Stored(entry.mark, Values.Kind.of(entry.name).decode(entry.whole)));
+          partition.stored.put(entry.name, new Stored(entry.mark, Values.Kind.of(entry.name).decode(entry.whole), entry.audit));
         }
       }
     }
@@ -703,15 +647,37 @@
     incarnation = fetching;
     known.remove(self);
     fetching = -1;
+    for (final Map.Entry<String, Words.Fetched> one : fetched.entrySet()) {
+      if (one.getValue().audited > wantedAudit) {
+        wantedAudit = one.getValue().audited;
+        wantedFrom = one.getKey();
+      }
+    }
     final List<byte[]> records = withSelf();
     for (int index = 0; index < records.size(); index++) {
       final boolean last = index == records.size() - 1;
       outlet.append(records.get(index), last ? () -> {
-        blank = false;
-        LOGGER.atInfo().log("frame %s refetched everything as incarnation %s", self, incarnation);
+        registersKept = true;
+        mayBeWhole();
       } : () -> {
       });
     }
+    askWanted(now);
+  }
+
+  /** A blank daemon counts again once its registers and as much of the history as a majority told of are on its disk. */
+  private void mayBeWhole() {
+    if (blank && registersKept && audit.log().durable() >= wantedAudit) {
+      blank = false;
+      LOGGER.atInfo().log("frame %s refetched everything as incarnation %s, history up to %s", self, incarnation, audit.log().last());
+    }
+  }
+
+  private void askWanted(final long now) {
+    if (blank && fetching < 0 && wantedFrom != null && audit.log().last() < wantedAudit && now - wantedAskedAt > RESEND_MILLIS) {
+      wantedAskedAt = now;
+      audit.ask(wantedFrom);
+    }
   }
 
   private List<byte[]> withSelf() {
@@ -945,11 +911,15 @@
     for (final Entry entry : best.values()) {
       final Held held = new Held(entry.name, keepMillis, partition.ballot.round);
       held.proposed = held.kind.decode(entry.whole);
+      held.audit = entry.audit;
       held.mark = partition.ballot.at(++partition.count);
       Arrays.fill(held.acked, -1);
       Arrays.fill(held.sent, -1);
       partition.held.put(entry.name, held);
     }
+    if (partition.number == 0) {
+      book.begin(partition.held.values());
+    }
     partition.phase = Phase.ESTABLISHING;
     partition.startedAt = now;
     for (int place = 0; place < roster.voters.size(); place++) {
@@ -961,7 +931,7 @@
     final List<Entry> entries = new ArrayList<>(partition.held.size());
     for (final Held held : partition.held.values()) {
       if (held.proposed != null) {
-        entries.add(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed)));
+        entries.add(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed), held.audit));
         held.sent[place] = held.mark.count;
         held.sentAt[place] = now;
       }
@@ -1033,6 +1003,7 @@
     }
     LOGGER.atInfo().log("frame %s serves partition %s under ballot %s, roster %s, registers %s", self, partition.number, partition.ballot, roster.number, partition.held.size());
     if (partition.number == 0) {
+      audit.decided(book.serve(), others());
       final Held held = partition.held.get("roster");
       if (held != null && ((Roster) held.committed).number > roster.number) {
         announce((Roster) held.committed, now);
@@ -1091,6 +1062,10 @@
       return;
     }
     final List<Integer> numbers = Words.list(pulsed.partitions);
+    if (partitions[0].phase == Phase.SERVING) {
+      book.logged(place, pulsed.audited);
+      book.settle(roster);
+    }
     for (int index = 0; index < numbers.size(); index++) {
       final Partition partition = partitions[numbers.get(index)];
       final Mark mark = pulsed.ballots.get(index);
@@ -1140,6 +1115,10 @@
       reply.accept(new Words.Answer(call.number, 400, 0, null, null));
       return;
     }
+    if (deed == Deed.HISTORY_READ) {
+      reply.accept(history(call));
+      return;
+    }
     final String register = deed.register(call.name);
     final Partition partition = partitions[partition(register)];
     if (partition.phase != Phase.SERVING || leaving) {
@@ -1150,6 +1129,10 @@
       control(partition, call, reply, now);
       return;
     }
+    if (deed == Deed.HISTORY_HEAD) {
+      head(partition, call, reply, now);
+      return;
+    }
     final Held held = held(partition, register);
     held.waiting.add(new Held.Work(call, deed, reply, now));
     drain(partition, held, now);
@@ -1170,6 +1153,7 @@
   }
 
   private void drain(final Partition partition, final Held held, final long now) {
+    final boolean waits = held.kind.audited() && book.busy(held);
     Object value = held.committed;
     boolean changed = false;
     final List<Values.Put> puts = new ArrayList<>();
@@ -1180,12 +1164,15 @@
         look(partition, held, work, now);
         continue;
       }
-      if (held.inFlight) {
+      if (held.inFlight || waits) {
         later.add(work);
         continue;
       }
       final Decision decision = work.deed.decide(held, value, work.call, now);
       if (decision.way == Decision.Way.WRITE) {
+        if (held.kind.audited()) {
+          book.add(book.draft(work.deed, work.call, value, decision.value, work.call.first, controlMark(partition, held, decision.value), outlet.timeOfDay()));
+        }
         changed = true;
         value = decision.value;
         if (decision.put != null) {
@@ -1217,6 +1204,9 @@
   private void propose(final Partition partition, final Held held, final Object value, final List<Values.Put> puts, final long now) {
     final Mark base = held.mark;
     final boolean fresh = held.committed == null;
+    if (held.kind.audited()) {
+      book.propose(held);
+    }
     held.inFlight = true;
     held.proposed = value;
     held.mark = partition.ballot.at(++partition.count);
@@ -1234,7 +1224,7 @@
         if (whole == null) {
           whole = held.kind.encode(value);
         }
-        entry = new Entry(held.name, held.mark, Mark.NONE, null, whole);
+        entry = new Entry(held.name, held.mark, Mark.NONE, null, whole, held.audit);
       }
       held.sent[place] = held.mark.count;
       held.sentAt[place] = now;
@@ -1249,7 +1239,7 @@
     held.sent[place] = held.mark.count;
     held.sentAt[place] = now;
     send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, false, partition.counted,
-        List.of(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed)))), now);
+        List.of(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed), held.audit))), now);
   }
 
   private void tryCommit(final Partition partition, final Held held, final long now) {
@@ -1298,10 +1288,99 @@
         return;
       }
       wakeControl(partition, now);
+      if (held.kind.audited()) {
+        audit.decided(book.commit(held), others());
+        for (final Held other : new ArrayList<>(partition.held.values())) {
+          if (other != held && other.kind.audited() && !other.waiting.isEmpty()) {
+            drain(partition, other, now);
+          }
+        }
+      }
     }
     drain(partition, held, now);
   }
 
+  // ---- history
+
+  /** Which number all evacuations and trials together are under. */
+  private static long controlMark(final Partition partition, final Held changing, final Object value) {
+    long mark = 0;
+    for (final Held held : partition.held.values()) {
+      mark += Values.serial(held.kind, held == changing ? value : held.committed);
+    }
+    return mark;
+  }
+
+  private List<String> others() {
+    final List<String> others = new ArrayList<>(addresses(roster));
+    for (final String joiner : joiners.keySet()) {
+      if (!others.contains(joiner)) {
+        others.add(joiner);
+      }
+    }
+    others.remove(self);
+    return others;
+  }
+
+  /** The peers with whom the history is reconciled: the voters, and the seeds where no voter is known. */
+  private List<String> auditPeers() {
+    final List<String> peers = others();
+    if (peers.isEmpty()) {
+      peers.addAll(seeds);
+      peers.remove(self);
+    }
+    return peers;
+  }
+
+  /** Answers from what is here, whoever holds the duty: entries from first on, second at most. */
+  private Words.Answer history(final Words.Call call) {
+    final AuditLog log = audit.log();
+    final List<byte[]> entries = new ArrayList<>();
+    int bytes = 0;
+    final long from = Math.max(call.first, log.base() + 1);
+    for (long sequence = from; sequence <= log.last() && entries.size() < call.second && bytes < HISTORY_BYTES; sequence++) {
+      final byte[] entry = log.read(sequence);
+      if (entry == null) {
+        break;
+      }
+      bytes += entry.length;
+      entries.add(entry);
+    }
+    return new Words.Answer(call.number, 200, log.last(), Wire.bytes(new Values.HistoryPart(log.base(), log.last(), log.digest(), log.conflicts(), blank, from, entries)), null);
+  }
+
+  private void head(final Partition partition, final Words.Call call, final Consumer<Words.Answer> reply, final long now) {
+    final Held.Work work = new Held.Work(call, Deed.HISTORY_HEAD, reply, now);
+    confirm(partition, now, work, () -> reply.accept(new Words.Answer(call.number, 200, book.decided(), book.decidedDigest().getBytes(java.nio.charset.StandardCharsets.UTF_8), null)));
+  }
+
+  /** Proposes, where nothing else is under way, what the history itself needs: its first entry in an older store, and trimming. */
+  private void keepHistory(final Partition partition, final long now) {
+    book.settle(roster);
+    if (!book.idle()) {
+      return;
+    }
+    final Held held = held(partition, Values.Kind.AUDIT.register(""));
+    final Held spec = partition.held.get(Values.Kind.SPEC.register(""));
+    if (book.decided() == 0) {
+      if (spec != null && spec.committed != null) {
+        book.add(book.upgrade((Values.Spec) spec.committed, self, outlet.timeOfDay()));
+        propose(partition, held, new Values.Retention(0), List.of(), now);
+      }
+      return;
+    }
+    final AuditLog log = audit.log();
+    final long slack = Math.max(16, retention / 10);
+    final long through = book.decided() - retention;
+    if (retention < Long.MAX_VALUE / 2 && book.decided() - log.base() > retention + slack && log.last() == book.decided() && through <= book.settled(roster)) {
+      final String digest = log.digestAt(through);
+      if (digest != null) {
+        book.add(book.retention(through, digest, self, outlet.timeOfDay()));
+        propose(partition, held, new Values.Retention(through), List.of(), now);
+      }
+    }
+  }
+
   // ---- control state for exchanges
 
   private final List<Held.Work> controlParked = new ArrayList<>();
@@ -1409,6 +1488,7 @@
       outsider(now);
     }
     if (blank) {
+      askWanted(now);
       return;
     }
     runRestarts(now);
@@ -1439,7 +1519,9 @@
         }
       }
     }
+    audit.tick(auditPeers(), now);
     if (partitions[0].phase == Phase.SERVING) {
+      keepHistory(partitions[0], now);
       changeRoster(now);
     }
   }
@@ -1548,6 +1630,9 @@
         return;
       }
     }
+    if (book.settled(roster) < book.decided()) {
+      return;
+    }
     joiners.keySet().removeIf(address -> now - joinedAt.get(address) > 1500);
     final Voter joiner = joiners.isEmpty() ? null : joiners.values().iterator().next();
     final int size = roster.voters.size();
@@ -1598,6 +1683,16 @@
     return count;
   }
 
+  /** This replica's history of routing changes. */
+  public AuditLog history() {
+    return audit.log();
+  }
+
+  /** The counters of the history, as one line. */
+  public String historyCounters() {
+    return audit.counters();
+  }
+
   /** Ballots begun here. */
   public long ballots() {
     return ballots;
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import weldpoint.audit.SegmentStore;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
 import weldpoint.boot.Chance;
@@ -71,6 +72,11 @@
       public void peers(final List<String> addresses) {
         lines.keep(addresses);
       }
+
+      @Override
+      public long timeOfDay() {
+        return System.currentTimeMillis();
+      }
     });
   }
 
@@ -93,8 +99,11 @@
       LOGGER.atSevere().log("the disk of %s lost records that had been synced; it counts as blank and is refetched from the other frames", boot.name());
     }
     tape = opened.tape();
+    final SegmentStore segments = new SegmentStore(Path.of(boot.folder(), "frame-history"), boot.auditBytes(), desk);
+    core.history(segments, boot.auditRetention(), boot.auditEntryBytes());
     desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), boot.firstStart() && found.blank() && !found.lost(), now()));
     tape.start("tape");
+    segments.start("history");
     trunk.serve(boot.address(), boot.trunkPort(1), Trunk.on(desk, new Trunk.Ear() {
       @Override
       public void heard(final Line line, final Message message) {
@@ -115,7 +124,7 @@
     core.tick(now);
     if (now - countersAt > COUNTERS_MILLIS) {
       countersAt = now;
-      LOGGER.atInfo().log("counters: serving %s ballots %s commits %s syncs %s roster %s", core.serving(), core.ballots(), core.commits(), tape.syncs(), core.roster().number);
+      LOGGER.atInfo().log("counters: serving %s ballots %s commits %s syncs %s roster %s %s", core.serving(), core.ballots(), core.commits(), tape.syncs(), core.roster().number, core.historyCounters());
     }
   }
 
--- a/frame/src/main/java/weldpoint/frame/Held.java
+++ b/frame/src/main/java/weldpoint/frame/Held.java
@@ -40,6 +40,7 @@
   Mark mark = Mark.NONE;
   Object proposed;
   Object committed;
+  byte[] audit;
   boolean inFlight;
   final long[] acked = new long[64];
   final long[] sent = new long[64];
--- /dev/null
+++ b/frame/src/main/java/weldpoint/frame/Partition.java
@@ -0,0 +1,109 @@
+package weldpoint.frame;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import weldpoint.trunk.Mark;
+import weldpoint.trunk.Words;
+import weldpoint.trunk.Words.Entry;
+
+/** One partition as this daemon sees it: what it has promised and stored, and, where it holds the duty, how that stands. */
+final class Partition {
+  /** How far this daemon is with the duty. */
+  enum Phase {
+    IDLE, CANVASSING, PREPARING, ESTABLISHING, SERVING
+  }
+
+  /** A register's value under its mark, with the entries of the history that travel with it. */
+  static final class Stored {
+    final Mark mark;
+    final Object value;
+    final byte[] audit;
+
+    Stored(final Mark mark, final Object value, final byte[] audit) {
+      this.mark = mark;
+      this.value = value;
+      this.audit = audit;
+    }
+  }
+
+  /** Work that waits until a majority has confirmed the ballot. */
+  static final class Waiter {
+    final long needed;
+    final long receivedAt;
+    final Held.Work work;
+    final Runnable then;
+
+    Waiter(final long needed, final long receivedAt, final Held.Work work, final Runnable then) {
+      this.needed = needed;
+      this.receivedAt = receivedAt;
+      this.work = work;
+      this.then = then;
+    }
+  }
+
+  final int number;
+  Mark promised = Mark.NONE;
+  Mark established = Mark.NONE;
+  final Map<String, Stored> stored = new HashMap<>();
+  long vacateAt;
+  String holder;
+  Phase phase = Phase.IDLE;
+  Mark ballot = Mark.NONE;
+  long count;
+  long startedAt;
+  Words.Promise[] promises = new Words.Promise[0];
+  List<Long> counted = List.of();
+  boolean[] establishAcked = new boolean[0];
+  long[] establishSentAt = new long[0];
+  boolean[] establishSent = new boolean[0];
+  Map<String, Held> held = new LinkedHashMap<>();
+  long pulseCount;
+  long pulsedAt;
+  boolean confirmOut;
+  long[] pulsed = new long[0];
+  final List<Waiter> waiters = new ArrayList<>();
+  long betterSince;
+  long heardAt = Long.MIN_VALUE / 2;
+  long canvass;
+  long canvassedAt;
+  boolean[] agreed = new boolean[0];
+
+  Partition(final int number) {
+    this.number = number;
+  }
+
+  /** All that is stored, as it travels. */
+  List<Entry> entries() {
+    final List<Entry> entries = new ArrayList<>(stored.size());
+    stored.forEach((name, one) -> entries.add(new Entry(name, one.mark, Mark.NONE, null, Values.Kind.of(name).encode(one.value), one.audit)));
+    return entries;
+  }
+
+  /** Stores what was accepted under a ballot; entries whose base is not here are added to those lacking. */
+  void store(final Mark given, final boolean establish, final List<Entry> entries, final List<Entry> lacking) {
+    if (given.compareTo(promised) > 0) {
+      promised = given.ballot();
+    }
+    if (establish && !established.sameBallot(given) && given.compareTo(established) > 0) {
+      stored.values().removeIf(one -> one.mark.compareTo(given.ballot()) < 0);
+      established = given.ballot();
+    }
+    for (final Entry entry : entries) {
+      final Stored before = stored.get(entry.name);
+      if (before != null && before.mark.compareTo(entry.mark) >= 0) {
+        continue;
+      }
+      final Values.Kind kind = Values.Kind.of(entry.name);
+      if (entry.whole != null) {
+        stored.put(entry.name, new Stored(entry.mark, kind.decode(entry.whole), entry.audit));
+      } else if ((before == null ? Mark.NONE : before.mark).equals(entry.base)) {
+        stored.put(entry.name, new Stored(entry.mark, kind.apply(before == null ? null : before.value, entry.difference), entry.audit));
+      } else {
+        lacking.add(entry);
+      }
+    }
+  }
+}
--- a/frame/src/main/java/weldpoint/frame/Values.java
+++ b/frame/src/main/java/weldpoint/frame/Values.java
@@ -15,7 +15,7 @@
   /** The kinds of registers, told apart by the beginning of their names. */
   public enum Kind {
     ROSTER("roster", Words.Roster.class), SPEC("spec", Spec.class), EVACUATION("evacuation/", Evacuation.class), TRIAL("trial/", Words.Trial.class),
-    PURGES("purges", Words.Purges.class), ELECTORATE("electorate/", Words.Electorate.class),
+    PURGES("purges", Words.Purges.class), ELECTORATE("electorate/", Words.Electorate.class), AUDIT("audit", Retention.class),
     LOCK("lock/", Lock.class), NUMBER("number/", Number.class), GROUP("group/", Group.class);
 
     private final String prefix;
@@ -36,6 +36,16 @@
       throw new IllegalArgumentException("no register is named " + name);
     }
 
+    /** Whether it belongs to the control state, which one partition holds together. */
+    public boolean control() {
+      return ordinal() < LOCK.ordinal();
+    }
+
+    /** Whether a change of it is a change of routing, which the history records. */
+    public boolean audited() {
+      return this == SPEC || this == EVACUATION || this == TRIAL || this == AUDIT;
+    }
+
     /** The name of the register of this kind for an identifier. */
     public String register(final String identifier) {
       return prefix + identifier;
@@ -58,15 +68,55 @@
     }
   }
 
-  /** The operators' configuration: its version and its compressed bytes. */
+  /** The operators' configuration: its version, its compressed bytes and, compressed too, its summary for the history. */
   public static final class Spec {
     public final long version;
     public final byte[] body;
+    public final byte[] summary;
 
-    public Spec(final long version, final byte[] body) {
+    public Spec(final long version, final byte[] body, final byte[] summary) {
       this.version = version;
       this.body = body;
+      this.summary = summary;
+    }
+  }
+
+  /** Up to which entry the history is forgotten. */
+  public static final class Retention {
+    public final long through;
+
+    public Retention(final long through) {
+      this.through = through;
+    }
+  }
+
+  /** Entries of one replica's history, with how far it reaches. */
+  public static final class HistoryPart {
+    public final long base;
+    public final long last;
+    public final String digest;
+    public final long conflicts;
+    public final boolean blank;
+    public final long from;
+    public final List<byte[]> entries;
+
+    public HistoryPart(final long base, final long last, final String digest, final long conflicts, final boolean blank, final long from, final List<byte[]> entries) {
+      this.base = base;
+      this.last = last;
+      this.digest = digest;
+      this.conflicts = conflicts;
+      this.blank = blank;
+      this.from = from;
+      this.entries = entries;
+    }
+  }
+
+  /** How often a register of evacuations or trials has changed; 0 for any other. */
+  static long serial(final Kind kind, final Object value) {
+    if (value == null) {
+      return 0;
     }
+    return kind == Kind.EVACUATION ? ((Evacuation) value).serial : kind == Kind.TRIAL ? ((Words.Trial) value).serial : 0;
   }
 
   /** Whether a site is evacuated, and how often that has changed. */
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -11,12 +11,12 @@
 import java.util.function.Consumer;
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.exchange.ControlSpec;
 import weldpoint.exchange.Stage;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Packing;
 import weldpoint.trunk.Words.Board;
 import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.Words;
 
 /**
  * The switchboard's side of the stream: it keeps to one exchange, leaves one that is silent or has lost touch with the
@@ -82,6 +82,10 @@
   private int disappointments;
   private long version;
   private long evacuationMark = -1;
+  private long trialMark;
+  private long inForceVersion;
+  private long inForceMark;
+  private long inForceSince;
   private boolean leaving;
   private int next;
 
@@ -122,7 +126,7 @@
 
   private void tell(final long now) {
     toldAt = now;
-    outlet.send(new Words.BoardState(new Board(self.address, self.front, self.site, self.region, self.incarnation, leaving, 0, self.announcer)));
+    outlet.send(new Words.BoardState(new Board(self.address, self.front, self.site, self.region, self.incarnation, leaving, 0, self.announcer, inForceVersion, inForceMark, now - inForceSince)));
   }
 
   /** The line is there. */
@@ -142,6 +146,7 @@
     if (message instanceof Words.View) {
       final boolean first = !viewed;
       viewed = true;
+      trialMark = Math.max(trialMark, ((Words.View) message).trialMark);
       take((Words.View) message);
       if (((Words.View) message).trialMark >= 0) {
         outlet.trials(Words.list(((Words.View) message).trials), ((Words.View) message).trialMark);
@@ -180,7 +185,7 @@
     Dialplan plan = null;
     if (view.spec != null && view.version > version) {
       try {
-        plan = Dialplan.compile(ControlSpec.inflate(view.spec));
+        plan = Dialplan.compile(Packing.inflate(view.spec));
         version = view.version;
         LOGGER.atInfo().log("spec %s is in force with %s routes", Long.toHexString(version), plan.routes());
       } catch (final Breakdown breakdown) {
@@ -222,6 +227,21 @@
     tell(now);
   }
 
+  /** The configuration of this version, and evacuations and trials under this mark, have come in force with the traffic thread. */
+  public void inForce(final long given, final long mark, final long now) {
+    if (given != inForceVersion || mark != inForceMark) {
+      inForceVersion = given;
+      inForceMark = mark;
+      inForceSince = now;
+      tell(now);
+    }
+  }
+
+  /** The mark of evacuations and trials that the traffic thread was told of. */
+  public long mark() {
+    return Math.max(0, evacuationMark) + trialMark;
+  }
+
   /** The version of the spec in force. */
   public long version() {
     return version;
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -93,11 +93,15 @@
         final List<Cords.Change> list = new ArrayList<>();
         changes.forEach((registration, open) -> list.add(new Cords.Change(registration, open)));
         loop.execute(() -> room.take(new Outlook(plan, list, evacuated, suspects, switchboards, null, -1)));
+        if (plan != null || evacuated != null) {
+          inForce();
+        }
       }
 
       @Override
       public void trials(final List<Words.Trial> trials, final long mark) {
         loop.execute(() -> room.take(new Outlook(null, List.of(), null, null, 0, trials, mark)));
+        inForce();
       }
 
       @Override
@@ -135,6 +139,13 @@
     stream.link(link);
   }
 
+  /** Notes what is in force, once the traffic thread has taken what was handed to it. */
+  private void inForce() {
+    final long version = link.version();
+    final long mark = link.mark();
+    loop.execute(() -> desk.execute(() -> link.inForce(version, mark, Switchroom.now())));
+  }
+
   private Switchroom room() {
     return room;
   }
--- a/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
+++ b/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
@@ -13,11 +13,11 @@
 import java.util.Set;
 import org.testng.annotations.Test;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.exchange.ControlSpec;
 import weldpoint.exchange.Stage;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Packing;
 import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.Words;
 
 /** A switchboard's view never goes back, and a stale or silent exchange is left. */
 public final class BoardLinkTest {
@@ -64,7 +64,7 @@
   }
 
   private static Words.View view(final int version, final long evacuationMark, final List<String> sites, final Registration... registrations) {
-    final byte[] spec = ControlSpec.deflate(("{\"version\":\"0000000" + version + "\",\"listeners\":[],\"pools\":[]}").getBytes(StandardCharsets.UTF_8));
+    final byte[] spec = Packing.deflate(("{\"version\":\"0000000" + version + "\",\"listeners\":[],\"pools\":[]}").getBytes(StandardCharsets.UTF_8));
     return new Words.View(version, spec, true, sites, evacuationMark, List.of(registrations), true, List.of(), 3, List.of(), 0);
   }
 
--- a/rig/src/main/java/weldpoint/rig/Fleet.java
+++ b/rig/src/main/java/weldpoint/rig/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
+import weldpoint.audit.AuditStore;
 import weldpoint.frame.Deed;
 import weldpoint.frame.FrameCore;
 import weldpoint.trunk.Message;
@@ -30,10 +31,15 @@
     final String region;
     private final List<byte[]> lasting = new ArrayList<>();
     private final List<byte[]> written = new ArrayList<>();
+    private final List<byte[]> entries = new ArrayList<>();
+    private long entriesBase;
     private FrameCore core;
+    private FakeHistory store;
     private int life;
     private boolean frozen;
+    private boolean full;
     private long diskDelay = 2;
+    private long clockStep;
 
     private Machine(final String address, final String site, final String region) {
       this.address = address;
@@ -47,6 +53,102 @@
     }
   }
 
+  /** The history on a fake disk: entries that were synced outlive the process. */
+  private final class FakeHistory implements AuditStore {
+    private final Machine machine;
+    private final int life;
+    private final List<byte[]> all;
+    private long base;
+
+    private FakeHistory(final Machine machine, final int life) {
+      this.machine = machine;
+      this.life = life;
+      this.all = new ArrayList<>(machine.entries);
+      this.base = machine.entriesBase;
+    }
+
+    @Override
+    public long base() {
+      return base;
+    }
+
+    @Override
+    public long last() {
+      return base + all.size();
+    }
+
+    @Override
+    public boolean append(final long sequence, final byte[] entry, final Runnable synced) {
+      if (machine.full) {
+        return false;
+      }
+      all.add(entry);
+      after(machine.diskDelay + random.nextInt(3), () -> {
+        if (machine.life == life && machine.core != null) {
+          if (sequence == machine.entriesBase + machine.entries.size() + 1) {
+            machine.entries.add(entry);
+          }
+          synced.run();
+        }
+      });
+      return true;
+    }
+
+    @Override
+    public byte[] read(final long sequence) {
+      return sequence <= base || sequence > last() ? null : all.get((int) (sequence - base - 1));
+    }
+
+    @Override
+    public void trim(final long through) {
+      if (through > base && through <= last()) {
+        all.subList(0, (int) (through - base)).clear();
+        base = through;
+        final int gone = (int) Math.min(machine.entries.size(), Math.max(0, through - machine.entriesBase));
+        machine.entries.subList(0, gone).clear();
+        machine.entriesBase += gone;
+      }
+    }
+
+    @Override
+    public void reset(final long newBase) {
+      all.clear();
+      base = newBase;
+      machine.entries.clear();
+      machine.entriesBase = newBase;
+    }
+  }
+
+  /** What a test may do to a core before it starts, and to a message on its way; null as the message loses it. */
+  public interface Meddler {
+    /** Takes part in setting up a core: the store and the number of entries to keep are given. */
+    default void prepare(final FrameCore core, final AuditStore store, final long keeps) {
+      core.history(store, keeps, ENTRY_BYTES);
+    }
+
+    /** The message that arrives instead. */
+    default Message pass(final String from, final String to, final Message message) {
+      return message;
+    }
+  }
+
+  /** The most bytes of an entry of the history here. */
+  public static final int ENTRY_BYTES = 1024;
+
+  private Meddler meddler = new Meddler() {
+  };
+  private long keeps = 2000;
+
+  /** Lets a test meddle. */
+  public void meddler(final Meddler given) {
+    meddler = given;
+  }
+
+  /** Sets how many entries of the history daemons that start from now on keep. */
+  public void keeps(final long entries) {
+    keeps = entries;
+  }
+
   private final Random random;
   private final boolean syncsFirst;
   private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
@@ -137,7 +239,14 @@
       @Override
       public void peers(final List<String> addresses) {
       }
+
+      @Override
+      public long timeOfDay() {
+        return now + machine.clockStep;
+      }
     });
+    machine.store = new FakeHistory(machine, life);
+    meddler.prepare(machine.core, machine.store, keeps);
     machine.core.start(new ArrayList<>(machine.lasting), first && machine.lasting.isEmpty(), now);
     final List<byte[]> view = machine.core.view();
     machine.lasting.clear();
@@ -167,29 +276,30 @@
   }
 
   private void post(final String from, final int fromLife, final String to, final Message message) {
+    final Machine target = machines.get(to);
+    deliver(from, fromLife, to, target == null ? 0 : target.life, false, message);
+  }
+
+  private void deliver(final String from, final int fromLife, final String to, final int toLife, final boolean bound, final Message message) {
     final byte[] bytes = Wire.bytes(message);
     after(delay(from, to), () -> {
       final Machine target = machines.get(to);
-      if (target == null || target.core == null || target.frozen || cut(from, to)) {
+      if (target == null || target.core == null || target.frozen || cut(from, to) || bound && target.life != toLife) {
+        return;
+      }
+      final Message copy = meddler.pass(from, to, (Message) Wire.value(bytes, message.getClass()));
+      if (copy == null) {
         return;
       }
-      final Message copy = (Message) Wire.value(bytes, message.getClass());
       final int life = target.life;
       target.core.receive(from, copy, answer -> {
-        final byte[] answered = Wire.bytes(answer);
-        after(delay(to, from), () -> {
-          final Machine back = machines.get(from);
-          if (target.life == life && back != null && back.life == fromLife && back.core != null && !back.frozen && !cut(to, from)) {
-            back.core.receive(to, (Message) Wire.value(answered, answer.getClass()), Fleet::drop, now);
-          }
-        });
+        if (target.life == life) {
+          deliver(to, life, from, fromLife, true, answer);
+        }
       }, now);
     });
   }
 
-  private static void drop(final Message message) {
-  }
-
   /** Ends a process; with power loss, only a part of what was not synced may remain, otherwise all that was written. */
   public void kill(final String address, final boolean power) {
     final Machine machine = machines.get(address);
@@ -216,6 +326,29 @@
   /** Empties the disk of a machine whose process has ended. */
   public void wipe(final String address) {
     machines.get(address).lasting.clear();
+    machines.get(address).entries.clear();
+    machines.get(address).entriesBase = 0;
+  }
+
+  /** Damages an entry of the history on the disk of a machine whose process has ended; false where there is none. */
+  public boolean damage(final String address) {
+    final List<byte[]> entries = machines.get(address).entries;
+    if (entries.isEmpty()) {
+      return false;
+    }
+    final int at = random.nextInt(entries.size());
+    entries.subList(at, entries.size()).clear();
+    return true;
+  }
+
+  /** Makes the part of a disk that holds the history full, or free again. */
+  public void full(final String address, final boolean on) {
+    machines.get(address).full = on;
+  }
+
+  /** Steps the time of day of a machine. */
+  public void step(final String address, final long millis) {
+    machines.get(address).clockStep = millis;
   }
 
   /** Stops or resumes a process without ending it. */
@@ -242,6 +375,7 @@
     cuts.clear();
     for (final Machine machine : machines.values()) {
       machine.frozen = false;
+      machine.full = false;
       machine.diskDelay = 2;
     }
   }
@@ -263,6 +397,21 @@
     call(at, new Words.Call(++calls, deed.ordinal(), name, owner, first, second, body), 0, then);
   }
 
+  /** Calls the store with a change of routing, in somebody's name. */
+  public void change(final String at, final Deed deed, final String name, final long first, final byte[] body, final Words.Cause cause, final Consumer<Words.Answer> then) {
+    call(at, new Words.Call(++calls, deed.ordinal(), name, null, first, 0, body, cause), 0, then);
+  }
+
+  /** Sends a call that was made before once more, with the same number or another. */
+  public void again(final String at, final Words.Call call, final Consumer<Words.Answer> then) {
+    call(at, new Words.Call(++calls, call.deed, call.name, call.owner, call.first, call.second, call.body, call.cause), 0, then);
+  }
+
+  /** Asks one frame, and only it. */
+  public void ask(final String at, final Deed deed, final long first, final long second, final Consumer<Words.Answer> then) {
+    call(at, new Words.Call(++calls, deed.ordinal(), "", null, first, second, null), 3, then);
+  }
+
   /** Calls the store at one frame only; whatever it says of others is not followed. */
   public void callOnly(final String at, final Deed deed, final String name, final Consumer<Words.Answer> then) {
     call(at, new Words.Call(++calls, deed.ordinal(), name, null, 0, 0, null), 3, then);
--- /dev/null
+++ b/rig/src/test/java/weldpoint/rig/HistoryTest.java
@@ -0,0 +1,367 @@
+package weldpoint.rig;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import weldpoint.audit.AuditEntry;
+import weldpoint.audit.AuditLog;
+import weldpoint.audit.AuditStore;
+import weldpoint.audit.ChangeKind;
+import weldpoint.audit.ConfigurationSummary;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.frame.BrokenBook;
+import weldpoint.frame.Deed;
+import weldpoint.frame.FrameCore;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Packing;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/** Two operators change configurations and evacuations over cuts, freezes, power loss, wiped, slow and full disks and replaced machines. */
+public final class HistoryTest {
+  private static final List<String> SEEDS = List.of("10.0.1.1", "10.0.2.1", "10.0.3.1");
+  private static final String[][] MACHINES = {{"10.0.1.1", "a", "x"}, {"10.0.1.2", "a", "x"}, {"10.0.2.1", "b", "y"}, {"10.0.3.1", "c", "x"}, {"10.0.4.1", "d", "y"}, {"10.0.2.2", "b", "y"}};
+
+  @BeforeClass
+  public void quiet() {
+    java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.OFF);
+  }
+
+  private static Fleet fleet(final long seed, final Fleet.Meddler meddler, final long keeps) {
+    final Fleet fleet = new Fleet(seed, SEEDS, true);
+    if (meddler != null) {
+      fleet.meddler(meddler);
+    }
+    fleet.keeps(keeps);
+    for (final String[] machine : MACHINES) {
+      fleet.add(machine[0], machine[1], machine[2]);
+      fleet.start(machine[0], true);
+    }
+    fleet.run(6000);
+    return fleet;
+  }
+
+  private static byte[] body(final long version, final int choice) {
+    return ("{\"version\":\"" + String.format("%08x", version) + "\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"book\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/b/\"},\"action\":{\"service\":\"s" + choice
+        + "\",\"timeoutMs\":" + (1000 + version) + ",\"maxAttempts\":1}},{\"name\":\"look\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/l/\"},\"action\":{\"service\":\"s0\",\"timeoutMs\":900,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s0\"},{\"name\":\"s1\"},{\"name\":\"s2\"}]}")
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static Words.Cause cause(final String author, final byte[] body) {
+    return new Words.Cause(author, "10.9.9.9", "10.0.1.1", body == null ? null : Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
+  }
+
+  private static final class Operators {
+    private final Fleet fleet;
+    private final HistoryLedger ledger;
+    private final List<Words.Call> earlier = new ArrayList<>();
+    private long version;
+    private boolean stopped;
+
+    private Operators(final Fleet fleet, final HistoryLedger ledger) {
+      this.fleet = fleet;
+      this.ledger = ledger;
+    }
+
+    private void work(final String author) {
+      if (stopped) {
+        return;
+      }
+      final Random random = fleet.random();
+      final List<String> running = fleet.running();
+      if (!running.isEmpty()) {
+        final String at = running.get(random.nextInt(running.size()));
+        final int pick = random.nextInt(10);
+        if (pick < 5) {
+          version += 1 + random.nextInt(3);
+          final long sent = version;
+          final byte[] body = body(sent, random.nextInt(3));
+          ledger.offered(sent, AuditEntry.digest(body));
+          final Words.Call call = new Words.Call(0, Deed.SPEC_REPLACE.ordinal(), "", null, sent, 0, Packing.deflate(body), cause(author, body));
+          earlier.add(call);
+          fleet.again(at, call, answer -> acknowledge(sent, answer));
+        } else if (pick < 7 && !earlier.isEmpty()) {
+          final Words.Call call = earlier.get(random.nextInt(earlier.size()));
+          fleet.again(at, call, answer -> acknowledge(call.first, answer));
+        } else {
+          final String zone = "z" + random.nextInt(2);
+          fleet.change(at, Deed.EVACUATE, zone, random.nextInt(2), null, cause(author, null), answer -> {
+            if (answer.status == 200) {
+              ledger.evacuated(zone, answer.first);
+            }
+          });
+        }
+      }
+      fleet.after(40 + random.nextInt(120), () -> work(author));
+    }
+
+    private void acknowledge(final long sent, final Words.Answer answer) {
+      if (answer.status == 200 && answer.first == sent) {
+        ledger.acknowledged(sent);
+      }
+    }
+  }
+
+  private static void trouble(final Fleet fleet) {
+    final Random random = fleet.random();
+    final List<String> running = fleet.running();
+    final String one = running.get(random.nextInt(running.size()));
+    switch (random.nextInt(9)) {
+      case 0 -> {
+        fleet.kill(one, true);
+        fleet.after(200 + random.nextInt(2000), () -> fleet.start(one, false));
+      }
+      case 1 -> {
+        for (final String address : running) {
+          fleet.kill(address, random.nextBoolean());
+          fleet.after(200 + random.nextInt(800), () -> fleet.start(address, false));
+        }
+      }
+      case 2 -> {
+        for (final String other : running) {
+          if (!other.equals(one)) {
+            fleet.cut(one, other, true);
+            fleet.cut(other, one, random.nextBoolean());
+          }
+        }
+      }
+      case 3 -> fleet.freeze(one, true);
+      case 4 -> fleet.disk(one, 250);
+      case 5 -> fleet.full(one, true);
+      case 6 -> fleet.step(one, -5000 + random.nextInt(4000));
+      case 7 -> {
+        fleet.kill(one, true);
+        fleet.damage(one);
+        fleet.after(200, () -> fleet.start(one, false));
+      }
+      default -> {
+        fleet.kill(one, true);
+        fleet.wipe(one);
+        fleet.after(300 + random.nextInt(600), () -> fleet.start(one, false));
+      }
+    }
+    fleet.after(2500, fleet::heal);
+  }
+
+  private static void watch(final Fleet fleet, final HistoryLedger ledger) {
+    for (final Fleet.Machine machine : fleet.machines().values()) {
+      if (machine.core() != null) {
+        ledger.look(machine.address, machine.core().history());
+      }
+    }
+    fleet.after(400, () -> watch(fleet, ledger));
+  }
+
+  private static List<String> finish(final Fleet fleet, final HistoryLedger ledger) {
+    final long[] version = new long[1];
+    final String[] digest = {""};
+    final Map<String, Long> serials = new HashMap<>();
+    for (int round = 0; round < 40 && version[0] == 0; round++) {
+      fleet.call(fleet.running().get(round % fleet.running().size()), Deed.SPEC_READ, "", null, 0, 0, null, answer -> {
+        if (answer.status == 200) {
+          version[0] = answer.first;
+          digest[0] = AuditEntry.digest(Packing.inflate(answer.body));
+        }
+      });
+      fleet.run(300);
+    }
+    final Map<String, AuditLog> logs = new LinkedHashMap<>();
+    fleet.machines().forEach((address, machine) -> {
+      if (machine.core() != null) {
+        logs.put(address, machine.core().history());
+      }
+    });
+    return ledger.finish(logs, version[0], digest[0], serials);
+  }
+
+  private static List<String> play(final long seed, final Fleet.Meddler meddler, final int[] changes, final long keeps) {
+    final Fleet fleet = fleet(seed, meddler, keeps);
+    final HistoryLedger ledger = new HistoryLedger();
+    final Operators operators = new Operators(fleet, ledger);
+    operators.work("dispatch lead");
+    operators.work("legacy clerk");
+    watch(fleet, ledger);
+    for (int round = 0; round < 4; round++) {
+      fleet.run(1500);
+      trouble(fleet);
+      fleet.run(5000);
+    }
+    operators.stopped = true;
+    fleet.heal();
+    fleet.run(12_000);
+    changes[0] += ledger.count();
+    return finish(fleet, ledger);
+  }
+
+  @Test
+  public void everyReplicaHasTheSameHistoryWhateverFails() {
+    final int[] changes = new int[1];
+    for (long seed = 1; seed <= 60; seed++) {
+      final List<String> breaches = play(seed, null, changes, 2000);
+      assertTrue(breaches.isEmpty(), "seed " + seed + ": " + breaches);
+    }
+    assertTrue(changes[0] > 60 * 40, "only " + changes[0] + " changes were acknowledged");
+  }
+
+  @Test
+  public void trimmingIsAlikeEverywhereAndNeverForgetsWhatIsYoung() {
+    for (long seed = 100; seed < 110; seed++) {
+      final Fleet fleet = fleet(seed, null, 30);
+      final HistoryLedger ledger = new HistoryLedger();
+      final Operators operators = new Operators(fleet, ledger);
+      operators.work("one");
+      watch(fleet, ledger);
+      for (int round = 0; round < 4; round++) {
+        fleet.run(2500);
+        trouble(fleet);
+        fleet.run(4000);
+      }
+      operators.stopped = true;
+      fleet.heal();
+      fleet.run(12_000);
+      final List<String> breaches = finish(fleet, ledger);
+      assertTrue(breaches.isEmpty(), "seed " + seed + ": " + breaches);
+      long base = -1;
+      for (final Fleet.Machine machine : fleet.machines().values()) {
+        final AuditLog log = machine.core().history();
+        assertTrue(base < 0 || base == log.base(), "seed " + seed + ": trimmed up to " + base + " and " + log.base());
+        base = log.base();
+        assertTrue(log.last() - base >= 30 && log.last() - base <= 30 + 60, "keeps " + (log.last() - base));
+      }
+      assertTrue(base > 0, "nothing was trimmed");
+    }
+  }
+
+  @Test
+  public void aReplacedAndAWipedReplicaGiveTheSameHistory() {
+    final Fleet fleet = fleet(7, null, 2000);
+    final HistoryLedger ledger = new HistoryLedger();
+    final Operators operators = new Operators(fleet, ledger);
+    operators.work("one");
+    fleet.run(4000);
+    fleet.kill("10.0.2.1", true);
+    fleet.kill("10.0.3.1", true);
+    fleet.wipe("10.0.3.1");
+    fleet.add("10.0.2.9", "b", "y");
+    fleet.run(500);
+    fleet.start("10.0.2.9", false);
+    fleet.start("10.0.3.1", false);
+    fleet.run(9000);
+    operators.stopped = true;
+    fleet.run(4000);
+    assertTrue(finish(fleet, ledger).isEmpty());
+    final AuditLog wiped = fleet.machines().get("10.0.3.1").core().history();
+    final AuditLog fresh = fleet.machines().get("10.0.2.9").core().history();
+    assertTrue(wiped.last() > 20);
+    assertEquals(wiped.digest(), fresh.digest());
+    assertEquals(wiped.base(), 0);
+    assertEquals(fresh.base(), 0);
+  }
+
+  @Test
+  public void aChangeThatAltersNothingMakesNoEntryAndTheAuthorIsInIt() {
+    final Fleet fleet = fleet(9, null, 2000);
+    final byte[] first = body(5, 0);
+    for (int round = 0; round < 3; round++) {
+      fleet.change("10.0.1.1", Deed.SPEC_REPLACE, "", 5, Packing.deflate(first), cause("customer desk", first), answer -> {
+      });
+      fleet.change("10.0.2.1", Deed.EVACUATE, "z", 1, null, cause("customer desk", null), answer -> {
+      });
+      fleet.run(800);
+    }
+    final byte[] second = body(9, 2);
+    fleet.step("10.0.1.1", -100_000);
+    fleet.change("10.0.1.1", Deed.SPEC_REPLACE, "", 9, Packing.deflate(second), cause("dispatch lead", second), answer -> {
+    });
+    fleet.run(1500);
+    final AuditLog log = fleet.machines().get("10.0.4.1").core().history();
+    assertEquals(log.last(), 3);
+    final AuditEntry begun = AuditEntry.read(log.read(AuditEntry.read(log.read(1)).kind() == ChangeKind.CONFIGURATION ? 1 : 2));
+    assertEquals(begun.author, "customer desk");
+    assertEquals(begun.added, 5);
+    final AuditEntry changed = AuditEntry.read(log.read(3));
+    assertEquals(changed.author, "dispatch lead");
+    assertEquals(changed.writes, 1);
+    assertEquals(changed.changed, 1);
+    assertTrue(changed.changes.get(0).startsWith("~ write route h/b/ (book): service s0 -> s2, timeoutMs 1005 -> 1009"), changed.changes.toString());
+    assertEquals(changed.before, AuditEntry.digest(first));
+    assertEquals(changed.after, AuditEntry.digest(second));
+  }
+
+  @Test
+  public void anOlderStoreBeginsItsHistoryBySayingSo() {
+    final Fleet fleet = fleet(11, new Fleet.Meddler() {
+      @Override
+      public Message pass(final String from, final String to, final Message message) {
+        return message;
+      }
+
+      @Override
+      public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
+        BrokenBook.silent(core, store, keeps);
+      }
+    }, 2000);
+    final byte[] old = body(3, 1);
+    fleet.change("10.0.1.1", Deed.SPEC_REPLACE, "", 3, Packing.deflate(old), null, answer -> {
+    });
+    fleet.run(1000);
+    fleet.meddler(new Fleet.Meddler() {
+    });
+    for (final String address : fleet.running()) {
+      fleet.kill(address, false);
+      fleet.after(100, () -> fleet.start(address, false));
+    }
+    fleet.run(6000);
+    final AuditLog log = fleet.machines().get("10.0.4.1").core().history();
+    assertEquals(log.last(), 1);
+    final AuditEntry entry = AuditEntry.read(log.read(1));
+    assertEquals(entry.kind(), ChangeKind.UPGRADE);
+    assertEquals(entry.version, 3);
+    assertEquals(entry.after, AuditEntry.digest(old));
+  }
+
+  @Test
+  public void anEntryWrittenAfterItsChangeIsCaught() {
+    int caught = 0;
+    for (long seed = 1; seed <= 12; seed++) {
+      caught += play(seed, new Fleet.Meddler() {
+        @Override
+        public Message pass(final String from, final String to, final Message message) {
+          if (message instanceof Words.Accept && !((Words.Accept) message).establish) {
+            final Words.Accept accept = (Words.Accept) message;
+            final List<Words.Entry> entries = new ArrayList<>();
+            for (final Words.Entry entry : Words.list(accept.entries)) {
+              entries.add(new Words.Entry(entry.name, entry.mark, entry.base, entry.difference, entry.whole));
+            }
+            return new Words.Accept(accept.partition, accept.roster, accept.ballot, false, accept.counted, entries);
+          }
+          return message;
+        }
+      }, new int[1], 2000).isEmpty() ? 0 : 1;
+    }
+    assertTrue(caught >= 6, "noticed only " + caught + " times of 12");
+  }
+
+  @Test
+  public void aSequenceGivenBeforeTheEarlierOneIsDecidedIsCaught() {
+    int caught = 0;
+    for (long seed = 1; seed <= 12; seed++) {
+      caught += play(seed, new Fleet.Meddler() {
+        @Override
+        public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
+          BrokenBook.hasty(core, store, keeps);
+        }
+      }, new int[1], 2000).isEmpty() ? 0 : 1;
+    }
+    assertTrue(caught >= 6, "noticed only " + caught + " times of 12");
+  }
+}
--- a/exchange/src/main/java/weldpoint/exchange/ControlSpec.java
+++ b/trunk/src/main/java/weldpoint/trunk/Packing.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.trunk;
 
 import java.io.ByteArrayOutputStream;
 import java.util.zip.DataFormatException;
@@ -7,8 +7,8 @@
 import weldpoint.boot.Breakdown;
 
 /** The form in which a configuration is stored and sent: compressed, otherwise as the operator wrote it. */
-public final class ControlSpec {
-  private ControlSpec() {
+public final class Packing {
+  private Packing() {
   }
 
   /** The compressed form. */
--- a/trunk/src/main/java/weldpoint/trunk/Words.java
+++ b/trunk/src/main/java/weldpoint/trunk/Words.java
@@ -9,7 +9,7 @@
       Enquire.class, Enquired.class, Fetch.class, Fetched.class, RosterNews.class, Refused.class, Join.class,
       Resign.class, Canvass.class, Canvassed.class, Call.class, Answer.class, Gossip.class, Changes.class, Kept.class, BoardState.class,
       View.class, Reach.class, TrialReport.class, Purges.class, PermitAsk.class, PermitAnswer.class, CopyAsk.class, CopyAnswer.class,
-      Electorate.class, Stand.class, Backed.class, Order.class, Heeded.class, RecordState.class, Reel.class,
+      Electorate.class, Stand.class, Backed.class, Order.class, Heeded.class, RecordState.class, Reel.class, AuditState.class, AuditAsk.class, AuditPart.class,
   };
 
   private Words() {
@@ -92,8 +92,14 @@
     public final Mark base;
     public final byte[] difference;
     public final byte[] whole;
+    public final byte[] audit;
 
     public Entry(final String name, final Mark mark, final Mark base, final byte[] difference, final byte[] whole) {
+      this(name, mark, base, difference, whole, null);
+    }
+
+    public Entry(final String name, final Mark mark, final Mark base, final byte[] difference, final byte[] whole, final byte[] audit) {
+      this.audit = audit;
       this.name = name;
       this.mark = mark;
       this.base = base;
@@ -189,14 +195,16 @@
     }
   }
 
-  /** The ballots that stand, with the count that each pulse carried. */
+  /** The ballots that stand, with the count that each pulse carried, and up to where the sender's disk has the history. */
   public static final class Pulsed implements Message {
     public final List<Integer> partitions;
     public final List<Mark> ballots;
     public final long incarnation;
     public final List<Long> known;
+    public final long audited;
 
-    public Pulsed(final List<Integer> partitions, final List<Mark> ballots, final long incarnation, final List<Long> known) {
+    public Pulsed(final List<Integer> partitions, final List<Mark> ballots, final long incarnation, final List<Long> known, final long audited) {
+      this.audited = audited;
       this.partitions = partitions;
       this.ballots = ballots;
       this.incarnation = incarnation;
@@ -247,8 +255,10 @@
     public final List<Mark> established;
     public final List<Entry> entries;
     public final List<Long> known;
+    public final long audited;
 
-    public Fetched(final long incarnation, final Roster roster, final List<Mark> promised, final List<Mark> established, final List<Entry> entries, final List<Long> known) {
+    public Fetched(final long incarnation, final Roster roster, final List<Mark> promised, final List<Mark> established, final List<Entry> entries, final List<Long> known, final long audited) {
+      this.audited = audited;
       this.incarnation = incarnation;
       this.roster = roster;
       this.promised = promised;
@@ -330,6 +340,60 @@
     }
   }
 
+  /** Who wants a change of routing: the author named, the address it came from and the daemon that took it; extra is a configuration's summary. */
+  public static final class Cause {
+    public final String author;
+    public final String caller;
+    public final String taker;
+    public final byte[] extra;
+
+    public Cause(final String author, final String caller, final String taker, final byte[] extra) {
+      this.author = author;
+      this.caller = caller;
+      this.taker = taker;
+      this.extra = extra;
+    }
+  }
+
+  /** Tells how far the sender's history reaches. */
+  public static final class AuditState implements Message {
+    public final long base;
+    public final long last;
+    public final String digest;
+
+    public AuditState(final long base, final long last, final String digest) {
+      this.base = base;
+      this.last = last;
+      this.digest = digest;
+    }
+  }
+
+  /** Asks for the history from this entry on. */
+  public static final class AuditAsk implements Message {
+    public final long from;
+
+    public AuditAsk(final long from) {
+      this.from = from;
+    }
+  }
+
+  /** Entries of the history behind the base; whether the sender keeps none before them, and how far it reaches. */
+  public static final class AuditPart implements Message {
+    public final long base;
+    public final String baseDigest;
+    public final boolean trimmed;
+    public final List<byte[]> entries;
+    public final long last;
+
+    public AuditPart(final long base, final String baseDigest, final boolean trimmed, final List<byte[]> entries, final long last) {
+      this.base = base;
+      this.baseDigest = baseDigest;
+      this.trimmed = trimmed;
+      this.entries = entries;
+      this.last = last;
+    }
+  }
+
   /** A call to the store. */
   public static final class Call implements Message {
     public final long number;
@@ -339,8 +403,14 @@
     public final long first;
     public final long second;
     public final byte[] body;
+    public final Cause cause;
 
     public Call(final long number, final int deed, final String name, final String owner, final long first, final long second, final byte[] body) {
+      this(number, deed, name, owner, first, second, body, null);
+    }
+
+    public Call(final long number, final int deed, final String name, final String owner, final long first, final long second, final byte[] body, final Cause cause) {
+      this.cause = cause;
       this.number = number;
       this.deed = deed;
       this.name = name;
@@ -395,7 +465,7 @@
     }
   }
 
-  /** One switchboard, or announcer, as the directory knows it. */
+  /** One switchboard, or announcer, as the directory knows it: which configuration and which mark of evacuations and trials it has in force, and for how long. */
   public static final class Board {
     public final String address;
     public final String front;
@@ -405,12 +475,22 @@
     public final boolean leaving;
     public final long ageMillis;
     public final boolean announcer;
+    public final long version;
+    public final long mark;
+    public final long heldMillis;
 
     public Board(final String address, final String front, final String site, final String region, final long incarnation, final boolean leaving, final long ageMillis) {
       this(address, front, site, region, incarnation, leaving, ageMillis, false);
     }
 
     public Board(final String address, final String front, final String site, final String region, final long incarnation, final boolean leaving, final long ageMillis, final boolean announcer) {
+      this(address, front, site, region, incarnation, leaving, ageMillis, announcer, 0, 0, 0);
+    }
+
+    public Board(final String address, final String front, final String site, final String region, final long incarnation, final boolean leaving, final long ageMillis, final boolean announcer, final long version, final long mark, final long heldMillis) {
+      this.version = version;
+      this.mark = mark;
+      this.heldMillis = heldMillis;
       this.announcer = announcer;
       this.address = address;
       this.front = front;
@@ -720,8 +800,18 @@
     public final List<Board> boards;
     public final List<String> beaten;
     public final List<Long> ages;
+    public final long version;
+    public final long mark;
+    public final long heldMillis;
 
     public Gossip(final int depth, final long digest, final Roster roster, final List<String> members, final List<Registration> history, final List<Board> boards, final List<String> beaten, final List<Long> ages) {
+      this(depth, digest, roster, members, history, boards, beaten, ages, 0, 0, 0);
+    }
+
+    public Gossip(final int depth, final long digest, final Roster roster, final List<String> members, final List<Registration> history, final List<Board> boards, final List<String> beaten, final List<Long> ages, final long version, final long mark, final long heldMillis) {
+      this.version = version;
+      this.mark = mark;
+      this.heldMillis = heldMillis;
       this.depth = depth;
       this.digest = digest;
       this.roster = roster;
