Affinity: callers tied to nodes by epochs in two steps, leases, and slots kept for tied writes

Cause: nothing tied a caller to one node; while nodes came and went its writes could be at two of them. Placement is weighted rendezvous hashing over an epoch kept as a register; the next epoch is prepared, and in force once every holder of a lease has finished or its lease and what it may have sent have run out. Off unless a route names it or affinity.default is set.

--- a/audit/src/main/java/weldpoint/audit/ConfigurationSummary.java
+++ b/audit/src/main/java/weldpoint/audit/ConfigurationSummary.java
@@ -85,6 +85,9 @@
       }
       field(fields, "timeoutMs", action.timeoutMs());
       field(fields, "maxAttempts", action.maxAttempts());
+      if (action.affinity() != null) {
+        field(fields, "affinity", action.affinity().by() + (action.affinity().header() == null ? "" : ":" + action.affinity().header()) + (action.affinity().pauseMs() == null ? "" : ":" + plain(action.affinity().pauseMs())));
+      }
       field(fields, "homeRegions", action.homeRegions() == null || action.homeRegions().isEmpty() ? null : action.homeRegions());
     }
     field(fields, "targetLatencyMs", rule.targetLatencyMs());
--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -126,6 +126,12 @@
       throw bad("chief.wait-ms", values.get("chief.wait-ms"), "give at least 500, the pause between two words of an exchange");
     }
     purgeTrustMillis();
+    affinityWaitMillis();
+    affinityBatchMillis();
+    affinityReserve();
+    if (affinityLeaseMillis() < 1500) {
+      throw bad("affinity.lease-ms", values.get("affinity.lease-ms"), "give at least 1500: an exchange hears of a majority only every 700 ms, and a lease counts from there");
+    }
     final long needed = auditNeeds(auditRetention(), auditEntryBytes());
     if (needed > auditBytes()) {
       throw bad("audit.disk-mb", values.getOrDefault("audit.disk-mb", "4"), "give at least " + ((needed >> 20) + 1) + " for " + auditRetention() + " entries of up to " + auditEntryBytes() + " bytes, or lower audit.retention or audit.entry-bytes");
@@ -374,6 +380,31 @@
     return (int) number("choice.width", 24, 1, 100_000);
   }
 
+  /** What ties the callers of write routes that have no rule of their own: off, address, tenant or header:NAME. */
+  public String affinityUsual() {
+    return values.getOrDefault("affinity.default", "");
+  }
+
+  /** For how long a switchboard may tie callers by a placement without asking again. */
+  public long affinityLeaseMillis() {
+    return (long) number("affinity.lease-ms", 4000, 500, 600_000);
+  }
+
+  /** For how long a write waits for its caller's move before it is refused. */
+  public long affinityWaitMillis() {
+    return (long) number("affinity.wait-ms", 250, 0, 60_000);
+  }
+
+  /** How long changes of upstreams are gathered before callers are placed anew. */
+  public long affinityBatchMillis() {
+    return (long) number("affinity.batch-ms", 300, 0, 60_000);
+  }
+
+  /** The largest part of an upstream's slots that lookups and downloads leave free for writes tied to it. */
+  public double affinityReserve() {
+    return number("affinity.reserve", 0.5, 0, 1);
+  }
+
   /** How many entries of the history of routing changes are kept at least. */
   public long auditRetention() {
     return (long) number("audit.retention", 2000, 100, 10_000_000);
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -196,6 +196,11 @@
     }
   }
 
+  /** The region of a site. */
+  public String region(final String place) {
+    return regions.getOrDefault(place, "");
+  }
+
   private int distance(final Upstream upstream) {
     return upstream.site.equals(site) ? 0 : upstream.region.equals(region) ? 1 : 2;
   }
@@ -297,6 +302,35 @@
     return Choice.CHOSEN;
   }
 
+  /** Chooses this very upstream for a write that is tied to it, or none. */
+  public Choice pinned(final Dialplan.Service service, final Route route, final int tenantRank, final String id, final long pauseMillis, final long now) {
+    chosen = null;
+    final Upstream upstream = upstreams.get(id);
+    if (upstream == null || !upstream.open || !upstream.service.equals(service.name()) || evacuated.contains(upstream.site) || !route.home(upstream.region)) {
+      return Choice.NONE;
+    }
+    reserves = true;
+    upstream.tied(now, pauseMillis);
+    if (upstream.cold(now) && service.warmupPerSecond() > 0 && now < upstream.nextColdAt || upstream.busy(now) >= upstream.capacity * Further.room(route, tenantRank)) {
+      return Choice.FULL;
+    }
+    if (upstream.cold(now)) {
+      upstream.nextColdAt = now + pace(service);
+    }
+    chosen = upstream;
+    return Choice.CHOSEN;
+  }
+
+  private boolean kept(final Upstream upstream, final Route route, final long now) {
+    if (!reserves || !route.kind.repeatable()) {
+      return false;
+    }
+    final int reserved = upstream.reserved(now, sharers(), boot.affinityReserve(), usual(upstream.service));
+    return reserved > 0 && upstream.busy(now) + 1 > upstream.capacity - reserved;
+  }
+
+  private boolean reserves;
+
   private long pace(final Dialplan.Service service) {
     return (long) Math.ceil(1000.0 * sharers() / Math.max(0.5, 0.9 * service.warmupPerSecond()));
   }
@@ -311,7 +345,7 @@
       if (!upstream.open || evacuated.contains(upstream.site) || !route.home(upstream.region) || tried.contains(upstream)) {
         continue;
       }
-      if (upstream.cold(now) && (service.warmupPerSecond() > 0 && now < upstream.nextColdAt)) {
+      if (upstream.cold(now) && (service.warmupPerSecond() > 0 && now < upstream.nextColdAt) || kept(upstream, route, now)) {
         continue;
       }
       if (width != Width.DESPERATE && (upstream.suspect || orderedSuspects.contains(upstream.id) || upstream.dim(now, usual(service.name())))) {
--- a/cord/src/main/java/weldpoint/cord/Upstream.java
+++ b/cord/src/main/java/weldpoint/cord/Upstream.java
@@ -7,6 +7,7 @@
 public final class Upstream {
   private static final long TOLD_MILLIS = 1500;
   private static final int MOST_HOLD_MILLIS = 4000;
+  private static final long LEAST_WINDOW_MILLIS = 1000;
 
   final String id;
   final String service;
@@ -26,6 +27,10 @@
   private int toldOwn;
   private long toldAt = Long.MIN_VALUE / 2;
   double expectedMillis;
+  private long tiedFrom = Long.MIN_VALUE / 2;
+  private long tiedWindow = 1000;
+  private int tiedNow;
+  private int tiedBefore;
   private int failures;
   private long holdUntil;
   private long answeredAt;
@@ -78,6 +83,32 @@
     }
   }
 
+  /** A write of a caller that is tied to it goes there; sessions end after the pause. */
+  void tied(final long now, final long pauseMillis) {
+    turn(now);
+    tiedWindow = Math.max(1000, Math.min(10_000, pauseMillis));
+    tiedNow++;
+  }
+
+  private void turn(final long now) {
+    if (now - tiedFrom >= tiedWindow) {
+      tiedBefore = now - tiedFrom >= 2 * tiedWindow ? 0 : tiedNow;
+      tiedNow = 0;
+      tiedFrom = now;
+    }
+  }
+
+  /** How many slots the writes lately tied to it take over all switchboards, within this part of all; 0 once they have ceased. */
+  int reserved(final long now, final double sharers, final double most, final double usual) {
+    turn(now);
+    final int seen = tiedNow + tiedBefore;
+    if (seen == 0) {
+      return 0;
+    }
+    final double perMilli = seen / (double) ((tiedBefore == 0 ? 0 : tiedWindow) + Math.max(LEAST_WINDOW_MILLIS, now - tiedFrom));
+    return (int) Math.min(Math.floor(capacity * most), Math.ceil(perMilli * sharers * (expectedMillis == 0 ? usual : expectedMillis)));
+  }
+
   /** How many requests it probably has, over all switchboards. */
   double busy(final long now) {
     if (now - toldAt > TOLD_MILLIS) {
--- a/cord/src/test/java/weldpoint/cord/CordsTest.java
+++ b/cord/src/test/java/weldpoint/cord/CordsTest.java
@@ -163,4 +163,33 @@
     final Dialplan one = Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"" + kind + "\",\"priority\":" + priority + ",\"match\":{\"pathPrefix\":\"/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\"}]}").getBytes(StandardCharsets.UTF_8));
     return one.route("r");
   }
+
+  @Test
+  public void lookupsLeaveSlotsFreeForTiedWritesAndGetThemBackWhenThoseCease() {
+    final Cords cords = cords(5);
+    cords.apply(List.of(change("n", "a", 0, true)), 0);
+    cords.switchboards(1);
+    final Interpreter write = request("/x");
+    final Interpreter look = request("/any/x");
+    final Dialplan.Service service = plan.services().get(0);
+    final List<Cords.Attempt> under = new ArrayList<>();
+    long now = 10_000;
+    for (int index = 0; index < 30; index++) {
+      now += 50;
+      assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.CHOSEN);
+    }
+    int lookups = 0;
+    while (cords.choose(service, look.route(), List.of(), now) == Cords.Choice.CHOSEN && lookups < 10) {
+      under.add(cords.begin(cords.chosen(), now));
+      lookups++;
+    }
+    assertEquals(lookups, 2, "half of four slots is kept for the writes");
+    assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.CHOSEN, "a tied write still has room");
+    now += 25_000;
+    assertEquals(cords.choose(service, look.route(), List.of(), now), Cords.Choice.CHOSEN, "an idle reserve is given back");
+    assertEquals(cords.pinned(service, write.route(), 0, "gone", 60_000, now), Cords.Choice.NONE);
+    cords.evacuated(Set.of("a"), now);
+    assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.NONE);
+    under.forEach(attempt -> attempt.abandon(0));
+  }
 }
--- a/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
@@ -41,15 +41,7 @@
     CHOOSE_SERVICE {
       @Override
       boolean run(final Dialplan plan, final Interpreter request) {
-        final Route route = request.route;
-        int chosen = 0;
-        if (route.services.length > 1) {
-          final double at = request.chance * route.upTo[route.upTo.length - 1];
-          while (chosen < route.services.length - 1 && at >= route.upTo[chosen]) {
-            chosen++;
-          }
-        }
-        request.service = route.services[chosen];
+        request.service = request.route.services.length == 1 ? request.route.services[0] : request.route.service(request.chance);
         return true;
       }
     };
@@ -216,7 +208,7 @@
     }
     final List<String> homes = action.homeRegions() == null ? List.of() : action.homeRegions();
     return new Route(index, name, RouteKind.of(rule.routeKind()), (int) orElse(rule.priority(), 0), (long) orElse(rule.targetLatencyMs(), 1000),
-        Math.max(1, action.timeoutMs().longValue()), action.maxAttempts().intValue(), homes.toArray(new String[0]), Boolean.TRUE.equals(rule.open()), (long) (1000 * orElse(rule.cacheTtlS(), 0)), services, upTo);
+        Math.max(1, action.timeoutMs().longValue()), action.maxAttempts().intValue(), homes.toArray(new String[0]), Boolean.TRUE.equals(rule.open()), (long) (1000 * orElse(rule.cacheTtlS(), 0)), Affinity.of(name, RouteKind.of(rule.routeKind()), action.affinity()), services, upTo);
   }
 
   /** Runs the program for a request; false where no route matches. */
@@ -276,6 +268,13 @@
     return null;
   }
 
+  /** All routes. */
+  public List<Route> all() {
+    final List<Route> all = new ArrayList<>();
+    hosts.values().forEach(prefixes -> all.addAll(prefixes.values()));
+    return all;
+  }
+
   /** How many routes there are. */
   public int routes() {
     return routes;
--- a/dialplan/src/main/java/weldpoint/dialplan/SpecDocument.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/SpecDocument.java
@@ -34,7 +34,12 @@
 
   /** Where a route leads. */
   @Json
-  public record Action(String service, List<Share> split, Double timeoutMs, Double maxAttempts, List<String> homeRegions) {
+  public record Action(String service, List<Share> split, Double timeoutMs, Double maxAttempts, List<String> homeRegions, Affinity affinity) {
+  }
+
+  /** What ties a caller to one node. */
+  @Json
+  public record Affinity(String by, String header, Double pauseMs) {
   }
 
   /** A service's part of a split. */
--- a/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
+++ b/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
@@ -53,6 +53,55 @@
     };
   }
 
+  private static String tied(final String affinity) {
+    return GOOD.replace("\"maxAttempts\":1,", "\"maxAttempts\":1,\"affinity\":" + affinity + ",");
+  }
+
+  @Test
+  public void aRuleTiesTheCallersOfAWriteRoute() {
+    final Route route = compile(tied("{\"by\":\"header\",\"header\":\"X-Firm\",\"pauseMs\":5000}")).route("r2");
+    assertEquals(route.affinity, new Affinity(Affinity.By.HEADER, "X-Firm", 5000));
+    assertEquals(compile(tied("{\"by\":\"address\"}")).route("r2").affinity.by(), Affinity.By.ADDRESS);
+    assertEquals(compile(GOOD).route("r2").affinity, null);
+    assertEquals(Affinity.inForce(compile(GOOD).route("r2"), Affinity.setting("affinity.default", "header:X-Firm")).header(), "X-Firm");
+    assertEquals(Affinity.inForce(compile(GOOD).route("r1"), Affinity.setting("affinity.default", "address")), null);
+  }
+
+  @Test
+  public void aSplitKeepsEachCallerOnOneServiceInTheWeightsParts() {
+    final Dialplan plan = compile(tied("{\"by\":\"address\"}"));
+    final Route route = plan.route("r2");
+    int second = 0;
+    for (int caller = 0; caller < 20_000; caller++) {
+      final long hash = caller * 0x9e3779b97f4a7c15L;
+      assertEquals(route.serviceFor(hash), route.serviceFor(hash));
+      second += plan.services().get(route.serviceFor(hash)).name().equals("t") ? 1 : 0;
+    }
+    assertTrue(second > 1600 && second < 2400, "t has " + second + " of 20000 at a weight of 10 in 100");
+  }
+
+  @DataProvider
+  public Object[][] badAffinity() {
+    return new Object[][] {
+        {tied("{\"by\":\"moon\"}"), "give header, tenant or address"},
+        {tied("{}"), "give header, tenant or address"},
+        {tied("{\"by\":\"header\"}"), "name the header"},
+        {tied("{\"by\":\"header\",\"header\":\"\"}"), "no name of one"},
+        {tied("{\"by\":\"header\",\"header\":\"X Firm\"}"), "no name of one"},
+        {tied("{\"by\":\"address\",\"header\":\"X-Firm\"}"), "leave the header out"},
+        {tied("{\"by\":\"address\",\"pauseMs\":0}"), "above 0"},
+        {tied("{\"by\":\"address\",\"pauseMs\":-5}"), "above 0"},
+        {tied("{\"by\":\"address\"}").replace("\"mutating\"", "\"egress\""), "carries no writes"},
+    };
+  }
+
+  @Test(dataProvider = "badAffinity")
+  public void aRuleThatCannotHoldIsRefusedWithTheRemedy(final String text, final String remedy) {
+    final Breakdown breakdown = expectThrows(Breakdown.class, () -> compile(text));
+    assertEquals(breakdown.kind(), Breakdown.Kind.INVALID);
+    assertTrue(breakdown.getMessage().contains(remedy), breakdown.getMessage());
+  }
+
   @Test(dataProvider = "invalid")
   public void whatIsInvalidIsRefusedWithItsKind(final String text, final Breakdown.Kind kind) {
     assertEquals(expectThrows(Breakdown.class, () -> compile(text)).kind(), kind);
--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -94,7 +94,8 @@
           final Dialplan plan = Dialplan.compile(document);
           final byte[] packed = Packing.deflate(body);
           final Words.Cause cause = door.core.cause(origin.author, origin.caller, Packing.deflate(Wire.bytes(ConfigurationSummary.of(document, body))));
-          return door.core.change(Deed.SPEC_REPLACE, "", plan.version(), packed, cause, CALL_MILLIS, now).thenCompose(answer -> answer.status != 200 || answer.first != plan.version()
+          final boolean tied = plan.all().stream().anyMatch(route -> route.affinity != null);
+          return door.core.change(Deed.SPEC_REPLACE, "", plan.version(), tied ? 1 : 0, packed, cause, CALL_MILLIS, now).thenCompose(answer -> answer.status != 200 || answer.first != plan.version()
               ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
               : door.core.spread(plan.version(), packed, System.nanoTime() / 1_000_000).handle((done, late) -> Reply.EMPTY));
         };
@@ -466,7 +467,7 @@
   }
 
   private Command evacuate(final String site, final long on, final Origin origin) {
-    return (now, waits) -> core.change(Deed.EVACUATE, site, on, null, core.cause(origin.author, origin.caller, null), CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
+    return (now, waits) -> core.change(Deed.EVACUATE, site, on, 0, null, core.cause(origin.author, origin.caller, null), CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
   }
 
   private Reply trial(final Words.Trial trial) {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -11,8 +11,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import weldpoint.affinity.PlacementKeeper;
 import weldpoint.audit.Authors;
 import weldpoint.boot.Breakdown;
+import weldpoint.dialplan.Affinity;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.frame.Deed;
 import weldpoint.frame.Tokens;
@@ -106,6 +108,7 @@
   private Words.Purges purges;
   private Tollbooth booth;
   private Electorates electorates;
+  private PlacementDesk placements;
   private final Reels reels = new Reels();
   private final Map<Long, Quorum> quorums = new LinkedHashMap<>();
   private final Map<String, Long> members = new LinkedHashMap<>();
@@ -150,6 +153,34 @@
     electorates = new Electorates((region, body, now) -> store.call(Deed.ELECTORATE, region, null, 0, 0, body, null, now, 900));
   }
 
+  /** Takes to placing callers on nodes, by what settings say of write routes without a rule. */
+  public void placements(final Affinity usual, final long incarnation, final long leaseMillis, final long batchMillis) {
+    placements = new PlacementDesk(usual, new PlacementKeeper(self, incarnation, leaseMillis, batchMillis, new PlacementKeeper.Writer() {
+      @Override
+      public CompletableFuture<Words.Answer> keeper(final Words.Keeper next, final long now) {
+        return store.call(Deed.KEEPER_WRITE, "", null, 0, 0, Wire.bytes(next), null, now, 900);
+      }
+
+      @Override
+      public CompletableFuture<Words.Answer> placement(final Words.Placement next, final long now) {
+        return store.call(Deed.PLACEMENT_WRITE, next.service, null, 0, 0, PlacementKeeper.bytes(next), null, now, 900);
+      }
+    }));
+  }
+
+  /** A switchboard asks for a lease on placements. */
+  public void lease(final Object stream, final Words.LeaseAsk ask, final long now) {
+    if (placements == null) {
+      return;
+    }
+    if (placements.keeper().keeps()) {
+      outlet.board(stream, placements.keeper().ask(ask, majorityAt, now));
+    } else {
+      placements.asker(ask.board, stream);
+      outlet.member(placements.keeper().keeper(), ask);
+    }
+  }
+
   /** Takes to giving out permits. */
   public void tolls(final Tollhouse house) {
     booth = new Tollbooth(self, house, outlet::member);
@@ -465,6 +496,10 @@
       permit((Words.PermitAsk) message, reply, now);
     } else if (message instanceof Words.PermitAnswer && booth != null) {
       booth.answered((Words.PermitAnswer) message);
+    } else if (message instanceof Words.LeaseAsk && placements != null) {
+      reply.accept(placements.keeper().ask((Words.LeaseAsk) message, majorityAt, now));
+    } else if (message instanceof Words.LeaseGrant && placements != null) {
+      placements.granted((Words.LeaseGrant) message, streams::contains, outlet::board);
     } else if (message instanceof Words.Gossip) {
       onGossip(from, (Words.Gossip) message, reply, now);
     }
@@ -711,6 +746,9 @@
       if (reels.state().mark > 0) {
         outlet.board(stream, reels.state());
       }
+      if (placements != null && placements.keeper().mark() > 0) {
+        outlet.board(stream, placements.keeper().placements());
+      }
       outlet.board(stream, reach(now));
     }
     hopefuls.clear();
@@ -820,7 +858,7 @@
     }
     controlOut = true;
     controlAskedAt = now;
-    store.call(Deed.CONTROL, "", null, version, evacuationMark + trialMark + (purges == null ? 0 : purges.mark) + (electorates == null ? otherMarks : electorates.marks()), null, null, now, 2500).whenComplete((answer, problem) -> {
+    store.call(Deed.CONTROL, "", null, version, evacuationMark + trialMark + (purges == null ? 0 : purges.mark) + (electorates == null ? otherMarks : electorates.marks()) + (placements == null ? placementMarks : placements.marks()), null, null, now, 2500).whenComplete((answer, problem) -> {
       controlOut = false;
       if (problem == null && answer.status == 200) {
         takeControl(Wire.value(answer.body, Values.Control.class));
@@ -830,6 +868,7 @@
 
   private long controlAskedAt;
   private long otherMarks;
+  private long placementMarks;
   private long clock;
 
   private void takeTrials(final List<Words.Trial> given) {
@@ -874,6 +913,11 @@
     } else {
       otherMarks = Words.list(control.electorates).stream().mapToLong(one -> one.mark).sum();
     }
+    placementMarks = control.placementMark + (control.keeper == null ? 0 : control.keeper.serial);
+    if (placements != null && placements.take(control, clock)) {
+      final Words.Placements told = placements.keeper().placements();
+      streams.stream().filter(stream -> !announcers.contains(stream)).forEach(stream -> outlet.board(stream, told));
+    }
     if (control.purges != null && (purges == null || control.purges.mark > purges.mark)) {
       purges = control.purges;
       announcers.stream().filter(streams::contains).forEach(stream -> outlet.board(stream, purges));
@@ -972,8 +1016,8 @@
   }
 
   /** Calls the store with a change of routing, and who wants it. */
-  public CompletableFuture<Words.Answer> change(final Deed deed, final String name, final long first, final byte[] body, final Words.Cause cause, final long timeout, final long now) {
-    return store.call(deed, name, null, first, 0, body, cause, now, timeout);
+  public CompletableFuture<Words.Answer> change(final Deed deed, final String name, final long first, final long second, final byte[] body, final Words.Cause cause, final long timeout, final long now) {
+    return store.call(deed, name, null, first, second, body, cause, now, timeout);
   }
 
   /** Who wants a change that came in here. */
@@ -1046,6 +1090,10 @@
     }
     admit(now);
     askControl(now);
+    if (placements != null && placements.active()) {
+      final String keeper = placements.keeper().keeper();
+      placements.tick(plan(), history.values(), evacuated, suspects, revision, writesElectorates(), keeper.equals(self) || connected.contains(keeper), now - majorityAt < MAJORITY_MILLIS, now);
+    }
     if (now - reachAt >= REACH_MILLIS) {
       reachAt = now;
       countBoards(now);
@@ -1157,6 +1205,6 @@
 
   /** The counters, as one line. */
   public String counters() {
-    return "registrations " + history.size() + " beats " + beats + " gossips " + gossips + " streams " + streams.size() + " boards " + boards.size() + (booth == null ? "" : " " + booth.counters()) + " roster " + roster.number + " spec " + Long.toHexString(version);
+    return (placements == null || !placements.active() ? "" : placements.keeper().counters() + " ") + "registrations " + history.size() + " beats " + beats + " gossips " + gossips + " streams " + streams.size() + " boards " + boards.size() + (booth == null ? "" : " " + booth.counters()) + " roster " + roster.number + " spec " + Long.toHexString(version);
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -14,6 +14,7 @@
 import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
 import weldpoint.boot.Program;
+import weldpoint.dialplan.Affinity;
 import weldpoint.tape.Ring;
 import weldpoint.tape.Tape;
 import weldpoint.trunk.Line;
@@ -40,13 +41,14 @@
   private final Lines frames;
   private Tape tape;
   private long countersAt;
+  private final long incarnation;
   private Message unsealed;
   private Message sealed;
 
   /** A registry for these settings; nothing runs yet. */
   public ExchangeDaemon(final Boot boot) {
     this.boot = boot;
-    final long incarnation = Chance.fresh();
+    incarnation = Chance.fresh();
     this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
     this.members = new Lines(trunk, boot.trunkPort(0), to -> Trunk.on(desk, new Trunk.Ear() {
       @Override
@@ -134,6 +136,7 @@
     if (boot.chief()) {
       core.chiefs();
     }
+    core.placements(Affinity.setting("affinity.default", boot.affinityUsual()), incarnation, boot.affinityLeaseMillis(), boot.affinityBatchMillis());
     if (boot.content()) {
       core.tolls(new weldpoint.toll.Tollhouse(boot, boot.firstStart() && found.records().isEmpty(), now()));
     }
@@ -146,6 +149,8 @@
           core.boardState(line, ((Words.BoardState) message).board, now());
         } else if (message instanceof Words.TrialReport && "switchboard".equals(line.peer().program)) {
           core.trialReport((Words.TrialReport) message, now());
+        } else if (message instanceof Words.LeaseAsk && "switchboard".equals(line.peer().program)) {
+          core.lease(line, (Words.LeaseAsk) message, now());
         } else if (message instanceof Words.Reel) {
           core.reel((Words.Reel) message, now());
         } else if (message instanceof Words.PermitAsk && !"exchange".equals(line.peer().program)) {
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/PlacementDesk.java
@@ -0,0 +1,108 @@
+package weldpoint.exchange;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import weldpoint.affinity.PlacementKeeper;
+import weldpoint.dialplan.Affinity;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.dialplan.Route;
+import weldpoint.frame.Values;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Words;
+import weldpoint.trunk.Words.PlacementMember;
+import weldpoint.trunk.Words.Registration;
+
+/** An exchange's part in affinity: it works out who should be placed where, and passes leases between switchboards and the keeper. */
+final class PlacementDesk {
+  private final Affinity usual;
+  private final PlacementKeeper keeper;
+  private final Map<String, Object> askers = new HashMap<>();
+  private boolean tied;
+  private long keeperSerial;
+  private long wantedRevision = -1;
+  private long wantedVersion = -1;
+  private int wantedState;
+
+  PlacementDesk(final Affinity usual, final PlacementKeeper keeper) {
+    this.usual = usual;
+    this.keeper = keeper;
+  }
+
+  PlacementKeeper keeper() {
+    return keeper;
+  }
+
+  /** Whether a route ties callers, or settings do. */
+  boolean active() {
+    return tied || usual != null;
+  }
+
+  long marks() {
+    return keeper.mark() + keeperSerial;
+  }
+
+  /** Takes what the frames hold; true where switchboards must be told. */
+  boolean take(final Values.Control control, final long now) {
+    tied = control.tied;
+    if (control.keeper != null) {
+      keeperSerial = Math.max(keeperSerial, control.keeper.serial);
+    }
+    return keeper.take(Words.list(control.placements), control.keeper, control.placements == null ? 0 : control.placementMark, now);
+  }
+
+  /** Remembers over which stream a switchboard asked. */
+  void asker(final String board, final Object stream) {
+    askers.put(board, stream);
+  }
+
+  /** Passes the keeper's answer on. */
+  void granted(final Words.LeaseGrant grant, final Predicate<Object> open, final BiConsumer<Object, Message> board) {
+    final Object stream = askers.remove(grant.board);
+    if (stream != null && open.test(stream)) {
+      board.accept(stream, grant);
+    }
+  }
+
+  /** Time has passed. */
+  void tick(final Dialplan plan, final Collection<Registration> history, final Collection<String> evacuated, final Set<String> suspects, final long revision, final boolean mayKeep, final boolean reachable, final boolean confirmed, final long now) {
+    if (plan == null) {
+      return;
+    }
+    final int state = 31 * evacuated.hashCode() + suspects.hashCode();
+    if (plan.version() != wantedVersion || revision != wantedRevision || state != wantedState) {
+      wantedVersion = plan.version();
+      wantedRevision = revision;
+      wantedState = state;
+      want(plan, history, evacuated, suspects);
+    }
+    keeper.tick(mayKeep, reachable, confirmed, now);
+  }
+
+  private void want(final Dialplan plan, final Collection<Registration> history, final Collection<String> evacuated, final Set<String> suspects) {
+    final Map<String, List<PlacementMember>> wanted = new TreeMap<>();
+    long longest = 0;
+    for (final Route route : plan.all()) {
+      if (Affinity.inForce(route, usual) != null) {
+        longest = Math.max(longest, route.timeoutMillis);
+        for (final int service : route.services()) {
+          wanted.computeIfAbsent(plan.services().get(service).name(), name -> new ArrayList<>());
+        }
+      }
+    }
+    for (final Registration one : history) {
+      final List<PlacementMember> members = wanted.get(one.service);
+      if (members != null && Stage.of(one) == Stage.JOINED && !evacuated.contains(one.site) && !suspects.contains(one.id)) {
+        members.add(new PlacementMember(one.id, one.capacity, one.site));
+      }
+    }
+    wanted.replaceAll((service, members) -> PlacementKeeper.sorted(members));
+    keeper.wanted(wanted, longest);
+  }
+}
--- a/frame/src/main/java/weldpoint/frame/Deed.java
+++ b/frame/src/main/java/weldpoint/frame/Deed.java
@@ -8,17 +8,18 @@
 import weldpoint.frame.Values.Put;
 import weldpoint.frame.Values.Spec;
 import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Call;
 
 /** What may be asked of the store, each with how it is decided at the holder of the duty. */
 public enum Deed {
-  /** Takes a configuration: first is its version, body its compressed bytes; the answer's first is 0 if a later one, or another of this version, holds. */
+  /** Takes a configuration: first is its version, second 1 where a route ties callers to nodes, body its compressed bytes; the answer's first is 0 if a later one, or another of this version, holds. */
   SPEC_REPLACE(Values.Kind.SPEC) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final Spec spec = (Spec) value;
       return spec != null && call.first <= spec.version ? Decision.confirm(200, 0)
-          : Decision.write(new Spec(call.first, call.body, call.cause == null ? null : call.cause.extra), null, call.first);
+          : Decision.write(new Spec(call.first, call.body, call.cause == null ? null : call.cause.extra, call.second == 1), null, call.first);
     }
   },
   /** Reads the configuration: first is its version, body its compressed bytes. */
@@ -212,6 +213,24 @@
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       return Decision.read();
     }
+  },
+  /** Writes among which upstreams a service's callers are placed (body), if its serial follows the one there. */
+  PLACEMENT_WRITE(Values.Kind.PLACEMENT) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Words.Placement next = Wire.value(call.body, Words.Placement.class);
+      final long serial = value == null ? 0 : ((Words.Placement) value).serial;
+      return next.serial == serial + 1 ? Decision.write(next, null, next.serial) : Decision.confirm(412, serial);
+    }
+  },
+  /** Writes which exchange keeps placements (body), if its serial follows the one there. */
+  KEEPER_WRITE(Values.Kind.KEEPER) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final Words.Keeper next = Wire.value(call.body, Words.Keeper.class);
+      final long serial = value == null ? 0 : ((Words.Keeper) value).serial;
+      return next.serial == serial + 1 ? Decision.write(next, null, next.serial) : Decision.confirm(412, serial);
+    }
   };
 
   private static final int MOST_PURGES = 200;
@@ -229,7 +248,7 @@
 
   /** The register that a call of this deed concerns. */
   public String register(final String identifier) {
-    return kind == Values.Kind.SPEC || kind == Values.Kind.PURGES || kind == Values.Kind.AUDIT ? kind.register("") : kind.register(identifier);
+    return kind == Values.Kind.SPEC || kind == Values.Kind.PURGES || kind == Values.Kind.AUDIT || kind == Values.Kind.KEEPER ? kind.register("") : kind.register(identifier);
   }
 
   abstract Decision decide(Held held, Object value, Call call, long now);
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -1403,6 +1403,9 @@
     long trialMark = 0;
     Words.Purges purges = null;
     final List<Words.Electorate> electorates = new ArrayList<>();
+    final List<Words.Placement> placements = new ArrayList<>();
+    Words.Keeper keeper = null;
+    long placementMark = 0;
     long others = 0;
     for (final Held held : partition.held.values()) {
       if (held.kind == Values.Kind.EVACUATION && held.committed != null) {
@@ -1420,14 +1423,21 @@
       } else if (held.kind == Values.Kind.ELECTORATE && held.committed != null) {
         electorates.add((Words.Electorate) held.committed);
         others += ((Words.Electorate) held.committed).mark;
+      } else if (held.kind == Values.Kind.PLACEMENT && held.committed != null) {
+        placements.add((Words.Placement) held.committed);
+        placementMark += ((Words.Placement) held.committed).serial;
+      } else if (held.kind == Values.Kind.KEEPER && held.committed != null) {
+        keeper = (Words.Keeper) held.committed;
+        others += keeper.serial;
       }
     }
+    others += placementMark;
     final long version = value == null ? 0 : value.version;
     final boolean news = version > work.call.first || mark + trialMark + others != work.call.second;
     if (!news && !always) {
       return false;
     }
-    final Values.Control control = new Values.Control(version, version > work.call.first ? value.body : null, evacuated, mark, roster, trials, trialMark, purges, electorates);
+    final Values.Control control = new Values.Control(version, version > work.call.first ? value.body : null, evacuated, mark, roster, trials, trialMark, purges, electorates, value != null && value.tied, placementMark, news ? placements : null, keeper);
     work.reply.accept(new Words.Answer(work.call.number, 200, version, Wire.bytes(control), null));
     return true;
   }
--- a/frame/src/main/java/weldpoint/frame/Values.java
+++ b/frame/src/main/java/weldpoint/frame/Values.java
@@ -16,6 +16,7 @@
   public enum Kind {
     ROSTER("roster", Words.Roster.class), SPEC("spec", Spec.class), EVACUATION("evacuation/", Evacuation.class), TRIAL("trial/", Words.Trial.class),
     PURGES("purges", Words.Purges.class), ELECTORATE("electorate/", Words.Electorate.class), AUDIT("audit", Retention.class),
+    PLACEMENT("placement/", Words.Placement.class), KEEPER("keeper", Words.Keeper.class),
     LOCK("lock/", Lock.class), NUMBER("number/", Number.class), GROUP("group/", Group.class);
 
     private final String prefix;
@@ -68,13 +69,15 @@
     }
   }
 
-  /** The operators' configuration: its version, its compressed bytes and, compressed too, its summary for the history. */
+  /** The operators' configuration: its version, its compressed bytes and, compressed too, its summary for the history; whether a route ties callers to nodes. */
   public static final class Spec {
     public final long version;
     public final byte[] body;
     public final byte[] summary;
+    public final boolean tied;
 
-    public Spec(final long version, final byte[] body, final byte[] summary) {
+    public Spec(final long version, final byte[] body, final byte[] summary, final boolean tied) {
+      this.tied = tied;
       this.version = version;
       this.body = body;
       this.summary = summary;
@@ -262,8 +265,16 @@
     public final long trialMark;
     public final Words.Purges purges;
     public final List<Words.Electorate> electorates;
-
-    public Control(final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final Words.Roster roster, final List<Words.Trial> trials, final long trialMark, final Words.Purges purges, final List<Words.Electorate> electorates) {
+    public final boolean tied;
+    public final long placementMark;
+    public final List<Words.Placement> placements;
+    public final Words.Keeper keeper;
+
+    public Control(final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final Words.Roster roster, final List<Words.Trial> trials, final long trialMark, final Words.Purges purges, final List<Words.Electorate> electorates, final boolean tied, final long placementMark, final List<Words.Placement> placements, final Words.Keeper keeper) {
+      this.tied = tied;
+      this.placementMark = placementMark;
+      this.placements = placements;
+      this.keeper = keeper;
       this.electorates = electorates;
       this.purges = purges;
       this.trials = trials;
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -57,6 +57,14 @@
     default void electorate(final Words.Electorate electorate) {
     }
 
+    /** Tells among which upstreams callers are placed. */
+    default void placements(final Words.Placements placements) {
+    }
+
+    /** A lease on placements was granted or refused. */
+    default void leased(final Words.LeaseGrant grant) {
+    }
+
     /** Tells whether to record. */
     default void recording(final Words.RecordState state) {
     }
@@ -156,6 +164,10 @@
       }
     } else if (message instanceof Words.Purges) {
       outlet.purges((Words.Purges) message);
+    } else if (message instanceof Words.Placements) {
+      outlet.placements((Words.Placements) message);
+    } else if (message instanceof Words.LeaseGrant) {
+      outlet.leased((Words.LeaseGrant) message);
     } else if (message instanceof Words.Electorate) {
       outlet.electorate((Words.Electorate) message);
     } else if (message instanceof Words.RecordState) {
--- a/jack/src/main/java/weldpoint/jack/Session.java
+++ b/jack/src/main/java/weldpoint/jack/Session.java
@@ -197,6 +197,11 @@
     }
   }
 
+  /** The client's address. */
+  String address() {
+    return context.channel().remoteAddress() instanceof java.net.InetSocketAddress ? ((java.net.InetSocketAddress) context.channel().remoteAddress()).getAddress().getHostAddress() : "";
+  }
+
   boolean open() {
     return context.channel().isActive();
   }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -28,6 +28,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import weldpoint.affinity.Ties;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
@@ -51,6 +52,7 @@
   private static final int MOST_HEADER = 65_536;
   private static final long LINGER_MILLIS = 2300;
   private static final int CALM_ROUNDS = 5;
+  private static final long TIE_MILLIS = 50;
 
   private final Boot boot;
   private final Desk desk = new Desk("switchboard");
@@ -104,6 +106,23 @@
         inForce();
       }
 
+      @Override
+      public void placements(final Words.Placements placements) {
+        loop.execute(() -> {
+          ties();
+          room.ties.take(placements, Switchroom.now());
+        });
+      }
+
+      @Override
+      public void leased(final Words.LeaseGrant grant) {
+        loop.execute(() -> {
+          if (room.ties != null) {
+            room.ties.granted(grant, Switchroom.now());
+          }
+        });
+      }
+
       @Override
       public void recording(final Words.RecordState state) {
         loop.execute(() -> record(state));
@@ -160,6 +179,7 @@
       content();
     }
     desk.execute(() -> link.start(Switchroom.now()));
+    room.uponTies = this::ties;
     room.uponPlan = this::openFront;
     new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
@@ -173,7 +193,15 @@
     loop.scheduleAtFixedRate(() -> report(false), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(() -> LOGGER.atInfo().log("counters: served %s refused %s failed %s repeated %s active %s upstreams %s spec %s", room.served, room.refused, room.failed, room.repeated, room.active,
-        room.cords.count() + (chief == null ? "" : " " + chief.counters()), room.plan == null ? "none" : Long.toHexString(room.plan.version())), COUNTERS_MILLIS, COUNTERS_MILLIS, TimeUnit.MILLISECONDS);
+        room.cords.count() + (room.ties == null ? "" : " " + room.ties.counters(Switchroom.now())) + (chief == null ? "" : " " + chief.counters()), room.plan == null ? "none" : Long.toHexString(room.plan.version())), COUNTERS_MILLIS, COUNTERS_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes to tying callers to nodes. */
+  private void ties() {
+    if (room.ties == null) {
+      room.ties = new Ties(boot.address(), incarnation, boot.affinityLeaseMillis(), stream::send);
+      loop.scheduleAtFixedRate(() -> room.ties.tick(Switchroom.now()), TIE_MILLIS, TIE_MILLIS, TimeUnit.MILLISECONDS);
+    }
   }
 
   private void record(final Words.RecordState state) {
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -2,10 +2,13 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.util.Random;
+import weldpoint.affinity.Callers;
+import weldpoint.affinity.Ties;
 import weldpoint.boot.Boot;
 import weldpoint.chief.Duties;
 import weldpoint.chief.OnceOnly;
 import weldpoint.cord.Cords;
+import weldpoint.dialplan.Affinity;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.RouteKind;
 import weldpoint.trial.TrialBook;
@@ -19,6 +22,11 @@
   final EventLoopGroup loop;
   Dialplan plan;
   Permits permits;
+  Ties ties;
+  Affinity usual;
+  long tieWaitMillis;
+  final Callers callers = new Callers();
+  Runnable uponTies;
   OnceOnly once;
   Recorder recorder;
   Words.Order order;
@@ -42,6 +50,8 @@
     this.random = random;
     this.cords = new Cords(loop, boot, random);
     this.cords.surplus(trials::surplus);
+    this.usual = Affinity.setting("affinity.default", boot.affinityUsual());
+    this.tieWaitMillis = boot.affinityWaitMillis();
     this.strict = boot.strictRevocation();
     this.revokeMillis = boot.revokeMillis();
   }
@@ -80,6 +90,9 @@
     if (outlook.plan() != null && (plan == null || outlook.plan().version() > plan.version())) {
       final boolean first = plan == null;
       plan = outlook.plan();
+      if (ties == null && uponTies != null && plan.all().stream().anyMatch(route -> Affinity.inForce(route, usual) != null)) {
+        uponTies.run();
+      }
       if (first && uponPlan != null) {
         loop.execute(uponPlan);
       }
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -18,11 +18,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import weldpoint.affinity.Rendezvous;
+import weldpoint.affinity.Ties;
+import weldpoint.affinity.Verdict;
 import weldpoint.cord.Cord;
 import weldpoint.cord.Cords;
 import weldpoint.cord.Further;
 import weldpoint.cord.Headers;
 import weldpoint.cord.Upstream;
+import weldpoint.dialplan.Affinity;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Interpreter;
 import weldpoint.dialplan.Route;
@@ -34,6 +38,8 @@
 /** One request from its arrival to its answer, with its tries at upstreams. */
 final class Trip {
   private static final long MARGIN_MILLIS = 15;
+  private static final long TIE_PAUSE_MILLIS = 25;
+  private static final int MOST_UNTIED = 2;
   private static final long REVOKE_MARGIN_MILLIS = 300;
 
   private final Switchroom room;
@@ -55,6 +61,10 @@
   private String key;
   private boolean keyed;
   private boolean single;
+  private Affinity affinity;
+  private long caller;
+  private Ties.Tie tie;
+  private int untied;
   private Recorder.Draft draft;
   private ScheduledFuture<?> timer;
   private ScheduledFuture<?> hedge;
@@ -86,8 +96,17 @@
     if (!plan.tenants().isEmpty() && !admit(plan)) {
       return;
     }
+    affinity = Affinity.inForce(route, room.usual);
+    double chance = room.random.nextDouble();
+    if (affinity != null) {
+      final String name = room.callers.name(affinity, affinity.header() == null ? List.of() : request.headers().getAll(affinity.header()), tenant == null ? null : tenant.name(), session.address());
+      final long drawn = Rendezvous.caller(route.name, name);
+      service = plan.services().get(route.serviceFor(drawn));
+      chance = (drawn >>> 11) / (double) (1L << 53);
+      caller = Rendezvous.caller(service.name(), name);
+    }
     if (!room.trials.idle() && room.trials.covers(route.name)) {
-      final int other = plan.service(room.trials.choose(route.name, service.name(), request.headers().get(Headers.TRIAL_TOKEN), room.random.nextDouble()));
+      final int other = plan.service(room.trials.choose(route.name, service.name(), request.headers().get(Headers.TRIAL_TOKEN), chance));
       service = other < 0 ? service : plan.services().get(other);
       trialled = true;
     }
@@ -172,10 +191,68 @@
   }
 
   private void send() {
+    if (affinity != null) {
+      sendTied();
+      return;
+    }
     attempt(false);
     refuseUnsent();
   }
 
+  /** Sends a tied write to its caller's node, or waits a little for it, or refuses. */
+  private void sendTied() {
+    if (over) {
+      return;
+    }
+    final Verdict verdict = tied();
+    if (verdict == Verdict.GO) {
+      room.ties.count(verdict);
+      return;
+    }
+    final long waited = Switchroom.now() - arrivedAt;
+    if (verdict.passing() && waited < room.tieWaitMillis && session.open()) {
+      room.loop.schedule(this::sendTied, Math.min(TIE_PAUSE_MILLIS, room.tieWaitMillis - waited), TimeUnit.MILLISECONDS);
+      return;
+    }
+    refuseTied(verdict);
+  }
+
+  private void refuseTied(final Verdict verdict) {
+    if (over) {
+      return;
+    }
+    if (room.ties != null) {
+      room.ties.count(verdict);
+    }
+    refuse(verdict.reason(), retryAfter());
+  }
+
+  /** Whether the tied write went out, and if not, why. */
+  private Verdict tied() {
+    if (room.ties == null) {
+      return Verdict.NO_PLACEMENT;
+    }
+    final long now = Switchroom.now();
+    final Route bound = route;
+    final Dialplan.Tenant owner = tenant;
+    final java.util.function.Predicate<Words.PlacementMember> may = member -> {
+      final String region = room.cords.region(member.site);
+      return bound.home(region) && (owner == null || owner.home(region));
+    };
+    final Verdict verdict = room.ties.decide(service.name(), caller, may, now);
+    if (verdict != Verdict.GO) {
+      return verdict;
+    }
+    final String node = room.ties.node().id;
+    final Cords.Choice choice = room.cords.pinned(service, route, tenant == null ? 0 : tenant.priority(), node, affinity.pauseMillis(), now);
+    if (choice != Cords.Choice.CHOSEN) {
+      return choice == Cords.Choice.FULL ? Verdict.FULL : Verdict.LEAVING;
+    }
+    tie = room.ties.begin(service.name(), caller, node, may, cutoff);
+    transmit(room.cords.chosen(), now);
+    return Verdict.GO;
+  }
+
   /** Asks for the origin's permit, where that has a limit. */
   private void origin() {
     if (room.permits == null || service.ratePerSecond() <= 0) {
@@ -214,7 +291,10 @@
     if (sent > 0 && !room.cords.repeat(service.name(), now)) {
       return false;
     }
-    final Upstream upstream = room.cords.chosen();
+    return transmit(room.cords.chosen(), now);
+  }
+
+  private boolean transmit(final Upstream upstream, final long now) {
     if (room.once != null && !route.kind.repeatable() && !room.once.begin(request.headers().get(Headers.ATTEMPT_ID))) {
       fail(HttpResponseStatus.BAD_GATEWAY, "this write was sent before and may have run; ask what became of it");
       return true;
@@ -247,6 +327,10 @@
     final boolean[] ended = new boolean[1];
     self[0] = room.cords.send(upstream, forward, attemptId, now, (end, head, bytes) -> {
       ended[0] = true;
+      if (tie != null && end != Cord.End.UNCERTAIN) {
+        tie.ended();
+        room.ties.tick(Switchroom.now());
+      }
       if (draft != null) {
         draft.ended(recorded, end, head, Switchroom.now());
       }
@@ -300,6 +384,10 @@
     }
     if (end == Cord.End.UNSENT) {
       sent--;
+      if (affinity != null && ++untied > MOST_UNTIED) {
+        refuseTied(Verdict.DECLINED);
+        return;
+      }
       next();
       return;
     }
@@ -359,6 +447,18 @@
 
   /** Goes on after a try that brought no answer for the client. */
   private void next() {
+    if (affinity != null && !uncertain && lastAnswer == null && running() == 0) {
+      if (sent == 0) {
+        sendTied();
+      } else {
+        refuseTied(Verdict.DECLINED);
+      }
+      return;
+    }
+    if (affinity != null) {
+      fail(HttpResponseStatus.BAD_GATEWAY, "the upstream gave no proper answer; the request may have run");
+      return;
+    }
     if (Further.mayGoOn(route, uncertain) && attempt(true)) {
       return;
     }
--- a/jack/src/test/java/weldpoint/jack/TripTest.java
+++ b/jack/src/test/java/weldpoint/jack/TripTest.java
@@ -27,10 +27,12 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import weldpoint.affinity.Ties;
 import weldpoint.boot.Boot;
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.trial.TrialBook;
+import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Registration;
 
 /** Requests through the whole door to scripted upstreams: what may be repeated is, what may not never runs twice. */
@@ -78,6 +80,7 @@
     }
     final Dialplan plan = Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":["
         + "{\"name\":\"w\",\"routeKind\":\"mutating\",\"targetLatencyMs\":5000,\"match\":{\"pathPrefix\":\"/w/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":3}},"
+        + "{\"name\":\"t\",\"routeKind\":\"mutating\",\"targetLatencyMs\":5000,\"match\":{\"pathPrefix\":\"/t/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":3,\"affinity\":{\"by\":\"header\",\"header\":\"X-Firm\"}}},"
         + "{\"name\":\"r\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":5000,\"match\":{\"pathPrefix\":\"/r/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":3}}]}],\"pools\":[{\"name\":\"s\"}]}").getBytes(StandardCharsets.UTF_8));
     final List<Cords.Change> changes = List.of(new Cords.Change(registrations[0], true), new Cords.Change(registrations[1], true), new Cords.Change(registrations[2], true));
     loop.submit(() -> room.take(new Outlook(plan, changes, null, null, 1, null, -1))).sync();
@@ -145,4 +148,49 @@
     assertEquals(answer.toLowerCase().contains("retry-after"), status == 503, answer);
     front.close();
   }
+
+  private void placed(final boolean leased, final boolean moving) throws InterruptedException {
+    loop.submit(() -> {
+      final long[] number = new long[1];
+      room.ties = new Ties("127.0.0.1", 1, 4000, ask -> number[0] = ask.number);
+      final List<Words.PlacementMember> members = List.of(new Words.PlacementMember("i-0", 4, "a"), new Words.PlacementMember("i-1", 4, "a"), new Words.PlacementMember("i-2", 4, "a"));
+      final List<Words.PlacementMember> next = List.of(new Words.PlacementMember("i-9", 4, "a"));
+      room.ties.take(new Words.Placements(1, List.of(new Words.Placement("s", 1, 1, members, moving, moving ? next : null))), Switchroom.now());
+      if (leased) {
+        room.ties.granted(new Words.LeaseGrant(number[0], "127.0.0.1", 1, 4000), Switchroom.now());
+      }
+    }).sync();
+  }
+
+  @DataProvider
+  public Object[][] tiedScripts() {
+    return new Object[][] {
+        {true, false, new String[] {GOOD}, 200, 1},
+        {true, false, new String[] {NOT_RUN, GOOD}, 503, 1},
+        {true, false, new String[] {"", GOOD}, 502, 1},
+        {true, false, new String[] {GARBLED, GOOD}, 502, 1},
+        {false, false, new String[] {GOOD}, 503, 0},
+        {true, true, new String[] {GOOD}, 503, 0},
+    };
+  }
+
+  @Test(dataProvider = "tiedScripts")
+  public void aTiedWriteGoesToItsNodeOrIsRefusedAndNeverElsewhere(final boolean leased, final boolean moving, final String[] script, final int status, final int tries) throws IOException, InterruptedException {
+    upstreams(script);
+    placed(leased, moving);
+    final String answer = request("POST", "/t/x");
+    assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+    assertEquals(arrivals.get(), tries);
+    assertEquals(answer.toLowerCase().contains("retry-after"), status == 503, answer);
+    front.close();
+  }
+
+  @Test
+  public void withoutAPlacementATiedWriteIsRefusedAndLookupsGoOn() throws IOException, InterruptedException {
+    upstreams(GOOD);
+    assertTrue(request("POST", "/t/x").startsWith("HTTP/1.1 503"));
+    assertTrue(request("GET", "/r/x").startsWith("HTTP/1.1 200"));
+    assertEquals(arrivals.get(), 1);
+    front.close();
+  }
 }
