Large fleets: even stretches of upstreams, views and gossip by difference, near streams

Ruled out: the frames (a majority again after 3 s), the other exchanges (all had the configuration within 20 ms). Views are packed, a returning switchboard is told only what differs by buckets of digests, and one under way is waited for. Gossip tells ages alone, one byte each, while digests agree. Each returning switchboard cost an encoding of the whole view: no longer. Streams go to an exchange of the own zone, then region. Load of upstreams: each switchboard keeps to an even stretch of its zone's upstreams.

--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -118,6 +118,7 @@
     strictRevocation();
     copyBytes();
     choiceWidth();
+    choiceSharers();
     chief();
     if (chiefTenureMillis() < 2 * chiefPulseMillis()) {
       throw bad("chief.tenure-ms", values.get("chief.tenure-ms"), "give at least twice chief.pulse-ms, " + 2 * chiefPulseMillis() + ", or a chief would end between two of its pulses");
@@ -420,6 +421,11 @@
     return (long) (number("audit.disk-mb", 4, 1, 8192) * (1 << 20));
   }
 
+  /** How many switchboards of its own site share an upstream of a large service while all goes well. */
+  public double choiceSharers() {
+    return number("choice.sharers", 2, 1, 1000);
+  }
+
   /** How many bytes of copies an announcer keeps. */
   public long copyBytes() {
     return (long) (number("copies.most-mb", 64, 0, 1_000_000) * (1 << 20));
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -33,6 +33,7 @@
   private static final double ROOM = 0.8;
   private static final double DOUBT = 3;
   private static final long COLD_MARGIN_MILLIS = 300;
+  private static final int LEAST_WIDTH = 4;
 
   private final Bootstrap bootstrap;
   private final String site;
@@ -221,6 +222,10 @@
       }
       if (large) {
         sites.forEach((place, list) -> {
+          if (place.equals(site) && place(list.size()) >= 0) {
+            window(list);
+            return;
+          }
           list.sort(java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, boot.address())));
           final int most = place.equals(site) ? boot.choiceWidth() : (boot.choiceWidth() + 1) / 2;
           list.subList(0, Math.min(most, list.size())).forEach(upstream -> upstream.own = true);
@@ -232,6 +237,30 @@
     }
   }
 
+  /** Takes which switchboards share this site, in an order that all of them are told alike. */
+  public void neighbours(final List<String> addresses) {
+    undivided |= !addresses.equals(neighbours);
+    neighbours = addresses;
+  }
+
+  private List<String> neighbours = List.of();
+
+  /** The place of this switchboard among those of its site; -1 where that is not known, or too few share too many upstreams. */
+  private int place(final int upstreams) {
+    return neighbours.size() * (long) boot.choiceWidth() < boot.choiceSharers() * upstreams ? -1 : neighbours.indexOf(boot.address());
+  }
+
+  /** The upstreams of the own site stand in one order for all; each switchboard has a stretch of it, so that each upstream has as many switchboards as the next. */
+  private void window(final List<Upstream> list) {
+    list.sort(java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, upstream.service)));
+    final int size = list.size();
+    final int width = (int) Math.min(size, Math.max(LEAST_WIDTH, Math.ceil(boot.choiceSharers() * size / neighbours.size())));
+    final int from = (int) ((long) place(size) * size / neighbours.size());
+    for (int step = 0; step < width; step++) {
+      list.get((from + step) % size).own = true;
+    }
+  }
+
   /** The upstreams that are this switchboard's own part of a service. */
   List<String> part(final String service) {
     divide();
--- a/cord/src/test/java/weldpoint/cord/CordsTest.java
+++ b/cord/src/test/java/weldpoint/cord/CordsTest.java
@@ -192,4 +192,31 @@
     assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.NONE);
     under.forEach(attempt -> attempt.abandon(0));
   }
+
+  @Test
+  public void neighboursShareTheUpstreamsOfTheirSiteEvenly() {
+    final int upstreams = 31;
+    final List<String> addresses = new ArrayList<>();
+    for (int index = 0; index < 9; index++) {
+      addresses.add("10.0.0." + (1 + index));
+    }
+    final List<Cords.Change> changes = new ArrayList<>();
+    for (int index = 0; index < upstreams; index++) {
+      changes.add(new Cords.Change(new Registration("near-" + index, "s", "10.9.0.1:80", "a", "v", 4, 0, 1, 0, 0), true));
+      changes.add(new Cords.Change(new Registration("far-" + index, "s", "10.9.0.1:80", "b", "v", 4, 0, 1, 0, 0), true));
+    }
+    final java.util.Map<String, Integer> callers = new java.util.HashMap<>();
+    for (final String address : addresses) {
+      final Cords cords = new Cords(loop, Boot.parse("station.name = one\nstation.address = " + address + "\nstation.site = a\nstation.region = north\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = a:north,b:south\n"), new Random(1));
+      cords.apply(changes, 1000);
+      cords.neighbours(addresses);
+      final List<String> near = cords.part("s").stream().filter(id -> id.startsWith("near")).toList();
+      assertEquals(near.size(), 7);
+      near.forEach(id -> callers.merge(id, 1, Integer::sum));
+    }
+    assertEquals(callers.size(), upstreams);
+    for (final int count : callers.values()) {
+      assertTrue(count >= 2 && count <= 3, callers.toString());
+    }
+  }
 }
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/Buckets.java
@@ -0,0 +1,88 @@
+package weldpoint.exchange;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import weldpoint.trunk.Packing;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words.Registration;
+
+/** Registrations by buckets of their names, so that two sides find what differs without telling all; and their packed form. */
+public final class Buckets {
+  /** How many there are. */
+  public static final int COUNT = 32;
+
+  /** How registrations travel packed. */
+  static final class Packed {
+    final List<Registration> registrations;
+
+    Packed(final List<Registration> registrations) {
+      this.registrations = registrations;
+    }
+  }
+
+  private Buckets() {
+  }
+
+  private static int of(final String id) {
+    return Math.floorMod(id.hashCode() * 0x9e3779b1, COUNT);
+  }
+
+  /** The digest of each bucket, of all registrations or only of those that have not ended. */
+  public static List<Long> digests(final Collection<Registration> registrations, final boolean ended) {
+    final long[] sums = new long[COUNT];
+    for (final Registration one : registrations) {
+      if (ended || Stage.of(one) != Stage.REMOVED) {
+        sums[of(one.id)] += Stage.digest(one);
+      }
+    }
+    final List<Long> digests = new ArrayList<>(COUNT);
+    for (final long sum : sums) {
+      digests.add(sum);
+    }
+    return digests;
+  }
+
+  /** Whether there is nothing in any bucket. */
+  static boolean empty(final List<Long> digests) {
+    for (final long one : digests) {
+      if (one != 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The registrations in buckets where the two differ; all where the other side gave none. */
+  static List<Registration> differing(final Collection<Registration> registrations, final List<Long> here, final List<Long> there) {
+    final List<Registration> list = new ArrayList<>();
+    for (final Registration one : registrations) {
+      final int bucket = of(one.id);
+      if (there.size() != COUNT || !here.get(bucket).equals(there.get(bucket))) {
+        list.add(one);
+      }
+    }
+    return list;
+  }
+
+  /** Registrations as few bytes. */
+  static byte[] pack(final List<Registration> registrations) {
+    return Packing.deflate(Wire.bytes(new Packed(registrations)));
+  }
+
+  /** What was packed; empty for null. */
+  public static List<Registration> unpack(final byte[] packed) {
+    if (packed == null) {
+      return List.of();
+    }
+    final List<Registration> list = Wire.value(Packing.inflate(packed), Packed.class).registrations;
+    return list == null ? List.of() : list;
+  }
+
+  /** Names in the order in which ages travel. */
+  static <T> TreeMap<String, T> ordered(final Map<String, T> named) {
+    return new TreeMap<>(named);
+  }
+}
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import weldpoint.affinity.PlacementKeeper;
 import weldpoint.audit.Authors;
@@ -40,6 +41,7 @@
   private static final long GOSSIP_MILLIS = 1000;
   private static final long BOARD_LIVE_MILLIS = 4000;
   private static final long BOARD_GONE_MILLIS = 20_000;
+  private static final long BOARD_STAYS_MILLIS = 10_000;
   private static final long BOARD_PATIENCE_MILLIS = 700;
   private static final long BOARD_KEEP_MILLIS = 60_000;
   private static final long REACH_MILLIS = 500;
@@ -107,6 +109,7 @@
   private final Set<Object> announcers = new HashSet<>();
   private Words.Purges purges;
   private Tollbooth booth;
+  private final Neighbourhoods neighbourhoods = new Neighbourhoods();
   private Electorates electorates;
   private PlacementDesk placements;
   private final Reels reels = new Reels();
@@ -186,6 +189,15 @@
     booth = new Tollbooth(self, house, outlet::member);
   }
 
+  /** Takes where this daemon stands. */
+  public void place(final String givenSite, final String givenRegion) {
+    site = givenSite;
+    region = givenRegion;
+  }
+
+  private String site = "";
+  private String region = "";
+
   /** Takes another seed list. */
   public void seeds(final List<String> given, final long now) {
     seeds = given;
@@ -574,8 +586,17 @@
   }
 
   private void onGossip(final String from, final Words.Gossip gossip, final java.util.function.Consumer<Message> reply, final long now) {
+    final boolean alike = gossip.digest == digest;
     merge(Words.list(gossip.history), now);
+    merge(Buckets.unpack(gossip.packed), now);
     membersInForce.put(from, new InForce(from, "exchange", gossip.version, gossip.mark, gossip.heldMillis, now));
+    if (gossip.region != null && !gossip.region.isEmpty()) {
+      memberPlaces.put(from, gossip.region + "/" + gossip.site);
+    }
+    final boolean boardsAlike = gossip.boardDigest == boardDigest(now);
+    if (boardsAlike && gossip.boardAges != null) {
+      takeBoardAges(gossip.boardAges, now);
+    }
     mergeBoards(Words.list(gossip.boards), now);
     takeRoster(gossip.roster, now);
     boolean more = false;
@@ -588,49 +609,139 @@
     if (more) {
       tellPeers(now);
     }
-    final List<String> beaten = Words.list(gossip.beaten);
     boolean cleared = false;
+    if (alike && gossip.beatAges != null) {
+      cleared = takeBeatAges(gossip.beatAges, now);
+    }
+    final List<String> beaten = Words.list(gossip.beaten);
     for (int index = 0; index < beaten.size(); index++) {
-      final long heardAt = now - gossip.ages.get(index);
-      if (heardAt > beatAt.getOrDefault(beaten.get(index), Long.MIN_VALUE)) {
-        beatAt.put(beaten.get(index), heardAt);
-        cleared |= now - heardAt < SUSPECT_BEATS * beatMillis && suspects.remove(beaten.get(index));
-      }
+      cleared |= beaten(beaten.get(index), now - gossip.ages.get(index), now);
     }
     if (cleared) {
       tellSuspects();
     }
     if (gossip.depth == 0) {
-      reply.accept(gossip(1, gossip.digest != digest, now));
-    } else {
-      if (gossip.depth == 1 && gossip.digest != digest) {
-        reply.accept(gossip(2, true, now));
+      reply.accept(gossip(1, !alike, !boardsAlike, gossip.rosterNumber < roster.number, gossip.count == 0 ? List.of() : null, now));
+      return;
+    }
+    if (gossip.depth < 3 && !alike && gossip.digest != digest) {
+      reply.accept(gossip(gossip.depth + 1, true, !boardsAlike, false, Words.list(gossip.buckets), now));
+    } else if (gossip.depth == 1 && (!boardsAlike || gossip.rosterNumber < roster.number)) {
+      reply.accept(gossip(3, false, true, gossip.rosterNumber < roster.number, null, now));
+    }
+    if (!reconciled && (gossip.depth > 1 || alike || gossip.digest == digest || gossip.packed != null || gossip.history != null)) {
+      reconciled = true;
+      LOGGER.atInfo().log("exchange %s has reconciled its history with a peer", self);
+    }
+  }
+
+  private boolean beaten(final String id, final long heardAt, final long now) {
+    if (heardAt <= beatAt.getOrDefault(id, Long.MIN_VALUE)) {
+      return false;
+    }
+    beatAt.put(id, heardAt);
+    return now - heardAt < SUSPECT_BEATS * beatMillis && suspects.remove(id);
+  }
+
+  private static final int OLD = 255;
+
+  private long ageUnit() {
+    return Math.max(1, SUSPECT_BEATS * beatMillis / (OLD - 1));
+  }
+
+  /** How long ago each upstream beat, one byte each, in the order of their names. */
+  private byte[] beatAges(final long now) {
+    final byte[] ages = new byte[history.size()];
+    int index = 0;
+    for (final String id : Buckets.ordered(history).keySet()) {
+      ages[index++] = (byte) Math.min(OLD, (now - beatAt.getOrDefault(id, Long.MIN_VALUE / 2)) / ageUnit() + 1);
+    }
+    return ages;
+  }
+
+  private boolean takeBeatAges(final byte[] ages, final long now) {
+    boolean cleared = false;
+    if (ages.length == history.size()) {
+      int index = 0;
+      for (final String id : Buckets.ordered(history).keySet()) {
+        final int age = ages[index++] & 0xff;
+        if (age < OLD) {
+          cleared |= beaten(id, now - age * ageUnit(), now);
+        }
+      }
+    }
+    return cleared;
+  }
+
+  private TreeMap<String, BoardEntry> keptBoards(final long now) {
+    final TreeMap<String, BoardEntry> kept = new TreeMap<>();
+    boards.forEach((address, entry) -> {
+      if (now - entry.heardAt < BOARD_KEEP_MILLIS) {
+        kept.put(address, entry);
       }
-      if (!reconciled) {
-        reconciled = true;
-        LOGGER.atInfo().log("exchange %s has reconciled its history with a peer", self);
+    });
+    return kept;
+  }
+
+  private long boardDigest(final long now) {
+    long sum = 0;
+    for (final BoardEntry entry : keptBoards(now).values()) {
+      final Board board = entry.board;
+      long hash = board.address.hashCode() * 0x9e3779b97f4a7c15L + board.incarnation;
+      hash = (hash ^ hash >>> 29) * 0xbf58476d1ce4e5b9L + board.version * 31 + board.mark * 7 + (board.leaving ? 1 : 0);
+      sum += (hash ^ hash >>> 31) * 0xff51afd7ed558ccdL;
+    }
+    return sum;
+  }
+
+  /** How long ago each switchboard was heard of, two bytes each in tens of milliseconds, in the order of their addresses. */
+  private byte[] boardAges(final long now) {
+    final TreeMap<String, BoardEntry> kept = keptBoards(now);
+    final byte[] ages = new byte[2 * kept.size()];
+    int index = 0;
+    for (final BoardEntry entry : kept.values()) {
+      final int age = (int) Math.max(0, Math.min(0xffff, (now - entry.heardAt) / 10 + 1));
+      ages[index++] = (byte) (age >> 8);
+      ages[index++] = (byte) age;
+    }
+    return ages;
+  }
+
+  private void takeBoardAges(final byte[] ages, final long now) {
+    final TreeMap<String, BoardEntry> kept = keptBoards(now);
+    if (ages.length == 2 * kept.size()) {
+      int index = 0;
+      for (final BoardEntry entry : kept.values()) {
+        final long age = 10L * ((ages[index++] & 0xff) << 8 | ages[index++] & 0xff);
+        entry.heardAt = Math.max(entry.heardAt, now - age);
       }
     }
   }
 
-  private Words.Gossip gossip(final int depth, final boolean whole, final long now) {
+  /** What is told to a peer: the history where it differs (all of it where there are no buckets to compare), switchboards and the roster where they do. */
+  private Words.Gossip gossip(final int depth, final boolean differs, final boolean boardsDiffer, final boolean rosterToo, final List<Long> there, final long now) {
     final List<String> beaten = new ArrayList<>();
     final List<Long> ages = new ArrayList<>();
-    for (final Map.Entry<String, Long> entry : beatAt.entrySet()) {
-      final long age = now - entry.getValue();
-      if (age < SUSPECT_BEATS * beatMillis) {
-        beaten.add(entry.getKey());
-        ages.add(age);
+    if (differs) {
+      for (final Map.Entry<String, Long> entry : beatAt.entrySet()) {
+        final long age = now - entry.getValue();
+        if (age < SUSPECT_BEATS * beatMillis) {
+          beaten.add(entry.getKey());
+          ages.add(age);
+        }
       }
     }
     final List<Board> list = new ArrayList<>();
-    for (final BoardEntry entry : boards.values()) {
-      final Board board = entry.board;
-      if (now - entry.heardAt < BOARD_KEEP_MILLIS) {
+    if (boardsDiffer) {
+      for (final BoardEntry entry : keptBoards(now).values()) {
+        final Board board = entry.board;
         list.add(new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, now - entry.heardAt, board.announcer, board.version, board.mark, board.heldMillis));
       }
     }
-    return new Words.Gossip(depth, digest, roster.number == 0 ? null : roster, new ArrayList<>(members.keySet()), whole ? new ArrayList<>(history.values()) : null, list, beaten, ages, version, evacuationMark + trialMark, now - heldSince);
+    final List<Long> here = differs ? Buckets.digests(history.values(), true) : null;
+    final byte[] packed = differs && there != null ? Buckets.pack(Buckets.differing(history.values(), here, there)) : null;
+    return new Words.Gossip(depth, digest, rosterToo ? roster : null, depth == 0 || boardsDiffer ? new ArrayList<>(members.keySet()) : null, null, list, beaten, ages, version, evacuationMark + trialMark, now - heldSince,
+        roster.number, history.size(), beatAges(now), boardDigest(now), boardAges(now), here, packed, site, region);
   }
 
   private void takeRoster(final Roster news, final long now) {
@@ -709,6 +820,11 @@
 
   /** A switchboard tells of itself over its stream. */
   public void boardState(final Object stream, final Board board, final long now) {
+    boardState(stream, board, null, now);
+  }
+
+  /** A switchboard tells of itself, and at the opening of its stream, by digests, what it has. */
+  public void boardState(final Object stream, final Board board, final List<Long> buckets, final long now) {
     final BoardEntry entry = boards.get(board.address);
     final boolean news = entry == null || entry.board.incarnation != board.incarnation || entry.board.leaving != board.leaving || now - entry.heardAt > BOARD_LIVE_MILLIS;
     mergeBoards(List.of(board), now);
@@ -724,6 +840,8 @@
       if (electorates != null) {
         electorates.stream(stream, board.region);
       }
+      opening.put(stream, new Opening(board.version, buckets == null ? List.of() : buckets));
+      neighbourhoods.stream(stream, board.announcer ? "" : board.site);
       hopefuls.add(stream);
       admit(now);
     }
@@ -734,7 +852,11 @@
       return;
     }
     final Words.View view = wholeView();
-    hopefuls.forEach(stream -> outlet.board(stream, view));
+    final List<Long> here = Buckets.digests(history.values(), false);
+    for (final Object stream : hopefuls) {
+      final Opening opened = opening.remove(stream);
+      outlet.board(stream, opened == null || opened.buckets.isEmpty() || Buckets.empty(opened.buckets) ? view : partView(opened, here));
+    }
     for (final Object stream : hopefuls) {
       streams.add(stream);
       if (purges != null && announcers.contains(stream)) {
@@ -749,17 +871,44 @@
       if (placements != null && placements.keeper().mark() > 0) {
         outlet.board(stream, placements.keeper().placements());
       }
+      neighbourhoods.tell(stream, outlet::board);
       outlet.board(stream, reach(now));
     }
     hopefuls.clear();
   }
 
+  /** What a switchboard has when its stream opens. */
+  private record Opening(long version, List<Long> buckets) {
+  }
+
+  private final Map<Object, Opening> opening = new HashMap<>();
+
+  /** What a switchboard that has been told before lacks. */
+  private Words.View partView(final Opening opened, final List<Long> here) {
+    final Set<String> named = new HashSet<>();
+    final List<Registration> lacking = Buckets.differing(history.values(), here, opened.buckets);
+    lacking.forEach(one -> named.add(one.id));
+    for (final Registration one : history.values()) {
+      if (one.warmupMillis > 0 && Stage.of(one) != Stage.REMOVED && named.add(one.id)) {
+        lacking.add(one);
+      }
+    }
+    final boolean newer = opened.version < version;
+    return new Words.View(newer ? version : 0, newer ? spec : null, true, evacuated, evacuationMark, null, true, new ArrayList<>(suspects), mostBoards, trials, trialMark, lacking.isEmpty() ? null : Buckets.pack(lacking));
+  }
+
   /** All that a switchboard must know; the same object while nothing has changed, so that a returning fleet costs one encoding. */
   private Words.View wholeView() {
-    final long[] state = {version, revision, evacuationMark, trialMark, mostBoards, history.size(), suspects.hashCode()};
+    final long[] state = {version, revision, evacuationMark, trialMark, history.size(), suspects.hashCode()};
     if (whole == null || !java.util.Arrays.equals(state, wholeState)) {
       wholeState = state;
-      whole = new Words.View(version, spec, true, evacuated, evacuationMark, new ArrayList<>(history.values()), true, new ArrayList<>(suspects), mostBoards, trials, trialMark);
+      final List<Registration> present = new ArrayList<>();
+      for (final Registration one : history.values()) {
+        if (Stage.of(one) != Stage.REMOVED) {
+          present.add(one);
+        }
+      }
+      whole = new Words.View(version, spec, true, evacuated, evacuationMark, null, true, new ArrayList<>(suspects), 0, trials, trialMark, Buckets.pack(present));
     }
     return whole;
   }
@@ -772,6 +921,8 @@
   public void streamClosed(final Object stream, final String address, final long now) {
     streams.remove(stream);
     announcers.remove(stream);
+    neighbourhoods.closed(stream);
+    opening.remove(stream);
     if (electorates != null) {
       electorates.closed(stream);
     }
@@ -790,9 +941,15 @@
         caches.add(entry.board.address);
       }
     }
-    return new Words.Reach(Math.min(Integer.MAX_VALUE, now - majorityAt), mostBoards, new ArrayList<>(members.keySet()), caches);
+    final List<String> places = new ArrayList<>();
+    for (final String member : members.keySet()) {
+      places.add(member.equals(self) ? region + "/" + site : memberPlaces.getOrDefault(member, ""));
+    }
+    return new Words.Reach(Math.min(Integer.MAX_VALUE, now - majorityAt), mostBoards, new ArrayList<>(members.keySet()), caches, places);
   }
 
+  private final Map<String, String> memberPlaces = new HashMap<>();
+
   private void tellBoards(final List<Registration> changes) {
     if (!streams.isEmpty()) {
       final Words.View view = new Words.View(0, null, false, null, 0, changes, false, null, mostBoards, null, -1);
@@ -805,6 +962,16 @@
     streams.forEach(stream -> outlet.board(stream, view));
   }
 
+  private void tellNeighbours(final long now) {
+    final Map<String, List<String>> sites = new HashMap<>();
+    for (final BoardEntry entry : boards.values()) {
+      if (!entry.board.announcer && !entry.board.leaving && now - entry.heardAt < BOARD_STAYS_MILLIS) {
+        sites.computeIfAbsent(entry.board.site, site -> new ArrayList<>()).add(entry.board.address);
+      }
+    }
+    neighbourhoods.keep(sites, streams, outlet::board);
+  }
+
   private void countBoards(final long now) {
     int live = 0;
     for (final BoardEntry entry : boards.values()) {
@@ -910,7 +1077,7 @@
     }
     if (electorates != null) {
       electorates.take(Words.list(control.electorates), outlet::board);
-    } else {
+    } else if (control.electorates != null) {
       otherMarks = Words.list(control.electorates).stream().mapToLong(one -> one.mark).sum();
     }
     placementMarks = control.placementMark + (control.keeper == null ? 0 : control.keeper.serial);
@@ -1097,6 +1264,7 @@
     if (now - reachAt >= REACH_MILLIS) {
       reachAt = now;
       countBoards(now);
+      tellNeighbours(now);
       missBoards(now);
       judgeTrials(now);
       tellRecording(now);
@@ -1111,6 +1279,7 @@
       }
       final Words.Reach reach = reach(now);
       streams.forEach(stream -> outlet.board(stream, reach));
+      hopefuls.forEach(stream -> outlet.board(stream, reach));
       judge(now);
     }
     for (final Map.Entry<Long, Quorum> entry : new ArrayList<>(quorums.entrySet())) {
@@ -1142,7 +1311,7 @@
       }
     }
     java.util.Collections.shuffle(others, random);
-    final Words.Gossip message = gossip(0, false, now);
+    final Words.Gossip message = gossip(0, false, false, false, null, now);
     for (final String other : others) {
       if (outlet.member(other, message)) {
         gossips++;
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -136,6 +136,7 @@
     if (boot.chief()) {
       core.chiefs();
     }
+    core.place(boot.site(), boot.region());
     core.placements(Affinity.setting("affinity.default", boot.affinityUsual()), incarnation, boot.affinityLeaseMillis(), boot.affinityBatchMillis());
     if (boot.content()) {
       core.tolls(new weldpoint.toll.Tollhouse(boot, boot.firstStart() && found.records().isEmpty(), now()));
@@ -146,7 +147,7 @@
       @Override
       public void heard(final Line line, final Message message) {
         if (message instanceof Words.BoardState) {
-          core.boardState(line, ((Words.BoardState) message).board, now());
+          core.boardState(line, ((Words.BoardState) message).board, Words.list(((Words.BoardState) message).buckets), now());
         } else if (message instanceof Words.TrialReport && "switchboard".equals(line.peer().program)) {
           core.trialReport((Words.TrialReport) message, now());
         } else if (message instanceof Words.LeaseAsk && "switchboard".equals(line.peer().program)) {
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -10,7 +10,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import weldpoint.boot.Breakdown;
+import weldpoint.boot.Rank;
 import weldpoint.dialplan.Dialplan;
+import weldpoint.exchange.Buckets;
 import weldpoint.exchange.Stage;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
@@ -28,6 +30,8 @@
   private static final long STALE_MILLIS = 2200;
   private static final long TELL_MILLIS = 500;
   private static final long VIEW_MILLIS = 900;
+  private static final long PATIENT_MILLIS = 3500;
+  private static final long NEAR_MILLIS = 4000;
   private static final long STAY_MILLIS = 3000;
   private static final long GLANCE_MILLIS = 150;
 
@@ -57,6 +61,10 @@
     default void electorate(final Words.Electorate electorate) {
     }
 
+    /** Tells which switchboards share the site. */
+    default void neighbours(final List<String> addresses) {
+    }
+
     /** Tells among which upstreams callers are placed. */
     default void placements(final Words.Placements placements) {
     }
@@ -87,6 +95,9 @@
   private long heardAt;
   private long toldAt;
   private boolean viewed;
+  private boolean open;
+  private long nearAt;
+  private final Map<String, String> places = new HashMap<>();
   private int disappointments;
   private long version;
   private long evacuationMark = -1;
@@ -129,18 +140,26 @@
     dialledAt = now;
     heardAt = now;
     viewed = false;
+    open = false;
+    nearAt = now + NEAR_MILLIS + random.nextInt((int) NEAR_MILLIS);
     outlet.dial(current);
   }
 
   private void tell(final long now) {
     toldAt = now;
-    outlet.send(new Words.BoardState(new Board(self.address, self.front, self.site, self.region, self.incarnation, leaving, 0, self.announcer, inForceVersion, inForceMark, now - inForceSince)));
+    outlet.send(new Words.BoardState(state(now)));
+  }
+
+  private Board state(final long now) {
+    return new Board(self.address, self.front, self.site, self.region, self.incarnation, leaving, 0, self.announcer, inForceVersion, inForceMark, now - inForceSince);
   }
 
   /** The line is there. */
   public void opened(final long now) {
     heardAt = now;
-    tell(now);
+    open = true;
+    toldAt = now;
+    outlet.send(new Words.BoardState(state(now), Buckets.digests(history.values(), false)));
   }
 
   /** The line has ended. */
@@ -164,6 +183,8 @@
       }
     } else if (message instanceof Words.Purges) {
       outlet.purges((Words.Purges) message);
+    } else if (message instanceof Words.Neighbours) {
+      outlet.neighbours(Words.list(((Words.Neighbours) message).addresses));
     } else if (message instanceof Words.Placements) {
       outlet.placements((Words.Placements) message);
     } else if (message instanceof Words.LeaseGrant) {
@@ -177,14 +198,23 @@
     } else if (message instanceof Words.Reach) {
       final Words.Reach reach = (Words.Reach) message;
       outlet.reached(reach.ageMillis, reach.boards, Words.list(reach.announcers));
-      for (final String member : Words.list(reach.members)) {
-        if (!exchanges.contains(member)) {
-          exchanges.add(member);
+      final List<String> members = Words.list(reach.members);
+      for (int index = 0; index < members.size(); index++) {
+        if (!exchanges.contains(members.get(index))) {
+          exchanges.add(members.get(index));
+        }
+        if (reach.places != null && index < reach.places.size()) {
+          places.put(members.get(index), reach.places.get(index));
         }
       }
+      if (!viewed) {
+        open = false;
+        return;
+      }
       outlet.outlook(null, Map.of(), null, null, reach.boards);
       if (reach.ageMillis <= STALE_MILLIS) {
         disappointments = 0;
+        approach(members, now);
       } else if (now - dialledAt > Math.min(STAY_MILLIS, GLANCE_MILLIS << Math.min(10, disappointments))) {
         disappointments++;
         LOGGER.atInfo().log("exchange %s has not heard of a majority for %s ms; trying another", current, reach.ageMillis);
@@ -193,6 +223,32 @@
     }
   }
 
+  /** Moves to a nearer exchange once all is calm: one of the own site, or of the own region; which one, each switchboard draws for itself. */
+  private void approach(final List<String> members, final long now) {
+    if (now < nearAt) {
+      return;
+    }
+    nearAt = now + 4 * NEAR_MILLIS;
+    final int here = distance(places.get(current));
+    String best = current;
+    int nearest = here;
+    for (final String member : members) {
+      final int distance = distance(places.get(member));
+      if (distance < nearest || distance == nearest && distance < here && Rank.of(member, self.address) < Rank.of(best, self.address)) {
+        nearest = distance;
+        best = member;
+      }
+    }
+    if (nearest < here) {
+      next = exchanges.indexOf(best) - 1 + exchanges.size();
+      move(now);
+    }
+  }
+
+  private int distance(final String place) {
+    return place == null || !place.startsWith(self.region + "/") ? 2 : place.equals(self.region + "/" + self.site) ? 0 : 1;
+  }
+
   private void take(final Words.View view) {
     Dialplan plan = null;
     if (view.spec != null && view.version > version) {
@@ -205,7 +261,9 @@
       }
     }
     final Map<Registration, Boolean> changes = new java.util.LinkedHashMap<>();
-    for (final Registration registration : Words.list(view.registrations)) {
+    final List<Registration> given = new ArrayList<>(Words.list(view.registrations));
+    given.addAll(Buckets.unpack(view.packed));
+    for (final Registration registration : given) {
       final Registration before = history.get(registration.id);
       if (before == null || Stage.later(before, registration) != before) {
         history.put(registration.id, registration);
@@ -226,7 +284,7 @@
 
   /** Time has passed. */
   public void tick(final long now) {
-    if (now - heardAt > SILENT_MILLIS || !viewed && now - dialledAt > VIEW_MILLIS) {
+    if (now - heardAt > (open && !viewed ? PATIENT_MILLIS : SILENT_MILLIS) || !viewed && now - dialledAt > (open ? PATIENT_MILLIS : VIEW_MILLIS)) {
       move(now);
     } else if (now - toldAt >= TELL_MILLIS) {
       tell(now);
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -106,6 +106,11 @@
         inForce();
       }
 
+      @Override
+      public void neighbours(final List<String> addresses) {
+        loop.execute(() -> room.cords.neighbours(addresses));
+      }
+
       @Override
       public void placements(final Words.Placements placements) {
         loop.execute(() -> {
--- a/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
+++ b/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
@@ -105,4 +105,41 @@
     }
     assertTrue(dialled.size() <= 6, "glances slow down while all are stale: " + dialled.size());
   }
+
+  @Test
+  public void aViewThatIsLongOnItsWayIsWaitedForUnlessTheExchangeSaysThatItKnowsNothing() {
+    final BoardLink slow = link();
+    slow.opened(10);
+    slow.tick(1500);
+    slow.tick(3000);
+    assertEquals(dialled.size(), 1, "the line is open and a view may be under way");
+    slow.heard(view(5, 0, List.of()), 3100);
+    assertEquals(specs, List.of(5L));
+    final BoardLink uninformed = link();
+    uninformed.opened(10);
+    uninformed.heard(new Words.Reach(Integer.MAX_VALUE, 3, List.of()), 500);
+    uninformed.tick(950);
+    assertEquals(dialled.size(), 2);
+    final BoardLink dead = link();
+    dead.tick(950);
+    assertEquals(dialled.size(), 2, "no line came about");
+  }
+
+  @Test
+  public void itMovesOnceToAnExchangeOfItsOwnZoneAndStays() {
+    final BoardLink link = link();
+    final List<String> members = List.of("e1", "e2", "e3", "near", "here");
+    final List<String> places = List.of("q/x", "q/y", "q/z", "r/b", "r/a");
+    link.opened(10);
+    link.heard(view(5, 0, List.of()), 20);
+    for (long now = 500; now < 60_000; now += 500) {
+      link.heard(new Words.Reach(100, 3, members, null, places), now);
+      link.tick(now);
+      if (dialled.size() == 2) {
+        link.heard(view(5, 0, List.of()), now + 10);
+      }
+    }
+    assertEquals(dialled.size(), 2, dialled.toString());
+    assertEquals(dialled.get(1), "here");
+  }
 }
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -104,6 +104,10 @@
               prepare(channel, new Ear() {
                 @Override
                 public void opened(final Line opened) {
+                  if (ended) {
+                    opened.close();
+                    return;
+                  }
                   line = opened;
                   pauseMillis = 50;
                   ear.opened(opened);
--- a/trunk/src/main/java/weldpoint/trunk/Words.java
+++ b/trunk/src/main/java/weldpoint/trunk/Words.java
@@ -10,7 +10,7 @@
       Resign.class, Canvass.class, Canvassed.class, Call.class, Answer.class, Gossip.class, Changes.class, Kept.class, BoardState.class,
       View.class, Reach.class, TrialReport.class, Purges.class, PermitAsk.class, PermitAnswer.class, CopyAsk.class, CopyAnswer.class,
       Electorate.class, Stand.class, Backed.class, Order.class, Heeded.class, RecordState.class, Reel.class, AuditState.class, AuditAsk.class, AuditPart.class,
-      Placements.class, LeaseAsk.class, LeaseGrant.class,
+      Placements.class, LeaseAsk.class, LeaseGrant.class, Neighbours.class,
   };
 
   private Words() {
@@ -356,6 +356,15 @@
     }
   }
 
+  /** The switchboards of one site, in an order that all of them are told alike. */
+  public static final class Neighbours implements Message {
+    public final List<String> addresses;
+
+    public Neighbours(final List<String> addresses) {
+      this.addresses = addresses;
+    }
+  }
+
   /** One upstream that callers may be tied to. */
   public static final class PlacementMember {
     public final String id;
@@ -881,7 +890,7 @@
     }
   }
 
-  /** Reconciles two exchanges; the history itself travels only where the digests differ. */
+  /** Reconciles two exchanges. While the digests agree, ages stand alone, in the order of names; where they differ, only the buckets that do travel. */
   public static final class Gossip implements Message {
     public final int depth;
     public final long digest;
@@ -894,12 +903,30 @@
     public final long version;
     public final long mark;
     public final long heldMillis;
+    public final long rosterNumber;
+    public final int count;
+    public final byte[] beatAges;
+    public final long boardDigest;
+    public final byte[] boardAges;
+    public final List<Long> buckets;
+    public final byte[] packed;
+    public final String site;
+    public final String region;
 
     public Gossip(final int depth, final long digest, final Roster roster, final List<String> members, final List<Registration> history, final List<Board> boards, final List<String> beaten, final List<Long> ages) {
-      this(depth, digest, roster, members, history, boards, beaten, ages, 0, 0, 0);
+      this(depth, digest, roster, members, history, boards, beaten, ages, 0, 0, 0, 0, 0, null, 0, null, null, null, "", "");
     }
 
-    public Gossip(final int depth, final long digest, final Roster roster, final List<String> members, final List<Registration> history, final List<Board> boards, final List<String> beaten, final List<Long> ages, final long version, final long mark, final long heldMillis) {
+    public Gossip(final int depth, final long digest, final Roster roster, final List<String> members, final List<Registration> history, final List<Board> boards, final List<String> beaten, final List<Long> ages, final long version, final long mark, final long heldMillis, final long rosterNumber, final int count, final byte[] beatAges, final long boardDigest, final byte[] boardAges, final List<Long> buckets, final byte[] packed, final String site, final String region) {
+      this.rosterNumber = rosterNumber;
+      this.count = count;
+      this.beatAges = beatAges;
+      this.boardDigest = boardDigest;
+      this.boardAges = boardAges;
+      this.buckets = buckets;
+      this.packed = packed;
+      this.site = site;
+      this.region = region;
       this.version = version;
       this.mark = mark;
       this.heldMillis = heldMillis;
@@ -944,11 +971,17 @@
     }
   }
 
-  /** A switchboard tells of itself. */
+  /** A switchboard tells of itself; at the opening of a stream also, by digests, which registrations it has. */
   public static final class BoardState implements Message {
     public final Board board;
+    public final List<Long> buckets;
 
     public BoardState(final Board board) {
+      this(board, null);
+    }
+
+    public BoardState(final Board board, final List<Long> buckets) {
+      this.buckets = buckets;
       this.board = board;
     }
   }
@@ -966,8 +999,14 @@
     public final int boards;
     public final List<Trial> trials;
     public final long trialMark;
+    public final byte[] packed;
 
     public View(final long version, final byte[] spec, final boolean evacuationsGiven, final List<String> evacuated, final long evacuationMark, final List<Registration> registrations, final boolean suspectsGiven, final List<String> suspects, final int boards, final List<Trial> trials, final long trialMark) {
+      this(version, spec, evacuationsGiven, evacuated, evacuationMark, registrations, suspectsGiven, suspects, boards, trials, trialMark, null);
+    }
+
+    public View(final long version, final byte[] spec, final boolean evacuationsGiven, final List<String> evacuated, final long evacuationMark, final List<Registration> registrations, final boolean suspectsGiven, final List<String> suspects, final int boards, final List<Trial> trials, final long trialMark, final byte[] packed) {
+      this.packed = packed;
       this.trials = trials;
       this.trialMark = trialMark;
       this.version = version;
@@ -1051,18 +1090,20 @@
     }
   }
 
-  /** An exchange tells how long ago it heard of a majority, how many switchboards there are, and of other exchanges. */
+  /** An exchange tells how long ago it heard of a majority, how many switchboards there are, and of other exchanges with their places, as region/site. */
   public static final class Reach implements Message {
     public final long ageMillis;
     public final int boards;
     public final List<String> members;
     public final List<String> announcers;
+    public final List<String> places;
 
     public Reach(final long ageMillis, final int boards, final List<String> members) {
-      this(ageMillis, boards, members, null);
+      this(ageMillis, boards, members, null, null);
     }
 
-    public Reach(final long ageMillis, final int boards, final List<String> members, final List<String> announcers) {
+    public Reach(final long ageMillis, final int boards, final List<String> members, final List<String> announcers, final List<String> places) {
+      this.places = places;
       this.announcers = announcers;
       this.ageMillis = ageMillis;
       this.boards = boards;
