Scale: real and hollow processes on one machine, slopes with their remainders; empty views unpack

A view without upstreams did not unpack (found by the first scale run): an empty packed list counted as cut short. Tests beside it. Load: where an upstream's load is unknown, that of its like in the same site counts; parts elsewhere are narrower; no second try beside one that takes long without a free slot.

--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -119,6 +119,7 @@
     copyBytes();
     choiceWidth();
     choiceSharers();
+    countersMillis();
     chief();
     if (chiefTenureMillis() < 2 * chiefPulseMillis()) {
       throw bad("chief.tenure-ms", values.get("chief.tenure-ms"), "give at least twice chief.pulse-ms, " + 2 * chiefPulseMillis() + ", or a chief would end between two of its pulses");
@@ -426,6 +427,11 @@
     return number("choice.sharers", 2, 1, 1000);
   }
 
+  /** How often a process logs its counters. */
+  public long countersMillis() {
+    return (long) number("log.counters-ms", 10_000, 200, 3_600_000);
+  }
+
   /** How many bytes of copies an announcer keeps. */
   public long copyBytes() {
     return (long) (number("copies.most-mb", 64, 0, 1_000_000) * (1 << 20));
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -21,6 +21,7 @@
 import weldpoint.exchange.ExchangeDaemon;
 import weldpoint.frame.FrameDaemon;
 import weldpoint.jack.SwitchboardDaemon;
+import weldpoint.scale.ScaleCommand;
 
 /** The command line. */
 public final class Weldpoint {
@@ -88,6 +89,17 @@
         throw new IllegalStateException("record reads its own options");
       }
     },
+    SCALE("measures on this machine how each role grows with the fleet: scale [--series NAME] [--sizes N,N,N] [--seconds N]") {
+      @Override
+      int run(final String[] words) throws IOException, InterruptedException {
+        return new ScaleCommand().run(words, System.out);
+      }
+
+      @Override
+      int run(final OptionSet options) {
+        throw new IllegalStateException("scale reads its own options");
+      }
+    },
     REPLAY("plays a recorded day through proposed settings: replay DAY --spec FILE; 0 no write is harmed, 1 one is, 2 it cannot be judged") {
       @Override
       int run(final String[] words) throws IOException {
--- /dev/null
+++ b/console/src/test/java/weldpoint/scale/ScaleTest.java
@@ -0,0 +1,84 @@
+package weldpoint.scale;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import weldpoint.boot.Breakdown;
+
+/** The fit of slopes against known data, refused sizes, and a tiny run of real and hollow processes end to end. */
+public final class ScaleTest {
+  @Test
+  public void aLineIsFoundAndWhatItLeavesOverIsTold() {
+    final Fit exact = Fit.of(new double[] {10, 40, 160}, new double[] {25, 85, 325});
+    assertEquals(exact.slope(), 2, 1e-9);
+    assertEquals(exact.fixed(), 5, 1e-9);
+    assertEquals(exact.worst(), 0, 1e-9);
+    assertEquals(exact.explained(), 1, 1e-9);
+    assertEquals(exact.at(16_000), 32_005, 1e-6);
+    assertEquals(exact.beyond(16_000), 100, 1e-9);
+    final Fit noisy = Fit.of(new double[] {1, 2, 3, 4}, new double[] {2, 1, 4, 3});
+    assertEquals(noisy.slope(), 0.6, 1e-9);
+    assertEquals(noisy.fixed(), 1, 1e-9);
+    assertEquals(noisy.worst(), 1.2, 1e-9);
+    assertEquals(noisy.explained(), 0.36, 1e-9);
+  }
+
+  @Test
+  public void tooFewOrTooNearSizesGiveNoSlope() {
+    assertTrue(expectThrows(Breakdown.class, () -> Fit.of(new double[] {1, 9}, new double[] {1, 2})).getMessage().contains("at least 3"));
+    assertTrue(expectThrows(Breakdown.class, () -> Fit.of(new double[] {10, 20, 30}, new double[] {1, 2, 3})).getMessage().contains("too near"));
+  }
+
+  @DataProvider
+  public Object[][] senseless() {
+    return new Object[][] {
+        {new Sizes(0, 1, 1, 1, 1, 1, 0, 0, false), "makes no sense"},
+        {new Sizes(1, 1, 1, 1, 2, 1, 0, 0, false), "makes no sense"},
+        {new Sizes(1, 1, 1, 1, 1, 1, -1, 0, false), "makes no sense"},
+        {new Sizes(40, 1, 150, 1, 1, 1, 0, 0, false), "too many"},
+        {new Sizes(3, 100_000_000, 1, 1, 1, 1, 0, 0, false), "half of this machine's memory"},
+    };
+  }
+
+  @Test(dataProvider = "senseless")
+  public void sizesBeyondTheMachineOrWithoutSenseAreRefusedBeforeAnythingStarts(final Sizes sizes, final String reason) {
+    final Breakdown breakdown = expectThrows(Breakdown.class, sizes::checked);
+    assertEquals(breakdown.kind(), Breakdown.Kind.USAGE);
+    assertTrue(breakdown.getMessage().contains(reason), breakdown.getMessage());
+  }
+
+  @DataProvider
+  public Object[][] badCalls() {
+    return new Object[][] {{new String[] {"--series", "moons"}, "cannot be varied"}, {new String[] {"--sizes", "1,4,16"}, "belong to one series"}, {new String[] {"--series", "boards", "--seconds", "1"}, "--seconds from 3"},
+        {new String[] {"--series", "boards", "--sizes", "1,4,100000000"}, "half of this machine's memory"}};
+  }
+
+  @Test(dataProvider = "badCalls")
+  public void aCallThatMakesNoSenseEndsWithItsRemedy(final String[] words, final String reason) {
+    final Breakdown breakdown = expectThrows(Breakdown.class, () -> new ScaleCommand().run(words, new PrintStream(new ByteArrayOutputStream())));
+    assertEquals(breakdown.kind(), Breakdown.Kind.USAGE);
+    assertTrue(breakdown.getMessage().contains(reason), breakdown.getMessage());
+  }
+
+  @Test
+  public void aTinyFleetIsMeasuredAndEndsAllThatItStarted() throws IOException, InterruptedException {
+    final long before = ProcessHandle.current().children().filter(ProcessHandle::isAlive).count();
+    final Map<String, Double> figures;
+    try (ScaleRun run = new ScaleRun(new Sizes(1, 3, 1, 5, 1, 2, 0.5, 0, false), 22_500)) {
+      figures = run.measure(3, 6);
+    }
+    assertTrue(figures.get("hollow bytes-in/s") > 0, figures.toString());
+    assertTrue(figures.get("exchange cpu-ms/s") > 0, figures.toString());
+    assertTrue(figures.get("frame memory-mb") > 10, figures.toString());
+    assertTrue(figures.get("beats/s") > 1, figures.toString());
+    assertTrue(figures.get("acknowledged-ms") > 0, figures.toString());
+    assertEquals(ProcessHandle.current().children().filter(ProcessHandle::isAlive).count(), before);
+  }
+}
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -43,6 +43,7 @@
   private final Random random;
   private final Map<String, Upstream> upstreams = new HashMap<>();
   private final Map<String, List<Upstream>> services = new HashMap<>();
+  private final Map<String, Upstream.Fill> fills = new HashMap<>();
   private final Map<String, Budget> budgets = new HashMap<>();
   private final Map<String, Double> usual = new HashMap<>();
   private final Map<String, Quiet> quiets = new HashMap<>();
@@ -84,6 +85,7 @@
       if (known == null) {
         upstream = new Upstream(change.registration, regions.getOrDefault(change.registration.site, ""), now);
         upstreams.put(upstream.id, upstream);
+        upstream.fill = fills.computeIfAbsent(upstream.service + "@" + upstream.site, key -> new Upstream.Fill());
         services.computeIfAbsent(upstream.service, name -> new ArrayList<>()).add(upstream);
       } else {
         upstream = known;
@@ -220,12 +222,18 @@
         upstream.own = !large;
         sites.computeIfAbsent(upstream.site, name -> new ArrayList<>()).add(upstream);
       }
-      if (large) {
-        sites.forEach((place, list) -> {
-          if (place.equals(site) && place(list.size()) >= 0) {
-            window(list);
-            return;
+      if (large && place(sites.getOrDefault(site, List.of()).size()) >= 0) {
+        final List<Upstream> near = sites.getOrDefault(site, List.of());
+        window(near, (double) place(near.size()) / neighbours.size(), Math.ceil(boot.choiceSharers() * near.size() / neighbours.size()));
+        final Map<String, List<Upstream>> others = new HashMap<>();
+        for (final Upstream upstream : all) {
+          if (!upstream.site.equals(site)) {
+            others.computeIfAbsent(upstream.region, name -> new ArrayList<>()).add(upstream);
           }
+        }
+        others.values().forEach(list -> window(list, position(), (boot.choiceWidth() + 1) / 2));
+      } else if (large) {
+        sites.forEach((place, list) -> {
           list.sort(java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, boot.address())));
           final int most = place.equals(site) ? boot.choiceWidth() : (boot.choiceWidth() + 1) / 2;
           list.subList(0, Math.min(most, list.size())).forEach(upstream -> upstream.own = true);
@@ -250,12 +258,19 @@
     return neighbours.size() * (long) boot.choiceWidth() < boot.choiceSharers() * upstreams ? -1 : neighbours.indexOf(boot.address());
   }
 
-  /** The upstreams of the own site stand in one order for all; each switchboard has a stretch of it, so that each upstream has as many switchboards as the next. */
-  private void window(final List<Upstream> list) {
+  /** Where this switchboard stands among all, from 0 to 1, if every site has as many as the own. */
+  private double position() {
+    final List<String> places = new ArrayList<>(regions.keySet());
+    places.sort(null);
+    return (Math.max(0, places.indexOf(site)) + (neighbours.indexOf(boot.address()) + 0.5) / neighbours.size()) / Math.max(1, places.size());
+  }
+
+  /** Upstreams stand in one order for all; each switchboard has a stretch of it, so that each upstream has as many switchboards as the next. */
+  private static void window(final List<Upstream> list, final double position, final double wanted) {
     list.sort(java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, upstream.service)));
     final int size = list.size();
-    final int width = (int) Math.min(size, Math.max(LEAST_WIDTH, Math.ceil(boot.choiceSharers() * size / neighbours.size())));
-    final int from = (int) ((long) place(size) * size / neighbours.size());
+    final int width = (int) Math.min(size, Math.max(LEAST_WIDTH, wanted));
+    final int from = (int) (position * size);
     for (int step = 0; step < width; step++) {
       list.get((from + step) % size).own = true;
     }
@@ -321,7 +336,7 @@
     if (best == null) {
       return any ? Choice.FULL : Choice.NONE;
     }
-    if (best.busy(now) >= best.capacity * Further.room(route, tenantRank)) {
+    if (best.known(now) >= best.capacity * Further.room(route, tenantRank)) {
       return Choice.FULL;
     }
     if (best.cold(now)) {
@@ -331,6 +346,11 @@
     return Choice.CHOSEN;
   }
 
+  /** Whether the upstream of the last choice has a free slot, so that a second try beside one that takes long does no harm. */
+  public boolean roomy(final long now) {
+    return chosen != null && chosen.busy(now) + 1 <= chosen.capacity * ROOM;
+  }
+
   /** Chooses this very upstream for a write that is tied to it, or none. */
   public Choice pinned(final Dialplan.Service service, final Route route, final int tenantRank, final String id, final long pauseMillis, final long now) {
     chosen = null;
@@ -340,7 +360,7 @@
     }
     reserves = true;
     upstream.tied(now, pauseMillis);
-    if (upstream.cold(now) && service.warmupPerSecond() > 0 && now < upstream.nextColdAt || upstream.busy(now) >= upstream.capacity * Further.room(route, tenantRank)) {
+    if (upstream.cold(now) && service.warmupPerSecond() > 0 && now < upstream.nextColdAt || upstream.known(now) >= upstream.capacity * Further.room(route, tenantRank)) {
       return Choice.FULL;
     }
     if (upstream.cold(now)) {
@@ -355,7 +375,7 @@
       return false;
     }
     final int reserved = upstream.reserved(now, sharers(), boot.affinityReserve(), usual(upstream.service));
-    return reserved > 0 && upstream.busy(now) + 1 > upstream.capacity - reserved;
+    return reserved > 0 && upstream.known(now) + 1 > upstream.capacity - reserved;
   }
 
   private boolean reserves;
--- a/cord/src/main/java/weldpoint/cord/Upstream.java
+++ b/cord/src/main/java/weldpoint/cord/Upstream.java
@@ -22,6 +22,7 @@
   long coldUntil;
   long nextColdAt;
   int inFlight;
+  Fill fill = new Fill();
   final ArrayDeque<Cord> idle = new ArrayDeque<>();
   private int toldBusy;
   private int toldOwn;
@@ -78,6 +79,7 @@
       capacity = Math.max(1, Integer.parseInt(parts[2].strip()));
       toldOwn = inFlight;
       toldAt = now;
+      fill.told(Math.max(0, toldBusy - toldOwn) / (double) capacity, now);
     } catch (final NumberFormatException ignored) {
       toldAt = Long.MIN_VALUE / 2;
     }
@@ -109,13 +111,36 @@
     return (int) Math.min(Math.floor(capacity * most), Math.ceil(perMilli * sharers * (expectedMillis == 0 ? usual : expectedMillis)));
   }
 
-  /** How many requests it probably has, over all switchboards. */
+  /** How many requests it has for certain, over all switchboards. */
+  double known(final long now) {
+    return inFlight + Math.max(0, toldBusy - toldOwn) * fresh(now);
+  }
+
+  private double fresh(final long now) {
+    return Math.max(0, 1 - (now - toldAt) / (double) TOLD_MILLIS);
+  }
+
+  /** How many requests it probably has: what it told lately, and as that grows old, what its like in the same site have. */
   double busy(final long now) {
-    if (now - toldAt > TOLD_MILLIS) {
-      return inFlight;
+    final double fresh = fresh(now);
+    return inFlight + Math.max(0, toldBusy - toldOwn) * fresh + (1 - fresh) * fill.perSlot(now) * capacity;
+  }
+
+  /** What the upstreams of one service in one site tell of others' requests, for each of their slots. */
+  static final class Fill {
+    private static final double WEIGHT = 0.05;
+    private static final long FORGOTTEN_MILLIS = 3000;
+    private double perSlot;
+    private long at = Long.MIN_VALUE / 2;
+
+    void told(final double seen, final long now) {
+      perSlot = now - at > FORGOTTEN_MILLIS ? seen : perSlot * (1 - WEIGHT) + seen * WEIGHT;
+      at = now;
+    }
+
+    double perSlot(final long now) {
+      return perSlot * Math.max(0, 1 - (now - at) / (double) FORGOTTEN_MILLIS);
     }
-    final double others = Math.max(0, toldBusy - toldOwn) * (1 - (now - toldAt) / (double) TOLD_MILLIS);
-    return others + inFlight;
   }
 
   /** How long a further request would probably take. */
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -30,7 +30,6 @@
   private static final int FILES = 3;
   private static final int FILE_BYTES = 1 << 19;
   private static final long TICK_MILLIS = 40;
-  private static final long COUNTERS_MILLIS = 10_000;
 
   private final Boot boot;
   private final Desk desk = new Desk("exchange");
@@ -180,9 +179,9 @@
   private void tick() {
     final long now = now();
     core.tick(now);
-    if (now - countersAt > COUNTERS_MILLIS) {
+    if (now - countersAt >= boot.countersMillis()) {
       countersAt = now;
-      LOGGER.atInfo().log("counters: %s", core.counters());
+      LOGGER.atInfo().log("counters: %s %s", core.counters(), trunk.meter());
     }
   }
 
--- a/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
@@ -201,4 +201,13 @@
     assertEquals(told.boards.get("stream-0").stream().filter(message -> message instanceof Words.Neighbours).count(), 2);
     assertEquals(told.boards.get("stream-1").stream().filter(message -> message instanceof Words.Neighbours).count(), 1);
   }
+
+  @Test
+  public void aViewWithoutUpstreamsIsOneToo() {
+    assertEquals(Buckets.unpack(Buckets.pack(List.of())), List.of());
+    assertEquals(Buckets.unpack(Buckets.pack(upstreams(2))).size(), 2);
+    final Told told = new Told();
+    told.exchange("10.0.0.1", 0).boardState("s", board(1), null, told.now);
+    assertTrue(told.boards.isEmpty() || Buckets.unpack(((Words.View) told.boards.get("s").get(0)).packed).isEmpty());
+  }
 }
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -30,7 +30,6 @@
   private static final int FILE_BYTES = 1 << 20;
   private static final int MOST_VOTERS = 5;
   private static final long TICK_MILLIS = 50;
-  private static final long COUNTERS_MILLIS = 10_000;
 
   private final Boot boot;
   private final Desk desk = new Desk("frame");
@@ -122,9 +121,9 @@
     final long now = now();
     core.disk(tape.busyMillis(), tape.refusing(), now);
     core.tick(now);
-    if (now - countersAt > COUNTERS_MILLIS) {
+    if (now - countersAt >= boot.countersMillis()) {
       countersAt = now;
-      LOGGER.atInfo().log("counters: serving %s ballots %s commits %s syncs %s roster %s %s", core.serving(), core.ballots(), core.commits(), tape.syncs(), core.roster().number, core.historyCounters());
+      LOGGER.atInfo().log("counters: serving %s ballots %s commits %s syncs %s roster %s %s %s", core.serving(), core.ballots(), core.commits(), tape.syncs(), core.roster().number, core.historyCounters(), trunk.meter());
     }
   }
 
--- a/jack/src/main/java/weldpoint/jack/Stream.java
+++ b/jack/src/main/java/weldpoint/jack/Stream.java
@@ -60,6 +60,15 @@
     dialler = mine[0];
   }
 
+  /** Ends the line for good. */
+  public void close() {
+    final Trunk.Dialler present = dialler;
+    dialler = null;
+    if (present != null) {
+      present.close();
+    }
+  }
+
   /** Sends where there is a line; tells whether there was one. */
   public boolean send(final Message message) {
     final Trunk.Dialler present = dialler;
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -48,7 +48,6 @@
   private static final long TICK_MILLIS = 100;
   private static final long REPORT_MILLIS = 1000;
   private static final long SWEEP_MILLIS = 250;
-  private static final long COUNTERS_MILLIS = 10_000;
   private static final int MOST_HEADER = 65_536;
   private static final long LINGER_MILLIS = 2300;
   private static final int CALM_ROUNDS = 5;
@@ -197,8 +196,8 @@
     loop.scheduleAtFixedRate(() -> desk.execute(() -> link.tick(Switchroom.now())), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(() -> report(false), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
-    loop.scheduleAtFixedRate(() -> LOGGER.atInfo().log("counters: served %s refused %s failed %s repeated %s active %s upstreams %s spec %s", room.served, room.refused, room.failed, room.repeated, room.active,
-        room.cords.count() + (room.ties == null ? "" : " " + room.ties.counters(Switchroom.now())) + (chief == null ? "" : " " + chief.counters()), room.plan == null ? "none" : Long.toHexString(room.plan.version())), COUNTERS_MILLIS, COUNTERS_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(() -> LOGGER.atInfo().log("counters: served %s refused %s failed %s repeated %s active %s upstreams %s spec %s %s", room.served, room.refused, room.failed, room.repeated, room.active,
+        room.cords.count() + (room.ties == null ? "" : " " + room.ties.counters(Switchroom.now())) + (chief == null ? "" : " " + chief.counters()), room.plan == null ? "none" : Long.toHexString(room.plan.version()), trunk.meter()), boot.countersMillis(), boot.countersMillis(), TimeUnit.MILLISECONDS);
   }
 
   /** Takes to tying callers to nodes. */
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -280,6 +280,10 @@
   }
 
   private boolean attempt(final boolean further) {
+    return attempt(further, false);
+  }
+
+  private boolean attempt(final boolean further, final boolean beside) {
     final long now = Switchroom.now();
     if (further && (single || !Further.fits(route, sent, now, cutoff))) {
       return false;
@@ -288,7 +292,7 @@
     if (choice != Cords.Choice.CHOSEN) {
       return false;
     }
-    if (sent > 0 && !room.cords.repeat(service.name(), now)) {
+    if (beside && !room.cords.roomy(now) || sent > 0 && !room.cords.repeat(service.name(), now)) {
       return false;
     }
     return transmit(room.cords.chosen(), now);
@@ -363,7 +367,7 @@
 
   private void hedge() {
     if (!over && running() == 1 && session.open()) {
-      attempt(true);
+      attempt(true, true);
     }
   }
 
--- a/replay/src/main/java/weldpoint/replay/Replay.java
+++ b/replay/src/main/java/weldpoint/replay/Replay.java
@@ -54,6 +54,9 @@
 
   /** Plays the day and judges it. */
   public Verdict run() throws IOException {
+    if (proposed.all().stream().anyMatch(route -> route.affinity != null)) {
+      throw new Breakdown(Breakdown.Kind.INVALID, "the proposed configuration ties callers to nodes, and a recorded day does not hold who called; leave affinity out, or try it on a route by a trial");
+    }
     final Span first = new Span();
     pass(first, true, (call, own, other) -> {
       if (own.end == Outcome.End.SERVED && call.note.status >= 200 && call.note.status < 300) {
--- a/replay/src/main/java/weldpoint/replay/World.java
+++ b/replay/src/main/java/weldpoint/replay/World.java
@@ -188,11 +188,15 @@
     }
 
     private boolean attempt(final boolean further) {
+      return attempt(further, false);
+    }
+
+    private boolean attempt(final boolean further, final boolean beside) {
       if (further && !Further.fits(route, outcome.sent, now, cutoff)) {
         return false;
       }
       chances.get(call.board).setSeed(call.note.id.hashCode() * 31L + outcome.sent + seed);
-      if (cords.choose(service, route, tried, now) != Cords.Choice.CHOSEN || outcome.sent > 0 && !cords.repeat(service.name(), now)) {
+      if (cords.choose(service, route, tried, now) != Cords.Choice.CHOSEN || beside && !cords.roomy(now) || outcome.sent > 0 && !cords.repeat(service.name(), now)) {
         return false;
       }
       final Upstream upstream = cords.chosen();
@@ -205,7 +209,7 @@
         hedged = true;
         after(Further.hedgeMillis(route), () -> {
           if (!over && running() == 1) {
-            attempt(true);
+            attempt(true, true);
           }
         });
       }
--- a/replay/src/test/java/weldpoint/replay/ReplayTest.java
+++ b/replay/src/test/java/weldpoint/replay/ReplayTest.java
@@ -177,4 +177,12 @@
     Files.write(cut, new byte[] {1, 2, 3});
     assertThrows(Breakdown.class, () -> replay(cut, spec));
   }
+
+  @Test
+  public void aRuleThatTiesCallersIsNeverJudgedWithoutThem() {
+    final weldpoint.dialplan.Dialplan tied = weldpoint.dialplan.Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"w\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/\"},"
+        + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":1,\"affinity\":{\"by\":\"address\"}}}]}],\"pools\":[{\"name\":\"s\"}]}").getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    final weldpoint.boot.Breakdown breakdown = org.testng.Assert.expectThrows(weldpoint.boot.Breakdown.class, () -> new Replay(java.nio.file.Path.of("no-such-day"), tied, "", 100, bytes -> bytes).run());
+    org.testng.Assert.assertTrue(breakdown.getMessage().contains("does not hold who called"), breakdown.getMessage());
+  }
 }
--- /dev/null
+++ b/scale/src/main/java/weldpoint/scale/Child.java
@@ -0,0 +1,93 @@
+package weldpoint.scale;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import weldpoint.boot.Boot;
+import weldpoint.boot.Breakdown;
+
+/** One real daemon as a process of its own, with what it counts of itself. */
+final class Child {
+  private static final Pattern TRUNK = Pattern.compile("trunk-in (\\d+) (\\d+) trunk-out (\\d+) (\\d+)");
+
+  /** What a process has used and passed since its start. */
+  record Sample(long atNanos, long cpuMillis, long memoryKilobytes, long messagesIn, long bytesIn, long messagesOut, long bytesOut) {
+  }
+
+  final String program;
+  private final Process process;
+  private volatile Sample counted;
+  private volatile String last = "";
+
+  Child(final String program, final Path settings, final int heapMegabytes) throws IOException {
+    this.program = program;
+    final List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xms16m", "-Xmx" + heapMegabytes + "m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        "-XX:MaxMetaspaceSize=64m", "-XX:ReservedCodeCacheSize=24m", "-XX:MaxDirectMemorySize=48m", "-XX:-UsePerfData", "-cp", System.getProperty("java.class.path"), "weldpoint.console.Weldpoint", program));
+    final ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
+    builder.environment().put(Boot.VARIABLE, settings.toString());
+    process = builder.start();
+    final Thread reader = new Thread(this::read, "reads-" + program);
+    reader.setDaemon(true);
+    reader.start();
+  }
+
+  private void read() {
+    try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+      String line = lines.readLine();
+      while (line != null) {
+        last = line;
+        final Matcher trunk = TRUNK.matcher(line);
+        if (trunk.find()) {
+          counted = new Sample(System.nanoTime(), cpuMillis(), memory(), Long.parseLong(trunk.group(1)), Long.parseLong(trunk.group(2)), Long.parseLong(trunk.group(3)), Long.parseLong(trunk.group(4)));
+        }
+        line = lines.readLine();
+      }
+    } catch (final IOException ended) {
+      last = "its output ended: " + ended.getMessage();
+    }
+  }
+
+  private long cpuMillis() {
+    return process.toHandle().info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+  }
+
+  private long memory() {
+    try {
+      for (final String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+        if (line.startsWith("VmRSS:")) {
+          return Long.parseLong(line.replaceAll("[^0-9]", ""));
+        }
+      }
+    } catch (final IOException gone) {
+      return 0;
+    }
+    return 0;
+  }
+
+  /** What the process last counted; fails where it has died. */
+  Sample sample() {
+    if (!process.isAlive()) {
+      throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "a " + program + " has ended by itself with code " + process.exitValue() + " (" + last + "); the run gives no slope");
+    }
+    return counted;
+  }
+
+  void end() {
+    process.destroy();
+  }
+
+  void kill() {
+    process.destroyForcibly();
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+}
--- /dev/null
+++ b/scale/src/main/java/weldpoint/scale/Hollows.java
@@ -0,0 +1,198 @@
+package weldpoint.scale;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import weldpoint.affinity.Ties;
+import weldpoint.boot.Boot;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.jack.BoardLink;
+import weldpoint.jack.Stream;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.Meter;
+import weldpoint.trunk.Trunk;
+import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
+
+/** Switchboards without traffic, many to this process: each has its own link, stream and line, the very code of a real one. */
+final class Hollows {
+  private static final long TICK_MILLIS = 100;
+
+  private final class Hollow {
+    private final Trunk trunk;
+    private final BoardLink link;
+    private final Stream stream;
+    private Ties ties;
+
+    private Hollow(final Boot boot, final int index, final long incarnation) {
+      trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "switchboard", address(index), incarnation));
+      stream = new Stream(trunk, desk, boot, () -> {
+      });
+      final Words.Board self = new Words.Board(address(index), address(index) + ":8161", boot.site(), boot.region(), incarnation, false, 0);
+      link = new BoardLink(self, boot.seeds(), new Random(incarnation), new BoardLink.Outlet() {
+        @Override
+        public void dial(final String to) {
+          stream.dial(to);
+        }
+
+        @Override
+        public void send(final Message message) {
+          stream.send(message);
+        }
+
+        @Override
+        public void outlook(final Dialplan plan, final Map<Words.Registration, Boolean> changes, final Set<String> evacuated, final Set<String> suspects, final int switchboards) {
+          if (plan != null || evacuated != null) {
+            desk.execute(() -> link().inForce(link().version(), link().mark(), now()));
+          }
+          if (plan != null) {
+            versions.merge(plan.version(), 1, Integer::sum);
+          }
+        }
+
+        @Override
+        public void trials(final List<Words.Trial> trials, final long mark) {
+        }
+
+        @Override
+        public void placements(final Words.Placements placements) {
+          if (ties == null) {
+            ties = new Ties(self.address, incarnation, boot.affinityLeaseMillis(), stream::send);
+          }
+          ties.take(placements, now());
+          placed.merge(placements.mark, 1, Integer::sum);
+        }
+
+        @Override
+        public void leased(final Words.LeaseGrant grant) {
+          if (ties != null) {
+            ties.granted(grant, now());
+          }
+        }
+
+        @Override
+        public void admitted() {
+          admitted.incrementAndGet();
+        }
+      });
+      stream.link(link);
+      link.start(now());
+    }
+
+    private BoardLink link() {
+      return link;
+    }
+
+    private void tick() {
+      link.tick(now());
+      if (ties != null) {
+        ties.tick(now());
+      }
+    }
+  }
+
+  private final EventLoopGroup loop = new NioEventLoopGroup(1);
+  private final ExecutorService desk = Executors.newSingleThreadExecutor(task -> {
+    final Thread thread = new Thread(task, "hollow");
+    thread.setDaemon(true);
+    return thread;
+  });
+  private final List<Hollow> hollows = new ArrayList<>();
+  private final List<Boot> boots;
+  private final AtomicLong admitted = new AtomicLong();
+  private final Map<Long, Integer> versions = new java.util.concurrent.ConcurrentHashMap<>();
+  private final Map<Long, Integer> placed = new java.util.concurrent.ConcurrentHashMap<>();
+  private long incarnations = 1000;
+  private int next;
+  private long gone;
+  private long goneMessages;
+
+  /** So many switchboards, spread over these places. */
+  Hollows(final List<Boot> boots, final int count) {
+    this.boots = boots;
+    desk.execute(() -> {
+      for (int index = 0; index < count; index++) {
+        hollows.add(new Hollow(boots.get(index % boots.size()), index, ++incarnations));
+      }
+    });
+    loop.scheduleAtFixedRate(() -> desk.execute(() -> hollows.forEach(Hollow::tick)), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  static String address(final int index) {
+    return "127.9." + index / 250 + "." + (1 + index % 250);
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Ends one and starts it again as a new life, as a restart does. */
+  void restartOne() {
+    desk.execute(() -> {
+      if (!hollows.isEmpty()) {
+        final int index = next++ % hollows.size();
+        final Hollow before = hollows.get(index);
+        gone += before.trunk.meter().bytesIn();
+        goneMessages += before.trunk.meter().messagesIn();
+        before.stream.close();
+        hollows.set(index, new Hollow(boots.get(index % boots.size()), index, ++incarnations));
+      }
+    });
+  }
+
+  /** How many views were given in all. */
+  long admitted() {
+    return admitted.get();
+  }
+
+  /** How many have this version in force. */
+  int have(final long version) {
+    return versions.getOrDefault(version, 0);
+  }
+
+  /** How many have placements of this mark or a later one. */
+  int placed(final long mark) {
+    return placed.getOrDefault(mark, 0);
+  }
+
+  /** Messages and bytes that came to all. */
+  long[] in() {
+    final java.util.concurrent.CompletableFuture<long[]> future = new java.util.concurrent.CompletableFuture<>();
+    desk.execute(() -> {
+      final long[] sums = {goneMessages, gone, 0, 0};
+      for (final Hollow one : hollows) {
+        final Meter meter = one.trunk.meter();
+        sums[0] += meter.messagesIn();
+        sums[1] += meter.bytesIn();
+        sums[2] += meter.messagesOut();
+        sums[3] += meter.bytesOut();
+      }
+      future.complete(sums);
+    });
+    return future.join();
+  }
+
+  void end() {
+    final java.util.concurrent.CountDownLatch closed = new java.util.concurrent.CountDownLatch(1);
+    desk.execute(() -> {
+      hollows.forEach(one -> one.stream.close());
+      hollows.clear();
+      closed.countDown();
+    });
+    try {
+      closed.await(2, TimeUnit.SECONDS);
+    } catch (final InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+    loop.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly(3, TimeUnit.SECONDS);
+    desk.shutdown();
+  }
+}
--- /dev/null
+++ b/scale/src/main/java/weldpoint/scale/Sizes.java
@@ -0,0 +1,49 @@
+package weldpoint.scale;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import weldpoint.boot.Breakdown;
+
+/** The size of one run. */
+public record Sizes(int cores, int boards, int realBoards, int upstreams, int services, int routes, double changesPerSecond, double returnsPerSecond, boolean tied) {
+  private static final int MOST_PROCESSES = 200;
+  private static final long PROCESS_BYTES = 130L << 20;
+  private static final long HOLLOW_BYTES = 400L << 10;
+
+  /** This size, checked against what the machine has. */
+  public Sizes checked() {
+    if (cores < 1 || cores > 40 || boards < 0 || realBoards < 1 || upstreams < 1 || services < 1 || services > upstreams || routes < 1 || changesPerSecond < 0 || changesPerSecond > 20 || returnsPerSecond < 0 || returnsPerSecond > 200) {
+      throw new Breakdown(Breakdown.Kind.USAGE, "the size " + this + " makes no sense; give 1 to 40 cores, at least one real switchboard, upstream, service and route, no more services than upstreams, and up to 20 changes and 200 returns a second");
+    }
+    if (processes() > MOST_PROCESSES) {
+      throw new Breakdown(Breakdown.Kind.USAGE, processes() + " processes are too many for one machine; keep to " + MOST_PROCESSES + ", with more hollow switchboards and fewer real ones");
+    }
+    final long half = memory() / 2;
+    if (needs() > half) {
+      throw new Breakdown(Breakdown.Kind.USAGE, "about " + (needs() >> 20) + " MB are needed and half of this machine's memory is " + (half >> 20) + "; measure a smaller size");
+    }
+    return this;
+  }
+
+  int processes() {
+    return 2 * cores + realBoards;
+  }
+
+  private long needs() {
+    return processes() * PROCESS_BYTES + (boards + upstreams / 4L) * HOLLOW_BYTES;
+  }
+
+  private static long memory() {
+    try {
+      for (final String line : Files.readAllLines(Path.of("/proc/meminfo"))) {
+        if (line.startsWith("MemTotal:")) {
+          return Long.parseLong(line.replaceAll("[^0-9]", "")) << 10;
+        }
+      }
+    } catch (final IOException problem) {
+      throw new Breakdown(Breakdown.Kind.UNREADABLE, "/proc/meminfo cannot be read; run this on Linux");
+    }
+    throw new Breakdown(Breakdown.Kind.UNREADABLE, "/proc/meminfo does not tell the memory; run this on Linux");
+  }
+}
--- a/trunk/src/main/java/weldpoint/trunk/Packing.java
+++ b/trunk/src/main/java/weldpoint/trunk/Packing.java
@@ -34,7 +34,7 @@
     try {
       while (!inflater.finished()) {
         final int got = inflater.inflate(chunk);
-        if (got == 0 && inflater.needsInput()) {
+        if (got == 0 && !inflater.finished() && inflater.needsInput()) {
           throw new Breakdown(Breakdown.Kind.UNREADABLE, "a stored configuration is cut short; send it again");
         }
         out.write(chunk, 0, got);
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -43,6 +43,12 @@
 
   private final EventLoopGroup loop;
   private final Words.Hello hello;
+  private final Meter meter = new Meter();
+
+  /** What has passed over all lines. */
+  public Meter meter() {
+    return meter;
+  }
 
   /** A trunk whose lines open with this hello. */
   public Trunk(final EventLoopGroup loop, final Words.Hello hello) {
@@ -178,11 +184,12 @@
     return new Sealed(Wire.number(message), Wire.bytes(message));
   }
 
-  private static final class Encoder extends MessageToByteEncoder<Message> {
+  private final class Encoder extends MessageToByteEncoder<Message> {
     @Override
     protected void encode(final ChannelHandlerContext context, final Message message, final ByteBuf out) {
       final boolean sealed = message instanceof Sealed;
       final byte[] body = sealed ? ((Sealed) message).body : Wire.bytes(message);
+      meter.out(body.length + 5);
       out.ensureWritable(body.length + 5);
       out.writeInt(body.length + 1);
       out.writeByte(sealed ? ((Sealed) message).kind : Wire.number(message));
@@ -237,6 +244,7 @@
           context.close();
           return;
         }
+        meter.in(frame.readableBytes() + 5);
         final byte[] body = new byte[frame.readableBytes()];
         frame.readBytes(body);
         message = (Message) Wire.value(body, kind);
