--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -13,6 +13,10 @@
   /** The environment variable that names the settings file. */
   public static final String VARIABLE = "WELDPOINT_SETTINGS";
 
+  private static final int LEAST_TRANSFER = 16 << 10;
+  private static final int MOST_TRANSFER = 256 << 10;
+  private static final double TRANSFER_SECONDS = 0.1;
+
   /** A TCP address. */
   public record Address(String host, int port) {
     /** Reads "host:port". */
@@ -120,6 +124,7 @@
     choiceWidth();
     choiceSharers();
     countersMillis();
+    transferBytes();
     chief();
     if (chiefTenureMillis() < 2 * chiefPulseMillis()) {
       throw bad("chief.tenure-ms", values.get("chief.tenure-ms"), "give at least twice chief.pulse-ms, " + 2 * chiefPulseMillis() + ", or a chief would end between two of its pulses");
@@ -427,6 +432,13 @@
     return number("choice.sharers", 2, 1, 1000);
   }
 
+  /** How many bytes may be under way on one connection of traffic, so that a download does not fill a narrow link's queue; 0 for no bound. */
+  public int transferBytes() {
+    final double bytesPerSecond = number("station.link-mbps", 0, 0, 1_000_000) * 125_000;
+    final double bound = Math.max(LEAST_TRANSFER, bytesPerSecond * TRANSFER_SECONDS);
+    return bytesPerSecond == 0 || bound > MOST_TRANSFER ? 0 : (int) bound;
+  }
+
   /** How often a process logs its counters. */
   public long countersMillis() {
     return (long) number("log.counters-ms", 10_000, 200, 3_600_000);
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -25,6 +25,7 @@
 import weldpoint.boot.Rank;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
+import weldpoint.dialplan.RouteKind;
 
 /** The upstreams of all services, their connections, and the choice among them. All of it lives on the traffic thread. */
 public final class Cords {
@@ -62,6 +63,9 @@
     this.regions = boot.sites();
     this.random = random;
     this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 400);
+    if (boot.transferBytes() > 0) {
+      bootstrap.option(ChannelOption.SO_RCVBUF, boot.transferBytes());
+    }
   }
 
   /** Takes what changed in the registry. */
@@ -323,7 +327,7 @@
           continue;
         }
         any = true;
-        final double cost = candidate.cost(now, usual(service.name())) * (doubt(candidate, service, now) ? DOUBT : 1) + (tier == 0 ? 0 : tier == 1 ? 3 : 30);
+        final double cost = candidate.cost(now, usual(service.name())) * (doubt(candidate, service, now) ? DOUBT : 1) + (tier == 0 ? 0 : tier == 1 ? 3 : route.kind == RouteKind.EGRESS ? 2 * usual(service.name()) : 30);
         if (cost < bestCost) {
           best = candidate;
           bestCost = cost;
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -872,7 +872,7 @@
         outlet.board(stream, placements.keeper().placements());
       }
       neighbourhoods.tell(stream, outlet::board);
-      outlet.board(stream, reach(now));
+      outlet.board(stream, reach(now, true));
     }
     hopefuls.clear();
   }
@@ -933,7 +933,8 @@
     }
   }
 
-  private Words.Reach reach(final long now) {
+  /** What is told each time, with the members where they have changed since they were told to all. */
+  private Words.Reach reach(final long now, final boolean first) {
     List<String> caches = null;
     for (final BoardEntry entry : boards.values()) {
       if (entry.board.announcer && !entry.board.leaving && now - entry.heardAt < BOARD_GONE_MILLIS) {
@@ -945,9 +946,17 @@
     for (final String member : members.keySet()) {
       places.add(member.equals(self) ? region + "/" + site : memberPlaces.getOrDefault(member, ""));
     }
-    return new Words.Reach(Math.min(Integer.MAX_VALUE, now - majorityAt), mostBoards, new ArrayList<>(members.keySet()), caches, places);
+    final List<String> named = new ArrayList<>(members.keySet());
+    final boolean news = !named.equals(toldMembers) || !places.equals(toldPlaces);
+    if (!first) {
+      toldMembers = named;
+      toldPlaces = places;
+    }
+    return new Words.Reach(Math.min(Integer.MAX_VALUE, now - majorityAt), mostBoards, first || news ? named : null, caches, first || news ? places : null);
   }
 
+  private List<String> toldMembers = List.of();
+  private List<String> toldPlaces = List.of();
   private final Map<String, String> memberPlaces = new HashMap<>();
 
   private void tellBoards(final List<Registration> changes) {
@@ -1277,7 +1286,7 @@
         }
         electorates.keep(live, now);
       }
-      final Words.Reach reach = reach(now);
+      final Words.Reach reach = reach(now, false);
       streams.forEach(stream -> outlet.board(stream, reach));
       hopefuls.forEach(stream -> outlet.board(stream, reach));
       judge(now);
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -214,7 +214,7 @@
       outlet.outlook(null, Map.of(), null, null, reach.boards);
       if (reach.ageMillis <= STALE_MILLIS) {
         disappointments = 0;
-        approach(members, now);
+        approach(now);
       } else if (now - dialledAt > Math.min(STAY_MILLIS, GLANCE_MILLIS << Math.min(10, disappointments))) {
         disappointments++;
         LOGGER.atInfo().log("exchange %s has not heard of a majority for %s ms; trying another", current, reach.ageMillis);
@@ -224,7 +224,7 @@
   }
 
   /** Moves to a nearer exchange once all is calm: one of the own site, or of the own region; which one, each switchboard draws for itself. */
-  private void approach(final List<String> members, final long now) {
+  private void approach(final long now) {
     if (now < nearAt) {
       return;
     }
@@ -232,7 +232,7 @@
     final int here = distance(places.get(current));
     String best = current;
     int nearest = here;
-    for (final String member : members) {
+    for (final String member : exchanges) {
       final int distance = distance(places.get(member));
       if (distance < nearest || distance == nearest && distance < here && Rank.of(member, self.address) < Rank.of(best, self.address)) {
         nearest = distance;
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -266,7 +266,11 @@
 
   private void openFront() {
     final Boot.Address front = boot.requiredAddress("listen.traffic");
-    new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    final ServerBootstrap server = new ServerBootstrap();
+    if (boot.transferBytes() > 0) {
+      server.childOption(ChannelOption.SO_SNDBUF, boot.transferBytes());
+    }
+    server.group(loop).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.SO_BACKLOG, 1024)
         .childOption(ChannelOption.TCP_NODELAY, true)
