--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -32,6 +32,7 @@
   private static final double USUAL_MILLIS = 150;
   private static final int SAMPLE = 4;
   private static final double ROOM = 0.8;
+  private static final double CROWDED = 0.5;
   private static final double DOUBT = 3;
   private static final long COLD_MARGIN_MILLIS = 300;
   private static final int LEAST_WIDTH = 4;
@@ -314,6 +315,8 @@
     Upstream best = null;
     double bestCost = Double.MAX_VALUE;
     boolean any = false;
+    final Upstream.Fill near = fills.get(service.name() + "@" + site);
+    final boolean crowded = near != null && route.kind != RouteKind.EGRESS && near.perSlot(now) > CROWDED;
     for (final Width width : Width.values()) {
       if (width == Width.ALL && !spread.divided) {
         continue;
@@ -332,7 +335,7 @@
           best = candidate;
           bestCost = cost;
         }
-        if (best.busy(now) + 1 <= best.capacity * ROOM && !doubt(best, service, now)) {
+        if (!crowded && best.busy(now) + 1 <= best.capacity * ROOM && !doubt(best, service, now)) {
           break;
         }
       }
--- a/cord/src/test/java/weldpoint/cord/CordsTest.java
+++ b/cord/src/test/java/weldpoint/cord/CordsTest.java
@@ -219,4 +219,32 @@
       assertTrue(count >= 2 && count <= 3, callers.toString());
     }
   }
+
+  @Test
+  public void lookupsGoToAnotherRegionWhileTheOwnOneIsCrowded() {
+    final Cords cords = cords(9);
+    final List<Cords.Change> changes = new ArrayList<>();
+    for (int index = 0; index < 6; index++) {
+      changes.add(change("near-" + index, "a", 0, true));
+      changes.add(change("far-" + index, "b", 0, true));
+    }
+    cords.apply(changes, 0);
+    int far = 0;
+    for (int round = 0; round < 400; round++) {
+      final long now = 10_000 + round * 20;
+      assertEquals(choose(cords, "/any/x", now), Cords.Choice.CHOSEN);
+      final Upstream chosen = cords.chosen();
+      final boolean near = chosen.site().equals("a");
+      if (round >= 200) {
+        far += near ? 0 : 1;
+      }
+      final Cords.Attempt attempt = cords.begin(chosen, now);
+      chosen.told(near ? "4,1,4" : "1,0,4", now);
+      attempt.abandon(now);
+      chosen.answered(now, near ? 900 : 400);
+    }
+    assertTrue(far > 120, "only " + far + " of 200 went to the region with room");
+    assertEquals(choose(cords, "/x", 20_000), Cords.Choice.CHOSEN);
+    assertEquals(cords.chosen().site(), "a", "homes bind all the same");
+  }
 }
--- a/scale/src/main/java/weldpoint/scale/ScaleCommand.java
+++ b/scale/src/main/java/weldpoint/scale/ScaleCommand.java
@@ -72,6 +72,11 @@
     final List<Map<String, Double>> results = new ArrayList<>();
     int shift = 0;
     for (final double size : sizes) {
+      final Map<String, Double> alone = series.alone(size);
+      if (alone != null) {
+        results.add(alone);
+        continue;
+      }
       try (ScaleRun run = new ScaleRun(series.sizes(size), port + 20 * (shift++ % 50))) {
         final Thread ends = new Thread(() -> {
           out.println("interrupted: the figures of " + series.name().toLowerCase(Locale.ROOT) + " are partial and give no slope");
--- a/scale/src/main/java/weldpoint/scale/ScaleRun.java
+++ b/scale/src/main/java/weldpoint/scale/ScaleRun.java
@@ -98,7 +98,11 @@
     for (int index = 0; index < sizes.services(); index++) {
       pools.append(index == 0 ? "" : ",").append("{\"name\":\"service-").append(index).append("\",\"healthPath\":\"/health\",\"maxConns\":100,\"warmupS\":3.0,\"warmupPerS\":12.0}");
     }
-    return "{\"version\":\"" + String.format("%08x", version) + "\",\"listeners\":[{\"host\":\"scale.example\",\"rules\":[" + rules + "]}],\"pools\":[" + pools + "]}";
+    final StringBuilder tenants = new StringBuilder();
+    for (int index = 0; index < sizes.tenants(); index++) {
+      tenants.append(index == 0 ? "" : ",").append("{\"name\":\"tenant-").append(index).append("\",\"apiKeys\":[\"key-").append(Long.toHexString(index * 0x9e3779b97f4a7c15L)).append("\"],\"ratePerS\":10,\"burst\":20}");
+    }
+    return "{\"version\":\"" + String.format("%08x", version) + "\",\"tenants\":[" + tenants + "],\"listeners\":[{\"host\":\"scale.example\",\"rules\":[" + rules + "]}],\"pools\":[" + pools + "]}";
   }
 
   private long change() throws InterruptedException {
--- a/scale/src/main/java/weldpoint/scale/Series.java
+++ b/scale/src/main/java/weldpoint/scale/Series.java
@@ -1,7 +1,9 @@
 package weldpoint.scale;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** What is varied while everything else stays. */
 public enum Series {
@@ -40,6 +42,13 @@
       return new Sizes(3, 12, 1, (int) size * 10, (int) size, (int) size, 0, 0, false);
     }
   },
+  /** Tenants with one key each. */
+  TENANTS(new double[] {500, 2000, 8000}) {
+    @Override
+    Sizes sizes(final double size) {
+      return new Sizes(3, 4, 1, 20, 2, 6, 0, 0, false, (int) size);
+    }
+  },
   /** Changes of the configuration a second. */
   CHANGES(new double[] {0.25, 1, 4}) {
     @Override
@@ -60,6 +69,18 @@
     Sizes sizes(final double size) {
       return new Sizes(3, (int) size, 1, 60, 3, 12, 0, 0, true);
     }
+  },
+  /** Entries of the history, without any process beside. */
+  HISTORY(new double[] {5000, 20_000, 80_000}) {
+    @Override
+    Sizes sizes(final double size) {
+      return new Sizes(1, 0, 1, 1, 1, 1, 0, 0, false);
+    }
+
+    @Override
+    Map<String, Double> alone(final double size) throws IOException, InterruptedException {
+      return HistoryMeasure.measure((int) Math.min(1_000_000, size));
+    }
   };
 
   private final double[] usual;
@@ -70,6 +91,11 @@
 
   abstract Sizes sizes(double size);
 
+  /** What is measured without processes; null where processes are needed. */
+  Map<String, Double> alone(final double size) throws IOException, InterruptedException {
+    return null;
+  }
+
   /** The sizes measured unless others are named. */
   public List<Double> usual() {
     final List<Double> list = new ArrayList<>();
