Demonstration of affinity; a disk that refuses does not keep a frame from starting

The history's files were made at opening: a full disk at a start would have ended the frame. They are made by the writing thread, which tries again. Test: AuditTest.aDiskThatTakesNothingYet...

--- a/audit/src/main/java/weldpoint/audit/SegmentStore.java
+++ b/audit/src/main/java/weldpoint/audit/SegmentStore.java
@@ -33,6 +33,7 @@
   private record Item(long sequence, byte[] entry, int segment, long generation, int position, boolean opens, boolean resets, Runnable synced) {
   }
 
+  private final Path folder;
   private final Executor owner;
   private final FileChannel[] channels = new FileChannel[SEGMENTS];
   private final int size;
@@ -51,17 +52,23 @@
   private boolean resets;
   private boolean damaged;
 
-  /** Opens the segments in a folder, of so many bytes together; callbacks run on the owner's thread. */
+  /** Opens the segments in a folder, of so many bytes together; callbacks run on the owner's thread. Nothing is made on disk before the start. */
   public SegmentStore(final Path folder, final long bytes, final Executor owner) throws IOException {
     this.owner = owner;
     this.size = (int) Math.min(1 << 30, bytes / SEGMENTS);
-    Files.createDirectories(folder);
+    this.folder = folder;
     for (int number = 0; number < SEGMENTS; number++) {
-      channels[number] = FileChannel.open(folder.resolve("history-" + number), StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+      if (Files.exists(file(number))) {
+        channels[number] = FileChannel.open(file(number), StandardOpenOption.READ, StandardOpenOption.WRITE);
+      }
     }
     open();
   }
 
+  private Path file(final int number) {
+    return folder.resolve("history-" + number);
+  }
+
   private static int sum(final ByteBuffer buffer, final int from, final int length) {
     final CRC32 sum = new CRC32();
     sum.update(buffer.array(), from, length);
@@ -142,6 +149,9 @@
   }
 
   private ByteBuffer read(final int number, final long from, final int length) {
+    if (channels[number] == null) {
+      return null;
+    }
     try {
       final ByteBuffer buffer = ByteBuffer.allocate(length);
       while (buffer.hasRemaining()) {
@@ -321,7 +331,12 @@
 
   private void preallocate() throws IOException {
     final ByteBuffer zeros = ByteBuffer.allocate(CHUNK);
-    for (final FileChannel channel : channels) {
+    Files.createDirectories(folder);
+    for (int number = 0; number < SEGMENTS; number++) {
+      if (channels[number] == null) {
+        channels[number] = FileChannel.open(file(number), StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+      }
+      final FileChannel channel = channels[number];
       long at = channel.size();
       final boolean grows = at < size;
       while (at < size) {
--- a/audit/src/test/java/weldpoint/audit/AuditTest.java
+++ b/audit/src/test/java/weldpoint/audit/AuditTest.java
@@ -256,4 +256,22 @@
         .digests("0".repeat(64), "1".repeat(64)).difference(difference, 1024 - 420).bytes(Long.MAX_VALUE, "2".repeat(64));
     assertTrue(entry.length <= 1024, "an entry of " + entry.length + " bytes");
   }
+
+  @Test
+  public void aDiskThatTakesNothingYetDoesNotKeepTheReplicaFromOpening() throws Exception {
+    final Path file = Files.createTempFile("history", "no-folder");
+    final SegmentStore store = open(file.resolve("below-a-file"), 8 * 64 << 10);
+    final AuditLog log = log(store);
+    store.start("history");
+    assertEquals(log.offer(chain(1, 0).get(0)), AuditLog.Outcome.APPENDED);
+    assertEquals(log.durable(), 0);
+    assertEquals(log.read(1), chain(1, 0).get(0));
+    Files.delete(file);
+    Files.createDirectories(file);
+    final long cutoff = System.nanoTime() + 20_000_000_000L;
+    while (log.durable() < 1 && System.nanoTime() < cutoff) {
+      Thread.onSpinWait();
+    }
+    assertEquals(log.durable(), 1);
+  }
 }
--- a/console/src/main/java/weldpoint/console/Demo.java
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -38,7 +38,9 @@
   private static final String HOST = "127.0.0.1";
   private static final long PATIENCE_MILLIS = 15_000;
 
-  private final int[] ports = new int[5];
+  private static final int FIRMS = 9;
+
+  private final int[] ports = new int[6];
   private final Path folder;
 
   Demo() throws IOException {
@@ -147,6 +149,92 @@
     return code == 3 ? 0 : 1;
   }
 
+  /** Shows affinity: firms tied to nodes, one node that joins and one that leaves, and each firm's node after each. */
+  int affinity() throws IOException, InterruptedException {
+    final Boot boot = boot(20_000 + (int) (weldpoint.boot.Chance.fresh() % 20_000));
+    new FrameDaemon(boot).start();
+    new ExchangeDaemon(boot).start();
+    new SwitchboardDaemon(boot).start();
+    for (int node = 1; node <= 3; node++) {
+      standIn(ports[2 + node], 0);
+    }
+    until(200, ports[2], "POST", "/api/rpc?call=configuration.replace\r\nWeldpoint-Author: dispatch lead", "{\"version\":\"00000001\",\"listeners\":[{\"host\":\"demo.example\",\"rules\":["
+        + "{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"match\":{\"pathPrefix\":\"/book/\"},\"action\":{\"service\":\"desk\",\"timeoutMs\":1000,\"maxAttempts\":1,\"affinity\":{\"by\":\"header\",\"header\":\"X-Firm\"}}}]}],\"pools\":[{\"name\":\"desk\"}]}");
+    node(1, "ready");
+    node(2, "ready");
+    final Thread beats = new Thread(this::beatOn, "beats");
+    beats.setDaemon(true);
+    beats.start();
+    until(200, ports[1], "GET", "/api/readiness", "");
+    final String[] first = nodes("two nodes");
+    node(3, "ready");
+    final String[] joined = nodes("a third has joined");
+    node(1, "draining");
+    final String[] left = nodes("the first is leaving");
+    boolean good = true;
+    int moved = 0;
+    for (int firm = 0; firm < FIRMS; firm++) {
+      moved += first[firm].equals(joined[firm]) ? 0 : 1;
+      good &= first[firm].equals(joined[firm]) || joined[firm].equals("node-3");
+      good &= joined[firm].equals(left[firm]) || joined[firm].equals("node-1");
+    }
+    System.out.println(good ? moved + " of " + FIRMS + " firms moved to the newcomer, and only the first node's firms moved when it left" : "a firm moved that had no need to");
+    return good ? 0 : 1;
+  }
+
+  private final String[] states = new String[4];
+  private int beats;
+
+  /** Lets all nodes beat each second, as upstreams do. */
+  private void beatOn() {
+    try {
+      while (true) {
+        Thread.sleep(1000);
+        for (int number = 1; number <= 3; number++) {
+          final String state = states[number];
+          if (state != null) {
+            exchange(ports[2], "POST", "/api/rpc?call=instances.heartbeat&of=node-" + number, beatBody(number, state));
+          }
+        }
+      }
+    } catch (final IOException | InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized String beatBody(final int number, final String state) {
+    return "{\"service\":\"desk\",\"address\":\"" + HOST + ":" + ports[2 + number] + "\",\"zone\":\"here\",\"version\":\"v1\",\"capacity\":8,\"state\":\"" + state + "\",\"warmupLeftMs\":0,\"callSeq\":" + ++beats + "}";
+  }
+
+  private void node(final int number, final String state) throws IOException, InterruptedException {
+    states[number] = state;
+    until(200, ports[2], "POST", "/api/rpc?call=instances.heartbeat&of=node-" + number, beatBody(number, state));
+  }
+
+  private String[] nodes(final String when) throws IOException, InterruptedException {
+    Thread.sleep(2500);
+    final String[] nodes = new String[FIRMS];
+    System.out.println(when + ":");
+    for (int firm = 0; firm < FIRMS; firm++) {
+      for (int tries = 0; tries < 50 && nodes[firm] == null; tries++) {
+        final String answer = exchange(ports[0], "POST", "/book/" + firm + "\r\nX-Firm: firm-" + firm, "a booking");
+        for (int number = 1; number <= 3; number++) {
+          if (answer.startsWith("HTTP/1.1 200") && answer.endsWith(" " + ports[2 + number])) {
+            nodes[firm] = "node-" + number;
+          }
+        }
+        if (nodes[firm] == null) {
+          Thread.sleep(100);
+        }
+      }
+      System.out.println("  firm-" + firm + " -> " + nodes[firm]);
+      if (nodes[firm] == null) {
+        throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no booking of firm-" + firm + " was taken within 5 s; see the log above");
+      }
+    }
+    return nodes;
+  }
+
   private static int order(final String... words) throws InterruptedException {
     System.out.println("$ weldpoint trial " + String.join(" ", words));
     try {
@@ -175,7 +263,7 @@
               context.close();
               return;
             }
-            final FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.copiedBuffer("stand-in", StandardCharsets.UTF_8));
+            final FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.copiedBuffer("stand-in at " + port, StandardCharsets.UTF_8));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes()).set(Headers.SEAL, "demo").set(Headers.LOAD, "0,0,8");
             final String id = request.headers().get(Headers.ATTEMPT_ID);
             if (id != null) {
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -111,12 +111,12 @@
         throw new IllegalStateException("replay reads its own options");
       }
     },
-    DEMO("runs everything in one process on the loopback address; demo once ends by itself, demo trial shows a trial that catches a fault") {
+    DEMO("runs everything in one process on the loopback address; demo once ends by itself, demo trial shows a trial that catches a fault, demo affinity callers tied to nodes that come and go") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
         Logs.start("demo");
         quiet();
-        return options.nonOptionArguments().contains("trial") ? new Demo().trial() : new Demo().run(!options.nonOptionArguments().contains("once"));
+        return options.nonOptionArguments().contains("affinity") ? new Demo().affinity() : options.nonOptionArguments().contains("trial") ? new Demo().trial() : new Demo().run(!options.nonOptionArguments().contains("once"));
       }
     },
     CHECK("checks files without starting anything: check settings FILE, check spec FILE") {
