--- a/console/src/main/java/weldpoint/console/Demo.java
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -171,6 +171,8 @@
     final String[] joined = nodes("a third has joined");
     node(1, "draining");
     final String[] left = nodes("the first is leaving");
+    System.out.println("$ weldpoint status --control " + HOST + ":" + ports[2]);
+    new StatusCommand().run(new String[] {"--control", HOST + ":" + ports[2]}, System.out);
     boolean good = true;
     int moved = 0;
     for (int firm = 0; firm < FIRMS; firm++) {
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -67,6 +67,17 @@
         throw new IllegalStateException("trial reads its own options");
       }
     },
+    STATUS("shows the core, all daemons and placements as one exchange knows them: status --control HOST:PORT,...; 3 where it has no majority") {
+      @Override
+      int run(final String[] words) throws InterruptedException {
+        return new StatusCommand().run(words, System.out);
+      }
+
+      @Override
+      int run(final OptionSet options) {
+        throw new IllegalStateException("status reads its own options");
+      }
+    },
     HISTORY("shows the changes of routing, from any replica: history --control HOST:PORT,... [--since --until --route --author --json] or --reach N; 3 not confirmed to be complete") {
       @Override
       int run(final String[] words) throws InterruptedException {
--- a/console/src/test/java/weldpoint/console/WeldpointTest.java
+++ b/console/src/test/java/weldpoint/console/WeldpointTest.java
@@ -42,6 +42,13 @@
         {new String[] {"check", "settings", "/does/not/exist"}, 1, "cannot be read"},
         {new String[] {"check", "spec", "/does/not/exist"}, 1, "cannot be read"},
         {new String[] {"trial", "begin", "book"}, 2, "control"},
+        {new String[] {"status"}, 2, "control"},
+        {new String[] {"status", "--control", "127.0.0.1:1"}, 1, "no exchange answered"},
+        {new String[] {"history"}, 2, "either --control"},
+        {new String[] {"history", "--control", "127.0.0.1:1", "--at", "127.0.0.1:1"}, 2, "either --control"},
+        {new String[] {"history", "--at", "127.0.0.1:1"}, 1, "no exchange answered"},
+        {new String[] {"scale", "--series", "moons"}, 2, "cannot be varied"},
+        {new String[] {"trial", "hold", "book", "--control", "127.0.0.1:1", "--author", ""}, 1, "is empty"},
         {new String[] {"trial", "fly", "book", "--control", "127.0.0.1:1"}, 2, "trial cannot"},
         {new String[] {"trial", "status", "book", "--control", "127.0.0.1:1"}, 1, "no exchange answered"},
     };
--- a/exchange/src/main/java/weldpoint/exchange/Calls.java
+++ b/exchange/src/main/java/weldpoint/exchange/Calls.java
@@ -29,9 +29,31 @@
   static final JsonType<HistoryAnswer> HISTORY = JSON.type(HistoryAnswer.class);
   static final JsonType<ReachAnswer> REACH = JSON.type(ReachAnswer.class);
 
+  static final JsonType<StatusAnswer> STATUS = JSON.type(StatusAnswer.class);
+
   private Calls() {
   }
 
+  /** What one exchange knows. Counts of tied writes are those of the switchboards that hold leases, from the keeper only. */
+  @Json
+  public record StatusAnswer(String exchange, boolean settled, long majorityAgeMs, long roster, List<String> voters, String version, List<String> evacuated, int upstreams, int suspects, List<DaemonStatus> daemons, String keeper, List<PlacementStatus> placements, List<WriteCount> writes) {
+  }
+
+  /** One daemon as it told last; heardMs is -1 for one that has never been heard of. */
+  @Json
+  public record DaemonStatus(String address, String program, String version, long mark, long heardMs) {
+  }
+
+  /** One service's placement. */
+  @Json
+  public record PlacementStatus(String service, long epoch, int nodes, boolean prepared, int nextNodes) {
+  }
+
+  /** How many tied writes ended so. */
+  @Json
+  public record WriteCount(String outcome, long count) {
+  }
+
   /** What of the history of routing changes is asked for: entries by number, by time (both ends included), by route, zone or service, and by author. */
   @Json
   public record HistoryQuery(Long from, Long to, String since, String until, String route, String author, Long most) {
--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -166,6 +166,12 @@
         return (now, waits) -> door.core.audit().read(query, System.currentTimeMillis(), now).thenApply(answer -> Reply.of(200, Calls.HISTORY, answer));
       }
     },
+    STATUS_READ("status.read") {
+      @Override
+      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) -> CompletableFuture.completedFuture(Reply.of(200, Calls.STATUS, door.core.status(now)));
+      }
+    },
     HISTORY_REACH("history.reach") {
       @Override
       Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -1206,6 +1206,29 @@
     return historyDesk;
   }
 
+  /** How all stands, as far as it is known here. */
+  public Calls.StatusAnswer status(final long now) {
+    final List<Calls.DaemonStatus> daemons = new ArrayList<>();
+    for (final InForce one : inForce(now)) {
+      daemons.add(new Calls.DaemonStatus(one.address(), one.program(), String.format("%08x", one.version()), one.mark(), one.ageMillis() == Long.MAX_VALUE ? -1 : one.ageMillis()));
+    }
+    final List<Calls.PlacementStatus> placed = new ArrayList<>();
+    final List<Calls.WriteCount> writes = new ArrayList<>();
+    if (placements != null) {
+      for (final Words.Placement one : placements.keeper().placements().placements) {
+        placed.add(new Calls.PlacementStatus(one.service, one.epoch, Words.list(one.members).size(), one.prepared, Words.list(one.next).size()));
+      }
+      final long[] counts = placements.keeper().counts();
+      for (int index = 0; placements.keeper().keeps() && index < counts.length; index++) {
+        writes.add(new Calls.WriteCount(weldpoint.affinity.Verdict.values()[index].name().toLowerCase(java.util.Locale.ROOT), counts[index]));
+      }
+    }
+    final List<String> voters = new ArrayList<>();
+    roster.voters.forEach(voter -> voters.add(voter.address));
+    final boolean settled = now - majorityAt < MAJORITY_MILLIS;
+    return new Calls.StatusAnswer(self, settled, settled ? now - majorityAt : -1, roster.number, voters, String.format("%08x", version), evacuated, history.size(), suspects.size(), daemons, placements == null ? "" : placements.keeper().keeper(), placed, writes);
+  }
+
   /** What each daemon has in force, as it told last. */
   public List<InForce> inForce(final long now) {
     final List<InForce> list = new ArrayList<>();
--- a/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
@@ -210,4 +210,18 @@
     told.exchange("10.0.0.1", 0).boardState("s", board(1), null, told.now);
     assertTrue(told.boards.isEmpty() || Buckets.unpack(((Words.View) told.boards.get("s").get(0)).packed).isEmpty());
   }
+
+  @Test
+  public void theStatusNamesWhoIsThereAndThatNoMajorityWasHeardOf() {
+    final Told told = new Told();
+    final ExchangeCore core = told.exchange("10.0.0.1", 3);
+    core.boardState("s", board(1), null, told.now);
+    final Calls.StatusAnswer status = core.status(told.now + 500);
+    assertEquals(status.settled(), false);
+    assertEquals(status.upstreams(), 3);
+    assertEquals(status.version(), "00000001");
+    assertEquals(status.daemons().stream().filter(one -> one.program().equals("switchboard")).map(Calls.DaemonStatus::heardMs).toList(), List.of(500L));
+    assertEquals(status.daemons().stream().filter(one -> one.address().equals("10.0.0.2")).map(Calls.DaemonStatus::heardMs).toList(), List.of(-1L));
+    assertTrue(status.placements().isEmpty());
+  }
 }
