--- a/affinity/src/main/java/weldpoint/affinity/Callers.java
+++ b/affinity/src/main/java/weldpoint/affinity/Callers.java
@@ -11,11 +11,14 @@
   private long overlong;
 
   /** Nothing counted yet. */
-  public Callers() {
-  }
+  public Callers() {}
 
-  /** The name of a caller: the header's value, the tenant's name or the address; whatever is missing, double or overlong gives the address, and is counted. */
-  public String name(final Affinity rule, final List<String> header, final String tenant, final String address) {
+  /**
+   * The name of a caller: the header's value, the tenant's name or the address; whatever is
+   * missing, double or overlong gives the address, and is counted.
+   */
+  public String name(
+      final Affinity rule, final List<String> header, final String tenant, final String address) {
     if (rule.by() == Affinity.By.TENANT && tenant != null) {
       return "t" + tenant;
     }
--- a/affinity/src/main/java/weldpoint/affinity/PlacementKeeper.java
+++ b/affinity/src/main/java/weldpoint/affinity/PlacementKeeper.java
@@ -15,9 +15,10 @@
 import weldpoint.trunk.Words.PlacementMember;
 
 /**
- * The exchange's side: one exchange at a time, named by a register, grants leases on placements and changes them in two
- * steps. The next epoch comes in force once every holder of a lease has finished what had to be finished, or its lease and
- * all that it may have sent under it have surely run out.
+ * The exchange's side: one exchange at a time, named by a register, grants leases on placements and
+ * changes them in two steps. The next epoch comes in force once every holder of a lease has
+ * finished what had to be finished, or its lease and all that it may have sent under it have surely
+ * run out.
  */
 public class PlacementKeeper {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -59,7 +60,12 @@
   private long stale;
 
   /** Nothing is known yet. */
-  public PlacementKeeper(final String self, final long incarnation, final long leaseMillis, final long batchMillis, final Writer writer) {
+  public PlacementKeeper(
+      final String self,
+      final long incarnation,
+      final long leaseMillis,
+      final long batchMillis,
+      final Writer writer) {
     this.self = self;
     this.incarnation = incarnation;
     this.leaseMillis = leaseMillis;
@@ -68,7 +74,8 @@
   }
 
   /** Takes what the frames hold; true where placements are new. */
-  public boolean take(final List<Placement> given, final Words.Keeper named, final long givenMark, final long now) {
+  public boolean take(
+      final List<Placement> given, final Words.Keeper named, final long givenMark, final long now) {
     if (named != null && named.serial > keeper.serial) {
       keeper = named;
       keeperLostAt = -1;
@@ -97,7 +104,10 @@
     return true;
   }
 
-  /** Takes among which upstreams the callers of each service should be placed, and how long a tied write may take. */
+  /**
+   * Takes among which upstreams the callers of each service should be placed, and how long a tied
+   * write may take.
+   */
   public void wanted(final Map<String, List<PlacementMember>> given, final long longestMillis) {
     wanted = given;
     finishMillis = longestMillis;
@@ -127,7 +137,8 @@
   public Words.LeaseGrant ask(final Words.LeaseAsk ask, final long confirmedAt, final long now) {
     long millis = 0;
     if (keeps()) {
-      final Holder holder = holders.computeIfAbsent(ask.board + "#" + ask.incarnation, key -> new Holder());
+      final Holder holder =
+          holders.computeIfAbsent(ask.board + "#" + ask.incarnation, key -> new Holder());
       holder.settled = Math.max(holder.settled, ask.settled);
       holder.counts = Words.list(ask.counts);
       final long left = confirmedAt + leaseMillis - now;
@@ -141,15 +152,23 @@
     return new Words.LeaseGrant(ask.number, ask.board, ask.incarnation, millis);
   }
 
-  /** Time has passed. May take over where nobody keeps; reachable tells whether the keeper can be reached. */
-  public void tick(final boolean mayKeep, final boolean reachable, final boolean confirmed, final long now) {
+  /**
+   * Time has passed. May take over where nobody keeps; reachable tells whether the keeper can be
+   * reached.
+   */
+  public void tick(
+      final boolean mayKeep, final boolean reachable, final boolean confirmed, final long now) {
     if (out || !confirmed || wanted.isEmpty()) {
       return;
     }
     if (!keeps()) {
       final boolean lost = keeper.address.isEmpty() || keeper.address.equals(self) || !reachable;
       keeperLostAt = !lost ? -1 : keeperLostAt < 0 ? now : keeperLostAt;
-      final boolean due = lost && (keeper.address.isEmpty() || keeper.address.equals(self) || now - keeperLostAt >= TAKE_OVER_MILLIS);
+      final boolean due =
+          lost
+              && (keeper.address.isEmpty()
+                  || keeper.address.equals(self)
+                  || now - keeperLostAt >= TAKE_OVER_MILLIS);
       if (mayKeep && due) {
         write(writer.keeper(new Words.Keeper(keeper.serial + 1, self, incarnation), now));
       }
@@ -161,13 +180,34 @@
       if (before != null && before.prepared) {
         if (settled(before, now)) {
           changes++;
-          write(writer.placement(new Placement(before.service, before.serial + 1, before.epoch + 1, before.next, false, null), now));
+          write(
+              writer.placement(
+                  new Placement(
+                      before.service,
+                      before.serial + 1,
+                      before.epoch + 1,
+                      before.next,
+                      false,
+                      null),
+                  now));
           return;
         }
       } else if (before == null || !same(before.members, one.getValue())) {
         final long since = differsSince.computeIfAbsent(one.getKey(), service -> now);
-        if (before == null && !one.getValue().isEmpty() || before != null && now - since >= batchMillis) {
-          write(writer.placement(before == null ? new Placement(one.getKey(), 1, 1, one.getValue(), false, null) : new Placement(before.service, before.serial + 1, before.epoch, before.members, true, one.getValue()), now));
+        if (before == null && !one.getValue().isEmpty()
+            || before != null && now - since >= batchMillis) {
+          write(
+              writer.placement(
+                  before == null
+                      ? new Placement(one.getKey(), 1, 1, one.getValue(), false, null)
+                      : new Placement(
+                          before.service,
+                          before.serial + 1,
+                          before.epoch,
+                          before.members,
+                          true,
+                          one.getValue()),
+                  now));
           return;
         }
       } else {
@@ -201,7 +241,8 @@
       return false;
     }
     for (int index = 0; index < first.size(); index++) {
-      if (!first.get(index).id.equals(other.get(index).id) || first.get(index).capacity != other.get(index).capacity) {
+      if (!first.get(index).id.equals(other.get(index).id)
+          || first.get(index).capacity != other.get(index).capacity) {
         return false;
       }
     }
@@ -228,7 +269,18 @@
 
   /** The counters, as one line. */
   public String counters() {
-    return "placements " + placements.size() + " mark " + mark + " keeper " + keeper.address + " holders " + holders.size() + " epochs changed " + changes + " stale asks " + stale;
+    return "placements "
+        + placements.size()
+        + " mark "
+        + mark
+        + " keeper "
+        + keeper.address
+        + " holders "
+        + holders.size()
+        + " epochs changed "
+        + changes
+        + " stale asks "
+        + stale;
   }
 
   /** The bytes of a placement. */
--- a/affinity/src/main/java/weldpoint/affinity/Rendezvous.java
+++ b/affinity/src/main/java/weldpoint/affinity/Rendezvous.java
@@ -5,12 +5,12 @@
 import weldpoint.trunk.Words.PlacementMember;
 
 /**
- * Weighted rendezvous hashing: every member draws a number for a caller, and the highest wins. The same on every
- * switchboard, without a table; whoever joins takes only its share, by capacity, and whoever goes gives up only its own.
+ * Weighted rendezvous hashing: every member draws a number for a caller, and the highest wins. The
+ * same on every switchboard, without a table; whoever joins takes only its share, by capacity, and
+ * whoever goes gives up only its own.
  */
 public final class Rendezvous {
-  private Rendezvous() {
-  }
+  private Rendezvous() {}
 
   /** The hash of a caller of a service. */
   public static long caller(final String service, final String caller) {
--- a/affinity/src/main/java/weldpoint/affinity/Ties.java
+++ b/affinity/src/main/java/weldpoint/affinity/Ties.java
@@ -12,8 +12,9 @@
 import weldpoint.trunk.Words.PlacementMember;
 
 /**
- * The switchboard's side: which node a caller belongs to in the placement held, whether a lease still covers it, and which
- * writes are under way. All of it lives on one thread and takes the time from outside.
+ * The switchboard's side: which node a caller belongs to in the placement held, whether a lease
+ * still covers it, and which writes are under way. All of it lives on one thread and takes the time
+ * from outside.
  */
 public class Ties {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -42,7 +43,12 @@
     private final long until;
     private boolean over;
 
-    private Tie(final String service, final long caller, final String node, final Predicate<PlacementMember> may, final long until) {
+    private Tie(
+        final String service,
+        final long caller,
+        final String node,
+        final Predicate<PlacementMember> may,
+        final long until) {
       this.service = service;
       this.caller = caller;
       this.node = node;
@@ -50,7 +56,10 @@
       this.until = until;
     }
 
-    /** The write has ended: an answer came, or not a byte was sent. Otherwise it counts until its deadline. */
+    /**
+     * The write has ended: an answer came, or not a byte was sent. Otherwise it counts until its
+     * deadline.
+     */
     public void ended() {
       over = true;
     }
@@ -74,7 +83,11 @@
   private long asks;
 
   /** Nothing is held yet; asks for leases go to the outlet. */
-  public Ties(final String self, final long incarnation, final long leaseMillis, final Consumer<Words.LeaseAsk> outlet) {
+  public Ties(
+      final String self,
+      final long incarnation,
+      final long leaseMillis,
+      final Consumer<Words.LeaseAsk> outlet) {
     this.self = self;
     this.incarnation = incarnation;
     this.leaseMillis = leaseMillis;
@@ -91,7 +104,14 @@
       final Epoch before = epochs.get(placement.service);
       if (before == null || placement.serial > before.placement.serial) {
         epochs.put(placement.service, new Epoch(placement));
-        LOGGER.atInfo().log("placement of %s: epoch %s of %s nodes%s", placement.service, placement.epoch, Words.list(placement.members).size(), placement.prepared ? ", the next of " + Words.list(placement.next).size() + " prepared" : "");
+        LOGGER.atInfo().log(
+            "placement of %s: epoch %s of %s nodes%s",
+            placement.service,
+            placement.epoch,
+            Words.list(placement.members).size(),
+            placement.prepared
+                ? ", the next of " + Words.list(placement.next).size() + " prepared"
+                : "");
       }
     }
     tick(now);
@@ -110,8 +130,15 @@
     return now < leaseUntil;
   }
 
-  /** Where the write of a caller goes now, among the nodes that may serve it. To be asked right before sending. */
-  public Verdict decide(final String service, final long caller, final Predicate<PlacementMember> may, final long now) {
+  /**
+   * Where the write of a caller goes now, among the nodes that may serve it. To be asked right
+   * before sending.
+   */
+  public Verdict decide(
+      final String service,
+      final long caller,
+      final Predicate<PlacementMember> may,
+      final long now) {
     node = null;
     final Epoch epoch = epochs.get(service);
     if (epoch == null) {
@@ -145,7 +172,12 @@
   }
 
   /** A write goes to the node now; its upstream gives it up at the deadline. */
-  public Tie begin(final String service, final long caller, final String nodeId, final Predicate<PlacementMember> may, final long deadline) {
+  public Tie begin(
+      final String service,
+      final long caller,
+      final String nodeId,
+      final Predicate<PlacementMember> may,
+      final long deadline) {
     final Tie tie = new Tie(service, caller, nodeId, may, deadline + FINISH_MILLIS);
     ties.add(tie);
     return tie;
@@ -154,7 +186,7 @@
   /** Time has passed, or something ended. */
   public void tick(final long now) {
     boolean pending = false;
-    for (final Iterator<Tie> all = ties.iterator(); all.hasNext();) {
+    for (final Iterator<Tie> all = ties.iterator(); all.hasNext(); ) {
       final Tie tie = all.next();
       if (tie.over || now >= tie.until) {
         all.remove();
@@ -171,7 +203,10 @@
     }
     final boolean news = settled > toldSettled || mark > toldMark;
     final long since = now - lastAskAt;
-    if (mark > 0 && (news && since > 0 || since >= leaseMillis / 4 || !leased(now) && since >= ASK_AGAIN_MILLIS)) {
+    if (mark > 0
+        && (news && since > 0
+            || since >= leaseMillis / 4
+            || !leased(now) && since >= ASK_AGAIN_MILLIS)) {
       ask(now);
     }
   }
@@ -207,9 +242,22 @@
 
   /** The counters, as one line. */
   public String counters(final long now) {
-    final StringBuilder text = new StringBuilder("placements ").append(epochs.size()).append(" mark ").append(mark).append(" settled ").append(settled).append(" lease ").append(Math.max(0, leaseUntil - now)).append(" ms under way ").append(ties.size());
+    final StringBuilder text =
+        new StringBuilder("placements ")
+            .append(epochs.size())
+            .append(" mark ")
+            .append(mark)
+            .append(" settled ")
+            .append(settled)
+            .append(" lease ")
+            .append(Math.max(0, leaseUntil - now))
+            .append(" ms under way ")
+            .append(ties.size());
     for (final Verdict verdict : Verdict.values()) {
-      text.append(' ').append(verdict.name().toLowerCase(java.util.Locale.ROOT)).append(' ').append(counts[verdict.ordinal()]);
+      text.append(' ')
+          .append(verdict.name().toLowerCase(java.util.Locale.ROOT))
+          .append(' ')
+          .append(counts[verdict.ordinal()]);
     }
     return text.toString();
   }
--- a/affinity/src/test/java/weldpoint/affinity/AffinityTest.java
+++ b/affinity/src/test/java/weldpoint/affinity/AffinityTest.java
@@ -14,7 +14,10 @@
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.PlacementMember;
 
-/** Callers tied to nodes over cutover weekends: nodes and switchboards come, go, freeze and are cut off, the core too. */
+/**
+ * Callers tied to nodes over cutover weekends: nodes and switchboards come, go, freeze and are cut
+ * off, the core too.
+ */
 public final class AffinityTest {
   private static final int CALLERS = 60;
 
@@ -50,13 +53,17 @@
     for (long seed = 1; seed <= 120; seed++) {
       final World world = morning(seed, World.Flaw.NONE, 14);
       final List<String> breaches = world.finish();
-      assertTrue(breaches.isEmpty(), "seed " + seed + ": " + breaches.subList(0, Math.min(5, breaches.size())));
+      assertTrue(
+          breaches.isEmpty(),
+          "seed " + seed + ": " + breaches.subList(0, Math.min(5, breaches.size())));
       confirmed += world.confirmedCount;
       refused += world.refusedCount;
       epochs += world.epoch();
       assertFalse(world.prepared(), "seed " + seed + ": an epoch was never put in force");
     }
-    assertTrue(confirmed > 120 * 3000, "only " + confirmed + " writes were confirmed, " + refused + " refused");
+    assertTrue(
+        confirmed > 120 * 3000,
+        "only " + confirmed + " writes were confirmed, " + refused + " refused");
     assertTrue(epochs > 120 * 4, "only " + epochs + " epochs");
   }
 
@@ -127,10 +134,14 @@
       }
     }
     final double share = 4.0 / (10 * 4 + 10 * 8 + 4);
-    assertTrue(Math.abs(moved / (double) callers - share) < 0.1 * share, "moved " + moved + ", its share is " + share * callers);
+    assertTrue(
+        Math.abs(moved / (double) callers - share) < 0.1 * share,
+        "moved " + moved + ", its share is " + share * callers);
     for (final PlacementMember member : members(20, 4)) {
       final double ideal = callers * member.capacity / 120.0;
-      assertTrue(Math.abs(load.get(member.id) - ideal) < 0.06 * ideal, member.id + " has " + load.get(member.id) + " of " + ideal);
+      assertTrue(
+          Math.abs(load.get(member.id) - ideal) < 0.06 * ideal,
+          member.id + " has " + load.get(member.id) + " of " + ideal);
     }
   }
 
@@ -143,16 +154,27 @@
     assertEquals(callers.name(rule, List.of("one", "two"), null, "10.0.0.1"), "a10.0.0.1");
     assertEquals(callers.name(rule, List.of("x".repeat(300)), null, "10.0.0.1"), "a10.0.0.1");
     assertEquals(callers.unnamed() + callers.several() * 10 + callers.overlong() * 100, 111);
-    assertEquals(callers.name(new Affinity(Affinity.By.TENANT, null, 1000), List.of(), "harbour", "10.0.0.1"), "tharbour");
-    assertEquals(callers.name(new Affinity(Affinity.By.TENANT, null, 1000), List.of(), null, "10.0.0.1"), "a10.0.0.1");
+    assertEquals(
+        callers.name(
+            new Affinity(Affinity.By.TENANT, null, 1000), List.of(), "harbour", "10.0.0.1"),
+        "tharbour");
+    assertEquals(
+        callers.name(new Affinity(Affinity.By.TENANT, null, 1000), List.of(), null, "10.0.0.1"),
+        "a10.0.0.1");
   }
 
   @Test
   public void anOlderPlacementAndAnotherLifesLeaseAreNotTaken() {
     final List<Words.LeaseAsk> asks = new ArrayList<>();
     final Ties ties = new Ties("b", 7, 2000, asks::add);
-    ties.take(new Words.Placements(5, List.of(new Words.Placement("desk", 3, 3, members(2, 4), false, null))), 1000);
-    ties.take(new Words.Placements(4, List.of(new Words.Placement("desk", 4, 4, members(1, 4), false, null))), 1000);
+    ties.take(
+        new Words.Placements(
+            5, List.of(new Words.Placement("desk", 3, 3, members(2, 4), false, null))),
+        1000);
+    ties.take(
+        new Words.Placements(
+            4, List.of(new Words.Placement("desk", 4, 4, members(1, 4), false, null))),
+        1000);
     assertEquals(ties.epoch("desk"), 3);
     assertEquals(ties.decide("desk", 1, member -> true, 1000), Verdict.NO_LEASE);
     ties.granted(new Words.LeaseGrant(asks.get(0).number, "b", 6, 2000), 1010);
@@ -160,7 +182,10 @@
     ties.tick(1300);
     ties.granted(new Words.LeaseGrant(asks.get(asks.size() - 1).number, "b", 7, 2000), 1310);
     assertEquals(ties.decide("desk", 1, member -> true, 1310), Verdict.GO);
-    assertEquals(ties.decide("desk", 1, member -> true, 3300), Verdict.NO_LEASE, "a process that slept must not send on waking");
+    assertEquals(
+        ties.decide("desk", 1, member -> true, 3300),
+        Verdict.NO_LEASE,
+        "a process that slept must not send on waking");
     assertEquals(ties.decide("other", 1, member -> true, 1310), Verdict.NO_PLACEMENT);
     assertEquals(ties.decide("desk", 1, member -> false, 1310), Verdict.NO_NODE);
   }
@@ -168,7 +193,11 @@
   @Test
   public void aKeeperGrantsNothingOnAnOlderMarkNorWithoutAMajority() {
     final PlacementKeeper keeper = new PlacementKeeper("e", 1, 2000, 100, null);
-    keeper.take(List.of(new Words.Placement("desk", 2, 2, members(2, 4), false, null)), new Words.Keeper(1, "e", 1), 2, 1000);
+    keeper.take(
+        List.of(new Words.Placement("desk", 2, 2, members(2, 4), false, null)),
+        new Words.Keeper(1, "e", 1),
+        2,
+        1000);
     assertEquals(keeper.ask(new Words.LeaseAsk(1, "b", 1, 1, 1, null), 1000, 1100).millis, 0);
     assertEquals(keeper.ask(new Words.LeaseAsk(2, "b", 1, 2, 2, null), 1000, 1100).millis, 1900);
     assertEquals(keeper.ask(new Words.LeaseAsk(3, "b", 1, 2, 2, null), 1000, 3100).millis, 0);
--- a/affinity/src/test/java/weldpoint/affinity/World.java
+++ b/affinity/src/test/java/weldpoint/affinity/World.java
@@ -15,7 +15,10 @@
 import weldpoint.trunk.Words.Placement;
 import weldpoint.trunk.Words.PlacementMember;
 
-/** A busy morning on a fake clock: switchboards, two exchanges, one register store, nodes and callers, driven by one seed. */
+/**
+ * A busy morning on a fake clock: switchboards, two exchanges, one register store, nodes and
+ * callers, driven by one seed.
+ */
 final class World {
   static final String SERVICE = "desk";
   static final long LEASE = 2000;
@@ -24,11 +27,13 @@
 
   /** What is broken on purpose. */
   enum Flaw {
-    NONE, NO_CONFIRMATION, NO_LEASE_CHECK, DECLINED_ELSEWHERE
+    NONE,
+    NO_CONFIRMATION,
+    NO_LEASE_CHECK,
+    DECLINED_ELSEWHERE
   }
 
-  private record Event(long at, long order, Runnable deed) {
-  }
+  private record Event(long at, long order, Runnable deed) {}
 
   final class Node {
     final String id;
@@ -78,7 +83,12 @@
   final Flaw flaw;
   long now = 100_000;
   private long order;
-  private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (one, other) ->
+              one.at != other.at
+                  ? Long.compare(one.at, other.at)
+                  : Long.compare(one.order, other.order));
   final Map<String, Node> nodes = new LinkedHashMap<>();
   private final List<Board> boards = new ArrayList<>();
   private final List<Exchange> exchanges = new ArrayList<>();
@@ -156,21 +166,26 @@
     return mark;
   }
 
-  private <T> CompletableFuture<Words.Answer> decide(final Exchange from, final java.util.function.Supplier<Integer> write) {
+  private <T> CompletableFuture<Words.Answer> decide(
+      final Exchange from, final java.util.function.Supplier<Integer> write) {
     final CompletableFuture<Words.Answer> future = new CompletableFuture<>();
     final long incarnation = from.incarnation;
-    after(2 + random.nextInt(30), () -> {
-      if (coreCut || from.cut) {
-        future.completeExceptionally(new IllegalStateException("no majority"));
-        return;
-      }
-      final int status = write.get();
-      after(2 + random.nextInt(30), () -> {
-        if (from.running && from.incarnation == incarnation) {
-          future.complete(new Words.Answer(0, status, 0, null, null));
-        }
-      });
-    });
+    after(
+        2 + random.nextInt(30),
+        () -> {
+          if (coreCut || from.cut) {
+            future.completeExceptionally(new IllegalStateException("no majority"));
+            return;
+          }
+          final int status = write.get();
+          after(
+              2 + random.nextInt(30),
+              () -> {
+                if (from.running && from.incarnation == incarnation) {
+                  future.complete(new Words.Answer(0, status, 0, null, null));
+                }
+              });
+        });
     return future;
   }
 
@@ -178,61 +193,78 @@
     exchange.running = true;
     exchange.incarnation = ++lives;
     exchange.confirmedAt = Long.MIN_VALUE / 2;
-    final PlacementKeeper.Writer writer = new PlacementKeeper.Writer() {
-      @Override
-      public CompletableFuture<Words.Answer> keeper(final Words.Keeper next, final long at) {
-        return decide(exchange, () -> {
-          if (next.serial != keeper.serial + 1) {
-            return 412;
+    final PlacementKeeper.Writer writer =
+        new PlacementKeeper.Writer() {
+          @Override
+          public CompletableFuture<Words.Answer> keeper(final Words.Keeper next, final long at) {
+            return decide(
+                exchange,
+                () -> {
+                  if (next.serial != keeper.serial + 1) {
+                    return 412;
+                  }
+                  keeper = next;
+                  return 200;
+                });
           }
-          keeper = next;
-          return 200;
-        });
-      }
 
-      @Override
-      public CompletableFuture<Words.Answer> placement(final Placement next, final long at) {
-        return decide(exchange, () -> {
-          final Placement before = registers.get(next.service);
-          if (next.serial != (before == null ? 0 : before.serial) + 1) {
-            return 412;
+          @Override
+          public CompletableFuture<Words.Answer> placement(final Placement next, final long at) {
+            return decide(
+                exchange,
+                () -> {
+                  final Placement before = registers.get(next.service);
+                  if (next.serial != (before == null ? 0 : before.serial) + 1) {
+                    return 412;
+                  }
+                  registers.put(next.service, next);
+                  return 200;
+                });
           }
-          registers.put(next.service, next);
-          return 200;
-        });
-      }
-    };
-    exchange.keeper = flaw == Flaw.NO_CONFIRMATION ? new PlacementKeeper(exchange.address, exchange.incarnation, LEASE, BATCH, writer) {
-      @Override
-      protected boolean settled(final Placement prepared, final long at) {
-        return true;
-      }
-    } : new PlacementKeeper(exchange.address, exchange.incarnation, LEASE, BATCH, writer);
+        };
+    exchange.keeper =
+        flaw == Flaw.NO_CONFIRMATION
+            ? new PlacementKeeper(exchange.address, exchange.incarnation, LEASE, BATCH, writer) {
+              @Override
+              protected boolean settled(final Placement prepared, final long at) {
+                return true;
+              }
+            }
+            : new PlacementKeeper(exchange.address, exchange.incarnation, LEASE, BATCH, writer);
     poll(exchange, exchange.incarnation);
   }
 
   private void poll(final Exchange exchange, final long incarnation) {
     final long asked = now;
-    after(3 + random.nextInt(20), () -> {
-      if (exchange.running && exchange.incarnation == incarnation && !coreCut && !exchange.cut) {
-        final List<Placement> given = new ArrayList<>(registers.values());
-        final Words.Keeper named = keeper;
-        final long mark = mark();
-        after(3 + random.nextInt(20), () -> {
+    after(
+        3 + random.nextInt(20),
+        () -> {
+          if (exchange.running
+              && exchange.incarnation == incarnation
+              && !coreCut
+              && !exchange.cut) {
+            final List<Placement> given = new ArrayList<>(registers.values());
+            final Words.Keeper named = keeper;
+            final long mark = mark();
+            after(
+                3 + random.nextInt(20),
+                () -> {
+                  if (exchange.running && exchange.incarnation == incarnation) {
+                    exchange.confirmedAt = Math.max(exchange.confirmedAt, asked);
+                    if (exchange.keeper.take(given, named, mark, now)) {
+                      boards.forEach(board -> push(exchange, board));
+                    }
+                  }
+                });
+          }
+        });
+    after(
+        60 + random.nextInt(200),
+        () -> {
           if (exchange.running && exchange.incarnation == incarnation) {
-            exchange.confirmedAt = Math.max(exchange.confirmedAt, asked);
-            if (exchange.keeper.take(given, named, mark, now)) {
-              boards.forEach(board -> push(exchange, board));
-            }
+            poll(exchange, incarnation);
           }
         });
-      }
-    });
-    after(60 + random.nextInt(200), () -> {
-      if (exchange.running && exchange.incarnation == incarnation) {
-        poll(exchange, incarnation);
-      }
-    });
   }
 
   private void push(final Exchange exchange, final Board board) {
@@ -265,41 +297,55 @@
     board.frozen = false;
     board.held.clear();
     final int life = ++board.life;
-    board.ties = ties(board, ask -> {
-      final Exchange near = board.exchange;
-      if (board.cut || near == null) {
-        return;
-      }
-      after(2 + random.nextInt(8), () -> {
-        if (!near.running) {
-          return;
-        }
-        if (near.keeper.keeps()) {
-          answer(board, life, near.keeper.ask(ask, near.confirmedAt, now));
-        } else {
-          for (final Exchange other : exchanges) {
-            if (other != near && other.running && !other.cut && !near.cut && other.address.equals(near.keeper.keeper())) {
-              after(2 + random.nextInt(8), () -> {
-                if (other.running) {
-                  answer(board, life, other.keeper.ask(ask, other.confirmedAt, now));
-                }
-              });
-            }
-          }
-        }
-      });
-    });
+    board.ties =
+        ties(
+            board,
+            ask -> {
+              final Exchange near = board.exchange;
+              if (board.cut || near == null) {
+                return;
+              }
+              after(
+                  2 + random.nextInt(8),
+                  () -> {
+                    if (!near.running) {
+                      return;
+                    }
+                    if (near.keeper.keeps()) {
+                      answer(board, life, near.keeper.ask(ask, near.confirmedAt, now));
+                    } else {
+                      for (final Exchange other : exchanges) {
+                        if (other != near
+                            && other.running
+                            && !other.cut
+                            && !near.cut
+                            && other.address.equals(near.keeper.keeper())) {
+                          after(
+                              2 + random.nextInt(8),
+                              () -> {
+                                if (other.running) {
+                                  answer(
+                                      board, life, other.keeper.ask(ask, other.confirmedAt, now));
+                                }
+                              });
+                        }
+                      }
+                    }
+                  });
+            });
     board.exchange = exchanges.get(random.nextInt(exchanges.size()));
     tick(board, life);
   }
 
   private Ties ties(final Board board, final java.util.function.Consumer<Words.LeaseAsk> outlet) {
-    return flaw != Flaw.NO_LEASE_CHECK ? new Ties(board.address, ++lives, LEASE, outlet) : new Ties(board.address, ++lives, LEASE, outlet) {
-      @Override
-      public boolean leased(final long at) {
-        return true;
-      }
-    };
+    return flaw != Flaw.NO_LEASE_CHECK
+        ? new Ties(board.address, ++lives, LEASE, outlet)
+        : new Ties(board.address, ++lives, LEASE, outlet) {
+          @Override
+          public boolean leased(final long at) {
+            return true;
+          }
+        };
   }
 
   private void answer(final Board board, final int life, final Words.LeaseGrant grant) {
@@ -307,34 +353,41 @@
   }
 
   private void tick(final Board board, final int life) {
-    after(50, () -> {
-      if (board.running && board.life == life) {
-        if (!board.frozen) {
-          if (!board.exchange.running || board.exchange.cut || random.nextInt(100) == 0) {
-            board.exchange = exchanges.get(random.nextInt(exchanges.size()));
+    after(
+        50,
+        () -> {
+          if (board.running && board.life == life) {
+            if (!board.frozen) {
+              if (!board.exchange.running || board.exchange.cut || random.nextInt(100) == 0) {
+                board.exchange = exchanges.get(random.nextInt(exchanges.size()));
+              }
+              push(board.exchange, board);
+              board.ties.tick(now);
+            }
+            tick(board, life);
           }
-          push(board.exchange, board);
-          board.ties.tick(now);
-        }
-        tick(board, life);
-      }
-    });
+        });
   }
 
   private void loop() {
-    after(40, () -> {
-      for (final Exchange exchange : exchanges) {
-        if (exchange.running) {
-          exchange.keeper.wanted(Map.of(SERVICE, members()), LONGEST);
-          boolean reachable = false;
-          for (final Exchange other : exchanges) {
-            reachable |= other.address.equals(exchange.keeper.keeper()) && other.running && (other == exchange || !other.cut && !exchange.cut);
+    after(
+        40,
+        () -> {
+          for (final Exchange exchange : exchanges) {
+            if (exchange.running) {
+              exchange.keeper.wanted(Map.of(SERVICE, members()), LONGEST);
+              boolean reachable = false;
+              for (final Exchange other : exchanges) {
+                reachable |=
+                    other.address.equals(exchange.keeper.keeper())
+                        && other.running
+                        && (other == exchange || !other.cut && !exchange.cut);
+              }
+              exchange.keeper.tick(true, reachable, now - exchange.confirmedAt < 1000, now);
+            }
           }
-          exchange.keeper.tick(true, reachable, now - exchange.confirmedAt < 1000, now);
-        }
-      }
-      loop();
-    });
+          loop();
+        });
   }
 
   // ---- callers
@@ -350,7 +403,12 @@
     after(random.nextInt(5), () -> toBoard(board, life, () -> send(board, life, caller, id, now)));
   }
 
-  private void send(final Board board, final int life, final String caller, final String id, final long arrivedAt) {
+  private void send(
+      final Board board,
+      final int life,
+      final String caller,
+      final String id,
+      final long arrivedAt) {
     final long hash = Rendezvous.caller(SERVICE, caller);
     final Verdict verdict = board.ties.decide(SERVICE, hash, member -> true, now);
     if (verdict != Verdict.GO) {
@@ -375,34 +433,71 @@
     }
   }
 
-  private void arrive(final Board board, final int life, final String caller, final String id, final Node node, final Ties.Tie tie, final long deadline, final boolean again) {
-    after(1 + random.nextInt(4), () -> {
-      if (!node.running) {
-        after(1, () -> toBoard(board, life, () -> {
-          tie.ended();
-          refused(id, Verdict.DECLINED);
-        }));
-        return;
-      }
-      final int busy = node.working.values().stream().mapToInt(Integer::intValue).sum();
-      if (busy >= node.capacity * 2 || node.frozen) {
-        after(1, () -> toBoard(board, life, () -> {
-          tie.ended();
-          final List<Node> others = new ArrayList<>(nodes.values());
-          others.removeIf(other -> !other.running || other == node);
-          if (flaw == Flaw.DECLINED_ELSEWHERE && !again && !others.isEmpty()) {
-            arrive(board, life, caller, id, others.get(random.nextInt(others.size())), tie, deadline, true);
-          } else {
-            refused(id, Verdict.DECLINED);
+  private void arrive(
+      final Board board,
+      final int life,
+      final String caller,
+      final String id,
+      final Node node,
+      final Ties.Tie tie,
+      final long deadline,
+      final boolean again) {
+    after(
+        1 + random.nextInt(4),
+        () -> {
+          if (!node.running) {
+            after(
+                1,
+                () ->
+                    toBoard(
+                        board,
+                        life,
+                        () -> {
+                          tie.ended();
+                          refused(id, Verdict.DECLINED);
+                        }));
+            return;
           }
-        }));
-        return;
-      }
-      work(board, life, caller, id, node, tie, deadline);
-    });
+          final int busy = node.working.values().stream().mapToInt(Integer::intValue).sum();
+          if (busy >= node.capacity * 2 || node.frozen) {
+            after(
+                1,
+                () ->
+                    toBoard(
+                        board,
+                        life,
+                        () -> {
+                          tie.ended();
+                          final List<Node> others = new ArrayList<>(nodes.values());
+                          others.removeIf(other -> !other.running || other == node);
+                          if (flaw == Flaw.DECLINED_ELSEWHERE && !again && !others.isEmpty()) {
+                            arrive(
+                                board,
+                                life,
+                                caller,
+                                id,
+                                others.get(random.nextInt(others.size())),
+                                tie,
+                                deadline,
+                                true);
+                          } else {
+                            refused(id, Verdict.DECLINED);
+                          }
+                        }));
+            return;
+          }
+          work(board, life, caller, id, node, tie, deadline);
+        });
   }
 
-  private void work(final Board board, final int life, final String caller, final String id, final Node node, final Ties.Tie tie, final long deadline) {
+  private void work(
+      final Board board,
+      final int life,
+      final String caller,
+      final String id,
+      final Node node,
+      final Ties.Tie tie,
+      final long deadline) {
     if (runs.merge(id, 1, Integer::sum) > 1) {
       breaches.add(id + " ran twice");
     }
@@ -416,27 +511,36 @@
     if (!node.id.equals(lastNode.put(caller, node.id))) {
       movedCallers++;
     }
-    final long took = Math.min(deadline - now, 20 + random.nextInt(random.nextInt(10) == 0 ? 500 : 120));
-    after(took, () -> {
-      if (node.working.merge(caller, -1, Integer::sum) <= 0) {
-        node.working.remove(caller);
-        workingFor.get(caller).remove(node.id);
-      }
-      if (!node.running) {
-        after(1, () -> toBoard(board, life, () -> uncertainCount++));
-        return;
-      }
-      final boolean lost = random.nextInt(60) == 0;
-      after(1 + random.nextInt(4), () -> toBoard(board, life, () -> {
-        if (lost) {
-          uncertainCount++;
-        } else {
-          tie.ended();
-          confirmed.add(id);
-          confirmedCount++;
-        }
-      }));
-    });
+    final long took =
+        Math.min(deadline - now, 20 + random.nextInt(random.nextInt(10) == 0 ? 500 : 120));
+    after(
+        took,
+        () -> {
+          if (node.working.merge(caller, -1, Integer::sum) <= 0) {
+            node.working.remove(caller);
+            workingFor.get(caller).remove(node.id);
+          }
+          if (!node.running) {
+            after(1, () -> toBoard(board, life, () -> uncertainCount++));
+            return;
+          }
+          final boolean lost = random.nextInt(60) == 0;
+          after(
+              1 + random.nextInt(4),
+              () ->
+                  toBoard(
+                      board,
+                      life,
+                      () -> {
+                        if (lost) {
+                          uncertainCount++;
+                        } else {
+                          tie.ended();
+                          confirmed.add(id);
+                          confirmedCount++;
+                        }
+                      }));
+        });
   }
 
   // ---- trouble
@@ -452,10 +556,12 @@
       case 2, 3 -> {
         if (up.size() > 3) {
           one.draining = true;
-          after(1500, () -> {
-            one.running = false;
-            one.member = false;
-          });
+          after(
+              1500,
+              () -> {
+                one.running = false;
+                one.member = false;
+              });
         }
       }
       case 4 -> {
@@ -472,12 +578,14 @@
       }
       case 6 -> {
         board.frozen = true;
-        after(500 + random.nextInt(5000), () -> {
-          board.frozen = false;
-          final List<Runnable> held = new ArrayList<>(board.held);
-          board.held.clear();
-          held.forEach(Runnable::run);
-        });
+        after(
+            500 + random.nextInt(5000),
+            () -> {
+              board.frozen = false;
+              final List<Runnable> held = new ArrayList<>(board.held);
+              board.held.clear();
+              held.forEach(Runnable::run);
+            });
       }
       case 7 -> {
         board.running = false;
--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
@@ -16,8 +16,8 @@
 import weldpoint.trunk.Words.CopyAsk;
 
 /**
- * The shared cache: one fetch per object at a time, copies no older than their route allows, and nothing that a known
- * purge names. It knows neither threads nor clocks nor sockets.
+ * The shared cache: one fetch per object at a time, copies no older than their route allows, and
+ * nothing that a known purge names. It knows neither threads nor clocks nor sockets.
  */
 public class AnnouncerCore {
   /** What came of a fetch. */
@@ -36,12 +36,22 @@
 
   /** What the core does to the world. */
   public interface Outlet {
-    /** Reads an object, with its tag where a copy is at hand; weight tells how many wait for it; whoever is given hears exactly once. */
-    void fetch(Dialplan.Service service, Route route, String host, String target, String etag, IntSupplier weight, long cutoff, Consumer<Fetched> done);
+    /**
+     * Reads an object, with its tag where a copy is at hand; weight tells how many wait for it;
+     * whoever is given hears exactly once.
+     */
+    void fetch(
+        Dialplan.Service service,
+        Route route,
+        String host,
+        String target,
+        String etag,
+        IntSupplier weight,
+        long cutoff,
+        Consumer<Fetched> done);
   }
 
-  private record Waiter(CopyAsk ask, Consumer<CopyAnswer> reply, long mark, long cutoff) {
-  }
+  private record Waiter(CopyAsk ask, Consumer<CopyAnswer> reply, long mark, long cutoff) {}
 
   private static final class Fetch {
     final String key;
@@ -51,7 +61,12 @@
     final Copy before;
     final List<Waiter> waiters = new ArrayList<>();
 
-    Fetch(final String key, final String place, final long startedAt, final long mark, final Copy before) {
+    Fetch(
+        final String key,
+        final String place,
+        final long startedAt,
+        final long mark,
+        final Copy before) {
       this.key = key;
       this.place = place;
       this.startedAt = startedAt;
@@ -78,10 +93,16 @@
   private long renewals;
 
   /**
-   * A cache of so many bytes. It trusts its knowledge of purges for firmMillis after a majority was last heard of; while an
-   * exchange still speaks to it and has no majority itself, when no purge can be acknowledged either, for trustMillis.
+   * A cache of so many bytes. It trusts its knowledge of purges for firmMillis after a majority was
+   * last heard of; while an exchange still speaks to it and has no majority itself, when no purge
+   * can be acknowledged either, for trustMillis.
    */
-  public AnnouncerCore(final long mostBytes, final long firmMillis, final long trustMillis, final long now, final Outlet outlet) {
+  public AnnouncerCore(
+      final long mostBytes,
+      final long firmMillis,
+      final long trustMillis,
+      final long now,
+      final Outlet outlet) {
     this.firmMillis = firmMillis;
     this.outlet = outlet;
     this.shelf = new Shelf(mostBytes);
@@ -102,7 +123,8 @@
   }
 
   private boolean trusts(final long now) {
-    return now - knownAt < firmMillis || now - heardAt < HEARD_MILLIS && now - knownAt < trustMillis;
+    return now - knownAt < firmMillis
+        || now - heardAt < HEARD_MILLIS && now - knownAt < trustMillis;
   }
 
   /** Takes purges: copies and fetches they name are void; with a gap in them, all are. */
@@ -127,7 +149,8 @@
   private static String place(final String host, final String target) {
     final int query = target.indexOf('?');
     final int colon = host.lastIndexOf(':');
-    return (colon > 0 ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT) + (query < 0 ? target : target.substring(0, query));
+    return (colon > 0 ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT)
+        + (query < 0 ? target : target.substring(0, query));
   }
 
   /** A switchboard asks for an object; it hears exactly once. */
@@ -159,7 +182,15 @@
     final Fetch fetch = new Fetch(key, place(ask.host, ask.target), now, mark, copy);
     fetch.waiters.add(waiter);
     fetches.put(key, fetch);
-    outlet.fetch(plan.services().get(service), route, ask.host, ask.target, copy == null ? null : copy.etag, fetch.waiters::size, waiter.cutoff, fetched -> fetched(fetch, fetched));
+    outlet.fetch(
+        plan.services().get(service),
+        route,
+        ask.host,
+        ask.target,
+        copy == null ? null : copy.etag,
+        fetch.waiters::size,
+        waiter.cutoff,
+        fetched -> fetched(fetch, fetched));
   }
 
   /** The purges that a fetch knew; all later ones may name what it brings. */
@@ -177,14 +208,21 @@
       return null;
     }
     final Interpreter interpreter = new Interpreter(ask.host, ask.target, 0);
-    return plan.interpret(interpreter) && interpreter.route().kind == RouteKind.CACHEABLE && interpreter.route().cacheMillis > 0 ? interpreter.route() : null;
+    return plan.interpret(interpreter)
+            && interpreter.route().kind == RouteKind.CACHEABLE
+            && interpreter.route().cacheMillis > 0
+        ? interpreter.route()
+        : null;
   }
 
   private static CopyAnswer answer(final CopyAsk ask, final Copy copy) {
     return new CopyAnswer(ask.number, 200, copy.headers, copy.body);
   }
 
-  /** The first purge above a mark that names a place or one of the labels, or that is not known; 0 where there is none. */
+  /**
+   * The first purge above a mark that names a place or one of the labels, or that is not known; 0
+   * where there is none.
+   */
   private long named(final long above, final String place, final List<String> labels) {
     if (above < floor) {
       return above + 1;
@@ -192,7 +230,9 @@
     long first = 0;
     for (int index = purges.size() - 1; index >= 0 && purges.get(index).serial > above; index--) {
       final Words.Purge purge = purges.get(index);
-      if (purge.tag == null ? place(purge.host, purge.path).equals(place) : labels.contains(purge.tag)) {
+      if (purge.tag == null
+          ? place(purge.host, purge.path).equals(place)
+          : labels.contains(purge.tag)) {
         first = purge.serial;
       }
     }
@@ -212,10 +252,23 @@
       }
     } else if (fetched.status == 200) {
       final String labels = header(fetched.headers, "weldpoint-labels");
-      copy = new Copy(fetch.key, fetch.place, fetched.headers, fetched.body, header(fetched.headers, "etag"), labels == null ? List.of() : List.of(labels.strip().split("\\s+")), fetch.startedAt, fetch.mark);
+      copy =
+          new Copy(
+              fetch.key,
+              fetch.place,
+              fetched.headers,
+              fetched.body,
+              header(fetched.headers, "etag"),
+              labels == null ? List.of() : List.of(labels.strip().split("\\s+")),
+              fetch.startedAt,
+              fetch.mark);
     }
-    final long voidedBy = copy == null ? 0 : named(knownAtStart(fetch.mark), fetch.place, copy.labels);
-    if (copy != null && copy.etag != null && header(copy.headers, "weldpoint-labels") != null && voidedBy == 0) {
+    final long voidedBy =
+        copy == null ? 0 : named(knownAtStart(fetch.mark), fetch.place, copy.labels);
+    if (copy != null
+        && copy.etag != null
+        && header(copy.headers, "weldpoint-labels") != null
+        && voidedBy == 0) {
       final Copy present = shelf.get(fetch.key);
       if (present == null || present.startedAt <= copy.startedAt) {
         shelf.put(copy);
@@ -223,7 +276,12 @@
     }
     for (final Waiter waiter : fetch.waiters) {
       if (copy == null) {
-        waiter.reply.accept(new CopyAnswer(waiter.ask.number, fetched.status == 304 ? 503 : fetched.status, fetched.headers, fetched.body));
+        waiter.reply.accept(
+            new CopyAnswer(
+                waiter.ask.number,
+                fetched.status == 304 ? 503 : fetched.status,
+                fetched.headers,
+                fetched.body));
       } else if (waiter.mark < voidedBy || voidedBy == 0) {
         waiter.reply.accept(answer(waiter.ask, copy));
       } else {
@@ -248,6 +306,17 @@
 
   /** The counters, as one line. */
   public String counters() {
-    return "copies " + shelf.size() + " bytes " + shelf.bytes() + " hits " + hits + " misses " + misses + " renewed " + renewals + " purges " + mark;
+    return "copies "
+        + shelf.size()
+        + " bytes "
+        + shelf.bytes()
+        + " hits "
+        + hits
+        + " misses "
+        + misses
+        + " renewed "
+        + renewals
+        + " purges "
+        + mark;
   }
 }
--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
@@ -46,13 +46,19 @@
     this.boot = boot;
     final long incarnation = Chance.fresh();
     final Random random = new Random(incarnation);
-    this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "announcer", boot.address(), incarnation));
+    this.trunk =
+        new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "announcer", boot.address(), incarnation));
     this.cords = new Cords(loop, boot, random);
-    this.stream = new Stream(trunk, desk, boot, () -> loop.execute(() -> permits().sweep(true, now())));
+    this.stream =
+        new Stream(trunk, desk, boot, () -> loop.execute(() -> permits().sweep(true, now())));
     this.permits = new Permits(stream::send);
     this.reader = new Reader(loop, boot, cords, permits, random);
-    this.core = new AnnouncerCore(boot.copyBytes(), boot.purgeFirmMillis(), boot.purgeTrustMillis(), now(), reader);
-    final Words.Board self = new Words.Board(boot.address(), "", boot.site(), boot.region(), incarnation, false, 0, true);
+    this.core =
+        new AnnouncerCore(
+            boot.copyBytes(), boot.purgeFirmMillis(), boot.purgeTrustMillis(), now(), reader);
+    final Words.Board self =
+        new Words.Board(
+            boot.address(), "", boot.site(), boot.region(), incarnation, false, 0, true);
     this.link = new BoardLink(self, boot.seeds(), new Random(incarnation + 1), new Outlet());
     stream.link(link);
   }
@@ -69,21 +75,27 @@
     }
 
     @Override
-    public void outlook(final Dialplan plan, final Map<Words.Registration, Boolean> changes, final Set<String> evacuated, final Set<String> suspects, final int switchboards) {
+    public void outlook(
+        final Dialplan plan,
+        final Map<Words.Registration, Boolean> changes,
+        final Set<String> evacuated,
+        final Set<String> suspects,
+        final int switchboards) {
       final List<Cords.Change> list = new ArrayList<>();
       changes.forEach((registration, open) -> list.add(new Cords.Change(registration, open)));
-      loop.execute(() -> {
-        if (plan != null) {
-          core.take(plan);
-        }
-        cords.apply(list, now());
-        if (evacuated != null) {
-          cords.evacuated(evacuated, now());
-        }
-        if (suspects != null) {
-          cords.suspects(suspects);
-        }
-      });
+      loop.execute(
+          () -> {
+            if (plan != null) {
+              core.take(plan);
+            }
+            cords.apply(list, now());
+            if (evacuated != null) {
+              cords.evacuated(evacuated, now());
+            }
+            if (suspects != null) {
+              cords.suspects(suspects);
+            }
+          });
     }
 
     @Override
@@ -98,10 +110,11 @@
 
     @Override
     public void reached(final long ageMillis, final int boards, final List<String> announcers) {
-      loop.execute(() -> {
-        core.reached(ageMillis, now());
-        reader.announcers(announcers.size());
-      });
+      loop.execute(
+          () -> {
+            core.reached(ageMillis, now());
+            reader.announcers(announcers.size());
+          });
     }
 
     @Override
@@ -125,21 +138,35 @@
 
   @Override
   public void start() throws InterruptedException {
-    trunk.serve(boot.address(), boot.trunkPort(2), new Trunk.Ear() {
-      @Override
-      public void heard(final Line line, final Message message) {
-        if (message instanceof Words.CopyAsk) {
-          core.ask((Words.CopyAsk) message, line::send, now());
-        }
-      }
-    });
+    trunk.serve(
+        boot.address(),
+        boot.trunkPort(2),
+        new Trunk.Ear() {
+          @Override
+          public void heard(final Line line, final Message message) {
+            if (message instanceof Words.CopyAsk) {
+              core.ask((Words.CopyAsk) message, line::send, now());
+            }
+          }
+        });
     desk.execute(() -> link.start(now()));
-    loop.scheduleAtFixedRate(() -> {
-      permits.sweep(false, now());
-      cords.sweep(now());
-      desk.execute(() -> link.tick(now()));
-    }, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-    loop.scheduleAtFixedRate(() -> LOGGER.atInfo().log("counters: %s read %s held %s %s", core.counters(), reader.sent, reader.held, permits.counters()), COUNTERS_MILLIS, COUNTERS_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        () -> {
+          permits.sweep(false, now());
+          cords.sweep(now());
+          desk.execute(() -> link.tick(now()));
+        },
+        TICK_MILLIS,
+        TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        () ->
+            LOGGER.atInfo().log(
+                "counters: %s read %s held %s %s",
+                core.counters(), reader.sent, reader.held, permits.counters()),
+        COUNTERS_MILLIS,
+        COUNTERS_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/announcer/src/main/java/weldpoint/announcer/Copy.java
+++ b/announcer/src/main/java/weldpoint/announcer/Copy.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** A whole object as an upstream gave it, with the time at which its fetch began and the purges known then. */
+/**
+ * A whole object as an upstream gave it, with the time at which its fetch began and the purges
+ * known then.
+ */
 final class Copy {
   final String key;
   final String place;
@@ -13,7 +16,15 @@
   final long startedAt;
   final long mark;
 
-  Copy(final String key, final String place, final List<String> headers, final byte[] body, final String etag, final List<String> labels, final long startedAt, final long mark) {
+  Copy(
+      final String key,
+      final String place,
+      final List<String> headers,
+      final byte[] body,
+      final String etag,
+      final List<String> labels,
+      final long startedAt,
+      final long mark) {
     this.key = key;
     this.place = place;
     this.headers = headers;
--- a/announcer/src/main/java/weldpoint/announcer/Reader.java
+++ b/announcer/src/main/java/weldpoint/announcer/Reader.java
@@ -28,7 +28,10 @@
 import weldpoint.toll.Purse;
 import weldpoint.toll.Tariff;
 
-/** Reads objects from origins, within the part of their rate that this announcer may use. All of it lives on the traffic thread. */
+/**
+ * Reads objects from origins, within the part of their rate that this announcer may use. All of it
+ * lives on the traffic thread.
+ */
 final class Reader implements AnnouncerCore.Outlet {
   private static final long STEP_MILLIS = 25;
   private static final long ASK_PAUSE_MILLIS = 90;
@@ -51,7 +54,12 @@
   long sent;
   long held;
 
-  Reader(final EventLoopGroup loop, final Boot boot, final Cords cords, final Permits permits, final Random random) {
+  Reader(
+      final EventLoopGroup loop,
+      final Boot boot,
+      final Cords cords,
+      final Permits permits,
+      final Random random) {
     this.loop = loop;
     this.boot = boot;
     this.cords = cords;
@@ -69,7 +77,15 @@
   }
 
   @Override
-  public void fetch(final Dialplan.Service service, final Route route, final String host, final String target, final String etag, final IntSupplier weight, final long cutoff, final Consumer<AnnouncerCore.Fetched> done) {
+  public void fetch(
+      final Dialplan.Service service,
+      final Route route,
+      final String host,
+      final String target,
+      final String etag,
+      final IntSupplier weight,
+      final long cutoff,
+      final Consumer<AnnouncerCore.Fetched> done) {
     new Read(service, route, host, target, etag, weight, cutoff, done).permit();
   }
 
@@ -78,8 +94,15 @@
     if (announcers == 0 || !boot.firstStart() && now - openedAt < window) {
       return false;
     }
-    final double limit = Tariff.ANNOUNCERS_PART * service.ratePerSecond() * boot.originWindowMillis() / 1000.0 * boot.originOvershoot() / announcers;
-    return purses.computeIfAbsent(service.name(), name -> new Purse(window)).take(1, limit, now) > 0;
+    final double limit =
+        Tariff.ANNOUNCERS_PART
+            * service.ratePerSecond()
+            * boot.originWindowMillis()
+            / 1000.0
+            * boot.originOvershoot()
+            / announcers;
+    return purses.computeIfAbsent(service.name(), name -> new Purse(window)).take(1, limit, now)
+        > 0;
   }
 
   /** Reads that wait until the origin may be asked again: those that most wait for go first. */
@@ -115,7 +138,9 @@
         best.send();
       }
       for (final Read read : new ArrayList<>(reads)) {
-        if (now - read.waitsSince > Math.min(MOST_HELD_MILLIS, (long) (HELD_PART * (read.cutoff - read.waitsSince))) || now >= read.cutoff) {
+        if (now - read.waitsSince
+                > Math.min(MOST_HELD_MILLIS, (long) (HELD_PART * (read.cutoff - read.waitsSince)))
+            || now >= read.cutoff) {
           reads.remove(read);
           held++;
           if (read.running() == 0) {
@@ -128,20 +153,27 @@
       }
       if (!asking && now >= askAt) {
         asking = true;
-        permits.ask(Tariff.ORIGIN.permit(service.name()), Math.min(MOST_ASKED, reads.size()), (granted, version, confirmedAt) -> {
-          asking = false;
-          askAt = now() + (granted == 0 ? ASK_PAUSE_MILLIS : 0);
-          lot = granted;
-          lotAt = now();
-          run();
-        }, now);
+        permits.ask(
+            Tariff.ORIGIN.permit(service.name()),
+            Math.min(MOST_ASKED, reads.size()),
+            (granted, version, confirmedAt) -> {
+              asking = false;
+              askAt = now() + (granted == 0 ? ASK_PAUSE_MILLIS : 0);
+              lot = granted;
+              lotAt = now();
+              run();
+            },
+            now);
       }
       if (!stepping) {
         stepping = true;
-        loop.schedule(() -> {
-          stepping = false;
-          run();
-        }, STEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+            () -> {
+              stepping = false;
+              run();
+            },
+            STEP_MILLIS,
+            TimeUnit.MILLISECONDS);
       }
     }
 
@@ -170,7 +202,15 @@
     private int tries;
     private boolean over;
 
-    private Read(final Dialplan.Service service, final Route route, final String host, final String target, final String etag, final IntSupplier weight, final long cutoff, final Consumer<AnnouncerCore.Fetched> done) {
+    private Read(
+        final Dialplan.Service service,
+        final Route route,
+        final String host,
+        final String target,
+        final String etag,
+        final IntSupplier weight,
+        final long cutoff,
+        final Consumer<AnnouncerCore.Fetched> done) {
       this.weight = weight;
       this.service = service;
       this.route = route;
@@ -181,7 +221,10 @@
       this.done = done;
     }
 
-    /** How many upstreams one read may be sent to: no more than the route allows for the request that caused it. */
+    /**
+     * How many upstreams one read may be sent to: no more than the route allows for the request
+     * that caused it.
+     */
     private int most() {
       return Math.min(MOST_TRIES, route.maxAttempts);
     }
@@ -221,24 +264,42 @@
       tried.add(upstream);
       tries++;
       sent++;
-      final DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
+      final DefaultFullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.GET, target, Unpooled.EMPTY_BUFFER);
       final String id = String.format("%016x", random.nextLong());
-      request.headers().set(HttpHeaderNames.HOST, host).set(Headers.ATTEMPT_ID, id).set(Headers.DEADLINE, Math.max(1, cutoff - now)).set(Headers.TARGET, upstream.id());
+      request
+          .headers()
+          .set(HttpHeaderNames.HOST, host)
+          .set(Headers.ATTEMPT_ID, id)
+          .set(Headers.DEADLINE, Math.max(1, cutoff - now))
+          .set(Headers.TARGET, upstream.id());
       if (etag != null) {
         request.headers().set(HttpHeaderNames.IF_NONE_MATCH, etag);
       }
       attempts.add(cords.send(upstream, request, id, now, cutoff, this::ended));
-      final long patience = Math.min(cutoff - now, Math.max(100, (long) (0.6 * route.targetMillis)));
-      loop.schedule(() -> {
-        if (!over && running() > 0 && now() + MARGIN_MILLIS < cutoff && tries < Math.min(2, most()) && !crowded()) {
-          permit();
-        }
-      }, patience, TimeUnit.MILLISECONDS);
-      loop.schedule(() -> {
-        if (!over && now() >= cutoff) {
-          end(new AnnouncerCore.Fetched(503, null, null));
-        }
-      }, Math.max(1, cutoff - now), TimeUnit.MILLISECONDS);
+      final long patience =
+          Math.min(cutoff - now, Math.max(100, (long) (0.6 * route.targetMillis)));
+      loop.schedule(
+          () -> {
+            if (!over
+                && running() > 0
+                && now() + MARGIN_MILLIS < cutoff
+                && tries < Math.min(2, most())
+                && !crowded()) {
+              permit();
+            }
+          },
+          patience,
+          TimeUnit.MILLISECONDS);
+      loop.schedule(
+          () -> {
+            if (!over && now() >= cutoff) {
+              end(new AnnouncerCore.Fetched(503, null, null));
+            }
+          },
+          Math.max(1, cutoff - now),
+          TimeUnit.MILLISECONDS);
     }
 
     private boolean crowded() {
@@ -267,18 +328,24 @@
         tries--;
       }
       final int status = head == null ? 0 : head.status().code();
-      final boolean sound = Fate.of(end, head) == Fate.ANSWERED && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
-          && (status == 200 && head.headers().contains(Headers.SEAL) || status == 304 && etag != null || status >= 400 && status < 500 && status != 421 && status != 429);
+      final boolean sound =
+          Fate.of(end, head) == Fate.ANSWERED
+              && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+              && (status == 200 && head.headers().contains(Headers.SEAL)
+                  || status == 304 && etag != null
+                  || status >= 400 && status < 500 && status != 421 && status != 429);
       if (sound) {
         final List<String> headers = new ArrayList<>();
-        final io.netty.handler.codec.http.HttpHeaders kept = new io.netty.handler.codec.http.DefaultHttpHeaders(false);
+        final io.netty.handler.codec.http.HttpHeaders kept =
+            new io.netty.handler.codec.http.DefaultHttpHeaders(false);
         Headers.copy(head.headers(), kept);
         kept.remove(Headers.ATTEMPT_ID);
         kept.remove(Headers.LOAD);
-        kept.forEach(entry -> {
-          headers.add(entry.getKey());
-          headers.add(entry.getValue());
-        });
+        kept.forEach(
+            entry -> {
+              headers.add(entry.getKey());
+              headers.add(entry.getValue());
+            });
         end(new AnnouncerCore.Fetched(status, headers, bytes));
       } else if (running() == 0) {
         permit();
--- a/announcer/src/main/java/weldpoint/announcer/Shelf.java
+++ b/announcer/src/main/java/weldpoint/announcer/Shelf.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Copies, found by key, by place and by label; those used longest ago leave when the bytes run out. */
+/**
+ * Copies, found by key, by place and by label; those used longest ago leave when the bytes run out.
+ */
 final class Shelf {
   private final long mostBytes;
   private final LinkedHashMap<String, Copy> copies = new LinkedHashMap<>(64, 0.75f, true);
@@ -34,7 +36,9 @@
     for (final String label : copy.labels) {
       labels.computeIfAbsent(label, name -> new HashSet<>()).add(copy.key);
     }
-    final Iterator<Copy> oldest = new java.util.ArrayList<>(bytes > mostBytes ? copies.values() : java.util.List.<Copy>of()).iterator();
+    final Iterator<Copy> oldest =
+        new java.util.ArrayList<>(bytes > mostBytes ? copies.values() : java.util.List.<Copy>of())
+            .iterator();
     while (bytes > mostBytes && oldest.hasNext()) {
       remove(oldest.next().key);
     }
@@ -52,7 +56,8 @@
     }
   }
 
-  private static void forget(final Map<String, Set<String>> index, final String name, final String key) {
+  private static void forget(
+      final Map<String, Set<String>> index, final String name, final String key) {
     final Set<String> keys = index.get(name);
     if (keys != null && keys.remove(key) && keys.isEmpty()) {
       index.remove(name);
--- a/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
@@ -21,16 +21,24 @@
 
 public class AnnouncerCoreTest {
   private static final long TTL = 10_000;
-  private static final String SPEC = "{\"version\":\"1\",\"listeners\":[{\"host\":\"quay.example\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"cacheable\",\"targetLatencyMs\":300,\"cacheTtlS\":10,\"match\":{\"pathPrefix\":\"/a/\"},\"action\":{\"service\":\"media\",\"timeoutMs\":3000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"media\",\"ratePerS\":50}]}";
+  private static final String SPEC =
+      "{\"version\":\"1\",\"listeners\":[{\"host\":\"quay.example\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"cacheable\",\"targetLatencyMs\":300,\"cacheTtlS\":10,\"match\":{\"pathPrefix\":\"/a/\"},\"action\":{\"service\":\"media\",\"timeoutMs\":3000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"media\",\"ratePerS\":50}]}";
 
-  private record Event(long at, long order, Runnable deed) {
-  }
+  private record Event(long at, long order, Runnable deed) {}
 
-  /** An origin whose objects change, a cache before it, and a model that knows when which version held. */
+  /**
+   * An origin whose objects change, a cache before it, and a model that knows when which version
+   * held.
+   */
   private static final class Trial implements AnnouncerCore.Outlet {
     private final Random random;
     private final boolean lateMark;
-    private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
+    private final PriorityQueue<Event> events =
+        new PriorityQueue<>(
+            (one, other) ->
+                one.at != other.at
+                    ? Long.compare(one.at, other.at)
+                    : Long.compare(one.order, other.order));
     private final List<List<Long>> since = new ArrayList<>();
     private final List<Purge> purges = new ArrayList<>();
     private final long[] knownPurgedTo = new long[6];
@@ -55,20 +63,25 @@
     private void restart() {
       life++;
       told = 0;
-      core = lateMark ? new AnnouncerCore(100_000, 60_000, 60_000, now, this) {
-        @Override
-        long knownAtStart(final long markAtStart) {
-          return mark();
-        }
-      } : new AnnouncerCore(100_000, 60_000, 60_000, now, this);
+      core =
+          lateMark
+              ? new AnnouncerCore(100_000, 60_000, 60_000, now, this) {
+                @Override
+                long knownAtStart(final long markAtStart) {
+                  return mark();
+                }
+              }
+              : new AnnouncerCore(100_000, 60_000, 60_000, now, this);
       core.take(Dialplan.compile(SPEC.getBytes(StandardCharsets.UTF_8)));
       core.reached(0, now);
       tell();
     }
 
     private void tell() {
-      final List<Purge> list = new ArrayList<>(purges.subList(Math.max(0, purges.size() - 4), purges.size()));
-      core.purged(new Words.Purges(list.isEmpty() ? 0 : list.get(0).serial - 1, purges.size(), list));
+      final List<Purge> list =
+          new ArrayList<>(purges.subList(Math.max(0, purges.size() - 4), purges.size()));
+      core.purged(
+          new Words.Purges(list.isEmpty() ? 0 : list.get(0).serial - 1, purges.size(), list));
       told = purges.size();
     }
 
@@ -77,45 +90,69 @@
     }
 
     @Override
-    public void fetch(final Dialplan.Service service, final Route route, final String host, final String target, final String etag, final IntSupplier weight, final long cutoff, final Consumer<AnnouncerCore.Fetched> done) {
+    public void fetch(
+        final Dialplan.Service service,
+        final Route route,
+        final String host,
+        final String target,
+        final String etag,
+        final IntSupplier weight,
+        final long cutoff,
+        final Consumer<AnnouncerCore.Fetched> done) {
       fetches++;
       final long mine = life;
       final int object = Integer.parseInt(target.substring(3));
-      after(random.nextInt(800), () -> {
-        final int version = since.get(object).size();
-        final int fate = random.nextInt(20);
-        after(random.nextInt(1500), () -> {
-          if (mine != life) {
-            return;
-          }
-          if (fate == 0) {
-            done.accept(new AnnouncerCore.Fetched(503, null, null));
-          } else if (("\"" + version + "\"").equals(etag)) {
-            done.accept(new AnnouncerCore.Fetched(304, List.of("ETag", etag), new byte[0]));
-          } else {
-            done.accept(new AnnouncerCore.Fetched(200, List.of("ETag", "\"" + version + "\"", "Weldpoint-Labels", "all t" + object % 2), Integer.toString(version).getBytes(StandardCharsets.UTF_8)));
-          }
-        });
-      });
+      after(
+          random.nextInt(800),
+          () -> {
+            final int version = since.get(object).size();
+            final int fate = random.nextInt(20);
+            after(
+                random.nextInt(1500),
+                () -> {
+                  if (mine != life) {
+                    return;
+                  }
+                  if (fate == 0) {
+                    done.accept(new AnnouncerCore.Fetched(503, null, null));
+                  } else if (("\"" + version + "\"").equals(etag)) {
+                    done.accept(new AnnouncerCore.Fetched(304, List.of("ETag", etag), new byte[0]));
+                  } else {
+                    done.accept(
+                        new AnnouncerCore.Fetched(
+                            200,
+                            List.of(
+                                "ETag",
+                                "\"" + version + "\"",
+                                "Weldpoint-Labels",
+                                "all t" + object % 2),
+                            Integer.toString(version).getBytes(StandardCharsets.UTF_8)));
+                  }
+                });
+          });
     }
 
     private void ask() {
       final int object = random.nextInt(6);
       final long askedAt = now;
       final long purgedTo = knownPurgedTo[object];
-      core.ask(new CopyAsk(order, "media", "quay.example", "/a/" + object, 3000), answer -> {
-        if (answer.status != 200) {
-          return;
-        }
-        answers++;
-        final int version = Integer.parseInt(new String(answer.body, StandardCharsets.UTF_8));
-        final List<Long> history = since.get(object);
-        final long replacedAt = version < history.size() ? history.get(version) : Long.MAX_VALUE;
-        if (replacedAt < purgedTo || now - replacedAt > TTL) {
-          breaches++;
-        }
-        assertTrue(askedAt <= now);
-      }, now);
+      core.ask(
+          new CopyAsk(order, "media", "quay.example", "/a/" + object, 3000),
+          answer -> {
+            if (answer.status != 200) {
+              return;
+            }
+            answers++;
+            final int version = Integer.parseInt(new String(answer.body, StandardCharsets.UTF_8));
+            final List<Long> history = since.get(object);
+            final long replacedAt =
+                version < history.size() ? history.get(version) : Long.MAX_VALUE;
+            if (replacedAt < purgedTo || now - replacedAt > TTL) {
+              breaches++;
+            }
+            assertTrue(askedAt <= now);
+          },
+          now);
     }
 
     void run(final int steps) {
@@ -136,7 +173,12 @@
         } else if (what < 95) {
           final int object = random.nextInt(6);
           final boolean label = random.nextBoolean();
-          purges.add(new Purge(purges.size() + 1, label ? null : "quay.example", label ? null : "/a/" + object, label ? "t" + object % 2 : null));
+          purges.add(
+              new Purge(
+                  purges.size() + 1,
+                  label ? null : "quay.example",
+                  label ? null : "/a/" + object,
+                  label ? "t" + object % 2 : null));
           if (random.nextInt(4) > 0) {
             tell();
             settle();
@@ -151,7 +193,9 @@
     private void settle() {
       for (final Purge purge : purges.subList(0, (int) told)) {
         for (int object = 0; object < 6; object++) {
-          if (purge.tag == null ? purge.path.equals("/a/" + object) : purge.tag.equals("t" + object % 2)) {
+          if (purge.tag == null
+              ? purge.path.equals("/a/" + object)
+              : purge.tag.equals("t" + object % 2)) {
             knownPurgedTo[object] = purge.serial > settled ? now : knownPurgedTo[object];
           }
         }
@@ -173,7 +217,9 @@
       answers += trial.answers;
       fetches += trial.fetches;
     }
-    assertTrue(answers > 2 * fetches, "copies are used: " + answers + " answers of " + fetches + " fetches");
+    assertTrue(
+        answers > 2 * fetches,
+        "copies are used: " + answers + " answers of " + fetches + " fetches");
   }
 
   @Test
@@ -190,7 +236,13 @@
   @Test
   public void oneFetchServesAllWhoWaitAndAFailureFailsOnlyThem() {
     final List<Consumer<AnnouncerCore.Fetched>> fetches = new ArrayList<>();
-    final AnnouncerCore core = new AnnouncerCore(1000, 1700, 5000, 0, (service, route, host, target, etag, weight, cutoff, done) -> fetches.add(done));
+    final AnnouncerCore core =
+        new AnnouncerCore(
+            1000,
+            1700,
+            5000,
+            0,
+            (service, route, host, target, etag, weight, cutoff, done) -> fetches.add(done));
     core.take(Dialplan.compile(SPEC.getBytes(StandardCharsets.UTF_8)));
     core.reached(0, 0);
     final List<CopyAnswer> answers = new ArrayList<>();
@@ -214,18 +266,43 @@
   @Test
   public void copiesAreWithheldWhenNobodySpeaksAndForALittleLongerWhileAnExchangeDoes() {
     final List<Consumer<AnnouncerCore.Fetched>> fetches = new ArrayList<>();
-    final AnnouncerCore core = new AnnouncerCore(100_000, 1700, 9000, 0, (service, route, host, target, etag, weight, cutoff, done) -> fetches.add(done));
+    final AnnouncerCore core =
+        new AnnouncerCore(
+            100_000,
+            1700,
+            9000,
+            0,
+            (service, route, host, target, etag, weight, cutoff, done) -> fetches.add(done));
     core.take(Dialplan.compile(SPEC.getBytes(StandardCharsets.UTF_8)));
     core.reached(200, 1000);
     final List<Integer> statuses = new ArrayList<>();
-    core.ask(new CopyAsk(1, "media", "quay.example", "/a/x", 1000), answer -> statuses.add(answer.status), 1000);
-    fetches.get(0).accept(new AnnouncerCore.Fetched(200, List.of("ETag", "e", "Weldpoint-Labels", "all"), new byte[] {1}));
-    core.ask(new CopyAsk(2, "media", "quay.example", "/a/x", 1000), answer -> statuses.add(answer.status), 2400);
-    core.ask(new CopyAsk(3, "media", "quay.example", "/a/x", 1000), answer -> statuses.add(answer.status), 2600);
+    core.ask(
+        new CopyAsk(1, "media", "quay.example", "/a/x", 1000),
+        answer -> statuses.add(answer.status),
+        1000);
+    fetches
+        .get(0)
+        .accept(
+            new AnnouncerCore.Fetched(
+                200, List.of("ETag", "e", "Weldpoint-Labels", "all"), new byte[] {1}));
+    core.ask(
+        new CopyAsk(2, "media", "quay.example", "/a/x", 1000),
+        answer -> statuses.add(answer.status),
+        2400);
+    core.ask(
+        new CopyAsk(3, "media", "quay.example", "/a/x", 1000),
+        answer -> statuses.add(answer.status),
+        2600);
     core.reached(4000, 4800);
-    core.ask(new CopyAsk(4, "media", "quay.example", "/a/x", 1000), answer -> statuses.add(answer.status), 5000);
+    core.ask(
+        new CopyAsk(4, "media", "quay.example", "/a/x", 1000),
+        answer -> statuses.add(answer.status),
+        5000);
     core.reached(9100, 9900);
-    core.ask(new CopyAsk(5, "media", "quay.example", "/a/x", 1000), answer -> statuses.add(answer.status), 9900);
+    core.ask(
+        new CopyAsk(5, "media", "quay.example", "/a/x", 1000),
+        answer -> statuses.add(answer.status),
+        9900);
     assertEquals(statuses, List.of(200, 200, 0, 200, 0));
   }
 }
--- a/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
@@ -35,40 +35,85 @@
 
   @DataProvider
   public Object[][] attempts() {
-    return new Object[][] {{1, "", 503}, {2, "", 503}, {3, "", 503}, {9, "", 503}, {2, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", 503}, {2, null, 503},
-        {2, "HTTP/1.1 200 OK\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody", 200}};
+    return new Object[][] {
+      {1, "", 503},
+      {2, "", 503},
+      {3, "", 503},
+      {9, "", 503},
+      {2, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", 503},
+      {2, null, 503},
+      {2, "HTTP/1.1 200 OK\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody", 200}
+    };
   }
 
   @Test(dataProvider = "attempts")
-  public void aReadKeepsToTheRoutesAttemptsAndNeedsNoEcho(final int most, final String answer, final int expected) throws IOException, InterruptedException, java.util.concurrent.ExecutionException, java.util.concurrent.TimeoutException {
+  public void aReadKeepsToTheRoutesAttemptsAndNeedsNoEcho(
+      final int most, final String answer, final int expected)
+      throws IOException,
+          InterruptedException,
+          java.util.concurrent.ExecutionException,
+          java.util.concurrent.TimeoutException {
     final AtomicInteger arrivals = new AtomicInteger();
     final List<Cords.Change> changes = new ArrayList<>();
     final List<ServerSocket> servers = new ArrayList<>();
     for (int index = 0; index < 6; index++) {
       final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
       servers.add(server);
-      changes.add(new Cords.Change(new Registration("i-" + index, "s", "127.0.0.1:" + server.getLocalPort(), "a", "v", 40, 0, 1, 0, 0), true));
+      changes.add(
+          new Cords.Change(
+              new Registration(
+                  "i-" + index,
+                  "s",
+                  "127.0.0.1:" + server.getLocalPort(),
+                  "a",
+                  "v",
+                  40,
+                  0,
+                  1,
+                  0,
+                  0),
+              true));
       final Thread thread = new Thread(() -> serve(server, arrivals, answer));
       thread.setDaemon(true);
       thread.start();
     }
-    final Boot boot = Boot.parse("station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nsites = a:r\nbound.retry-slack = 1000\n");
-    final Dialplan plan = Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":100,\"match\":{\"pathPrefix\":\"/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":1500,\"maxAttempts\":" + most + "}}]}],\"pools\":[{\"name\":\"s\"}]}").getBytes(StandardCharsets.UTF_8));
+    final Boot boot =
+        Boot.parse(
+            "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nsites = a:r\nbound.retry-slack = 1000\n");
+    final Dialplan plan =
+        Dialplan.compile(
+            ("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":100,\"match\":{\"pathPrefix\":\"/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":1500,\"maxAttempts\":"
+                    + most
+                    + "}}]}],\"pools\":[{\"name\":\"s\"}]}")
+                .getBytes(StandardCharsets.UTF_8));
     final Cords cords = new Cords(loop, boot, new Random(1));
-    final Reader reader = new Reader(loop, boot, cords, new Permits(message -> false), new Random(1));
+    final Reader reader =
+        new Reader(loop, boot, cords, new Permits(message -> false), new Random(1));
     final CompletableFuture<Integer> status = new CompletableFuture<>();
-    loop.execute(() -> {
-      cords.apply(changes, System.nanoTime() / 1_000_000);
-      reader.fetch(plan.services().get(0), plan.route("r"), "h", "/x", null, () -> 1, System.nanoTime() / 1_000_000 + 1500, fetched -> status.complete(fetched.status));
-    });
+    loop.execute(
+        () -> {
+          cords.apply(changes, System.nanoTime() / 1_000_000);
+          reader.fetch(
+              plan.services().get(0),
+              plan.route("r"),
+              "h",
+              "/x",
+              null,
+              () -> 1,
+              System.nanoTime() / 1_000_000 + 1500,
+              fetched -> status.complete(fetched.status));
+        });
     assertEquals(status.get(8, TimeUnit.SECONDS).intValue(), expected);
-    assertEquals(arrivals.get(), expected == 200 ? 1 : answer == null ? Math.min(2, most) : Math.min(3, most));
+    assertEquals(
+        arrivals.get(),
+        expected == 200 ? 1 : answer == null ? Math.min(2, most) : Math.min(3, most));
     for (final ServerSocket server : servers) {
       server.close();
     }
   }
 
-  private static void serve(final ServerSocket server, final AtomicInteger arrivals, final String answer) {
+  private static void serve(
+      final ServerSocket server, final AtomicInteger arrivals, final String answer) {
     while (true) {
       try {
         final Socket socket = server.accept();
--- a/audit/src/main/java/weldpoint/audit/AuditEntry.java
+++ b/audit/src/main/java/weldpoint/audit/AuditEntry.java
@@ -8,8 +8,9 @@
 import weldpoint.trunk.Wire;
 
 /**
- * One decided change of routing. Its bytes are made once, by the daemon that proposed it, and never again: the digest of
- * an entry is the SHA-256 of those bytes, and each entry carries the digest of the one before it.
+ * One decided change of routing. Its bytes are made once, by the daemon that proposed it, and never
+ * again: the digest of an entry is the SHA-256 of those bytes, and each entry carries the digest of
+ * the one before it.
  */
 public final class AuditEntry {
   /** The digest that the very first entry names as the one before it. */
@@ -64,9 +65,13 @@
     return ChangeKind.of(kind);
   }
 
-  /** Whether a configuration took this entry's version with it, and what the version stands for is therefore known. */
+  /**
+   * Whether a configuration took this entry's version with it, and what the version stands for is
+   * therefore known.
+   */
   public boolean takesVersion() {
-    return kind == ChangeKind.CONFIGURATION.ordinal() || kind == ChangeKind.UPGRADE.ordinal() && version > 0;
+    return kind == ChangeKind.CONFIGURATION.ordinal()
+        || kind == ChangeKind.UPGRADE.ordinal() && version > 0;
   }
 
   /** Reads an entry from its bytes. */
@@ -79,7 +84,8 @@
     try {
       return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
     } catch (final NoSuchAlgorithmException impossible) {
-      throw new IllegalStateException("this Java has no SHA-256; run it on a complete one", impossible);
+      throw new IllegalStateException(
+          "this Java has no SHA-256; run it on a complete one", impossible);
     }
   }
 
@@ -110,7 +116,10 @@
       this.subject = subject == null ? "" : subject;
     }
 
-    /** Under which number it is in force: a configuration's version, otherwise the mark of what it changed. */
+    /**
+     * Under which number it is in force: a configuration's version, otherwise the mark of what it
+     * changed.
+     */
     public Draft number(final long givenVersion, final long givenMark) {
       version = givenVersion;
       mark = givenMark;
@@ -118,7 +127,11 @@
     }
 
     /** Who wanted it, from which address, which daemon took it, and when it was proposed. */
-    public Draft origin(final String givenAuthor, final String givenCaller, final String givenTaker, final long givenTime) {
+    public Draft origin(
+        final String givenAuthor,
+        final String givenCaller,
+        final String givenTaker,
+        final long givenTime) {
       author = givenAuthor == null || givenAuthor.isEmpty() ? Authors.UNNAMED : givenAuthor;
       caller = givenCaller == null ? "" : givenCaller;
       taker = givenTaker == null ? "" : givenTaker;
@@ -133,7 +146,9 @@
       return this;
     }
 
-    /** What the configuration says, by the digest of its canonical form; null for any other change. */
+    /**
+     * What the configuration says, by the digest of its canonical form; null for any other change.
+     */
     public Draft content(final byte[] givenContent) {
       content = givenContent;
       return this;
--- a/audit/src/main/java/weldpoint/audit/AuditLog.java
+++ b/audit/src/main/java/weldpoint/audit/AuditLog.java
@@ -53,9 +53,13 @@
     while (last < store.last()) {
       final byte[] bytes = store.read(last + 1);
       final AuditEntry entry = bytes == null ? null : AuditEntry.read(bytes);
-      if (entry == null || entry.sequence != last + 1 || last > base && !entry.previous.equals(digest)) {
+      if (entry == null
+          || entry.sequence != last + 1
+          || last > base && !entry.previous.equals(digest)) {
         damaged += store.last() - last;
-        LOGGER.atSevere().log("the history of %s is damaged from entry %s on; %s entries are fetched again from other replicas", self, last + 1, store.last() - last);
+        LOGGER.atSevere().log(
+            "the history of %s is damaged from entry %s on; %s entries are fetched again from other replicas",
+            self, last + 1, store.last() - last);
         truncate();
         return false;
       }
@@ -85,9 +89,13 @@
     if (entry.takesVersion()) {
       versions.add(entry.version, entry.sequence);
     }
-    if (entry.kind() == ChangeKind.RETENTION && entry.trimmedThrough > base && entry.trimmedThrough < last) {
+    if (entry.kind() == ChangeKind.RETENTION
+        && entry.trimmedThrough > base
+        && entry.trimmedThrough < last) {
       trim(entry);
-    } else if (entry.kind() == ChangeKind.RETENTION && entry.trimmedThrough == base && !entry.trimmedDigest.equals(baseDigest)) {
+    } else if (entry.kind() == ChangeKind.RETENTION
+        && entry.trimmedThrough == base
+        && !entry.trimmedDigest.equals(baseDigest)) {
       conflict("entry " + entry.sequence + " names another digest for the trimmed entry " + base);
     }
   }
@@ -95,7 +103,8 @@
   private void trim(final AuditEntry entry) {
     final String found = digestAt(entry.trimmedThrough);
     if (found != null && !found.equals(entry.trimmedDigest)) {
-      conflict("entry " + entry.sequence + " names another digest for entry " + entry.trimmedThrough);
+      conflict(
+          "entry " + entry.sequence + " names another digest for entry " + entry.trimmedThrough);
       return;
     }
     base = entry.trimmedThrough;
@@ -106,7 +115,8 @@
 
   private void conflict(final String what) {
     conflicts++;
-    LOGGER.atSevere().log("the history of %s differs: %s; nothing was taken, compare the replicas", self, what);
+    LOGGER.atSevere().log(
+        "the history of %s differs: %s; nothing was taken, compare the replicas", self, what);
   }
 
   /** Offers a decided entry. */
@@ -152,7 +162,9 @@
     if (newBase <= last) {
       return;
     }
-    LOGGER.atInfo().log("the history of %s begins anew behind entry %s; older ones were trimmed meanwhile", self, newBase);
+    LOGGER.atInfo().log(
+        "the history of %s begins anew behind entry %s; older ones were trimmed meanwhile",
+        self, newBase);
     store.reset(newBase);
     versions.clear();
     base = newBase;
--- a/audit/src/main/java/weldpoint/audit/AuditReplica.java
+++ b/audit/src/main/java/weldpoint/audit/AuditReplica.java
@@ -9,7 +9,10 @@
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words;
 
-/** Keeps one replica's log alike with the others': what is decided is pushed at once, and a random peer is asked each second. */
+/**
+ * Keeps one replica's log alike with the others': what is decided is pushed at once, and a random
+ * peer is asked each second.
+ */
 public final class AuditReplica {
   private static final long RECONCILE_MILLIS = 1000;
   private static final int MOST_ENTRIES = 512;
@@ -23,7 +26,8 @@
   private long asks;
 
   /** A replica over its log, that sends to peers by their addresses. */
-  public AuditReplica(final AuditLog log, final BiConsumer<String, Message> outlet, final Random random) {
+  public AuditReplica(
+      final AuditLog log, final BiConsumer<String, Message> outlet, final Random random) {
     this.log = log;
     this.outlet = outlet;
     this.random = random;
@@ -44,7 +48,8 @@
     }
     final AuditEntry first = AuditEntry.read(entries.get(0));
     final AuditEntry last = AuditEntry.read(entries.get(entries.size() - 1));
-    final Words.AuditPart part = new Words.AuditPart(first.sequence - 1, first.previous, false, entries, last.sequence);
+    final Words.AuditPart part =
+        new Words.AuditPart(first.sequence - 1, first.previous, false, entries, last.sequence);
     for (final String other : others) {
       outlet.accept(other, part);
     }
@@ -83,7 +88,8 @@
     return true;
   }
 
-  private void onState(final String from, final Words.AuditState state, final Consumer<Message> reply) {
+  private void onState(
+      final String from, final Words.AuditState state, final Consumer<Message> reply) {
     final String here = log.digestAt(state.last);
     if (here != null && !here.equals(state.digest)) {
       log.differs(from, state.last);
@@ -103,7 +109,9 @@
     final long start = Math.max(from, log.base() + 1);
     final List<byte[]> entries = new ArrayList<>();
     int bytes = 0;
-    for (long sequence = start; sequence <= log.last() && entries.size() < MOST_ENTRIES && bytes < MOST_BYTES; sequence++) {
+    for (long sequence = start;
+        sequence <= log.last() && entries.size() < MOST_ENTRIES && bytes < MOST_BYTES;
+        sequence++) {
       final byte[] entry = log.read(sequence);
       if (entry == null) {
         break;
@@ -139,6 +147,17 @@
 
   /** How many parts came and how many were asked for. */
   public String counters() {
-    return "history " + log.last() + " from " + (log.base() + 1) + " parts " + parts + " asks " + asks + " differing " + log.conflicts() + " damaged " + log.damaged();
+    return "history "
+        + log.last()
+        + " from "
+        + (log.base() + 1)
+        + " parts "
+        + parts
+        + " asks "
+        + asks
+        + " differing "
+        + log.conflicts()
+        + " damaged "
+        + log.damaged();
   }
 }
--- a/audit/src/main/java/weldpoint/audit/AuditStore.java
+++ b/audit/src/main/java/weldpoint/audit/AuditStore.java
@@ -8,7 +8,10 @@
   /** The number of the last entry kept. */
   long last();
 
-  /** Appends the next entry; the callback runs, in order, once it is lasting. False where there is no room. */
+  /**
+   * Appends the next entry; the callback runs, in order, once it is lasting. False where there is
+   * no room.
+   */
   boolean append(long sequence, byte[] entry, Runnable synced);
 
   /** The bytes of an entry that was appended; null where they cannot be read any longer. */
--- a/audit/src/main/java/weldpoint/audit/AuditTail.java
+++ b/audit/src/main/java/weldpoint/audit/AuditTail.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** The entries after the base, oldest first, that travel with a register because they are not yet in the logs of a majority. */
+/**
+ * The entries after the base, oldest first, that travel with a register because they are not yet in
+ * the logs of a majority.
+ */
 public final class AuditTail {
   public final long base;
   public final String baseDigest;
--- a/audit/src/main/java/weldpoint/audit/Authors.java
+++ b/audit/src/main/java/weldpoint/audit/Authors.java
@@ -6,17 +6,21 @@
 public final class Authors {
   /** The request header that names an author. */
   public static final String HEADER = "Weldpoint-Author";
+
   /** Who is entered where nobody was named. */
   public static final String UNNAMED = "unnamed";
+
   /** The system itself. */
   public static final String SYSTEM = "weldpoint";
 
   private static final int MOST = 64;
 
-  private Authors() {
-  }
+  private Authors() {}
 
-  /** The author of a call that carried the header so many times with this value; fails where it is no name. */
+  /**
+   * The author of a call that carried the header so many times with this value; fails where it is
+   * no name.
+   */
   public static String check(final String given, final int times) {
     if (times == 0) {
       return UNNAMED;
@@ -33,13 +37,16 @@
     }
     for (int index = 0; index < name.length(); index++) {
       if (Character.isISOControl(name.charAt(index))) {
-        throw bad("has a control character at place " + (index + 1), "give letters, digits, blanks and signs only");
+        throw bad(
+            "has a control character at place " + (index + 1),
+            "give letters, digits, blanks and signs only");
       }
     }
     return name;
   }
 
   private static Breakdown bad(final String what, final String remedy) {
-    return new Breakdown(Breakdown.Kind.INVALID, "the header " + HEADER + " " + what + "; " + remedy);
+    return new Breakdown(
+        Breakdown.Kind.INVALID, "the header " + HEADER + " " + what + "; " + remedy);
   }
 }
--- a/audit/src/main/java/weldpoint/audit/CanonicalJson.java
+++ b/audit/src/main/java/weldpoint/audit/CanonicalJson.java
@@ -8,8 +8,9 @@
 import java.util.TreeMap;
 
 /**
- * What a JSON text says, whatever its white space, the order of its keys, its escapes and the forms of its numbers: two
- * texts that say the same have one canonical form, and so one digest. The order of lists counts.
+ * What a JSON text says, whatever its white space, the order of its keys, its escapes and the forms
+ * of its numbers: two texts that say the same have one canonical form, and so one digest. The order
+ * of lists counts.
  */
 public final class CanonicalJson {
   private static final int DEEPEST = 100;
@@ -28,9 +29,11 @@
   public static byte[] digest(final byte[] json) {
     final String canonical = canonical(json);
     try {
-      return MessageDigest.getInstance("SHA-256").digest(canonical == null ? json : canonical.getBytes(StandardCharsets.UTF_8));
+      return MessageDigest.getInstance("SHA-256")
+          .digest(canonical == null ? json : canonical.getBytes(StandardCharsets.UTF_8));
     } catch (final NoSuchAlgorithmException impossible) {
-      throw new IllegalStateException("this Java has no SHA-256; run it on a complete one", impossible);
+      throw new IllegalStateException(
+          "this Java has no SHA-256; run it on a complete one", impossible);
     }
   }
 
@@ -105,7 +108,9 @@
     }
     out.setLength(from);
     out.append('{');
-    members.forEach((name, value) -> out.append(out.length() == from + 1 ? "" : ",").append(name).append(':').append(value));
+    members.forEach(
+        (name, value) ->
+            out.append(out.length() == from + 1 ? "" : ",").append(name).append(':').append(value));
     out.append('}');
     return true;
   }
@@ -187,7 +192,9 @@
 
   private boolean number() {
     final int from = at;
-    while (at < text.length() && (Character.digit(text.charAt(at), 10) >= 0 && text.charAt(at) < 128 || "+-.eE".indexOf(text.charAt(at)) >= 0)) {
+    while (at < text.length()
+        && (Character.digit(text.charAt(at), 10) >= 0 && text.charAt(at) < 128
+            || "+-.eE".indexOf(text.charAt(at)) >= 0)) {
       at++;
     }
     final String digits = text.substring(from, at);
--- a/audit/src/main/java/weldpoint/audit/ChangeKind.java
+++ b/audit/src/main/java/weldpoint/audit/ChangeKind.java
@@ -25,7 +25,8 @@
   /** The kind of this number. */
   public static ChangeKind of(final int number) {
     if (number < 0 || number >= ALL.length) {
-      throw new IllegalArgumentException("no kind of change has the number " + number + "; run the release that wrote it");
+      throw new IllegalArgumentException(
+          "no kind of change has the number " + number + "; run the release that wrote it");
     }
     return ALL[number];
   }
--- a/audit/src/main/java/weldpoint/audit/ConfigurationDifference.java
+++ b/audit/src/main/java/weldpoint/audit/ConfigurationDifference.java
@@ -7,7 +7,9 @@
 import weldpoint.audit.ConfigurationSummary.Line;
 import weldpoint.trunk.Words;
 
-/** What one configuration changed against the one before it; routes that carry writes come first. */
+/**
+ * What one configuration changed against the one before it; routes that carry writes come first.
+ */
 public final class ConfigurationDifference {
   private final List<String> writeLines = new ArrayList<>();
   private final List<String> otherLines = new ArrayList<>();
@@ -16,7 +18,8 @@
   private int changed;
 
   /** Compares two configurations. */
-  public ConfigurationDifference(final ConfigurationSummary before, final ConfigurationSummary after) {
+  public ConfigurationDifference(
+      final ConfigurationSummary before, final ConfigurationSummary after) {
     final Map<String, Line> old = new LinkedHashMap<>();
     for (final Line line : Words.list(before.lines)) {
       old.put(line.key, line);
@@ -53,10 +56,21 @@
     for (final String field : after) {
       final String was = old.remove(name(field));
       if (!value(field).equals(was)) {
-        text.append(text.length() == 0 ? "" : ", ").append(name(field)).append(' ').append(was == null ? "unset" : was).append(" -> ").append(value(field));
+        text.append(text.length() == 0 ? "" : ", ")
+            .append(name(field))
+            .append(' ')
+            .append(was == null ? "unset" : was)
+            .append(" -> ")
+            .append(value(field));
       }
     }
-    old.forEach((name, was) -> text.append(text.length() == 0 ? "" : ", ").append(name).append(' ').append(was).append(" -> unset"));
+    old.forEach(
+        (name, was) ->
+            text.append(text.length() == 0 ? "" : ", ")
+                .append(name)
+                .append(' ')
+                .append(was)
+                .append(" -> unset"));
     return text.toString();
   }
 
--- a/audit/src/main/java/weldpoint/audit/ConfigurationSummary.java
+++ b/audit/src/main/java/weldpoint/audit/ConfigurationSummary.java
@@ -7,7 +7,10 @@
 
 /** A configuration, route by route and service by service, as short texts that can be compared. */
 public final class ConfigurationSummary {
-  /** One route, service or other part: what it is, under which name, and its fields in order as "name=value". */
+  /**
+   * One route, service or other part: what it is, under which name, and its fields in order as
+   * "name=value".
+   */
   public static final class Line {
     public final String key;
     public final boolean writes;
@@ -60,7 +63,15 @@
     }
     for (final SpecDocument.Tenant tenant : orNone(document.tenants())) {
       final List<String> fields = new ArrayList<>();
-      field(fields, "keys", tenant.apiKeys() == null ? null : AuditEntry.digest(String.join("\n", tenant.apiKeys()).getBytes(java.nio.charset.StandardCharsets.UTF_8)).substring(0, 12));
+      field(
+          fields,
+          "keys",
+          tenant.apiKeys() == null
+              ? null
+              : AuditEntry.digest(
+                      String.join("\n", tenant.apiKeys())
+                          .getBytes(java.nio.charset.StandardCharsets.UTF_8))
+                  .substring(0, 12));
       field(fields, "priority", tenant.priority());
       field(fields, "ratePerS", tenant.ratePerS());
       field(fields, "burst", tenant.burst());
@@ -70,7 +81,8 @@
     return new ConfigurationSummary(lines, AuditEntry.digest(body));
   }
 
-  private static void route(final String host, final SpecDocument.Rule rule, final List<Line> lines) {
+  private static void route(
+      final String host, final SpecDocument.Rule rule, final List<Line> lines) {
     final List<String> fields = new ArrayList<>();
     field(fields, "kind", rule.routeKind());
     final SpecDocument.Action action = rule.action();
@@ -79,16 +91,32 @@
       if (action.split() != null && !action.split().isEmpty()) {
         final StringBuilder split = new StringBuilder();
         for (final SpecDocument.Share share : action.split()) {
-          split.append(split.length() == 0 ? "" : "+").append(share.service()).append(':').append(plain(share.weight()));
+          split
+              .append(split.length() == 0 ? "" : "+")
+              .append(share.service())
+              .append(':')
+              .append(plain(share.weight()));
         }
         field(fields, "split", split.toString());
       }
       field(fields, "timeoutMs", action.timeoutMs());
       field(fields, "maxAttempts", action.maxAttempts());
       if (action.affinity() != null) {
-        field(fields, "affinity", action.affinity().by() + (action.affinity().header() == null ? "" : ":" + action.affinity().header()) + (action.affinity().pauseMs() == null ? "" : ":" + plain(action.affinity().pauseMs())));
+        field(
+            fields,
+            "affinity",
+            action.affinity().by()
+                + (action.affinity().header() == null ? "" : ":" + action.affinity().header())
+                + (action.affinity().pauseMs() == null
+                    ? ""
+                    : ":" + plain(action.affinity().pauseMs())));
       }
-      field(fields, "homeRegions", action.homeRegions() == null || action.homeRegions().isEmpty() ? null : action.homeRegions());
+      field(
+          fields,
+          "homeRegions",
+          action.homeRegions() == null || action.homeRegions().isEmpty()
+              ? null
+              : action.homeRegions());
     }
     field(fields, "targetLatencyMs", rule.targetLatencyMs());
     field(fields, "priority", rule.priority());
@@ -96,7 +124,14 @@
     field(fields, "cacheTtlS", rule.cacheTtlS());
     final boolean writes = !RouteKind.of(rule.routeKind()).repeatable();
     final String prefix = rule.match() == null ? "" : rule.match().pathPrefix();
-    lines.add(new Line((writes ? "write route " : "route ") + host + prefix + (rule.name() == null ? "" : " (" + rule.name() + ")"), writes, fields));
+    lines.add(
+        new Line(
+            (writes ? "write route " : "route ")
+                + host
+                + prefix
+                + (rule.name() == null ? "" : " (" + rule.name() + ")"),
+            writes,
+            fields));
   }
 
   private static <T> List<T> orNone(final List<T> list) {
@@ -104,7 +139,11 @@
   }
 
   private static String plain(final Object value) {
-    return value instanceof Double && ((Double) value) == Math.rint((Double) value) && Math.abs((Double) value) < 1e15 ? Long.toString(((Double) value).longValue()) : String.valueOf(value);
+    return value instanceof Double
+            && ((Double) value) == Math.rint((Double) value)
+            && Math.abs((Double) value) < 1e15
+        ? Long.toString(((Double) value).longValue())
+        : String.valueOf(value);
   }
 
   private static void field(final List<String> fields, final String name, final Object value) {
--- a/audit/src/main/java/weldpoint/audit/HeapStore.java
+++ b/audit/src/main/java/weldpoint/audit/HeapStore.java
@@ -9,8 +9,7 @@
   private long base;
 
   /** A store without entries. */
-  public HeapStore() {
-  }
+  public HeapStore() {}
 
   @Override
   public long base() {
--- a/audit/src/main/java/weldpoint/audit/SegmentStore.java
+++ b/audit/src/main/java/weldpoint/audit/SegmentStore.java
@@ -16,8 +16,8 @@
 import java.util.zip.CRC32;
 
 /**
- * Entries on disk: a ring of preallocated segments, each with a head and then records that carry its generation, their
- * number and a checksum. One thread writes; whoever owns the store reads.
+ * Entries on disk: a ring of preallocated segments, each with a head and then records that carry
+ * its generation, their number and a checksum. One thread writes; whoever owns the store reads.
  */
 public final class SegmentStore implements AuditStore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -30,8 +30,15 @@
   /** The segments there are. */
   public static final int SEGMENTS = 8;
 
-  private record Item(long sequence, byte[] entry, int segment, long generation, int position, boolean opens, boolean resets, Runnable synced) {
-  }
+  private record Item(
+      long sequence,
+      byte[] entry,
+      int segment,
+      long generation,
+      int position,
+      boolean opens,
+      boolean resets,
+      Runnable synced) {}
 
   private final Path folder;
   private final Executor owner;
@@ -52,14 +59,19 @@
   private boolean resets;
   private boolean damaged;
 
-  /** Opens the segments in a folder, of so many bytes together; callbacks run on the owner's thread. Nothing is made on disk before the start. */
-  public SegmentStore(final Path folder, final long bytes, final Executor owner) throws IOException {
+  /**
+   * Opens the segments in a folder, of so many bytes together; callbacks run on the owner's thread.
+   * Nothing is made on disk before the start.
+   */
+  public SegmentStore(final Path folder, final long bytes, final Executor owner)
+      throws IOException {
     this.owner = owner;
     this.size = (int) Math.min(1 << 30, bytes / SEGMENTS);
     this.folder = folder;
     for (int number = 0; number < SEGMENTS; number++) {
       if (Files.exists(file(number))) {
-        channels[number] = FileChannel.open(file(number), StandardOpenOption.READ, StandardOpenOption.WRITE);
+        channels[number] =
+            FileChannel.open(file(number), StandardOpenOption.READ, StandardOpenOption.WRITE);
       }
     }
     open();
@@ -109,7 +121,8 @@
       lasts[number] = last;
     }
     if (!fresh) {
-      // What a process wrote and did not sync before it ended may be read here and still be lost with the power.
+      // What a process wrote and did not sync before it ended may be read here and still be lost
+      // with the power.
       channels[segment].force(false);
     }
   }
@@ -128,7 +141,9 @@
     }
     position = at;
     for (int ahead = at; all != null && ahead + RECORD <= all.capacity(); ahead++) {
-      if (all.getInt(ahead) == MAGIC && record(all, ahead, generations[number]) >= 0 && all.getLong(ahead + 20) > last) {
+      if (all.getInt(ahead) == MAGIC
+          && record(all, ahead, generations[number]) >= 0
+          && all.getLong(ahead + 20) > last) {
         return true;
       }
     }
@@ -140,7 +155,10 @@
       return -1;
     }
     final int length = buffer.getInt(at + 4);
-    if (length < 0 || length > buffer.capacity() - at - RECORD || buffer.getLong(at + 12) != wanted || sum(buffer, at + 12, RECORD - 12 + length) != buffer.getInt(at + 8)) {
+    if (length < 0
+        || length > buffer.capacity() - at - RECORD
+        || buffer.getLong(at + 12) != wanted
+        || sum(buffer, at + 12, RECORD - 12 + length) != buffer.getInt(at + 8)) {
       return -1;
     }
     return length;
@@ -165,7 +183,9 @@
       }
       return buffer;
     } catch (final IOException problem) {
-      LOGGER.atWarning().log("the history cannot be read from disk (%s); other replicas are asked", problem.getMessage());
+      LOGGER.atWarning().log(
+          "the history cannot be read from disk (%s); other replicas are asked",
+          problem.getMessage());
       return null;
     }
   }
@@ -206,8 +226,10 @@
       boolean opens = false;
       if (fresh || position + RECORD + entry.length > size) {
         final int next = (segment + 1) % SEGMENTS;
-        if (generations[next] != 0 && lasts[next] > trimmed && !resets || HEAD + RECORD + entry.length > size) {
-          LOGGER.atSevere().log("the segments of the history are full; raise audit.disk-mb or lower audit.retention");
+        if (generations[next] != 0 && lasts[next] > trimmed && !resets
+            || HEAD + RECORD + entry.length > size) {
+          LOGGER.atSevere().log(
+              "the segments of the history are full; raise audit.disk-mb or lower audit.retention");
           return false;
         }
         segment = next;
@@ -222,7 +244,9 @@
       lasts[segment] = sequence;
       place(sequence, segment, at);
       unsynced.put(sequence, entry);
-      waiting.add(new Item(sequence, entry, segment, generations[segment], at, opens, opens && resets, synced));
+      waiting.add(
+          new Item(
+              sequence, entry, segment, generations[segment], at, opens, opens && resets, synced));
       if (opens) {
         resets = false;
       }
@@ -306,11 +330,12 @@
             unsynced.remove(item.sequence, item.entry);
           }
         }
-        owner.execute(() -> {
-          for (final Item item : batch) {
-            item.synced.run();
-          }
-        });
+        owner.execute(
+            () -> {
+              for (final Item item : batch) {
+                item.synced.run();
+              }
+            });
       }
     } catch (final InterruptedException ended) {
       Thread.currentThread().interrupt();
@@ -327,7 +352,9 @@
         deed.run();
         return;
       } catch (final IOException problem) {
-        LOGGER.atWarning().atMostEvery(10, java.util.concurrent.TimeUnit.SECONDS).log("the disk refuses the history (%s); trying again until it takes it", problem.getMessage());
+        LOGGER.atWarning().atMostEvery(10, java.util.concurrent.TimeUnit.SECONDS).log(
+            "the disk refuses the history (%s); trying again until it takes it",
+            problem.getMessage());
         Thread.sleep(RETRY_MILLIS);
       }
     }
@@ -338,7 +365,12 @@
     Files.createDirectories(folder);
     for (int number = 0; number < SEGMENTS; number++) {
       if (channels[number] == null) {
-        channels[number] = FileChannel.open(file(number), StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+        channels[number] =
+            FileChannel.open(
+                file(number),
+                StandardOpenOption.READ,
+                StandardOpenOption.WRITE,
+                StandardOpenOption.CREATE);
       }
       final FileChannel channel = channels[number];
       long at = channel.size();
@@ -374,13 +406,21 @@
       final long writes = first.generation;
       final ByteBuffer buffer = ByteBuffer.allocate((first.opens ? HEAD : 0) + bytes);
       if (first.opens) {
-        buffer.putInt(0, MAGIC).putLong(8, writes).putLong(16, first.sequence).putInt(24, first.resets ? 1 : 0);
+        buffer
+            .putInt(0, MAGIC)
+            .putLong(8, writes)
+            .putLong(16, first.sequence)
+            .putInt(24, first.resets ? 1 : 0);
         buffer.putInt(4, sum(buffer, 8, HEAD - 8));
         buffer.position(HEAD);
       }
       for (final Item item : batch.subList(from, until)) {
         final int at = buffer.position();
-        buffer.putInt(at, MAGIC).putInt(at + 4, item.entry.length).putLong(at + 12, writes).putLong(at + 20, item.sequence);
+        buffer
+            .putInt(at, MAGIC)
+            .putInt(at + 4, item.entry.length)
+            .putLong(at + 12, writes)
+            .putLong(at + 20, item.sequence);
         System.arraycopy(item.entry, 0, buffer.array(), at + RECORD, item.entry.length);
         buffer.putInt(at + 8, sum(buffer, at + 12, RECORD - 12 + item.entry.length));
         buffer.position(at + RECORD + item.entry.length);
--- a/audit/src/main/java/weldpoint/audit/VersionIndex.java
+++ b/audit/src/main/java/weldpoint/audit/VersionIndex.java
@@ -2,7 +2,10 @@
 
 import java.util.Arrays;
 
-/** At which entries of a history the versions of configurations were taken: two numbers a version, both rising. */
+/**
+ * At which entries of a history the versions of configurations were taken: two numbers a version,
+ * both rising.
+ */
 final class VersionIndex {
   private long[] versions = new long[16];
   private long[] sequences = new long[16];
--- a/audit/src/test/java/weldpoint/audit/AuditTest.java
+++ b/audit/src/test/java/weldpoint/audit/AuditTest.java
@@ -36,8 +36,16 @@
     String digest = AuditEntry.NO_DIGEST;
     for (int sequence = 1; sequence <= count; sequence++) {
       final boolean trims = keep > 0 && sequence > keep && sequence % 50 == 0;
-      final AuditEntry.Draft draft = new AuditEntry.Draft(trims ? ChangeKind.RETENTION : ChangeKind.EVACUATION_BEGUN, "zone-" + sequence).origin("me", "10.0.0.9", "10.0.0.1", 1000 - sequence);
-      final byte[] bytes = (trims ? draft.trims(sequence - keep, AuditEntry.digest(entries.get(sequence - keep - 1))) : draft).bytes(sequence, digest);
+      final AuditEntry.Draft draft =
+          new AuditEntry.Draft(
+                  trims ? ChangeKind.RETENTION : ChangeKind.EVACUATION_BEGUN, "zone-" + sequence)
+              .origin("me", "10.0.0.9", "10.0.0.1", 1000 - sequence);
+      final byte[] bytes =
+          (trims
+                  ? draft.trims(
+                      sequence - keep, AuditEntry.digest(entries.get(sequence - keep - 1)))
+                  : draft)
+              .bytes(sequence, digest);
       digest = AuditEntry.digest(bytes);
       entries.add(bytes);
     }
@@ -45,8 +53,7 @@
   }
 
   private static AuditLog log(final AuditStore store) {
-    return new AuditLog("here", store, () -> {
-    });
+    return new AuditLog("here", store, () -> {});
   }
 
   @Test
@@ -58,7 +65,8 @@
     assertEquals(log.offer(entries.get(0)), AuditLog.Outcome.KNOWN);
     final byte[] other = new AuditEntry.Draft(ChangeKind.TRIAL, "r").bytes(1, AuditEntry.NO_DIGEST);
     assertEquals(log.offer(other), AuditLog.Outcome.CONFLICT);
-    final byte[] stranger = new AuditEntry.Draft(ChangeKind.TRIAL, "r").bytes(2, AuditEntry.digest(other));
+    final byte[] stranger =
+        new AuditEntry.Draft(ChangeKind.TRIAL, "r").bytes(2, AuditEntry.digest(other));
     assertEquals(log.offer(stranger), AuditLog.Outcome.CONFLICT);
     assertEquals(log.conflicts(), 2);
     assertEquals(log.last(), 1);
@@ -82,7 +90,11 @@
     final List<Runnable> wire = new ArrayList<>();
     for (int index = 0; index < 2; index++) {
       final int self = index;
-      replicas[index] = new AuditReplica(index == 0 ? from : to, (peer, message) -> wire.add(() -> deliver(replicas, wire, self, message)), new Random(1));
+      replicas[index] =
+          new AuditReplica(
+              index == 0 ? from : to,
+              (peer, message) -> wire.add(() -> deliver(replicas, wire, self, message)),
+              new Random(1));
     }
     replicas[0].tick(List.of("b"), 10_000);
     for (int step = 0; step < wire.size() && step < 5000; step++) {
@@ -90,8 +102,13 @@
     }
   }
 
-  private static void deliver(final AuditReplica[] replicas, final List<Runnable> wire, final int from, final Message message) {
-    replicas[1 - from].receive("x", message, answer -> wire.add(() -> deliver(replicas, wire, 1 - from, answer)));
+  private static void deliver(
+      final AuditReplica[] replicas,
+      final List<Runnable> wire,
+      final int from,
+      final Message message) {
+    replicas[1 - from].receive(
+        "x", message, answer -> wire.add(() -> deliver(replicas, wire, 1 - from, answer)));
   }
 
   @Test
@@ -117,19 +134,23 @@
     return new SegmentStore(folder, bytes, Runnable::run);
   }
 
-  private static void write(final SegmentStore store, final AuditLog log, final List<byte[]> entries) throws InterruptedException {
+  private static void write(
+      final SegmentStore store, final AuditLog log, final List<byte[]> entries)
+      throws InterruptedException {
     store.start("history");
     final CountDownLatch done = new CountDownLatch(1);
     for (final byte[] entry : entries) {
       assertEquals(log.offer(entry), AuditLog.Outcome.APPENDED);
     }
     final long last = AuditEntry.read(entries.get(entries.size() - 1)).sequence;
-    final Thread waits = new Thread(() -> {
-      while (log.durable() < last) {
-        Thread.onSpinWait();
-      }
-      done.countDown();
-    });
+    final Thread waits =
+        new Thread(
+            () -> {
+              while (log.durable() < last) {
+                Thread.onSpinWait();
+              }
+              done.countDown();
+            });
     waits.setDaemon(true);
     waits.start();
     assertTrue(done.await(30, TimeUnit.SECONDS), "not all became lasting");
@@ -222,7 +243,10 @@
     return files;
   }
 
-  /** After a loss of power each sector written since the last sync is there or missing by itself; what was lasting is read again. */
+  /**
+   * After a loss of power each sector written since the last sync is there or missing by itself;
+   * what was lasting is read again.
+   */
   @Test
   public void whatWasLastingIsReadAgainAfterAnyLossOfPower() throws Exception {
     final Path folder = Files.createTempDirectory("history");
@@ -261,7 +285,9 @@
         Files.write(after.resolve("history-" + number), mixed);
       }
       final AuditLog read = log(open(after, bytes));
-      assertTrue(read.last() >= lasts.get(step) && read.last() <= lasts.get(step + 1), "trial " + trial + ": lasting up to " + lasts.get(step) + ", read up to " + read.last());
+      assertTrue(
+          read.last() >= lasts.get(step) && read.last() <= lasts.get(step + 1),
+          "trial " + trial + ": lasting up to " + lasts.get(step) + ", read up to " + read.last());
       for (long sequence = 1; sequence <= read.last(); sequence++) {
         assertEquals(read.read(sequence), entries.get((int) sequence - 1), "trial " + trial);
       }
@@ -274,14 +300,23 @@
 
   @DataProvider
   public Object[][] badAuthors() {
-    return new Object[][] {{"", 1, "empty"}, {"   ", 1, "empty"}, {"x".repeat(65), 1, "65 characters"}, {"dispatch\u0007lead", 1, "control character"}, {"one", 2, "2 times"}};
+    return new Object[][] {
+      {"", 1, "empty"},
+      {"   ", 1, "empty"},
+      {"x".repeat(65), 1, "65 characters"},
+      {"dispatch\u0007lead", 1, "control character"},
+      {"one", 2, "2 times"}
+    };
   }
 
   @Test(dataProvider = "badAuthors")
-  public void anAuthorThatIsNoNameIsRefusedWithTheRemedy(final String name, final int times, final String reason) {
+  public void anAuthorThatIsNoNameIsRefusedWithTheRemedy(
+      final String name, final int times, final String reason) {
     final Breakdown breakdown = expectThrows(Breakdown.class, () -> Authors.check(name, times));
     assertEquals(breakdown.kind().status(), 400);
-    assertTrue(breakdown.getMessage().contains(reason) && breakdown.getMessage().contains(Authors.HEADER), breakdown.getMessage());
+    assertTrue(
+        breakdown.getMessage().contains(reason) && breakdown.getMessage().contains(Authors.HEADER),
+        breakdown.getMessage());
   }
 
   @Test
@@ -293,25 +328,47 @@
   private static ConfigurationSummary summary(final int routes, final String service) {
     final StringBuilder rules = new StringBuilder();
     for (int index = 0; index < routes; index++) {
-      rules.append(index == 0 ? "" : ",").append("{\"name\":\"r").append(index).append("\",\"routeKind\":\"").append(index % 2 == 0 ? "mutating" : "idempotent").append("\",\"match\":{\"pathPrefix\":\"/").append(index)
-          .append("/\"},\"action\":{\"service\":\"").append(service).append("\",\"timeoutMs\":2000,\"maxAttempts\":2}}");
+      rules
+          .append(index == 0 ? "" : ",")
+          .append("{\"name\":\"r")
+          .append(index)
+          .append("\",\"routeKind\":\"")
+          .append(index % 2 == 0 ? "mutating" : "idempotent")
+          .append("\",\"match\":{\"pathPrefix\":\"/")
+          .append(index)
+          .append("/\"},\"action\":{\"service\":\"")
+          .append(service)
+          .append("\",\"timeoutMs\":2000,\"maxAttempts\":2}}");
     }
-    final byte[] body = ("{\"version\":\"00000001\",\"listeners\":[{\"host\":\"h\",\"rules\":[" + rules + "]}],\"pools\":[{\"name\":\"a\"},{\"name\":\"b\"}]}").getBytes(StandardCharsets.UTF_8);
+    final byte[] body =
+        ("{\"version\":\"00000001\",\"listeners\":[{\"host\":\"h\",\"rules\":["
+                + rules
+                + "]}],\"pools\":[{\"name\":\"a\"},{\"name\":\"b\"}]}")
+            .getBytes(StandardCharsets.UTF_8);
     return ConfigurationSummary.of(Dialplan.read(body), body);
   }
 
   @Test
   public void writeRoutesComeFirstAndWhatDoesNotFitIsCounted() {
-    final ConfigurationDifference difference = new ConfigurationDifference(summary(40, "a"), summary(38, "b"));
+    final ConfigurationDifference difference =
+        new ConfigurationDifference(summary(40, "a"), summary(38, "b"));
     assertEquals(difference.changed(), 38);
     assertEquals(difference.removed(), 2);
     assertEquals(difference.writes(), 20);
     final List<String> lines = difference.lines(300);
-    assertTrue(lines.get(0).startsWith("~ write route h/0/ (r0): service a -> b"), lines.toString());
+    assertTrue(
+        lines.get(0).startsWith("~ write route h/0/ (r0): service a -> b"), lines.toString());
     assertTrue(lines.get(lines.size() - 1).matches("and [0-9]+ more; .*"), lines.toString());
-    assertEquals(new ConfigurationDifference(summary(3, "a"), summary(3, "a")).lines(1000), Collections.emptyList());
-    final byte[] entry = new AuditEntry.Draft(ChangeKind.CONFIGURATION, "").number(7, 0).origin("x".repeat(64), "255.255.255.255", "255.255.255.255", Long.MAX_VALUE)
-        .digests("0".repeat(64), "1".repeat(64)).difference(difference, 1024 - 420).bytes(Long.MAX_VALUE, "2".repeat(64));
+    assertEquals(
+        new ConfigurationDifference(summary(3, "a"), summary(3, "a")).lines(1000),
+        Collections.emptyList());
+    final byte[] entry =
+        new AuditEntry.Draft(ChangeKind.CONFIGURATION, "")
+            .number(7, 0)
+            .origin("x".repeat(64), "255.255.255.255", "255.255.255.255", Long.MAX_VALUE)
+            .digests("0".repeat(64), "1".repeat(64))
+            .difference(difference, 1024 - 420)
+            .bytes(Long.MAX_VALUE, "2".repeat(64));
     assertTrue(entry.length <= 1024, "an entry of " + entry.length + " bytes");
   }
 
@@ -336,31 +393,35 @@
   @DataProvider
   public Object[][] same() {
     return new Object[][] {
-        {"{\"a\":1,\"b\":[1,2]}", " { \"b\" : [1.0, 20e-1],\n\"a\":1 }", true},
-        {"{\"a\":\"x/\\u0041\"}", "{\"a\":\"x\\/A\"}", true},
-        {"[true,false,null,{}]", "[ true, false, null, { } ]", true},
-        {"{\"a\":1,\"a\":2}", "{\"a\":2}", true},
-        {"[0,-0,0.0]", "[0,0,0]", true},
-        {"{\"a\":{\"c\":1,\"b\":2}}", "{\"a\":{\"b\":2,\"c\":1}}", true},
-        {"\"\\n\\t\\\\\\\"\"", "\"\\u000a\\u0009\\u005c\\u0022\"", true},
-        {"{\"a\":[1,2]}", "{\"a\":[2,1]}", false},
-        {"{\"a\":1}", "{\"a\":\"1\"}", false},
-        {"{\"a\":1}", "{\"a\":2}", false},
-        {"{\"a\":null}", "{}", false},
-        {"[1,2]", "[12]", false},
-        {"{\"a\":\"x\\\",\\\"b\\\":\\\"y\"}", "{\"a\":\"x\",\"b\":\"y\"}", false},
-        {"[1e999999999]", "[1e999999998]", false},
-        {"{\"a\":1", "{\"a\":1 ", false},
-        {"{} {}", "{}{}", false},
-        {"", " ", false},
+      {"{\"a\":1,\"b\":[1,2]}", " { \"b\" : [1.0, 20e-1],\n\"a\":1 }", true},
+      {"{\"a\":\"x/\\u0041\"}", "{\"a\":\"x\\/A\"}", true},
+      {"[true,false,null,{}]", "[ true, false, null, { } ]", true},
+      {"{\"a\":1,\"a\":2}", "{\"a\":2}", true},
+      {"[0,-0,0.0]", "[0,0,0]", true},
+      {"{\"a\":{\"c\":1,\"b\":2}}", "{\"a\":{\"b\":2,\"c\":1}}", true},
+      {"\"\\n\\t\\\\\\\"\"", "\"\\u000a\\u0009\\u005c\\u0022\"", true},
+      {"{\"a\":[1,2]}", "{\"a\":[2,1]}", false},
+      {"{\"a\":1}", "{\"a\":\"1\"}", false},
+      {"{\"a\":1}", "{\"a\":2}", false},
+      {"{\"a\":null}", "{}", false},
+      {"[1,2]", "[12]", false},
+      {"{\"a\":\"x\\\",\\\"b\\\":\\\"y\"}", "{\"a\":\"x\",\"b\":\"y\"}", false},
+      {"[1e999999999]", "[1e999999998]", false},
+      {"{\"a\":1", "{\"a\":1 ", false},
+      {"{} {}", "{}{}", false},
+      {"", " ", false},
     };
   }
 
   @Test(dataProvider = "same")
-  public void whatSaysTheSameHasOneDigest(final String one, final String other, final boolean same) {
+  public void whatSaysTheSameHasOneDigest(
+      final String one, final String other, final boolean same) {
     final byte[] left = CanonicalJson.digest(one.getBytes(StandardCharsets.UTF_8));
-    assertEquals(java.util.Arrays.equals(left, CanonicalJson.digest(other.getBytes(StandardCharsets.UTF_8))), same);
-    assertTrue(java.util.Arrays.equals(left, CanonicalJson.digest(one.getBytes(StandardCharsets.UTF_8))));
+    assertEquals(
+        java.util.Arrays.equals(left, CanonicalJson.digest(other.getBytes(StandardCharsets.UTF_8))),
+        same);
+    assertTrue(
+        java.util.Arrays.equals(left, CanonicalJson.digest(one.getBytes(StandardCharsets.UTF_8))));
   }
 
   @Test
@@ -376,7 +437,12 @@
     String digest = AuditEntry.NO_DIGEST;
     final List<byte[]> entries = new ArrayList<>();
     for (int sequence = 1; sequence <= 60; sequence++) {
-      final AuditEntry.Draft draft = sequence % 3 == 0 ? new AuditEntry.Draft(ChangeKind.EVACUATION_BEGUN, "z") : new AuditEntry.Draft(ChangeKind.CONFIGURATION, "").number(sequence * 10L, 0).content(new byte[] {(byte) sequence});
+      final AuditEntry.Draft draft =
+          sequence % 3 == 0
+              ? new AuditEntry.Draft(ChangeKind.EVACUATION_BEGUN, "z")
+              : new AuditEntry.Draft(ChangeKind.CONFIGURATION, "")
+                  .number(sequence * 10L, 0)
+                  .content(new byte[] {(byte) sequence});
       entries.add(draft.bytes(sequence, digest));
       digest = AuditEntry.digest(entries.get(sequence - 1));
       assertEquals(log.offer(entries.get(sequence - 1)), AuditLog.Outcome.APPENDED);
@@ -385,7 +451,12 @@
     assertEquals(log.taking(400).content, new byte[] {40});
     assertNull(log.taking(300));
     assertNull(log.taking(401));
-    assertEquals(log.offer(new AuditEntry.Draft(ChangeKind.RETENTION, "").trims(40, AuditEntry.digest(entries.get(39))).bytes(61, digest)), AuditLog.Outcome.APPENDED);
+    assertEquals(
+        log.offer(
+            new AuditEntry.Draft(ChangeKind.RETENTION, "")
+                .trims(40, AuditEntry.digest(entries.get(39)))
+                .bytes(61, digest)),
+        AuditLog.Outcome.APPENDED);
     assertNull(log.taking(400));
     assertEquals(log.taking(410).sequence, 41);
     log.reset(100, "other");
--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** The checked settings of one process, read from "name = value" lines. Unknown names are ignored. */
+/**
+ * The checked settings of one process, read from "name = value" lines. Unknown names are ignored.
+ */
 public final class Boot {
   /** The environment variable that names the settings file. */
   public static final String VARIABLE = "WELDPOINT_SETTINGS";
@@ -65,7 +67,9 @@
     try {
       return parse(Files.readString(path));
     } catch (final IOException problem) {
-      throw new Breakdown(Breakdown.Kind.SETTING, "settings file " + path + " cannot be read; name a readable file in " + VARIABLE);
+      throw new Breakdown(
+          Breakdown.Kind.SETTING,
+          "settings file " + path + " cannot be read; name a readable file in " + VARIABLE);
     }
   }
 
@@ -100,7 +104,8 @@
     trunkPort(0);
     seeds();
     sites();
-    for (final String field : new String[] {"listen.traffic", "listen.readiness", "listen.control", "listen.directory"}) {
+    for (final String field :
+        new String[] {"listen.traffic", "listen.readiness", "listen.control", "listen.directory"}) {
       optionalAddress(field);
     }
     beatMillis();
@@ -127,21 +132,41 @@
     transferBytes();
     chief();
     if (chiefTenureMillis() < 2 * chiefPulseMillis()) {
-      throw bad("chief.tenure-ms", values.get("chief.tenure-ms"), "give at least twice chief.pulse-ms, " + 2 * chiefPulseMillis() + ", or a chief would end between two of its pulses");
+      throw bad(
+          "chief.tenure-ms",
+          values.get("chief.tenure-ms"),
+          "give at least twice chief.pulse-ms, "
+              + 2 * chiefPulseMillis()
+              + ", or a chief would end between two of its pulses");
     }
     if (chiefWaitMillis() < 500) {
-      throw bad("chief.wait-ms", values.get("chief.wait-ms"), "give at least 500, the pause between two words of an exchange");
+      throw bad(
+          "chief.wait-ms",
+          values.get("chief.wait-ms"),
+          "give at least 500, the pause between two words of an exchange");
     }
     purgeTrustMillis();
     affinityWaitMillis();
     affinityBatchMillis();
     affinityReserve();
     if (affinityLeaseMillis() < 1500) {
-      throw bad("affinity.lease-ms", values.get("affinity.lease-ms"), "give at least 1500: an exchange hears of a majority only every 700 ms, and a lease counts from there");
+      throw bad(
+          "affinity.lease-ms",
+          values.get("affinity.lease-ms"),
+          "give at least 1500: an exchange hears of a majority only every 700 ms, and a lease counts from there");
     }
     final long needed = auditNeeds(auditRetention(), auditEntryBytes());
     if (needed > auditBytes()) {
-      throw bad("audit.disk-mb", values.getOrDefault("audit.disk-mb", "4"), "give at least " + ((needed >> 20) + 1) + " for " + auditRetention() + " entries of up to " + auditEntryBytes() + " bytes, or lower audit.retention or audit.entry-bytes");
+      throw bad(
+          "audit.disk-mb",
+          values.getOrDefault("audit.disk-mb", "4"),
+          "give at least "
+              + ((needed >> 20) + 1)
+              + " for "
+              + auditRetention()
+              + " entries of up to "
+              + auditEntryBytes()
+              + " bytes, or lower audit.retention or audit.entry-bytes");
     }
   }
 
@@ -150,7 +175,8 @@
   }
 
   private static Breakdown bad(final String field, final String value, final String remedy) {
-    return new Breakdown(Breakdown.Kind.SETTING, "setting " + field + " has the value '" + value + "'; " + remedy);
+    return new Breakdown(
+        Breakdown.Kind.SETTING, "setting " + field + " has the value '" + value + "'; " + remedy);
   }
 
   private String text(final String field) {
@@ -161,7 +187,8 @@
     return value;
   }
 
-  private double number(final String field, final double fallback, final double least, final double most) {
+  private double number(
+      final String field, final double fallback, final double least, final double most) {
     final String value = values.get(field);
     if (value == null || value.isEmpty()) {
       return fallback;
@@ -249,7 +276,8 @@
     } catch (final NumberFormatException | ArrayIndexOutOfBoundsException ignored) {
       // reported below, with the field's name
     }
-    throw bad("trunk.ports", value, "give the first and last of at least two free ports, as 7000,7015");
+    throw bad(
+        "trunk.ports", value, "give the first and last of at least two free ports, as 7000,7015");
   }
 
   /** The hosts of the seeds. */
@@ -382,12 +410,18 @@
     return (long) number("chief.pulse-ms", 500, 1, 600_000);
   }
 
-  /** How many upstreams of a large service a switchboard uses in its own site while all goes well; half of that in each other. */
+  /**
+   * How many upstreams of a large service a switchboard uses in its own site while all goes well;
+   * half of that in each other.
+   */
   public int choiceWidth() {
     return (int) number("choice.width", 24, 1, 100_000);
   }
 
-  /** What ties the callers of write routes that have no rule of their own: off, address, tenant or header:NAME. */
+  /**
+   * What ties the callers of write routes that have no rule of their own: off, address, tenant or
+   * header:NAME.
+   */
   public String affinityUsual() {
     return values.getOrDefault("affinity.default", "");
   }
@@ -407,7 +441,10 @@
     return (long) number("affinity.batch-ms", 300, 0, 60_000);
   }
 
-  /** The largest part of an upstream's slots that lookups and downloads leave free for writes tied to it. */
+  /**
+   * The largest part of an upstream's slots that lookups and downloads leave free for writes tied
+   * to it.
+   */
   public double affinityReserve() {
     return number("affinity.reserve", 0.5, 0, 1);
   }
@@ -417,7 +454,10 @@
     return (long) number("audit.retention", 2000, 100, 10_000_000);
   }
 
-  /** The most bytes that one entry of the history takes; what a larger change would add to it is counted instead. */
+  /**
+   * The most bytes that one entry of the history takes; what a larger change would add to it is
+   * counted instead.
+   */
   public int auditEntryBytes() {
     return (int) number("audit.entry-bytes", 1024, 512, 65_536);
   }
@@ -427,12 +467,17 @@
     return (long) (number("audit.disk-mb", 4, 1, 8192) * (1 << 20));
   }
 
-  /** How many switchboards of its own site share an upstream of a large service while all goes well. */
+  /**
+   * How many switchboards of its own site share an upstream of a large service while all goes well.
+   */
   public double choiceSharers() {
     return number("choice.sharers", 2, 1, 1000);
   }
 
-  /** How many bytes may be under way on one connection of traffic, so that a download does not fill a narrow link's queue; 0 for no bound. */
+  /**
+   * How many bytes may be under way on one connection of traffic, so that a download does not fill
+   * a narrow link's queue; 0 for no bound.
+   */
   public int transferBytes() {
     final double bytesPerSecond = number("station.link-mbps", 0, 0, 1_000_000) * 125_000;
     final double bound = Math.max(LEAST_TRANSFER, bytesPerSecond * TRANSFER_SECONDS);
@@ -449,7 +494,10 @@
     return (long) (number("copies.most-mb", 64, 0, 1_000_000) * (1 << 20));
   }
 
-  /** For how long after it last heard of a majority an announcer that hears nothing trusts that it knows all purges. */
+  /**
+   * For how long after it last heard of a majority an announcer that hears nothing trusts that it
+   * knows all purges.
+   */
   public long purgeFirmMillis() {
     final long bound = (long) number("bound.purge-ms", 2000, 1, 3_600_000);
     return Math.max(bound / 2, bound - 300);
@@ -457,7 +505,9 @@
 
   /** For how long while an exchange without a majority speaks to it. */
   public long purgeTrustMillis() {
-    return (long) (number("bound.purge-ms", 2000, 1, 3_600_000) + number("bound.stretch-ms", 5000, 0, 3_600_000));
+    return (long)
+        (number("bound.purge-ms", 2000, 1, 3_600_000)
+            + number("bound.stretch-ms", 5000, 0, 3_600_000));
   }
 
   /** The longest time in seconds that a directory answer may be kept. */
--- a/boot/src/main/java/weldpoint/boot/Breakdown.java
+++ b/boot/src/main/java/weldpoint/boot/Breakdown.java
@@ -6,8 +6,18 @@
 
   /** The kinds of failure, each with the status that the outside is told. */
   public enum Kind {
-    SETTING(0), UNREADABLE(400), INVALID(400), UNKNOWN_CALL(404), WRONG_METHOD(405), TOO_LARGE(413), CONFLICT(409), VERSION_TAKEN(409),
-    OUT_OF_REACH(504), DISK_LOST(0), PROTOCOL(0), USAGE(0);
+    SETTING(0),
+    UNREADABLE(400),
+    INVALID(400),
+    UNKNOWN_CALL(404),
+    WRONG_METHOD(405),
+    TOO_LARGE(413),
+    CONFLICT(409),
+    VERSION_TAKEN(409),
+    OUT_OF_REACH(504),
+    DISK_LOST(0),
+    PROTOCOL(0),
+    USAGE(0);
 
     private final int status;
 
--- a/boot/src/main/java/weldpoint/boot/Chance.java
+++ b/boot/src/main/java/weldpoint/boot/Chance.java
@@ -6,8 +6,7 @@
 
 /** Numbers that no two lives of any process share. */
 public final class Chance {
-  private Chance() {
-  }
+  private Chance() {}
 
   /** A number from the system's source of chance, not below 0. */
   public static long fresh() {
--- a/boot/src/main/java/weldpoint/boot/Desk.java
+++ b/boot/src/main/java/weldpoint/boot/Desk.java
@@ -19,32 +19,41 @@
 
   /** Starts the thread. */
   public Desk(final String name) {
-    disruptor = new Disruptor<>(Slot::new, 4096, command -> {
-      final Thread thread = new Thread(command, name);
-      thread.setDaemon(true);
-      return thread;
-    }, ProducerType.MULTI, new BlockingWaitStrategy());
-    disruptor.handleEventsWith((slot, sequence, last) -> {
-      final Runnable command = slot.command;
-      slot.command = null;
-      command.run();
-    });
-    disruptor.setDefaultExceptionHandler(new ExceptionHandler<>() {
-      @Override
-      public void handleEventException(final Throwable problem, final long sequence, final Slot slot) {
-        LOGGER.atSevere().withCause(problem).log("a command failed");
-      }
-
-      @Override
-      public void handleOnStartException(final Throwable problem) {
-        LOGGER.atSevere().withCause(problem).log("the control thread did not start");
-      }
-
-      @Override
-      public void handleOnShutdownException(final Throwable problem) {
-        LOGGER.atSevere().withCause(problem).log("the control thread did not stop cleanly");
-      }
-    });
+    disruptor =
+        new Disruptor<>(
+            Slot::new,
+            4096,
+            command -> {
+              final Thread thread = new Thread(command, name);
+              thread.setDaemon(true);
+              return thread;
+            },
+            ProducerType.MULTI,
+            new BlockingWaitStrategy());
+    disruptor.handleEventsWith(
+        (slot, sequence, last) -> {
+          final Runnable command = slot.command;
+          slot.command = null;
+          command.run();
+        });
+    disruptor.setDefaultExceptionHandler(
+        new ExceptionHandler<>() {
+          @Override
+          public void handleEventException(
+              final Throwable problem, final long sequence, final Slot slot) {
+            LOGGER.atSevere().withCause(problem).log("a command failed");
+          }
+
+          @Override
+          public void handleOnStartException(final Throwable problem) {
+            LOGGER.atSevere().withCause(problem).log("the control thread did not start");
+          }
+
+          @Override
+          public void handleOnShutdownException(final Throwable problem) {
+            LOGGER.atSevere().withCause(problem).log("the control thread did not stop cleanly");
+          }
+        });
     disruptor.start();
   }
 
--- a/boot/src/main/java/weldpoint/boot/Logs.java
+++ b/boot/src/main/java/weldpoint/boot/Logs.java
@@ -9,10 +9,12 @@
 
 /** Sets up logging: one line a record on standard error. */
 public final class Logs {
-  private Logs() {
-  }
+  private Logs() {}
 
-  /** Directs all logs to standard error, at the level named by WELDPOINT_LOG (INFO where it is unset). */
+  /**
+   * Directs all logs to standard error, at the level named by WELDPOINT_LOG (INFO where it is
+   * unset).
+   */
   public static void start(final String program) {
     final Logger root = Logger.getLogger("");
     for (final Handler handler : root.getHandlers()) {
@@ -20,13 +22,14 @@
     }
     final ConsoleHandler handler = new ConsoleHandler();
     handler.setLevel(Level.ALL);
-    handler.setFormatter(new Formatter() {
-      @Override
-      public String format(final LogRecord line) {
-        final String cause = line.getThrown() == null ? "" : " " + trace(line.getThrown());
-        return program + " " + line.getLevel() + " " + line.getMessage() + cause + "\n";
-      }
-    });
+    handler.setFormatter(
+        new Formatter() {
+          @Override
+          public String format(final LogRecord line) {
+            final String cause = line.getThrown() == null ? "" : " " + trace(line.getThrown());
+            return program + " " + line.getLevel() + " " + line.getMessage() + cause + "\n";
+          }
+        });
     root.addHandler(handler);
     final String level = System.getenv("WELDPOINT_LOG");
     root.setLevel(level == null || level.isEmpty() ? Level.INFO : Level.parse(level));
--- a/boot/src/main/java/weldpoint/boot/Rank.java
+++ b/boot/src/main/java/weldpoint/boot/Rank.java
@@ -1,9 +1,11 @@
 package weldpoint.boot;
 
-/** The rank of a place for a name in rendezvous hashing: the same in every process, and unrelated from name to name. */
+/**
+ * The rank of a place for a name in rendezvous hashing: the same in every process, and unrelated
+ * from name to name.
+ */
 public final class Rank {
-  private Rank() {
-  }
+  private Rank() {}
 
   /** The rank; the lowest comes first. */
   public static long of(final String place, final String name) {
--- a/boot/src/test/java/weldpoint/boot/BootTest.java
+++ b/boot/src/test/java/weldpoint/boot/BootTest.java
@@ -9,8 +9,9 @@
 
 /** Settings are checked, and what is wrong is named with its remedy. */
 public final class BootTest {
-  private static final String GOOD = "# a comment\nstation.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = r\nstation.voter = true\nstation.first-start = false\n"
-      + "trunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80,10.0.0.2:80\nsites = a:r,b:q\nunknown.field = whatever\nbound.retry-ratio = 0.2\nlisten.control =\n";
+  private static final String GOOD =
+      "# a comment\nstation.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = r\nstation.voter = true\nstation.first-start = false\n"
+          + "trunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80,10.0.0.2:80\nsites = a:r,b:q\nunknown.field = whatever\nbound.retry-ratio = 0.2\nlisten.control =\n";
 
   @Test
   public void goodSettingsAreRead() {
@@ -24,20 +25,22 @@
   @DataProvider
   public Object[][] bad() {
     return new Object[][] {
-        {"station.name = one", "station.name =", "station.name"},
-        {"10.0.0.1\nstation.site", "host\nstation.site", "station.address"},
-        {"7000,7015", "7000", "trunk.ports"},
-        {"10.0.0.2:80", "10.0.0.2", "trunk.seeds"},
-        {"voter = true", "voter = yes", "station.voter"},
-        {"retry-ratio = 0.2", "retry-ratio = much", "bound.retry-ratio"},
-        {"sites = a:r,b:q", "sites = a", "sites"},
-        {"station.region = r", "station.region r", "line 5"},
+      {"station.name = one", "station.name =", "station.name"},
+      {"10.0.0.1\nstation.site", "host\nstation.site", "station.address"},
+      {"7000,7015", "7000", "trunk.ports"},
+      {"10.0.0.2:80", "10.0.0.2", "trunk.seeds"},
+      {"voter = true", "voter = yes", "station.voter"},
+      {"retry-ratio = 0.2", "retry-ratio = much", "bound.retry-ratio"},
+      {"sites = a:r,b:q", "sites = a", "sites"},
+      {"station.region = r", "station.region r", "line 5"},
     };
   }
 
   @Test(dataProvider = "bad")
-  public void aBadValueIsNamedWithItsFieldAndRemedy(final String from, final String to, final String field) {
-    final Breakdown breakdown = expectThrows(Breakdown.class, () -> Boot.parse(GOOD.replace(from, to)));
+  public void aBadValueIsNamedWithItsFieldAndRemedy(
+      final String from, final String to, final String field) {
+    final Breakdown breakdown =
+        expectThrows(Breakdown.class, () -> Boot.parse(GOOD.replace(from, to)));
     assertEquals(breakdown.kind(), Breakdown.Kind.SETTING);
     assertTrue(breakdown.getMessage().contains(field), breakdown.getMessage());
     assertTrue(breakdown.getMessage().contains(";"), breakdown.getMessage());
--- a/chief/src/main/java/weldpoint/chief/ChiefCore.java
+++ b/chief/src/main/java/weldpoint/chief/ChiefCore.java
@@ -11,24 +11,24 @@
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Backed;
-import weldpoint.trunk.Words.Electorate;
 import weldpoint.trunk.Words.Elector;
+import weldpoint.trunk.Words.Electorate;
 import weldpoint.trunk.Words.Heeded;
 import weldpoint.trunk.Words.Order;
 import weldpoint.trunk.Words.Stand;
 
 /**
- * A switchboard's part in choosing and heeding its region's chief while the core is silent. A majority of the switchboards
- * that the last acknowledged electorate names, each in the very life it names, elects; the chief acts only while a majority
- * still heeds it. No write depends on there being one chief only. It knows neither threads nor clocks nor sockets.
+ * A switchboard's part in choosing and heeding its region's chief while the core is silent. A
+ * majority of the switchboards that the last acknowledged electorate names, each in the very life
+ * it names, elects; the chief acts only while a majority still heeds it. No write depends on there
+ * being one chief only. It knows neither threads nor clocks nor sockets.
  */
 public final class ChiefCore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long ELECTION_MILLIS = 800;
 
   /** How long to wait and to hold. */
-  public record Terms(boolean on, long waitMillis, long tenureMillis, long pulseMillis) {
-  }
+  public record Terms(boolean on, long waitMillis, long tenureMillis, long pulseMillis) {}
 
   /** What the core does to the world. */
   public interface Outlet {
@@ -75,7 +75,14 @@
   private long elections;
 
   /** A part that has just heard the core. */
-  public ChiefCore(final String self, final long incarnation, final String region, final Terms terms, final Random random, final long now, final Outlet outlet) {
+  public ChiefCore(
+      final String self,
+      final long incarnation,
+      final String region,
+      final Terms terms,
+      final Random random,
+      final long now,
+      final Outlet outlet) {
     this.self = self;
     this.incarnation = incarnation;
     this.region = region;
@@ -85,14 +92,21 @@
     this.coreAt = now;
   }
 
-  /** Takes who may vote; only a later mark counts, and none is taken over from what a chief says. */
+  /**
+   * Takes who may vote; only a later mark counts, and none is taken over from what a chief says.
+   */
   public void electorate(final Electorate given) {
-    if (given != null && region.equals(given.region) && (electorate == null || given.mark > electorate.mark)) {
+    if (given != null
+        && region.equals(given.region)
+        && (electorate == null || given.mark > electorate.mark)) {
       electorate = given;
     }
   }
 
-  /** An exchange has told that it heard of a majority at this time: every chief's order is void from here. */
+  /**
+   * An exchange has told that it heard of a majority at this time: every chief's order is void from
+   * here.
+   */
   public void core(final long confirmedAt, final long now) {
     coreAt = Math.max(coreAt, confirmedAt);
     if (phase != Phase.CORE && now - coreAt < terms.waitMillis) {
@@ -133,7 +147,15 @@
     if (next == phase && java.util.Objects.equals(who, chief)) {
       return;
     }
-    LOGGER.atInfo().log("chief of %s: %s is %s, chief %s, mark %s, term %s, because the core was last heard %s ms ago", region, self, next, who == null ? "none" : who, electorate == null ? 0 : electorate.mark, term, now - coreAt);
+    LOGGER.atInfo().log(
+        "chief of %s: %s is %s, chief %s, mark %s, term %s, because the core was last heard %s ms ago",
+        region,
+        self,
+        next,
+        who == null ? "none" : who,
+        electorate == null ? 0 : electorate.mark,
+        term,
+        now - coreAt);
     phase = next;
     chief = who;
     since = now;
@@ -240,14 +262,30 @@
     final List<String> addresses = new ArrayList<>();
     sights.add(own);
     addresses.add(self);
-    heeded.forEach((address, one) -> {
-      if (one.sight != null && now - heardOf.getOrDefault(address, Long.MIN_VALUE / 2) < terms.tenureMillis) {
-        sights.add(one.sight);
-        addresses.add(address);
-      }
-    });
-    final Duties duties = Duties.of(sights, addresses, Words.list(electorate.electors).size(), electorate.regionPart);
-    order = new Order(region, chiefMark, chiefTerm, self, incarnation, ++orderNumber, now, duties.admission(), duties.addresses(), duties.parts(), duties.suspects(), duties.uncertain());
+    heeded.forEach(
+        (address, one) -> {
+          if (one.sight != null
+              && now - heardOf.getOrDefault(address, Long.MIN_VALUE / 2) < terms.tenureMillis) {
+            sights.add(one.sight);
+            addresses.add(address);
+          }
+        });
+    final Duties duties =
+        Duties.of(sights, addresses, Words.list(electorate.electors).size(), electorate.regionPart);
+    order =
+        new Order(
+            region,
+            chiefMark,
+            chiefTerm,
+            self,
+            incarnation,
+            ++orderNumber,
+            now,
+            duties.admission(),
+            duties.addresses(),
+            duties.parts(),
+            duties.suspects(),
+            duties.uncertain());
     outlet.ordered(order);
     for (final String other : others()) {
       outlet.send(other, order);
@@ -269,7 +307,11 @@
       onStand(from, life, (Stand) message, now);
     } else if (message instanceof Backed) {
       final Backed backed = (Backed) message;
-      if (phase == Phase.STANDING && backed.term == term && backed.mark == electorate.mark && backed.yes && elector(from, life)) {
+      if (phase == Phase.STANDING
+          && backed.term == term
+          && backed.mark == electorate.mark
+          && backed.yes
+          && elector(from, life)) {
         backers.add(from);
         elected(now);
       } else if (backed.term > term) {
@@ -293,9 +335,20 @@
   private void onStand(final String from, final long life, final Stand stand, final long now) {
     final boolean core = phase == Phase.CORE;
     final boolean held = phase == Phase.ACTING || phase == Phase.FOLLOWING && now < heedUntil;
-    final boolean same = electorate != null && stand.mark == electorate.mark && region.equals(stand.region);
-    final boolean free = stand.term > backedTerm && now >= backedUntil || stand.term == backedTerm && from.equals(backedFor);
-    final boolean yes = terms.on && !core && !held && same && elector() && elector(from, life) && life == stand.incarnation && free;
+    final boolean same =
+        electorate != null && stand.mark == electorate.mark && region.equals(stand.region);
+    final boolean free =
+        stand.term > backedTerm && now >= backedUntil
+            || stand.term == backedTerm && from.equals(backedFor);
+    final boolean yes =
+        terms.on
+            && !core
+            && !held
+            && same
+            && elector()
+            && elector(from, life)
+            && life == stand.incarnation
+            && free;
     if (yes) {
       backedTerm = stand.term;
       backedFor = from;
@@ -308,14 +361,25 @@
     } else if (!same || !elector(from, life)) {
       refused++;
     }
-    outlet.send(from, new Backed(region, electorate == null ? 0 : electorate.mark, stand.term, yes));
+    outlet.send(
+        from, new Backed(region, electorate == null ? 0 : electorate.mark, stand.term, yes));
   }
 
   private void onOrder(final String from, final long life, final Order given, final long now) {
-    final boolean sound = terms.on && region.equals(given.region) && from.equals(given.chief) && life == given.incarnation && electorate != null && given.mark >= electorate.mark;
+    final boolean sound =
+        terms.on
+            && region.equals(given.region)
+            && from.equals(given.chief)
+            && life == given.incarnation
+            && electorate != null
+            && given.mark >= electorate.mark;
     final boolean known = sound && (given.mark > electorate.mark || elector(from, life));
-    final boolean later = given.mark > chiefMark || given.mark == chiefMark && (given.term > chiefTerm || given.term == chiefTerm && from.equals(chief) && given.number > orderNumber)
-        || !phase.ordered() && given.mark == chiefMark && given.term >= chiefTerm;
+    final boolean later =
+        given.mark > chiefMark
+            || given.mark == chiefMark
+                && (given.term > chiefTerm
+                    || given.term == chiefTerm && from.equals(chief) && given.number > orderNumber)
+            || !phase.ordered() && given.mark == chiefMark && given.term >= chiefTerm;
     if (phase == Phase.CORE || !known || !later) {
       refused++;
       return;
@@ -328,7 +392,8 @@
     enter(Phase.FOLLOWING, from, now);
     order = given;
     outlet.ordered(given);
-    outlet.send(from, new Heeded(given.mark, given.term, given.number, given.askedAt, outlet.sight()));
+    outlet.send(
+        from, new Heeded(given.mark, given.term, given.number, given.askedAt, outlet.sight()));
   }
 
   /** How this switchboard stands. */
@@ -358,6 +423,19 @@
 
   /** The counters, as one line. */
   public String counters(final long now) {
-    return "chief " + phase + " " + (chief == null ? "none" : chief) + " for " + (now - since) + " ms mark " + chiefMark + " term " + chiefTerm + " elections " + elections + " orders refused " + refused;
+    return "chief "
+        + phase
+        + " "
+        + (chief == null ? "none" : chief)
+        + " for "
+        + (now - since)
+        + " ms mark "
+        + chiefMark
+        + " term "
+        + chiefTerm
+        + " elections "
+        + elections
+        + " orders refused "
+        + refused;
   }
 }
--- a/chief/src/main/java/weldpoint/chief/Duties.java
+++ b/chief/src/main/java/weldpoint/chief/Duties.java
@@ -8,15 +8,28 @@
 import weldpoint.trunk.Words.Sight;
 
 /**
- * What a chief makes of what its region's switchboards see: one admission for what may be repeated, each one's part of
- * what the region held, the upstreams that several find silent, and the writes whose fate is unknown.
+ * What a chief makes of what its region's switchboards see: one admission for what may be repeated,
+ * each one's part of what the region held, the upstreams that several find silent, and the writes
+ * whose fate is unknown.
  */
-public record Duties(double admission, List<String> addresses, List<Double> parts, List<String> suspects, List<String> uncertain) {
+public record Duties(
+    double admission,
+    List<String> addresses,
+    List<Double> parts,
+    List<String> suspects,
+    List<String> uncertain) {
   private static final double FULL = 0.9;
   private static final int MOST_UNCERTAIN = 4000;
 
-  /** Merges sights; regionPart is the region's part of the whole system's budgets when the core was last heard. */
-  public static Duties of(final List<Sight> sights, final List<String> addresses, final int electors, final double regionPart) {
+  /**
+   * Merges sights; regionPart is the region's part of the whole system's budgets when the core was
+   * last heard.
+   */
+  public static Duties of(
+      final List<Sight> sights,
+      final List<String> addresses,
+      final int electors,
+      final double regionPart) {
     long demand = 0;
     long writes = 0;
     long room = 0;
@@ -38,11 +51,12 @@
       }
     }
     final List<String> suspects = new ArrayList<>();
-    silent.forEach((id, count) -> {
-      if (count >= 2 || sights.size() == 1) {
-        suspects.add(id);
-      }
-    });
+    silent.forEach(
+        (id, count) -> {
+          if (count >= 2 || sights.size() == 1) {
+            suspects.add(id);
+          }
+        });
     final double repeatables = Math.max(1, demand - writes);
     final double left = Math.max(0, FULL * room - writes);
     final double admission = refusedWrites == 0 ? 1 : Math.max(0, Math.min(1, left / repeatables));
@@ -53,7 +67,8 @@
       parts.add(one);
       sum += one;
     }
-    final double reachable = regionPart * Math.min(1, sights.size() / (double) Math.max(1, electors));
+    final double reachable =
+        regionPart * Math.min(1, sights.size() / (double) Math.max(1, electors));
     for (int index = 0; index < parts.size(); index++) {
       parts.set(index, reachable * parts.get(index) / sum);
     }
--- a/chief/src/main/java/weldpoint/chief/OnceOnly.java
+++ b/chief/src/main/java/weldpoint/chief/OnceOnly.java
@@ -9,8 +9,8 @@
 import java.util.Set;
 
 /**
- * The writes that one switchboard has sent on and whose fate it does not know, and those that its chief tells of: none of
- * them is sent again. It also says, by kind, what an order lets in.
+ * The writes that one switchboard has sent on and whose fate it does not know, and those that its
+ * chief tells of: none of them is sent again. It also says, by kind, what an order lets in.
  */
 public final class OnceOnly {
   private static final int MOST = 20_000;
@@ -20,7 +20,10 @@
   private Set<String> elsewhere = Set.of();
   private final List<String> fresh = new ArrayList<>();
 
-  /** Takes a write that is about to be sent; false where it is under way or may have run, here or elsewhere. */
+  /**
+   * Takes a write that is about to be sent; false where it is under way or may have run, here or
+   * elsewhere.
+   */
   public boolean begin(final String id) {
     if (id == null) {
       return true;
--- a/chief/src/test/java/weldpoint/chief/ChiefTest.java
+++ b/chief/src/test/java/weldpoint/chief/ChiefTest.java
@@ -106,18 +106,56 @@
     final long term = chief.core.fence()[1];
     final Order held = follower.core.order();
     final long before = follower.core.refused();
-    follower.core.receive(chief.address, chief.life, new Order("south", 1, term + 1, chief.address, chief.life, 99, 0, 0, null, null, null, null), region.now);
-    follower.core.receive(chief.address, chief.life, new Order("north", 0, term + 1, chief.address, chief.life, 99, 0, 0, null, null, null, null), region.now);
-    follower.core.receive("10.0.0.99", 7, new Order("north", 1, term + 1, "10.0.0.99", 7, 99, 0, 0, null, null, null, null), region.now);
-    follower.core.receive(chief.address, chief.life + 1000, new Order("north", 1, term + 1, chief.address, chief.life + 1000, 99, 0, 0, null, null, null, null), region.now);
-    follower.core.receive(chief.address, chief.life, new Order("north", 1, term, chief.address, chief.life, 1, 0, 0, null, null, null, null), region.now);
+    follower.core.receive(
+        chief.address,
+        chief.life,
+        new Order(
+            "south", 1, term + 1, chief.address, chief.life, 99, 0, 0, null, null, null, null),
+        region.now);
+    follower.core.receive(
+        chief.address,
+        chief.life,
+        new Order(
+            "north", 0, term + 1, chief.address, chief.life, 99, 0, 0, null, null, null, null),
+        region.now);
+    follower.core.receive(
+        "10.0.0.99",
+        7,
+        new Order("north", 1, term + 1, "10.0.0.99", 7, 99, 0, 0, null, null, null, null),
+        region.now);
+    follower.core.receive(
+        chief.address,
+        chief.life + 1000,
+        new Order(
+            "north",
+            1,
+            term + 1,
+            chief.address,
+            chief.life + 1000,
+            99,
+            0,
+            0,
+            null,
+            null,
+            null,
+            null),
+        region.now);
+    follower.core.receive(
+        chief.address,
+        chief.life,
+        new Order("north", 1, term, chief.address, chief.life, 1, 0, 0, null, null, null, null),
+        region.now);
     assertEquals(follower.core.order(), held, "nothing of that is taken");
     assertEquals(follower.core.refused() - before, 5);
-    follower.core.receive("10.0.0.99", 7, new Stand("north", 1, term + 9, "10.0.0.99", 7), region.now);
+    follower.core.receive(
+        "10.0.0.99", 7, new Stand("north", 1, term + 9, "10.0.0.99", 7), region.now);
     assertEquals(follower.core.chief(), chief.address);
   }
 
-  /** A busy morning with the core cut off: chiefs killed, the region split, restarts, answers lost, more asked than fits. */
+  /**
+   * A busy morning with the core cut off: chiefs killed, the region split, restarts, answers lost,
+   * more asked than fits.
+   */
   private static Region morning(final long seed, final boolean broken, final boolean twoChiefs) {
     final Region region = new Region(seed, 9, id -> broken);
     region.capacity = 60;
@@ -126,10 +164,12 @@
     for (int second = 0; second < 40; second++) {
       for (int index = 0; index < 40; index++) {
         final String name = "write-" + second + "-" + index;
-        region.after(second * 1000L + region.random.nextInt(1000), () -> region.request(name, true, 6));
+        region.after(
+            second * 1000L + region.random.nextInt(1000), () -> region.request(name, true, 6));
       }
       for (int index = 0; index < 900; index++) {
-        region.after(second * 1000L + region.random.nextInt(1000), () -> region.request("lookup", false, 2));
+        region.after(
+            second * 1000L + region.random.nextInt(1000), () -> region.request("lookup", false, 2));
       }
     }
     region.run(2000);
@@ -181,7 +221,9 @@
   public void twoChiefsDoubleNoWriteAndABrokenCheckIsCaught() {
     int doubled = 0;
     for (long seed = 0; seed < 8; seed++) {
-      morning(seed, false, true).runs.forEach((name, count) -> assertTrue(!name.startsWith("write") || count == 1, name));
+      morning(seed, false, true)
+          .runs
+          .forEach((name, count) -> assertTrue(!name.startsWith("write") || count == 1, name));
       for (final var entry : morning(seed, true, false).runs.entrySet()) {
         doubled += entry.getKey().startsWith("write") && entry.getValue() > 1 ? 1 : 0;
       }
@@ -199,6 +241,9 @@
     assertEquals(duties.uncertain(), List.of("w1"));
     assertEquals(duties.parts().stream().mapToDouble(part -> part).sum(), 0.6 * 2 / 3, 1e-9);
     assertTrue(duties.parts().get(0) > 5 * duties.parts().get(1));
-    assertEquals(Duties.of(List.of(calm), List.of("b"), 3, 0.6).admission(), 1.0, "nothing is held back while no write is refused");
+    assertEquals(
+        Duties.of(List.of(calm), List.of("b"), 3, 0.6).admission(),
+        1.0,
+        "nothing is held back while no write is refused");
   }
 }
--- a/chief/src/test/java/weldpoint/chief/Region.java
+++ b/chief/src/test/java/weldpoint/chief/Region.java
@@ -16,12 +16,14 @@
 import weldpoint.trunk.Words.Electorate;
 import weldpoint.trunk.Words.Order;
 
-/** The switchboards of one region on a fake clock and a fake network, with clients, and upstreams that count what they run. */
+/**
+ * The switchboards of one region on a fake clock and a fake network, with clients, and upstreams
+ * that count what they run.
+ */
 final class Region {
   static final ChiefCore.Terms TERMS = new ChiefCore.Terms(true, 3000, 2500, 500);
 
-  private record Event(long at, long order, Runnable deed) {
-  }
+  private record Event(long at, long order, Runnable deed) {}
 
   /** One switchboard of the moment. */
   final class Board {
@@ -50,35 +52,50 @@
       once = new OnceOnly();
       inFlight = 0;
       up = true;
-      core = new ChiefCore(address, life, "north", TERMS, new Random(random.nextLong()), now, new ChiefCore.Outlet() {
-        @Override
-        public void peers(final List<String> addresses) {
-          kept.clear();
-          kept.addAll(addresses);
-        }
+      core =
+          new ChiefCore(
+              address,
+              life,
+              "north",
+              TERMS,
+              new Random(random.nextLong()),
+              now,
+              new ChiefCore.Outlet() {
+                @Override
+                public void peers(final List<String> addresses) {
+                  kept.clear();
+                  kept.addAll(addresses);
+                }
 
-        @Override
-        public boolean send(final String to, final Message message) {
-          post(Board.this, to, message);
-          return true;
-        }
+                @Override
+                public boolean send(final String to, final Message message) {
+                  post(Board.this, to, message);
+                  return true;
+                }
 
-        @Override
-        public Words.Sight sight() {
-          final Words.Sight sight = new Words.Sight(repeatables, writes, refusedWrites, carried, null, once.unsure(now, 30_000));
-          repeatables = 0;
-          writes = 0;
-          refusedWrites = 0;
-          carried = 0;
-          return sight;
-        }
+                @Override
+                public Words.Sight sight() {
+                  final Words.Sight sight =
+                      new Words.Sight(
+                          repeatables,
+                          writes,
+                          refusedWrites,
+                          carried,
+                          null,
+                          once.unsure(now, 30_000));
+                  repeatables = 0;
+                  writes = 0;
+                  refusedWrites = 0;
+                  carried = 0;
+                  return sight;
+                }
 
-        @Override
-        public void ordered(final Order given) {
-          order = given;
-          once.elsewhere(given == null ? List.of() : Words.list(given.uncertain));
-        }
-      });
+                @Override
+                public void ordered(final Order given) {
+                  order = given;
+                  once.elsewhere(given == null ? List.of() : Words.list(given.uncertain));
+                }
+              });
     }
   }
 
@@ -88,7 +105,12 @@
   final Map<String, Integer> confirmed = new HashMap<>();
   final List<String> breaches = new ArrayList<>();
   final List<String> chiefs = new ArrayList<>();
-  private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (one, other) ->
+              one.at != other.at
+                  ? Long.compare(one.at, other.at)
+                  : Long.compare(one.order, other.order));
   private final Predicate<String> onceBroken;
   boolean coreUp = true;
   Predicate<String[]> cut = pair -> false;
@@ -133,20 +155,29 @@
     }
   }
 
-  private void deliver(final String from, final long life, final String to, final Message message, final long delay) {
-    after(delay, () -> {
-      final Board board = boards.get(to);
-      if (board != null && board.up && !cut.test(new String[] {from, to})) {
-        if (board.frozen) {
-          deliver(from, life, to, message, 50);
-        } else {
-          board.core.receive(from, life, message, now);
-        }
-      }
-    });
+  private void deliver(
+      final String from,
+      final long life,
+      final String to,
+      final Message message,
+      final long delay) {
+    after(
+        delay,
+        () -> {
+          final Board board = boards.get(to);
+          if (board != null && board.up && !cut.test(new String[] {from, to})) {
+            if (board.frozen) {
+              deliver(from, life, to, message, 50);
+            } else {
+              board.core.receive(from, life, message, now);
+            }
+          }
+        });
   }
 
-  /** Lets time pass, with ticks, and looks after every step for two chiefs under one mark and term. */
+  /**
+   * Lets time pass, with ticks, and looks after every step for two chiefs under one mark and term.
+   */
   void run(final long millis) {
     final long until = now + millis;
     while (now < until) {
@@ -201,7 +232,8 @@
     } else {
       board.repeatables++;
     }
-    final boolean letIn = write || board.order == null || random.nextDouble() < board.order.admission;
+    final boolean letIn =
+        write || board.order == null || random.nextDouble() < board.order.admission;
     if (!letIn || busy >= capacity + (write ? capacity / 4 : 0)) {
       if (write) {
         refusedWrites++;
@@ -215,7 +247,13 @@
     send(board, board.life, name, name + "~" + tries, write, 3);
   }
 
-  private void send(final Board board, final long life, final String name, final String id, final boolean write, final int left) {
+  private void send(
+      final Board board,
+      final long life,
+      final String name,
+      final String id,
+      final boolean write,
+      final int left) {
     if (left == 0 || !board.up || board.life != life) {
       return;
     }
@@ -225,21 +263,23 @@
     busy++;
     runs.merge(write ? name : "lookup", 1, Integer::sum);
     final boolean lost = random.nextDouble() < lostAnswers;
-    after(80 + random.nextInt(120), () -> {
-      busy--;
-      if (!board.up || board.life != life) {
-        return;
-      }
-      board.carried++;
-      if (write) {
-        board.once.ran(id, !lost, now);
-      }
-      if (!lost) {
-        confirmed.merge(write ? name : "lookup", 1, Integer::sum);
-      } else {
-        send(board, life, name, id, write, left - 1);
-      }
-    });
+    after(
+        80 + random.nextInt(120),
+        () -> {
+          busy--;
+          if (!board.up || board.life != life) {
+            return;
+          }
+          board.carried++;
+          if (write) {
+            board.once.ran(id, !lost, now);
+          }
+          if (!lost) {
+            confirmed.merge(write ? name : "lookup", 1, Integer::sum);
+          } else {
+            send(board, life, name, id, write, left - 1);
+          }
+        });
   }
 
   List<Board> acting() {
--- a/console/src/main/java/weldpoint/console/Caller.java
+++ b/console/src/main/java/weldpoint/console/Caller.java
@@ -18,7 +18,8 @@
 
   private final List<String> addresses;
   private final String author;
-  private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).version(HttpClient.Version.HTTP_1_1).build();
+  private final HttpClient client =
+      HttpClient.newBuilder().connectTimeout(PATIENCE).version(HttpClient.Version.HTTP_1_1).build();
 
   Caller(final List<String> addresses) {
     this(addresses, null);
@@ -35,8 +36,18 @@
     return System.getProperty("user.name", "");
   }
 
-  private HttpRequest request(final String address, final String rpc, final String of, final String body) {
-    final HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://" + address + "/api/rpc?call=" + rpc + "&of=" + URLEncoder.encode(of, StandardCharsets.UTF_8))).timeout(PATIENCE);
+  private HttpRequest request(
+      final String address, final String rpc, final String of, final String body) {
+    final HttpRequest.Builder builder =
+        HttpRequest.newBuilder(
+                URI.create(
+                    "http://"
+                        + address
+                        + "/api/rpc?call="
+                        + rpc
+                        + "&of="
+                        + URLEncoder.encode(of, StandardCharsets.UTF_8)))
+            .timeout(PATIENCE);
     if (author != null) {
       builder.header(Authors.HEADER, Authors.check(author, 1));
     }
@@ -48,7 +59,14 @@
     String last = "no address was given";
     for (final String address : addresses) {
       try {
-        final HttpResponse<byte[]> response = client.send(HttpRequest.newBuilder(URI.create("http://" + address + "/api/rpc?call=" + rpc + "&of=" + of)).timeout(PATIENCE).POST(HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.ofByteArray());
+        final HttpResponse<byte[]> response =
+            client.send(
+                HttpRequest.newBuilder(
+                        URI.create("http://" + address + "/api/rpc?call=" + rpc + "&of=" + of))
+                    .timeout(PATIENCE)
+                    .POST(HttpRequest.BodyPublishers.noBody())
+                    .build(),
+                HttpResponse.BodyHandlers.ofByteArray());
         if (response.statusCode() == 200) {
           return response.body();
         }
@@ -57,7 +75,8 @@
         last = address + ": " + problem;
       }
     }
-    throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no exchange answered (" + last + "); check --control");
+    throw new Breakdown(
+        Breakdown.Kind.OUT_OF_REACH, "no exchange answered (" + last + "); check --control");
   }
 
   /** The body of a good answer; anything else is a failure that names the remedy. */
@@ -65,18 +84,23 @@
     String last = "no address was given";
     for (final String address : addresses) {
       try {
-        final HttpResponse<String> response = client.send(request(address, rpc, of, body), HttpResponse.BodyHandlers.ofString());
+        final HttpResponse<String> response =
+            client.send(request(address, rpc, of, body), HttpResponse.BodyHandlers.ofString());
         if (response.statusCode() == 200) {
           return response.body();
         }
         if (response.statusCode() < 500) {
-          throw new Breakdown(response.statusCode() == 409 ? Breakdown.Kind.CONFLICT : Breakdown.Kind.INVALID, response.body());
+          throw new Breakdown(
+              response.statusCode() == 409 ? Breakdown.Kind.CONFLICT : Breakdown.Kind.INVALID,
+              response.body());
         }
         last = address + " answered " + response.statusCode() + " " + response.body();
       } catch (final IOException | IllegalArgumentException problem) {
         last = address + ": " + problem;
       }
     }
-    throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no exchange answered (" + last + "); check --control, or that the core has its majority");
+    throw new Breakdown(
+        Breakdown.Kind.OUT_OF_REACH,
+        "no exchange answered (" + last + "); check --control, or that the core has its majority");
   }
 }
--- a/console/src/main/java/weldpoint/console/HistoryCommand.java
+++ b/console/src/main/java/weldpoint/console/HistoryCommand.java
@@ -11,7 +11,10 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.exchange.Calls;
 
-/** weldpoint history: the changes of routing, in their order, as any replica gives them; or which daemons had one in force. */
+/**
+ * weldpoint history: the changes of routing, in their order, as any replica gives them; or which
+ * daemons had one in force.
+ */
 final class HistoryCommand {
   /** The exit code for a history that could not be confirmed to be complete. */
   static final int INCOMPLETE = 3;
@@ -23,45 +26,99 @@
   private static final int SHOWN_DIGITS = 12;
 
   private final OptionParser parser = new OptionParser();
-  private final OptionSpec<String> control = parser.accepts("control", "control addresses, separated by commas; the first that answers").withRequiredArg().withValuesSeparatedBy(',');
-  private final OptionSpec<String> at = parser.accepts("at", "the control address of the one replica to ask").withRequiredArg();
-  private final OptionSpec<Long> from = parser.accepts("from", "the first entry").withRequiredArg().ofType(Long.class);
-  private final OptionSpec<Long> to = parser.accepts("to", "the last entry").withRequiredArg().ofType(Long.class);
-  private final OptionSpec<String> since = parser.accepts("since", "only entries recorded at this time or later, as 2026-01-31T08:00:00Z").withRequiredArg();
-  private final OptionSpec<String> until = parser.accepts("until", "only entries recorded at this time or before").withRequiredArg();
-  private final OptionSpec<String> route = parser.accepts("route", "only changes of this route, service or zone").withRequiredArg();
-  private final OptionSpec<String> author = parser.accepts("author", "only changes of this author").withRequiredArg();
-  private final OptionSpec<Long> reach = parser.accepts("reach", "shows which daemons had this change in force").withRequiredArg().ofType(Long.class);
-  private final OptionSpec<Void> json = parser.accepts("json", "prints JSON, the same bytes from any replica");
+  private final OptionSpec<String> control =
+      parser
+          .accepts("control", "control addresses, separated by commas; the first that answers")
+          .withRequiredArg()
+          .withValuesSeparatedBy(',');
+  private final OptionSpec<String> at =
+      parser.accepts("at", "the control address of the one replica to ask").withRequiredArg();
+  private final OptionSpec<Long> from =
+      parser.accepts("from", "the first entry").withRequiredArg().ofType(Long.class);
+  private final OptionSpec<Long> to =
+      parser.accepts("to", "the last entry").withRequiredArg().ofType(Long.class);
+  private final OptionSpec<String> since =
+      parser
+          .accepts("since", "only entries recorded at this time or later, as 2026-01-31T08:00:00Z")
+          .withRequiredArg();
+  private final OptionSpec<String> until =
+      parser.accepts("until", "only entries recorded at this time or before").withRequiredArg();
+  private final OptionSpec<String> route =
+      parser.accepts("route", "only changes of this route, service or zone").withRequiredArg();
+  private final OptionSpec<String> author =
+      parser.accepts("author", "only changes of this author").withRequiredArg();
+  private final OptionSpec<Long> reach =
+      parser
+          .accepts("reach", "shows which daemons had this change in force")
+          .withRequiredArg()
+          .ofType(Long.class);
+  private final OptionSpec<Void> json =
+      parser.accepts("json", "prints JSON, the same bytes from any replica");
 
-  int run(final String[] words, final PrintStream out, final PrintStream problems) throws InterruptedException {
+  int run(final String[] words, final PrintStream out, final PrintStream problems)
+      throws InterruptedException {
     final OptionSet options = parser.parse(words);
     if (!options.nonOptionArguments().isEmpty() || options.has(control) == options.has(at)) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "history takes either --control HOST:PORT,... or --at HOST:PORT, and no further words");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          "history takes either --control HOST:PORT,... or --at HOST:PORT, and no further words");
     }
-    final Caller caller = new Caller(options.has(at) ? List.of(options.valueOf(at)) : options.valuesOf(control));
-    return options.has(reach) ? reach(caller, options, out, problems) : list(caller, options, out, problems);
+    final Caller caller =
+        new Caller(options.has(at) ? List.of(options.valueOf(at)) : options.valuesOf(control));
+    return options.has(reach)
+        ? reach(caller, options, out, problems)
+        : list(caller, options, out, problems);
   }
 
-  private int list(final Caller caller, final OptionSet options, final PrintStream out, final PrintStream problems) throws InterruptedException {
+  private int list(
+      final Caller caller,
+      final OptionSet options,
+      final PrintStream out,
+      final PrintStream problems)
+      throws InterruptedException {
     final List<Calls.HistoryEntry> entries = new ArrayList<>();
     Long next = options.valueOf(from);
     Calls.HistoryAnswer answer;
     do {
-      answer = ANSWER.fromJson(caller.call("history.read", "", QUERY.toJson(new Calls.HistoryQuery(next, options.valueOf(to), options.valueOf(since), options.valueOf(until), options.valueOf(route), options.valueOf(author), null))));
+      answer =
+          ANSWER.fromJson(
+              caller.call(
+                  "history.read",
+                  "",
+                  QUERY.toJson(
+                      new Calls.HistoryQuery(
+                          next,
+                          options.valueOf(to),
+                          options.valueOf(since),
+                          options.valueOf(until),
+                          options.valueOf(route),
+                          options.valueOf(author),
+                          null))));
       entries.addAll(answer.entries());
       next = answer.next();
     } while (answer.complete() && answer.next() > 0);
     if (options.has(json)) {
-      out.println(ANSWER.toJson(new Calls.HistoryAnswer(answer.complete(), answer.problem(), answer.first(), answer.through(), answer.digest(), answer.next(), entries)));
+      out.println(
+          ANSWER.toJson(
+              new Calls.HistoryAnswer(
+                  answer.complete(),
+                  answer.problem(),
+                  answer.first(),
+                  answer.through(),
+                  answer.digest(),
+                  answer.next(),
+                  entries)));
     } else {
       entries.forEach(entry -> print(entry, out));
-      out.printf("%d entries shown; the history goes from %d to %d, digest %s%n", entries.size(), answer.first(), answer.through(), shorten(answer.digest()));
+      out.printf(
+          "%d entries shown; the history goes from %d to %d, digest %s%n",
+          entries.size(), answer.first(), answer.through(), shorten(answer.digest()));
     }
     return verdict(answer.complete(), answer.problem(), problems);
   }
 
-  private static int verdict(final boolean complete, final String problem, final PrintStream problems) {
+  private static int verdict(
+      final boolean complete, final String problem, final PrintStream problems) {
     if (!complete) {
       problems.println("weldpoint: NOT COMPLETE: " + problem);
       return INCOMPLETE;
@@ -69,28 +126,60 @@
     return 0;
   }
 
-  private int reach(final Caller caller, final OptionSet options, final PrintStream out, final PrintStream problems) throws InterruptedException {
+  private int reach(
+      final Caller caller,
+      final OptionSet options,
+      final PrintStream out,
+      final PrintStream problems)
+      throws InterruptedException {
     final String text = caller.call("history.reach", options.valueOf(reach).toString(), "");
     final Calls.ReachAnswer answer = REACH.fromJson(text);
     if (options.has(json)) {
       out.println(text);
     } else {
       print(answer.change(), out);
-      answer.daemons().forEach(one -> out.printf("  %-12s %-16s %-9s %-26s %s%n", one.program(), one.address(), one.state(), one.since(), one.note()));
+      answer
+          .daemons()
+          .forEach(
+              one ->
+                  out.printf(
+                      "  %-12s %-16s %-9s %-26s %s%n",
+                      one.program(), one.address(), one.state(), one.since(), one.note()));
     }
     return verdict(answer.complete(), answer.problem(), problems);
   }
 
   private static void print(final Calls.HistoryEntry entry, final PrintStream out) {
-    out.printf("%d  %s  %s  %s%s%s%n", entry.sequence(), entry.time(), entry.author(), entry.kind(), entry.version().isEmpty() ? "" : " " + entry.version(), entry.subject().isEmpty() ? "" : " " + entry.subject());
-    out.printf("    from %s, taken by %s; digest %s after %s%n", entry.caller().isEmpty() ? "the system" : entry.caller(), entry.taker(), shorten(entry.digest()), entry.previous().isEmpty() ? "nothing" : shorten(entry.previous()));
+    out.printf(
+        "%d  %s  %s  %s%s%s%n",
+        entry.sequence(),
+        entry.time(),
+        entry.author(),
+        entry.kind(),
+        entry.version().isEmpty() ? "" : " " + entry.version(),
+        entry.subject().isEmpty() ? "" : " " + entry.subject());
+    out.printf(
+        "    from %s, taken by %s; digest %s after %s%n",
+        entry.caller().isEmpty() ? "the system" : entry.caller(),
+        entry.taker(),
+        shorten(entry.digest()),
+        entry.previous().isEmpty() ? "nothing" : shorten(entry.previous()));
     if (entry.added() + entry.removed() + entry.changed() > 0) {
-      out.printf("    %d added, %d removed, %d changed; %d of them carry writes; configuration %s -> %s%n", entry.added(), entry.removed(), entry.changed(), entry.writeRoutes(), shorten(entry.before()), shorten(entry.after()));
+      out.printf(
+          "    %d added, %d removed, %d changed; %d of them carry writes; configuration %s -> %s%n",
+          entry.added(),
+          entry.removed(),
+          entry.changed(),
+          entry.writeRoutes(),
+          shorten(entry.before()),
+          shorten(entry.after()));
     }
     entry.changes().forEach(change -> out.println("    " + change));
   }
 
   private static String shorten(final String digest) {
-    return digest.length() <= SHOWN_DIGITS ? digest.isEmpty() ? "none" : digest : digest.substring(0, SHOWN_DIGITS);
+    return digest.length() <= SHOWN_DIGITS
+        ? digest.isEmpty() ? "none" : digest
+        : digest.substring(0, SHOWN_DIGITS);
   }
 }
--- a/console/src/main/java/weldpoint/console/RecordCommand.java
+++ b/console/src/main/java/weldpoint/console/RecordCommand.java
@@ -19,20 +19,35 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** weldpoint record: has all switchboards record, and collects what they recorded into a file until the recording ends. */
+/**
+ * weldpoint record: has all switchboards record, and collects what they recorded into a file until
+ * the recording ends.
+ */
 final class RecordCommand {
   private static final long PAUSE_MILLIS = 1000;
   private static final long SETTLE_MILLIS = 4000;
   private static final long MOST_SETTLE_MILLIS = 30_000;
 
   private enum Action {
-    BEGIN, STATUS, END
+    BEGIN,
+    STATUS,
+    END
   }
 
   private final OptionParser parser = new OptionParser();
-  private final OptionSpec<String> control = parser.accepts("control", "control addresses of all exchanges, separated by commas").withRequiredArg().withValuesSeparatedBy(',').required();
-  private final OptionSpec<String> file = parser.accepts("file", "where the day is written").withRequiredArg();
-  private final OptionSpec<Long> seconds = parser.accepts("seconds", "ends the recording after so long").withRequiredArg().ofType(Long.class);
+  private final OptionSpec<String> control =
+      parser
+          .accepts("control", "control addresses of all exchanges, separated by commas")
+          .withRequiredArg()
+          .withValuesSeparatedBy(',')
+          .required();
+  private final OptionSpec<String> file =
+      parser.accepts("file", "where the day is written").withRequiredArg();
+  private final OptionSpec<Long> seconds =
+      parser
+          .accepts("seconds", "ends the recording after so long")
+          .withRequiredArg()
+          .ofType(Long.class);
 
   /** Follows one recording. */
   static final class Collector {
@@ -51,7 +66,8 @@
     }
 
     /** Adds what one exchange gave to a question asked then and answered now. */
-    void add(final String exchange, final Reels.Drained drained, final long asked, final long now) throws IOException {
+    void add(final String exchange, final Reels.Drained drained, final long asked, final long now)
+        throws IOException {
       droppedBy.put(exchange, drained.dropped);
       final List<Words.Registration> changes = new ArrayList<>();
       for (final Words.Registration registration : Words.list(drained.registrations)) {
@@ -64,7 +80,12 @@
       final List<String> sites = Words.list(drained.evacuated);
       if (spec || !changes.isEmpty() || !sites.equals(evacuated)) {
         version = Math.max(version, drained.version);
-        writer.add(new DayFile.Control(asked, spec ? drained.spec : null, changes, sites.equals(evacuated) ? null : sites));
+        writer.add(
+            new DayFile.Control(
+                asked,
+                spec ? drained.spec : null,
+                changes,
+                sites.equals(evacuated) ? null : sites));
         evacuated = sites;
       }
       for (final Reels.Kept kept : Words.list(drained.reels)) {
@@ -88,7 +109,11 @@
     }
 
     DayFile.End end() {
-      return new DayFile.End(notes, droppedBy.values().stream().mapToLong(count -> count).sum(), clockError, new ArrayList<>(open));
+      return new DayFile.End(
+          notes,
+          droppedBy.values().stream().mapToLong(count -> count).sum(),
+          clockError,
+          new ArrayList<>(open));
     }
   }
 
@@ -97,9 +122,13 @@
     final List<?> names = options.nonOptionArguments();
     final Action action;
     try {
-      action = Action.valueOf(names.size() == 1 ? names.get(0).toString().toUpperCase(java.util.Locale.ROOT) : "");
+      action =
+          Action.valueOf(
+              names.size() == 1 ? names.get(0).toString().toUpperCase(java.util.Locale.ROOT) : "");
     } catch (final IllegalArgumentException unknown) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "record takes one action: record begin|status|end --control HOST:PORT,...");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          "record takes one action: record begin|status|end --control HOST:PORT,...");
     }
     final List<String> addresses = options.valuesOf(control);
     final Caller caller = new Caller(addresses);
@@ -108,7 +137,8 @@
       return 0;
     }
     if (!options.has(file)) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "record begin needs --file FILE, where the day is to be written");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE, "record begin needs --file FILE, where the day is to be written");
     }
     out.println(caller.call("record.begin", "all", ""));
     try (DayFile.Writer writer = new DayFile.Writer(Path.of(options.valueOf(file)))) {
@@ -116,7 +146,13 @@
     }
   }
 
-  private int collect(final OptionSet options, final List<String> addresses, final Caller caller, final DayFile.Writer writer, final PrintStream out) throws IOException, InterruptedException {
+  private int collect(
+      final OptionSet options,
+      final List<String> addresses,
+      final Caller caller,
+      final DayFile.Writer writer,
+      final PrintStream out)
+      throws IOException, InterruptedException {
     final Collector collector = new Collector(writer);
     final long begun = System.nanoTime() / 1_000_000;
     boolean ordered = false;
@@ -129,7 +165,9 @@
       for (final String address : addresses) {
         final long asked = System.nanoTime() / 1_000_000;
         try {
-          final Reels.Drained drained = Wire.value(new Caller(List.of(address)).bytes("record.drain", "all"), Reels.Drained.class);
+          final Reels.Drained drained =
+              Wire.value(
+                  new Caller(List.of(address)).bytes("record.drain", "all"), Reels.Drained.class);
           collector.add(address, drained, asked, System.nanoTime() / 1_000_000);
           on |= drained.on;
           heard = true;
@@ -145,14 +183,17 @@
       }
       if (heard && !on && now - begun > SETTLE_MILLIS) {
         endedAt = endedAt == 0 ? now : endedAt;
-        if (now - endedAt > SETTLE_MILLIS && collector.complete() || now - endedAt > MOST_SETTLE_MILLIS) {
+        if (now - endedAt > SETTLE_MILLIS && collector.complete()
+            || now - endedAt > MOST_SETTLE_MILLIS) {
           break;
         }
       }
     }
     final DayFile.End end = collector.end();
     writer.add(end);
-    out.printf("recorded %d calls, dropped %d, clocks agree within %d ms, not ended: %s, exchanges not heard at the end: %s%n", end.notes, end.dropped, end.clockError, end.silent, missed.keySet());
+    out.printf(
+        "recorded %d calls, dropped %d, clocks agree within %d ms, not ended: %s, exchanges not heard at the end: %s%n",
+        end.notes, end.dropped, end.clockError, end.silent, missed.keySet());
     return end.dropped == 0 && end.silent.isEmpty() ? 0 : 1;
   }
 }
--- a/console/src/main/java/weldpoint/console/ReplayCommand.java
+++ b/console/src/main/java/weldpoint/console/ReplayCommand.java
@@ -18,31 +18,55 @@
 import weldpoint.replay.Verdict;
 import weldpoint.trunk.Packing;
 
-/** weldpoint replay: plays a recorded day through proposed settings; whatever it cannot judge ends with 2. */
+/**
+ * weldpoint replay: plays a recorded day through proposed settings; whatever it cannot judge ends
+ * with 2.
+ */
 final class ReplayCommand {
   private static final int CANNOT_JUDGE = 2;
-  private static final String BASE = "station.name = replay\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = a\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\n";
+  private static final String BASE =
+      "station.name = replay\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = a\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\n";
 
   private final OptionParser parser = new OptionParser();
-  private final OptionSpec<String> spec = parser.accepts("spec", "the proposed configuration").withRequiredArg().required();
-  private final OptionSpec<String> settings = parser.accepts("settings", "proposed settings, as name = value lines").withRequiredArg();
-  private final OptionSpec<Long> error = parser.accepts("error-ms", "the largest model error to judge by").withRequiredArg().ofType(Long.class).defaultsTo(250L);
+  private final OptionSpec<String> spec =
+      parser.accepts("spec", "the proposed configuration").withRequiredArg().required();
+  private final OptionSpec<String> settings =
+      parser.accepts("settings", "proposed settings, as name = value lines").withRequiredArg();
+  private final OptionSpec<Long> error =
+      parser
+          .accepts("error-ms", "the largest model error to judge by")
+          .withRequiredArg()
+          .ofType(Long.class)
+          .defaultsTo(250L);
   private final OptionSpec<Void> json = parser.accepts("json", "prints JSON");
 
-  int run(final String[] words, final PrintStream out, final PrintStream problems) throws IOException {
+  int run(final String[] words, final PrintStream out, final PrintStream problems)
+      throws IOException {
     try {
       final OptionSet options = parser.parse(words);
       final List<?> names = options.nonOptionArguments();
       if (names.size() != 1) {
-        throw new Breakdown(Breakdown.Kind.USAGE, "replay takes one recorded day: replay DAY --spec FILE [--settings FILE] [--error-ms N] [--json]");
+        throw new Breakdown(
+            Breakdown.Kind.USAGE,
+            "replay takes one recorded day: replay DAY --spec FILE [--settings FILE] [--error-ms N] [--json]");
       }
       final Path proposed = Path.of(options.valueOf(spec));
       if (!Files.isReadable(proposed)) {
-        throw new Breakdown(Breakdown.Kind.UNREADABLE, "the configuration " + proposed + " cannot be read; name a readable file");
+        throw new Breakdown(
+            Breakdown.Kind.UNREADABLE,
+            "the configuration " + proposed + " cannot be read; name a readable file");
       }
-      final String extra = options.has(settings) ? Files.readString(Path.of(options.valueOf(settings))) : "";
+      final String extra =
+          options.has(settings) ? Files.readString(Path.of(options.valueOf(settings))) : "";
       Boot.parse(BASE + extra);
-      final Verdict verdict = new Replay(Path.of(names.get(0).toString()), Dialplan.compile(Files.readAllBytes(proposed)), extra, options.valueOf(error), Packing::inflate).run();
+      final Verdict verdict =
+          new Replay(
+                  Path.of(names.get(0).toString()),
+                  Dialplan.compile(Files.readAllBytes(proposed)),
+                  extra,
+                  options.valueOf(error),
+                  Packing::inflate)
+              .run();
       if (options.has(json)) {
         out.println(Jsonb.builder().build().type(ReportDocument.class).toJson(verdict.document()));
       } else {
