--- a/console/src/main/java/weldpoint/console/StatusCommand.java
+++ b/console/src/main/java/weldpoint/console/StatusCommand.java
@@ -9,19 +9,29 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.exchange.Calls;
 
-/** weldpoint status: what one exchange knows of the core, of all daemons, and of callers tied to nodes. */
+/**
+ * weldpoint status: what one exchange knows of the core, of all daemons, and of callers tied to
+ * nodes.
+ */
 final class StatusCommand {
-  private static final JsonType<Calls.StatusAnswer> STATUS = Jsonb.builder().build().type(Calls.StatusAnswer.class);
+  private static final JsonType<Calls.StatusAnswer> STATUS =
+      Jsonb.builder().build().type(Calls.StatusAnswer.class);
   private static final int CUT_OFF = 3;
 
   private final OptionParser parser = new OptionParser();
-  private final OptionSpec<String> control = parser.accepts("control", "control addresses, separated by commas; the first that answers").withRequiredArg().withValuesSeparatedBy(',').required();
+  private final OptionSpec<String> control =
+      parser
+          .accepts("control", "control addresses, separated by commas; the first that answers")
+          .withRequiredArg()
+          .withValuesSeparatedBy(',')
+          .required();
   private final OptionSpec<Void> json = parser.accepts("json", "prints JSON");
 
   int run(final String[] words, final PrintStream out) throws InterruptedException {
     final OptionSet options = parser.parse(words);
     if (!options.nonOptionArguments().isEmpty()) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "status takes --control HOST:PORT,... and no further words");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE, "status takes --control HOST:PORT,... and no further words");
     }
     final String text = new Caller(options.valuesOf(control)).call("status.read", "", "");
     final Calls.StatusAnswer answer = STATUS.fromJson(text);
@@ -34,15 +44,42 @@
   }
 
   private static void print(final Calls.StatusAnswer answer, final PrintStream out) {
-    out.printf("exchange %s: a majority was heard of %s; configuration %s, evacuated %s%n", answer.exchange(), answer.settled() ? answer.majorityAgeMs() + " ms ago" : "too long ago or never", answer.version(), answer.evacuated());
+    out.printf(
+        "exchange %s: a majority was heard of %s; configuration %s, evacuated %s%n",
+        answer.exchange(),
+        answer.settled() ? answer.majorityAgeMs() + " ms ago" : "too long ago or never",
+        answer.version(),
+        answer.evacuated());
     out.printf("roster %d: %s%n", answer.roster(), answer.voters());
     out.printf("store of %s: %s%n", answer.exchange(), answer.disk());
-    out.printf("upstreams: %d registered, %d of them silent%n", answer.upstreams(), answer.suspects());
-    answer.daemons().forEach(one -> out.printf("  %-12s %-16s configuration %-9s mark %-6d heard of %s%n", one.program(), one.address(), one.version(), one.mark(), one.heardMs() < 0 ? "never" : one.heardMs() + " ms ago"));
+    out.printf(
+        "upstreams: %d registered, %d of them silent%n", answer.upstreams(), answer.suspects());
+    answer
+        .daemons()
+        .forEach(
+            one ->
+                out.printf(
+                    "  %-12s %-16s configuration %-9s mark %-6d heard of %s%n",
+                    one.program(),
+                    one.address(),
+                    one.version(),
+                    one.mark(),
+                    one.heardMs() < 0 ? "never" : one.heardMs() + " ms ago"));
     if (!answer.placements().isEmpty()) {
       out.printf("placements kept by %s%n", answer.keeper().isEmpty() ? "nobody" : answer.keeper());
-      answer.placements().forEach(one -> out.printf("  %s: epoch %d of %d nodes%s%n", one.service(), one.epoch(), one.nodes(), one.prepared() ? ", the next of " + one.nextNodes() + " prepared" : ""));
-      answer.writes().forEach(one -> out.printf("  tied writes %s: %d%n", one.outcome(), one.count()));
+      answer
+          .placements()
+          .forEach(
+              one ->
+                  out.printf(
+                      "  %s: epoch %d of %d nodes%s%n",
+                      one.service(),
+                      one.epoch(),
+                      one.nodes(),
+                      one.prepared() ? ", the next of " + one.nextNodes() + " prepared" : ""));
+      answer
+          .writes()
+          .forEach(one -> out.printf("  tied writes %s: %d%n", one.outcome(), one.count()));
     }
   }
 }
--- a/console/src/main/java/weldpoint/console/TrialCommand.java
+++ b/console/src/main/java/weldpoint/console/TrialCommand.java
@@ -11,7 +11,9 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.exchange.Calls;
 
-/** weldpoint trial: begins, shows, moves on, holds and finishes the trial of a route's new version. */
+/**
+ * weldpoint trial: begins, shows, moves on, holds and finishes the trial of a route's new version.
+ */
 final class TrialCommand {
   private static final Jsonb JSON = Jsonb.builder().build();
   private static final JsonType<Calls.TrialStatus> STATUS = JSON.type(Calls.TrialStatus.class);
@@ -19,41 +21,101 @@
   private static final int HELD = 3;
 
   private enum Action {
-    BEGIN, STATUS, ADVANCE, HOLD, FINISH
+    BEGIN,
+    STATUS,
+    ADVANCE,
+    HOLD,
+    FINISH
   }
 
   private final OptionParser parser = new OptionParser();
-  private final OptionSpec<String> control = parser.accepts("control", "control addresses, separated by commas").withRequiredArg().withValuesSeparatedBy(',').required();
-  private final OptionSpec<String> old = parser.accepts("old", "the service of the old version").withRequiredArg();
-  private final OptionSpec<String> fresh = parser.accepts("new", "the service of the new version").withRequiredArg();
-  private final OptionSpec<String> token = parser.accepts("token", "what testers send as Weldpoint-Trial-Token").withRequiredArg();
-  private final OptionSpec<Integer> stages = parser.accepts("stages", "rising shares in per cent").withRequiredArg().ofType(Integer.class).withValuesSeparatedBy(',');
-  private final OptionSpec<Integer> least = parser.accepts("least-writes", "writes to be confirmed at each stage").withRequiredArg().ofType(Integer.class).defaultsTo(30);
-  private final OptionSpec<Double> allowance = parser.accepts("late-allowance", "held if the chance of so many late writes is below this; 0 holds at the first").withRequiredArg().ofType(Double.class).defaultsTo(0.01);
-  private final OptionSpec<String> reason = parser.accepts("reason", "why it is held").withRequiredArg().defaultsTo("held by an operator");
-  private final OptionSpec<String> author = parser.accepts("author", "who wants it; the user's name by default").withRequiredArg().defaultsTo(Caller.user());
+  private final OptionSpec<String> control =
+      parser
+          .accepts("control", "control addresses, separated by commas")
+          .withRequiredArg()
+          .withValuesSeparatedBy(',')
+          .required();
+  private final OptionSpec<String> old =
+      parser.accepts("old", "the service of the old version").withRequiredArg();
+  private final OptionSpec<String> fresh =
+      parser.accepts("new", "the service of the new version").withRequiredArg();
+  private final OptionSpec<String> token =
+      parser.accepts("token", "what testers send as Weldpoint-Trial-Token").withRequiredArg();
+  private final OptionSpec<Integer> stages =
+      parser
+          .accepts("stages", "rising shares in per cent")
+          .withRequiredArg()
+          .ofType(Integer.class)
+          .withValuesSeparatedBy(',');
+  private final OptionSpec<Integer> least =
+      parser
+          .accepts("least-writes", "writes to be confirmed at each stage")
+          .withRequiredArg()
+          .ofType(Integer.class)
+          .defaultsTo(30);
+  private final OptionSpec<Double> allowance =
+      parser
+          .accepts(
+              "late-allowance",
+              "held if the chance of so many late writes is below this; 0 holds at the first")
+          .withRequiredArg()
+          .ofType(Double.class)
+          .defaultsTo(0.01);
+  private final OptionSpec<String> reason =
+      parser
+          .accepts("reason", "why it is held")
+          .withRequiredArg()
+          .defaultsTo("held by an operator");
+  private final OptionSpec<String> author =
+      parser
+          .accepts("author", "who wants it; the user's name by default")
+          .withRequiredArg()
+          .defaultsTo(Caller.user());
   private final OptionSpec<Void> json = parser.accepts("json", "prints JSON");
 
   int run(final String[] words, final PrintStream out) throws InterruptedException {
     final OptionSet options = parser.parse(words);
     final List<?> names = options.nonOptionArguments();
     if (names.size() != 2) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "trial takes an action and a route: trial begin|status|advance|hold|finish ROUTE --control HOST:PORT");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          "trial takes an action and a route: trial begin|status|advance|hold|finish ROUTE --control HOST:PORT");
     }
     final Action action;
     try {
       action = Action.valueOf(names.get(0).toString().toUpperCase(java.util.Locale.ROOT));
     } catch (final IllegalArgumentException unknown) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "trial cannot '" + names.get(0) + "'; it can begin, status, advance, hold and finish");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          "trial cannot '" + names.get(0) + "'; it can begin, status, advance, hold and finish");
     }
     final List<Double> shares = new ArrayList<>();
     options.valuesOf(stages).forEach(share -> shares.add(share.doubleValue()));
-    final String body = switch (action) {
-      case BEGIN -> ORDER.toJson(new Calls.TrialOrder(options.valueOf(old), options.valueOf(fresh), options.valueOf(token), shares, options.valueOf(least).doubleValue(), options.valueOf(allowance), null));
-      case HOLD -> ORDER.toJson(new Calls.TrialOrder(null, null, null, null, null, null, options.valueOf(reason)));
-      default -> "";
-    };
-    final String answer = new Caller(options.valuesOf(control), action == Action.STATUS ? null : options.valueOf(author)).call("trial." + action.name().toLowerCase(java.util.Locale.ROOT), names.get(1).toString(), body);
+    final String body =
+        switch (action) {
+          case BEGIN ->
+              ORDER.toJson(
+                  new Calls.TrialOrder(
+                      options.valueOf(old),
+                      options.valueOf(fresh),
+                      options.valueOf(token),
+                      shares,
+                      options.valueOf(least).doubleValue(),
+                      options.valueOf(allowance),
+                      null));
+          case HOLD ->
+              ORDER.toJson(
+                  new Calls.TrialOrder(
+                      null, null, null, null, null, null, options.valueOf(reason)));
+          default -> "";
+        };
+    final String answer =
+        new Caller(
+                options.valuesOf(control), action == Action.STATUS ? null : options.valueOf(author))
+            .call(
+                "trial." + action.name().toLowerCase(java.util.Locale.ROOT),
+                names.get(1).toString(),
+                body);
     if (options.has(json)) {
       out.println(answer);
     } else {
@@ -63,13 +125,30 @@
   }
 
   static void print(final Calls.TrialStatus status, final PrintStream out) {
-    out.printf("route %s, trial %d: %s%s%n", status.route(), status.number(), status.verdict(), status.reason().isEmpty() ? "" : " - " + status.reason());
-    out.printf("stage %d of %d (%s), shares %s, at least %d writes a stage, allowance for late ones %s%n", status.stage(), status.stages().size() - 1,
-        status.stage() == 0 ? "rehearsal: only requests with the token" : status.stages().get(status.stage()) + " per cent", status.stages(), status.leastWrites(), status.lateAllowance());
+    out.printf(
+        "route %s, trial %d: %s%s%n",
+        status.route(),
+        status.number(),
+        status.verdict(),
+        status.reason().isEmpty() ? "" : " - " + status.reason());
+    out.printf(
+        "stage %d of %d (%s), shares %s, at least %d writes a stage, allowance for late ones %s%n",
+        status.stage(),
+        status.stages().size() - 1,
+        status.stage() == 0
+            ? "rehearsal: only requests with the token"
+            : status.stages().get(status.stage()) + " per cent",
+        status.stages(),
+        status.leastWrites(),
+        status.lateAllowance());
     if ("HELD".equals(status.verdict())) {
-      out.printf("writes sent to the new version before the hold: %d; attempts that decided it: %s%n", status.writesBeforeHold(), status.attempts());
+      out.printf(
+          "writes sent to the new version before the hold: %d; attempts that decided it: %s%n",
+          status.writesBeforeHold(), status.attempts());
     }
-    out.printf("%-28s %-10s %8s %9s %6s %7s %6s | %s%n", "", "version", "sent", "confirmed", "lost", "doubled", "late", "other requests (failed)");
+    out.printf(
+        "%-28s %-10s %8s %9s %6s %7s %6s | %s%n",
+        "", "version", "sent", "confirmed", "lost", "doubled", "late", "other requests (failed)");
     row(status.total(), out);
     status.switchboards().forEach(one -> row(one, out));
   }
@@ -79,7 +158,18 @@
     side("", "new", one.newVersion(), out);
   }
 
-  private static void side(final String name, final String version, final Calls.Side side, final PrintStream out) {
-    out.printf("%-28s %-10s %8d %9d %6d %7d %6d | %d (%d)%n", name, version, side.sent(), side.confirmed(), side.lost(), side.doubled(), side.late(), side.others() + side.othersFailed(), side.othersFailed());
+  private static void side(
+      final String name, final String version, final Calls.Side side, final PrintStream out) {
+    out.printf(
+        "%-28s %-10s %8d %9d %6d %7d %6d | %d (%d)%n",
+        name,
+        version,
+        side.sent(),
+        side.confirmed(),
+        side.lost(),
+        side.doubled(),
+        side.late(),
+        side.others() + side.othersFailed(),
+        side.othersFailed());
   }
 }
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -56,7 +56,8 @@
         return stay(new AnnouncerDaemon(boot("announcer")));
       }
     },
-    TRIAL("tries a route's new version: trial begin|status|advance|hold|finish ROUTE --control HOST:PORT") {
+    TRIAL(
+        "tries a route's new version: trial begin|status|advance|hold|finish ROUTE --control HOST:PORT") {
       @Override
       int run(final String[] words) throws InterruptedException {
         return new TrialCommand().run(words, System.out);
@@ -67,7 +68,8 @@
         throw new IllegalStateException("trial reads its own options");
       }
     },
-    STATUS("shows the core, all daemons and placements as one exchange knows them: status --control HOST:PORT,...; 3 where it has no majority") {
+    STATUS(
+        "shows the core, all daemons and placements as one exchange knows them: status --control HOST:PORT,...; 3 where it has no majority") {
       @Override
       int run(final String[] words) throws InterruptedException {
         return new StatusCommand().run(words, System.out);
@@ -78,7 +80,8 @@
         throw new IllegalStateException("status reads its own options");
       }
     },
-    HISTORY("shows the changes of routing, from any replica: history --control HOST:PORT,... [--since --until --route --author --json] or --reach N; 3 not confirmed to be complete") {
+    HISTORY(
+        "shows the changes of routing, from any replica: history --control HOST:PORT,... [--since --until --route --author --json] or --reach N; 3 not confirmed to be complete") {
       @Override
       int run(final String[] words) throws InterruptedException {
         return new HistoryCommand().run(words, System.out, System.err);
@@ -89,7 +92,8 @@
         throw new IllegalStateException("history reads its own options");
       }
     },
-    RECORD("records what all switchboards carry: record begin|status|end --control HOST:PORT,... --file FILE") {
+    RECORD(
+        "records what all switchboards carry: record begin|status|end --control HOST:PORT,... --file FILE") {
       @Override
       int run(final String[] words) throws IOException, InterruptedException {
         return new RecordCommand().run(words, System.out);
@@ -100,7 +104,8 @@
         throw new IllegalStateException("record reads its own options");
       }
     },
-    SCALE("measures on this machine how each role grows with the fleet: scale [--series NAME] [--sizes N,N,N] [--seconds N]") {
+    SCALE(
+        "measures on this machine how each role grows with the fleet: scale [--series NAME] [--sizes N,N,N] [--seconds N]") {
       @Override
       int run(final String[] words) throws IOException, InterruptedException {
         return new ScaleCommand().run(words, System.out);
@@ -111,7 +116,8 @@
         throw new IllegalStateException("scale reads its own options");
       }
     },
-    REPLAY("plays a recorded day through proposed settings: replay DAY --spec FILE; 0 no write is harmed, 1 one is, 2 it cannot be judged") {
+    REPLAY(
+        "plays a recorded day through proposed settings: replay DAY --spec FILE; 0 no write is harmed, 1 one is, 2 it cannot be judged") {
       @Override
       int run(final String[] words) throws IOException {
         return new ReplayCommand().run(words, System.out, System.err);
@@ -122,12 +128,17 @@
         throw new IllegalStateException("replay reads its own options");
       }
     },
-    DEMO("runs everything in one process on the loopback address; demo once ends by itself, demo trial shows a trial that catches a fault, demo affinity callers tied to nodes that come and go") {
+    DEMO(
+        "runs everything in one process on the loopback address; demo once ends by itself, demo trial shows a trial that catches a fault, demo affinity callers tied to nodes that come and go") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
         Logs.start("demo");
         quiet();
-        return options.nonOptionArguments().contains("affinity") ? new Demo().affinity() : options.nonOptionArguments().contains("trial") ? new Demo().trial() : new Demo().run(!options.nonOptionArguments().contains("once"));
+        return options.nonOptionArguments().contains("affinity")
+            ? new Demo().affinity()
+            : options.nonOptionArguments().contains("trial")
+                ? new Demo().trial()
+                : new Demo().run(!options.nonOptionArguments().contains("once"));
       }
     },
     CHECK("checks files without starting anything: check settings FILE, check spec FILE") {
@@ -135,19 +146,32 @@
       int run(final OptionSet options) throws IOException {
         final List<?> words = options.nonOptionArguments();
         if (words.size() != 2) {
-          throw new Breakdown(Breakdown.Kind.USAGE, "check takes what to check and a file: check settings FILE, or check spec FILE");
+          throw new Breakdown(
+              Breakdown.Kind.USAGE,
+              "check takes what to check and a file: check settings FILE, or check spec FILE");
         }
         final Path file = Path.of(words.get(1).toString());
         if (words.get(0).equals("settings")) {
           Boot.load(file);
         } else if (words.get(0).equals("spec")) {
           if (!Files.isReadable(file)) {
-            throw new Breakdown(Breakdown.Kind.UNREADABLE, "the file " + file + " cannot be read; name a readable file");
+            throw new Breakdown(
+                Breakdown.Kind.UNREADABLE,
+                "the file " + file + " cannot be read; name a readable file");
           }
           final Dialplan plan = Dialplan.compile(Files.readAllBytes(file));
-          System.out.println("version " + Long.toHexString(plan.version()) + ", " + plan.routes() + " routes, " + plan.services().size() + " services");
+          System.out.println(
+              "version "
+                  + Long.toHexString(plan.version())
+                  + ", "
+                  + plan.routes()
+                  + " routes, "
+                  + plan.services().size()
+                  + " services");
         } else {
-          throw new Breakdown(Breakdown.Kind.USAGE, "'" + words.get(0) + "' cannot be checked; check settings or spec");
+          throw new Breakdown(
+              Breakdown.Kind.USAGE,
+              "'" + words.get(0) + "' cannot be checked; check settings or spec");
         }
         System.out.println("good");
         return 0;
@@ -167,8 +191,7 @@
     abstract int run(OptionSet options) throws IOException, InterruptedException;
   }
 
-  private Weldpoint() {
-  }
+  private Weldpoint() {}
 
   private static void quiet() {
     InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
@@ -189,14 +212,16 @@
 
   private static int stay(final Program program) throws IOException, InterruptedException {
     program.start();
-    final Runnable again = () -> {
-      try {
-        program.reload(Boot.load());
-        LOGGER.atInfo().log("the settings were read again");
-      } catch (final Breakdown breakdown) {
-        LOGGER.atWarning().log("the settings were not taken, the old ones stay: %s", breakdown.getMessage());
-      }
-    };
+    final Runnable again =
+        () -> {
+          try {
+            program.reload(Boot.load());
+            LOGGER.atInfo().log("the settings were read again");
+          } catch (final Breakdown breakdown) {
+            LOGGER.atWarning().log(
+                "the settings were not taken, the old ones stay: %s", breakdown.getMessage());
+          }
+        };
     sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> again.run());
     Runtime.getRuntime().addShutdownHook(new Thread(program::stop, "stop"));
     long seen = Boot.changedAt();
@@ -213,9 +238,15 @@
   private static String usage() {
     final StringBuilder text = new StringBuilder("usage: weldpoint COMMAND\n");
     for (final Command command : Command.values()) {
-      text.append(String.format("  %-12s %s%n", command.name().toLowerCase(java.util.Locale.ROOT), command.help));
+      text.append(
+          String.format(
+              "  %-12s %s%n", command.name().toLowerCase(java.util.Locale.ROOT), command.help));
     }
-    return text.append("  --help       shows this\n  --version    shows the version\nsettings are read from the file that ").append(Boot.VARIABLE).append(" names\n").toString();
+    return text.append(
+            "  --help       shows this\n  --version    shows the version\nsettings are read from the file that ")
+        .append(Boot.VARIABLE)
+        .append(" names\n")
+        .toString();
   }
 
   /** Runs a command and ends with its exit code. */
@@ -237,11 +268,16 @@
         return 0;
       }
       for (final Command command : Command.values()) {
-        if (arguments.length > 0 && command.name().toLowerCase(java.util.Locale.ROOT).equals(arguments[0])) {
+        if (arguments.length > 0
+            && command.name().toLowerCase(java.util.Locale.ROOT).equals(arguments[0])) {
           return command.run(Arrays.copyOfRange(arguments, 1, arguments.length));
         }
       }
-      System.err.print((arguments.length == 0 ? "no command was given\n" : "the command '" + arguments[0] + "' is unknown\n") + usage());
+      System.err.print(
+          (arguments.length == 0
+                  ? "no command was given\n"
+                  : "the command '" + arguments[0] + "' is unknown\n")
+              + usage());
       return BAD_USAGE;
     } catch (final OptionException problem) {
       System.err.print(problem.getMessage() + "\n" + usage());
--- a/console/src/test/java/weldpoint/console/WeldpointTest.java
+++ b/console/src/test/java/weldpoint/console/WeldpointTest.java
@@ -33,24 +33,36 @@
   @DataProvider
   public Object[][] calls() {
     return new Object[][] {
-        {new String[] {}, 2, "usage"},
-        {new String[] {"fly"}, 2, "'fly' is unknown"},
-        {new String[] {"--help"}, 0, "usage"},
-        {new String[] {"--version"}, 0, "weldpoint"},
-        {new String[] {"frame", "--what"}, 2, "what"},
-        {new String[] {"check", "settings"}, 2, "check takes"},
-        {new String[] {"check", "settings", "/does/not/exist"}, 1, "cannot be read"},
-        {new String[] {"check", "spec", "/does/not/exist"}, 1, "cannot be read"},
-        {new String[] {"trial", "begin", "book"}, 2, "control"},
-        {new String[] {"status"}, 2, "control"},
-        {new String[] {"status", "--control", "127.0.0.1:1"}, 1, "no exchange answered"},
-        {new String[] {"history"}, 2, "either --control"},
-        {new String[] {"history", "--control", "127.0.0.1:1", "--at", "127.0.0.1:1"}, 2, "either --control"},
-        {new String[] {"history", "--at", "127.0.0.1:1"}, 1, "no exchange answered"},
-        {new String[] {"scale", "--series", "moons"}, 2, "cannot be varied"},
-        {new String[] {"trial", "hold", "book", "--control", "127.0.0.1:1", "--author", ""}, 1, "is empty"},
-        {new String[] {"trial", "fly", "book", "--control", "127.0.0.1:1"}, 2, "trial cannot"},
-        {new String[] {"trial", "status", "book", "--control", "127.0.0.1:1"}, 1, "no exchange answered"},
+      {new String[] {}, 2, "usage"},
+      {new String[] {"fly"}, 2, "'fly' is unknown"},
+      {new String[] {"--help"}, 0, "usage"},
+      {new String[] {"--version"}, 0, "weldpoint"},
+      {new String[] {"frame", "--what"}, 2, "what"},
+      {new String[] {"check", "settings"}, 2, "check takes"},
+      {new String[] {"check", "settings", "/does/not/exist"}, 1, "cannot be read"},
+      {new String[] {"check", "spec", "/does/not/exist"}, 1, "cannot be read"},
+      {new String[] {"trial", "begin", "book"}, 2, "control"},
+      {new String[] {"status"}, 2, "control"},
+      {new String[] {"status", "--control", "127.0.0.1:1"}, 1, "no exchange answered"},
+      {new String[] {"history"}, 2, "either --control"},
+      {
+        new String[] {"history", "--control", "127.0.0.1:1", "--at", "127.0.0.1:1"},
+        2,
+        "either --control"
+      },
+      {new String[] {"history", "--at", "127.0.0.1:1"}, 1, "no exchange answered"},
+      {new String[] {"scale", "--series", "moons"}, 2, "cannot be varied"},
+      {
+        new String[] {"trial", "hold", "book", "--control", "127.0.0.1:1", "--author", ""},
+        1,
+        "is empty"
+      },
+      {new String[] {"trial", "fly", "book", "--control", "127.0.0.1:1"}, 2, "trial cannot"},
+      {
+        new String[] {"trial", "status", "book", "--control", "127.0.0.1:1"},
+        1,
+        "no exchange answered"
+      },
     };
   }
 
@@ -64,10 +76,16 @@
   @Test
   public void aSettingsFileIsCheckedWithoutStartingAnything() throws IOException {
     final Path file = Files.createTempFile("weldpoint", ".conf");
-    Files.writeString(file, "station.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = r\nstation.voter = maybe\ntrunk.ports = 1,2\ntrunk.seeds = 10.0.0.1:80\n");
+    Files.writeString(
+        file,
+        "station.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = r\nstation.voter = maybe\ntrunk.ports = 1,2\ntrunk.seeds = 10.0.0.1:80\n");
     final String[] bad = run("check", "settings", file.toString());
     assertEquals(bad[0], "1");
-    assertTrue(bad[1].contains("station.voter") && bad[1].contains("maybe") && bad[1].contains("give true or false"), bad[1]);
+    assertTrue(
+        bad[1].contains("station.voter")
+            && bad[1].contains("maybe")
+            && bad[1].contains("give true or false"),
+        bad[1]);
     Files.writeString(file, Files.readString(file).replace("maybe", "true"));
     assertEquals(run("check", "settings", file.toString())[0], "0");
     Files.delete(file);
--- a/console/src/test/java/weldpoint/scale/ScaleTest.java
+++ b/console/src/test/java/weldpoint/scale/ScaleTest.java
@@ -14,7 +14,10 @@
 import org.testng.annotations.Test;
 import weldpoint.boot.Breakdown;
 
-/** The fit of slopes against known data, refused sizes, and a tiny run of real and hollow processes end to end. */
+/**
+ * The fit of slopes against known data, refused sizes, and a tiny run of real and hollow processes
+ * end to end.
+ */
 public final class ScaleTest {
   @Test
   public void aLineIsFoundAndWhatItLeavesOverIsTold() {
@@ -34,23 +37,31 @@
 
   @Test
   public void tooFewOrTooNearSizesGiveNoSlope() {
-    assertTrue(expectThrows(Breakdown.class, () -> Fit.of(new double[] {1, 9}, new double[] {1, 2})).getMessage().contains("at least 3"));
-    assertTrue(expectThrows(Breakdown.class, () -> Fit.of(new double[] {10, 20, 30}, new double[] {1, 2, 3})).getMessage().contains("too near"));
+    assertTrue(
+        expectThrows(Breakdown.class, () -> Fit.of(new double[] {1, 9}, new double[] {1, 2}))
+            .getMessage()
+            .contains("at least 3"));
+    assertTrue(
+        expectThrows(
+                Breakdown.class, () -> Fit.of(new double[] {10, 20, 30}, new double[] {1, 2, 3}))
+            .getMessage()
+            .contains("too near"));
   }
 
   @DataProvider
   public Object[][] senseless() {
     return new Object[][] {
-        {new Sizes(0, 1, 1, 1, 1, 1, 0, 0, false), "makes no sense"},
-        {new Sizes(1, 1, 1, 1, 2, 1, 0, 0, false), "makes no sense"},
-        {new Sizes(1, 1, 1, 1, 1, 1, -1, 0, false), "makes no sense"},
-        {new Sizes(40, 1, 150, 1, 1, 1, 0, 0, false), "too many"},
-        {new Sizes(3, 100_000_000, 1, 1, 1, 1, 0, 0, false), "half of this machine's memory"},
+      {new Sizes(0, 1, 1, 1, 1, 1, 0, 0, false), "makes no sense"},
+      {new Sizes(1, 1, 1, 1, 2, 1, 0, 0, false), "makes no sense"},
+      {new Sizes(1, 1, 1, 1, 1, 1, -1, 0, false), "makes no sense"},
+      {new Sizes(40, 1, 150, 1, 1, 1, 0, 0, false), "too many"},
+      {new Sizes(3, 100_000_000, 1, 1, 1, 1, 0, 0, false), "half of this machine's memory"},
     };
   }
 
   @Test(dataProvider = "senseless")
-  public void sizesBeyondTheMachineOrWithoutSenseAreRefusedBeforeAnythingStarts(final Sizes sizes, final String reason) {
+  public void sizesBeyondTheMachineOrWithoutSenseAreRefusedBeforeAnythingStarts(
+      final Sizes sizes, final String reason) {
     final Breakdown breakdown = expectThrows(Breakdown.class, sizes::checked);
     assertEquals(breakdown.kind(), Breakdown.Kind.USAGE);
     assertTrue(breakdown.getMessage().contains(reason), breakdown.getMessage());
@@ -58,19 +69,30 @@
 
   @DataProvider
   public Object[][] badCalls() {
-    return new Object[][] {{new String[] {"--series", "moons"}, "cannot be varied"}, {new String[] {"--sizes", "1,4,16"}, "belong to one series"}, {new String[] {"--series", "boards", "--seconds", "1"}, "--seconds from 3"},
-        {new String[] {"--series", "boards", "--sizes", "1,4,100000000"}, "half of this machine's memory"}};
+    return new Object[][] {
+      {new String[] {"--series", "moons"}, "cannot be varied"},
+      {new String[] {"--sizes", "1,4,16"}, "belong to one series"},
+      {new String[] {"--series", "boards", "--seconds", "1"}, "--seconds from 3"},
+      {
+        new String[] {"--series", "boards", "--sizes", "1,4,100000000"},
+        "half of this machine's memory"
+      }
+    };
   }
 
   @Test(dataProvider = "badCalls")
   public void aCallThatMakesNoSenseEndsWithItsRemedy(final String[] words, final String reason) {
-    final Breakdown breakdown = expectThrows(Breakdown.class, () -> new ScaleCommand().run(words, new PrintStream(new ByteArrayOutputStream())));
+    final Breakdown breakdown =
+        expectThrows(
+            Breakdown.class,
+            () -> new ScaleCommand().run(words, new PrintStream(new ByteArrayOutputStream())));
     assertEquals(breakdown.kind(), Breakdown.Kind.USAGE);
     assertTrue(breakdown.getMessage().contains(reason), breakdown.getMessage());
   }
 
   @Test
-  public void aTinyFleetIsMeasuredAndEndsAllThatItStarted() throws IOException, InterruptedException {
+  public void aTinyFleetIsMeasuredAndEndsAllThatItStarted()
+      throws IOException, InterruptedException {
     final long before = ProcessHandle.current().children().filter(ProcessHandle::isAlive).count();
     final Map<String, Double> figures;
     try (ScaleRun run = new ScaleRun(new Sizes(1, 3, 1, 5, 1, 2, 0.5, 0, false), freePorts())) {
@@ -84,7 +106,10 @@
     assertEquals(ProcessHandle.current().children().filter(ProcessHandle::isAlive).count(), before);
   }
 
-  /** The first of twenty ports in a row that nothing listens at on the loopback addresses that the run takes. */
+  /**
+   * The first of twenty ports in a row that nothing listens at on the loopback addresses that the
+   * run takes.
+   */
   private static int freePorts() throws IOException {
     for (int first = 22_500; first < 32_000; first += 20) {
       if (free(first)) {
--- a/cord/src/main/java/weldpoint/cord/Budget.java
+++ b/cord/src/main/java/weldpoint/cord/Budget.java
@@ -1,6 +1,8 @@
 package weldpoint.cord;
 
-/** This switchboard's share of the further tries that all of them together may make at one service. */
+/**
+ * This switchboard's share of the further tries that all of them together may make at one service.
+ */
 public final class Budget {
   private static final int SLICES = 20;
   private static final double CAUTION = 0.7;
--- a/cord/src/main/java/weldpoint/cord/ColdBound.java
+++ b/cord/src/main/java/weldpoint/cord/ColdBound.java
@@ -7,10 +7,11 @@
 import weldpoint.boot.Rank;
 
 /**
- * This switchboard's part of what all of them together may send to one cold upstream. The bound of one second is a whole
- * number of tokens. A fleet no larger than that shares them evenly; in a larger one the sites have fixed parts, and within a
- * site the switchboards that rank first for an upstream have one token each. A token is used once a second at most, counted
- * from the moment at which the request was really sent, so no second sees more requests than there are tokens.
+ * This switchboard's part of what all of them together may send to one cold upstream. The bound of
+ * one second is a whole number of tokens. A fleet no larger than that shares them evenly; in a
+ * larger one the sites have fixed parts, and within a site the switchboards that rank first for an
+ * upstream have one token each. A token is used once a second at most, counted from the moment at
+ * which the request was really sent, so no second sees more requests than there are tokens.
  */
 final class ColdBound {
   private static final long SECOND_MILLIS = 1020;
@@ -33,7 +34,13 @@
   private long nextLeaves = Long.MAX_VALUE;
   private int lists = 1;
 
-  ColdBound(final String self, final String site, final int sites, final double overshoot, final double tolerance, final Random random) {
+  ColdBound(
+      final String self,
+      final String site,
+      final int sites,
+      final double overshoot,
+      final double tolerance,
+      final Random random) {
     this.self = self;
     this.site = site;
     this.sites = Math.max(1, sites);
@@ -66,7 +73,8 @@
 
   /** Takes who shares the site; who is no longer named still counts for a while. */
   void neighbours(final Collection<String> addresses, final long now) {
-    neighbours.replaceAll((address, until) -> until == Long.MAX_VALUE ? now + NEIGHBOUR_STAYS_MILLIS : until);
+    neighbours.replaceAll(
+        (address, until) -> until == Long.MAX_VALUE ? now + NEIGHBOUR_STAYS_MILLIS : until);
     for (final String address : addresses) {
       neighbours.put(address, Long.MAX_VALUE);
     }
@@ -80,14 +88,18 @@
   }
 
   /** Whether a request may be sent to this cold upstream now. */
-  boolean admits(final Upstream upstream, final double perSecond, final double ordered, final long now) {
+  boolean admits(
+      final Upstream upstream, final double perSecond, final double ordered, final long now) {
     if (upstream.connecting > 0 || !member(upstream, perSecond, now)) {
       return false;
     }
     if (!upstream.coldPaced) {
       upstream.coldPaced = true;
       if (fresh(now) || alone(perSecond)) {
-        upstream.nextColdAt = Math.max(upstream.nextColdAt, now + (long) (random.nextDouble() * pace(perSecond, ordered, now)));
+        upstream.nextColdAt =
+            Math.max(
+                upstream.nextColdAt,
+                now + (long) (random.nextDouble() * pace(perSecond, ordered, now)));
       }
     }
     return now >= upstream.nextColdAt;
@@ -99,7 +111,10 @@
     upstream.nextColdAt = Math.max(upstream.nextColdAt, now + upstream.coldPace);
   }
 
-  /** Whether this switchboard knows the fleet from so short a time that it may have been told of a part only. */
+  /**
+   * Whether this switchboard knows the fleet from so short a time that it may have been told of a
+   * part only.
+   */
   private boolean fresh(final long now) {
     return toldFrom != Long.MAX_VALUE && now - toldFrom < FRESH_MILLIS;
   }
@@ -112,7 +127,9 @@
     return !fresh(now) && switchboards() <= tokens(perSecond);
   }
 
-  /** Whether the fleet is too large to share evenly, and nobody has said yet who shares the site. */
+  /**
+   * Whether the fleet is too large to share evenly, and nobody has said yet who shares the site.
+   */
   private boolean alone(final double perSecond) {
     return neighbours.isEmpty() && switchboards() > tokens(perSecond);
   }
@@ -131,9 +148,17 @@
     return upstream.coldRank < part(upstream.site.equals(site), tokens(perSecond));
   }
 
-  /** How many tokens a site's switchboards have together: half of all at the upstream's own site, the rest evenly at the others. */
+  /**
+   * How many tokens a site's switchboards have together: half of all at the upstream's own site,
+   * the rest evenly at the others.
+   */
   int part(final boolean own, final int tokens) {
-    final int others = sites == 1 ? 0 : (int) Math.max(tokens >= sites ? 1 : 0, Math.floor(tokens * (1 - OWN_SITE) / (sites - 1)));
+    final int others =
+        sites == 1
+            ? 0
+            : (int)
+                Math.max(
+                    tokens >= sites ? 1 : 0, Math.floor(tokens * (1 - OWN_SITE) / (sites - 1)));
     return own ? tokens - others * (sites - 1) : others;
   }
 
@@ -152,8 +177,15 @@
   private long pace(final double perSecond, final double ordered, final long now) {
     final int tokens = tokens(perSecond);
     final boolean shared = shared(perSecond, now);
-    final double sharers = Math.max(ordered > 0 ? 1 / ordered : 0, alone(perSecond) ? switchboards() : shared ? switchboards() : tokens);
+    final double sharers =
+        Math.max(
+            ordered > 0 ? 1 / ordered : 0,
+            alone(perSecond) ? switchboards() : shared ? switchboards() : tokens);
     final int each = shared ? Math.max(1, tokens / switchboards()) : 1;
-    return (long) Math.ceil(Math.max(SECOND_MILLIS / (double) each, 1000 * sharers / Math.max(0.5, CAUTION * perSecond)));
+    return (long)
+        Math.ceil(
+            Math.max(
+                SECOND_MILLIS / (double) each,
+                1000 * sharers / Math.max(0.5, CAUTION * perSecond)));
   }
 }
--- a/cord/src/main/java/weldpoint/cord/Cord.java
+++ b/cord/src/main/java/weldpoint/cord/Cord.java
@@ -37,10 +37,14 @@
 
   /** Hears how a request ended. The body belongs to whoever is told. */
   public interface Done {
+    /** Hears the end, with the head and the body where an answer came. */
     void done(End end, HttpResponse head, ByteBuf body);
   }
 
-  /** A decoder that refuses a body with both a length and chunks, and knows whether bytes wait that nobody has read. */
+  /**
+   * A decoder that refuses a body with both a length and chunks, and knows whether bytes wait that
+   * nobody has read.
+   */
   static final class Decoder extends HttpResponseDecoder {
     boolean head;
     private Cord cord;
@@ -50,7 +54,8 @@
     }
 
     @Override
-    public void channelRead(final ChannelHandlerContext context, final Object message) throws Exception {
+    public void channelRead(final ChannelHandlerContext context, final Object message)
+        throws Exception {
       if (((ByteBuf) message).isReadable()) {
         cord.bytes();
       }
@@ -58,7 +63,8 @@
     }
 
     @Override
-    protected void handleTransferEncodingChunkedWithContentLength(final io.netty.handler.codec.http.HttpMessage message) {
+    protected void handleTransferEncodingChunkedWithContentLength(
+        final io.netty.handler.codec.http.HttpMessage message) {
       throw new IllegalArgumentException("both a length and chunks");
     }
 
@@ -99,7 +105,9 @@
     }
   }
 
-  /** Whether a request may be sent on it: it rests, and nothing has come that belongs to no request. */
+  /**
+   * Whether a request may be sent on it: it rests, and nothing has come that belongs to no request.
+   */
   boolean usable(final long now) {
     return !spoiled && done == null && channel.isActive() && now < idleUntil;
   }
@@ -136,7 +144,8 @@
   public void channelRead(final ChannelHandlerContext context, final Object message) {
     try {
       if (done == null) {
-        if (message instanceof HttpResponse && ((HttpResponse) message).headers().contains(Headers.ATTEMPT_ID)) {
+        if (message instanceof HttpResponse
+            && ((HttpResponse) message).headers().contains(Headers.ATTEMPT_ID)) {
           surplus.accept(((HttpResponse) message).headers().get(Headers.ATTEMPT_ID));
         }
         close();
@@ -156,7 +165,14 @@
         final ByteBuf content = ((HttpContent) message).content();
         if (!foreign && content.isReadable()) {
           if (body == null) {
-            body = context.alloc().buffer(Math.max(content.readableBytes(), (int) Math.min(MOST_RESERVED, HttpUtil.getContentLength(answer, 256L))));
+            body =
+                context
+                    .alloc()
+                    .buffer(
+                        Math.max(
+                            content.readableBytes(),
+                            (int)
+                                Math.min(MOST_RESERVED, HttpUtil.getContentLength(answer, 256L))));
           }
           if (body.readableBytes() + content.readableBytes() > MOST_ANSWER) {
             fail();
@@ -178,7 +194,12 @@
       fail();
       return;
     }
-    final boolean framed = HttpUtil.isTransferEncodingChunked(head) || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || decoder.head || head.status().code() == 204 || head.status().code() == 304;
+    final boolean framed =
+        HttpUtil.isTransferEncodingChunked(head)
+            || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+            || decoder.head
+            || head.status().code() == 204
+            || head.status().code() == 304;
     if (!framed || head.status().code() < 200) {
       fail();
       return;
@@ -208,7 +229,8 @@
     done = null;
     final ByteBuf whole = body;
     body = null;
-    final boolean keep = HttpUtil.isKeepAlive(head) && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+    final boolean keep =
+        HttpUtil.isKeepAlive(head) && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
     final String keepAlive = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
     if (keepAlive != null) {
       final int at = keepAlive.indexOf("timeout=");
@@ -222,7 +244,11 @@
         }
       }
     }
-    if (!keep || spoiled || decoder.unread() || writing() || head.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) {
+    if (!keep
+        || spoiled
+        || decoder.unread()
+        || writing()
+        || head.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) {
       close();
     } else {
       idleUntil = System.nanoTime() / 1_000_000 + keepMillis;
@@ -230,7 +256,10 @@
     listener.done(End.ANSWERED, head, whole);
   }
 
-  /** Whether part of the request has not gone out yet: an answer that comes so early leaves a connection that cannot be used again. */
+  /**
+   * Whether part of the request has not gone out yet: an answer that comes so early leaves a
+   * connection that cannot be used again.
+   */
   private boolean writing() {
     final ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
     return waiting != null && !waiting.isEmpty();
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -1,7 +1,6 @@
 package weldpoint.cord;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -27,7 +26,10 @@
 import weldpoint.dialplan.Route;
 import weldpoint.dialplan.RouteKind;
 
-/** The upstreams of all services, their connections, and the choice among them. All of it lives on the traffic thread. */
+/**
+ * The upstreams of all services, their connections, and the choice among them. All of it lives on
+ * the traffic thread.
+ */
 public final class Cords {
   private static final double USUAL_MILLIS = 150;
   private static final int SAMPLE = 4;
@@ -53,8 +55,7 @@
   private final ColdBound coldBound;
   private double ordered;
   private Set<String> orderedSuspects = Set.of();
-  private Consumer<String> surplus = id -> {
-  };
+  private Consumer<String> surplus = id -> {};
 
   /** No upstreams yet. */
   public Cords(final EventLoopGroup loop, final Boot boot, final Random random) {
@@ -63,8 +64,20 @@
     this.region = boot.region();
     this.regions = boot.sites();
     this.random = random;
-    this.coldBound = new ColdBound(boot.address(), boot.site(), regions.size(), boot.warmupOvershoot(), boot.warmupTolerance(), random);
-    this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 400);
+    this.coldBound =
+        new ColdBound(
+            boot.address(),
+            boot.site(),
+            regions.size(),
+            boot.warmupOvershoot(),
+            boot.warmupTolerance(),
+            random);
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 400);
     if (boot.transferBytes() > 0) {
       bootstrap.option(ChannelOption.SO_RCVBUF, boot.transferBytes());
     }
@@ -89,9 +102,13 @@
       }
       final Upstream upstream;
       if (known == null) {
-        upstream = new Upstream(change.registration, regions.getOrDefault(change.registration.site, ""), now);
+        upstream =
+            new Upstream(
+                change.registration, regions.getOrDefault(change.registration.site, ""), now);
         upstreams.put(upstream.id, upstream);
-        upstream.fill = fills.computeIfAbsent(upstream.service + "@" + upstream.site, key -> new Upstream.Fill());
+        upstream.fill =
+            fills.computeIfAbsent(
+                upstream.service + "@" + upstream.site, key -> new Upstream.Fill());
         services.computeIfAbsent(upstream.service, name -> new ArrayList<>()).add(upstream);
       } else {
         upstream = known;
@@ -106,8 +123,7 @@
   }
 
   /** A change in the registry. */
-  public record Change(weldpoint.trunk.Words.Registration registration, boolean open) {
-  }
+  public record Change(weldpoint.trunk.Words.Registration registration, boolean open) {}
 
   /** Takes which sites are evacuated; those taken back count as cold until told otherwise. */
   public void evacuated(final Set<String> sites, final long now) {
@@ -131,7 +147,10 @@
     }
   }
 
-  /** Takes how many switchboards share budgets and cold bounds, from somebody who knows it for certain. */
+  /**
+   * Takes how many switchboards share budgets and cold bounds, from somebody who knows it for
+   * certain.
+   */
   public void switchboards(final int count) {
     coldBound.settled(count);
   }
@@ -141,7 +160,10 @@
     coldBound.told(count, now);
   }
 
-  /** Takes a chief's orders: the part of all budgets that this switchboard has, 0 for its usual one, and who is silent. */
+  /**
+   * Takes a chief's orders: the part of all budgets that this switchboard has, 0 for its usual one,
+   * and who is silent.
+   */
   public void ordered(final double part, final Set<String> silent) {
     ordered = part;
     orderedSuspects = silent;
@@ -164,7 +186,9 @@
 
   /** The budget of a service. */
   public Budget budget(final String service) {
-    return budgets.computeIfAbsent(service, name -> new Budget(boot.retryRatio(), boot.retrySlack(), boot.retryWindowMillis()));
+    return budgets.computeIfAbsent(
+        service,
+        name -> new Budget(boot.retryRatio(), boot.retrySlack(), boot.retryWindowMillis()));
   }
 
   /** Takes a further try from a service's budget. */
@@ -187,20 +211,30 @@
     NONE,
   }
 
-  /** Among which upstreams is chosen: the own part first, all where that is full or in trouble, at last even doubtful ones. */
+  /**
+   * Among which upstreams is chosen: the own part first, all where that is full or in trouble, at
+   * last even doubtful ones.
+   */
   private enum Width {
-    OWN, ALL, DESPERATE
+    OWN,
+    ALL,
+    DESPERATE
   }
 
   /** A service's upstreams by distance: own site, own region, elsewhere. */
   private static final class Spread {
     private static final Spread NONE = new Spread(List.of(), false, upstream -> 0);
 
-    private final List<List<Upstream>> own = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-    private final List<List<Upstream>> all = List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+    private final List<List<Upstream>> own =
+        List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+    private final List<List<Upstream>> all =
+        List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
     private final boolean divided;
 
-    private Spread(final List<Upstream> upstreams, final boolean divided, final java.util.function.ToIntFunction<Upstream> distance) {
+    private Spread(
+        final List<Upstream> upstreams,
+        final boolean divided,
+        final java.util.function.ToIntFunction<Upstream> distance) {
       this.divided = divided;
       for (final Upstream upstream : upstreams) {
         final int tier = distance.applyAsInt(upstream);
@@ -221,7 +255,10 @@
     return upstream.site.equals(site) ? 0 : upstream.region.equals(region) ? 1 : 2;
   }
 
-  /** Gives this switchboard its part of every large service: few upstreams, so that their connections are used again and their load is known. */
+  /**
+   * Gives this switchboard its part of every large service: few upstreams, so that their
+   * connections are used again and their load is known.
+   */
   private void divide() {
     if (!undivided) {
       return;
@@ -237,7 +274,10 @@
       }
       if (large && place(sites.getOrDefault(site, List.of()).size()) >= 0) {
         final List<Upstream> near = sites.getOrDefault(site, List.of());
-        window(near, (double) place(near.size()) / neighbours.size(), Math.ceil(boot.choiceSharers() * near.size() / neighbours.size()));
+        window(
+            near,
+            (double) place(near.size()) / neighbours.size(),
+            Math.ceil(boot.choiceSharers() * near.size() / neighbours.size()));
         final Map<String, List<Upstream>> others = new HashMap<>();
         for (final Upstream upstream : all) {
           if (!upstream.site.equals(site)) {
@@ -246,11 +286,15 @@
         }
         others.values().forEach(list -> window(list, position(), (boot.choiceWidth() + 1) / 2));
       } else if (large) {
-        sites.forEach((place, list) -> {
-          list.sort(java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, boot.address())));
-          final int most = place.equals(site) ? boot.choiceWidth() : (boot.choiceWidth() + 1) / 2;
-          list.subList(0, Math.min(most, list.size())).forEach(upstream -> upstream.own = true);
-        });
+        sites.forEach(
+            (place, list) -> {
+              list.sort(
+                  java.util.Comparator.comparingLong(
+                      upstream -> Rank.of(upstream.id, boot.address())));
+              final int most =
+                  place.equals(site) ? boot.choiceWidth() : (boot.choiceWidth() + 1) / 2;
+              list.subList(0, Math.min(most, list.size())).forEach(upstream -> upstream.own = true);
+            });
       }
       if (!all.isEmpty()) {
         spreads.put(all.get(0).service, new Spread(all, large, this::distance));
@@ -267,21 +311,33 @@
 
   private List<String> neighbours = List.of();
 
-  /** The place of this switchboard among those of its site; -1 where that is not known, or too few share too many upstreams. */
+  /**
+   * The place of this switchboard among those of its site; -1 where that is not known, or too few
+   * share too many upstreams.
+   */
   private int place(final int upstreams) {
-    return neighbours.size() * (long) boot.choiceWidth() < boot.choiceSharers() * upstreams ? -1 : neighbours.indexOf(boot.address());
+    return neighbours.size() * (long) boot.choiceWidth() < boot.choiceSharers() * upstreams
+        ? -1
+        : neighbours.indexOf(boot.address());
   }
 
   /** Where this switchboard stands among all, from 0 to 1, if every site has as many as the own. */
   private double position() {
     final List<String> places = new ArrayList<>(regions.keySet());
     places.sort(null);
-    return (Math.max(0, places.indexOf(site)) + (neighbours.indexOf(boot.address()) + 0.5) / neighbours.size()) / Math.max(1, places.size());
-  }
-
-  /** Upstreams stand in one order for all; each switchboard has a stretch of it, so that each upstream has as many switchboards as the next. */
-  private static void window(final List<Upstream> list, final double position, final double wanted) {
-    list.sort(java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, upstream.service)));
+    return (Math.max(0, places.indexOf(site))
+            + (neighbours.indexOf(boot.address()) + 0.5) / neighbours.size())
+        / Math.max(1, places.size());
+  }
+
+  /**
+   * Upstreams stand in one order for all; each switchboard has a stretch of it, so that each
+   * upstream has as many switchboards as the next.
+   */
+  private static void window(
+      final List<Upstream> list, final double position, final double wanted) {
+    list.sort(
+        java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, upstream.service)));
     final int size = list.size();
     final int width = (int) Math.min(size, Math.max(LEAST_WIDTH, wanted));
     final int from = (int) (position * size);
@@ -312,12 +368,21 @@
   }
 
   /** Chooses an upstream for a request of nobody in particular. */
-  public Choice choose(final Dialplan.Service service, final Route route, final List<Upstream> tried, final long now) {
+  public Choice choose(
+      final Dialplan.Service service,
+      final Route route,
+      final List<Upstream> tried,
+      final long now) {
     return choose(service, route, 0, tried, now);
   }
 
   /** Chooses an upstream for a request of a tenant of this rank, not among those tried before. */
-  public Choice choose(final Dialplan.Service service, final Route route, final int tenantRank, final List<Upstream> tried, final long now) {
+  public Choice choose(
+      final Dialplan.Service service,
+      final Route route,
+      final int tenantRank,
+      final List<Upstream> tried,
+      final long now) {
     chosen = null;
     divide();
     final Spread spread = spreads.getOrDefault(service.name(), Spread.NONE);
@@ -325,21 +390,38 @@
     double bestCost = Double.MAX_VALUE;
     boolean any = false;
     final Upstream.Fill near = fills.get(service.name() + "@" + site);
-    final boolean crowded = near != null && route.kind != RouteKind.EGRESS && near.perSlot(now) > CROWDED;
+    final boolean crowded =
+        near != null && route.kind != RouteKind.EGRESS && near.perSlot(now) > CROWDED;
     for (final Width width : Width.values()) {
       if (width == Width.ALL && !spread.divided) {
         continue;
       }
-      if (best != null && (width == Width.DESPERATE || best.busy(now) + 1 <= best.capacity && !doubt(best, service, now))) {
+      if (best != null
+          && (width == Width.DESPERATE
+              || best.busy(now) + 1 <= best.capacity && !doubt(best, service, now))) {
         break;
       }
       for (int tier = 0; tier < 3; tier++) {
-        final Upstream candidate = sample(width == Width.OWN ? spread.own.get(tier) : spread.all.get(tier), service, route, tried, width, now);
+        final Upstream candidate =
+            sample(
+                width == Width.OWN ? spread.own.get(tier) : spread.all.get(tier),
+                service,
+                route,
+                tried,
+                width,
+                now);
         if (candidate == null) {
           continue;
         }
         any = true;
-        final double cost = candidate.cost(now, usual(service.name())) * (doubt(candidate, service, now) ? DOUBT : 1) + (tier == 0 ? 0 : tier == 1 ? 3 : route.kind == RouteKind.EGRESS ? 2 * usual(service.name()) : 30);
+        final double cost =
+            candidate.cost(now, usual(service.name()))
+                    * (doubt(candidate, service, now) ? DOUBT : 1)
+                + (tier == 0
+                    ? 0
+                    : tier == 1
+                        ? 3
+                        : route.kind == RouteKind.EGRESS ? 2 * usual(service.name()) : 30);
         if (cost < bestCost) {
           best = candidate;
           bestCost = cost;
@@ -360,21 +442,35 @@
     return Choice.CHOSEN;
   }
 
-  /** Whether the upstream of the last choice has a free slot, so that a second try beside one that takes long does no harm. */
+  /**
+   * Whether the upstream of the last choice has a free slot, so that a second try beside one that
+   * takes long does no harm.
+   */
   public boolean roomy(final long now) {
     return chosen != null && chosen.busy(now) + 1 <= chosen.capacity * ROOM;
   }
 
   /** Chooses this very upstream for a write that is tied to it, or none. */
-  public Choice pinned(final Dialplan.Service service, final Route route, final int tenantRank, final String id, final long pauseMillis, final long now) {
+  public Choice pinned(
+      final Dialplan.Service service,
+      final Route route,
+      final int tenantRank,
+      final String id,
+      final long pauseMillis,
+      final long now) {
     chosen = null;
     final Upstream upstream = upstreams.get(id);
-    if (upstream == null || !upstream.open || !upstream.service.equals(service.name()) || evacuated.contains(upstream.site) || !route.home(upstream.region)) {
+    if (upstream == null
+        || !upstream.open
+        || !upstream.service.equals(service.name())
+        || evacuated.contains(upstream.site)
+        || !route.home(upstream.region)) {
       return Choice.NONE;
     }
     reserves = true;
     upstream.tied(now, pauseMillis);
-    if (!coldAdmits(upstream, service, now) || upstream.known(now) >= upstream.capacity * Further.room(route, tenantRank)) {
+    if (!coldAdmits(upstream, service, now)
+        || upstream.known(now) >= upstream.capacity * Further.room(route, tenantRank)) {
       return Choice.FULL;
     }
     paced(upstream, service, now);
@@ -386,14 +482,18 @@
     if (!reserves || !route.kind.repeatable()) {
       return false;
     }
-    final int reserved = upstream.reserved(now, sharers(), boot.affinityReserve(), usual(upstream.service));
+    final int reserved =
+        upstream.reserved(now, sharers(), boot.affinityReserve(), usual(upstream.service));
     return reserved > 0 && upstream.known(now) + 1 > upstream.capacity - reserved;
   }
 
   private boolean reserves;
 
-  private boolean coldAdmits(final Upstream upstream, final Dialplan.Service service, final long now) {
-    return !upstream.cold(now) || service.warmupPerSecond() <= 0 || coldBound.admits(upstream, service.warmupPerSecond(), ordered, now);
+  private boolean coldAdmits(
+      final Upstream upstream, final Dialplan.Service service, final long now) {
+    return !upstream.cold(now)
+        || service.warmupPerSecond() <= 0
+        || coldBound.admits(upstream, service.warmupPerSecond(), ordered, now);
   }
 
   private void paced(final Upstream upstream, final Dialplan.Service service, final long now) {
@@ -406,16 +506,28 @@
     return usual.getOrDefault(service, USUAL_MILLIS);
   }
 
-  private Upstream sample(final List<Upstream> all, final Dialplan.Service service, final Route route, final List<Upstream> tried, final Width width, final long now) {
+  private Upstream sample(
+      final List<Upstream> all,
+      final Dialplan.Service service,
+      final Route route,
+      final List<Upstream> tried,
+      final Width width,
+      final long now) {
     final List<Upstream> fit = new ArrayList<>();
     for (final Upstream upstream : all) {
-      if (!upstream.open || evacuated.contains(upstream.site) || !route.home(upstream.region) || tried.contains(upstream)) {
+      if (!upstream.open
+          || evacuated.contains(upstream.site)
+          || !route.home(upstream.region)
+          || tried.contains(upstream)) {
         continue;
       }
       if (!coldAdmits(upstream, service, now) || kept(upstream, route, now)) {
         continue;
       }
-      if (width != Width.DESPERATE && (upstream.suspect || orderedSuspects.contains(upstream.id) || upstream.dim(now, usual(service.name())))) {
+      if (width != Width.DESPERATE
+          && (upstream.suspect
+              || orderedSuspects.contains(upstream.id)
+              || upstream.dim(now, usual(service.name())))) {
         continue;
       }
       fit.add(upstream);
@@ -429,7 +541,8 @@
       final int index = draw + random.nextInt(fit.size() - draw);
       final Upstream one = fit.get(index);
       fit.set(index, fit.get(draw));
-      final double cost = one.cost(now, usual(service.name())) * (doubt(one, service, now) ? DOUBT : 1);
+      final double cost =
+          one.cost(now, usual(service.name())) * (doubt(one, service, now) ? DOUBT : 1);
       if (best == null || cost < bestCost) {
         best = one;
         bestCost = cost;
@@ -438,19 +551,25 @@
     return best;
   }
 
-  /** What comes back from the upstreams of one site, taken together: when a site goes dark, all of it does. */
+  /**
+   * What comes back from the upstreams of one site, taken together: when a site goes dark, all of
+   * it does.
+   */
   private static final class Quiet {
     private final ArrayDeque<long[]> outstanding = new ArrayDeque<>();
     private long answeredAt = Long.MIN_VALUE / 2;
 
     private boolean doubtful(final long now, final double usual) {
       final long[] oldest = outstanding.peekFirst();
-      return outstanding.size() > 1 && answeredAt < oldest[0] && now - oldest[0] > Math.max(100, 0.9 * usual);
+      return outstanding.size() > 1
+          && answeredAt < oldest[0]
+          && now - oldest[0] > Math.max(100, 0.9 * usual);
     }
   }
 
   private boolean doubt(final Upstream upstream, final Dialplan.Service service, final long now) {
-    return upstream.doubtful(now, usual(service.name())) || quiet(upstream.site).doubtful(now, usual(service.name()));
+    return upstream.doubtful(now, usual(service.name()))
+        || quiet(upstream.site).doubtful(now, usual(service.name()));
   }
 
   private Quiet quiet(final String place) {
@@ -485,7 +604,10 @@
       return !over;
     }
 
-    /** Whether it is under way and not a byte of it was written: once abandoned, it provably never runs. */
+    /**
+     * Whether it is under way and not a byte of it was written: once abandoned, it provably never
+     * runs.
+     */
     public boolean unwritten() {
       return !over && cord == null;
     }
@@ -521,24 +643,35 @@
   }
 
   /** Counts a request as ended so. */
-  public void conclude(final Attempt attempt, final Cord.End end, final HttpResponse head, final long now) {
+  public void conclude(
+      final Attempt attempt, final Cord.End end, final HttpResponse head, final long now) {
     attempt.end();
     settle(attempt, end, head, now);
   }
 
-  /** Sends a request to the chosen upstream; where there is no connection by this time, nothing is sent. */
-  public Attempt send(final Upstream upstream, final FullHttpRequest request, final String id, final long now, final long until, final Cord.Done listener) {
+  /**
+   * Sends a request to the chosen upstream; where there is no connection by this time, nothing is
+   * sent.
+   */
+  public Attempt send(
+      final Upstream upstream,
+      final FullHttpRequest request,
+      final String id,
+      final long now,
+      final long until,
+      final Cord.Done listener) {
     final Attempt attempt = begin(upstream, now);
-    final Cord.Done done = (end, head, body) -> {
-      if (attempt.over) {
-        if (body != null) {
-          body.release();
-        }
-        return;
-      }
-      conclude(attempt, end, head, System.nanoTime() / 1_000_000);
-      listener.done(end, head, body);
-    };
+    final Cord.Done done =
+        (end, head, body) -> {
+          if (attempt.over) {
+            if (body != null) {
+              body.release();
+            }
+            return;
+          }
+          conclude(attempt, end, head, System.nanoTime() / 1_000_000);
+          listener.done(end, head, body);
+        };
     Cord idle = upstream.idle.pollFirst();
     while (idle != null && !idle.usable(now)) {
       idle.close();
@@ -553,38 +686,54 @@
     return attempt;
   }
 
-  private void connect(final Upstream upstream, final Attempt attempt, final FullHttpRequest request, final String id, final long until, final Cord.Done done) {
+  private void connect(
+      final Upstream upstream,
+      final Attempt attempt,
+      final FullHttpRequest request,
+      final String id,
+      final long until,
+      final Cord.Done done) {
     upstream.connecting++;
     final Cord.Decoder decoder = new Cord.Decoder();
     final Cord cord = new Cord(upstream, decoder, echoed -> surplus.accept(echoed));
-    final ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-      @Override
-      protected void initChannel(final SocketChannel channel) {
-        channel.pipeline().addLast(decoder, new HttpRequestEncoder(), cord);
-      }
-    }).connect(new InetSocketAddress(upstream.host, upstream.port));
-    future.addListener(result -> {
-      upstream.connecting--;
-      if (!result.isSuccess()) {
-        request.release();
-        done.done(Cord.End.UNSENT, null, null);
-        return;
-      }
-      cord.connected(future.channel());
-      if (attempt.over || !upstream.open || evacuated.contains(upstream.site) || System.nanoTime() / 1_000_000 >= until) {
-        attempt.withdrawn = true;
-        request.release();
-        cord.close();
-        done.done(Cord.End.UNSENT, null, null);
-        return;
-      }
-      attempt.cord = cord;
-      upstream.sentLate(System.nanoTime() / 1_000_000);
-      cord.send(request, id, done);
-    });
+    final ChannelFuture future =
+        bootstrap
+            .clone()
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(final SocketChannel channel) {
+                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), cord);
+                  }
+                })
+            .connect(new InetSocketAddress(upstream.host, upstream.port));
+    future.addListener(
+        result -> {
+          upstream.connecting--;
+          if (!result.isSuccess()) {
+            request.release();
+            done.done(Cord.End.UNSENT, null, null);
+            return;
+          }
+          cord.connected(future.channel());
+          if (attempt.over
+              || !upstream.open
+              || evacuated.contains(upstream.site)
+              || System.nanoTime() / 1_000_000 >= until) {
+            attempt.withdrawn = true;
+            request.release();
+            cord.close();
+            done.done(Cord.End.UNSENT, null, null);
+            return;
+          }
+          attempt.cord = cord;
+          upstream.sentLate(System.nanoTime() / 1_000_000);
+          cord.send(request, id, done);
+        });
   }
 
-  private void settle(final Attempt attempt, final Cord.End end, final HttpResponse head, final long now) {
+  private void settle(
+      final Attempt attempt, final Cord.End end, final HttpResponse head, final long now) {
     final Upstream upstream = attempt.upstream;
     if (end != Cord.End.ANSWERED) {
       if (!attempt.withdrawn) {
@@ -604,7 +753,8 @@
     } else {
       upstream.answered(now, status < 300 ? took : -1);
       if (status < 300) {
-        usual.merge(upstream.service, (double) took, (before, after) -> before * 0.98 + after * 0.02);
+        usual.merge(
+            upstream.service, (double) took, (before, after) -> before * 0.98 + after * 0.02);
       }
     }
     if (attempt.cord != null) {
--- a/cord/src/main/java/weldpoint/cord/Fate.java
+++ b/cord/src/main/java/weldpoint/cord/Fate.java
@@ -13,18 +13,27 @@
   /** It may have run. */
   UNCERTAIN;
 
-  /** The fate of a try that ended so. An answer that says both that it did and that it did not run is no proof of either. */
+  /**
+   * The fate of a try that ended so. An answer that says both that it did and that it did not run
+   * is no proof of either.
+   */
   public static Fate of(final Cord.End end, final HttpResponse head) {
     return switch (end) {
       case UNSENT -> NOT_RUN;
       case UNCERTAIN -> UNCERTAIN;
-      case ANSWERED -> answered(head.status().code(), head.headers().contains(Headers.NOT_EXECUTED));
+      case ANSWERED ->
+          answered(head.status().code(), head.headers().contains(Headers.NOT_EXECUTED));
     };
   }
 
-  /** The fate of a client's request: only an answer that names the request by its id counts as its own. */
+  /**
+   * The fate of a client's request: only an answer that names the request by its id counts as its
+   * own.
+   */
   public static Fate named(final Cord.End end, final HttpResponse head) {
-    return end == Cord.End.ANSWERED && !head.headers().contains(Headers.ATTEMPT_ID) ? UNCERTAIN : of(end, head);
+    return end == Cord.End.ANSWERED && !head.headers().contains(Headers.ATTEMPT_ID)
+        ? UNCERTAIN
+        : of(end, head);
   }
 
   private static Fate answered(final int status, final boolean declined) {
--- a/cord/src/main/java/weldpoint/cord/Further.java
+++ b/cord/src/main/java/weldpoint/cord/Further.java
@@ -2,7 +2,10 @@
 
 import weldpoint.dialplan.Route;
 
-/** When a request may be tried at a further upstream: the one place that decides it, for traffic and for replays. */
+/**
+ * When a request may be tried at a further upstream: the one place that decides it, for traffic and
+ * for replays.
+ */
 public final class Further {
   private static final double HEDGE = 0.55;
   private static final long LEAST_LEFT_MILLIS = 20;
@@ -12,15 +15,17 @@
   private static final double TENANT_STEP = 0.1;
   private static final int MOST_RANK = 4;
 
-  private Further() {
-  }
+  private Further() {}
 
   /** Whether one more try fits the route's attempts and the time left. */
   public static boolean fits(final Route route, final int sent, final long now, final long cutoff) {
     return sent < route.maxAttempts && now < cutoff - LEAST_LEFT_MILLIS;
   }
 
-  /** Whether a request may go on after a try: what may be repeated always, anything else only if no try may have run. */
+  /**
+   * Whether a request may go on after a try: what may be repeated always, anything else only if no
+   * try may have run.
+   */
   public static boolean mayGoOn(final Route route, final boolean uncertain) {
     return route.kind.repeatable() || !uncertain;
   }
@@ -36,12 +41,15 @@
   }
 
   /**
-   * Up to which multiple of its slots an upstream is given requests of this route and tenant: what ranks lowest is refused
-   * first, the tenant's rank before the route's, and writes last of all.
+   * Up to which multiple of its slots an upstream is given requests of this route and tenant: what
+   * ranks lowest is refused first, the tenant's rank before the route's, and writes last of all.
    */
   public static double room(final Route route, final int tenantRank) {
     final double least = route.kind.repeatable() ? ROOM_REPEATABLE - 0.6 : ROOM_REPEATABLE + 0.01;
-    final double room = (route.kind.repeatable() ? ROOM_REPEATABLE : ROOM_WRITE) - ROUTE_STEP * rank(route.priority) - TENANT_STEP * rank(tenantRank);
+    final double room =
+        (route.kind.repeatable() ? ROOM_REPEATABLE : ROOM_WRITE)
+            - ROUTE_STEP * rank(route.priority)
+            - TENANT_STEP * rank(tenantRank);
     return Math.max(least, room);
   }
 
--- a/cord/src/main/java/weldpoint/cord/Headers.java
+++ b/cord/src/main/java/weldpoint/cord/Headers.java
@@ -20,11 +20,11 @@
   public static final AsciiString TENANT = AsciiString.cached("Weldpoint-Tenant");
   public static final AsciiString LABELS = AsciiString.cached("Weldpoint-Labels");
 
-  private Headers() {
-  }
+  private Headers() {}
 
   /** A whole number of milliseconds, or the fallback. */
-  public static long millis(final HttpHeaders headers, final CharSequence name, final long fallback) {
+  public static long millis(
+      final HttpHeaders headers, final CharSequence name, final long fallback) {
     final String text = headers.get(name);
     if (text == null) {
       return fallback;
@@ -57,12 +57,20 @@
     }
     final StringBuilder all = new StringBuilder(",");
     while (connections.hasNext()) {
-      all.append(connections.next().toLowerCase(java.util.Locale.ROOT).replace(" ", "").replace("\t", "")).append(',');
+      all.append(
+              connections
+                  .next()
+                  .toLowerCase(java.util.Locale.ROOT)
+                  .replace(" ", "")
+                  .replace("\t", ""))
+          .append(',');
     }
     return all.toString();
   }
 
-  /** A value as its bytes came: what the codec cannot write as ASCII would become question marks. */
+  /**
+   * A value as its bytes came: what the codec cannot write as ASCII would become question marks.
+   */
   private static CharSequence bytes(final CharSequence value) {
     for (int index = 0; index < value.length(); index++) {
       if (value.charAt(index) > 126) {
@@ -74,7 +82,18 @@
 
   private static boolean hop(final String name) {
     return switch (name) {
-      case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect" -> true;
+      case "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "expect" ->
+          true;
       default -> false;
     };
   }
--- a/cord/src/main/java/weldpoint/cord/Upstream.java
+++ b/cord/src/main/java/weldpoint/cord/Upstream.java
@@ -105,15 +105,25 @@
     }
   }
 
-  /** How many slots the writes lately tied to it take over all switchboards, within this part of all; 0 once they have ceased. */
+  /**
+   * How many slots the writes lately tied to it take over all switchboards, within this part of
+   * all; 0 once they have ceased.
+   */
   int reserved(final long now, final double sharers, final double most, final double usual) {
     turn(now);
     final int seen = tiedNow + tiedBefore;
     if (seen == 0) {
       return 0;
     }
-    final double perMilli = seen / (double) ((tiedBefore == 0 ? 0 : tiedWindow) + Math.max(LEAST_WINDOW_MILLIS, now - tiedFrom));
-    return (int) Math.min(Math.floor(capacity * most), Math.ceil(perMilli * sharers * (expectedMillis == 0 ? usual : expectedMillis)));
+    final double perMilli =
+        seen
+            / (double)
+                ((tiedBefore == 0 ? 0 : tiedWindow)
+                    + Math.max(LEAST_WINDOW_MILLIS, now - tiedFrom));
+    return (int)
+        Math.min(
+            Math.floor(capacity * most),
+            Math.ceil(perMilli * sharers * (expectedMillis == 0 ? usual : expectedMillis)));
   }
 
   /** How many requests it has for certain, over all switchboards. */
@@ -125,13 +135,21 @@
     return Math.max(0, 1 - (now - toldAt) / (double) TOLD_MILLIS);
   }
 
-  /** How many requests it probably has: what it told lately, and as that grows old, what its like in the same site have. */
+  /**
+   * How many requests it probably has: what it told lately, and as that grows old, what its like in
+   * the same site have.
+   */
   double busy(final long now) {
     final double fresh = fresh(now);
-    return inFlight + Math.max(0, toldBusy - toldOwn) * fresh + (1 - fresh) * fill.perSlot(now) * capacity;
+    return inFlight
+        + Math.max(0, toldBusy - toldOwn) * fresh
+        + (1 - fresh) * fill.perSlot(now) * capacity;
   }
 
-  /** What the upstreams of one service in one site tell of others' requests, for each of their slots. */
+  /**
+   * What the upstreams of one service in one site tell of others' requests, for each of their
+   * slots.
+   */
   static final class Fill {
     private static final double WEIGHT = 0.05;
     private static final long FORGOTTEN_MILLIS = 3000;
@@ -152,7 +170,10 @@
   double cost(final long now, final double usual) {
     final double expected = expectedMillis == 0 ? usual : expectedMillis;
     final double fill = (busy(now) + 1) / capacity;
-    return expected * (fill <= 0.8 ? 1 + 0.2 * fill : fill <= 1 ? 1 + 1.5 * (fill - 0.7) : 1.45 + 2 * (fill - 1));
+    return expected
+        * (fill <= 0.8
+            ? 1 + 0.2 * fill
+            : fill <= 1 ? 1 + 1.5 * (fill - 0.7) : 1.45 + 2 * (fill - 1));
   }
 
   boolean cold(final long now) {
@@ -172,13 +193,20 @@
       return true;
     }
     final long[] oldest = outstanding.peekFirst();
-    return oldest != null && answeredAt < oldest[0] && now - oldest[0] > Math.max(300, 2 * (expectedMillis == 0 ? usual : expectedMillis));
+    return oldest != null
+        && answeredAt < oldest[0]
+        && now - oldest[0] > Math.max(300, 2 * (expectedMillis == 0 ? usual : expectedMillis));
   }
 
-  /** Whether nothing has come back for longer than usual since the oldest request that waits there was sent. */
+  /**
+   * Whether nothing has come back for longer than usual since the oldest request that waits there
+   * was sent.
+   */
   boolean doubtful(final long now, final double usual) {
     final long[] oldest = outstanding.peekFirst();
-    return oldest != null && answeredAt < oldest[0] && now - oldest[0] > Math.max(100, 1.2 * (expectedMillis == 0 ? usual : expectedMillis));
+    return oldest != null
+        && answeredAt < oldest[0]
+        && now - oldest[0] > Math.max(100, 1.2 * (expectedMillis == 0 ? usual : expectedMillis));
   }
 
   void sent(final long[] token) {
--- a/cord/src/test/java/weldpoint/cord/ColdBoundTest.java
+++ b/cord/src/test/java/weldpoint/cord/ColdBoundTest.java
@@ -17,15 +17,23 @@
 import weldpoint.dialplan.Interpreter;
 import weldpoint.trunk.Words.Registration;
 
-/** What a large fleet sends together to an upstream that turns cold: in no second more than its bound, and still enough. */
+/**
+ * What a large fleet sends together to an upstream that turns cold: in no second more than its
+ * bound, and still enough.
+ */
 public final class ColdBoundTest {
   private static final int FLEET = 55;
   private static final int SITES = 4;
   private static final double RATE = 5.3;
   private static final double BOUND = RATE * 1.5 + 8;
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
-  private final Dialplan plan = Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"any\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/\"},"
-      + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\",\"warmupPerS\":" + RATE + "}]}").getBytes(StandardCharsets.UTF_8));
+  private final Dialplan plan =
+      Dialplan.compile(
+          ("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"any\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/\"},"
+                  + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\",\"warmupPerS\":"
+                  + RATE
+                  + "}]}")
+              .getBytes(StandardCharsets.UTF_8));
 
   @AfterClass
   public void end() {
@@ -33,8 +41,17 @@
   }
 
   private Cords board(final int index) {
-    return new Cords(loop, Boot.parse("station.name = one\nstation.address = " + address(index) + "\nstation.site = s" + index % SITES + "\nstation.region = r" + index % 2
-        + "\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = s0:r0,s1:r1,s2:r0,s3:r1\nbound.warmup-tolerance = 8\n"), new Random(index));
+    return new Cords(
+        loop,
+        Boot.parse(
+            "station.name = one\nstation.address = "
+                + address(index)
+                + "\nstation.site = s"
+                + index % SITES
+                + "\nstation.region = r"
+                + index % 2
+                + "\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = s0:r0,s1:r1,s2:r0,s3:r1\nbound.warmup-tolerance = 8\n"),
+        new Random(index));
   }
 
   private static String address(final int index) {
@@ -52,7 +69,20 @@
   private static List<Cords.Change> cold(final int millis) {
     final List<Cords.Change> list = new ArrayList<>();
     for (int index = 0; index < 20; index++) {
-      list.add(new Cords.Change(new Registration("i-" + index, "s", "10.9.0." + (1 + index) + ":80", "s" + index % SITES, "v", 6, 0, 1, 0, millis), true));
+      list.add(
+          new Cords.Change(
+              new Registration(
+                  "i-" + index,
+                  "s",
+                  "10.9.0." + (1 + index) + ":80",
+                  "s" + index % SITES,
+                  "v",
+                  6,
+                  0,
+                  1,
+                  0,
+                  millis),
+              true));
     }
     return list;
   }
@@ -60,7 +90,9 @@
   private void choose(final Cords cords, final List<List<Long>> sent, final long now) {
     final Interpreter interpreter = new Interpreter("h", "/x", 0);
     plan.interpret(interpreter);
-    if (cords.choose(plan.services().get(interpreter.service()), interpreter.route(), List.of(), now) == Cords.Choice.CHOSEN) {
+    if (cords.choose(
+            plan.services().get(interpreter.service()), interpreter.route(), List.of(), now)
+        == Cords.Choice.CHOSEN) {
       sent.get(Integer.parseInt(cords.chosen().id().substring(2))).add(now);
     }
   }
@@ -69,7 +101,8 @@
     int most = 0;
     for (final List<Long> one : sent) {
       for (final long from : one) {
-        most = Math.max(most, (int) one.stream().filter(at -> at >= from && at < from + 1000).count());
+        most =
+            Math.max(most, (int) one.stream().filter(at -> at >= from && at < from + 1000).count());
       }
     }
     return most;
@@ -83,7 +116,10 @@
     return sent;
   }
 
-  /** Every switchboard had a full token for an upstream that turned cold: 55 of them could come in its first second. */
+  /**
+   * Every switchboard had a full token for an upstream that turned cold: 55 of them could come in
+   * its first second.
+   */
   @Test
   public void noSecondSeesMoreThanTheBoundWhenAZoneReturnsToALargeFleet() {
     final List<Cords> fleet = new ArrayList<>();
@@ -102,11 +138,16 @@
     }
     assertTrue(most(sent) <= BOUND, most(sent) + " in a second");
     for (final List<Long> one : sent) {
-      assertTrue(one.size() > 6 * RATE * 0.8, "a cold upstream had only " + one.size() + " in six seconds");
+      assertTrue(
+          one.size() > 6 * RATE * 0.8,
+          "a cold upstream had only " + one.size() + " in six seconds");
     }
   }
 
-  /** The switchboards of a zone come back within a second and a half, each told of those that were there before it. */
+  /**
+   * The switchboards of a zone come back within a second and a half, each told of those that were
+   * there before it.
+   */
   @Test
   public void switchboardsThatReturnBeginWithoutTokens() {
     for (int seed = 0; seed < 20; seed++) {
@@ -174,7 +215,8 @@
   public void aRequestThatWaitsForItsConnectionKeepsItsTokenUntilItIsSent() {
     final ColdBound bound = new ColdBound("a", "s", 1, 1.5, 8, new Random(1));
     bound.settled(10);
-    final Upstream upstream = new Upstream(new Registration("i", "s", "10.9.0.1:80", "s", "v", 6, 0, 1, 0, 0), "r", 0);
+    final Upstream upstream =
+        new Upstream(new Registration("i", "s", "10.9.0.1:80", "s", "v", 6, 0, 1, 0, 0), "r", 0);
     upstream.coldUntil = 60_000;
     assertTrue(bound.admits(upstream, RATE, 0, 0));
     bound.sent(upstream, RATE, 0, 0);
--- a/cord/src/test/java/weldpoint/cord/CordTest.java
+++ b/cord/src/test/java/weldpoint/cord/CordTest.java
@@ -21,19 +21,32 @@
 import org.testng.annotations.Test;
 import weldpoint.trunk.Words.Registration;
 
-/** One connection to an upstream, cut, split and spoiled at every byte: each request hears of its own end once, and of no other's. */
+/**
+ * One connection to an upstream, cut, split and spoiled at every byte: each request hears of its
+ * own end once, and of no other's.
+ */
 public final class CordTest {
-  private static final String LENGTH = "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
-  private static final String CHUNKS = "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n";
-  private static final String EMPTY = "HTTP/1.1 503 Busy\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-  private static final String OTHER = "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: other\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong";
+  private static final String LENGTH =
+      "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
+  private static final String CHUNKS =
+      "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n";
+  private static final String EMPTY =
+      "HTTP/1.1 503 Busy\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  private static final String OTHER =
+      "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: other\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong";
 
   /** One connection with what its requests have heard. */
   private static final class Wire {
     private final Cord.Decoder decoder = new Cord.Decoder();
     private final List<String> surplus = new ArrayList<>();
-    private final Cord cord = new Cord(new Upstream(new Registration("i", "s", "10.0.0.1:80", "a", "v", 4, 0, 1, 0, 0), "r", 0), decoder, surplus::add);
-    private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), cord);
+    private final Cord cord =
+        new Cord(
+            new Upstream(
+                new Registration("i", "s", "10.0.0.1:80", "a", "v", 4, 0, 1, 0, 0), "r", 0),
+            decoder,
+            surplus::add);
+    private final EmbeddedChannel channel =
+        new EmbeddedChannel(decoder, new HttpRequestEncoder(), cord);
     private final List<String> heard = new ArrayList<>();
     private int bytes;
 
@@ -42,7 +55,9 @@
     }
 
     private Wire ask(final String id) {
-      final DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
+      final DefaultFullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
       request.headers().set(Headers.ATTEMPT_ID, id);
       cord.send(request, id, (end, head, body) -> heard.add(told(id, end, head, body)));
       bytes = written();
@@ -71,8 +86,14 @@
     }
   }
 
-  private static String told(final String id, final Cord.End end, final HttpResponse head, final ByteBuf body) {
-    final String text = id + " " + end + (head == null ? "" : " " + head.status().code()) + (body == null ? "" : " " + body.toString(StandardCharsets.UTF_8));
+  private static String told(
+      final String id, final Cord.End end, final HttpResponse head, final ByteBuf body) {
+    final String text =
+        id
+            + " "
+            + end
+            + (head == null ? "" : " " + head.status().code())
+            + (body == null ? "" : " " + body.toString(StandardCharsets.UTF_8));
     if (body != null) {
       body.release();
     }
@@ -81,17 +102,26 @@
 
   @DataProvider
   public Object[][] whole() {
-    return new Object[][] {{LENGTH, "abc ANSWERED 200 body"}, {CHUNKS, "abc ANSWERED 200 body"}, {EMPTY, "abc ANSWERED 503"}, {OTHER + LENGTH, "abc ANSWERED 200 body"}};
+    return new Object[][] {
+      {LENGTH, "abc ANSWERED 200 body"},
+      {CHUNKS, "abc ANSWERED 200 body"},
+      {EMPTY, "abc ANSWERED 503"},
+      {OTHER + LENGTH, "abc ANSWERED 200 body"}
+    };
   }
 
   @Test(dataProvider = "whole")
-  public void anAnswerSplitAtAnyByteIsHeardOnceAndWhole(final String answer, final String expected) {
+  public void anAnswerSplitAtAnyByteIsHeardOnceAndWhole(
+      final String answer, final String expected) {
     for (int cut = 0; cut <= answer.length(); cut++) {
       final Wire wire = new Wire().ask("abc").hear(answer.substring(0, cut));
       assertEquals(wire.heard.size(), cut < answer.length() ? 0 : 1, "at byte " + cut);
       wire.hear(answer.substring(cut));
       assertEquals(wire.heard, List.of(expected), "at byte " + cut);
-      assertEquals(wire.cord.usable(System.nanoTime() / 1_000_000), !answer.startsWith(OTHER), "at byte " + cut);
+      assertEquals(
+          wire.cord.usable(System.nanoTime() / 1_000_000),
+          !answer.startsWith(OTHER),
+          "at byte " + cut);
     }
     final Wire single = new Wire().ask("abc");
     for (final char one : answer.toCharArray()) {
@@ -112,15 +142,23 @@
   @DataProvider
   public Object[][] noAnswer() {
     return new Object[][] {
-        {"nonsense\r\n\r\n"},
-        {LENGTH.replace("Weldpoint-Attempt-Id: abc\r\n", "Weldpoint-Attempt-Id: abc\r\nWeldpoint-Attempt-Id: other\r\n")},
-        {LENGTH.replace("Weldpoint-Attempt-Id: abc\r\n", "Weldpoint-Attempt-Id: other\r\nWeldpoint-Attempt-Id: abc\r\n")},
-        {LENGTH.replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked")},
-        {LENGTH.replace("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5")},
-        {LENGTH.replace("Content-Length: 4\r\n", "")},
-        {CHUNKS.replace("2\r\nbo", "zz\r\nbo")},
-        {LENGTH.replace("200 OK", "100 Continue")},
-        {LENGTH.replace("HTTP/1.1 200", "HTTP/1.1 2x0")},
+      {"nonsense\r\n\r\n"},
+      {
+        LENGTH.replace(
+            "Weldpoint-Attempt-Id: abc\r\n",
+            "Weldpoint-Attempt-Id: abc\r\nWeldpoint-Attempt-Id: other\r\n")
+      },
+      {
+        LENGTH.replace(
+            "Weldpoint-Attempt-Id: abc\r\n",
+            "Weldpoint-Attempt-Id: other\r\nWeldpoint-Attempt-Id: abc\r\n")
+      },
+      {LENGTH.replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked")},
+      {LENGTH.replace("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5")},
+      {LENGTH.replace("Content-Length: 4\r\n", "")},
+      {CHUNKS.replace("2\r\nbo", "zz\r\nbo")},
+      {LENGTH.replace("200 OK", "100 Continue")},
+      {LENGTH.replace("HTTP/1.1 200", "HTTP/1.1 2x0")},
     };
   }
 
@@ -145,7 +183,9 @@
           wire.hear(LENGTH).hear(surplus.substring(0, bytes));
         }
         assertEquals(wire.heard, List.of("abc ANSWERED 200 body"));
-        assertFalse(wire.cord.usable(System.nanoTime() / 1_000_000), bytes + " surplus bytes, together " + together);
+        assertFalse(
+            wire.cord.usable(System.nanoTime() / 1_000_000),
+            bytes + " surplus bytes, together " + together);
         wire.ask("next");
         assertEquals(wire.heard.get(1), "next UNSENT");
         assertEquals(wire.bytes, 0, "nothing may be written after surplus bytes");
@@ -157,11 +197,16 @@
   @Test
   public void whatWaitsBehindAnAnswerIsNotTakenForTheNextRequestsEvenInsideItsOwnCallback() {
     final Wire wire = new Wire();
-    final DefaultFullHttpRequest first = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
-    wire.cord.send(first, "abc", (end, head, body) -> {
-      wire.heard.add(told("abc", end, head, body));
-      wire.ask("next");
-    });
+    final DefaultFullHttpRequest first =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
+    wire.cord.send(
+        first,
+        "abc",
+        (end, head, body) -> {
+          wire.heard.add(told("abc", end, head, body));
+          wire.ask("next");
+        });
     wire.hear(LENGTH + EMPTY.replace("abc", "next"));
     wire.written();
     assertEquals(wire.heard, List.of("abc ANSWERED 200 body", "next UNSENT"));
@@ -169,8 +214,10 @@
 
   @Test
   public void theBeginningOfASurplusAnswerDoesNotTurnTheNextFailureIntoASuccess() {
-    final Wire wire = new Wire().ask("abc").hear(LENGTH + "HTTP/1.1 200 OK\r\nWeldpoint-Server-Seal: s\r\nX: ");
-    wire.ask("next").hear("HTTP/1.1 500 Wrong\r\nWeldpoint-Attempt-Id: next\r\nContent-Length: 0\r\n\r\n");
+    final Wire wire =
+        new Wire().ask("abc").hear(LENGTH + "HTTP/1.1 200 OK\r\nWeldpoint-Server-Seal: s\r\nX: ");
+    wire.ask("next")
+        .hear("HTTP/1.1 500 Wrong\r\nWeldpoint-Attempt-Id: next\r\nContent-Length: 0\r\n\r\n");
     assertEquals(wire.heard, List.of("abc ANSWERED 200 body", "next UNSENT"));
   }
 
@@ -186,7 +233,8 @@
   @Test
   public void anAnswerAfterItsRequestWasGivenUpReachesNobody() {
     for (int cut = 0; cut <= LENGTH.length(); cut++) {
-      final Wire wire = new Wire().ask("abc").hear(LENGTH.substring(0, Math.min(cut, LENGTH.length() - 1)));
+      final Wire wire =
+          new Wire().ask("abc").hear(LENGTH.substring(0, Math.min(cut, LENGTH.length() - 1)));
       wire.cord.abandon();
       wire.hear(LENGTH.substring(Math.min(cut, LENGTH.length() - 1)));
       assertEquals(wire.heard, List.of());
@@ -196,17 +244,36 @@
 
   @Test
   public void onlyADeclineOfTheRequestItselfProvesThatItDidNotRun() {
-    final int[][] cases = new int[][] {{200, 1, 2}, {302, 1, 2}, {400, 1, 1}, {421, 0, 1}, {421, 1, 1}, {429, 1, 1}, {503, 1, 1}, {503, 0, 0}, {429, 0, 0}, {200, 0, 0}, {500, 0, 0}};
+    final int[][] cases =
+        new int[][] {
+          {200, 1, 2},
+          {302, 1, 2},
+          {400, 1, 1},
+          {421, 0, 1},
+          {421, 1, 1},
+          {429, 1, 1},
+          {503, 1, 1},
+          {503, 0, 0},
+          {429, 0, 0},
+          {200, 0, 0},
+          {500, 0, 0}
+        };
     final Fate[] fates = new Fate[] {Fate.ANSWERED, Fate.NOT_RUN, Fate.UNCERTAIN};
     for (final int[] one : cases) {
-      final HttpResponse head = new io.netty.handler.codec.http.DefaultHttpResponse(HttpVersion.HTTP_1_1, io.netty.handler.codec.http.HttpResponseStatus.valueOf(one[0]));
+      final HttpResponse head =
+          new io.netty.handler.codec.http.DefaultHttpResponse(
+              HttpVersion.HTTP_1_1, io.netty.handler.codec.http.HttpResponseStatus.valueOf(one[0]));
       if (one[1] == 1) {
         head.headers().set(Headers.NOT_EXECUTED, "1");
       }
       assertEquals(Fate.of(Cord.End.ANSWERED, head), fates[one[2]], one[0] + " declined " + one[1]);
-      assertEquals(Fate.named(Cord.End.ANSWERED, head), Fate.UNCERTAIN, "without an id nothing counts for a client's request");
+      assertEquals(
+          Fate.named(Cord.End.ANSWERED, head),
+          Fate.UNCERTAIN,
+          "without an id nothing counts for a client's request");
       head.headers().set(Headers.ATTEMPT_ID, "abc");
-      assertEquals(Fate.named(Cord.End.ANSWERED, head), fates[one[2]], one[0] + " declined " + one[1]);
+      assertEquals(
+          Fate.named(Cord.End.ANSWERED, head), fates[one[2]], one[0] + " declined " + one[1]);
     }
     assertEquals(Fate.of(Cord.End.UNSENT, null), Fate.NOT_RUN);
     assertEquals(Fate.of(Cord.End.UNCERTAIN, null), Fate.UNCERTAIN);
@@ -214,7 +281,10 @@
     assertEquals(Fate.named(Cord.End.UNCERTAIN, null), Fate.UNCERTAIN);
   }
 
-  /** Generated answers, spoiled and cut: whatever comes, a request hears once, and what it hears as its answer was sent under its id and whole. */
+  /**
+   * Generated answers, spoiled and cut: whatever comes, a request hears once, and what it hears as
+   * its answer was sent under its id and whole.
+   */
   @Test
   public void generatedBytesNeverBecomeAnotherAnswer() {
     final long seed = Long.getLong("weldpoint.fuzz.seed", 19);
@@ -238,13 +308,29 @@
       for (int piece = 0; piece < pieces; piece++) {
         final int status = new int[] {200, 200, 204, 302, 404, 421, 500, 503}[random.nextInt(8)];
         final String to = random.nextInt(3) == 0 ? "r" + random.nextInt(4) : id;
-        final String body = "b" + random.nextInt(1000) + (status == 204 ? "" : "x".repeat(random.nextInt(40)));
+        final String body =
+            "b" + random.nextInt(1000) + (status == 204 ? "" : "x".repeat(random.nextInt(40)));
         final boolean chunks = random.nextBoolean();
-        final String framed = status == 204 ? "\r\n" : chunks ? "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n" : "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        final String framed =
+            status == 204
+                ? "\r\n"
+                : chunks
+                    ? "Transfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(body.length())
+                        + "\r\n"
+                        + body
+                        + "\r\n0\r\n\r\n"
+                    : "Content-Length: " + body.length() + "\r\n\r\n" + body;
         if (to.equals(id)) {
           right.add(id + " ANSWERED " + status + (status == 204 ? "" : " " + body));
         }
-        String text = "HTTP/1.1 " + status + " X\r\nWeldpoint-Attempt-Id: " + to + "\r\nWeldpoint-Server-Seal: s\r\n" + framed;
+        String text =
+            "HTTP/1.1 "
+                + status
+                + " X\r\nWeldpoint-Attempt-Id: "
+                + to
+                + "\r\nWeldpoint-Server-Seal: s\r\n"
+                + framed;
         if (random.nextInt(6) == 0) {
           text = "\u0000garbage " + random.nextInt();
         }
@@ -257,7 +343,8 @@
       }
       int at = 0;
       while (at < bytes.length()) {
-        final int next = Math.min(bytes.length(), at + 1 + random.nextInt(random.nextBoolean() ? 3 : 120));
+        final int next =
+            Math.min(bytes.length(), at + 1 + random.nextInt(random.nextBoolean() ? 3 : 120));
         wire.hear(bytes.substring(at, next));
         at = next;
       }
--- a/cord/src/test/java/weldpoint/cord/CordsTest.java
+++ b/cord/src/test/java/weldpoint/cord/CordsTest.java
@@ -32,12 +32,18 @@
 import weldpoint.dialplan.Interpreter;
 import weldpoint.trunk.Words.Registration;
 
-/** The choice of upstreams: homes, evacuations, drains, and the bound of cold ones over many switchboards. */
+/**
+ * The choice of upstreams: homes, evacuations, drains, and the bound of cold ones over many
+ * switchboards.
+ */
 public final class CordsTest {
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
-  private final Dialplan plan = Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/\"},"
-      + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[\"north\"]}},{\"name\":\"any\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/any/\"},"
-      + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\",\"warmupPerS\":12}]}").getBytes(StandardCharsets.UTF_8));
+  private final Dialplan plan =
+      Dialplan.compile(
+          ("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/\"},"
+                  + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[\"north\"]}},{\"name\":\"any\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/any/\"},"
+                  + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\",\"warmupPerS\":12}]}")
+              .getBytes(StandardCharsets.UTF_8));
 
   @AfterClass
   public void end() {
@@ -45,11 +51,19 @@
   }
 
   private Cords cords(final long seed) {
-    return new Cords(loop, Boot.parse("station.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = north\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = a:north,b:south\n"), new Random(seed));
+    return new Cords(
+        loop,
+        Boot.parse(
+            "station.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = north\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = a:north,b:south\n"),
+        new Random(seed));
   }
 
-  private static Cords.Change change(final String id, final String site, final long warmup, final boolean open) {
-    return new Cords.Change(new Registration(id, "s", "10.9.0." + (1 + id.hashCode() % 9) + ":80", site, "v", 4, 0, 1, 0, warmup), open);
+  private static Cords.Change change(
+      final String id, final String site, final long warmup, final boolean open) {
+    return new Cords.Change(
+        new Registration(
+            id, "s", "10.9.0." + (1 + id.hashCode() % 9) + ":80", site, "v", 4, 0, 1, 0, warmup),
+        open);
   }
 
   private Interpreter request(final String path) {
@@ -60,7 +74,8 @@
 
   private Cords.Choice choose(final Cords cords, final String path, final long now) {
     final Interpreter interpreter = request(path);
-    return cords.choose(plan.services().get(interpreter.service()), interpreter.route(), List.of(), now);
+    return cords.choose(
+        plan.services().get(interpreter.service()), interpreter.route(), List.of(), now);
   }
 
   @Test
@@ -102,7 +117,9 @@
       }
       int most = 0;
       for (final long from : new HashSet<>(sent)) {
-        most = Math.max(most, (int) sent.stream().filter(at -> at >= from && at < from + 1000).count());
+        most =
+            Math.max(
+                most, (int) sent.stream().filter(at -> at >= from && at < from + 1000).count());
       }
       assertTrue(most <= 12 * 1.5 + 5, most + " in a second with " + boards);
       assertTrue(sent.size() > 19 * 6, "only " + sent.size() + " with " + boards);
@@ -110,7 +127,20 @@
   }
 
   private Cords board(final int index, final List<Cords.Change> changes) {
-    final Cords cords = new Cords(loop, Boot.parse("station.name = one\nstation.address = 10.1." + index % 4 + "." + index + "\nstation.site = s" + index % 4 + "\nstation.region = r" + index % 2 + "\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = s0:r0,s1:r1,s2:r0,s3:r1\n"), new Random(index));
+    final Cords cords =
+        new Cords(
+            loop,
+            Boot.parse(
+                "station.name = one\nstation.address = 10.1."
+                    + index % 4
+                    + "."
+                    + index
+                    + "\nstation.site = s"
+                    + index % 4
+                    + "\nstation.region = r"
+                    + index % 2
+                    + "\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = s0:r0,s1:r1,s2:r0,s3:r1\n"),
+            new Random(index));
     cords.apply(changes, 1000);
     return cords;
   }
@@ -118,7 +148,11 @@
   private static List<Cords.Change> upstreams(final int count) {
     final List<Cords.Change> list = new ArrayList<>();
     for (int index = 0; index < count; index++) {
-      list.add(new Cords.Change(new Registration("i-" + index * 7919, "s", "10.9.0.1:80", "s" + index % 4, "v", 4, 0, 1, 0, 0), true));
+      list.add(
+          new Cords.Change(
+              new Registration(
+                  "i-" + index * 7919, "s", "10.9.0.1:80", "s" + index % 4, "v", 4, 0, 1, 0, 0),
+              true));
     }
     return list;
   }
@@ -132,14 +166,19 @@
       final Set<String> before = new HashSet<>(cords.part("s"));
       assertEquals(before.size(), 24 + 3 * 12);
       before.forEach(id -> callers.merge(id, 1, Integer::sum));
-      cords.apply(List.of(new Cords.Change(new Registration("i-0", "s", "10.9.0.1:80", "s0", "v", 4, 2, 2, 0, 0), false)), 2000);
+      cords.apply(
+          List.of(
+              new Cords.Change(
+                  new Registration("i-0", "s", "10.9.0.1:80", "s0", "v", 4, 2, 2, 0, 0), false)),
+          2000);
       final Set<String> after = new HashSet<>(cords.part("s"));
       after.removeAll(before);
       moved += after.size();
     }
     assertEquals(callers.size(), 281, "no upstream is left without callers");
     final double mean = 77 * 60 / 281.0;
-    callers.forEach((id, count) -> assertTrue(count > 0.3 * mean && count < 1.8 * mean, id + " has " + count));
+    callers.forEach(
+        (id, count) -> assertTrue(count > 0.3 * mean && count < 1.8 * mean, id + " has " + count));
     assertTrue(moved <= callers.get("i-0"), "only its own callers replace it: " + moved);
     assertEquals(board(1, upstreams(30)).part("s").size(), 30, "a small service is used whole");
     assertEquals(board(1, upstreams(1)).part("s").size(), 1);
@@ -163,17 +202,30 @@
 
   @Test
   public void theLowestRankIsRefusedFirstAndWritesLast() {
-    final double[] room = new double[] {
-        Further.room(ranked("idempotent", 4), 4), Further.room(ranked("idempotent", 0), 4), Further.room(ranked("idempotent", 2), 1),
-        Further.room(ranked("egress", 2), 0), Further.room(ranked("idempotent", 1), 0), Further.room(ranked("mutating", 4), 4), Further.room(ranked("mutating", 1), 0),
-    };
+    final double[] room =
+        new double[] {
+          Further.room(ranked("idempotent", 4), 4),
+          Further.room(ranked("idempotent", 0), 4),
+          Further.room(ranked("idempotent", 2), 1),
+          Further.room(ranked("egress", 2), 0),
+          Further.room(ranked("idempotent", 1), 0),
+          Further.room(ranked("mutating", 4), 4),
+          Further.room(ranked("mutating", 1), 0),
+        };
     for (int index = 1; index < room.length; index++) {
       assertTrue(room[index] > room[index - 1], java.util.Arrays.toString(room));
     }
   }
 
   private static weldpoint.dialplan.Route ranked(final String kind, final int priority) {
-    final Dialplan one = Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"" + kind + "\",\"priority\":" + priority + ",\"match\":{\"pathPrefix\":\"/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\"}]}").getBytes(StandardCharsets.UTF_8));
+    final Dialplan one =
+        Dialplan.compile(
+            ("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\""
+                    + kind
+                    + "\",\"priority\":"
+                    + priority
+                    + ",\"match\":{\"pathPrefix\":\"/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\"}]}")
+                .getBytes(StandardCharsets.UTF_8));
     return one.route("r");
   }
 
@@ -192,14 +244,21 @@
       assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.CHOSEN);
     }
     int lookups = 0;
-    while (cords.choose(service, look.route(), List.of(), now) == Cords.Choice.CHOSEN && lookups < 10) {
+    while (cords.choose(service, look.route(), List.of(), now) == Cords.Choice.CHOSEN
+        && lookups < 10) {
       under.add(cords.begin(cords.chosen(), now));
       lookups++;
     }
     assertEquals(lookups, 2, "half of four slots is kept for the writes");
-    assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.CHOSEN, "a tied write still has room");
+    assertEquals(
+        cords.pinned(service, write.route(), 0, "n", 60_000, now),
+        Cords.Choice.CHOSEN,
+        "a tied write still has room");
     now += 25_000;
-    assertEquals(cords.choose(service, look.route(), List.of(), now), Cords.Choice.CHOSEN, "an idle reserve is given back");
+    assertEquals(
+        cords.choose(service, look.route(), List.of(), now),
+        Cords.Choice.CHOSEN,
+        "an idle reserve is given back");
     assertEquals(cords.pinned(service, write.route(), 0, "gone", 60_000, now), Cords.Choice.NONE);
     cords.evacuated(Set.of("a"), now);
     assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.NONE);
@@ -215,15 +274,28 @@
     }
     final List<Cords.Change> changes = new ArrayList<>();
     for (int index = 0; index < upstreams; index++) {
-      changes.add(new Cords.Change(new Registration("near-" + index, "s", "10.9.0.1:80", "a", "v", 4, 0, 1, 0, 0), true));
-      changes.add(new Cords.Change(new Registration("far-" + index, "s", "10.9.0.1:80", "b", "v", 4, 0, 1, 0, 0), true));
+      changes.add(
+          new Cords.Change(
+              new Registration("near-" + index, "s", "10.9.0.1:80", "a", "v", 4, 0, 1, 0, 0),
+              true));
+      changes.add(
+          new Cords.Change(
+              new Registration("far-" + index, "s", "10.9.0.1:80", "b", "v", 4, 0, 1, 0, 0), true));
     }
     final java.util.Map<String, Integer> callers = new java.util.HashMap<>();
     for (final String address : addresses) {
-      final Cords cords = new Cords(loop, Boot.parse("station.name = one\nstation.address = " + address + "\nstation.site = a\nstation.region = north\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = a:north,b:south\n"), new Random(1));
+      final Cords cords =
+          new Cords(
+              loop,
+              Boot.parse(
+                  "station.name = one\nstation.address = "
+                      + address
+                      + "\nstation.site = a\nstation.region = north\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = a:north,b:south\n"),
+              new Random(1));
       cords.apply(changes, 1000);
       cords.neighbours(addresses, 0);
-      final List<String> near = cords.part("s").stream().filter(id -> id.startsWith("near")).toList();
+      final List<String> near =
+          cords.part("s").stream().filter(id -> id.startsWith("near")).toList();
       assertEquals(near.size(), 7);
       near.forEach(id -> callers.merge(id, 1, Integer::sum));
     }
@@ -261,19 +333,47 @@
     assertEquals(cords.chosen().site(), "a", "homes bind all the same");
   }
 
-  /** Sends to an upstream that listens, does something at once, and tells how it ended and how many bytes arrived. */
-  private String sent(final long until, final Consumer<Cords> meanwhile) throws IOException, InterruptedException, ExecutionException, TimeoutException {
+  /**
+   * Sends to an upstream that listens, does something at once, and tells how it ended and how many
+   * bytes arrived.
+   */
+  private String sent(final long until, final Consumer<Cords> meanwhile)
+      throws IOException, InterruptedException, ExecutionException, TimeoutException {
     try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
       server.setSoTimeout(8000);
       final Cords cords = cords(3);
       final CompletableFuture<Cord.End> ended = new CompletableFuture<>();
-      final DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
-      loop.execute(() -> {
-        cords.apply(List.of(new Cords.Change(new Registration("n", "s", "127.0.0.1:" + server.getLocalPort(), "a", "v", 4, 0, 1, 0, 0), true)), 1000);
-        assertEquals(choose(cords, "/x", 1000), Cords.Choice.CHOSEN);
-        cords.send(cords.chosen(), request, "abc", 1000, until, (end, head, body) -> ended.complete(end));
-        meanwhile.accept(cords);
-      });
+      final DefaultFullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
+      loop.execute(
+          () -> {
+            cords.apply(
+                List.of(
+                    new Cords.Change(
+                        new Registration(
+                            "n",
+                            "s",
+                            "127.0.0.1:" + server.getLocalPort(),
+                            "a",
+                            "v",
+                            4,
+                            0,
+                            1,
+                            0,
+                            0),
+                        true)),
+                1000);
+            assertEquals(choose(cords, "/x", 1000), Cords.Choice.CHOSEN);
+            cords.send(
+                cords.chosen(),
+                request,
+                "abc",
+                1000,
+                until,
+                (end, head, body) -> ended.complete(end));
+            meanwhile.accept(cords);
+          });
       try (Socket socket = server.accept()) {
         socket.setSoTimeout(8000);
         final int first = socket.getInputStream().read();
@@ -284,12 +384,20 @@
   }
 
   @Test
-  public void aTryThatIsConnectedTooLateIsNeverWritten() throws IOException, InterruptedException, ExecutionException, TimeoutException {
-    assertEquals(sent(Long.MAX_VALUE, cords -> {
-    }), "UNCERTAIN bytes");
-    assertEquals(sent(System.nanoTime() / 1_000_000 - 1, cords -> {
-    }), "UNSENT nothing", "past its deadline, as after a standstill");
-    assertEquals(sent(Long.MAX_VALUE, cords -> cords.evacuated(Set.of("a"), 1000)), "UNSENT nothing", "its zone is evacuated meanwhile");
-    assertEquals(sent(Long.MAX_VALUE, cords -> cords.apply(List.of(change("n", "a", 0, false)), 1000)), "UNSENT nothing", "it has signed off meanwhile");
+  public void aTryThatIsConnectedTooLateIsNeverWritten()
+      throws IOException, InterruptedException, ExecutionException, TimeoutException {
+    assertEquals(sent(Long.MAX_VALUE, cords -> {}), "UNCERTAIN bytes");
+    assertEquals(
+        sent(System.nanoTime() / 1_000_000 - 1, cords -> {}),
+        "UNSENT nothing",
+        "past its deadline, as after a standstill");
+    assertEquals(
+        sent(Long.MAX_VALUE, cords -> cords.evacuated(Set.of("a"), 1000)),
+        "UNSENT nothing",
+        "its zone is evacuated meanwhile");
+    assertEquals(
+        sent(Long.MAX_VALUE, cords -> cords.apply(List.of(change("n", "a", 0, false)), 1000)),
+        "UNSENT nothing",
+        "it has signed off meanwhile");
   }
 }
--- a/dialplan/src/main/java/weldpoint/dialplan/Affinity.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Affinity.java
@@ -2,7 +2,10 @@
 
 import weldpoint.boot.Breakdown;
 
-/** A route's rule that ties each caller to one node: by what a caller is known, and how long a pause ends a session. */
+/**
+ * A route's rule that ties each caller to one node: by what a caller is known, and how long a pause
+ * ends a session.
+ */
 public record Affinity(By by, String header, long pauseMillis) {
   private static final long USUAL_PAUSE_MILLIS = 60_000;
   private static final int MOST_HEADER = 64;
@@ -23,26 +26,49 @@
       return null;
     }
     if (kind.repeatable()) {
-      throw invalid(route, "carries no writes; leave affinity out, lookups and downloads go where there is room");
+      throw invalid(
+          route,
+          "carries no writes; leave affinity out, lookups and downloads go where there is room");
     }
     return of("route " + route, given.by(), given.header(), given.pauseMs());
   }
 
-  private static Affinity of(final String where, final String by, final String header, final Double pause) {
+  private static Affinity of(
+      final String where, final String by, final String header, final Double pause) {
     final By known = by(by);
     if (known == null) {
-      throw new Breakdown(Breakdown.Kind.INVALID, where + " has affinity by '" + by + "'; give header, tenant or address");
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          where + " has affinity by '" + by + "'; give header, tenant or address");
     }
     if (known == By.HEADER != (header != null)) {
-      throw new Breakdown(Breakdown.Kind.INVALID, where + (known == By.HEADER ? " has affinity by header and names none; name the header" : " names a header and has affinity by " + by + "; leave the header out or give by header"));
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          where
+              + (known == By.HEADER
+                  ? " has affinity by header and names none; name the header"
+                  : " names a header and has affinity by "
+                      + by
+                      + "; leave the header out or give by header"));
     }
-    if (header != null && (header.isEmpty() || header.length() > MOST_HEADER || !header.matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+"))) {
-      throw new Breakdown(Breakdown.Kind.INVALID, where + " has affinity by the header '" + header + "', which is no name of one; give letters, digits and signs such as - without blanks, at most " + MOST_HEADER);
+    if (header != null
+        && (header.isEmpty()
+            || header.length() > MOST_HEADER
+            || !header.matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+"))) {
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          where
+              + " has affinity by the header '"
+              + header
+              + "', which is no name of one; give letters, digits and signs such as - without blanks, at most "
+              + MOST_HEADER);
     }
     if (pause != null && !(pause > 0)) {
-      throw new Breakdown(Breakdown.Kind.INVALID, where + " has the pause " + pause + "; give pauseMs above 0");
+      throw new Breakdown(
+          Breakdown.Kind.INVALID, where + " has the pause " + pause + "; give pauseMs above 0");
     }
-    return new Affinity(known, header, pause == null ? USUAL_PAUSE_MILLIS : Math.max(1, pause.longValue()));
+    return new Affinity(
+        known, header, pause == null ? USUAL_PAUSE_MILLIS : Math.max(1, pause.longValue()));
   }
 
   private static By by(final String text) {
@@ -64,7 +90,11 @@
       return null;
     }
     final int colon = text.indexOf(':');
-    return of("setting " + field, colon < 0 ? text : text.substring(0, colon), colon < 0 ? null : text.substring(colon + 1), null);
+    return of(
+        "setting " + field,
+        colon < 0 ? text : text.substring(0, colon),
+        colon < 0 ? null : text.substring(colon + 1),
+        null);
   }
 
   /** The rule in force on a route, given what settings say of write routes without one. */
--- a/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
@@ -11,7 +11,8 @@
 
 /** A configuration compiled into a small program: names have become dense indices. */
 public final class Dialplan {
-  private static final JsonType<SpecDocument> TYPE = Jsonb.builder().build().type(SpecDocument.class);
+  private static final JsonType<SpecDocument> TYPE =
+      Jsonb.builder().build().type(SpecDocument.class);
 
   /** The steps of the program that every request runs through, in order. */
   enum Step {
@@ -25,7 +26,9 @@
     FIND_LONGEST_PREFIX {
       @Override
       boolean run(final Dialplan plan, final Interpreter request) {
-        for (int slash = request.pathEnd; slash >= 0; slash = request.path.lastIndexOf('/', slash - 1)) {
+        for (int slash = request.pathEnd;
+            slash >= 0;
+            slash = request.path.lastIndexOf('/', slash - 1)) {
           final Route found = request.prefixes.get(request.path.substring(0, slash + 1));
           if (found != null) {
             request.route = found;
@@ -41,7 +44,10 @@
     CHOOSE_SERVICE {
       @Override
       boolean run(final Dialplan plan, final Interpreter request) {
-        request.service = request.route.services.length == 1 ? request.route.services[0] : request.route.service(request.chance);
+        request.service =
+            request.route.services.length == 1
+                ? request.route.services[0]
+                : request.route.service(request.chance);
         return true;
       }
     };
@@ -52,11 +58,22 @@
   private static final Step[] PROGRAM = Step.values();
 
   /** What is known of a service. */
-  public record Service(int index, String name, String healthPath, int maxConnections, double warmupPerSecond, double ratePerSecond) {
-  }
+  public record Service(
+      int index,
+      String name,
+      String healthPath,
+      int maxConnections,
+      double warmupPerSecond,
+      double ratePerSecond) {}
 
   /** Somebody with keys; a rate of 0 means no limit. */
-  public record Tenant(int index, String name, int priority, double ratePerSecond, double burst, List<String> homes) {
+  public record Tenant(
+      int index,
+      String name,
+      int priority,
+      double ratePerSecond,
+      double burst,
+      List<String> homes) {
     /** Whether upstreams in this region may serve the tenant. */
     public boolean home(final String region) {
       return homes.isEmpty() || homes.contains(region);
@@ -75,7 +92,15 @@
   private final long idleMillis;
   private final int routes;
 
-  private Dialplan(final long version, final List<Tenant> tenants, final Map<String, Tenant> keys, final Map<String, Map<String, Route>> hosts, final List<Service> services, final Map<String, Integer> serviceIndices, final SpecDocument.Limits limits, final int routes) {
+  private Dialplan(
+      final long version,
+      final List<Tenant> tenants,
+      final Map<String, Tenant> keys,
+      final Map<String, Map<String, Route>> hosts,
+      final List<Service> services,
+      final Map<String, Integer> serviceIndices,
+      final SpecDocument.Limits limits,
+      final int routes) {
     this.tenants = tenants;
     this.keys = keys;
     this.version = version;
@@ -98,7 +123,9 @@
     try {
       return Long.parseUnsignedLong(text, 16);
     } catch (final NumberFormatException | NullPointerException problem) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the version '" + text + "' is no number; write it as eight hexadecimal digits");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the version '" + text + "' is no number; write it as eight hexadecimal digits");
     }
   }
 
@@ -113,10 +140,15 @@
     try {
       document = TYPE.fromJson(new String(body, StandardCharsets.UTF_8));
     } catch (final RuntimeException problem) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the configuration cannot be read whole (" + problem.getMessage() + "); send complete JSON");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the configuration cannot be read whole ("
+              + problem.getMessage()
+              + "); send complete JSON");
     }
     if (document == null || document.listeners() == null || document.pools() == null) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the configuration lacks listeners or pools; send it whole");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE, "the configuration lacks listeners or pools; send it whole");
     }
     return document;
   }
@@ -131,7 +163,14 @@
         throw invalid("a pool has no name; give it one");
       }
       indices.put(pool.name(), services.size());
-      services.add(new Service(services.size(), pool.name(), pool.healthPath() == null ? "/health" : pool.healthPath(), (int) orElse(pool.maxConns(), 100), orElse(pool.warmupPerS(), 0), orElse(pool.ratePerS(), 0)));
+      services.add(
+          new Service(
+              services.size(),
+              pool.name(),
+              pool.healthPath() == null ? "/health" : pool.healthPath(),
+              (int) orElse(pool.maxConns(), 100),
+              orElse(pool.warmupPerS(), 0),
+              orElse(pool.ratePerS(), 0)));
     }
     final Map<String, Map<String, Route>> hosts = new HashMap<>();
     int count = 0;
@@ -139,7 +178,9 @@
       if (listener.host() == null || listener.host().isEmpty()) {
         throw invalid("a listener has an empty host; name the host it serves");
       }
-      final Map<String, Route> prefixes = hosts.computeIfAbsent(listener.host().toLowerCase(java.util.Locale.ROOT), host -> new HashMap<>());
+      final Map<String, Route> prefixes =
+          hosts.computeIfAbsent(
+              listener.host().toLowerCase(java.util.Locale.ROOT), host -> new HashMap<>());
       if (listener.rules() == null) {
         continue;
       }
@@ -154,13 +195,22 @@
     return new Dialplan(version, tenants, keys, hosts, services, indices, document.limits(), count);
   }
 
-  private static void tenants(final SpecDocument document, final List<Tenant> tenants, final Map<String, Tenant> keys) {
+  private static void tenants(
+      final SpecDocument document, final List<Tenant> tenants, final Map<String, Tenant> keys) {
     final Map<String, Tenant> names = new HashMap<>();
-    for (final SpecDocument.Tenant given : document.tenants() == null ? List.<SpecDocument.Tenant>of() : document.tenants()) {
+    for (final SpecDocument.Tenant given :
+        document.tenants() == null ? List.<SpecDocument.Tenant>of() : document.tenants()) {
       if (given.name() == null || given.name().isEmpty()) {
         throw invalid("a tenant has no name; give it one");
       }
-      final Tenant tenant = new Tenant(tenants.size(), given.name(), (int) orElse(given.priority(), 0), orElse(given.ratePerS(), 0), orElse(given.burst(), 0), given.homeRegions() == null ? List.of() : given.homeRegions());
+      final Tenant tenant =
+          new Tenant(
+              tenants.size(),
+              given.name(),
+              (int) orElse(given.priority(), 0),
+              orElse(given.ratePerS(), 0),
+              orElse(given.burst(), 0),
+              given.homeRegions() == null ? List.of() : given.homeRegions());
       if (names.put(tenant.name(), tenant) != null) {
         throw invalid("two tenants are named " + tenant.name() + "; give each a name of its own");
       }
@@ -171,7 +221,12 @@
         }
         final Tenant other = keys.put(key, tenant);
         if (other != null && other != tenant) {
-          throw invalid("the tenants " + other.name() + " and " + tenant.name() + " share a key; give each its own");
+          throw invalid(
+              "the tenants "
+                  + other.name()
+                  + " and "
+                  + tenant.name()
+                  + " share a key; give each its own");
         }
       }
     }
@@ -181,11 +236,14 @@
     return new Breakdown(Breakdown.Kind.INVALID, message);
   }
 
-  private static Route route(final SpecDocument.Rule rule, final int index, final Map<String, Integer> indices) {
+  private static Route route(
+      final SpecDocument.Rule rule, final int index, final Map<String, Integer> indices) {
     final String name = rule.name() == null ? "#" + index : rule.name();
     final SpecDocument.Action action = rule.action();
     if (rule.match() == null || rule.match().pathPrefix() == null || action == null) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "route " + name + " lacks its match or its action; send it whole");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "route " + name + " lacks its match or its action; send it whole");
     }
     if (action.timeoutMs() == null || action.timeoutMs() <= 0) {
       throw invalid("route " + name + " has no timeoutMs; give it more than 0");
@@ -193,22 +251,42 @@
     if (action.maxAttempts() == null || action.maxAttempts() < 1) {
       throw invalid("route " + name + " has 0 maxAttempts; give it at least 1");
     }
-    final List<SpecDocument.Share> shares = action.split() != null && !action.split().isEmpty() ? action.split() : List.of(new SpecDocument.Share(action.service(), 1.0));
+    final List<SpecDocument.Share> shares =
+        action.split() != null && !action.split().isEmpty()
+            ? action.split()
+            : List.of(new SpecDocument.Share(action.service(), 1.0));
     final int[] services = new int[shares.size()];
     final double[] upTo = new double[shares.size()];
     double sum = 0;
     for (int place = 0; place < services.length; place++) {
       final Integer service = indices.get(shares.get(place).service());
       if (service == null) {
-        throw invalid("route " + name + " names the unknown service " + shares.get(place).service() + "; add it to pools or name another");
+        throw invalid(
+            "route "
+                + name
+                + " names the unknown service "
+                + shares.get(place).service()
+                + "; add it to pools or name another");
       }
       services[place] = service;
       sum += shares.get(place).weight() == null ? 0 : Math.max(0, shares.get(place).weight());
       upTo[place] = sum;
     }
     final List<String> homes = action.homeRegions() == null ? List.of() : action.homeRegions();
-    return new Route(index, name, RouteKind.of(rule.routeKind()), (int) orElse(rule.priority(), 0), (long) orElse(rule.targetLatencyMs(), 1000),
-        Math.max(1, action.timeoutMs().longValue()), action.maxAttempts().intValue(), homes.toArray(new String[0]), Boolean.TRUE.equals(rule.open()), (long) (1000 * orElse(rule.cacheTtlS(), 0)), Affinity.of(name, RouteKind.of(rule.routeKind()), action.affinity()), services, upTo);
+    return new Route(
+        index,
+        name,
+        RouteKind.of(rule.routeKind()),
+        (int) orElse(rule.priority(), 0),
+        (long) orElse(rule.targetLatencyMs(), 1000),
+        Math.max(1, action.timeoutMs().longValue()),
+        action.maxAttempts().intValue(),
+        homes.toArray(new String[0]),
+        Boolean.TRUE.equals(rule.open()),
+        (long) (1000 * orElse(rule.cacheTtlS(), 0)),
+        Affinity.of(name, RouteKind.of(rule.routeKind()), action.affinity()),
+        services,
+        upTo);
   }
 
   /** Runs the program for a request; false where no route matches. */
--- a/dialplan/src/main/java/weldpoint/dialplan/Route.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Route.java
@@ -12,12 +12,27 @@
   public final String[] homes;
   public final boolean open;
   public final long cacheMillis;
+
   /** What ties callers to nodes; null where nothing does. */
   public final Affinity affinity;
+
   final int[] services;
   final double[] upTo;
 
-  Route(final int index, final String name, final RouteKind kind, final int priority, final long targetMillis, final long timeoutMillis, final int maxAttempts, final String[] homes, final boolean open, final long cacheMillis, final Affinity affinity, final int[] services, final double[] upTo) {
+  Route(
+      final int index,
+      final String name,
+      final RouteKind kind,
+      final int priority,
+      final long targetMillis,
+      final long timeoutMillis,
+      final int maxAttempts,
+      final String[] homes,
+      final boolean open,
+      final long cacheMillis,
+      final Affinity affinity,
+      final int[] services,
+      final double[] upTo) {
     this.affinity = affinity;
     this.index = index;
     this.name = name;
@@ -56,7 +71,10 @@
     return services[place];
   }
 
-  /** The service of the split that a caller always gets: drawn by its name, so that it stays on one while the weights stand. */
+  /**
+   * The service of the split that a caller always gets: drawn by its name, so that it stays on one
+   * while the weights stand.
+   */
   public int serviceFor(final long callerHash) {
     return service((callerHash >>> 11) / (double) (1L << 53));
   }
--- a/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
+++ b/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
@@ -12,10 +12,11 @@
 
 /** Compiling, checking and interpreting configurations. */
 public final class DialplanTest {
-  private static final String GOOD = "{\"version\":\"0000000c\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"listeners\":[{\"host\":\"a.example\",\"rules\":["
-      + "{\"name\":\"r1\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/x/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":2000.5,\"maxAttempts\":2,\"homeRegions\":[]},\"unknown\":{\"a\":[1]}},"
-      + "{\"name\":\"r2\",\"routeKind\":\"mutating\",\"targetLatencyMs\":400,\"priority\":1,\"match\":{\"pathPrefix\":\"/x/y/\"},\"action\":{\"split\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],\"timeoutMs\":2500,\"maxAttempts\":1,\"homeRegions\":[\"north\"]}}]}],"
-      + "\"pools\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConns\":120,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":12.0},{\"name\":\"t\",\"maxConns\":120}]}";
+  private static final String GOOD =
+      "{\"version\":\"0000000c\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"listeners\":[{\"host\":\"a.example\",\"rules\":["
+          + "{\"name\":\"r1\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/x/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":2000.5,\"maxAttempts\":2,\"homeRegions\":[]},\"unknown\":{\"a\":[1]}},"
+          + "{\"name\":\"r2\",\"routeKind\":\"mutating\",\"targetLatencyMs\":400,\"priority\":1,\"match\":{\"pathPrefix\":\"/x/y/\"},\"action\":{\"split\":[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],\"timeoutMs\":2500,\"maxAttempts\":1,\"homeRegions\":[\"north\"]}}]}],"
+          + "\"pools\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConns\":120,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":12.0},{\"name\":\"t\",\"maxConns\":120}]}";
 
   private static Dialplan compile(final String text) {
     return Dialplan.compile(text.getBytes(StandardCharsets.UTF_8));
@@ -42,14 +43,17 @@
   @DataProvider
   public Object[][] invalid() {
     return new Object[][] {
-        {GOOD.substring(0, GOOD.length() - 40), Breakdown.Kind.UNREADABLE},
-        {"", Breakdown.Kind.UNREADABLE},
-        {GOOD.replace("\"a.example\"", "\"\""), Breakdown.Kind.INVALID},
-        {GOOD.replace("2000.5", "0"), Breakdown.Kind.INVALID},
-        {GOOD.replace("\"service\":\"s\",\"timeoutMs\"", "\"service\":\"u\",\"timeoutMs\""), Breakdown.Kind.INVALID},
-        {GOOD.replace("{\"service\":\"t\"", "{\"service\":\"u\""), Breakdown.Kind.INVALID},
-        {GOOD.replace("\"maxAttempts\":1", "\"maxAttempts\":0"), Breakdown.Kind.INVALID},
-        {GOOD.replace("0000000c", "zz"), Breakdown.Kind.UNREADABLE},
+      {GOOD.substring(0, GOOD.length() - 40), Breakdown.Kind.UNREADABLE},
+      {"", Breakdown.Kind.UNREADABLE},
+      {GOOD.replace("\"a.example\"", "\"\""), Breakdown.Kind.INVALID},
+      {GOOD.replace("2000.5", "0"), Breakdown.Kind.INVALID},
+      {
+        GOOD.replace("\"service\":\"s\",\"timeoutMs\"", "\"service\":\"u\",\"timeoutMs\""),
+        Breakdown.Kind.INVALID
+      },
+      {GOOD.replace("{\"service\":\"t\"", "{\"service\":\"u\""), Breakdown.Kind.INVALID},
+      {GOOD.replace("\"maxAttempts\":1", "\"maxAttempts\":0"), Breakdown.Kind.INVALID},
+      {GOOD.replace("0000000c", "zz"), Breakdown.Kind.UNREADABLE},
     };
   }
 
@@ -59,12 +63,21 @@
 
   @Test
   public void aRuleTiesTheCallersOfAWriteRoute() {
-    final Route route = compile(tied("{\"by\":\"header\",\"header\":\"X-Firm\",\"pauseMs\":5000}")).route("r2");
+    final Route route =
+        compile(tied("{\"by\":\"header\",\"header\":\"X-Firm\",\"pauseMs\":5000}")).route("r2");
     assertEquals(route.affinity, new Affinity(Affinity.By.HEADER, "X-Firm", 5000));
-    assertEquals(compile(tied("{\"by\":\"address\"}")).route("r2").affinity.by(), Affinity.By.ADDRESS);
+    assertEquals(
+        compile(tied("{\"by\":\"address\"}")).route("r2").affinity.by(), Affinity.By.ADDRESS);
     assertEquals(compile(GOOD).route("r2").affinity, null);
-    assertEquals(Affinity.inForce(compile(GOOD).route("r2"), Affinity.setting("affinity.default", "header:X-Firm")).header(), "X-Firm");
-    assertEquals(Affinity.inForce(compile(GOOD).route("r1"), Affinity.setting("affinity.default", "address")), null);
+    assertEquals(
+        Affinity.inForce(
+                compile(GOOD).route("r2"), Affinity.setting("affinity.default", "header:X-Firm"))
+            .header(),
+        "X-Firm");
+    assertEquals(
+        Affinity.inForce(
+            compile(GOOD).route("r1"), Affinity.setting("affinity.default", "address")),
+        null);
   }
 
   @Test
@@ -77,21 +90,22 @@
       assertEquals(route.serviceFor(hash), route.serviceFor(hash));
       second += plan.services().get(route.serviceFor(hash)).name().equals("t") ? 1 : 0;
     }
-    assertTrue(second > 1600 && second < 2400, "t has " + second + " of 20000 at a weight of 10 in 100");
+    assertTrue(
+        second > 1600 && second < 2400, "t has " + second + " of 20000 at a weight of 10 in 100");
   }
 
   @DataProvider
   public Object[][] badAffinity() {
     return new Object[][] {
-        {tied("{\"by\":\"moon\"}"), "give header, tenant or address"},
-        {tied("{}"), "give header, tenant or address"},
-        {tied("{\"by\":\"header\"}"), "name the header"},
-        {tied("{\"by\":\"header\",\"header\":\"\"}"), "no name of one"},
-        {tied("{\"by\":\"header\",\"header\":\"X Firm\"}"), "no name of one"},
-        {tied("{\"by\":\"address\",\"header\":\"X-Firm\"}"), "leave the header out"},
-        {tied("{\"by\":\"address\",\"pauseMs\":0}"), "above 0"},
-        {tied("{\"by\":\"address\",\"pauseMs\":-5}"), "above 0"},
-        {tied("{\"by\":\"address\"}").replace("\"mutating\"", "\"egress\""), "carries no writes"},
+      {tied("{\"by\":\"moon\"}"), "give header, tenant or address"},
+      {tied("{}"), "give header, tenant or address"},
+      {tied("{\"by\":\"header\"}"), "name the header"},
+      {tied("{\"by\":\"header\",\"header\":\"\"}"), "no name of one"},
+      {tied("{\"by\":\"header\",\"header\":\"X Firm\"}"), "no name of one"},
+      {tied("{\"by\":\"address\",\"header\":\"X-Firm\"}"), "leave the header out"},
+      {tied("{\"by\":\"address\",\"pauseMs\":0}"), "above 0"},
+      {tied("{\"by\":\"address\",\"pauseMs\":-5}"), "above 0"},
+      {tied("{\"by\":\"address\"}").replace("\"mutating\"", "\"egress\""), "carries no writes"},
     };
   }
 
--- a/exchange/src/main/java/weldpoint/exchange/Authority.java
+++ b/exchange/src/main/java/weldpoint/exchange/Authority.java
@@ -10,14 +10,16 @@
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
 
-/** Whether this exchange knows itself to be cut off from a majority, and who told lately that it is not. */
+/**
+ * Whether this exchange knows itself to be cut off from a majority, and who told lately that it is
+ * not.
+ */
 class Authority {
   private static final long CUT_OFF_MILLIS = 1500;
   private static final long ASK_MILLIS = 300;
   private static final long TOLD_MILLIS = 1000;
 
-  private record Told(long at, long majorityAgeMillis) {
-  }
+  private record Told(long at, long majorityAgeMillis) {}
 
   private final String self;
   private final BiConsumer<String, Message> members;
@@ -34,8 +36,16 @@
     startedAt = now;
   }
 
-  /** Cut off: no majority has answered lately, though there was time for it, and there are lines to too few voters. */
-  boolean cutOff(final Roster roster, final List<String> seeds, final Set<String> connected, final long majorityAt, final long now) {
+  /**
+   * Cut off: no majority has answered lately, though there was time for it, and there are lines to
+   * too few voters.
+   */
+  boolean cutOff(
+      final Roster roster,
+      final List<String> seeds,
+      final Set<String> connected,
+      final long majorityAt,
+      final long now) {
     if (now - majorityAt <= CUT_OFF_MILLIS || now - startedAt <= CUT_OFF_MILLIS) {
       return false;
     }
@@ -49,11 +59,20 @@
     return reached < roster.majority();
   }
 
-  /** Time has passed: one that is cut off asks those it still reaches whether they hear a majority. */
-  void tick(final Roster roster, final List<String> seeds, final Set<String> connected, final long majorityAt, final long now) {
+  /**
+   * Time has passed: one that is cut off asks those it still reaches whether they hear a majority.
+   */
+  void tick(
+      final Roster roster,
+      final List<String> seeds,
+      final Set<String> connected,
+      final long majorityAt,
+      final long now) {
     if (now - askedAt >= ASK_MILLIS && cutOff(roster, seeds, connected, majorityAt, now)) {
       askedAt = now;
-      final Message question = new Words.StateRead(0, roster.number, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, null, 0);
+      final Message question =
+          new Words.StateRead(
+              0, roster.number, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, null, 0);
       connected.forEach(member -> members.accept(member, question));
     }
   }
@@ -63,7 +82,10 @@
     told.put(member, new Told(now, majorityAgeMillis));
   }
 
-  /** An exchange that can be reached and told lately that it hears a majority: the one whose word is newest; null where there is none. */
+  /**
+   * An exchange that can be reached and told lately that it hears a majority: the one whose word is
+   * newest; null where there is none.
+   */
   String elsewhere(final Set<String> connected, final long now) {
     String best = null;
     long youngest = CUT_OFF_MILLIS;
--- a/exchange/src/main/java/weldpoint/exchange/Buckets.java
+++ b/exchange/src/main/java/weldpoint/exchange/Buckets.java
@@ -9,7 +9,10 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words.Registration;
 
-/** Registrations by buckets of their names, so that two sides find what differs without telling all; and their packed form. */
+/**
+ * Registrations by buckets of their names, so that two sides find what differs without telling all;
+ * and their packed form.
+ */
 public final class Buckets {
   /** How many there are. */
   public static final int COUNT = 32;
@@ -23,15 +26,15 @@
     }
   }
 
-  private Buckets() {
-  }
+  private Buckets() {}
 
   private static int of(final String id) {
     return Math.floorMod(id.hashCode() * 0x9e3779b1, COUNT);
   }
 
   /** The digest of each bucket, of all registrations or only of those that have not ended. */
-  public static List<Long> digests(final Collection<Registration> registrations, final boolean ended) {
+  public static List<Long> digests(
+      final Collection<Registration> registrations, final boolean ended) {
     final long[] sums = new long[COUNT];
     for (final Registration one : registrations) {
       if (ended || Stage.of(one) != Stage.REMOVED) {
@@ -56,7 +59,8 @@
   }
 
   /** The registrations in buckets where the two differ; all where the other side gave none. */
-  static List<Registration> differing(final Collection<Registration> registrations, final List<Long> here, final List<Long> there) {
+  static List<Registration> differing(
+      final Collection<Registration> registrations, final List<Long> here, final List<Long> there) {
     final List<Registration> list = new ArrayList<>();
     for (final Registration one : registrations) {
       final int bucket = of(one.id);
--- a/exchange/src/main/java/weldpoint/exchange/Calls.java
+++ b/exchange/src/main/java/weldpoint/exchange/Calls.java
@@ -31,141 +31,205 @@
 
   static final JsonType<StatusAnswer> STATUS = JSON.type(StatusAnswer.class);
 
-  private Calls() {
-  }
-
-  /** What one exchange knows. Counts of tied writes are those of the switchboards that hold leases, from the keeper only; disk is what the exchange itself takes there. */
-  @Json
-  public record StatusAnswer(String exchange, boolean settled, long majorityAgeMs, long roster, List<String> voters, String version, List<String> evacuated, int upstreams, int suspects, List<DaemonStatus> daemons, String keeper, List<PlacementStatus> placements, List<WriteCount> writes, String disk) {
-  }
+  private Calls() {}
+
+  /**
+   * What one exchange knows. Counts of tied writes are those of the switchboards that hold leases,
+   * from the keeper only; disk is what the exchange itself takes there.
+   */
+  @Json
+  public record StatusAnswer(
+      String exchange,
+      boolean settled,
+      long majorityAgeMs,
+      long roster,
+      List<String> voters,
+      String version,
+      List<String> evacuated,
+      int upstreams,
+      int suspects,
+      List<DaemonStatus> daemons,
+      String keeper,
+      List<PlacementStatus> placements,
+      List<WriteCount> writes,
+      String disk) {}
 
   /** One daemon as it told last; heardMs is -1 for one that has never been heard of. */
   @Json
-  public record DaemonStatus(String address, String program, String version, long mark, long heardMs) {
-  }
+  public record DaemonStatus(
+      String address, String program, String version, long mark, long heardMs) {}
 
   /** One service's placement. */
   @Json
-  public record PlacementStatus(String service, long epoch, int nodes, boolean prepared, int nextNodes) {
-  }
+  public record PlacementStatus(
+      String service, long epoch, int nodes, boolean prepared, int nextNodes) {}
 
   /** How many tied writes ended so. */
   @Json
-  public record WriteCount(String outcome, long count) {
-  }
+  public record WriteCount(String outcome, long count) {}
 
-  /** What of the history of routing changes is asked for: entries by number, by time (both ends included), by route, zone or service, and by author. */
+  /**
+   * What of the history of routing changes is asked for: entries by number, by time (both ends
+   * included), by route, zone or service, and by author.
+   */
   @Json
-  public record HistoryQuery(Long from, Long to, String since, String until, String route, String author, Long most) {
-  }
+  public record HistoryQuery(
+      Long from, Long to, String since, String until, String route, String author, Long most) {}
 
   /** One change of routing. */
   @Json
-  public record HistoryEntry(long sequence, String kind, String version, String subject, String author, String caller, String taker, String time, String before, String after, int added, int removed, int changed, int writeRoutes, List<String> changes, String digest, String previous) {
-  }
-
-  /** A part of the history: whether all decided entries of the range are in it, how far the history reaches, and where to go on. */
-  @Json
-  public record HistoryAnswer(boolean complete, String problem, long first, long through, String digest, long next, List<HistoryEntry> entries) {
-  }
+  public record HistoryEntry(
+      long sequence,
+      String kind,
+      String version,
+      String subject,
+      String author,
+      String caller,
+      String taker,
+      String time,
+      String before,
+      String after,
+      int added,
+      int removed,
+      int changed,
+      int writeRoutes,
+      List<String> changes,
+      String digest,
+      String previous) {}
+
+  /**
+   * A part of the history: whether all decided entries of the range are in it, how far the history
+   * reaches, and where to go on.
+   */
+  @Json
+  public record HistoryAnswer(
+      boolean complete,
+      String problem,
+      long first,
+      long through,
+      String digest,
+      long next,
+      List<HistoryEntry> entries) {}
 
   /** How one daemon stands to a change: IN_FORCE, NOT_YET or UNHEARD. */
   @Json
-  public record DaemonReach(String address, String program, String state, String since, String note) {
-  }
+  public record DaemonReach(
+      String address, String program, String state, String since, String note) {}
 
   /** Which daemons had a change in force. */
   @Json
-  public record ReachAnswer(boolean complete, String problem, HistoryEntry change, List<DaemonReach> daemons) {
-  }
+  public record ReachAnswer(
+      boolean complete, String problem, HistoryEntry change, List<DaemonReach> daemons) {}
 
   /** A beat of an upstream. */
   @Json
-  public record Beat(String service, String address, String zone, String version, Double capacity, String state, Double warmupLeftMs, Long callSeq) {
-  }
+  public record Beat(
+      String service,
+      String address,
+      String zone,
+      String version,
+      Double capacity,
+      String state,
+      Double warmupLeftMs,
+      Long callSeq) {}
 
   /** A call about a lock. */
   @Json
-  public record Grip(String owner, Long fenceNumber, Double holdMs) {
-  }
+  public record Grip(String owner, Long fenceNumber, Double holdMs) {}
 
   /** A put of a key. */
   @Json
-  public record CellPut(String value, Long enabled) {
-  }
+  public record CellPut(String value, Long enabled) {}
 
   /** The answer to a beat. */
   @Json
-  public record BeatAnswer(String beatTarget) {
-  }
+  public record BeatAnswer(String beatTarget) {}
 
   /** A directory answer. */
   @Json
-  public record Resolution(List<String> addresses, double ttlS) {
-  }
+  public record Resolution(List<String> addresses, double ttlS) {}
 
   /** A lock was taken. */
   @Json
-  public record Fence(long fenceNumber) {
-  }
+  public record Fence(long fenceNumber) {}
 
   /** A number. */
   @Json
-  public record NumberAnswer(long value) {
-  }
+  public record NumberAnswer(long value) {}
 
   /** A revision of a key. */
   @Json
-  public record Revision(long revision) {
-  }
+  public record Revision(long revision) {}
 
   /** What a key holds. */
   @Json
-  public record CellAnswer(String value, long revision) {
-  }
+  public record CellAnswer(String value, long revision) {}
 
   /** A put that a watch saw. */
   @Json
-  public record Event(String name, String value, long revision) {
-  }
+  public record Event(String name, String value, long revision) {}
 
   /** What a watch saw. */
   @Json
-  public record WatchAnswer(List<Event> events, long revision) {
-  }
+  public record WatchAnswer(List<Event> events, long revision) {}
 
   /** Why a call was refused, with the remedy. */
   @Json
-  public record Problem(String error, String kind) {
-  }
+  public record Problem(String error, String kind) {}
 
   /** An order to begin a trial; the route is named by the call. */
   @Json
-  public record TrialOrder(String oldService, String newService, String token, List<Double> stages, Double leastWrites, Double lateAllowance, String reason) {
-  }
+  public record TrialOrder(
+      String oldService,
+      String newService,
+      String token,
+      List<Double> stages,
+      Double leastWrites,
+      Double lateAllowance,
+      String reason) {}
 
   /** What was counted for one version, writes apart from other requests. */
   @Json
-  public record Side(String service, long sent, long confirmed, long lost, long doubled, long late, long others, long othersFailed) {
-  }
+  public record Side(
+      String service,
+      long sent,
+      long confirmed,
+      long lost,
+      long doubled,
+      long late,
+      long others,
+      long othersFailed) {}
 
   /** What one switchboard, or all of them, have counted. */
   @Json
-  public record Counted(String switchboard, Side oldVersion, Side newVersion, long rehearsed, long confirmedAtStage) {
-  }
+  public record Counted(
+      String switchboard,
+      Side oldVersion,
+      Side newVersion,
+      long rehearsed,
+      long confirmedAtStage) {}
 
   /** How a trial stands. */
   @Json
-  public record TrialStatus(String route, long number, String verdict, String reason, int stage, List<Integer> stages, int leastWrites, double lateAllowance, long writesBeforeHold, List<String> attempts, Counted total, List<Counted> switchboards) {
-  }
+  public record TrialStatus(
+      String route,
+      long number,
+      String verdict,
+      String reason,
+      int stage,
+      List<Integer> stages,
+      int leastWrites,
+      double lateAllowance,
+      long writesBeforeHold,
+      List<String> attempts,
+      Counted total,
+      List<Counted> switchboards) {}
 
   /** A purge: an object by host and path, or a label. */
   @Json
-  public record PurgeOrder(String host, String path, String tag) {
-  }
+  public record PurgeOrder(String host, String path, String tag) {}
 
   /** How something stands, in words. */
   @Json
-  public record State(String state) {
-  }
+  public record State(String state) {}
 }
