--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -48,7 +48,10 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** The system's own interfaces over HTTP: each call is decoded into a command, which runs on the control thread. */
+/**
+ * The system's own interfaces over HTTP: each call is decoded into a command, which runs on the
+ * control thread.
+ */
 public final class ControlDoor {
   private static final int MOST_BYTES = 16 << 20;
   private static final long CALL_MILLIS = 900;
@@ -60,17 +63,18 @@
   /** The clocks of the process. */
   public interface Clock {
     /** The clock of this machine. */
-    Clock SYSTEM = new Clock() {
-      @Override
-      public long steadyMillis() {
-        return System.nanoTime() / 1_000_000;
-      }
+    Clock SYSTEM =
+        new Clock() {
+          @Override
+          public long steadyMillis() {
+            return System.nanoTime() / 1_000_000;
+          }
 
-      @Override
-      public long dayMillis() {
-        return System.currentTimeMillis();
-      }
-    };
+          @Override
+          public long dayMillis() {
+            return System.currentTimeMillis();
+          }
+        };
 
     /** A clock that only rises, in milliseconds. */
     long steadyMillis();
@@ -105,13 +109,15 @@
     }
 
     static Reply problem(final int status, final Breakdown breakdown) {
-      return of(status, Calls.PROBLEM, new Calls.Problem(breakdown.getMessage(), breakdown.kind().name()));
+      return of(
+          status,
+          Calls.PROBLEM,
+          new Calls.Problem(breakdown.getMessage(), breakdown.kind().name()));
     }
   }
 
   /** Who is behind a call: the author it names, and the address it came from. */
-  private record Origin(String author, String caller) {
-  }
+  private record Origin(String author, String caller) {}
 
   /** What becomes of a call where this daemon knows itself to be cut off from a majority. */
   private enum CutOff {
@@ -144,171 +150,295 @@
   private enum Rpc {
     BEAT("instances.heartbeat", CutOff.RUN_UNANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.beat(id, read(Calls.BEAT, body));
       }
     },
     DEREGISTER("instances.deregister") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> door.core.deregister(named(id), door.clock.dayMillis(), now).thenApply(done -> Reply.EMPTY);
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            door.core
+                .deregister(named(id), door.clock.dayMillis(), now)
+                .thenApply(done -> Reply.EMPTY);
       }
     },
     SPEC_REPLACE("configuration.replace") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> {
           final SpecDocument document = Dialplan.read(body);
           final Dialplan plan = Dialplan.compile(document);
           final byte[] packed = Packing.deflate(body);
-          final Words.Cause cause = door.core.cause(origin.author, origin.caller, Packing.deflate(Wire.bytes(ConfigurationSummary.of(document, body))));
+          final Words.Cause cause =
+              door.core.cause(
+                  origin.author,
+                  origin.caller,
+                  Packing.deflate(Wire.bytes(ConfigurationSummary.of(document, body))));
           final boolean tied = plan.all().stream().anyMatch(route -> route.affinity != null);
-          return door.core.replace(plan.version(), tied, packed, CanonicalJson.digest(body), cause, CALL_MILLIS, now).thenApply(ControlDoor::notTaken).thenCompose(answer -> answer.status != 200
-              ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
-              : door.core.spread(plan.version(), answer.first == plan.version() ? packed : null, now).thenApply(done -> Reply.EMPTY));
+          return door.core
+              .replace(
+                  plan.version(), tied, packed, CanonicalJson.digest(body), cause, CALL_MILLIS, now)
+              .thenApply(ControlDoor::notTaken)
+              .thenCompose(
+                  answer ->
+                      answer.status != 200
+                          ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
+                          : door.core
+                              .spread(
+                                  plan.version(),
+                                  answer.first == plan.version() ? packed : null,
+                                  now)
+                              .thenApply(done -> Reply.EMPTY));
         };
       }
     },
     SPEC_READ("configuration.read") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> door.core.call(Deed.SPEC_READ, "", null, 0, 0, null, CALL_MILLIS, now).thenApply(answer -> answer.status == 200 ? new Reply(200, Packing.inflate(answer.body))
-            : status(answer, Reply.problem(answer.status, "no configuration has been taken yet; send one")));
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            door.core
+                .call(Deed.SPEC_READ, "", null, 0, 0, null, CALL_MILLIS, now)
+                .thenApply(
+                    answer ->
+                        answer.status == 200
+                            ? new Reply(200, Packing.inflate(answer.body))
+                            : status(
+                                answer,
+                                Reply.problem(
+                                    answer.status,
+                                    "no configuration has been taken yet; send one")));
       }
     },
     EVACUATION_BEGIN("evacuation.begin") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.evacuate(named(id), 1, origin);
       }
     },
     EVACUATION_FINISH("evacuation.finish") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.evacuate(named(id), 0, origin);
       }
     },
     TRIAL_BEGIN("trial.begin") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         final Calls.TrialOrder order = read(Calls.TRIAL_ORDER, body);
-        return (now, waits) -> door.core.beginTrial(named(id), order, door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
+        return (now, waits) ->
+            door.core
+                .beginTrial(
+                    named(id), order, door.core.cause(origin.author, origin.caller, null), now)
+                .thenApply(door::trial);
       }
     },
     TRIAL_ADVANCE("trial.advance") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> door.core.advanceTrial(named(id), door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            door.core
+                .advanceTrial(named(id), door.core.cause(origin.author, origin.caller, null), now)
+                .thenApply(door::trial);
       }
     },
     TRIAL_HOLD("trial.hold") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         final String reason = body.length == 0 ? null : read(Calls.TRIAL_ORDER, body).reason();
-        return (now, waits) -> door.core.holdTrial(named(id), reason == null ? "held by an operator" : reason, door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
+        return (now, waits) ->
+            door.core
+                .holdTrial(
+                    named(id),
+                    reason == null ? "held by an operator" : reason,
+                    door.core.cause(origin.author, origin.caller, null),
+                    now)
+                .thenApply(door::trial);
       }
     },
     TRIAL_FINISH("trial.finish") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> door.core.finishTrial(named(id), door.core.cause(origin.author, origin.caller, null), now).thenApply(door::trial);
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            door.core
+                .finishTrial(named(id), door.core.cause(origin.author, origin.caller, null), now)
+                .thenApply(door::trial);
       }
     },
     TRIAL_STATUS("trial.status") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return (now, waits) -> {
           named(id);
-          return door.core.refresh(now).thenApply(done -> {
-            for (final Words.Trial trial : door.core.panel().trials()) {
-              if (trial.route.equals(id)) {
-                return door.trial(trial);
-              }
-            }
-            throw new Breakdown(Breakdown.Kind.UNKNOWN_CALL, "no trial is known on route " + id + "; begin one");
-          });
+          return door.core
+              .refresh(now)
+              .thenApply(
+                  done -> {
+                    for (final Words.Trial trial : door.core.panel().trials()) {
+                      if (trial.route.equals(id)) {
+                        return door.trial(trial);
+                      }
+                    }
+                    throw new Breakdown(
+                        Breakdown.Kind.UNKNOWN_CALL,
+                        "no trial is known on route " + id + "; begin one");
+                  });
         };
       }
     },
     HISTORY_READ("history.read", CutOff.ANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        final Calls.HistoryQuery query = body.length == 0 ? new Calls.HistoryQuery(null, null, null, null, null, null, null) : read(Calls.HISTORY_QUERY, body);
-        return (now, waits) -> door.core.audit().read(query, door.clock.dayMillis(), now).thenApply(answer -> Reply.of(200, Calls.HISTORY, answer));
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        final Calls.HistoryQuery query =
+            body.length == 0
+                ? new Calls.HistoryQuery(null, null, null, null, null, null, null)
+                : read(Calls.HISTORY_QUERY, body);
+        return (now, waits) ->
+            door.core
+                .audit()
+                .read(query, door.clock.dayMillis(), now)
+                .thenApply(answer -> Reply.of(200, Calls.HISTORY, answer));
       }
     },
     STATUS_READ("status.read", CutOff.ANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> CompletableFuture.completedFuture(Reply.of(200, Calls.STATUS, door.core.status(now)));
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            CompletableFuture.completedFuture(Reply.of(200, Calls.STATUS, door.core.status(now)));
       }
     },
     HISTORY_REACH("history.reach", CutOff.ANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         final long sequence = number("of", named(id));
-        return (now, waits) -> door.core.audit().reach(sequence, door.core.inForce(now), door.clock.dayMillis(), now).thenApply(answer -> Reply.of(200, Calls.REACH, answer));
+        return (now, waits) ->
+            door.core
+                .audit()
+                .reach(sequence, door.core.inForce(now), door.clock.dayMillis(), now)
+                .thenApply(answer -> Reply.of(200, Calls.REACH, answer));
       }
     },
     RECORD_BEGIN("record.begin", CutOff.ANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.record(true);
       }
     },
     RECORD_END("record.end", CutOff.ANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.record(false);
       }
     },
     RECORD_STATUS("record.status", CutOff.ANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> CompletableFuture.completedFuture(Reply.of(200, Calls.STATE, new Calls.State(door.core.recording())));
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            CompletableFuture.completedFuture(
+                Reply.of(200, Calls.STATE, new Calls.State(door.core.recording())));
       }
     },
     RECORD_DRAIN("record.drain", CutOff.ANSWERED) {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> CompletableFuture.completedFuture(new Reply(200, Wire.bytes(door.core.drain(now))));
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            CompletableFuture.completedFuture(new Reply(200, Wire.bytes(door.core.drain(now))));
       }
     },
     LOCK_BEGIN("locks.begin") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.lock(Deed.LOCK_BEGIN, named(id), read(Calls.GRIP, body));
       }
     },
     LOCK_HEARTBEAT("locks.heartbeat") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.lock(Deed.LOCK_HEARTBEAT, named(id), read(Calls.GRIP, body));
       }
     },
     LOCK_FINISH("locks.finish") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         return door.finish(named(id), read(Calls.GRIP, body));
       }
     },
     CELL_REPLACE("cells.replace") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
         final Calls.CellPut put = read(Calls.CELL_PUT, body);
         if (put.value() == null) {
-          throw new Breakdown(Breakdown.Kind.UNREADABLE, "a put lacks its value; send value as a string");
+          throw new Breakdown(
+              Breakdown.Kind.UNREADABLE, "a put lacks its value; send value as a string");
         }
-        return (now, waits) -> door.core.call(Deed.CELL_REPLACE, group(named(id)), put.value(), put.enabled() == null ? -1 : put.enabled(), 0, id.getBytes(StandardCharsets.UTF_8), CALL_MILLIS, now)
-            .thenApply(answer -> status(answer, Reply.of(answer.status, Calls.REVISION, new Calls.Revision(answer.first))));
+        return (now, waits) ->
+            door.core
+                .call(
+                    Deed.CELL_REPLACE,
+                    group(named(id)),
+                    put.value(),
+                    put.enabled() == null ? -1 : put.enabled(),
+                    0,
+                    id.getBytes(StandardCharsets.UTF_8),
+                    CALL_MILLIS,
+                    now)
+                .thenApply(
+                    answer ->
+                        status(
+                            answer,
+                            Reply.of(
+                                answer.status, Calls.REVISION, new Calls.Revision(answer.first))));
       }
     },
     CELL_READ("cells.read") {
       @Override
-      Command decode(final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> door.core.call(Deed.CELL_READ, group(named(id)), null, 0, 0, id.getBytes(StandardCharsets.UTF_8), CALL_MILLIS, now)
-            .thenApply(answer -> answer.status == 200 ? Reply.of(200, Calls.CELL, new Calls.CellAnswer(new String(answer.body, StandardCharsets.UTF_8), answer.first))
-                : status(answer, Reply.problem(answer.status, "the key holds nothing; put a value first")));
+      Command decode(
+          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
+        return (now, waits) ->
+            door.core
+                .call(
+                    Deed.CELL_READ,
+                    group(named(id)),
+                    null,
+                    0,
+                    0,
+                    id.getBytes(StandardCharsets.UTF_8),
+                    CALL_MILLIS,
+                    now)
+                .thenApply(
+                    answer ->
+                        answer.status == 200
+                            ? Reply.of(
+                                200,
+                                Calls.CELL,
+                                new Calls.CellAnswer(
+                                    new String(answer.body, StandardCharsets.UTF_8), answer.first))
+                            : status(
+                                answer,
+                                Reply.problem(
+                                    answer.status, "the key holds nothing; put a value first")));
       }
     };
 
@@ -330,7 +460,9 @@
           return rpc;
         }
       }
-      throw new Breakdown(Breakdown.Kind.UNKNOWN_CALL, "the call '" + wire + "' is unknown; see the protocol page for the calls there are");
+      throw new Breakdown(
+          Breakdown.Kind.UNKNOWN_CALL,
+          "the call '" + wire + "' is unknown; see the protocol page for the calls there are");
     }
 
     abstract Command decode(ControlDoor door, String id, byte[] body, Origin origin);
@@ -350,7 +482,8 @@
   }
 
   /** The door of a core that runs on this thread, with these clocks. */
-  public ControlDoor(final Boot boot, final ExchangeCore core, final Executor desk, final Clock clock) {
+  public ControlDoor(
+      final Boot boot, final ExchangeCore core, final Executor desk, final Clock clock) {
     this.clock = clock;
     awakeAt = clock.steadyMillis();
     awakeBefore = awakeAt;
@@ -362,24 +495,31 @@
   }
 
   void serve(final EventLoopGroup loop, final Boot.Address address) throws InterruptedException {
-    new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.SO_BACKLOG, 512)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(new ChannelInitializer<SocketChannel>() {
-          @Override
-          protected void initChannel(final SocketChannel channel) {
-            final Handler handler = new Handler();
-            channel.pipeline().addLast(new HttpServerCodec(), new Aggregator(handler), handler);
-          }
-        }).bind(address.host(), address.port()).sync();
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(final SocketChannel channel) {
+                final Handler handler = new Handler();
+                channel.pipeline().addLast(new HttpServerCodec(), new Aggregator(handler), handler);
+              }
+            })
+        .bind(address.host(), address.port())
+        .sync();
   }
 
   /** A call that waits for the one before it on its connection. */
-  private record Waiting(FullHttpRequest request, long since) {
-  }
+  private record Waiting(FullHttpRequest request, long since) {}
 
-  /** Puts calls together; what it says of its own account does not overtake the answer to a call under way. */
+  /**
+   * Puts calls together; what it says of its own account does not overtake the answer to a call
+   * under way.
+   */
   private static final class Aggregator extends HttpObjectAggregator {
     private final Handler handler;
 
@@ -389,12 +529,14 @@
     }
 
     @Override
-    protected Object newContinueResponse(final HttpMessage start, final int maxContentLength, final ChannelPipeline pipeline) {
+    protected Object newContinueResponse(
+        final HttpMessage start, final int maxContentLength, final ChannelPipeline pipeline) {
       return handler.busy ? null : super.newContinueResponse(start, maxContentLength, pipeline);
     }
 
     @Override
-    protected void handleOversizedMessage(final ChannelHandlerContext context, final HttpMessage oversized) throws Exception {
+    protected void handleOversizedMessage(
+        final ChannelHandlerContext context, final HttpMessage oversized) throws Exception {
       if (handler.busy) {
         context.close();
       } else {
@@ -403,7 +545,10 @@
     }
   }
 
-  /** One connection of a caller: its calls run one after the other, so that each answer stands in the place of its own call. All of it lives on the traffic thread. */
+  /**
+   * One connection of a caller: its calls run one after the other, so that each answer stands in
+   * the place of its own call. All of it lives on the traffic thread.
+   */
   private final class Handler extends ChannelInboundHandlerAdapter {
     private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
     private boolean busy;
@@ -435,36 +580,47 @@
       context.channel().config().setAutoRead(waiting.isEmpty());
     }
 
-    private void begin(final ChannelHandlerContext context, final FullHttpRequest request, final long since) {
+    private void begin(
+        final ChannelHandlerContext context, final FullHttpRequest request, final long since) {
       final boolean keep = HttpUtil.isKeepAlive(request);
       busy = true;
       if (request.decoderResult().isFailure()) {
-        settle(context, Reply.problem(400, "the request cannot be read; send proper HTTP/1.1"), false);
+        settle(
+            context, Reply.problem(400, "the request cannot be read; send proper HTTP/1.1"), false);
         return;
       }
       if (clock.steadyMillis() - since >= CALL_MILLIS) {
-        settle(context, Reply.problem(504, "the call waited too long behind the one before it; send it again on a connection of its own"), keep);
+        settle(
+            context,
+            Reply.problem(
+                504,
+                "the call waited too long behind the one before it; send it again on a connection of its own"),
+            keep);
         return;
       }
-      call(request, address(context), new Caller() {
-        @Override
-        public boolean waits() {
-          return context.channel().isActive();
-        }
+      call(
+          request,
+          address(context),
+          new Caller() {
+            @Override
+            public boolean waits() {
+              return context.channel().isActive();
+            }
 
-        @Override
-        public void answer(final int status, final byte[] body, final String location) {
-          final Reply reply = new Reply(status, body, location);
-          if (context.executor().inEventLoop()) {
-            settle(context, reply, keep);
-          } else {
-            context.executor().execute(() -> settle(context, reply, keep));
-          }
-        }
-      });
+            @Override
+            public void answer(final int status, final byte[] body, final String location) {
+              final Reply reply = new Reply(status, body, location);
+              if (context.executor().inEventLoop()) {
+                settle(context, reply, keep);
+              } else {
+                context.executor().execute(() -> settle(context, reply, keep));
+              }
+            }
+          });
     }
 
-    private void settle(final ChannelHandlerContext context, final Reply reply, final boolean keep) {
+    private void settle(
+        final ChannelHandlerContext context, final Reply reply, final boolean keep) {
       write(context, reply, keep);
       busy = !keep;
       drain(context);
@@ -485,7 +641,10 @@
     }
   }
 
-  /** The process runs: to be called with each tick of the thread that reads calls, so that a standstill shows in what is read after it. */
+  /**
+   * The process runs: to be called with each tick of the thread that reads calls, so that a
+   * standstill shows in what is read after it.
+   */
   public void awake() {
     awakeBefore = awakeAt;
     awakeAt = clock.steadyMillis();
@@ -497,7 +656,10 @@
     return now - before > STANDSTILL_MILLIS ? before : now;
   }
 
-  /** Takes one call, whatever carried it here; the answer comes on the thread of the core, or at once where the call cannot be read. */
+  /**
+   * Takes one call, whatever carried it here; the answer comes on the thread of the core, or at
+   * once where the call cannot be read.
+   */
   public void call(final FullHttpRequest request, final String address, final Caller caller) {
     final Command command;
     try {
@@ -506,7 +668,13 @@
       answer(caller, Reply.problem(Math.max(400, breakdown.kind().status()), breakdown));
       return;
     } catch (final RuntimeException | StackOverflowError problem) {
-      answer(caller, Reply.problem(400, "the call cannot be read (" + problem.getClass().getSimpleName() + "); send it as the protocol page has it"));
+      answer(
+          caller,
+          Reply.problem(
+              400,
+              "the call cannot be read ("
+                  + problem.getClass().getSimpleName()
+                  + "); send it as the protocol page has it"));
       return;
     }
     final long receivedAt = receivedAt(clock.steadyMillis());
@@ -518,8 +686,12 @@
     caller.answer(reply.status, reply.body, reply.location);
   }
 
-  /** Runs a command, unless its caller may have gone on to another daemon: a copy that waited must not take effect after what came later. */
-  private void run(final Command command, final String uri, final long receivedAt, final Caller caller) {
+  /**
+   * Runs a command, unless its caller may have gone on to another daemon: a copy that waited must
+   * not take effect after what came later.
+   */
+  private void run(
+      final Command command, final String uri, final long receivedAt, final Caller caller) {
     final long now = clock.steadyMillis();
     final boolean cutOff = command.cutOff() != CutOff.ANSWERED && core.cutOff(now);
     if (cutOff && command.cutOff() == CutOff.NOT_RUN) {
@@ -529,7 +701,9 @@
     CompletableFuture<Reply> future;
     try {
       if (now - receivedAt >= CALL_MILLIS) {
-        throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "this daemon stood still while the call waited; send it again");
+        throw new Breakdown(
+            Breakdown.Kind.OUT_OF_REACH,
+            "this daemon stood still while the call waited; send it again");
       }
       future = command.run(now - receivedAt > STANDSTILL_MILLIS ? receivedAt : now, caller::waits);
     } catch (final RuntimeException | StackOverflowError problem) {
@@ -539,32 +713,67 @@
       answer(caller, unclear(uri, now));
       return;
     }
-    future.whenComplete((reply, problem) -> answer(caller, problem == null ? reply : failure(problem instanceof CompletionException ? problem.getCause() : problem)));
+    future.whenComplete(
+        (reply, problem) ->
+            answer(
+                caller,
+                problem == null
+                    ? reply
+                    : failure(
+                        problem instanceof CompletionException ? problem.getCause() : problem)));
   }
 
   private static Reply failure(final Throwable cause) {
     if (cause instanceof Breakdown) {
       return Reply.problem(((Breakdown) cause).kind().status(), (Breakdown) cause);
     }
-    return cause instanceof StackOverflowError ? Reply.problem(400, "the body is nested too deeply; send it as the protocol page has it") : Reply.problem(500, "internal failure: " + cause + "; send the call again");
+    return cause instanceof StackOverflowError
+        ? Reply.problem(400, "the body is nested too deeply; send it as the protocol page has it")
+        : Reply.problem(500, "internal failure: " + cause + "; send the call again");
   }
 
   /**
-   * The answer of a daemon that is cut off: at once, so that the caller goes on within its second of silence. A call is
-   * sent on once at most, and only to a daemon that told lately that it hears a majority.
+   * The answer of a daemon that is cut off: at once, so that the caller goes on within its second
+   * of silence. A call is sent on once at most, and only to a daemon that told lately that it hears
+   * a majority.
    */
   private Reply unclear(final String uri, final long now) {
     final QueryStringDecoder query = new QueryStringDecoder(uri);
-    final String other = uri.startsWith("/") && !query.path().equals("/api/resolution") && !query.parameters().containsKey(SENT_ON) ? core.authority(now) : null;
+    final String other =
+        uri.startsWith("/")
+                && !query.path().equals("/api/resolution")
+                && !query.parameters().containsKey(SENT_ON)
+            ? core.authority(now)
+            : null;
     if (other == null) {
-      return Reply.problem(504, "this daemon is cut off from the majority and does not know the answer; ask another daemon");
+      return Reply.problem(
+          504,
+          "this daemon is cut off from the majority and does not know the answer; ask another daemon");
     }
-    return new Reply(307, Reply.problem(307, "this daemon is cut off from the majority; ask the one named").body, "http://" + other + ":" + controlPort + uri + (uri.contains("?") ? "&" : "?") + SENT_ON + "=1");
+    return new Reply(
+        307,
+        Reply.problem(307, "this daemon is cut off from the majority; ask the one named").body,
+        "http://"
+            + other
+            + ":"
+            + controlPort
+            + uri
+            + (uri.contains("?") ? "&" : "?")
+            + SENT_ON
+            + "=1");
   }
 
-  private static void write(final ChannelHandlerContext context, final Reply reply, final boolean keep) {
-    final FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status), Unpooled.wrappedBuffer(reply.body));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONTENT_LENGTH, reply.body.length);
+  private static void write(
+      final ChannelHandlerContext context, final Reply reply, final boolean keep) {
+    final FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(reply.status),
+            Unpooled.wrappedBuffer(reply.body));
+    response
+        .headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .set(HttpHeaderNames.CONTENT_LENGTH, reply.body.length);
     if (reply.location != null) {
       response.headers().set(HttpHeaderNames.LOCATION, reply.location);
     }
@@ -584,16 +793,35 @@
       wants(request, HttpMethod.POST);
       final byte[] body = new byte[request.content().readableBytes()];
       request.content().readBytes(body);
-      return new Fated(rpc.decode(this, parameter(query, "of"), body, new Origin(Authors.check(orEmpty(request.headers().get(Authors.HEADER)), request.headers().getAll(Authors.HEADER).size()), caller)), rpc.cutOff);
+      return new Fated(
+          rpc.decode(
+              this,
+              parameter(query, "of"),
+              body,
+              new Origin(
+                  Authors.check(
+                      orEmpty(request.headers().get(Authors.HEADER)),
+                      request.headers().getAll(Authors.HEADER).size()),
+                  caller)),
+          rpc.cutOff);
     }
     if (path.startsWith("/api/numbers/")) {
       wants(request, HttpMethod.POST);
       final String id = named(path.substring("/api/numbers/".length()));
-      return (now, waits) -> core.call(Deed.NUMBER, id, null, 0, 0, null, CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.of(200, Calls.NUMBER, new Calls.NumberAnswer(answer.first))));
+      return (now, waits) ->
+          core.call(Deed.NUMBER, id, null, 0, 0, null, CALL_MILLIS, now)
+              .thenApply(
+                  answer ->
+                      status(
+                          answer,
+                          Reply.of(200, Calls.NUMBER, new Calls.NumberAnswer(answer.first))));
     }
     if (path.startsWith("/api/watch/")) {
       wants(request, HttpMethod.GET);
-      return watch(named(path.substring("/api/watch/".length())), whole(query, "after", 0), whole(query, "waitMs", 0));
+      return watch(
+          named(path.substring("/api/watch/".length())),
+          whole(query, "after", 0),
+          whole(query, "waitMs", 0));
     }
     if (path.equals("/api/resolution")) {
       wants(request, HttpMethod.GET);
@@ -601,8 +829,13 @@
       final String site = parameter(query, "zone");
       return (now, waits) -> {
         final List<String> addresses = core.resolve(region, site, MOST_ADDRESSES, now);
-        return CompletableFuture.completedFuture(addresses.isEmpty() ? Reply.problem(503, "no switchboard is known yet; ask again shortly")
-            : Reply.of(200, Calls.RESOLUTION, new Calls.Resolution(addresses, Math.min(2, boot.resolutionTtl()))));
+        return CompletableFuture.completedFuture(
+            addresses.isEmpty()
+                ? Reply.problem(503, "no switchboard is known yet; ask again shortly")
+                : Reply.of(
+                    200,
+                    Calls.RESOLUTION,
+                    new Calls.Resolution(addresses, Math.min(2, boot.resolutionTtl()))));
       };
     }
     if (path.equals("/api/invalidation")) {
@@ -611,12 +844,16 @@
       request.content().readBytes(body);
       return purge(read(Calls.PURGE, body));
     }
-    throw new Breakdown(Breakdown.Kind.UNKNOWN_CALL, "nothing is served at " + path + "; see the protocol page for the calls there are");
+    throw new Breakdown(
+        Breakdown.Kind.UNKNOWN_CALL,
+        "nothing is served at " + path + "; see the protocol page for the calls there are");
   }
 
   private static void wants(final FullHttpRequest request, final HttpMethod method) {
     if (!request.method().equals(method)) {
-      throw new Breakdown(Breakdown.Kind.WRONG_METHOD, "the method " + request.method() + " does not fit this call; use " + method);
+      throw new Breakdown(
+          Breakdown.Kind.WRONG_METHOD,
+          "the method " + request.method() + " does not fit this call; use " + method);
     }
   }
 
@@ -630,10 +867,15 @@
   }
 
   private static String address(final ChannelHandlerContext context) {
-    return context.channel().remoteAddress() instanceof java.net.InetSocketAddress ? ((java.net.InetSocketAddress) context.channel().remoteAddress()).getAddress().getHostAddress() : "";
+    return context.channel().remoteAddress() instanceof java.net.InetSocketAddress
+        ? ((java.net.InetSocketAddress) context.channel().remoteAddress())
+            .getAddress()
+            .getHostAddress()
+        : "";
   }
 
-  private static long whole(final QueryStringDecoder query, final String name, final long fallback) {
+  private static long whole(
+      final QueryStringDecoder query, final String name, final long fallback) {
     final String text = parameter(query, name);
     return text.isEmpty() ? fallback : number(name, text);
   }
@@ -642,7 +884,8 @@
     try {
       return Long.parseLong(text);
     } catch (final NumberFormatException problem) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, name + " is '" + text + "'; give a whole number");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE, name + " is '" + text + "'; give a whole number");
     }
   }
 
@@ -665,7 +908,9 @@
         return value;
       }
     } catch (final RuntimeException problem) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the body cannot be read (" + problem.getMessage() + "); send complete JSON");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the body cannot be read (" + problem.getMessage() + "); send complete JSON");
     }
     throw new Breakdown(Breakdown.Kind.UNREADABLE, "the body is empty; send a JSON object");
   }
@@ -673,15 +918,21 @@
   private static Words.Answer notTaken(final Words.Answer answer) {
     if (answer.status == 409 && answer.body != null) {
       final Values.TakenVersion taken = Wire.value(answer.body, Values.TakenVersion.class);
-      throw new Breakdown(Breakdown.Kind.VERSION_TAKEN, String.format("version %08x stands for another configuration%s%s, which stays; send this one under a version above the newest", taken.version,
-          taken.author == null || taken.author.isEmpty() ? "" : ", sent by " + taken.author, taken.time == 0 ? "" : " and taken at " + Instant.ofEpochMilli(taken.time)));
+      throw new Breakdown(
+          Breakdown.Kind.VERSION_TAKEN,
+          String.format(
+              "version %08x stands for another configuration%s%s, which stays; send this one under a version above the newest",
+              taken.version,
+              taken.author == null || taken.author.isEmpty() ? "" : ", sent by " + taken.author,
+              taken.time == 0 ? "" : " and taken at " + Instant.ofEpochMilli(taken.time)));
     }
     return answer;
   }
 
   private static Reply status(final Words.Answer answer, final Reply good) {
     return switch (answer.status) {
-      case 504 -> Reply.problem(504, "the duty changed hands while the call was under way; send it again");
+      case 504 ->
+          Reply.problem(504, "the duty changed hands while the call was under way; send it again");
       case 409 -> Reply.problem(409, "another holds it, or it was lost; try again later");
       default -> good;
     };
@@ -690,102 +941,243 @@
   private Command beat(final String id, final Calls.Beat beat) {
     named(id);
     final boolean draining = "draining".equals(beat.state());
-    if (beat.service() == null || beat.address() == null || beat.zone() == null || beat.callSeq() == null || beat.capacity() == null || beat.capacity() < 0 || !draining && !"ready".equals(beat.state())) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the beat of " + id + " lacks service, address, zone, capacity, callSeq or a state of ready or draining; send them all");
+    if (beat.service() == null
+        || beat.address() == null
+        || beat.zone() == null
+        || beat.callSeq() == null
+        || beat.capacity() == null
+        || beat.capacity() < 0
+        || !draining && !"ready".equals(beat.state())) {
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the beat of "
+              + id
+              + " lacks service, address, zone, capacity, callSeq or a state of ready or draining; send them all");
     }
     Boot.Address.parse("address", beat.address());
-    final long warmup = beat.warmupLeftMs() == null ? 0 : Math.max(0, beat.warmupLeftMs().longValue());
-    final Words.Registration registration = new Words.Registration(id, beat.service(), beat.address(), beat.zone(), beat.version() == null ? "" : beat.version(), beat.capacity().intValue(), (draining ? Stage.DRAINING : Stage.JOINED).ordinal(), beat.callSeq(), clock.dayMillis(), warmup);
-    return (now, waits) -> core.beat(registration, now).thenApply(done -> Reply.of(200, Calls.BEAT_ANSWER, new Calls.BeatAnswer(core.keeper(id, beat.zone(), regions, now) + ":" + controlPort)));
+    final long warmup =
+        beat.warmupLeftMs() == null ? 0 : Math.max(0, beat.warmupLeftMs().longValue());
+    final Words.Registration registration =
+        new Words.Registration(
+            id,
+            beat.service(),
+            beat.address(),
+            beat.zone(),
+            beat.version() == null ? "" : beat.version(),
+            beat.capacity().intValue(),
+            (draining ? Stage.DRAINING : Stage.JOINED).ordinal(),
+            beat.callSeq(),
+            clock.dayMillis(),
+            warmup);
+    return (now, waits) ->
+        core.beat(registration, now)
+            .thenApply(
+                done ->
+                    Reply.of(
+                        200,
+                        Calls.BEAT_ANSWER,
+                        new Calls.BeatAnswer(
+                            core.keeper(id, beat.zone(), regions, now) + ":" + controlPort)));
   }
 
   private Command record(final boolean on) {
     return (now, waits) -> {
       core.record(on, clock.dayMillis(), now);
-      return CompletableFuture.completedFuture(Reply.of(200, Calls.STATE, new Calls.State(core.recording())));
+      return CompletableFuture.completedFuture(
+          Reply.of(200, Calls.STATE, new Calls.State(core.recording())));
     };
   }
 
   private Command purge(final Calls.PurgeOrder order) {
-    final boolean object = order.host() != null && !order.host().isEmpty() && order.path() != null && order.path().startsWith("/");
+    final boolean object =
+        order.host() != null
+            && !order.host().isEmpty()
+            && order.path() != null
+            && order.path().startsWith("/");
     final boolean label = order.tag() != null && !order.tag().isEmpty();
     if (object == label || !object && (order.host() != null || order.path() != null)) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "a purge names either an object by host and path or a tag; send one of the two");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "a purge names either an object by host and path or a tag; send one of the two");
     }
     final String named = label ? order.tag() : order.path();
     if (named.length() > MOST_PURGED || object && order.host().length() > MOST_PURGED) {
-      throw new Breakdown(Breakdown.Kind.INVALID, "a purge names more than " + MOST_PURGED + " characters; name one object or tag");
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          "a purge names more than " + MOST_PURGED + " characters; name one object or tag");
     }
-    return (now, waits) -> core.call(Deed.PURGE, "", object ? order.host().toLowerCase(java.util.Locale.ROOT) : null, 0, 0, named.getBytes(StandardCharsets.UTF_8), CALL_MILLIS, now).thenApply(answer -> status(answer, Reply.EMPTY));
+    return (now, waits) ->
+        core.call(
+                Deed.PURGE,
+                "",
+                object ? order.host().toLowerCase(java.util.Locale.ROOT) : null,
+                0,
+                0,
+                named.getBytes(StandardCharsets.UTF_8),
+                CALL_MILLIS,
+                now)
+            .thenApply(answer -> status(answer, Reply.EMPTY));
   }
 
   private Command evacuate(final String site, final long on, final Origin origin) {
-    return (now, waits) -> core.change(Deed.EVACUATE, site, on, 0, null, core.cause(origin.author, origin.caller, null), CALL_MILLIS, now).thenCompose(answer -> answer.status != 200
-        ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
-        : core.settle(now).thenApply(done -> Reply.EMPTY));
+    return (now, waits) ->
+        core.change(
+                Deed.EVACUATE,
+                site,
+                on,
+                0,
+                null,
+                core.cause(origin.author, origin.caller, null),
+                CALL_MILLIS,
+                now)
+            .thenCompose(
+                answer ->
+                    answer.status != 200
+                        ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
+                        : core.settle(now).thenApply(done -> Reply.EMPTY));
   }
 
   private Reply trial(final Words.Trial trial) {
     final List<Calls.Counted> boards = new java.util.ArrayList<>();
     final long[] sum = Count.none();
-    core.panel().byBoard(trial).forEach((board, counts) -> {
-      boards.add(counted(board, trial, counts));
-      for (int index = 0; index < sum.length; index++) {
-        sum[index] += counts[index];
-      }
-    });
-    return Reply.of(200, Calls.TRIAL_STATUS, new Calls.TrialStatus(trial.route, trial.number, Verdict.of(trial).name(), trial.reason, trial.stage, trial.stages, trial.leastWrites, trial.lateAllowance, trial.writes,
-        Words.list(trial.attempts), counted("all", trial, sum), boards));
+    core.panel()
+        .byBoard(trial)
+        .forEach(
+            (board, counts) -> {
+              boards.add(counted(board, trial, counts));
+              for (int index = 0; index < sum.length; index++) {
+                sum[index] += counts[index];
+              }
+            });
+    return Reply.of(
+        200,
+        Calls.TRIAL_STATUS,
+        new Calls.TrialStatus(
+            trial.route,
+            trial.number,
+            Verdict.of(trial).name(),
+            trial.reason,
+            trial.stage,
+            trial.stages,
+            trial.leastWrites,
+            trial.lateAllowance,
+            trial.writes,
+            Words.list(trial.attempts),
+            counted("all", trial, sum),
+            boards));
   }
 
-  private static Calls.Counted counted(final String board, final Words.Trial trial, final long[] counts) {
-    return new Calls.Counted(board,
-        new Calls.Side(trial.oldService, Count.OLD_SENT.in(counts), Count.OLD_CONFIRMED.in(counts), Count.OLD_LOST.in(counts), Count.OLD_DOUBLED.in(counts), Count.OLD_LATE.in(counts), Count.OLD_OTHERS.in(counts), Count.OLD_OTHERS_FAILED.in(counts)),
-        new Calls.Side(trial.newService, Count.NEW_SENT.in(counts), Count.NEW_CONFIRMED.in(counts), Count.NEW_LOST.in(counts), Count.NEW_DOUBLED.in(counts), Count.NEW_LATE.in(counts), Count.NEW_OTHERS.in(counts), Count.NEW_OTHERS_FAILED.in(counts)),
-        Count.NEW_REHEARSED.in(counts), Count.STAGE_CONFIRMED.in(counts));
+  private static Calls.Counted counted(
+      final String board, final Words.Trial trial, final long[] counts) {
+    return new Calls.Counted(
+        board,
+        new Calls.Side(
+            trial.oldService,
+            Count.OLD_SENT.in(counts),
+            Count.OLD_CONFIRMED.in(counts),
+            Count.OLD_LOST.in(counts),
+            Count.OLD_DOUBLED.in(counts),
+            Count.OLD_LATE.in(counts),
+            Count.OLD_OTHERS.in(counts),
+            Count.OLD_OTHERS_FAILED.in(counts)),
+        new Calls.Side(
+            trial.newService,
+            Count.NEW_SENT.in(counts),
+            Count.NEW_CONFIRMED.in(counts),
+            Count.NEW_LOST.in(counts),
+            Count.NEW_DOUBLED.in(counts),
+            Count.NEW_LATE.in(counts),
+            Count.NEW_OTHERS.in(counts),
+            Count.NEW_OTHERS_FAILED.in(counts)),
+        Count.NEW_REHEARSED.in(counts),
+        Count.STAGE_CONFIRMED.in(counts));
   }
 
   private Command finish(final String id, final Calls.Grip grip) {
     if (grip.owner() == null || grip.owner().isEmpty() || grip.fenceNumber() == null) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the call for lock " + id + " lacks owner or fenceNumber; send both");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the call for lock " + id + " lacks owner or fenceNumber; send both");
     }
     return (now, waits) -> finish(id, grip, now, waits);
   }
 
-  private CompletableFuture<Reply> finish(final String id, final Calls.Grip grip, final long began, final BooleanSupplier waits) {
-    return core.call(Deed.LOCK_TICKET, id, grip.owner(), 0, 0, null, CALL_MILLIS, began).thenCompose(ticket -> {
-      final long now = clock.steadyMillis();
-      final long left = began + CALL_MILLIS - now;
-      if (ticket.status != 200 || left <= 0 || !waits.getAsBoolean()) {
-        return CompletableFuture.failedFuture(new Breakdown(Breakdown.Kind.OUT_OF_REACH, "the lock was not given back in time; send the call again"));
-      }
-      return core.call(Deed.LOCK_FINISH, id, grip.owner(), ticket.first, grip.fenceNumber(), null, left, now)
-          .thenApply(answer -> answer.status == 410 ? Reply.problem(504, "the lock was granted anew meanwhile; send the call again") : status(answer, Reply.EMPTY));
-    });
+  private CompletableFuture<Reply> finish(
+      final String id, final Calls.Grip grip, final long began, final BooleanSupplier waits) {
+    return core.call(Deed.LOCK_TICKET, id, grip.owner(), 0, 0, null, CALL_MILLIS, began)
+        .thenCompose(
+            ticket -> {
+              final long now = clock.steadyMillis();
+              final long left = began + CALL_MILLIS - now;
+              if (ticket.status != 200 || left <= 0 || !waits.getAsBoolean()) {
+                return CompletableFuture.failedFuture(
+                    new Breakdown(
+                        Breakdown.Kind.OUT_OF_REACH,
+                        "the lock was not given back in time; send the call again"));
+              }
+              return core.call(
+                      Deed.LOCK_FINISH,
+                      id,
+                      grip.owner(),
+                      ticket.first,
+                      grip.fenceNumber(),
+                      null,
+                      left,
+                      now)
+                  .thenApply(
+                      answer ->
+                          answer.status == 410
+                              ? Reply.problem(
+                                  504, "the lock was granted anew meanwhile; send the call again")
+                              : status(answer, Reply.EMPTY));
+            });
   }
 
   private Command lock(final Deed deed, final String id, final Calls.Grip grip) {
-    if (grip.owner() == null || grip.owner().isEmpty() || deed != Deed.LOCK_BEGIN && grip.fenceNumber() == null || deed != Deed.LOCK_FINISH && (grip.holdMs() == null || grip.holdMs() <= 0)) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the call for lock " + id + " lacks owner, fenceNumber or holdMs; send what the call needs");
+    if (grip.owner() == null
+        || grip.owner().isEmpty()
+        || deed != Deed.LOCK_BEGIN && grip.fenceNumber() == null
+        || deed != Deed.LOCK_FINISH && (grip.holdMs() == null || grip.holdMs() <= 0)) {
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the call for lock "
+              + id
+              + " lacks owner, fenceNumber or holdMs; send what the call needs");
     }
     final long hold = grip.holdMs() == null ? 0 : grip.holdMs().longValue();
     final long fence = grip.fenceNumber() == null ? 0 : grip.fenceNumber();
-    return (now, waits) -> core.call(deed, id, grip.owner(), hold, fence, null, CALL_MILLIS, now)
-        .thenApply(answer -> status(answer, deed == Deed.LOCK_BEGIN ? Reply.of(200, Calls.FENCE, new Calls.Fence(answer.first)) : Reply.EMPTY));
+    return (now, waits) ->
+        core.call(deed, id, grip.owner(), hold, fence, null, CALL_MILLIS, now)
+            .thenApply(
+                answer ->
+                    status(
+                        answer,
+                        deed == Deed.LOCK_BEGIN
+                            ? Reply.of(200, Calls.FENCE, new Calls.Fence(answer.first))
+                            : Reply.EMPTY));
   }
 
   private Command watch(final String group, final long after, final long wait) {
     final long patience = Math.max(0, Math.min(wait, 60_000));
-    return (now, waits) -> core.call(Deed.WATCH, group, null, after, patience, null, patience + CALL_MILLIS, now).thenApply(answer -> {
-      if (answer.status != 200) {
-        return status(answer, Reply.problem(answer.status, "the history no longer reaches back to " + after + "; begin again with after=0"));
-      }
-      final Values.Events events = Wire.value(answer.body, Values.Events.class);
-      final List<Calls.Event> list = new java.util.ArrayList<>();
-      for (final Values.Put put : Words.list(events.events)) {
-        list.add(new Calls.Event(put.name, put.value, put.revision));
-      }
-      return Reply.of(200, Calls.WATCH, new Calls.WatchAnswer(list, events.revision));
-    });
+    return (now, waits) ->
+        core.call(Deed.WATCH, group, null, after, patience, null, patience + CALL_MILLIS, now)
+            .thenApply(
+                answer -> {
+                  if (answer.status != 200) {
+                    return status(
+                        answer,
+                        Reply.problem(
+                            answer.status,
+                            "the history no longer reaches back to "
+                                + after
+                                + "; begin again with after=0"));
+                  }
+                  final Values.Events events = Wire.value(answer.body, Values.Events.class);
+                  final List<Calls.Event> list = new java.util.ArrayList<>();
+                  for (final Values.Put put : Words.list(events.events)) {
+                    list.add(new Calls.Event(put.name, put.value, put.revision));
+                  }
+                  return Reply.of(200, Calls.WATCH, new Calls.WatchAnswer(list, events.revision));
+                });
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/ControlState.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlState.java
@@ -9,7 +9,10 @@
 import weldpoint.trunk.Packing;
 import weldpoint.trunk.Words;
 
-/** What operators have ordered as this exchange has learned it: the configuration, evacuations and trials, each under its mark. */
+/**
+ * What operators have ordered as this exchange has learned it: the configuration, evacuations and
+ * trials, each under its mark.
+ */
 final class ControlState {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -98,8 +101,18 @@
     }
   }
 
-  /** Takes what the frames hold, or what another exchange has learned from them; only what is newer than what is held. */
-  News take(final long givenVersion, final byte[] givenSpec, final List<String> givenEvacuated, final long givenEvacuationMark, final List<Words.Trial> givenTrials, final long givenTrialMark, final long now) {
+  /**
+   * Takes what the frames hold, or what another exchange has learned from them; only what is newer
+   * than what is held.
+   */
+  News take(
+      final long givenVersion,
+      final byte[] givenSpec,
+      final List<String> givenEvacuated,
+      final long givenEvacuationMark,
+      final List<Words.Trial> givenTrials,
+      final long givenTrialMark,
+      final long now) {
     byte[] newSpec = null;
     if (givenVersion > version && givenSpec != null) {
       version = givenVersion;
@@ -129,7 +142,9 @@
       if (Verdict.of(trial) != Verdict.FINISHED) {
         trials.add(trial);
       }
-      LOGGER.atInfo().log("trial %s of route %s: stage %s, %s %s", trial.number, trial.route, trial.stage, Verdict.of(trial), trial.reason);
+      LOGGER.atInfo().log(
+          "trial %s of route %s: stage %s, %s %s",
+          trial.number, trial.route, trial.stage, Verdict.of(trial), trial.reason);
     }
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/Directory.java
+++ b/exchange/src/main/java/weldpoint/exchange/Directory.java
@@ -12,8 +12,16 @@
     this.switchboards = switchboards;
   }
 
-  /** The fronts that a client in this place should use; empty where none is known. One that is cut off also names those of whom it has heard nothing lately. */
-  List<String> resolve(final String region, final String site, final int most, final boolean cutOff, final long now) {
+  /**
+   * The fronts that a client in this place should use; empty where none is known. One that is cut
+   * off also names those of whom it has heard nothing lately.
+   */
+  List<String> resolve(
+      final String region,
+      final String site,
+      final int most,
+      final boolean cutOff,
+      final long now) {
     final List<Board> live = new ArrayList<>();
     final List<Board> dim = new ArrayList<>();
     for (final Switchboards.Entry entry : switchboards.all()) {
--- a/exchange/src/main/java/weldpoint/exchange/Electorates.java
+++ b/exchange/src/main/java/weldpoint/exchange/Electorates.java
@@ -15,7 +15,10 @@
 import weldpoint.trunk.Words.Elector;
 import weldpoint.trunk.Words.Electorate;
 
-/** Who may choose a region's chief: written to the frames once it has stood still for a while, told to the region's switchboards. */
+/**
+ * Who may choose a region's chief: written to the frames once it has stood still for a while, told
+ * to the region's switchboards.
+ */
 final class Electorates {
   private static final long STILL_MILLIS = 2000;
 
@@ -59,11 +62,12 @@
       final Electorate before = known.get(one.region);
       if (before == null || one.mark > before.mark) {
         known.put(one.region, one);
-        regions.forEach((stream, region) -> {
-          if (region.equals(one.region)) {
-            board.accept(stream, one);
-          }
-        });
+        regions.forEach(
+            (stream, region) -> {
+              if (region.equals(one.region)) {
+                board.accept(stream, one);
+              }
+            });
       }
     }
   }
@@ -72,21 +76,33 @@
   void keep(final List<Board> live, final long now) {
     final Map<String, List<Elector>> present = new TreeMap<>();
     for (final Board board : live) {
-      present.computeIfAbsent(board.region, region -> new ArrayList<>()).add(new Elector(board.address, board.incarnation));
+      present
+          .computeIfAbsent(board.region, region -> new ArrayList<>())
+          .add(new Elector(board.address, board.incarnation));
     }
-    present.forEach((region, electors) -> {
-      electors.sort(Comparator.comparing(one -> one.address));
-      if (!same(electors, wanted.get(region))) {
-        wanted.put(region, electors);
-        wantedAt.put(region, now);
-      }
-      final Electorate before = known.get(region);
-      if (!out && now - wantedAt.get(region) >= STILL_MILLIS && (before == null || !same(electors, Words.list(before.electors)))) {
-        out = true;
-        final Electorate next = new Electorate(region, before == null ? 1 : before.mark + 1, electors, electors.size() / (double) live.size());
-        writer.write(region, Wire.bytes(next), now).whenComplete((answer, problem) -> out = false);
-      }
-    });
+    present.forEach(
+        (region, electors) -> {
+          electors.sort(Comparator.comparing(one -> one.address));
+          if (!same(electors, wanted.get(region))) {
+            wanted.put(region, electors);
+            wantedAt.put(region, now);
+          }
+          final Electorate before = known.get(region);
+          if (!out
+              && now - wantedAt.get(region) >= STILL_MILLIS
+              && (before == null || !same(electors, Words.list(before.electors)))) {
+            out = true;
+            final Electorate next =
+                new Electorate(
+                    region,
+                    before == null ? 1 : before.mark + 1,
+                    electors,
+                    electors.size() / (double) live.size());
+            writer
+                .write(region, Wire.bytes(next), now)
+                .whenComplete((answer, problem) -> out = false);
+          }
+        });
   }
 
   private static boolean same(final List<Elector> one, final List<Elector> other) {
@@ -94,7 +110,8 @@
       return false;
     }
     for (int index = 0; index < one.size(); index++) {
-      if (!one.get(index).address.equals(other.get(index).address) || one.get(index).incarnation != other.get(index).incarnation) {
+      if (!one.get(index).address.equals(other.get(index).address)
+          || one.get(index).incarnation != other.get(index).incarnation) {
         return false;
       }
     }
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -23,15 +23,16 @@
 import weldpoint.trial.TrialPanel;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Board;
 import weldpoint.trunk.Words.Registration;
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
-import weldpoint.trunk.Words;
 
 /**
- * The membership: a persisted history of upstreams, reconciled with a random peer every second and pushed at once, and
- * the map of tokens that says which daemon keeps whose beats. It knows neither threads nor clocks nor sockets.
+ * The membership: a persisted history of upstreams, reconciled with a random peer every second and
+ * pushed at once, and the map of tokens that says which daemon keeps whose beats. It knows neither
+ * threads nor clocks nor sockets.
  */
 public final class ExchangeCore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -110,7 +111,13 @@
   private long gossips;
 
   /** A core for these settings. */
-  public ExchangeCore(final String self, final List<String> seeds, final boolean firstStart, final long beatMillis, final Random random, final Outlet outlet) {
+  public ExchangeCore(
+      final String self,
+      final List<String> seeds,
+      final boolean firstStart,
+      final long beatMillis,
+      final Random random,
+      final Outlet outlet) {
     this.self = self;
     this.seeds = seeds;
     this.firstStart = firstStart;
@@ -126,7 +133,8 @@
   }
 
   /** Takes other judges of what may be answered, for tests that break them. */
-  void judges(final Quorums givenQuorums, final QuorumReads givenReads, final Authority givenAuthority) {
+  void judges(
+      final Quorums givenQuorums, final QuorumReads givenReads, final Authority givenAuthority) {
     quorums = givenQuorums;
     reads = givenReads;
     authority = givenAuthority;
@@ -134,22 +142,49 @@
 
   /** Takes to keeping who may choose a region's chief. */
   public void chiefs() {
-    electorates = new Electorates((region, body, now) -> store.call(Deed.ELECTORATE, region, null, 0, 0, body, null, now, 900));
+    electorates =
+        new Electorates(
+            (region, body, now) ->
+                store.call(Deed.ELECTORATE, region, null, 0, 0, body, null, now, 900));
   }
 
   /** Takes to placing callers on nodes, by what settings say of write routes without a rule. */
-  public void placements(final Affinity usual, final long incarnation, final long leaseMillis, final long batchMillis) {
-    placements = new PlacementDesk(usual, new PlacementKeeper(self, incarnation, leaseMillis, batchMillis, new PlacementKeeper.Writer() {
-      @Override
-      public CompletableFuture<Words.Answer> keeper(final Words.Keeper next, final long now) {
-        return store.call(Deed.KEEPER_WRITE, "", null, 0, 0, Wire.bytes(next), null, now, 900);
-      }
-
-      @Override
-      public CompletableFuture<Words.Answer> placement(final Words.Placement next, final long now) {
-        return store.call(Deed.PLACEMENT_WRITE, next.service, null, 0, 0, PlacementKeeper.bytes(next), null, now, 900);
-      }
-    }));
+  public void placements(
+      final Affinity usual,
+      final long incarnation,
+      final long leaseMillis,
+      final long batchMillis) {
+    placements =
+        new PlacementDesk(
+            usual,
+            new PlacementKeeper(
+                self,
+                incarnation,
+                leaseMillis,
+                batchMillis,
+                new PlacementKeeper.Writer() {
+                  @Override
+                  public CompletableFuture<Words.Answer> keeper(
+                      final Words.Keeper next, final long now) {
+                    return store.call(
+                        Deed.KEEPER_WRITE, "", null, 0, 0, Wire.bytes(next), null, now, 900);
+                  }
+
+                  @Override
+                  public CompletableFuture<Words.Answer> placement(
+                      final Words.Placement next, final long now) {
+                    return store.call(
+                        Deed.PLACEMENT_WRITE,
+                        next.service,
+                        null,
+                        0,
+                        0,
+                        PlacementKeeper.bytes(next),
+                        null,
+                        now,
+                        900);
+                  }
+                }));
   }
 
   /** A switchboard asks for a lease on placements. */
@@ -196,7 +231,8 @@
     learning = records.isEmpty() && !(firstStart && seeds.contains(self));
     for (final byte[] record : records) {
       final Remembered kept = Wire.value(record, Remembered.class);
-      learning = kept.learning == Remembered.UNSAID ? learning : kept.learning == Remembered.LEARNING;
+      learning =
+          kept.learning == Remembered.UNSAID ? learning : kept.learning == Remembered.LEARNING;
       for (final Registration registration : Words.list(kept.history)) {
         registrations.put(registration);
       }
@@ -227,18 +263,30 @@
       members.put(seed, now);
     }
     tellPeers(now);
-    LOGGER.atInfo().log("exchange %s starts with %s registrations, roster %s", self, registrations.size(), roster.number);
+    LOGGER.atInfo().log(
+        "exchange %s starts with %s registrations, roster %s",
+        self, registrations.size(), roster.number);
   }
 
   /** The live state as records. */
   public List<byte[]> view() {
     final List<Registration> all = new ArrayList<>(registrations.all().values());
-    return List.of(Wire.bytes(new Remembered(all, roster.number == 0 ? null : roster, control.version(), control.spec(), control.evacuated(), control.evacuationMark(), control.panel().trials(), control.trialMark(), learning ? Remembered.LEARNING : Remembered.WHOLE)));
+    return List.of(
+        Wire.bytes(
+            new Remembered(
+                all,
+                roster.number == 0 ? null : roster,
+                control.version(),
+                control.spec(),
+                control.evacuated(),
+                control.evacuationMark(),
+                control.panel().trials(),
+                control.trialMark(),
+                learning ? Remembered.LEARNING : Remembered.WHOLE)));
   }
 
   private void keepLearning() {
-    outlet.append(Wire.bytes(Remembered.learning(learning)), () -> {
-    });
+    outlet.append(Wire.bytes(Remembered.learning(learning)), () -> {});
   }
 
   private void persist(final List<Registration> changes, final Roster news, final Runnable synced) {
@@ -247,8 +295,12 @@
 
   // ---- upstreams
 
-  /** Who keeps the beats of an upstream: the token's owner if it can be reached, otherwise the next of the list. */
-  public String keeper(final String id, final String site, final Map<String, String> regions, final long now) {
+  /**
+   * Who keeps the beats of an upstream: the token's owner if it can be reached, otherwise the next
+   * of the list.
+   */
+  public String keeper(
+      final String id, final String site, final Map<String, String> regions, final long now) {
     final int size = roster.voters.size();
     if (size == 0) {
       return self;
@@ -300,7 +352,8 @@
       streams.suspects();
     }
     final boolean drains = Stage.of(beat) == Stage.DRAINING;
-    final boolean late = before != null && (Stage.of(before) == Stage.REMOVED || beat.sequence < before.sequence);
+    final boolean late =
+        before != null && (Stage.of(before) == Stage.REMOVED || beat.sequence < before.sequence);
     if (late && !drains) {
       return CompletableFuture.completedFuture(null);
     }
@@ -317,18 +370,22 @@
         streams.registrations(changes);
         return quorum(changes, now);
       }
-      persist(changes, null, () -> {
-      });
+      persist(changes, null, () -> {});
       tellMembers(new Words.Changes(0, changes, null));
       streams.registrations(changes);
     }
-    return drains ? quorum(List.of(registrations.get(beat.id)), now) : CompletableFuture.completedFuture(null);
+    return drains
+        ? quorum(List.of(registrations.get(beat.id)), now)
+        : CompletableFuture.completedFuture(null);
   }
 
   /** An upstream signs off; completes once a majority of disks holds it. */
   public CompletableFuture<Void> deregister(final String id, final long issued, final long now) {
     final Registration before = registrations.get(id);
-    final Registration ended = before == null ? new Registration(id, "", "", "", "", 0, Stage.REMOVED.ordinal(), 0, issued, 0) : Registrations.step(before, Stage.REMOVED, issued);
+    final Registration ended =
+        before == null
+            ? new Registration(id, "", "", "", "", 0, Stage.REMOVED.ordinal(), 0, issued, 0)
+            : Registrations.step(before, Stage.REMOVED, issued);
     if (before == null || Stage.of(before) != Stage.REMOVED) {
       registrations.put(ended);
       LOGGER.atInfo().log("upstream %s signed off", id);
@@ -341,7 +398,11 @@
     return begin(changes, key -> new Words.Changes(key, changes, null), now + QUORUM_MILLIS, now);
   }
 
-  private CompletableFuture<Void> begin(final List<Registration> changes, final LongFunction<Message> message, final long deadline, final long now) {
+  private CompletableFuture<Void> begin(
+      final List<Registration> changes,
+      final LongFunction<Message> message,
+      final long deadline,
+      final long now) {
     final CompletableFuture<Void> future = quorums.begin(message, this::tellMembers, deadline, now);
     final long key = quorums.last();
     persist(changes, null, () -> confirm(() -> kept(self, key, clock)));
@@ -369,8 +430,8 @@
   }
 
   /**
-   * The frames have taken a configuration (null where they hold it, or a later one, already); completes once a majority
-   * of exchanges has it, or a later one, on disk too.
+   * The frames have taken a configuration (null where they hold it, or a later one, already);
+   * completes once a majority of exchanges has it, or a later one, on disk too.
    */
   public CompletableFuture<Void> spread(final long given, final byte[] body, final long now) {
     if (body == null) {
@@ -383,50 +444,109 @@
   private CompletableFuture<Void> spreadHeld(final long now) {
     final long given = control.version();
     final byte[] body = control.spec();
-    return begin(List.of(), key -> new Words.Changes(key, null, null, given, body, null, 0, null, 0), now + QUORUM_MILLIS, now);
+    return begin(
+        List.of(),
+        key -> new Words.Changes(key, null, null, given, body, null, 0, null, 0),
+        now + QUORUM_MILLIS,
+        now);
   }
 
   /** The frames have taken an order; completes once a majority of exchanges has it on disk too. */
   public CompletableFuture<Void> settle(final long now) {
-    return refresh(clock).thenCompose(done -> {
-      final List<String> evacuated = control.evacuated();
-      final long evacuationMark = control.evacuationMark();
-      final List<Words.Trial> trials = control.panel().trials();
-      final long trialMark = control.trialMark();
-      return begin(List.of(), key -> new Words.Changes(key, null, null, 0, null, evacuated, evacuationMark, trials, trialMark), now + QUORUM_MILLIS, now);
-    });
+    return refresh(clock)
+        .thenCompose(
+            done -> {
+              final List<String> evacuated = control.evacuated();
+              final long evacuationMark = control.evacuationMark();
+              final List<Words.Trial> trials = control.panel().trials();
+              final long trialMark = control.trialMark();
+              return begin(
+                  List.of(),
+                  key ->
+                      new Words.Changes(
+                          key, null, null, 0, null, evacuated, evacuationMark, trials, trialMark),
+                  now + QUORUM_MILLIS,
+                  now);
+            });
   }
 
-  /** Asks the frames for what they hold; completes once a majority has confirmed it after this question. */
+  /**
+   * Asks the frames for what they hold; completes once a majority has confirmed it after this
+   * question.
+   */
   public CompletableFuture<Void> refresh(final long now) {
-    return store.call(Deed.CONTROL, "", null, control.version(), -1, null, null, now, REFRESH_MILLIS).thenAccept(answer -> {
-      if (answer.status != 200) {
-        throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no majority confirmed what is in force; ask another daemon");
-      }
-      takeControl(Wire.value(answer.body, Values.Control.class), now);
-    });
-  }
-
-  private void take(final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final List<Words.Trial> trials, final long trialMark) {
-    final ControlState.News news = control.take(version, spec, evacuated, evacuationMark, trials, trialMark, clock);
+    return store
+        .call(Deed.CONTROL, "", null, control.version(), -1, null, null, now, REFRESH_MILLIS)
+        .thenAccept(
+            answer -> {
+              if (answer.status != 200) {
+                throw new Breakdown(
+                    Breakdown.Kind.OUT_OF_REACH,
+                    "no majority confirmed what is in force; ask another daemon");
+              }
+              takeControl(Wire.value(answer.body, Values.Control.class), now);
+            });
+  }
+
+  private void take(
+      final long version,
+      final byte[] spec,
+      final List<String> evacuated,
+      final long evacuationMark,
+      final List<Words.Trial> trials,
+      final long trialMark) {
+    final ControlState.News news =
+        control.take(version, spec, evacuated, evacuationMark, trials, trialMark, clock);
     if (news.any()) {
-      outlet.append(Wire.bytes(new Remembered(null, null, control.version(), news.spec(), control.evacuated(), control.evacuationMark(), control.panel().trials(), control.trialMark())), () -> {
-      });
-      streams.tell(new Words.View(news.spec() == null ? 0 : control.version(), news.spec(), news.evacuations(), control.evacuated(), control.evacuationMark(), null, false, null, switchboards.most(), news.trials() ? control.trials() : null, news.trials() ? control.trialMark() : -1));
+      outlet.append(
+          Wire.bytes(
+              new Remembered(
+                  null,
+                  null,
+                  control.version(),
+                  news.spec(),
+                  control.evacuated(),
+                  control.evacuationMark(),
+                  control.panel().trials(),
+                  control.trialMark())),
+          () -> {});
+      streams.tell(
+          new Words.View(
+              news.spec() == null ? 0 : control.version(),
+              news.spec(),
+              news.evacuations(),
+              control.evacuated(),
+              control.evacuationMark(),
+              null,
+              false,
+              null,
+              switchboards.most(),
+              news.trials() ? control.trials() : null,
+              news.trials() ? control.trialMark() : -1));
     }
   }
 
   // ---- other exchanges
 
   /** Another exchange has said something. */
-  public void receive(final String from, final Message message, final java.util.function.Consumer<Message> reply, final long now) {
+  public void receive(
+      final String from,
+      final Message message,
+      final java.util.function.Consumer<Message> reply,
+      final long now) {
     if (members.put(from, now) == null) {
       tellPeers(now);
     }
     if (message instanceof Words.Changes) {
       final Words.Changes changes = (Words.Changes) message;
       merge(Words.list(changes.registrations), now);
-      take(changes.version, changes.spec, changes.evacuated, changes.evacuationMark, changes.trials, changes.trialMark);
+      take(
+          changes.version,
+          changes.spec,
+          changes.evacuated,
+          changes.evacuationMark,
+          changes.trials,
+          changes.trialMark);
       switchboards.merge(Words.list(changes.boards), now);
       for (final Board board : Words.list(changes.boards)) {
         if (board.ageMillis >= Switchboards.GONE_MILLIS) {
@@ -438,7 +558,10 @@
         for (final Registration registration : Words.list(changes.registrations)) {
           held.add(registrations.get(registration.id));
         }
-        persist(held, null, () -> confirm(() -> reply.accept(new Words.Kept(changes.number, roster.number))));
+        persist(
+            held,
+            null,
+            () -> confirm(() -> reply.accept(new Words.Kept(changes.number, roster.number))));
       }
     } else if (message instanceof Words.Kept) {
       onKept(from, (Words.Kept) message, now);
@@ -468,8 +591,7 @@
   private void merge(final List<Registration> given, final long now) {
     final List<Registration> news = registrations.merge(given, now);
     if (!news.isEmpty()) {
-      persist(news, null, () -> {
-      });
+      persist(news, null, () -> {});
       streams.registrations(news);
     }
   }
@@ -487,15 +609,22 @@
   }
 
   /**
-   * The question with a lease. It goes only over a line that the other was at the end of before this clock was read: the
-   * other counts the lease from its own start.
+   * The question with a lease. It goes only over a line that the other was at the end of before
+   * this clock was read: the other counts the lease from its own start.
    */
   private Message offer(final long number) {
     return question(number, lease(clock));
   }
 
   private Message question(final long number, final long leaseMillis) {
-    return new Words.StateRead(number, roster.number, control.version(), control.evacuationMark(), control.trialMark(), Buckets.digests(registrations.all().values(), true), leaseMillis);
+    return new Words.StateRead(
+        number,
+        roster.number,
+        control.version(),
+        control.evacuationMark(),
+        control.trialMark(),
+        Buckets.digests(registrations.all().values(), true),
+        leaseMillis);
   }
 
   private Words.StateHeld held(final Words.StateRead read, final long now) {
@@ -504,27 +633,54 @@
     final boolean trials = control.trialMark() > read.trialMark;
     List<Registration> lacking = List.of();
     if (read.buckets != null) {
-      lacking = Buckets.differing(registrations.all().values(), Buckets.digests(registrations.all().values(), true), read.buckets);
-    }
-    return new Words.StateHeld(read.number, roster.number > read.rosterNumber ? roster : null, learning, Math.min(Integer.MAX_VALUE, now - contactAt()), spec ? control.version() : 0, spec ? control.spec() : null,
-        evacuations ? control.evacuated() : null, evacuations ? control.evacuationMark() : 0, trials ? control.panel().trials() : null, trials ? control.trialMark() : 0, lacking.isEmpty() ? null : Buckets.pack(lacking), lease(now));
+      lacking =
+          Buckets.differing(
+              registrations.all().values(),
+              Buckets.digests(registrations.all().values(), true),
+              read.buckets);
+    }
+    return new Words.StateHeld(
+        read.number,
+        roster.number > read.rosterNumber ? roster : null,
+        learning,
+        Math.min(Integer.MAX_VALUE, now - contactAt()),
+        spec ? control.version() : 0,
+        spec ? control.spec() : null,
+        evacuations ? control.evacuated() : null,
+        evacuations ? control.evacuationMark() : 0,
+        trials ? control.panel().trials() : null,
+        trials ? control.trialMark() : 0,
+        lacking.isEmpty() ? null : Buckets.pack(lacking),
+        lease(now));
   }
 
   /**
-   * For how long a voter that has only just started confirms no change yet. After a loss of power everywhere, what a
-   * majority says over its first lines then holds for all switchboards that come back meanwhile, and nothing is held
-   * up, since the frames need longer for their ballots.
+   * For how long a voter that has only just started confirms no change yet. After a loss of power
+   * everywhere, what a majority says over its first lines then holds for all switchboards that come
+   * back meanwhile, and nothing is held up, since the frames need longer for their ballots.
    */
   private long lease(final long now) {
     return learning || roster.index(self) < 0 ? 0 : Math.max(0, withheldUntil - now);
   }
 
-  /** Another exchange asks, and says so what it holds; a line of this life carries nothing that was said before this life began. */
-  private void onRead(final String from, final Words.StateRead read, final java.util.function.Consumer<Message> reply, final long now) {
+  /**
+   * Another exchange asks, and says so what it holds; a line of this life carries nothing that was
+   * said before this life began.
+   */
+  private void onRead(
+      final String from,
+      final Words.StateRead read,
+      final java.util.function.Consumer<Message> reply,
+      final long now) {
     clock = Math.max(clock, now);
     reply.accept(held(read, now));
-    final boolean nothingNew = read.buckets != null && read.rosterNumber <= roster.number && read.version <= control.version() && read.evacuationMark <= control.evacuationMark() && read.trialMark <= control.trialMark()
-        && read.buckets.equals(Buckets.digests(registrations.all().values(), true));
+    final boolean nothingNew =
+        read.buckets != null
+            && read.rosterNumber <= roster.number
+            && read.version <= control.version()
+            && read.evacuationMark <= control.evacuationMark()
+            && read.trialMark <= control.trialMark()
+            && read.buckets.equals(Buckets.digests(registrations.all().values(), true));
     if (read.leaseMillis > 0 && nothingNew) {
       reads.leased(from, startedAt + read.leaseMillis);
     }
@@ -534,7 +690,9 @@
     admit(now);
   }
 
-  /** Confirms that a change is on this disk: at once, or when a lease that was given has run out. */
+  /**
+   * Confirms that a change is on this disk: at once, or when a lease that was given has run out.
+   */
   private void confirm(final Runnable confirmation) {
     if (clock < withheldUntil) {
       withheld.add(confirmation);
@@ -560,10 +718,15 @@
 
   /** Looks whether the quorum read under way is done, and begins the next where one is wanted. */
   private void read(final long now) {
-    if (learning && learningRead == Long.MAX_VALUE && roster.index(self) >= 0 && now - startedAt >= LEARNING_MILLIS) {
+    if (learning
+        && learningRead == Long.MAX_VALUE
+        && roster.index(self) >= 0
+        && now - startedAt >= LEARNING_MILLIS) {
       learningRead = reads.next();
     }
-    if (now - majorityAt > CONFIRM_MILLIS && now - reads.confirmedAt() > CONFIRM_MILLIS && roster.number > 0) {
+    if (now - majorityAt > CONFIRM_MILLIS
+        && now - reads.confirmedAt() > CONFIRM_MILLIS
+        && roster.number > 0) {
       reads.next();
     }
     if (reads.complete(roster, !learning)) {
@@ -572,8 +735,13 @@
     }
     if (learning && reads.done() >= learningRead) {
       learned(now);
-    } else if (learning && roster.index(self) >= 0 && now - Math.max(rosterAt, startedAt) > MOST_LEARNING_MILLIS && now - majorityAt < MAJORITY_MILLIS) {
-      LOGGER.atWarning().log("exchange %s found no majority of exchanges that have all that was acknowledged; it counts with what it has", self);
+    } else if (learning
+        && roster.index(self) >= 0
+        && now - Math.max(rosterAt, startedAt) > MOST_LEARNING_MILLIS
+        && now - majorityAt < MAJORITY_MILLIS) {
+      LOGGER.atWarning().log(
+          "exchange %s found no majority of exchanges that have all that was acknowledged; it counts with what it has",
+          self);
       learned(now);
     }
     reads.tick(this::question, this::tellVoters, now);
@@ -582,7 +750,8 @@
   private void learned(final long now) {
     learning = false;
     keepLearning();
-    LOGGER.atInfo().log("exchange %s has learned what was acknowledged before it came, and counts", self);
+    LOGGER.atInfo().log(
+        "exchange %s has learned what was acknowledged before it came, and counts", self);
   }
 
   private boolean writesElectorates() {
@@ -596,18 +765,24 @@
 
   private void missSwitchboards(final long now) {
     for (final Board board : switchboards.missed(now)) {
-      final Words.Changes message = new Words.Changes(0, null, List.of(Switchboards.aged(board, Switchboards.GONE_MILLIS)));
+      final Words.Changes message =
+          new Words.Changes(0, null, List.of(Switchboards.aged(board, Switchboards.GONE_MILLIS)));
       for (final String member : members.keySet()) {
         outlet.member(member, message);
       }
     }
   }
 
-  private void onGossip(final String from, final Words.Gossip gossip, final java.util.function.Consumer<Message> reply, final long now) {
+  private void onGossip(
+      final String from,
+      final Words.Gossip gossip,
+      final java.util.function.Consumer<Message> reply,
+      final long now) {
     final boolean alike = gossip.digest == registrations.digest();
     merge(Words.list(gossip.history), now);
     merge(Buckets.unpack(gossip.packed), now);
-    membersInForce.put(from, new InForce(from, "exchange", gossip.version, gossip.mark, gossip.heldMillis, now));
+    membersInForce.put(
+        from, new InForce(from, "exchange", gossip.version, gossip.mark, gossip.heldMillis, now));
     if (gossip.region != null && !gossip.region.isEmpty()) {
       memberPlaces.put(from, gossip.region + "/" + gossip.site);
     }
@@ -639,22 +814,44 @@
       streams.suspects();
     }
     if (gossip.depth == 0) {
-      reply.accept(gossip(1, !alike, !boardsAlike, gossip.rosterNumber < roster.number, gossip.count == 0 ? List.of() : null, now));
+      reply.accept(
+          gossip(
+              1,
+              !alike,
+              !boardsAlike,
+              gossip.rosterNumber < roster.number,
+              gossip.count == 0 ? List.of() : null,
+              now));
       return;
     }
     if (gossip.depth < 3 && !alike && gossip.digest != registrations.digest()) {
-      reply.accept(gossip(gossip.depth + 1, true, !boardsAlike, false, Words.list(gossip.buckets), now));
+      reply.accept(
+          gossip(gossip.depth + 1, true, !boardsAlike, false, Words.list(gossip.buckets), now));
     } else if (gossip.depth == 1 && (!boardsAlike || gossip.rosterNumber < roster.number)) {
       reply.accept(gossip(3, false, true, gossip.rosterNumber < roster.number, null, now));
     }
-    if (!reconciled && (gossip.depth > 1 || alike || gossip.digest == registrations.digest() || gossip.packed != null || gossip.history != null)) {
+    if (!reconciled
+        && (gossip.depth > 1
+            || alike
+            || gossip.digest == registrations.digest()
+            || gossip.packed != null
+            || gossip.history != null)) {
       reconciled = true;
       LOGGER.atInfo().log("exchange %s has reconciled its history with a peer", self);
     }
   }
 
-  /** What is told to a peer: the history where it differs (all of it where there are no buckets to compare), switchboards and the roster where they do. */
-  private Words.Gossip gossip(final int depth, final boolean differs, final boolean boardsDiffer, final boolean rosterToo, final List<Long> there, final long now) {
+  /**
+   * What is told to a peer: the history where it differs (all of it where there are no buckets to
+   * compare), switchboards and the roster where they do.
+   */
+  private Words.Gossip gossip(
+      final int depth,
+      final boolean differs,
+      final boolean boardsDiffer,
+      final boolean rosterToo,
+      final List<Long> there,
+      final long now) {
     final List<String> beaten = new ArrayList<>();
     final List<Long> ages = new ArrayList<>();
     if (differs) {
@@ -662,16 +859,41 @@
     }
     final List<Board> list = boardsDiffer ? switchboards.told(now) : new ArrayList<>();
     final List<Long> here = differs ? Buckets.digests(registrations.all().values(), true) : null;
-    final byte[] packed = differs && there != null ? Buckets.pack(Buckets.differing(registrations.all().values(), here, there)) : null;
-    return new Words.Gossip(depth, registrations.digest(), rosterToo ? roster : null, depth == 0 || boardsDiffer ? new ArrayList<>(members.keySet()) : null, null, list, beaten, ages, control.version(), control.mark(), now - control.heldSince(),
-        roster.number, registrations.size(), registrations.beatAges(now), switchboards.digest(now), switchboards.ages(now), here, packed, site, region);
+    final byte[] packed =
+        differs && there != null
+            ? Buckets.pack(Buckets.differing(registrations.all().values(), here, there))
+            : null;
+    return new Words.Gossip(
+        depth,
+        registrations.digest(),
+        rosterToo ? roster : null,
+        depth == 0 || boardsDiffer ? new ArrayList<>(members.keySet()) : null,
+        null,
+        list,
+        beaten,
+        ages,
+        control.version(),
+        control.mark(),
+        now - control.heldSince(),
+        roster.number,
+        registrations.size(),
+        registrations.beatAges(now),
+        switchboards.digest(now),
+        switchboards.ages(now),
+        here,
+        packed,
+        site,
+        region);
   }
 
   private void takeRoster(final Roster news, final long now) {
     if (news == null || news.number <= roster.number) {
       return;
     }
-    if (!learning && news.index(self) >= 0 && roster.index(self) < 0 && (roster.number > 0 || !seeds.contains(self) || !firstStart)) {
+    if (!learning
+        && news.index(self) >= 0
+        && roster.index(self) < 0
+        && (roster.number > 0 || !seeds.contains(self) || !firstStart)) {
       learning = true;
       keepLearning();
     }
@@ -680,8 +902,7 @@
     rosterAt = now;
     roster = news;
     reads.restart();
-    persist(List.of(), news, () -> {
-    });
+    persist(List.of(), news, () -> {});
     for (final Voter voter : news.voters) {
       members.putIfAbsent(voter.address, now - 1500);
     }
@@ -725,16 +946,31 @@
   /** What was recorded here since it was last collected, with what is in force. */
   public Reels.Drained drain(final long now) {
     final List<Reels.Kept> list = reels.drain(now);
-    return new Reels.Drained(reels.state().on, reels.state().mark, reels.dropped(), reels.left(), list, control.version(), control.spec(), new ArrayList<>(registrations.all().values()), control.evacuated());
+    return new Reels.Drained(
+        reels.state().on,
+        reels.state().mark,
+        reels.dropped(),
+        reels.left(),
+        list,
+        control.version(),
+        control.spec(),
+        new ArrayList<>(registrations.all().values()),
+        control.evacuated());
   }
 
   /** Whether switchboards record, and how much waits here. */
   public String recording() {
-    return (reels.state().on ? "recording" : "not recording") + ", " + reels.left() + " calls wait to be collected here, " + reels.dropped() + " dropped here";
+    return (reels.state().on ? "recording" : "not recording")
+        + ", "
+        + reels.left()
+        + " calls wait to be collected here, "
+        + reels.dropped()
+        + " dropped here";
   }
 
   /** Somebody asks for permits. */
-  public void permit(final Words.PermitAsk ask, final java.util.function.Consumer<Message> reply, final long now) {
+  public void permit(
+      final Words.PermitAsk ask, final java.util.function.Consumer<Message> reply, final long now) {
     if (booth == null) {
       reply.accept(new Words.PermitAnswer(ask.number, 0, control.version(), Integer.MAX_VALUE));
       return;
@@ -755,7 +991,8 @@
   }
 
   /** A switchboard tells of itself, and at the opening of its stream, by digests, what it has. */
-  public void boardState(final Object stream, final Board board, final List<Long> buckets, final long now) {
+  public void boardState(
+      final Object stream, final Board board, final List<Long> buckets, final long now) {
     final boolean news = switchboards.news(board, now);
     switchboards.merge(List.of(board), now);
     if (news) {
@@ -808,7 +1045,9 @@
     switchboards.closed(address, now);
   }
 
-  /** What is told each time, with the members where they have changed since they were told to all. */
+  /**
+   * What is told each time, with the members where they have changed since they were told to all.
+   */
   private Words.Reach reach(final long now, final boolean first) {
     final List<String> caches = switchboards.announcers(now);
     final List<String> places = new ArrayList<>();
@@ -821,7 +1060,13 @@
       toldMembers = named;
       toldPlaces = places;
     }
-    return new Words.Reach(Math.min(Integer.MAX_VALUE, now - majorityAt), switchboards.most(), first || news ? named : null, caches, first || news ? places : null, Math.min(Integer.MAX_VALUE, now - contactAt()));
+    return new Words.Reach(
+        Math.min(Integer.MAX_VALUE, now - majorityAt),
+        switchboards.most(),
+        first || news ? named : null,
+        caches,
+        first || news ? places : null,
+        Math.min(Integer.MAX_VALUE, now - contactAt()));
   }
 
   private List<String> toldMembers = List.of();
@@ -833,7 +1078,10 @@
     return Math.max(majorityAt, reads.confirmedAt());
   }
 
-  /** Whether this exchange knows that it is without a majority: none has answered it lately, and there are not enough lines to voters. */
+  /**
+   * Whether this exchange knows that it is without a majority: none has answered it lately, and
+   * there are not enough lines to voters.
+   */
   public boolean cutOff(final long now) {
     return authority.cutOff(roster, seeds, connected, contactAt(), now);
   }
@@ -844,7 +1092,8 @@
   }
 
   /** The fronts that a client in this place should use; empty where none is known. */
-  public List<String> resolve(final String region, final String site, final int most, final long now) {
+  public List<String> resolve(
+      final String region, final String site, final int most, final long now) {
     return directory.resolve(region, site, most, now - majorityAt > MAJORITY_MILLIS, now);
   }
 
@@ -857,12 +1106,29 @@
     controlOut = true;
     controlAskedAt = now;
     final boolean stale = now - majorityAt > CONFIRM_MILLIS;
-    store.call(Deed.CONTROL, "", null, control.version(), stale ? -1 : control.mark() + (purges == null ? 0 : purges.mark) + (electorates == null ? otherMarks : electorates.marks()) + (placements == null ? placementMarks : placements.marks()), null, null, now, 2500).whenComplete((answer, problem) -> {
-      controlOut = false;
-      if (problem == null && answer.status == 200) {
-        takeControl(Wire.value(answer.body, Values.Control.class), controlAskedAt);
-      }
-    });
+    store
+        .call(
+            Deed.CONTROL,
+            "",
+            null,
+            control.version(),
+            stale
+                ? -1
+                : control.mark()
+                    + (purges == null ? 0 : purges.mark)
+                    + (electorates == null ? otherMarks : electorates.marks())
+                    + (placements == null ? placementMarks : placements.marks()),
+            null,
+            null,
+            now,
+            2500)
+        .whenComplete(
+            (answer, problem) -> {
+              controlOut = false;
+              if (problem == null && answer.status == 200) {
+                takeControl(Wire.value(answer.body, Values.Control.class), controlAskedAt);
+              }
+            });
   }
 
   private long controlAskedAt;
@@ -873,7 +1139,13 @@
   private void takeControl(final Values.Control given, final long askedAt) {
     majorityAt = Math.max(majorityAt, askedAt);
     takeRoster(given.roster, clock);
-    take(given.version, given.spec, given.evacuated, given.evacuationMark, given.trials, given.trialMark);
+    take(
+        given.version,
+        given.spec,
+        given.evacuated,
+        given.evacuationMark,
+        given.trials,
+        given.trialMark);
     if (electorates != null) {
       electorates.take(Words.list(given.electorates), outlet::board);
     } else if (given.electorates != null) {
@@ -917,44 +1189,85 @@
 
   private long trialJudgedAt;
 
-  private CompletableFuture<Words.Trial> writeTrial(final Words.Trial next, final Words.Cause cause, final long now) {
-    return store.call(Deed.TRIAL_WRITE, next.route, null, next.serial - 1, 0, Wire.bytes(next), cause, now, 900).thenApply(answer -> {
-      if (answer.status == 200) {
-        return next;
-      }
-      throw new Breakdown(answer.status == 412 ? Breakdown.Kind.CONFLICT : Breakdown.Kind.OUT_OF_REACH, "the trial has changed meanwhile; look at its status and order again");
-    });
+  private CompletableFuture<Words.Trial> writeTrial(
+      final Words.Trial next, final Words.Cause cause, final long now) {
+    return store
+        .call(
+            Deed.TRIAL_WRITE,
+            next.route,
+            null,
+            next.serial - 1,
+            0,
+            Wire.bytes(next),
+            cause,
+            now,
+            900)
+        .thenApply(
+            answer -> {
+              if (answer.status == 200) {
+                return next;
+              }
+              throw new Breakdown(
+                  answer.status == 412 ? Breakdown.Kind.CONFLICT : Breakdown.Kind.OUT_OF_REACH,
+                  "the trial has changed meanwhile; look at its status and order again");
+            });
   }
 
-  /** Judges an order by what a majority confirms after it came, and acknowledges it once a majority of exchanges has it. */
-  private CompletableFuture<Words.Trial> orderTrial(final Supplier<Words.Trial> next, final Words.Cause cause, final long now) {
-    return refresh(now).thenCompose(done -> writeTrial(next.get(), cause, clock)).thenCompose(written -> settle(clock).thenApply(done -> written));
+  /**
+   * Judges an order by what a majority confirms after it came, and acknowledges it once a majority
+   * of exchanges has it.
+   */
+  private CompletableFuture<Words.Trial> orderTrial(
+      final Supplier<Words.Trial> next, final Words.Cause cause, final long now) {
+    return refresh(now)
+        .thenCompose(done -> writeTrial(next.get(), cause, clock))
+        .thenCompose(written -> settle(clock).thenApply(done -> written));
   }
 
   /** Begins a trial. */
-  public CompletableFuture<Words.Trial> beginTrial(final String route, final Calls.TrialOrder order, final Words.Cause cause, final long now) {
+  public CompletableFuture<Words.Trial> beginTrial(
+      final String route, final Calls.TrialOrder order, final Words.Cause cause, final long now) {
     final List<Integer> stages = new ArrayList<>();
     for (final Double stage : order.stages() == null ? List.<Double>of() : order.stages()) {
       stages.add(stage == null ? null : stage.intValue());
     }
-    return orderTrial(() -> control.panel().begin(route, String.valueOf(order.oldService()), String.valueOf(order.newService()), order.token(), stages,
-        order.leastWrites() == null ? 30 : order.leastWrites().intValue(), order.lateAllowance() == null ? 0.01 : order.lateAllowance(), control.plan()), cause, now);
+    return orderTrial(
+        () ->
+            control
+                .panel()
+                .begin(
+                    route,
+                    String.valueOf(order.oldService()),
+                    String.valueOf(order.newService()),
+                    order.token(),
+                    stages,
+                    order.leastWrites() == null ? 30 : order.leastWrites().intValue(),
+                    order.lateAllowance() == null ? 0.01 : order.lateAllowance(),
+                    control.plan()),
+        cause,
+        now);
   }
 
   /** Moves a trial to its next stage, if the evidence is there. */
-  public CompletableFuture<Words.Trial> advanceTrial(final String route, final Words.Cause cause, final long now) {
+  public CompletableFuture<Words.Trial> advanceTrial(
+      final String route, final Words.Cause cause, final long now) {
     final List<String> live = new ArrayList<>();
     switchboards.live(now).forEach(board -> live.add(board.address));
-    return orderTrial(() -> control.panel().advance(route, live, now - majorityAt < MAJORITY_MILLIS, now), cause, now);
+    return orderTrial(
+        () -> control.panel().advance(route, live, now - majorityAt < MAJORITY_MILLIS, now),
+        cause,
+        now);
   }
 
   /** Holds a trial by an operator's order. */
-  public CompletableFuture<Words.Trial> holdTrial(final String route, final String reason, final Words.Cause cause, final long now) {
+  public CompletableFuture<Words.Trial> holdTrial(
+      final String route, final String reason, final Words.Cause cause, final long now) {
     return orderTrial(() -> control.panel().hold(route, reason), cause, now);
   }
 
   /** Ends a trial. */
-  public CompletableFuture<Words.Trial> finishTrial(final String route, final Words.Cause cause, final long now) {
+  public CompletableFuture<Words.Trial> finishTrial(
+      final String route, final Words.Cause cause, final long now) {
     return orderTrial(() -> control.panel().finish(route), cause, now);
   }
 
@@ -964,25 +1277,75 @@
   }
 
   /** Calls the store. */
-  public CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final long timeout, final long now) {
+  public CompletableFuture<Words.Answer> call(
+      final Deed deed,
+      final String name,
+      final String owner,
+      final long first,
+      final long second,
+      final byte[] body,
+      final long timeout,
+      final long now) {
     return store.call(deed, name, owner, first, second, body, null, now, timeout);
   }
 
   /** Calls the store with a change of routing, and who wants it. */
-  public CompletableFuture<Words.Answer> change(final Deed deed, final String name, final long first, final long second, final byte[] body, final Words.Cause cause, final long timeout, final long now) {
+  public CompletableFuture<Words.Answer> change(
+      final Deed deed,
+      final String name,
+      final long first,
+      final long second,
+      final byte[] body,
+      final Words.Cause cause,
+      final long timeout,
+      final long now) {
     clock = Math.max(clock, now);
-    return deed == Deed.EVACUATE ? evacuate(name, first, cause, now + timeout) : store.call(deed, name, null, first, second, body, cause, now, timeout);
+    return deed == Deed.EVACUATE
+        ? evacuate(name, first, cause, now + timeout)
+        : store.call(deed, name, null, first, second, body, cause, now, timeout);
   }
 
-  /** An evacuation is ordered under a ticket, so that a copy that comes late does nothing once another order was decided. */
-  private CompletableFuture<Words.Answer> evacuate(final String zone, final long on, final Words.Cause cause, final long cutoff) {
-    return store.call(Deed.EVACUATION_TICKET, zone, null, 0, 0, null, null, clock, cutoff - clock).thenCompose(ticket -> ticket.status != 200 ? CompletableFuture.completedFuture(ticket)
-        : store.call(Deed.EVACUATE, zone, null, on, ticket.first, null, cause, clock, cutoff - clock).thenCompose(answer -> answer.status != 410 ? CompletableFuture.completedFuture(answer) : evacuate(zone, on, cause, cutoff)));
+  /**
+   * An evacuation is ordered under a ticket, so that a copy that comes late does nothing once
+   * another order was decided.
+   */
+  private CompletableFuture<Words.Answer> evacuate(
+      final String zone, final long on, final Words.Cause cause, final long cutoff) {
+    return store
+        .call(Deed.EVACUATION_TICKET, zone, null, 0, 0, null, null, clock, cutoff - clock)
+        .thenCompose(
+            ticket ->
+                ticket.status != 200
+                    ? CompletableFuture.completedFuture(ticket)
+                    : store
+                        .call(
+                            Deed.EVACUATE,
+                            zone,
+                            null,
+                            on,
+                            ticket.first,
+                            null,
+                            cause,
+                            clock,
+                            cutoff - clock)
+                        .thenCompose(
+                            answer ->
+                                answer.status != 410
+                                    ? CompletableFuture.completedFuture(answer)
+                                    : evacuate(zone, on, cause, cutoff)));
   }
 
   /** Calls the store with a configuration, the digest of what it says, and who wants it. */
-  public CompletableFuture<Words.Answer> replace(final long given, final boolean tied, final byte[] packed, final byte[] content, final Words.Cause cause, final long timeout, final long now) {
-    return store.call(Deed.SPEC_REPLACE, "", null, given, tied ? 1 : 0, packed, cause, content, now, timeout);
+  public CompletableFuture<Words.Answer> replace(
+      final long given,
+      final boolean tied,
+      final byte[] packed,
+      final byte[] content,
+      final Words.Cause cause,
+      final long timeout,
+      final long now) {
+    return store.call(
+        Deed.SPEC_REPLACE, "", null, given, tied ? 1 : 0, packed, cause, content, now, timeout);
   }
 
   /** Who wants a change that came in here. */
@@ -999,47 +1362,99 @@
   public Calls.StatusAnswer status(final long now) {
     final List<Calls.DaemonStatus> daemons = new ArrayList<>();
     for (final InForce one : inForce(now)) {
-      daemons.add(new Calls.DaemonStatus(one.address(), one.program(), String.format("%08x", one.version()), one.mark(), one.ageMillis() == Long.MAX_VALUE ? -1 : one.ageMillis()));
+      daemons.add(
+          new Calls.DaemonStatus(
+              one.address(),
+              one.program(),
+              String.format("%08x", one.version()),
+              one.mark(),
+              one.ageMillis() == Long.MAX_VALUE ? -1 : one.ageMillis()));
     }
     final List<Calls.PlacementStatus> placed = new ArrayList<>();
     final List<Calls.WriteCount> writes = new ArrayList<>();
     if (placements != null) {
       for (final Words.Placement one : placements.keeper().placements().placements) {
-        placed.add(new Calls.PlacementStatus(one.service, one.epoch, Words.list(one.members).size(), one.prepared, Words.list(one.next).size()));
+        placed.add(
+            new Calls.PlacementStatus(
+                one.service,
+                one.epoch,
+                Words.list(one.members).size(),
+                one.prepared,
+                Words.list(one.next).size()));
       }
       final long[] counts = placements.keeper().counts();
       for (int index = 0; placements.keeper().keeps() && index < counts.length; index++) {
-        writes.add(new Calls.WriteCount(weldpoint.affinity.Verdict.values()[index].name().toLowerCase(java.util.Locale.ROOT), counts[index]));
+        writes.add(
+            new Calls.WriteCount(
+                weldpoint.affinity.Verdict.values()[index]
+                    .name()
+                    .toLowerCase(java.util.Locale.ROOT),
+                counts[index]));
       }
     }
     final List<String> voters = new ArrayList<>();
     roster.voters.forEach(voter -> voters.add(voter.address));
     final boolean settled = now - majorityAt < MAJORITY_MILLIS;
-    return new Calls.StatusAnswer(self, settled, settled ? now - majorityAt : -1, roster.number, voters, String.format("%08x", control.version()), control.evacuated(), registrations.size(), registrations.suspects().size(), daemons, placements == null ? "" : placements.keeper().keeper(), placed, writes, outlet.disk());
+    return new Calls.StatusAnswer(
+        self,
+        settled,
+        settled ? now - majorityAt : -1,
+        roster.number,
+        voters,
+        String.format("%08x", control.version()),
+        control.evacuated(),
+        registrations.size(),
+        registrations.suspects().size(),
+        daemons,
+        placements == null ? "" : placements.keeper().keeper(),
+        placed,
+        writes,
+        outlet.disk());
   }
 
   /** What each daemon has in force, as it told last. */
   public List<InForce> inForce(final long now) {
     final List<InForce> list = new ArrayList<>();
-    list.add(new InForce(self, "exchange", control.version(), control.mark(), now - control.heldSince(), 0));
+    list.add(
+        new InForce(
+            self, "exchange", control.version(), control.mark(), now - control.heldSince(), 0));
     for (final String member : members.keySet()) {
       final InForce one = membersInForce.get(member);
       if (!member.equals(self)) {
-        list.add(one == null ? new InForce(member, "exchange", 0, 0, 0, Long.MAX_VALUE) : new InForce(member, "exchange", one.version(), one.mark(), one.heldMillis(), now - one.ageMillis()));
+        list.add(
+            one == null
+                ? new InForce(member, "exchange", 0, 0, 0, Long.MAX_VALUE)
+                : new InForce(
+                    member,
+                    "exchange",
+                    one.version(),
+                    one.mark(),
+                    one.heldMillis(),
+                    now - one.ageMillis()));
       }
     }
     for (final Switchboards.Entry entry : switchboards.all()) {
       final Board board = entry.board;
       if (!board.leaving) {
-        list.add(new InForce(board.address, board.announcer ? "announcer" : "switchboard", board.version, board.mark, board.heldMillis, now - entry.heardAt));
+        list.add(
+            new InForce(
+                board.address,
+                board.announcer ? "announcer" : "switchboard",
+                board.version,
+                board.mark,
+                board.heldMillis,
+                now - entry.heardAt));
       }
     }
     return list;
   }
 
-  /** What one daemon has in force: the configuration, the mark of evacuations and trials, for how long it had them, and how long ago it told. */
-  public record InForce(String address, String program, long version, long mark, long heldMillis, long ageMillis) {
-  }
+  /**
+   * What one daemon has in force: the configuration, the mark of evacuations and trials, for how
+   * long it had them, and how long ago it told.
+   */
+  public record InForce(
+      String address, String program, long version, long mark, long heldMillis, long ageMillis) {}
 
   private final Map<String, InForce> membersInForce = new HashMap<>();
 
@@ -1090,7 +1505,16 @@
     askControl(now);
     if (placements != null && placements.active()) {
       final String keeper = placements.keeper().keeper();
-      placements.tick(control.plan(), registrations.all().values(), control.evacuated(), registrations.suspects(), registrations.revision(), writesElectorates(), keeper.equals(self) || connected.contains(keeper), now - majorityAt < MAJORITY_MILLIS, now);
+      placements.tick(
+          control.plan(),
+          registrations.all().values(),
+          control.evacuated(),
+          registrations.suspects(),
+          registrations.revision(),
+          writesElectorates(),
+          keeper.equals(self) || connected.contains(keeper),
+          now - majorityAt < MAJORITY_MILLIS,
+          now);
     }
     if (now - reachAt >= REACH_MILLIS) {
       reachAt = now;
@@ -1115,7 +1539,13 @@
 
   private void gossipWithOne(final long now) {
     final List<String> others = new ArrayList<>();
-    members.entrySet().removeIf(entry -> now - entry.getValue() > 60_000 && !seeds.contains(entry.getKey()) && roster.index(entry.getKey()) < 0);
+    members
+        .entrySet()
+        .removeIf(
+            entry ->
+                now - entry.getValue() > 60_000
+                    && !seeds.contains(entry.getKey())
+                    && roster.index(entry.getKey()) < 0);
     for (final String member : members.keySet()) {
       if (!member.equals(self)) {
         others.add(member);
@@ -1139,17 +1569,23 @@
     final boolean changed = registrations.judge(silent, now);
     final List<Registration> lapsed = new ArrayList<>();
     for (final Registration registration : silent) {
-      if (now - majorityAt < MAJORITY_MILLIS && self.equals(keeper(registration.id, registration.site, Map.of(), now))) {
-        lapsed.add(Registrations.step(registration, Stage.of(registration) == Stage.DRAINING ? Stage.REMOVED : Stage.LAPSED, registration.issued));
+      if (now - majorityAt < MAJORITY_MILLIS
+          && self.equals(keeper(registration.id, registration.site, Map.of(), now))) {
+        lapsed.add(
+            Registrations.step(
+                registration,
+                Stage.of(registration) == Stage.DRAINING ? Stage.REMOVED : Stage.LAPSED,
+                registration.issued));
       }
     }
     if (!lapsed.isEmpty()) {
       for (final Registration registration : lapsed) {
-        LOGGER.atInfo().log("upstream %s was silent for %s beats and is written off", registration.id, Registrations.LAPSE_BEATS);
+        LOGGER.atInfo().log(
+            "upstream %s was silent for %s beats and is written off",
+            registration.id, Registrations.LAPSE_BEATS);
         registrations.put(registration);
       }
-      persist(lapsed, null, () -> {
-      });
+      persist(lapsed, null, () -> {});
       tellMembers(new Words.Changes(0, lapsed, null));
       streams.registrations(lapsed);
     }
@@ -1178,6 +1614,21 @@
 
   /** The counters, as one line. */
   public String counters() {
-    return (placements == null || !placements.active() ? "" : placements.keeper().counters() + " ") + "registrations " + registrations.size() + " beats " + beats + " gossips " + gossips + " streams " + streams.size() + " boards " + switchboards.size() + (booth == null ? "" : " " + booth.counters()) + " roster " + roster.number + " spec " + Long.toHexString(control.version());
+    return (placements == null || !placements.active() ? "" : placements.keeper().counters() + " ")
+        + "registrations "
+        + registrations.size()
+        + " beats "
+        + beats
+        + " gossips "
+        + gossips
+        + " streams "
+        + streams.size()
+        + " boards "
+        + switchboards.size()
+        + (booth == null ? "" : " " + booth.counters())
+        + " roster "
+        + roster.number
+        + " spec "
+        + Long.toHexString(control.version());
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -24,7 +24,10 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** The registry as a process: it takes all outside calls, keeps the membership and tells switchboards. */
+/**
+ * The registry as a process: it takes all outside calls, keeps the membership and tells
+ * switchboards.
+ */
 public final class ExchangeDaemon implements Program {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final int FILES = 3;
@@ -49,78 +52,102 @@
   public ExchangeDaemon(final Boot boot) {
     this.boot = boot;
     incarnation = Chance.fresh();
-    this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
-    this.members = new Lines(trunk, boot.trunkPort(0), to -> Trunk.on(desk, new Trunk.Ear() {
-      @Override
-      public void opened(final Line line) {
-        core().memberOpened(to, now());
-      }
-
-      @Override
-      public void heard(final Line line, final Message message) {
-        core().receive(to, message, line::send, now());
-      }
-
-      @Override
-      public void closed(final Line line) {
-        core().memberClosed(to, now());
-      }
-    }));
-    this.frames = new Lines(trunk, boot.trunkPort(1), to -> Trunk.on(desk, new Trunk.Ear() {
-      @Override
-      public void heard(final Line line, final Message message) {
-        if (message instanceof Words.Answer) {
-          line.heardClock(((Words.Answer) message).clock);
-          core().answered(to, (Words.Answer) message, now());
-        }
-      }
-
-      @Override
-      public void closed(final Line line) {
-        core().frameClosed(to, now());
-      }
-    }));
-    this.core = new ExchangeCore(boot.address(), boot.seeds(), boot.firstStart(), boot.beatMillis(), new Random(incarnation), new ExchangeCore.Outlet() {
-      @Override
-      public boolean member(final String address, final Message message) {
-        return members.send(address, message);
-      }
-
-      @Override
-      public boolean frame(final String address, final Words.Call call) {
-        return frames.send(address, line -> {
-          final Long clock = line.peerClock();
-          return call.leaving(clock, now());
-        });
-      }
-
-      @Override
-      public void board(final Object stream, final Message message) {
-        if (message != unsealed) {
-          unsealed = message;
-          sealed = Trunk.seal(message);
-        }
-        ((Line) stream).send(sealed);
-      }
-
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-        tape.append(record, synced);
-      }
-
-      @Override
-      public String disk() {
-        return tape == null ? "" : tape.counters();
-      }
-
-      @Override
-      public void peers(final List<String> addresses) {
-        members.keep(addresses);
-        final List<String> all = new ArrayList<>(addresses);
-        all.add(boot.address());
-        frames.keep(all);
-      }
-    });
+    this.trunk =
+        new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
+    this.members =
+        new Lines(
+            trunk,
+            boot.trunkPort(0),
+            to ->
+                Trunk.on(
+                    desk,
+                    new Trunk.Ear() {
+                      @Override
+                      public void opened(final Line line) {
+                        core().memberOpened(to, now());
+                      }
+
+                      @Override
+                      public void heard(final Line line, final Message message) {
+                        core().receive(to, message, line::send, now());
+                      }
+
+                      @Override
+                      public void closed(final Line line) {
+                        core().memberClosed(to, now());
+                      }
+                    }));
+    this.frames =
+        new Lines(
+            trunk,
+            boot.trunkPort(1),
+            to ->
+                Trunk.on(
+                    desk,
+                    new Trunk.Ear() {
+                      @Override
+                      public void heard(final Line line, final Message message) {
+                        if (message instanceof Words.Answer) {
+                          line.heardClock(((Words.Answer) message).clock);
+                          core().answered(to, (Words.Answer) message, now());
+                        }
+                      }
+
+                      @Override
+                      public void closed(final Line line) {
+                        core().frameClosed(to, now());
+                      }
+                    }));
+    this.core =
+        new ExchangeCore(
+            boot.address(),
+            boot.seeds(),
+            boot.firstStart(),
+            boot.beatMillis(),
+            new Random(incarnation),
+            new ExchangeCore.Outlet() {
+              @Override
+              public boolean member(final String address, final Message message) {
+                return members.send(address, message);
+              }
+
+              @Override
+              public boolean frame(final String address, final Words.Call call) {
+                return frames.send(
+                    address,
+                    line -> {
+                      final Long clock = line.peerClock();
+                      return call.leaving(clock, now());
+                    });
+              }
+
+              @Override
+              public void board(final Object stream, final Message message) {
+                if (message != unsealed) {
+                  unsealed = message;
+                  sealed = Trunk.seal(message);
+                }
+                ((Line) stream).send(sealed);
+              }
+
+              @Override
+              public void append(final byte[] record, final Runnable synced) {
+                tape.append(record, synced);
+              }
+
+              @Override
+              public String disk() {
+                return tape == null ? "" : tape.counters();
+              }
+
+              @Override
+              public void peers(final List<String> addresses) {
+                members.keep(addresses);
+                final List<String> all = new ArrayList<>(addresses);
+                all.add(boot.address());
+                frames.keep(all);
+              }
+            });
   }
 
   private ExchangeCore core() {
@@ -134,49 +161,79 @@
   @Override
   public void start() throws IOException, InterruptedException {
     if (boot.folder().isEmpty()) {
-      throw new Breakdown(Breakdown.Kind.SETTING, "setting station.folder has the value ''; an exchange needs a folder on a disk of its own");
+      throw new Breakdown(
+          Breakdown.Kind.SETTING,
+          "setting station.folder has the value ''; an exchange needs a folder on a disk of its own");
     }
-    final Tape.Opened opened = Tape.open(Path.of(boot.folder(), "exchange"), "exchange " + boot.address(), FILES, FILE_BYTES, MOST_FILE_BYTES, desk, core::view);
+    final Tape.Opened opened =
+        Tape.open(
+            Path.of(boot.folder(), "exchange"),
+            "exchange " + boot.address(),
+            FILES,
+            FILE_BYTES,
+            MOST_FILE_BYTES,
+            desk,
+            core::view);
     final Ring.Found found = opened.found();
     if (found.lost()) {
-      LOGGER.atSevere().log("the disk of %s lost records that had been synced; it counts as blank and is refetched from the other exchanges", boot.name());
+      LOGGER.atSevere().log(
+          "the disk of %s lost records that had been synced; it counts as blank and is refetched from the other exchanges",
+          boot.name());
     }
     tape = opened.tape();
     if (boot.chief()) {
       core.chiefs();
     }
     core.place(boot.site(), boot.region());
-    core.placements(Affinity.setting("affinity.default", boot.affinityUsual()), incarnation, boot.affinityLeaseMillis(), boot.affinityBatchMillis());
+    core.placements(
+        Affinity.setting("affinity.default", boot.affinityUsual()),
+        incarnation,
+        boot.affinityLeaseMillis(),
+        boot.affinityBatchMillis());
     if (boot.content()) {
-      core.tolls(new weldpoint.toll.Tollhouse(boot, boot.firstStart() && found.blank() && !found.lost(), now()));
+      core.tolls(
+          new weldpoint.toll.Tollhouse(
+              boot, boot.firstStart() && found.blank() && !found.lost(), now()));
     }
     desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), now()));
     tape.start("tape");
-    trunk.serve(boot.address(), boot.trunkPort(0), Trunk.on(desk, new Trunk.Ear() {
-      @Override
-      public void heard(final Line line, final Message message) {
-        if (message instanceof Words.BoardState) {
-          core.boardState(line, ((Words.BoardState) message).board, Words.list(((Words.BoardState) message).buckets), now());
-        } else if (message instanceof Words.TrialReport && "switchboard".equals(line.peer().program)) {
-          core.trialReport((Words.TrialReport) message, now());
-        } else if (message instanceof Words.LeaseAsk && "switchboard".equals(line.peer().program)) {
-          core.lease(line, (Words.LeaseAsk) message, now());
-        } else if (message instanceof Words.Reel) {
-          core.reel((Words.Reel) message, now());
-        } else if (message instanceof Words.PermitAsk && !"exchange".equals(line.peer().program)) {
-          core.permit((Words.PermitAsk) message, line::send, now());
-        } else {
-          core.receive(line.peer().address, message, line::send, now());
-        }
-      }
-
-      @Override
-      public void closed(final Line line) {
-        if (!"exchange".equals(line.peer().program)) {
-          core.streamClosed(line, line.peer().address, now());
-        }
-      }
-    }));
+    trunk.serve(
+        boot.address(),
+        boot.trunkPort(0),
+        Trunk.on(
+            desk,
+            new Trunk.Ear() {
+              @Override
+              public void heard(final Line line, final Message message) {
+                if (message instanceof Words.BoardState) {
+                  core.boardState(
+                      line,
+                      ((Words.BoardState) message).board,
+                      Words.list(((Words.BoardState) message).buckets),
+                      now());
+                } else if (message instanceof Words.TrialReport
+                    && "switchboard".equals(line.peer().program)) {
+                  core.trialReport((Words.TrialReport) message, now());
+                } else if (message instanceof Words.LeaseAsk
+                    && "switchboard".equals(line.peer().program)) {
+                  core.lease(line, (Words.LeaseAsk) message, now());
+                } else if (message instanceof Words.Reel) {
+                  core.reel((Words.Reel) message, now());
+                } else if (message instanceof Words.PermitAsk
+                    && !"exchange".equals(line.peer().program)) {
+                  core.permit((Words.PermitAsk) message, line::send, now());
+                } else {
+                  core.receive(line.peer().address, message, line::send, now());
+                }
+              }
+
+              @Override
+              public void closed(final Line line) {
+                if (!"exchange".equals(line.peer().program)) {
+                  core.streamClosed(line, line.peer().address, now());
+                }
+              }
+            }));
     final ControlDoor door = new ControlDoor(boot, core, desk);
     door.serve(loop, boot.requiredAddress("listen.control"));
     final Boot.Address directory = boot.optionalAddress("listen.directory");
@@ -184,7 +241,8 @@
       door.serve(loop, directory);
     }
     loop.scheduleWithFixedDelay(door::awake, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-    loop.scheduleAtFixedRate(() -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        () -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void tick() {
--- a/exchange/src/main/java/weldpoint/exchange/HistoryDesk.java
+++ b/exchange/src/main/java/weldpoint/exchange/HistoryDesk.java
@@ -15,8 +15,9 @@
 import weldpoint.trunk.Words;
 
 /**
- * Reads the history of routing changes from the replica on this machine. It is complete only if a majority confirmed,
- * after the question came, how far the history reaches, and the replica has all of that.
+ * Reads the history of routing changes from the replica on this machine. It is complete only if a
+ * majority confirmed, after the question came, how far the history reaches, and the replica has all
+ * of that.
  */
 final class HistoryDesk {
   private static final long HEAD_MILLIS = 900;
@@ -53,12 +54,18 @@
         throw bad("from and to count entries from 1");
       }
       if (from > to) {
-        throw bad("the range is reversed: from " + from + " is after to " + to + "; exchange the two");
+        throw bad(
+            "the range is reversed: from " + from + " is after to " + to + "; exchange the two");
       }
       final long since = time("since", query.since(), Long.MIN_VALUE);
       final long until = time("until", query.until(), Long.MAX_VALUE);
       if (since > until) {
-        throw bad("the range is reversed: since " + query.since() + " is after until " + query.until() + "; exchange the two");
+        throw bad(
+            "the range is reversed: since "
+                + query.since()
+                + " is after until "
+                + query.until()
+                + "; exchange the two");
       }
       if (since > wall) {
         throw bad("since " + query.since() + " lies in the future; give a time that has passed");
@@ -96,18 +103,24 @@
   }
 
   /** Answers a question about the history. */
-  CompletableFuture<Calls.HistoryAnswer> read(final Calls.HistoryQuery query, final long wall, final long now) {
-    final Reading reading = new Reading(query, Range.of(query, wall), now + HEAD_MILLIS + CATCH_UP_MILLIS);
-    store.call(Deed.HISTORY_HEAD, "", null, 0, 0, null, null, now, HEAD_MILLIS).whenComplete((answer, problem) -> {
-      if (problem == null && answer.status == 200) {
-        reading.headKnown = true;
-        reading.through = answer.first;
-        reading.digest = answer.body == null ? "" : new String(answer.body, StandardCharsets.UTF_8);
-      }
-      reading.againAt = Long.MIN_VALUE;
-      readings.add(reading);
-      look(reading, now);
-    });
+  CompletableFuture<Calls.HistoryAnswer> read(
+      final Calls.HistoryQuery query, final long wall, final long now) {
+    final Reading reading =
+        new Reading(query, Range.of(query, wall), now + HEAD_MILLIS + CATCH_UP_MILLIS);
+    store
+        .call(Deed.HISTORY_HEAD, "", null, 0, 0, null, null, now, HEAD_MILLIS)
+        .whenComplete(
+            (answer, problem) -> {
+              if (problem == null && answer.status == 200) {
+                reading.headKnown = true;
+                reading.through = answer.first;
+                reading.digest =
+                    answer.body == null ? "" : new String(answer.body, StandardCharsets.UTF_8);
+              }
+              reading.againAt = Long.MIN_VALUE;
+              readings.add(reading);
+              look(reading, now);
+            });
     return reading.future;
   }
 
@@ -122,44 +135,106 @@
 
   private void look(final Reading reading, final long now) {
     reading.out = true;
-    store.here(Deed.HISTORY_READ, Math.max(1, reading.range.from()), reading.range.most(), now, LOCAL_MILLIS).whenComplete((answer, problem) -> {
-      reading.out = false;
-      final Values.HistoryPart part = problem == null && answer.status == 200 ? Wire.value(answer.body, Values.HistoryPart.class) : null;
-      final boolean whole = part != null && reading.headKnown && !part.blank && part.last >= reading.through;
-      if (!whole && reading.headKnown && now < reading.cutoff) {
-        reading.againAt = now + AGAIN_MILLIS;
-        return;
-      }
-      readings.remove(reading);
-      try {
-        reading.future.complete(answer(self, reading.range, reading.query, part, reading.headKnown, reading.through, reading.digest));
-      } catch (final Breakdown breakdown) {
-        reading.future.completeExceptionally(breakdown);
-      }
-    });
+    store
+        .here(
+            Deed.HISTORY_READ,
+            Math.max(1, reading.range.from()),
+            reading.range.most(),
+            now,
+            LOCAL_MILLIS)
+        .whenComplete(
+            (answer, problem) -> {
+              reading.out = false;
+              final Values.HistoryPart part =
+                  problem == null && answer.status == 200
+                      ? Wire.value(answer.body, Values.HistoryPart.class)
+                      : null;
+              final boolean whole =
+                  part != null && reading.headKnown && !part.blank && part.last >= reading.through;
+              if (!whole && reading.headKnown && now < reading.cutoff) {
+                reading.againAt = now + AGAIN_MILLIS;
+                return;
+              }
+              readings.remove(reading);
+              try {
+                reading.future.complete(
+                    answer(
+                        self,
+                        reading.range,
+                        reading.query,
+                        part,
+                        reading.headKnown,
+                        reading.through,
+                        reading.digest));
+              } catch (final Breakdown breakdown) {
+                reading.future.completeExceptionally(breakdown);
+              }
+            });
   }
 
-  /** What a replica's part of the history is worth, given how far a majority says that it reaches. */
-  static Calls.HistoryAnswer answer(final String replica, final Range range, final Calls.HistoryQuery query, final Values.HistoryPart part, final boolean headKnown, final long head, final String headDigest) {
+  /**
+   * What a replica's part of the history is worth, given how far a majority says that it reaches.
+   */
+  static Calls.HistoryAnswer answer(
+      final String replica,
+      final Range range,
+      final Calls.HistoryQuery query,
+      final Values.HistoryPart part,
+      final boolean headKnown,
+      final long head,
+      final String headDigest) {
     if (part == null) {
-      return new Calls.HistoryAnswer(false, "the replica " + replica + " does not answer; ask another one", 0, 0, "", 0, List.of());
+      return new Calls.HistoryAnswer(
+          false,
+          "the replica " + replica + " does not answer; ask another one",
+          0,
+          0,
+          "",
+          0,
+          List.of());
     }
     String problem = null;
     long through = headKnown ? Math.min(head, part.last) : part.last;
     if (!headKnown) {
-      problem = "no majority confirmed how far the history reaches; the replica " + replica + " knows it up to entry " + part.last + ", ask again when the core has its majority";
+      problem =
+          "no majority confirmed how far the history reaches; the replica "
+              + replica
+              + " knows it up to entry "
+              + part.last
+              + ", ask again when the core has its majority";
     } else if (part.blank || part.last < head) {
-      problem = "the replica " + replica + " knows the history up to entry " + part.last + " of " + head + "; ask again shortly, or another replica";
+      problem =
+          "the replica "
+              + replica
+              + " knows the history up to entry "
+              + part.last
+              + " of "
+              + head
+              + "; ask again shortly, or another replica";
     } else if (part.conflicts > 0) {
-      problem = "the replica " + replica + " has met " + part.conflicts + " entries that differ from its own; compare it with the others";
+      problem =
+          "the replica "
+              + replica
+              + " has met "
+              + part.conflicts
+              + " entries that differ from its own; compare it with the others";
     } else if (part.last == head && !headDigest.equals(part.digest)) {
-      problem = "the replica " + replica + " has another entry " + head + " than the one decided; compare it with the others";
+      problem =
+          "the replica "
+              + replica
+              + " has another entry "
+              + head
+              + " than the one decided; compare it with the others";
     }
     if (range.from() > 0 && range.from() <= part.base) {
-      throw new Breakdown(Breakdown.Kind.INVALID, "entries up to " + part.base + " were trimmed; ask from " + (part.base + 1));
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          "entries up to " + part.base + " were trimmed; ask from " + (part.base + 1));
     }
     if (range.from() > through && range.from() > 1 && problem == null) {
-      throw new Breakdown(Breakdown.Kind.INVALID, "entry " + range.from() + " lies in the future; the last decided one is " + through);
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          "entry " + range.from() + " lies in the future; the last decided one is " + through);
     }
     final List<Calls.HistoryEntry> entries = new ArrayList<>();
     final long last = Math.min(range.to(), through);
@@ -176,11 +251,23 @@
       sequence++;
     }
     final boolean more = sequence <= last;
-    return new Calls.HistoryAnswer(problem == null, problem, part.base + 1, through, digestThrough, more ? sequence : 0, entries);
+    return new Calls.HistoryAnswer(
+        problem == null,
+        problem,
+        part.base + 1,
+        through,
+        digestThrough,
+        more ? sequence : 0,
+        entries);
   }
 
-  private static boolean matches(final AuditEntry entry, final Range range, final Calls.HistoryQuery query) {
-    if (entry.time < range.since() || entry.time > range.until() || query.author() != null && !query.author().isEmpty() && !query.author().equals(entry.author)) {
+  private static boolean matches(
+      final AuditEntry entry, final Range range, final Calls.HistoryQuery query) {
+    if (entry.time < range.since()
+        || entry.time > range.until()
+        || query.author() != null
+            && !query.author().isEmpty()
+            && !query.author().equals(entry.author)) {
       return false;
     }
     if (query.route() == null || query.route().isEmpty() || query.route().equals(entry.subject)) {
@@ -196,44 +283,119 @@
 
   /** An entry as operators read it. */
   static Calls.HistoryEntry json(final AuditEntry entry, final byte[] bytes) {
-    return new Calls.HistoryEntry(entry.sequence, entry.kind().words(), entry.kind() == ChangeKind.CONFIGURATION || entry.kind() == ChangeKind.UPGRADE ? String.format("%08x", entry.version) : "", entry.subject, entry.author, entry.caller, entry.taker,
-        Instant.ofEpochMilli(entry.time).toString(), entry.before, entry.after, entry.added, entry.removed, entry.changed, entry.writes, Words.list(entry.changes), AuditEntry.digest(bytes), entry.previous);
+    return new Calls.HistoryEntry(
+        entry.sequence,
+        entry.kind().words(),
+        entry.kind() == ChangeKind.CONFIGURATION || entry.kind() == ChangeKind.UPGRADE
+            ? String.format("%08x", entry.version)
+            : "",
+        entry.subject,
+        entry.author,
+        entry.caller,
+        entry.taker,
+        Instant.ofEpochMilli(entry.time).toString(),
+        entry.before,
+        entry.after,
+        entry.added,
+        entry.removed,
+        entry.changed,
+        entry.writes,
+        Words.list(entry.changes),
+        AuditEntry.digest(bytes),
+        entry.previous);
   }
 
   /** Which daemons had a change in force. */
-  static Calls.ReachAnswer reach(final Calls.HistoryAnswer found, final AuditEntry change, final List<ExchangeCore.InForce> daemons, final long wall) {
+  static Calls.ReachAnswer reach(
+      final Calls.HistoryAnswer found,
+      final AuditEntry change,
+      final List<ExchangeCore.InForce> daemons,
+      final long wall) {
     final List<Calls.DaemonReach> list = new ArrayList<>();
     final boolean configuration = change.kind() == ChangeKind.CONFIGURATION;
-    final boolean routing = configuration || change.kind() == ChangeKind.EVACUATION_BEGUN || change.kind() == ChangeKind.EVACUATION_FINISHED || change.kind() == ChangeKind.TRIAL;
+    final boolean routing =
+        configuration
+            || change.kind() == ChangeKind.EVACUATION_BEGUN
+            || change.kind() == ChangeKind.EVACUATION_FINISHED
+            || change.kind() == ChangeKind.TRIAL;
     for (final ExchangeCore.InForce one : daemons) {
       final long held = configuration ? one.version() : one.mark();
       final long wanted = configuration ? change.version : change.mark;
-      final String heard = one.ageMillis() == Long.MAX_VALUE ? "never heard of here" : "heard of " + one.ageMillis() + " ms ago";
+      final String heard =
+          one.ageMillis() == Long.MAX_VALUE
+              ? "never heard of here"
+              : "heard of " + one.ageMillis() + " ms ago";
       if (!routing) {
-        list.add(new Calls.DaemonReach(one.address(), one.program(), "IN_FORCE", "", "changes no routing"));
+        list.add(
+            new Calls.DaemonReach(
+                one.address(), one.program(), "IN_FORCE", "", "changes no routing"));
       } else if (one.ageMillis() > UNHEARD_MILLIS) {
-        list.add(new Calls.DaemonReach(one.address(), one.program(), "UNHEARD", "", heard + (held >= wanted && held > 0 ? ", had it in force then" : ", not known whether it has it in force")));
+        list.add(
+            new Calls.DaemonReach(
+                one.address(),
+                one.program(),
+                "UNHEARD",
+                "",
+                heard
+                    + (held >= wanted && held > 0
+                        ? ", had it in force then"
+                        : ", not known whether it has it in force")));
       } else if (held < wanted) {
         list.add(new Calls.DaemonReach(one.address(), one.program(), "NOT_YET", "", heard));
       } else {
-        final String since = Instant.ofEpochMilli(wall - one.ageMillis() - one.heldMillis()).toString();
-        list.add(new Calls.DaemonReach(one.address(), one.program(), "IN_FORCE", since, held == wanted ? heard : heard + "; a later change is in force since then, this one was before"));
+        final String since =
+            Instant.ofEpochMilli(wall - one.ageMillis() - one.heldMillis()).toString();
+        list.add(
+            new Calls.DaemonReach(
+                one.address(),
+                one.program(),
+                "IN_FORCE",
+                since,
+                held == wanted
+                    ? heard
+                    : heard + "; a later change is in force since then, this one was before"));
       }
     }
-    list.sort(java.util.Comparator.comparing(Calls.DaemonReach::program).thenComparing(Calls.DaemonReach::address));
-    return new Calls.ReachAnswer(found.complete(), found.problem(), found.entries().isEmpty() ? null : found.entries().get(0), list);
+    list.sort(
+        java.util.Comparator.comparing(Calls.DaemonReach::program)
+            .thenComparing(Calls.DaemonReach::address));
+    return new Calls.ReachAnswer(
+        found.complete(),
+        found.problem(),
+        found.entries().isEmpty() ? null : found.entries().get(0),
+        list);
   }
 
   /** Answers which daemons had the change of this number in force. */
-  CompletableFuture<Calls.ReachAnswer> reach(final long sequence, final List<ExchangeCore.InForce> daemons, final long wall, final long now) {
+  CompletableFuture<Calls.ReachAnswer> reach(
+      final long sequence,
+      final List<ExchangeCore.InForce> daemons,
+      final long wall,
+      final long now) {
     if (sequence < 1) {
-      throw new Breakdown(Breakdown.Kind.INVALID, "changes are counted from 1; name one of the history");
+      throw new Breakdown(
+          Breakdown.Kind.INVALID, "changes are counted from 1; name one of the history");
     }
-    return read(new Calls.HistoryQuery(sequence, sequence, null, null, null, null, 1L), wall, now).thenCompose(found -> {
-      if (found.entries().isEmpty()) {
-        throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "change " + sequence + " is not known here: " + found.problem());
-      }
-      return store.here(Deed.HISTORY_READ, sequence, 1, now, LOCAL_MILLIS).thenApply(answer -> reach(found, AuditEntry.read(Words.list(Wire.value(answer.body, Values.HistoryPart.class).entries).get(0)), daemons, wall));
-    });
+    return read(new Calls.HistoryQuery(sequence, sequence, null, null, null, null, 1L), wall, now)
+        .thenCompose(
+            found -> {
+              if (found.entries().isEmpty()) {
+                throw new Breakdown(
+                    Breakdown.Kind.OUT_OF_REACH,
+                    "change " + sequence + " is not known here: " + found.problem());
+              }
+              return store
+                  .here(Deed.HISTORY_READ, sequence, 1, now, LOCAL_MILLIS)
+                  .thenApply(
+                      answer ->
+                          reach(
+                              found,
+                              AuditEntry.read(
+                                  Words.list(
+                                          Wire.value(answer.body, Values.HistoryPart.class).entries)
+                                      .get(0)),
+                              daemons,
+                              wall));
+            });
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/Neighbourhoods.java
+++ b/exchange/src/main/java/weldpoint/exchange/Neighbourhoods.java
@@ -29,23 +29,32 @@
   }
 
   /** Takes who lives where now. */
-  void keep(final Map<String, List<String>> present, final Set<Object> streams, final BiConsumer<Object, Message> board) {
+  void keep(
+      final Map<String, List<String>> present,
+      final Set<Object> streams,
+      final BiConsumer<Object, Message> board) {
     final Map<String, Words.Neighbours> next = new HashMap<>();
-    present.forEach((site, addresses) -> {
-      addresses.sort(null);
-      final Words.Neighbours before = known.get(site);
-      next.put(site, before != null && before.addresses.equals(addresses) ? before : new Words.Neighbours(addresses));
-    });
+    present.forEach(
+        (site, addresses) -> {
+          addresses.sort(null);
+          final Words.Neighbours before = known.get(site);
+          next.put(
+              site,
+              before != null && before.addresses.equals(addresses)
+                  ? before
+                  : new Words.Neighbours(addresses));
+        });
     final Map<String, Words.Neighbours> last = known;
     known = next;
-    next.forEach((site, one) -> {
-      if (last.get(site) != one) {
-        for (final Object stream : streams) {
-          if (site.equals(sites.get(stream))) {
-            board.accept(stream, one);
+    next.forEach(
+        (site, one) -> {
+          if (last.get(site) != one) {
+            for (final Object stream : streams) {
+              if (site.equals(sites.get(stream))) {
+                board.accept(stream, one);
+              }
+            }
           }
-        }
-      }
-    });
+        });
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/PlacementDesk.java
+++ b/exchange/src/main/java/weldpoint/exchange/PlacementDesk.java
@@ -19,7 +19,10 @@
 import weldpoint.trunk.Words.PlacementMember;
 import weldpoint.trunk.Words.Registration;
 
-/** An exchange's part in affinity: it works out who should be placed where, and passes leases between switchboards and the keeper. */
+/**
+ * An exchange's part in affinity: it works out who should be placed where, and passes leases
+ * between switchboards and the keeper.
+ */
 final class PlacementDesk {
   private final Affinity usual;
   private final PlacementKeeper keeper;
@@ -54,7 +57,11 @@
     if (control.keeper != null) {
       keeperSerial = Math.max(keeperSerial, control.keeper.serial);
     }
-    return keeper.take(Words.list(control.placements), control.keeper, control.placements == null ? 0 : control.placementMark, now);
+    return keeper.take(
+        Words.list(control.placements),
+        control.keeper,
+        control.placements == null ? 0 : control.placementMark,
+        now);
   }
 
   /** Remembers over which stream a switchboard asked. */
@@ -63,7 +70,10 @@
   }
 
   /** Passes the keeper's answer on. */
-  void granted(final Words.LeaseGrant grant, final Predicate<Object> open, final BiConsumer<Object, Message> board) {
+  void granted(
+      final Words.LeaseGrant grant,
+      final Predicate<Object> open,
+      final BiConsumer<Object, Message> board) {
     final Object stream = askers.remove(grant.board);
     if (stream != null && open.test(stream)) {
       board.accept(stream, grant);
@@ -71,7 +81,16 @@
   }
 
   /** Time has passed. */
-  void tick(final Dialplan plan, final Collection<Registration> history, final Collection<String> evacuated, final Set<String> suspects, final long revision, final boolean mayKeep, final boolean reachable, final boolean confirmed, final long now) {
+  void tick(
+      final Dialplan plan,
+      final Collection<Registration> history,
+      final Collection<String> evacuated,
+      final Set<String> suspects,
+      final long revision,
+      final boolean mayKeep,
+      final boolean reachable,
+      final boolean confirmed,
+      final long now) {
     if (plan == null) {
       return;
     }
@@ -85,7 +104,11 @@
     keeper.tick(mayKeep, reachable, confirmed, now);
   }
 
-  private void want(final Dialplan plan, final Collection<Registration> history, final Collection<String> evacuated, final Set<String> suspects) {
+  private void want(
+      final Dialplan plan,
+      final Collection<Registration> history,
+      final Collection<String> evacuated,
+      final Set<String> suspects) {
     final Map<String, List<PlacementMember>> wanted = new TreeMap<>();
     long longest = 0;
     for (final Route route : plan.all()) {
@@ -98,7 +121,10 @@
     }
     for (final Registration one : history) {
       final List<PlacementMember> members = wanted.get(one.service);
-      if (members != null && Stage.of(one) == Stage.JOINED && !evacuated.contains(one.site) && !suspects.contains(one.id)) {
+      if (members != null
+          && Stage.of(one) == Stage.JOINED
+          && !evacuated.contains(one.site)
+          && !suspects.contains(one.id)) {
         members.add(new PlacementMember(one.id, one.capacity, one.site));
       }
     }
--- a/exchange/src/main/java/weldpoint/exchange/QuorumReads.java
+++ b/exchange/src/main/java/weldpoint/exchange/QuorumReads.java
@@ -9,9 +9,10 @@
 import weldpoint.trunk.Words.Roster;
 
 /**
- * Reads of what a majority of the voters' exchanges have on disk. Every acknowledgement was counted on such a majority,
- * so a read that began after a question came has met all that was acknowledged before the question. Reads are numbered
- * and may overlap: an answer to a later one serves the earlier ones as well.
+ * Reads of what a majority of the voters' exchanges have on disk. Every acknowledgement was counted
+ * on such a majority, so a read that began after a question came has met all that was acknowledged
+ * before the question. Reads are numbered and may overlap: an answer to a later one serves the
+ * earlier ones as well.
  */
 class QuorumReads {
   private static final long AGAIN_MILLIS = 400;
@@ -45,14 +46,21 @@
     return done;
   }
 
-  /** When the newest read that is done began: until then, this exchange was surely in touch with a majority. */
+  /**
+   * When the newest read that is done began: until then, this exchange was surely in touch with a
+   * majority.
+   */
   long confirmedAt() {
     return doneSince;
   }
 
-  /** Begins the next read where one is wanted, and again where the last one has not met a majority in time. */
+  /**
+   * Begins the next read where one is wanted, and again where the last one has not met a majority
+   * in time.
+   */
   void tick(final LongFunction<Message> question, final Consumer<Message> voters, final long now) {
-    if (wanted > last && now - beganAt >= PAUSE_MILLIS || last > done && now - beganAt > AGAIN_MILLIS) {
+    if (wanted > last && now - beganAt >= PAUSE_MILLIS
+        || last > done && now - beganAt > AGAIN_MILLIS) {
       last++;
       beganAt = now;
       began.put(last, now);
@@ -60,9 +68,15 @@
     }
   }
 
-  /** There is a line to a voter's exchange, perhaps a new one: it is asked too, where a read is under way that it has not answered. */
-  void line(final String address, final LongFunction<Message> question, final Consumer<Message> line) {
-    if (last > done && answered.getOrDefault(address, 0L) < last && asked.getOrDefault(address, 0L) < last) {
+  /**
+   * There is a line to a voter's exchange, perhaps a new one: it is asked too, where a read is
+   * under way that it has not answered.
+   */
+  void line(
+      final String address, final LongFunction<Message> question, final Consumer<Message> line) {
+    if (last > done
+        && answered.getOrDefault(address, 0L) < last
+        && asked.getOrDefault(address, 0L) < last) {
       asked.put(address, last);
       line.accept(question.apply(last));
     }
@@ -83,12 +97,19 @@
     return began.getOrDefault(number, Long.MIN_VALUE / 2);
   }
 
-  /** Until when no change can be acknowledged that is not held here, since a majority of voters confirms none. */
+  /**
+   * Until when no change can be acknowledged that is not held here, since a majority of voters
+   * confirms none.
+   */
   long leasedUntil(final Roster roster) {
-    return roster.number == 0 ? Long.MIN_VALUE / 2 : reached(roster, leased, leased.getOrDefault(self, Long.MIN_VALUE / 2), Long.MIN_VALUE / 2);
+    return roster.number == 0
+        ? Long.MIN_VALUE / 2
+        : reached(
+            roster, leased, leased.getOrDefault(self, Long.MIN_VALUE / 2), Long.MIN_VALUE / 2);
   }
 
-  private long reached(final Roster roster, final Map<String, Long> answers, final long own, final long none) {
+  private long reached(
+      final Roster roster, final Map<String, Long> answers, final long own, final long none) {
     final long[] reached = new long[roster.voters.size()];
     for (int place = 0; place < reached.length; place++) {
       final String address = roster.voters.get(place).address;
@@ -98,7 +119,10 @@
     return reached[reached.length - roster.majority()];
   }
 
-  /** Whether a newer read has just met a majority; the own disk counts where it has all that it should. */
+  /**
+   * Whether a newer read has just met a majority; the own disk counts where it has all that it
+   * should.
+   */
   boolean complete(final Roster roster, final boolean whole) {
     if (roster.number == 0) {
       return false;
--- a/exchange/src/main/java/weldpoint/exchange/Quorums.java
+++ b/exchange/src/main/java/weldpoint/exchange/Quorums.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -40,8 +39,15 @@
     return number;
   }
 
-  /** Sends a change under a new number, again and again until a majority has it or its time has run out. */
-  CompletableFuture<Void> begin(final LongFunction<Message> message, final Consumer<Message> everybody, final long deadline, final long now) {
+  /**
+   * Sends a change under a new number, again and again until a majority has it or its time has run
+   * out.
+   */
+  CompletableFuture<Void> begin(
+      final LongFunction<Message> message,
+      final Consumer<Message> everybody,
+      final long deadline,
+      final long now) {
     final long key = ++number;
     final Quorum quorum = new Quorum(message, deadline, now);
     quorums.put(key, quorum);
@@ -50,11 +56,13 @@
   }
 
   /**
-   * An exchange has the change of this number on disk. Counted are distinct voters of the roster in force now, and, for
-   * a while after a change of roster, a majority of the one before besides. What comes past the deadline counts for
-   * nothing, so that a disk that was wiped meanwhile has had its learning time before anything counts on it.
+   * An exchange has the change of this number on disk. Counted are distinct voters of the roster in
+   * force now, and, for a while after a change of roster, a majority of the one before besides.
+   * What comes past the deadline counts for nothing, so that a disk that was wiped meanwhile has
+   * had its learning time before anything counts on it.
    */
-  void kept(final String from, final long key, final Roster roster, final Roster before, final long now) {
+  void kept(
+      final String from, final long key, final Roster roster, final Roster before, final long now) {
     final Quorum quorum = quorums.get(key);
     if (quorum == null || now >= quorum.deadline) {
       return;
@@ -80,7 +88,10 @@
       final Quorum quorum = entry.getValue();
       if (now >= quorum.deadline) {
         quorums.remove(entry.getKey());
-        quorum.future.completeExceptionally(new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no majority of disks has taken the change yet; send it to another daemon"));
+        quorum.future.completeExceptionally(
+            new Breakdown(
+                Breakdown.Kind.OUT_OF_REACH,
+                "no majority of disks has taken the change yet; send it to another daemon"));
       } else if (now - quorum.sentAt > RESEND_MILLIS) {
         quorum.sentAt = now;
         everybody.accept(quorum.message.apply(entry.getKey()));
--- a/exchange/src/main/java/weldpoint/exchange/Reels.java
+++ b/exchange/src/main/java/weldpoint/exchange/Reels.java
@@ -7,7 +7,10 @@
 import weldpoint.trunk.Words.RecordState;
 import weldpoint.trunk.Words.Reel;
 
-/** What switchboards recorded, until an operator collects it; bounded, and what had to be dropped is counted. */
+/**
+ * What switchboards recorded, until an operator collects it; bounded, and what had to be dropped is
+ * counted.
+ */
 public final class Reels {
   private static final int MOST_NOTES = 30_000;
   private static final int MOST_DRAINED = 4000;
@@ -24,7 +27,9 @@
     }
   }
 
-  /** What one collection brought; whoever collects subtracts ages from the moment of its question. */
+  /**
+   * What one collection brought; whoever collects subtracts ages from the moment of its question.
+   */
   public static final class Drained {
     public final boolean on;
     public final long mark;
@@ -36,7 +41,16 @@
     public final List<Words.Registration> registrations;
     public final List<String> evacuated;
 
-    public Drained(final boolean on, final long mark, final long dropped, final long left, final List<Kept> reels, final long version, final byte[] spec, final List<Words.Registration> registrations, final List<String> evacuated) {
+    public Drained(
+        final boolean on,
+        final long mark,
+        final long dropped,
+        final long left,
+        final List<Kept> reels,
+        final long version,
+        final byte[] spec,
+        final List<Words.Registration> registrations,
+        final List<String> evacuated) {
       this.on = on;
       this.mark = mark;
       this.dropped = dropped;
@@ -49,8 +63,7 @@
     }
   }
 
-  private record Held(Reel reel, long at) {
-  }
+  private record Held(Reel reel, long at) {}
 
   private final ArrayDeque<Held> held = new ArrayDeque<>();
   private RecordState state = new RecordState(0, false);
@@ -77,7 +90,10 @@
     return true;
   }
 
-  /** Whether it is time to tell the others again; while nothing was ever recorded there is nothing to tell. */
+  /**
+   * Whether it is time to tell the others again; while nothing was ever recorded there is nothing
+   * to tell.
+   */
   boolean tells(final long now) {
     if (state.mark == 0 || now - toldAt < TELL_MILLIS) {
       return false;
--- a/exchange/src/main/java/weldpoint/exchange/Registrations.java
+++ b/exchange/src/main/java/weldpoint/exchange/Registrations.java
@@ -9,7 +9,10 @@
 import java.util.Set;
 import weldpoint.trunk.Words.Registration;
 
-/** The history of upstreams as this exchange has it: registrations, when each upstream beat last, and who is suspect. */
+/**
+ * The history of upstreams as this exchange has it: registrations, when each upstream beat last,
+ * and who is suspect.
+ */
 final class Registrations {
   private static final int MOST_REMOVED = 2000;
   private static final long SUSPECT_BEATS = 4;
@@ -53,7 +56,10 @@
     return suspects;
   }
 
-  /** Takes a registration if it is later than the one held; true where the change matters to those who send requests. */
+  /**
+   * Takes a registration if it is later than the one held; true where the change matters to those
+   * who send requests.
+   */
   boolean put(final Registration registration) {
     final Registration before = history.get(registration.id);
     if (before != null && Stage.later(before, registration) == before) {
@@ -61,18 +67,33 @@
     }
     history.put(registration.id, registration);
     digest += Stage.digest(registration) - (before == null ? 0 : Stage.digest(before));
-    final boolean matters = before == null || before.stage != registration.stage || warms(before, registration) || !before.address.equals(registration.address);
+    final boolean matters =
+        before == null
+            || before.stage != registration.stage
+            || warms(before, registration)
+            || !before.address.equals(registration.address);
     revision += matters ? 1 : 0;
     return matters;
   }
 
   private static boolean warms(final Registration before, final Registration after) {
-    return after.warmupMillis > 0 && after.warmupMillis > before.warmupMillis || after.warmupMillis == 0 && before.warmupMillis > 0;
+    return after.warmupMillis > 0 && after.warmupMillis > before.warmupMillis
+        || after.warmupMillis == 0 && before.warmupMillis > 0;
   }
 
   /** The same upstream at another stage. */
   static Registration step(final Registration from, final Stage stage, final long issued) {
-    return new Registration(from.id, from.service, from.address, from.site, from.software, from.capacity, stage.ordinal(), from.sequence, issued, from.warmupMillis);
+    return new Registration(
+        from.id,
+        from.service,
+        from.address,
+        from.site,
+        from.software,
+        from.capacity,
+        stage.ordinal(),
+        from.sequence,
+        issued,
+        from.warmupMillis);
   }
 
   /** Takes what another exchange has; those that matter and were news. */
@@ -94,7 +115,9 @@
   List<Registration> endOthers(final Registration newcomer) {
     final List<Registration> changes = new ArrayList<>();
     for (final Registration other : new ArrayList<>(history.values())) {
-      if (!other.id.equals(newcomer.id) && other.address.equals(newcomer.address) && Stage.of(other) != Stage.REMOVED) {
+      if (!other.id.equals(newcomer.id)
+          && other.address.equals(newcomer.address)
+          && Stage.of(other) != Stage.REMOVED) {
         final Registration ended = step(other, Stage.REMOVED, newcomer.issued);
         put(ended);
         changes.add(ended);
@@ -151,7 +174,8 @@
     final byte[] ages = new byte[history.size()];
     int index = 0;
     for (final String id : Buckets.ordered(history).keySet()) {
-      ages[index++] = (byte) Math.min(OLD, (now - beatAt.getOrDefault(id, Long.MIN_VALUE / 2)) / ageUnit() + 1);
+      ages[index++] =
+          (byte) Math.min(OLD, (now - beatAt.getOrDefault(id, Long.MIN_VALUE / 2)) / ageUnit() + 1);
     }
     return ages;
   }
@@ -182,7 +206,10 @@
     }
   }
 
-  /** Judges who is suspect; true where that changed. Those silent for so long that they may be written off are added to the list. */
+  /**
+   * Judges who is suspect; true where that changed. Those silent for so long that they may be
+   * written off are added to the list.
+   */
   boolean judge(final List<Registration> silentTooLong, final long now) {
     boolean changed = false;
     for (final Registration registration : new ArrayList<>(history.values())) {
--- a/exchange/src/main/java/weldpoint/exchange/Remembered.java
+++ b/exchange/src/main/java/weldpoint/exchange/Remembered.java
@@ -21,11 +21,28 @@
   final long trialMark;
   final int learning;
 
-  Remembered(final List<Registration> history, final Roster roster, final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final List<Trial> trials, final long trialMark) {
+  Remembered(
+      final List<Registration> history,
+      final Roster roster,
+      final long version,
+      final byte[] spec,
+      final List<String> evacuated,
+      final long evacuationMark,
+      final List<Trial> trials,
+      final long trialMark) {
     this(history, roster, version, spec, evacuated, evacuationMark, trials, trialMark, UNSAID);
   }
 
-  Remembered(final List<Registration> history, final Roster roster, final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final List<Trial> trials, final long trialMark, final int learning) {
+  Remembered(
+      final List<Registration> history,
+      final Roster roster,
+      final long version,
+      final byte[] spec,
+      final List<String> evacuated,
+      final long evacuationMark,
+      final List<Trial> trials,
+      final long trialMark,
+      final int learning) {
     this.history = history;
     this.roster = roster;
     this.version = version;
--- a/exchange/src/main/java/weldpoint/exchange/Stage.java
+++ b/exchange/src/main/java/weldpoint/exchange/Stage.java
@@ -6,7 +6,10 @@
 public enum Stage {
   /** Its first beat came. */
   JOINED(0, true),
-  /** It was silent for so long that it was written off; a later beat of the same life takes that back. */
+  /**
+   * It was silent for so long that it was written off; a later beat of the same life takes that
+   * back.
+   */
   LAPSED(0, false),
   /** It has said that it will leave. */
   DRAINING(1, false),
@@ -33,8 +36,8 @@
   }
 
   /**
-   * The later of two registrations of one upstream. It is the greater one of a total order, so that merging is
-   * commutative, associative and idempotent, whatever the clocks say.
+   * The later of two registrations of one upstream. It is the greater one of a total order, so that
+   * merging is commutative, associative and idempotent, whatever the clocks say.
    */
   public static Registration later(final Registration one, final Registration other) {
     return compare(one, other) >= 0 ? one : other;
@@ -62,7 +65,8 @@
 
   /** A digest of what must be alike everywhere: sums of these tell whether two histories differ. */
   static long digest(final Registration registration) {
-    long hash = registration.id.hashCode() * 0x9e3779b97f4a7c15L + registration.stage * 0xc2b2ae3d27d4eb4fL;
+    long hash =
+        registration.id.hashCode() * 0x9e3779b97f4a7c15L + registration.stage * 0xc2b2ae3d27d4eb4fL;
     hash ^= hash >>> 31;
     return hash * 0xff51afd7ed558ccdL;
   }
--- a/exchange/src/main/java/weldpoint/exchange/StoreCaller.java
+++ b/exchange/src/main/java/weldpoint/exchange/StoreCaller.java
@@ -12,10 +12,11 @@
 import weldpoint.trunk.Words;
 
 /**
- * Carries calls to the frames: to the holder of the duty where it is known, otherwise to the frame of the own machine,
- * which names it. A call may be sent again: it carries its identity, and how long ago a copy was sent that may have been
- * carried out, so that the store does nothing twice. An answer counts only if it names this life, and comes from a frame
- * to which a copy is under way on the line that there still is.
+ * Carries calls to the frames: to the holder of the duty where it is known, otherwise to the frame
+ * of the own machine, which names it. A call may be sent again: it carries its identity, and how
+ * long ago a copy was sent that may have been carried out, so that the store does nothing twice. An
+ * answer counts only if it names this life, and comes from a frame to which a copy is under way on
+ * the line that there still is.
  */
 final class StoreCaller {
   private static final long RETRY_MILLIS = 30;
@@ -42,7 +43,12 @@
     final long patience;
     final String pinned;
 
-    Pending(final Words.Call call, final int partition, final long cutoff, final long patience, final String pinned) {
+    Pending(
+        final Words.Call call,
+        final int partition,
+        final long cutoff,
+        final long patience,
+        final String pinned) {
       this.pinned = pinned;
       this.call = call;
       this.partition = partition;
@@ -72,22 +78,49 @@
   }
 
   /** Calls the frame of this very machine, whoever holds the duty. */
-  CompletableFuture<Words.Answer> here(final Deed deed, final long first, final long second, final long now, final long timeout) {
-    final Words.Call call = new Words.Call(++number, deed.ordinal(), "", null, first, second, null).from(caller);
+  CompletableFuture<Words.Answer> here(
+      final Deed deed, final long first, final long second, final long now, final long timeout) {
+    final Words.Call call =
+        new Words.Call(++number, deed.ordinal(), "", null, first, second, null).from(caller);
     final Pending one = new Pending(call, 0, now + timeout, SILENCE_MILLIS, self);
     pending.put(call.number, one);
     send(one, now);
     return one.future;
   }
 
-  CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final Words.Cause cause, final long now, final long timeout) {
+  CompletableFuture<Words.Answer> call(
+      final Deed deed,
+      final String name,
+      final String owner,
+      final long first,
+      final long second,
+      final byte[] body,
+      final Words.Cause cause,
+      final long now,
+      final long timeout) {
     return call(deed, name, owner, first, second, body, cause, null, now, timeout);
   }
 
-  CompletableFuture<Words.Answer> call(final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final Words.Cause cause, final byte[] content, final long now, final long timeout) {
-    final Words.Call call = new Words.Call(++number, deed.ordinal(), name, owner, first, second, body, cause, content).from(caller);
-    final long patience = deed == Deed.WATCH ? second + SILENCE_MILLIS : deed == Deed.CONTROL ? 700 + SILENCE_MILLIS : SILENCE_MILLIS;
-    final Pending one = new Pending(call, FrameCore.partition(deed.register(name)), now + timeout, patience, null);
+  CompletableFuture<Words.Answer> call(
+      final Deed deed,
+      final String name,
+      final String owner,
+      final long first,
+      final long second,
+      final byte[] body,
+      final Words.Cause cause,
+      final byte[] content,
+      final long now,
+      final long timeout) {
+    final Words.Call call =
+        new Words.Call(++number, deed.ordinal(), name, owner, first, second, body, cause, content)
+            .from(caller);
+    final long patience =
+        deed == Deed.WATCH
+            ? second + SILENCE_MILLIS
+            : deed == Deed.CONTROL ? 700 + SILENCE_MILLIS : SILENCE_MILLIS;
+    final Pending one =
+        new Pending(call, FrameCore.partition(deed.register(name)), now + timeout, patience, null);
     pending.put(call.number, one);
     send(one, now);
     return one.future;
@@ -128,7 +161,8 @@
     one.copies.merge(to, 1, Integer::sum);
     one.firstSentAt = again ? one.firstSentAt : now;
     one.doubtful = true;
-    if (outlet.send(to, again ? one.call.aged(Math.max(1, now - one.firstSentAt), now) : one.call)) {
+    if (outlet.send(
+        to, again ? one.call.aged(Math.max(1, now - one.firstSentAt), now) : one.call)) {
       return true;
     }
     one.doubtful = again;
@@ -195,7 +229,10 @@
     for (final Pending one : new ArrayList<>(pending.values())) {
       if (now >= one.cutoff) {
         pending.remove(one.call.number);
-        one.future.completeExceptionally(new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no frame that holds the duty answered in time; ask another daemon"));
+        one.future.completeExceptionally(
+            new Breakdown(
+                Breakdown.Kind.OUT_OF_REACH,
+                "no frame that holds the duty answered in time; ask another daemon"));
       } else if (one.resendAt != 0 && now >= one.resendAt) {
         send(one, now);
       } else if (one.at != null && now - one.sentAt > one.patience) {
--- a/exchange/src/main/java/weldpoint/exchange/Streams.java
+++ b/exchange/src/main/java/weldpoint/exchange/Streams.java
@@ -14,7 +14,10 @@
 import weldpoint.trunk.Words.Board;
 import weldpoint.trunk.Words.Registration;
 
-/** The streams of switchboards and announcers to this exchange: those that have been given a first view, and those that wait for it. */
+/**
+ * The streams of switchboards and announcers to this exchange: those that have been given a first
+ * view, and those that wait for it.
+ */
 final class Streams {
   private static final long PATIENCE_MILLIS = 900;
 
@@ -30,10 +33,13 @@
   private long[] wholeState;
 
   /** What a switchboard has when its stream opens. */
-  private record Opening(long version, List<Long> buckets, long read, long at) {
-  }
+  private record Opening(long version, List<Long> buckets, long read, long at) {}
 
-  Streams(final BiConsumer<Object, Message> outlet, final Registrations registrations, final ControlState control, final Switchboards switchboards) {
+  Streams(
+      final BiConsumer<Object, Message> outlet,
+      final Registrations registrations,
+      final ControlState control,
+      final Switchboards switchboards) {
     this.outlet = outlet;
     this.registrations = registrations;
     this.control = control;
@@ -64,11 +70,17 @@
   }
 
   /** A stream has opened and waits for its first view: until this quorum read is done, or 0. */
-  void opened(final Object stream, final Board board, final List<Long> buckets, final long read, final long now) {
+  void opened(
+      final Object stream,
+      final Board board,
+      final List<Long> buckets,
+      final long read,
+      final long now) {
     if (board.announcer) {
       announcers.add(stream);
     }
-    opening.put(stream, new Opening(board.version, buckets == null ? List.of() : buckets, read, now));
+    opening.put(
+        stream, new Opening(board.version, buckets == null ? List.of() : buckets, read, now));
     hopefuls.add(stream);
   }
 
@@ -79,7 +91,10 @@
     hopefuls.remove(stream);
   }
 
-  /** Gives those their first view that waited for this quorum read or an earlier one; whoever is given is told of each. */
+  /**
+   * Gives those their first view that waited for this quorum read or an earlier one; whoever is
+   * given is told of each.
+   */
   void admit(final long read, final Consumer<Object> admitted) {
     final Words.View view = wholeView();
     final List<Long> here = Buckets.digests(registrations.all().values(), false);
@@ -87,7 +102,11 @@
     for (final Object stream : hopefuls) {
       if (opening.get(stream).read <= read) {
         final Opening opened = opening.remove(stream);
-        outlet.accept(stream, opened.buckets.isEmpty() || Buckets.empty(opened.buckets) ? view : partView(opened, here));
+        outlet.accept(
+            stream,
+            opened.buckets.isEmpty() || Buckets.empty(opened.buckets)
+                ? view
+                : partView(opened, here));
         due.add(stream);
       }
     }
@@ -101,7 +120,8 @@
   /** What a switchboard that has been told before lacks. */
   private Words.View partView(final Opening opened, final List<Long> here) {
     final Set<String> named = new HashSet<>();
-    final List<Registration> lacking = Buckets.differing(registrations.all().values(), here, opened.buckets);
+    final List<Registration> lacking =
+        Buckets.differing(registrations.all().values(), here, opened.buckets);
     lacking.forEach(one -> named.add(one.id));
     for (final Registration one : registrations.all().values()) {
       if (one.warmupMillis > 0 && Stage.of(one) != Stage.REMOVED && named.add(one.id)) {
@@ -109,12 +129,34 @@
       }
     }
     final boolean newer = opened.version < control.version();
-    return new Words.View(newer ? control.version() : 0, newer ? control.spec() : null, true, control.evacuated(), control.evacuationMark(), null, true, new ArrayList<>(registrations.suspects()), switchboards.most(), control.trials(), control.trialMark(), lacking.isEmpty() ? null : Buckets.pack(lacking));
-  }
-
-  /** All that a switchboard must know; the same object while nothing has changed, so that a returning fleet costs one encoding. */
+    return new Words.View(
+        newer ? control.version() : 0,
+        newer ? control.spec() : null,
+        true,
+        control.evacuated(),
+        control.evacuationMark(),
+        null,
+        true,
+        new ArrayList<>(registrations.suspects()),
+        switchboards.most(),
+        control.trials(),
+        control.trialMark(),
+        lacking.isEmpty() ? null : Buckets.pack(lacking));
+  }
+
+  /**
+   * All that a switchboard must know; the same object while nothing has changed, so that a
+   * returning fleet costs one encoding.
+   */
   private Words.View wholeView() {
-    final long[] state = {control.version(), registrations.revision(), control.evacuationMark(), control.trialMark(), registrations.size(), registrations.suspects().hashCode()};
+    final long[] state = {
+      control.version(),
+      registrations.revision(),
+      control.evacuationMark(),
+      control.trialMark(),
+      registrations.size(),
+      registrations.suspects().hashCode()
+    };
     if (whole == null || !java.util.Arrays.equals(state, wholeState)) {
       wholeState = state;
       final List<Registration> present = new ArrayList<>();
@@ -123,7 +165,20 @@
           present.add(one);
         }
       }
-      whole = new Words.View(control.version(), control.spec(), true, control.evacuated(), control.evacuationMark(), null, true, new ArrayList<>(registrations.suspects()), 0, control.trials(), control.trialMark(), Buckets.pack(present));
+      whole =
+          new Words.View(
+              control.version(),
+              control.spec(),
+              true,
+              control.evacuated(),
+              control.evacuationMark(),
+              null,
+              true,
+              new ArrayList<>(registrations.suspects()),
+              0,
+              control.trials(),
+              control.trialMark(),
+              Buckets.pack(present));
     }
     return whole;
   }
@@ -144,10 +199,15 @@
 
   /** Tells the switchboards among them. */
   void tellSwitchboards(final Message message) {
-    streams.stream().filter(stream -> !announcers.contains(stream)).forEach(stream -> outlet.accept(stream, message));
+    streams.stream()
+        .filter(stream -> !announcers.contains(stream))
+        .forEach(stream -> outlet.accept(stream, message));
   }
 
-  /** Tells all, also those that wait for their first view and should go elsewhere: who came only just now may yet get it here. */
+  /**
+   * Tells all, also those that wait for their first view and should go elsewhere: who came only
+   * just now may yet get it here.
+   */
   void tellEverybody(final Message message, final boolean informed, final long now) {
     tell(message);
     for (final Object stream : hopefuls) {
@@ -160,12 +220,26 @@
   /** Tells of changed registrations. */
   void registrations(final List<Registration> changes) {
     if (!streams.isEmpty()) {
-      tell(new Words.View(0, null, false, null, 0, changes, false, null, switchboards.most(), null, -1));
+      tell(
+          new Words.View(
+              0, null, false, null, 0, changes, false, null, switchboards.most(), null, -1));
     }
   }
 
   /** Tells who is suspect. */
   void suspects() {
-    tell(new Words.View(0, null, false, null, 0, null, true, new ArrayList<>(registrations.suspects()), switchboards.most(), null, -1));
+    tell(
+        new Words.View(
+            0,
+            null,
+            false,
+            null,
+            0,
+            null,
+            true,
+            new ArrayList<>(registrations.suspects()),
+            switchboards.most(),
+            null,
+            -1));
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/Switchboards.java
+++ b/exchange/src/main/java/weldpoint/exchange/Switchboards.java
@@ -9,7 +9,10 @@
 import java.util.TreeMap;
 import weldpoint.trunk.Words.Board;
 
-/** The switchboards and announcers that this exchange has heard of, itself or from other exchanges, and when. */
+/**
+ * The switchboards and announcers that this exchange has heard of, itself or from other exchanges,
+ * and when.
+ */
 final class Switchboards {
   static final long LIVE_MILLIS = 4000;
   static final long GONE_MILLIS = 20_000;
@@ -46,7 +49,10 @@
   /** Whether what this one tells of itself is news to others. */
   boolean news(final Board board, final long now) {
     final Entry entry = entries.get(board.address);
-    return entry == null || entry.board.incarnation != board.incarnation || entry.board.leaving != board.leaving || now - entry.heardAt > LIVE_MILLIS;
+    return entry == null
+        || entry.board.incarnation != board.incarnation
+        || entry.board.leaving != board.leaving
+        || now - entry.heardAt > LIVE_MILLIS;
   }
 
   void merge(final List<Board> list, final long now) {
@@ -54,9 +60,14 @@
     for (final Board board : list) {
       final Entry entry = entries.computeIfAbsent(board.address, address -> new Entry());
       final long heardAt = now - board.ageMillis;
-      if (entry.board == null || board.incarnation == entry.board.incarnation && (heardAt > entry.heardAt || board.leaving && !entry.board.leaving)
+      if (entry.board == null
+          || board.incarnation == entry.board.incarnation
+              && (heardAt > entry.heardAt || board.leaving && !entry.board.leaving)
           || board.incarnation != entry.board.incarnation && heardAt > entry.heardAt) {
-        final boolean stays = entry.board != null && entry.board.incarnation == board.incarnation && entry.board.leaving;
+        final boolean stays =
+            entry.board != null
+                && entry.board.incarnation == board.incarnation
+                && entry.board.leaving;
         entry.board = stays ? entry.board : board;
         entry.heardAt = Math.max(entry.heardAt, heardAt);
         changed = true;
@@ -70,7 +81,9 @@
   /** Another exchange, or this one, holds it to be gone. */
   void gone(final Board board, final long now) {
     final Entry entry = entries.get(board.address);
-    if (entry != null && entry.board.incarnation == board.incarnation && now - entry.heardAt > PATIENCE_MILLIS) {
+    if (entry != null
+        && entry.board.incarnation == board.incarnation
+        && now - entry.heardAt > PATIENCE_MILLIS) {
       entry.heardAt = Math.min(entry.heardAt, now - GONE_MILLIS);
     }
   }
@@ -83,7 +96,10 @@
     }
   }
 
-  /** Those whose stream ended and who have opened none anywhere for a while: they are now held to be gone. */
+  /**
+   * Those whose stream ended and who have opened none anywhere for a while: they are now held to be
+   * gone.
+   */
   List<Board> missed(final long now) {
     final List<Board> missed = new ArrayList<>();
     for (final Entry entry : entries.values()) {
@@ -100,7 +116,18 @@
 
   /** The same one, heard of so long ago. */
   static Board aged(final Board board, final long ageMillis) {
-    return new Board(board.address, board.front, board.site, board.region, board.incarnation, board.leaving, ageMillis, board.announcer, board.version, board.mark, board.heldMillis);
+    return new Board(
+        board.address,
+        board.front,
+        board.site,
+        board.region,
+        board.incarnation,
+        board.leaving,
+        ageMillis,
+        board.announcer,
+        board.version,
+        board.mark,
+        board.heldMillis);
   }
 
   void count(final long now) {
@@ -152,11 +179,12 @@
 
   private TreeMap<String, Entry> kept(final long now) {
     final TreeMap<String, Entry> kept = new TreeMap<>();
-    entries.forEach((address, entry) -> {
-      if (now - entry.heardAt < KEEP_MILLIS) {
-        kept.put(address, entry);
-      }
-    });
+    entries.forEach(
+        (address, entry) -> {
+          if (now - entry.heardAt < KEEP_MILLIS) {
+            kept.put(address, entry);
+          }
+        });
     return kept;
   }
 
@@ -172,13 +200,20 @@
     for (final Entry entry : kept(now).values()) {
       final Board board = entry.board;
       long hash = board.address.hashCode() * 0x9e3779b97f4a7c15L + board.incarnation;
-      hash = (hash ^ hash >>> 29) * 0xbf58476d1ce4e5b9L + board.version * 31 + board.mark * 7 + (board.leaving ? 1 : 0);
+      hash =
+          (hash ^ hash >>> 29) * 0xbf58476d1ce4e5b9L
+              + board.version * 31
+              + board.mark * 7
+              + (board.leaving ? 1 : 0);
       sum += (hash ^ hash >>> 31) * 0xff51afd7ed558ccdL;
     }
     return sum;
   }
 
-  /** How long ago each was heard of, two bytes each in tens of milliseconds, in the order of their addresses. */
+  /**
+   * How long ago each was heard of, two bytes each in tens of milliseconds, in the order of their
+   * addresses.
+   */
   byte[] ages(final long now) {
     final TreeMap<String, Entry> kept = kept(now);
     final byte[] ages = new byte[2 * kept.size()];
--- a/exchange/src/main/java/weldpoint/exchange/Tollbooth.java
+++ b/exchange/src/main/java/weldpoint/exchange/Tollbooth.java
@@ -14,13 +14,21 @@
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
 
-/** Answers those who ask for permits: from the own part, and where that is used up from another exchange's. */
+/**
+ * Answers those who ask for permits: from the own part, and where that is used up from another
+ * exchange's.
+ */
 final class Tollbooth {
   private static final long FRESH_MILLIS = 4000;
   private static final long RELAY_MILLIS = 600;
 
-  private record Relayed(PermitAsk ask, Consumer<Message> reply, int granted, long version, long ageMillis, long cutoff) {
-  }
+  private record Relayed(
+      PermitAsk ask,
+      Consumer<Message> reply,
+      int granted,
+      long version,
+      long ageMillis,
+      long cutoff) {}
 
   private final String self;
   private final Tollhouse house;
@@ -37,14 +45,24 @@
     this.members = members;
   }
 
-  /** Takes the roster that the disk held: who was among the voters before has its part from the start. */
+  /**
+   * Takes the roster that the disk held: who was among the voters before has its part from the
+   * start.
+   */
   void began(final Roster roster) {
     rosterNumber = roster.number;
     among = roster.index(self) >= 0;
     amongSince = Long.MIN_VALUE / 2;
   }
 
-  void ask(final PermitAsk ask, final Consumer<Message> reply, final Dialplan plan, final Roster roster, final long version, final long ageMillis, final long now) {
+  void ask(
+      final PermitAsk ask,
+      final Consumer<Message> reply,
+      final Dialplan plan,
+      final Roster roster,
+      final long version,
+      final long ageMillis,
+      final long now) {
     if (roster.number != rosterNumber) {
       rosterNumber = roster.number;
       final boolean is = roster.index(self) >= 0;
@@ -54,11 +72,15 @@
       among = is;
     }
     final long age = Math.min(Integer.MAX_VALUE, ageMillis);
-    final int granted = among && ageMillis < FRESH_MILLIS ? house.grant(ask.name, ask.count, plan, roster.voters.size(), amongSince, now) : 0;
+    final int granted =
+        among && ageMillis < FRESH_MILLIS
+            ? house.grant(ask.name, ask.count, plan, roster.voters.size(), amongSince, now)
+            : 0;
     if (granted < ask.count && ask.hops < roster.voters.size()) {
       final long key = ++number;
       for (final Voter next : following(roster)) {
-        if (members.test(next.address, new PermitAsk(key, ask.name, ask.count - granted, ask.hops + 1))) {
+        if (members.test(
+            next.address, new PermitAsk(key, ask.name, ask.count - granted, ask.hops + 1))) {
           relayed.put(key, new Relayed(ask, reply, granted, version, age, now + RELAY_MILLIS));
           return;
         }
@@ -83,7 +105,9 @@
   void answered(final PermitAnswer answer) {
     final Relayed one = relayed.remove(answer.number);
     if (one != null) {
-      one.reply.accept(new PermitAnswer(one.ask.number, one.granted + answer.granted, one.version, one.ageMillis));
+      one.reply.accept(
+          new PermitAnswer(
+              one.ask.number, one.granted + answer.granted, one.version, one.ageMillis));
     }
   }
 
