--- a/exchange/src/test/java/weldpoint/exchange/ControlDoorFuzzTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ControlDoorFuzzTest.java
@@ -30,40 +30,69 @@
 import weldpoint.boot.Boot;
 import weldpoint.frame.Deed;
 import weldpoint.frame.Values;
-import weldpoint.trunk.Wire;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** Generated calls to the control interface, cut anywhere: each gets one answer, its own, with a reason where it failed, and nothing hangs. */
+/**
+ * Generated calls to the control interface, cut anywhere: each gets one answer, its own, with a
+ * reason where it failed, and nothing hangs.
+ */
 public final class ControlDoorFuzzTest {
-  private static final String BEAT = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":\"v\",\"capacity\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"callSeq\":1}";
-  private static final String SPEC = "{\"version\":\"00000007\",\"limits\":{\"maxHeaderBytes\":16384},\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/a/\"},\"action\":{\"split\":[{\"service\":\"s\",\"weight\":90}],\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[]}}]}],\"pools\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConns\":120}]}";
-  private static final String[][] CALLS = new String[][] {
-      {"POST", "/api/rpc?call=instances.heartbeat&of=i-1", BEAT},
-      {"POST", "/api/rpc?call=instances.deregister&of=i-1", ""},
-      {"POST", "/api/rpc?call=configuration.replace", SPEC},
-      {"POST", "/api/rpc?call=configuration.read", ""},
-      {"POST", "/api/rpc?call=evacuation.begin&of=a", ""},
-      {"POST", "/api/rpc?call=locks.begin&of=l", "{\"owner\":\"o\",\"holdMs\":3000}"},
-      {"POST", "/api/rpc?call=locks.heartbeat&of=l", "{\"owner\":\"o\",\"fenceNumber\":41,\"holdMs\":3000}"},
-      {"POST", "/api/rpc?call=locks.finish&of=l", "{\"owner\":\"o\",\"fenceNumber\":41}"},
-      {"POST", "/api/rpc?call=cells.replace&of=g.k", "{\"value\":\"5c0e\",\"enabled\":907}"},
-      {"POST", "/api/rpc?call=cells.read&of=g.k", ""},
-      {"POST", "/api/numbers/n", "{}"},
-      {"GET", "/api/watch/g.?after=1&waitMs=20", ""},
-      {"GET", "/api/resolution?region=r&zone=a", ""},
-      {"POST", "/api/invalidation", "{\"host\":\"h\",\"path\":\"/a\"}"},
-      {"POST", "/api/rpc?call=trial.begin&of=r", "{\"newService\":\"t\",\"stages\":[1]}"},
-      {"POST", "/api/rpc?call=history.read", "{\"since\":\"x\"}"},
-  };
-  private static final List<Integer> STATUSES = List.of(200, 400, 404, 405, 409, 410, 412, 413, 422, 503, 504);
-  private static final String[] ODD = new String[] {"null", "-1", "1e400", "99999999999999999999", "\"\"", "[]", "{}", "true", "\"\\u0000\"", "0.5", "[[[[[[", "{\"a\":", "\"%zz\"", "\u00e9"};
+  private static final String BEAT =
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":\"v\",\"capacity\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"callSeq\":1}";
+  private static final String SPEC =
+      "{\"version\":\"00000007\",\"limits\":{\"maxHeaderBytes\":16384},\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/a/\"},\"action\":{\"split\":[{\"service\":\"s\",\"weight\":90}],\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[]}}]}],\"pools\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConns\":120}]}";
+  private static final String[][] CALLS =
+      new String[][] {
+        {"POST", "/api/rpc?call=instances.heartbeat&of=i-1", BEAT},
+        {"POST", "/api/rpc?call=instances.deregister&of=i-1", ""},
+        {"POST", "/api/rpc?call=configuration.replace", SPEC},
+        {"POST", "/api/rpc?call=configuration.read", ""},
+        {"POST", "/api/rpc?call=evacuation.begin&of=a", ""},
+        {"POST", "/api/rpc?call=locks.begin&of=l", "{\"owner\":\"o\",\"holdMs\":3000}"},
+        {
+          "POST",
+          "/api/rpc?call=locks.heartbeat&of=l",
+          "{\"owner\":\"o\",\"fenceNumber\":41,\"holdMs\":3000}"
+        },
+        {"POST", "/api/rpc?call=locks.finish&of=l", "{\"owner\":\"o\",\"fenceNumber\":41}"},
+        {"POST", "/api/rpc?call=cells.replace&of=g.k", "{\"value\":\"5c0e\",\"enabled\":907}"},
+        {"POST", "/api/rpc?call=cells.read&of=g.k", ""},
+        {"POST", "/api/numbers/n", "{}"},
+        {"GET", "/api/watch/g.?after=1&waitMs=20", ""},
+        {"GET", "/api/resolution?region=r&zone=a", ""},
+        {"POST", "/api/invalidation", "{\"host\":\"h\",\"path\":\"/a\"}"},
+        {"POST", "/api/rpc?call=trial.begin&of=r", "{\"newService\":\"t\",\"stages\":[1]}"},
+        {"POST", "/api/rpc?call=history.read", "{\"since\":\"x\"}"},
+      };
+  private static final List<Integer> STATUSES =
+      List.of(200, 400, 404, 405, 409, 410, 412, 413, 422, 503, 504);
+  private static final String[] ODD =
+      new String[] {
+        "null",
+        "-1",
+        "1e400",
+        "99999999999999999999",
+        "\"\"",
+        "[]",
+        "{}",
+        "true",
+        "\"\\u0000\"",
+        "0.5",
+        "[[[[[[",
+        "{\"a\":",
+        "\"%zz\"",
+        "\u00e9"
+      };
 
   private static final int CALLERS = 8;
 
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
+
   /** Stands still while the thread does, so that a busy machine does not look like a standstill. */
   private final AtomicLong clock = new AtomicLong(1000);
+
   private ExchangeCore core;
   private int port;
 
@@ -72,56 +101,92 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
-    core = new ExchangeCore("127.0.0.1", List.of("127.0.0.1"), true, 1500, new Random(1), new ExchangeCore.Outlet() {
-      @Override
-      public boolean member(final String address, final Message message) {
-        return false;
-      }
+    core =
+        new ExchangeCore(
+            "127.0.0.1",
+            List.of("127.0.0.1"),
+            true,
+            1500,
+            new Random(1),
+            new ExchangeCore.Outlet() {
+              @Override
+              public boolean member(final String address, final Message message) {
+                return false;
+              }
 
-      @Override
-      public boolean frame(final String address, final Words.Call call) {
-        final Words.Answer answer = call.deed == Deed.CONTROL.ordinal() ? held(call) : new Words.Answer(call.number, 409, 0, null, null);
-        loop.schedule(() -> core.answered(address, answer.to(call.caller), clock.get()), 2, TimeUnit.MILLISECONDS);
-        return true;
-      }
+              @Override
+              public boolean frame(final String address, final Words.Call call) {
+                final Words.Answer answer =
+                    call.deed == Deed.CONTROL.ordinal()
+                        ? held(call)
+                        : new Words.Answer(call.number, 409, 0, null, null);
+                loop.schedule(
+                    () -> core.answered(address, answer.to(call.caller), clock.get()),
+                    2,
+                    TimeUnit.MILLISECONDS);
+                return true;
+              }
 
-      @Override
-      public void board(final Object stream, final Message message) {
-      }
+              @Override
+              public void board(final Object stream, final Message message) {}
 
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-        loop.execute(synced);
-      }
+              @Override
+              public void append(final byte[] record, final Runnable synced) {
+                loop.execute(synced);
+              }
 
-      @Override
-      public void peers(final List<String> members) {
-      }
-    });
+              @Override
+              public void peers(final List<String> members) {}
+            });
     core.start(List.of(), 0);
-    final Boot boot = Boot.parse("station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:" + port + "\n");
-    final ControlDoor door = new ControlDoor(boot, core, loop::execute, new ControlDoor.Clock() {
-      @Override
-      public long steadyMillis() {
-        return clock.get();
-      }
+    final Boot boot =
+        Boot.parse(
+            "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:"
+                + port
+                + "\n");
+    final ControlDoor door =
+        new ControlDoor(
+            boot,
+            core,
+            loop::execute,
+            new ControlDoor.Clock() {
+              @Override
+              public long steadyMillis() {
+                return clock.get();
+              }
 
-      @Override
-      public long dayMillis() {
-        return System.currentTimeMillis();
-      }
-    });
+              @Override
+              public long dayMillis() {
+                return System.currentTimeMillis();
+              }
+            });
     door.serve(loop, boot.requiredAddress("listen.control"));
-    loop.scheduleAtFixedRate(() -> {
-      door.awake();
-      core.tick(clock.addAndGet(20));
-    }, 20, 20, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        () -> {
+          door.awake();
+          core.tick(clock.addAndGet(20));
+        },
+        20,
+        20,
+        TimeUnit.MILLISECONDS);
   }
 
-  /** What the frames hold: no configuration, and this machine as the only voter, so that it is not cut off. */
+  /**
+   * What the frames hold: no configuration, and this machine as the only voter, so that it is not
+   * cut off.
+   */
   private static Words.Answer held(final Words.Call call) {
-    final Words.Roster roster = new Words.Roster(1, List.of(new Words.Voter("127.0.0.1", "a", "r", List.of())));
-    return new Words.Answer(call.number, 200, 0, Wire.bytes(new Values.Control(0, null, List.of(), 0, roster, List.of(), 0, null, List.of(), false, 0, null, null)), null);
+    final Words.Roster roster =
+        new Words.Roster(1, List.of(new Words.Voter("127.0.0.1", "a", "r", List.of())));
+    return new Words.Answer(
+        call.number,
+        200,
+        0,
+        Wire.bytes(
+            new Values.Control(
+                0, null, List.of(), 0, roster, List.of(), 0, null, List.of(), false, 0, null,
+                null)),
+        null);
   }
 
   @AfterClass
@@ -138,7 +203,13 @@
   }
 
   private static String request(final String method, final String path, final String body) {
-    return method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body;
+    return method
+        + " "
+        + path
+        + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+        + body.getBytes(StandardCharsets.UTF_8).length
+        + "\r\n\r\n"
+        + body;
   }
 
   private static String answer(final InputStream in) throws IOException {
@@ -152,7 +223,10 @@
     }
     final String head = bytes.toString(StandardCharsets.UTF_8);
     final int at = head.toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
-    return head + new String(in.readNBytes(Integer.parseInt(head.substring(at + 16, head.indexOf('\r', at)))), StandardCharsets.UTF_8);
+    return head
+        + new String(
+            in.readNBytes(Integer.parseInt(head.substring(at + 16, head.indexOf('\r', at)))),
+            StandardCharsets.UTF_8);
   }
 
   @Test
@@ -161,14 +235,17 @@
       try (Socket socket = connect()) {
         final StringBuilder all = new StringBuilder();
         for (int index = 0; index < 6; index++) {
-          all.append(request("POST", "/api/numbers/n", "{}")).append(request("POST", "/api/rpc?call=fly" + index, ""));
+          all.append(request("POST", "/api/numbers/n", "{}"))
+              .append(request("POST", "/api/rpc?call=fly" + index, ""));
         }
         socket.getOutputStream().write(all.toString().getBytes(StandardCharsets.UTF_8));
         final InputStream in = new BufferedInputStream(socket.getInputStream());
         for (int index = 0; index < 6; index++) {
           assertTrue(answer(in).startsWith("HTTP/1.1 409"), "the number's own answer comes first");
           final String unknown = answer(in);
-          assertTrue(unknown.startsWith("HTTP/1.1 404") && unknown.contains("'fly" + index + "'"), unknown);
+          assertTrue(
+              unknown.startsWith("HTTP/1.1 404") && unknown.contains("'fly" + index + "'"),
+              unknown);
         }
       }
     }
@@ -176,10 +253,16 @@
 
   @Test
   public void nestingWithoutEndIsRefusedWithAReason() throws IOException {
-    for (final String path : List.of("/api/rpc?call=configuration.replace", "/api/rpc?call=instances.heartbeat&of=i", "/api/rpc?call=locks.begin&of=l")) {
+    for (final String path :
+        List.of(
+            "/api/rpc?call=configuration.replace",
+            "/api/rpc?call=instances.heartbeat&of=i",
+            "/api/rpc?call=locks.begin&of=l")) {
       for (final String open : List.of("[", "{\"a\":", "{\"listeners\":[", "{\"owner\":{")) {
         try (Socket socket = connect()) {
-          socket.getOutputStream().write(request("POST", path, open.repeat(200_000)).getBytes(StandardCharsets.UTF_8));
+          socket
+              .getOutputStream()
+              .write(request("POST", path, open.repeat(200_000)).getBytes(StandardCharsets.UTF_8));
           final String answer = answer(socket.getInputStream());
           assertTrue(answer.startsWith("HTTP/1.1 400"), path + " " + open + ": " + answer);
         }
@@ -188,7 +271,8 @@
   }
 
   @Test
-  public void generatedCallsGetOneTypedAnswerEach() throws IOException, InterruptedException, ExecutionException {
+  public void generatedCallsGetOneTypedAnswerEach()
+      throws IOException, InterruptedException, ExecutionException {
     final long seed = Long.getLong("weldpoint.fuzz.seed", 19);
     final int rounds = Integer.getInteger("weldpoint.fuzz.rounds", 12);
     Reporter.log("seed " + seed, true);
@@ -198,12 +282,14 @@
       for (int caller = 0; caller < CALLERS; caller++) {
         final Random random = new Random(seed * CALLERS + caller);
         final String name = "seed " + seed + " caller " + caller;
-        all.add(callers.submit(() -> {
-          for (int round = 0; round < rounds; round++) {
-            round(random, name + " round " + round);
-          }
-          return null;
-        }));
+        all.add(
+            callers.submit(
+                () -> {
+                  for (int round = 0; round < rounds; round++) {
+                    round(random, name + " round " + round);
+                  }
+                  return null;
+                }));
       }
       for (final Future<Void> one : all) {
         one.get();
@@ -220,7 +306,13 @@
       final StringBuilder bytes = new StringBuilder();
       for (int index = 0; index < 1 + random.nextInt(5); index++) {
         final String[] call = CALLS[random.nextInt(CALLS.length)];
-        sent.add(request(call[0], random.nextInt(8) == 0 ? spoil(call[1], random).replace(' ', '+').replace('\r', '+').replace('\n', '+') : call[1], random.nextInt(4) == 0 ? call[2] : spoil(call[2], random)));
+        sent.add(
+            request(
+                call[0],
+                random.nextInt(8) == 0
+                    ? spoil(call[1], random).replace(' ', '+').replace('\r', '+').replace('\n', '+')
+                    : call[1],
+                random.nextInt(4) == 0 ? call[2] : spoil(call[2], random)));
         bytes.append(sent.get(sent.size() - 1));
       }
       final byte[] all = bytes.toString().getBytes(StandardCharsets.UTF_8);
@@ -259,7 +351,11 @@
       default:
         final int colon = text.indexOf(':', at);
         final int comma = colon < 0 ? -1 : text.indexOf(',', colon);
-        return comma < 0 ? text + text : text.substring(0, colon + 1) + ODD[random.nextInt(ODD.length)] + text.substring(comma);
+        return comma < 0
+            ? text + text
+            : text.substring(0, colon + 1)
+                + ODD[random.nextInt(ODD.length)]
+                + text.substring(comma);
     }
   }
 
--- a/exchange/src/test/java/weldpoint/exchange/ControlDoorTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ControlDoorTest.java
@@ -21,9 +21,13 @@
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words;
 
-/** Bad calls of operators, upstreams and applications: refused with their reason, and nothing of them reaches the store. */
+/**
+ * Bad calls of operators, upstreams and applications: refused with their reason, and nothing of
+ * them reaches the store.
+ */
 public final class ControlDoorTest {
-  private static final String BEAT = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":\"v\",\"capacity\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"callSeq\":1}";
+  private static final String BEAT =
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":\"v\",\"capacity\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"callSeq\":1}";
 
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private int port;
@@ -34,32 +38,40 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
-    final ExchangeCore core = new ExchangeCore("127.0.0.1", List.of("127.0.0.1"), true, 1500, new Random(1), new ExchangeCore.Outlet() {
-      @Override
-      public boolean member(final String address, final Message message) {
-        return false;
-      }
+    final ExchangeCore core =
+        new ExchangeCore(
+            "127.0.0.1",
+            List.of("127.0.0.1"),
+            true,
+            1500,
+            new Random(1),
+            new ExchangeCore.Outlet() {
+              @Override
+              public boolean member(final String address, final Message message) {
+                return false;
+              }
 
-      @Override
-      public boolean frame(final String address, final Words.Call call) {
-        storeCalls++;
-        return true;
-      }
+              @Override
+              public boolean frame(final String address, final Words.Call call) {
+                storeCalls++;
+                return true;
+              }
 
-      @Override
-      public void board(final Object stream, final Message message) {
-      }
+              @Override
+              public void board(final Object stream, final Message message) {}
 
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-      }
+              @Override
+              public void append(final byte[] record, final Runnable synced) {}
 
-      @Override
-      public void peers(final List<String> members) {
-      }
-    });
+              @Override
+              public void peers(final List<String> members) {}
+            });
     core.start(List.of(), 0);
-    final Boot boot = Boot.parse("station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:" + port + "\n");
+    final Boot boot =
+        Boot.parse(
+            "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:"
+                + port
+                + "\n");
     new ControlDoor(boot, core, Runnable::run).serve(loop, boot.requiredAddress("listen.control"));
   }
 
@@ -71,43 +83,76 @@
   @DataProvider
   public Object[][] bad() {
     return new Object[][] {
-        {"POST", "/api/rpc?call=fly&of=x", "{}", 404},
-        {"GET", "/api/rpc?call=instances.heartbeat&of=i", "", 405},
-        {"GET", "/api/numbers/n", "", 405},
-        {"POST", "/nothing", "", 404},
-        {"POST", "/api/rpc?call=instances.heartbeat&of=i", BEAT.replace("\"callSeq\":1", "\"x\":1"), 400},
-        {"POST", "/api/rpc?call=instances.heartbeat&of=i", BEAT.replace("ready", "asleep"), 400},
-        {"POST", "/api/rpc?call=instances.heartbeat&of=i", BEAT.replace("10.0.0.1:80", "nowhere"), 400},
-        {"POST", "/api/rpc?call=instances.heartbeat&of=", BEAT, 400},
-        {"POST", "/api/rpc?call=instances.heartbeat&of=i", "{\"service", 400},
-        {"POST", "/api/rpc?call=locks.begin&of=l", "{\"owner\":\"o\"}", 400},
-        {"POST", "/api/rpc?call=locks.finish&of=l", "{\"owner\":\"o\"}", 400},
-        {"POST", "/api/rpc?call=cells.replace&of=g.k", "{}", 400},
-        {"GET", "/api/watch/g.?after=x", "", 400},
-        {"POST", "/api/rpc?call=configuration.replace", "{\"version\":\"1\",\"listeners\":[", 400},
-        {"POST", "/api/rpc?call=configuration.replace", "{\"version\":\"1\",\"listeners\":[{\"host\":\"\"}],\"pools\":[]}", 400},
-        {"GET", "/api/resolution?region=r&zone=a", "", 503},
+      {"POST", "/api/rpc?call=fly&of=x", "{}", 404},
+      {"GET", "/api/rpc?call=instances.heartbeat&of=i", "", 405},
+      {"GET", "/api/numbers/n", "", 405},
+      {"POST", "/nothing", "", 404},
+      {
+        "POST",
+        "/api/rpc?call=instances.heartbeat&of=i",
+        BEAT.replace("\"callSeq\":1", "\"x\":1"),
+        400
+      },
+      {"POST", "/api/rpc?call=instances.heartbeat&of=i", BEAT.replace("ready", "asleep"), 400},
+      {
+        "POST",
+        "/api/rpc?call=instances.heartbeat&of=i",
+        BEAT.replace("10.0.0.1:80", "nowhere"),
+        400
+      },
+      {"POST", "/api/rpc?call=instances.heartbeat&of=", BEAT, 400},
+      {"POST", "/api/rpc?call=instances.heartbeat&of=i", "{\"service", 400},
+      {"POST", "/api/rpc?call=locks.begin&of=l", "{\"owner\":\"o\"}", 400},
+      {"POST", "/api/rpc?call=locks.finish&of=l", "{\"owner\":\"o\"}", 400},
+      {"POST", "/api/rpc?call=cells.replace&of=g.k", "{}", 400},
+      {"GET", "/api/watch/g.?after=x", "", 400},
+      {"POST", "/api/rpc?call=configuration.replace", "{\"version\":\"1\",\"listeners\":[", 400},
+      {
+        "POST",
+        "/api/rpc?call=configuration.replace",
+        "{\"version\":\"1\",\"listeners\":[{\"host\":\"\"}],\"pools\":[]}",
+        400
+      },
+      {"GET", "/api/resolution?region=r&zone=a", "", 503},
     };
   }
 
   @Test(dataProvider = "bad")
-  public void isRefusedWithItsReason(final String method, final String path, final String body, final int status) throws IOException {
+  public void isRefusedWithItsReason(
+      final String method, final String path, final String body, final int status)
+      throws IOException {
     final int before = storeCalls;
-    final String answer = call(method + " " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    final String answer =
+        call(
+            method
+                + " "
+                + path
+                + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body);
     assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
-    assertTrue(answer.contains("\"error\":") && answer.contains(";"), "no reason or no remedy: " + answer);
+    assertTrue(
+        answer.contains("\"error\":") && answer.contains(";"), "no reason or no remedy: " + answer);
     assertEquals(storeCalls, before);
   }
 
   @Test
   public void aBodyOverTheBoundIsRefusedUnread() throws IOException {
-    final String answer = call("POST /api/rpc?call=configuration.replace HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\nConnection: close\r\n\r\n");
+    final String answer =
+        call(
+            "POST /api/rpc?call=configuration.replace HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\nConnection: close\r\n\r\n");
     assertTrue(answer.startsWith("HTTP/1.1 413"), answer);
   }
 
   @Test
   public void aGoodBeatIsAcknowledged() throws IOException {
-    assertTrue(call("POST /api/rpc?call=instances.heartbeat&of=i HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " + BEAT.length() + "\r\n\r\n" + BEAT).startsWith("HTTP/1.1 200"));
+    assertTrue(
+        call("POST /api/rpc?call=instances.heartbeat&of=i HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: "
+                + BEAT.length()
+                + "\r\n\r\n"
+                + BEAT)
+            .startsWith("HTTP/1.1 200"));
   }
 
   private String call(final String request) throws IOException {
--- a/exchange/src/test/java/weldpoint/exchange/CoreNet.java
+++ b/exchange/src/test/java/weldpoint/exchange/CoreNet.java
@@ -17,13 +17,15 @@
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Registration;
 
-/** Exchanges over scripted frames, on a fake clock: lines that can be cut one way, freezes, restarts with and without disks. */
+/**
+ * Exchanges over scripted frames, on a fake clock: lines that can be cut one way, freezes, restarts
+ * with and without disks.
+ */
 final class CoreNet {
   private static final long LINK_MILLIS = 5;
   private static final long SILENCE_MILLIS = 1900;
 
-  private record Event(long at, long order, Runnable action) {
-  }
+  private record Event(long at, long order, Runnable action) {}
 
   /** One core machine. */
   final class Node {
@@ -46,56 +48,86 @@
       open.clear();
       told.clear();
       heldUp.clear();
-      core = new ExchangeCore(address, seeds, first, 1500, new Random(address.hashCode() + life), new ExchangeCore.Outlet() {
-        @Override
-        public boolean member(final String to, final Message message) {
-          if (!open.contains(to)) {
-            return false;
-          }
-          send(Node.this, to, () -> {
-            final Node peer = nodes.get(to);
-            peer.core.receive(address, copy(message), answer -> send(peer, address, () -> {
-              if (life == mine) {
-                core.receive(to, copy(answer), ignored -> {
-                }, now);
-              }
-            }), now);
-          });
-          return true;
-        }
-
-        @Override
-        public boolean frame(final String to, final Words.Call call) {
-          if (!to.equals(address) && !open.contains(to)) {
-            return false;
-          }
-          send(Node.this, to, () -> answerCall(to, call, answer -> send(nodes.get(to), address, () -> {
-            if (life == mine) {
-              core.answered(to, answer.to(call.caller), now);
-            }
-          })));
-          return true;
-        }
-
-        @Override
-        public void board(final Object stream, final Message message) {
-          told.computeIfAbsent(stream, key -> new ArrayList<>()).add(message);
-        }
-
-        @Override
-        public void append(final byte[] record, final Runnable synced) {
-          after(Node.this, 2, () -> {
-            if (life == mine) {
-              disk.add(record);
-              synced.run();
-            }
-          });
-        }
-
-        @Override
-        public void peers(final List<String> members) {
-        }
-      });
+      core =
+          new ExchangeCore(
+              address,
+              seeds,
+              first,
+              1500,
+              new Random(address.hashCode() + life),
+              new ExchangeCore.Outlet() {
+                @Override
+                public boolean member(final String to, final Message message) {
+                  if (!open.contains(to)) {
+                    return false;
+                  }
+                  send(
+                      Node.this,
+                      to,
+                      () -> {
+                        final Node peer = nodes.get(to);
+                        peer.core.receive(
+                            address,
+                            copy(message),
+                            answer ->
+                                send(
+                                    peer,
+                                    address,
+                                    () -> {
+                                      if (life == mine) {
+                                        core.receive(to, copy(answer), ignored -> {}, now);
+                                      }
+                                    }),
+                            now);
+                      });
+                  return true;
+                }
+
+                @Override
+                public boolean frame(final String to, final Words.Call call) {
+                  if (!to.equals(address) && !open.contains(to)) {
+                    return false;
+                  }
+                  send(
+                      Node.this,
+                      to,
+                      () ->
+                          answerCall(
+                              to,
+                              call,
+                              answer ->
+                                  send(
+                                      nodes.get(to),
+                                      address,
+                                      () -> {
+                                        if (life == mine) {
+                                          core.answered(to, answer.to(call.caller), now);
+                                        }
+                                      })));
+                  return true;
+                }
+
+                @Override
+                public void board(final Object stream, final Message message) {
+                  told.computeIfAbsent(stream, key -> new ArrayList<>()).add(message);
+                }
+
+                @Override
+                public void append(final byte[] record, final Runnable synced) {
+                  after(
+                      Node.this,
+                      2,
+                      () -> {
+                        if (life == mine) {
+                          disk.add(record);
+                          synced.run();
+                        }
+                      });
+                }
+
+                @Override
+                public void peers(final List<String> members) {}
+              });
       if (judges != null) {
         judges.accept(this);
       }
@@ -103,17 +135,39 @@
     }
 
     List<Words.View> views(final Object stream) {
-      return told.getOrDefault(stream, List.of()).stream().filter(message -> message instanceof Words.View).map(message -> (Words.View) message).toList();
+      return told.getOrDefault(stream, List.of()).stream()
+          .filter(message -> message instanceof Words.View)
+          .map(message -> (Words.View) message)
+          .toList();
     }
 
     /** A switchboard opens a stream; version is what it has in force. */
     void opens(final Object stream, final long version) {
-      core.boardState(stream, new Words.Board("10.9.0." + stream, "10.9.0." + stream + ":80", "z", "r", 1, false, 0, false, version, 0, 0), null, now);
+      core.boardState(
+          stream,
+          new Words.Board(
+              "10.9.0." + stream,
+              "10.9.0." + stream + ":80",
+              "z",
+              "r",
+              1,
+              false,
+              0,
+              false,
+              version,
+              0,
+              0),
+          null,
+          now);
     }
 
     /** The newest configuration that a stream was given; 0 where none was. */
     long given(final Object stream) {
-      return views(stream).stream().filter(view -> view.spec != null).mapToLong(view -> view.version).max().orElse(0);
+      return views(stream).stream()
+          .filter(view -> view.spec != null)
+          .mapToLong(view -> view.version)
+          .max()
+          .orElse(0);
     }
   }
 
@@ -127,7 +181,9 @@
   List<String> evacuated = List.of();
   long evacuationMark;
   boolean framesDown;
-  private final PriorityQueue<Event> events = new PriorityQueue<>(java.util.Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          java.util.Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
   private long order;
 
   CoreNet(final int machines, final int voters) {
@@ -148,7 +204,9 @@
   }
 
   static byte[] spec(final long version) {
-    return Packing.deflate(("{\"version\":\"" + String.format("%08x", version) + "\",\"listeners\":[],\"pools\":[]}").getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    return Packing.deflate(
+        ("{\"version\":\"" + String.format("%08x", version) + "\",\"listeners\":[],\"pools\":[]}")
+            .getBytes(java.nio.charset.StandardCharsets.UTF_8));
   }
 
   static Registration upstream(final String id, final Stage stage, final long sequence) {
@@ -190,13 +248,17 @@
   }
 
   private void after(final Node node, final long millis, final Runnable action) {
-    events.add(new Event(now + millis, ++order, () -> {
-      if (node.frozen) {
-        node.heldUp.add(action);
-      } else {
-        action.run();
-      }
-    }));
+    events.add(
+        new Event(
+            now + millis,
+            ++order,
+            () -> {
+              if (node.frozen) {
+                node.heldUp.add(action);
+              } else {
+                action.run();
+              }
+            }));
   }
 
   private void send(final Node from, final String to, final Runnable action) {
@@ -209,13 +271,24 @@
     int count = 0;
     for (final Words.Voter voter : roster.voters) {
       final boolean runs = nodes.get(voter.address).life > 0 && !nodes.get(voter.address).frozen;
-      count += runs && (voter.address.equals(address) || passes(address, voter.address) && passes(voter.address, address)) ? 1 : 0;
+      count +=
+          runs
+                  && (voter.address.equals(address)
+                      || passes(address, voter.address) && passes(voter.address, address))
+              ? 1
+              : 0;
     }
     return !framesDown && count >= roster.majority();
   }
 
-  /** The frame of a machine answers where a majority confirms, as the frames do: at once with news, else after a while. */
-  private void answerCall(final String at, final Words.Call call, final java.util.function.Consumer<Words.Answer> reply) {
+  /**
+   * The frame of a machine answers where a majority confirms, as the frames do: at once with news,
+   * else after a while.
+   */
+  private void answerCall(
+      final String at,
+      final Words.Call call,
+      final java.util.function.Consumer<Words.Answer> reply) {
     if (Deed.of(call.deed) != Deed.CONTROL || !majority(at)) {
       return;
     }
@@ -230,7 +303,21 @@
   }
 
   private Words.Answer control(final Words.Call call) {
-    final Values.Control control = new Values.Control(version, version > call.first ? spec(version) : null, evacuated, evacuationMark, roster, List.of(), 0, null, List.of(), false, 0, null, null);
+    final Values.Control control =
+        new Values.Control(
+            version,
+            version > call.first ? spec(version) : null,
+            evacuated,
+            evacuationMark,
+            roster,
+            List.of(),
+            0,
+            null,
+            List.of(),
+            false,
+            0,
+            null,
+            null);
     return new Words.Answer(call.number, 200, version, Wire.bytes(control), null);
   }
 
@@ -267,13 +354,15 @@
         if (other.equals(node.address)) {
           continue;
         }
-        final boolean both = passes(node.address, other) && passes(other, node.address) && !nodes.get(other).frozen;
+        final boolean both =
+            passes(node.address, other) && passes(other, node.address) && !nodes.get(other).frozen;
         if (both) {
           node.silentSince.put(other, now);
           if (node.open.add(other)) {
             node.core.memberOpened(other, now);
           }
-        } else if (now - node.silentSince.getOrDefault(other, now) >= SILENCE_MILLIS && node.open.remove(other)) {
+        } else if (now - node.silentSince.getOrDefault(other, now) >= SILENCE_MILLIS
+            && node.open.remove(other)) {
           node.core.memberClosed(other, now);
           node.core.frameClosed(other, now);
         }
--- a/exchange/src/test/java/weldpoint/exchange/CutOffTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/CutOffTest.java
@@ -11,7 +11,10 @@
 import org.testng.annotations.Test;
 import weldpoint.trunk.Words;
 
-/** Exchanges that are cut off, restarted while cut off, frozen and thawed: none gives or acknowledges anything on its own authority. */
+/**
+ * Exchanges that are cut off, restarted while cut off, frozen and thawed: none gives or
+ * acknowledges anything on its own authority.
+ */
 public final class CutOffTest {
   @BeforeClass
   public void quiet() {
@@ -43,7 +46,10 @@
     for (int round = 0; round < 20; round++) {
       net.node(1).opens("1" + round, 0);
       net.pass(1000);
-      assertEquals(net.node(1).views("1" + round), List.of(), "an old configuration set a fresh switchboard going");
+      assertEquals(
+          net.node(1).views("1" + round),
+          List.of(),
+          "an old configuration set a fresh switchboard going");
     }
     net.cut.clear();
     net.pass(1000);
@@ -77,12 +83,14 @@
   }
 
   @Test
-  public void afterALossOfPowerAFreshSwitchboardGetsWhatWasAcknowledgedBeforeTheFramesHaveAMajority() {
+  public void
+      afterALossOfPowerAFreshSwitchboardGetsWhatWasAcknowledgedBeforeTheFramesHaveAMajority() {
     final CoreNet net = settled();
     net.cut(1, true, true);
     net.version = 7;
     net.pass(500);
-    final CompletableFuture<Void> acknowledged = net.node(2).core.spread(7, CoreNet.spec(7), net.now);
+    final CompletableFuture<Void> acknowledged =
+        net.node(2).core.spread(7, CoreNet.spec(7), net.now);
     net.pass(100);
     assertTrue(acknowledged.isDone() && !refused(acknowledged));
     net.framesDown = true;
@@ -109,7 +117,10 @@
     final CompletableFuture<Void> reached = net.node(2).core.spread(7, null, net.now);
     net.pass(1000);
     assertTrue(reached.isDone() && !refused(reached));
-    assertEquals(net.node(3).core.status(net.now).version(), "00000008", "an older number is acknowledged once the later one that holds is everywhere");
+    assertEquals(
+        net.node(3).core.status(net.now).version(),
+        "00000008",
+        "an older number is acknowledged once the later one that holds is everywhere");
   }
 
   @Test
@@ -138,14 +149,17 @@
     final CoreNet net = settled();
     net.node(1).core.beat(CoreNet.upstream("i", Stage.JOINED, 1), net.now);
     net.pass(100);
-    final CompletableFuture<Void> first = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> first =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(100);
     assertTrue(first.isDone() && !refused(first));
     net.cut(1, true, true);
-    final CompletableFuture<Void> again = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 3), net.now);
+    final CompletableFuture<Void> again =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 3), net.now);
     final CompletableFuture<Void> gone = net.node(1).core.deregister("i", 1, net.now);
     final CompletableFuture<Void> goneAgain = net.node(1).core.deregister("i", 1, net.now);
-    final CompletableFuture<Void> late = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> late =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(1000);
     for (final CompletableFuture<Void> future : List.of(again, gone, goneAgain, late)) {
       assertTrue(refused(future), "acknowledged without a majority since the question");
@@ -158,7 +172,8 @@
     net.node(1).core.beat(CoreNet.upstream("i", Stage.JOINED, 1), net.now);
     net.pass(100);
     net.cut(1, true, true);
-    final CompletableFuture<Void> drained = net.node(2).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> drained =
+        net.node(2).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(100);
     assertTrue(drained.isDone() && !refused(drained));
     net.framesDown = true;
@@ -168,14 +183,16 @@
     }
     net.node(1).opens("1", 0);
     net.pass(500);
-    final List<Words.Registration> given = new ArrayList<>(Buckets.unpack(net.node(1).views("1").get(0).packed));
+    final List<Words.Registration> given =
+        new ArrayList<>(Buckets.unpack(net.node(1).views("1").get(0).packed));
     assertEquals(given.stream().map(one -> Stage.of(one)).toList(), List.of(Stage.DRAINING));
   }
 
   @Test
   public void aThawedExchangeAcknowledgesNothingThatItsDeadlineHasPassedFor() {
     final CoreNet net = settled();
-    final CompletableFuture<Void> drained = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> drained =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(3);
     net.freeze(1);
     net.pass(5000);
@@ -190,7 +207,8 @@
     net.cut(4, true, true);
     net.cut(5, true, true);
     net.node(1).core.beat(CoreNet.upstream("i", Stage.JOINED, 1), net.now);
-    final CompletableFuture<Void> drained = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> drained =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(100);
     assertTrue(drained.isDone() && !refused(drained));
     net.framesDown = true;
@@ -200,11 +218,18 @@
     net.restart(3, false);
     net.node(4).opens("4", 0);
     net.pass(9000);
-    assertEquals(net.node(4).views("4"), List.of(), "3 lost its disk, 1 and 2 are away: 4 and 5 cannot know");
+    assertEquals(
+        net.node(4).views("4"),
+        List.of(),
+        "3 lost its disk, 1 and 2 are away: 4 and 5 cannot know");
     net.cut.clear();
     net.cut(1, true, true);
     net.pass(6000);
-    assertEquals(Buckets.unpack(net.node(4).views("4").get(0).packed).stream().map(one -> Stage.of(one)).toList(), List.of(Stage.DRAINING));
+    assertEquals(
+        Buckets.unpack(net.node(4).views("4").get(0).packed).stream()
+            .map(one -> Stage.of(one))
+            .toList(),
+        List.of(Stage.DRAINING));
     net.cut(2, true, true);
     net.node(5).opens("5", 0);
     net.pass(1000);
@@ -220,22 +245,32 @@
     net.cut(6, true, true);
     net.cut(4, true, true);
     net.cut(5, true, true);
-    final CompletableFuture<Void> drained = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> drained =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(100);
     assertTrue(drained.isDone() && !refused(drained));
     net.framesDown = true;
-    net.roster = CoreNet.roster(3, List.of("10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6"));
+    net.roster =
+        CoreNet.roster(3, List.of("10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6"));
     net.cut.clear();
     net.cut(1, true, true);
     net.cut(2, true, true);
     net.cut(3, true, true);
     for (int index = 4; index <= 6; index++) {
-      net.node(index).core.receive("10.0.0.9", new Words.StateHeld(0, net.roster, false, 0, 0, null, null, 0, null, 0, null, 0), ignored -> {
-      }, net.now);
+      net.node(index)
+          .core
+          .receive(
+              "10.0.0.9",
+              new Words.StateHeld(0, net.roster, false, 0, 0, null, null, 0, null, 0, null, 0),
+              ignored -> {},
+              net.now);
     }
     net.node(5).opens("5", 0);
     net.pass(9000);
-    assertEquals(net.node(5).views("5"), List.of(), "4, 5 and the newcomer are a majority, but none of them has what 1, 2 and 3 acknowledged");
+    assertEquals(
+        net.node(5).views("5"),
+        List.of(),
+        "4, 5 and the newcomer are a majority, but none of them has what 1, 2 and 3 acknowledged");
     net.cut.clear();
     net.pass(5000);
     assertTrue(net.node(5).views("5").size() > 0);
@@ -251,11 +286,15 @@
     net.cut(4, true, true);
     net.roster = CoreNet.roster(2, List.of("10.0.0.1", "10.0.0.5", "10.0.0.6"));
     net.pass(800);
-    final CompletableFuture<Void> drained = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> drained =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(1000);
-    assertTrue(refused(drained), "1, 5 and 6 are a majority of the new roster, but 2, 3 and 4 may not know of it yet");
+    assertTrue(
+        refused(drained),
+        "1, 5 and 6 are a majority of the new roster, but 2, 3 and 4 may not know of it yet");
     net.pass(3000);
-    final CompletableFuture<Void> later = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 3), net.now);
+    final CompletableFuture<Void> later =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 3), net.now);
     net.pass(1000);
     assertTrue(later.isDone() && !refused(later));
   }
@@ -268,7 +307,9 @@
     }
     net.framesDown = true;
     net.pass(5000);
-    assertFalse(net.node(1).core.cutOff(net.now), "the duty is vacant, but the voters are there: calls wait as they do");
+    assertFalse(
+        net.node(1).core.cutOff(net.now),
+        "the duty is vacant, but the voters are there: calls wait as they do");
     net.framesDown = false;
     net.pass(2000);
     for (final boolean[] ways : new boolean[][] {{true, true}, {true, false}, {false, true}}) {
@@ -303,7 +344,10 @@
     assertEquals(net.node(1).core.authority(net.now), null);
   }
 
-  /** All lose power; two that start a little later open a stream at the first exchange when its first read is done. */
+  /**
+   * All lose power; two that start a little later open a stream at the first exchange when its
+   * first read is done.
+   */
   private static CoreNet restarted(final java.util.function.Consumer<CoreNet.Node> judges) {
     final CoreNet net = settled();
     net.framesDown = true;
@@ -352,20 +396,28 @@
 
   @Test
   public void aLeaseThatIsTakenForLongerThanItWasGivenIsCaught() {
-    final CoreNet net = restarted(node -> node.core.judges(new Quorums(), new QuorumReads(node.address) {
-      @Override
-      long leasedUntil(final Words.Roster roster) {
-        return super.leasedUntil(roster) + 10_000;
-      }
-    }, new Authority(node.address, (to, message) -> {
-    })));
+    final CoreNet net =
+        restarted(
+            node ->
+                node.core.judges(
+                    new Quorums(),
+                    new QuorumReads(node.address) {
+                      @Override
+                      long leasedUntil(final Words.Roster roster) {
+                        return super.leasedUntil(roster) + 10_000;
+                      }
+                    },
+                    new Authority(node.address, (to, message) -> {})));
     net.cut(1, true, true);
     final CompletableFuture<Void> spread = net.node(2).core.spread(7, CoreNet.spec(7), net.now);
     net.pass(880);
     assertTrue(spread.isDone() && !refused(spread));
     net.node(1).opens("3", 0);
     net.pass(100);
-    assertEquals(net.node(1).given("3"), 6, "the broken variant gives the old configuration after the new one was acknowledged");
+    assertEquals(
+        net.node(1).given("3"),
+        6,
+        "the broken variant gives the old configuration after the new one was acknowledged");
   }
 
   private static CoreNet broken(final java.util.function.Consumer<CoreNet.Node> judges) {
@@ -380,30 +432,46 @@
 
   @Test
   public void aReadThatCountsOnItselfAloneIsCaught() {
-    final CoreNet net = broken(node -> node.core.judges(new Quorums(), new QuorumReads(node.address) {
-      @Override
-      boolean complete(final Words.Roster roster, final boolean whole) {
-        return super.complete(new Words.Roster(1, List.of(new Words.Voter(node.address, "", "", List.of()))), whole);
-      }
-    }, new Authority(node.address, (to, message) -> {
-    })));
+    final CoreNet net =
+        broken(
+            node ->
+                node.core.judges(
+                    new Quorums(),
+                    new QuorumReads(node.address) {
+                      @Override
+                      boolean complete(final Words.Roster roster, final boolean whole) {
+                        return super.complete(
+                            new Words.Roster(
+                                1, List.of(new Words.Voter(node.address, "", "", List.of()))),
+                            whole);
+                      }
+                    },
+                    new Authority(node.address, (to, message) -> {})));
     net.cut(1, true, true);
     net.restart(1, true);
     net.version = 7;
     net.node(1).opens("1", 0);
     net.pass(1000);
-    assertEquals(net.node(1).given("1"), 6, "the broken variant gives the old configuration; the test above would fail");
+    assertEquals(
+        net.node(1).given("1"),
+        6,
+        "the broken variant gives the old configuration; the test above would fail");
   }
 
   @Test
   public void aReadDoneBeforeTheQuestionCameIsCaught() {
-    final CoreNet net = broken(node -> node.core.judges(new Quorums(), new QuorumReads(node.address) {
-      @Override
-      long next() {
-        return Math.min(super.next(), Math.max(1, done()));
-      }
-    }, new Authority(node.address, (to, message) -> {
-    })));
+    final CoreNet net =
+        broken(
+            node ->
+                node.core.judges(
+                    new Quorums(),
+                    new QuorumReads(node.address) {
+                      @Override
+                      long next() {
+                        return Math.min(super.next(), Math.max(1, done()));
+                      }
+                    },
+                    new Authority(node.address, (to, message) -> {})));
     net.node(1).opens("0", 0);
     net.pass(1000);
     net.cut(1, true, true);
@@ -415,19 +483,32 @@
 
   @Test
   public void anAcknowledgementCountedAfterThawingIsCaught() {
-    final CoreNet net = broken(node -> node.core.judges(new Quorums() {
-      @Override
-      void kept(final String from, final long key, final Words.Roster roster, final Words.Roster before, final long now) {
-        super.kept(from, key, roster, before, Long.MIN_VALUE);
-      }
-    }, new QuorumReads(node.address), new Authority(node.address, (to, message) -> {
-    })));
-    final CompletableFuture<Void> drained = net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
+    final CoreNet net =
+        broken(
+            node ->
+                node.core.judges(
+                    new Quorums() {
+                      @Override
+                      void kept(
+                          final String from,
+                          final long key,
+                          final Words.Roster roster,
+                          final Words.Roster before,
+                          final long now) {
+                        super.kept(from, key, roster, before, Long.MIN_VALUE);
+                      }
+                    },
+                    new QuorumReads(node.address),
+                    new Authority(node.address, (to, message) -> {})));
+    final CompletableFuture<Void> drained =
+        net.node(1).core.beat(CoreNet.upstream("i", Stage.DRAINING, 2), net.now);
     net.pass(3);
     net.freeze(1);
     net.pass(5000);
     net.thaw(1);
     net.pass(1000);
-    assertFalse(refused(drained), "the broken variant acknowledges with answers that waited out the freeze");
+    assertFalse(
+        refused(drained),
+        "the broken variant acknowledges with answers that waited out the freeze");
   }
 }
--- a/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
@@ -31,40 +31,58 @@
     Net() {
       for (final String address : SEEDS) {
         syncs.put(address, new ArrayList<>());
-        cores.put(address, new ExchangeCore(address, SEEDS, true, 1500, new Random(address.hashCode()), new ExchangeCore.Outlet() {
-          @Override
-          public boolean member(final String to, final Message message) {
-            if (down.contains(to) || down.contains(address) || !cores.containsKey(to)) {
-              return false;
-            }
-            queue.add(() -> cores.get(to).receive(address, message, answer -> queue.add(() -> cores.get(address).receive(to, answer, ignored -> {
-            }, now)), now));
-            return true;
-          }
-
-          @Override
-          public String disk() {
-            return "disk 1536 KB of " + address;
-          }
-
-          @Override
-          public boolean frame(final String to, final Words.Call call) {
-            return false;
-          }
-
-          @Override
-          public void board(final Object stream, final Message message) {
-          }
-
-          @Override
-          public void append(final byte[] record, final Runnable synced) {
-            syncs.get(address).add(synced);
-          }
-
-          @Override
-          public void peers(final List<String> members) {
-          }
-        }));
+        cores.put(
+            address,
+            new ExchangeCore(
+                address,
+                SEEDS,
+                true,
+                1500,
+                new Random(address.hashCode()),
+                new ExchangeCore.Outlet() {
+                  @Override
+                  public boolean member(final String to, final Message message) {
+                    if (down.contains(to) || down.contains(address) || !cores.containsKey(to)) {
+                      return false;
+                    }
+                    queue.add(
+                        () ->
+                            cores
+                                .get(to)
+                                .receive(
+                                    address,
+                                    message,
+                                    answer ->
+                                        queue.add(
+                                            () ->
+                                                cores
+                                                    .get(address)
+                                                    .receive(to, answer, ignored -> {}, now)),
+                                    now));
+                    return true;
+                  }
+
+                  @Override
+                  public String disk() {
+                    return "disk 1536 KB of " + address;
+                  }
+
+                  @Override
+                  public boolean frame(final String to, final Words.Call call) {
+                    return false;
+                  }
+
+                  @Override
+                  public void board(final Object stream, final Message message) {}
+
+                  @Override
+                  public void append(final byte[] record, final Runnable synced) {
+                    syncs.get(address).add(synced);
+                  }
+
+                  @Override
+                  public void peers(final List<String> members) {}
+                }));
       }
       final List<Words.Voter> voters = new ArrayList<>();
       for (final String seed : SEEDS) {
@@ -89,11 +107,12 @@
     void pass(final long millis) {
       for (long step = 0; step < millis; step += 100) {
         now += 100;
-        cores.forEach((address, core) -> {
-          if (!down.contains(address)) {
-            core.tick(now);
-          }
-        });
+        cores.forEach(
+            (address, core) -> {
+              if (!down.contains(address)) {
+                core.tick(now);
+              }
+            });
         talk();
         SEEDS.forEach(this::sync);
         talk();
@@ -101,7 +120,8 @@
     }
   }
 
-  private static Registration beat(final String id, final String address, final Stage stage, final long sequence) {
+  private static Registration beat(
+      final String id, final String address, final Stage stage, final long sequence) {
     return new Registration(id, "s", address, "z", "v", 4, stage.ordinal(), sequence, 1, 0);
   }
 
@@ -117,7 +137,8 @@
     final ExchangeCore first = net.cores.get(SEEDS.get(0));
     first.beat(beat("i", "10.9.0.1:80", Stage.JOINED, 1), net.now);
     net.pass(200);
-    final CompletableFuture<Void> done = first.beat(beat("i", "10.9.0.1:80", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> done =
+        first.beat(beat("i", "10.9.0.1:80", Stage.DRAINING, 2), net.now);
     net.talk();
     net.sync(SEEDS.get(0));
     net.talk();
@@ -132,7 +153,8 @@
     final Net net = new Net();
     net.down.add(SEEDS.get(1));
     net.down.add(SEEDS.get(2));
-    final CompletableFuture<Void> done = net.cores.get(SEEDS.get(0)).beat(beat("i", "10.9.0.1:80", Stage.DRAINING, 2), net.now);
+    final CompletableFuture<Void> done =
+        net.cores.get(SEEDS.get(0)).beat(beat("i", "10.9.0.1:80", Stage.DRAINING, 2), net.now);
     net.pass(1500);
     assertTrue(done.isCompletedExceptionally());
   }
@@ -178,31 +200,37 @@
     net.pass(300);
     for (final ExchangeCore core : net.cores.values()) {
       assertTrue(core.counters().endsWith("spec 7"), core.counters());
-      final ExchangeCore again = new ExchangeCore("10.0.0.9", SEEDS, false, 1500, new Random(1), new ExchangeCore.Outlet() {
-        @Override
-        public boolean member(final String to, final Message message) {
-          return false;
-        }
-
-        @Override
-        public boolean frame(final String to, final Words.Call call) {
-          return false;
-        }
-
-        @Override
-        public void board(final Object stream, final Message message) {
-        }
-
-        @Override
-        public void append(final byte[] record, final Runnable synced) {
-        }
-
-        @Override
-        public void peers(final List<String> members) {
-        }
-      });
+      final ExchangeCore again =
+          new ExchangeCore(
+              "10.0.0.9",
+              SEEDS,
+              false,
+              1500,
+              new Random(1),
+              new ExchangeCore.Outlet() {
+                @Override
+                public boolean member(final String to, final Message message) {
+                  return false;
+                }
+
+                @Override
+                public boolean frame(final String to, final Words.Call call) {
+                  return false;
+                }
+
+                @Override
+                public void board(final Object stream, final Message message) {}
+
+                @Override
+                public void append(final byte[] record, final Runnable synced) {}
+
+                @Override
+                public void peers(final List<String> members) {}
+              });
       again.start(core.view(), net.now);
-      assertTrue(again.counters().endsWith("spec 7"), "it is not there after a restart: " + again.counters());
+      assertTrue(
+          again.counters().endsWith("spec 7"),
+          "it is not there after a restart: " + again.counters());
     }
   }
 
--- a/exchange/src/test/java/weldpoint/exchange/HistoryDeskTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/HistoryDeskTest.java
@@ -20,7 +20,10 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** Reading the history at one replica: complete only when a majority said how far it goes and all of that is here. */
+/**
+ * Reading the history at one replica: complete only when a majority said how far it goes and all of
+ * that is here.
+ */
 public final class HistoryDeskTest {
   private static final long WALL = 1_800_000_000_000L;
 
@@ -28,31 +31,62 @@
     final List<byte[]> entries = new ArrayList<>();
     String digest = AuditEntry.NO_DIGEST;
     for (int sequence = 1; sequence <= count; sequence++) {
-      final byte[] bytes = new AuditEntry.Draft(ChangeKind.EVACUATION_BEGUN, "zone-" + sequence % 3).number(0, sequence).origin(sequence % 2 == 0 ? "even" : "odd", "", "", WALL - 1000 * (count - sequence)).bytes(sequence, digest);
+      final byte[] bytes =
+          new AuditEntry.Draft(ChangeKind.EVACUATION_BEGUN, "zone-" + sequence % 3)
+              .number(0, sequence)
+              .origin(sequence % 2 == 0 ? "even" : "odd", "", "", WALL - 1000 * (count - sequence))
+              .bytes(sequence, digest);
       digest = AuditEntry.digest(bytes);
       entries.add(bytes);
     }
     return entries;
   }
 
-  private static Values.HistoryPart part(final List<byte[]> all, final long base, final long last, final long from, final boolean blank) {
-    return new Values.HistoryPart(base, last, last == 0 ? "" : AuditEntry.digest(all.get((int) last - 1)), 0, blank, from, all.subList((int) from - 1, (int) last));
+  private static Values.HistoryPart part(
+      final List<byte[]> all,
+      final long base,
+      final long last,
+      final long from,
+      final boolean blank) {
+    return new Values.HistoryPart(
+        base,
+        last,
+        last == 0 ? "" : AuditEntry.digest(all.get((int) last - 1)),
+        0,
+        blank,
+        from,
+        all.subList((int) from - 1, (int) last));
   }
 
-  private static Calls.HistoryQuery query(final Long from, final Long to, final String since, final String until, final String author) {
+  private static Calls.HistoryQuery query(
+      final Long from, final Long to, final String since, final String until, final String author) {
     return new Calls.HistoryQuery(from, to, since, until, null, author, null);
   }
 
-  private static Calls.HistoryAnswer answer(final Calls.HistoryQuery query, final Values.HistoryPart part, final boolean known, final long head, final List<byte[]> all) {
-    return HistoryDesk.answer("10.0.0.1", HistoryDesk.Range.of(query, WALL), query, part, known, head, head == 0 ? "" : AuditEntry.digest(all.get((int) head - 1)));
+  private static Calls.HistoryAnswer answer(
+      final Calls.HistoryQuery query,
+      final Values.HistoryPart part,
+      final boolean known,
+      final long head,
+      final List<byte[]> all) {
+    return HistoryDesk.answer(
+        "10.0.0.1",
+        HistoryDesk.Range.of(query, WALL),
+        query,
+        part,
+        known,
+        head,
+        head == 0 ? "" : AuditEntry.digest(all.get((int) head - 1)));
   }
 
   @Test
   public void theSameRangeGivesTheSameBytesFromAnyReplica() {
     final List<byte[]> all = chain(9);
     final Calls.HistoryQuery query = query(null, null, null, null, null);
-    final String ahead = Calls.HISTORY.toJson(answer(query, part(all, 0, 9, 1, false), true, 7, all));
-    final String exact = Calls.HISTORY.toJson(answer(query, part(all, 0, 7, 1, false), true, 7, all));
+    final String ahead =
+        Calls.HISTORY.toJson(answer(query, part(all, 0, 9, 1, false), true, 7, all));
+    final String exact =
+        Calls.HISTORY.toJson(answer(query, part(all, 0, 7, 1, false), true, 7, all));
     assertEquals(ahead, exact);
     assertTrue(answer(query, part(all, 0, 7, 1, false), true, 7, all).complete());
   }
@@ -70,21 +104,40 @@
     final Calls.HistoryAnswer alone = answer(query, part(all, 0, 9, 1, false), false, 0, all);
     assertFalse(alone.complete());
     assertTrue(alone.problem().contains("up to entry 9"), alone.problem());
-    assertFalse(HistoryDesk.answer("10.0.0.1", HistoryDesk.Range.of(query, WALL), query, part(all, 0, 9, 1, false), true, 9, "another").complete());
-    assertFalse(HistoryDesk.answer("10.0.0.1", HistoryDesk.Range.of(query, WALL), query, null, true, 9, "x").complete());
+    assertFalse(
+        HistoryDesk.answer(
+                "10.0.0.1",
+                HistoryDesk.Range.of(query, WALL),
+                query,
+                part(all, 0, 9, 1, false),
+                true,
+                9,
+                "another")
+            .complete());
+    assertFalse(
+        HistoryDesk.answer("10.0.0.1", HistoryDesk.Range.of(query, WALL), query, null, true, 9, "x")
+            .complete());
   }
 
   @DataProvider
   public Object[][] badRanges() {
     return new Object[][] {
-        {query(5L, 2L, null, null, null), "reversed"}, {query(-1L, 2L, null, null, null), "count entries from 1"}, {query(null, null, "2026-02-01T00:00:00Z", "2026-01-01T00:00:00Z", null), "reversed"},
-        {query(null, null, "yesterday", null, null), "write it as"}, {query(null, null, "2090-01-01T00:00:00Z", null, null), "future"}, {query(12L, null, null, null, null), "future"}, {query(3L, null, null, null, null), "trimmed"}};
+      {query(5L, 2L, null, null, null), "reversed"},
+      {query(-1L, 2L, null, null, null), "count entries from 1"},
+      {query(null, null, "2026-02-01T00:00:00Z", "2026-01-01T00:00:00Z", null), "reversed"},
+      {query(null, null, "yesterday", null, null), "write it as"},
+      {query(null, null, "2090-01-01T00:00:00Z", null, null), "future"},
+      {query(12L, null, null, null, null), "future"},
+      {query(3L, null, null, null, null), "trimmed"}
+    };
   }
 
   @Test(dataProvider = "badRanges")
-  public void aRangeThatIsTrimmedReversedOrInTheFutureIsRefused(final Calls.HistoryQuery query, final String reason) {
+  public void aRangeThatIsTrimmedReversedOrInTheFutureIsRefused(
+      final Calls.HistoryQuery query, final String reason) {
     final List<byte[]> all = chain(9);
-    final Breakdown breakdown = expectThrows(Breakdown.class, () -> answer(query, part(all, 4, 9, 5, false), true, 9, all));
+    final Breakdown breakdown =
+        expectThrows(Breakdown.class, () -> answer(query, part(all, 4, 9, 5, false), true, 9, all));
     assertEquals(breakdown.kind().status(), 400);
     assertTrue(breakdown.getMessage().contains(reason), breakdown.getMessage());
   }
@@ -92,9 +145,29 @@
   @Test
   public void authorsTimesAndPagesNarrowIt() {
     final List<byte[]> all = chain(9);
-    assertEquals(answer(query(null, null, null, null, "even"), part(all, 0, 9, 1, false), true, 9, all).entries().size(), 4);
-    assertEquals(answer(query(null, null, java.time.Instant.ofEpochMilli(WALL - 2000).toString(), null, null), part(all, 0, 9, 1, false), true, 9, all).entries().size(), 3);
-    final Calls.HistoryAnswer page = answer(query(2L, 8L, null, null, null), new Values.HistoryPart(0, 9, "", 0, false, 2, all.subList(1, 4)), true, 9, all);
+    assertEquals(
+        answer(query(null, null, null, null, "even"), part(all, 0, 9, 1, false), true, 9, all)
+            .entries()
+            .size(),
+        4);
+    assertEquals(
+        answer(
+                query(
+                    null, null, java.time.Instant.ofEpochMilli(WALL - 2000).toString(), null, null),
+                part(all, 0, 9, 1, false),
+                true,
+                9,
+                all)
+            .entries()
+            .size(),
+        3);
+    final Calls.HistoryAnswer page =
+        answer(
+            query(2L, 8L, null, null, null),
+            new Values.HistoryPart(0, 9, "", 0, false, 2, all.subList(1, 4)),
+            true,
+            9,
+            all);
     assertEquals(page.entries().size(), 3);
     assertEquals(page.next(), 5);
   }
@@ -102,10 +175,14 @@
   private static final class Frames {
     private final List<Words.Call> heads = new ArrayList<>();
     private final List<Words.Call> reads = new ArrayList<>();
-    private final StoreCaller store = new StoreCaller("10.0.0.1", new Random(1), (to, call) -> {
-      (Deed.of(call.deed) == Deed.HISTORY_HEAD ? heads : reads).add(call);
-      return true;
-    });
+    private final StoreCaller store =
+        new StoreCaller(
+            "10.0.0.1",
+            new Random(1),
+            (to, call) -> {
+              (Deed.of(call.deed) == Deed.HISTORY_HEAD ? heads : reads).add(call);
+              return true;
+            });
   }
 
   @Test
@@ -113,26 +190,63 @@
     final List<byte[]> all = chain(6);
     final Frames frames = new Frames();
     final HistoryDesk desk = new HistoryDesk("10.0.0.1", frames.store);
-    final CompletableFuture<Calls.HistoryAnswer> future = desk.read(query(null, null, null, null, null), WALL, 1000);
+    final CompletableFuture<Calls.HistoryAnswer> future =
+        desk.read(query(null, null, null, null, null), WALL, 1000);
     assertEquals(frames.reads.size(), 0);
-    frames.store.answered("10.0.0.1", new Words.Answer(frames.heads.get(0).number, 200, 6, AuditEntry.digest(all.get(5)).getBytes(StandardCharsets.UTF_8), null).to(frames.heads.get(0).caller), 1010);
-    frames.store.answered("10.0.0.1", new Words.Answer(frames.reads.get(0).number, 200, 4, Wire.bytes(part(all, 0, 4, 1, false)), null).to(frames.reads.get(0).caller), 1020);
+    frames.store.answered(
+        "10.0.0.1",
+        new Words.Answer(
+                frames.heads.get(0).number,
+                200,
+                6,
+                AuditEntry.digest(all.get(5)).getBytes(StandardCharsets.UTF_8),
+                null)
+            .to(frames.heads.get(0).caller),
+        1010);
+    frames.store.answered(
+        "10.0.0.1",
+        new Words.Answer(
+                frames.reads.get(0).number, 200, 4, Wire.bytes(part(all, 0, 4, 1, false)), null)
+            .to(frames.reads.get(0).caller),
+        1020);
     assertFalse(future.isDone());
     desk.tick(1200);
-    frames.store.answered("10.0.0.1", new Words.Answer(frames.reads.get(1).number, 200, 6, Wire.bytes(part(all, 0, 6, 1, false)), null).to(frames.reads.get(1).caller), 1210);
+    frames.store.answered(
+        "10.0.0.1",
+        new Words.Answer(
+                frames.reads.get(1).number, 200, 6, Wire.bytes(part(all, 0, 6, 1, false)), null)
+            .to(frames.reads.get(1).caller),
+        1210);
     assertTrue(future.join().complete());
     assertEquals(future.join().entries().size(), 6);
   }
 
   @Test
   public void whoHasNotBeenHeardOfIsNeverGuessed() {
-    final byte[] bytes = new AuditEntry.Draft(ChangeKind.CONFIGURATION, "").number(8, 0).origin("me", "", "", WALL).bytes(1, "");
-    final Calls.HistoryAnswer found = new Calls.HistoryAnswer(true, null, 1, 1, "", 0, List.of(HistoryDesk.json(AuditEntry.read(bytes), bytes)));
-    final Calls.ReachAnswer reach = HistoryDesk.reach(found, AuditEntry.read(bytes), List.of(
-        new ExchangeCore.InForce("10.0.0.2", "switchboard", 8, 0, 500, 100), new ExchangeCore.InForce("10.0.0.3", "switchboard", 7, 0, 9000, 100),
-        new ExchangeCore.InForce("10.0.0.4", "switchboard", 9, 0, 500, 20_000), new ExchangeCore.InForce("10.0.0.5", "exchange", 0, 0, 0, Long.MAX_VALUE), new ExchangeCore.InForce("10.0.0.6", "switchboard", 9, 0, 50, 10)), WALL);
-    assertEquals(reach.daemons().stream().map(Calls.DaemonReach::state).toList(), List.of("UNHEARD", "IN_FORCE", "NOT_YET", "UNHEARD", "IN_FORCE"));
-    assertEquals(reach.daemons().get(1).since(), java.time.Instant.ofEpochMilli(WALL - 600).toString());
+    final byte[] bytes =
+        new AuditEntry.Draft(ChangeKind.CONFIGURATION, "")
+            .number(8, 0)
+            .origin("me", "", "", WALL)
+            .bytes(1, "");
+    final Calls.HistoryAnswer found =
+        new Calls.HistoryAnswer(
+            true, null, 1, 1, "", 0, List.of(HistoryDesk.json(AuditEntry.read(bytes), bytes)));
+    final Calls.ReachAnswer reach =
+        HistoryDesk.reach(
+            found,
+            AuditEntry.read(bytes),
+            List.of(
+                new ExchangeCore.InForce("10.0.0.2", "switchboard", 8, 0, 500, 100),
+                new ExchangeCore.InForce("10.0.0.3", "switchboard", 7, 0, 9000, 100),
+                new ExchangeCore.InForce("10.0.0.4", "switchboard", 9, 0, 500, 20_000),
+                new ExchangeCore.InForce("10.0.0.5", "exchange", 0, 0, 0, Long.MAX_VALUE),
+                new ExchangeCore.InForce("10.0.0.6", "switchboard", 9, 0, 50, 10)),
+            WALL);
+    assertEquals(
+        reach.daemons().stream().map(Calls.DaemonReach::state).toList(),
+        List.of("UNHEARD", "IN_FORCE", "NOT_YET", "UNHEARD", "IN_FORCE"));
+    assertEquals(
+        reach.daemons().get(1).since(), java.time.Instant.ofEpochMilli(WALL - 600).toString());
     assertTrue(reach.daemons().get(4).note().contains("a later change"));
   }
 }
--- a/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
@@ -20,7 +20,10 @@
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Registration;
 
-/** What an exchange tells at hundreds of switchboards and upstreams: little while nothing differs, and only what differs otherwise. */
+/**
+ * What an exchange tells at hundreds of switchboards and upstreams: little while nothing differs,
+ * and only what differs otherwise.
+ */
 public final class LargeFleetTest {
   private static final int UPSTREAMS = 300;
   private static final int BOARDS = 400;
@@ -31,35 +34,48 @@
     long now = 100_000;
 
     ExchangeCore exchange(final String self, final int upstreams) {
-      final ExchangeCore core = new ExchangeCore(self, List.of("10.0.0.1", "10.0.0.2"), false, 1500, new Random(1), new ExchangeCore.Outlet() {
-        @Override
-        public boolean member(final String to, final Message message) {
-          members.computeIfAbsent(to, key -> new ArrayList<>()).add(message);
-          return true;
-        }
-
-        @Override
-        public boolean frame(final String to, final Words.Call call) {
-          return false;
-        }
-
-        @Override
-        public void board(final Object stream, final Message message) {
-          boards.computeIfAbsent(stream, key -> new ArrayList<>()).add(message);
-        }
-
-        @Override
-        public void append(final byte[] record, final Runnable synced) {
-          synced.run();
-        }
-
-        @Override
-        public void peers(final List<String> addresses) {
-        }
-      });
+      final ExchangeCore core =
+          new ExchangeCore(
+              self,
+              List.of("10.0.0.1", "10.0.0.2"),
+              false,
+              1500,
+              new Random(1),
+              new ExchangeCore.Outlet() {
+                @Override
+                public boolean member(final String to, final Message message) {
+                  members.computeIfAbsent(to, key -> new ArrayList<>()).add(message);
+                  return true;
+                }
+
+                @Override
+                public boolean frame(final String to, final Words.Call call) {
+                  return false;
+                }
+
+                @Override
+                public void board(final Object stream, final Message message) {
+                  boards.computeIfAbsent(stream, key -> new ArrayList<>()).add(message);
+                }
+
+                @Override
+                public void append(final byte[] record, final Runnable synced) {
+                  synced.run();
+                }
+
+                @Override
+                public void peers(final List<String> addresses) {}
+              });
       core.place("a", "north");
-      final byte[] spec = Packing.deflate("{\"version\":\"00000001\",\"listeners\":[],\"pools\":[]}".getBytes(StandardCharsets.UTF_8));
-      core.start(List.of(Wire.bytes(new Remembered(upstreams(upstreams), null, 1, spec, List.of(), 0, null, 0))), now);
+      final byte[] spec =
+          Packing.deflate(
+              "{\"version\":\"00000001\",\"listeners\":[],\"pools\":[]}"
+                  .getBytes(StandardCharsets.UTF_8));
+      core.start(
+          List.of(
+              Wire.bytes(
+                  new Remembered(upstreams(upstreams), null, 1, spec, List.of(), 0, null, 0))),
+          now);
       return core;
     }
   }
@@ -72,13 +88,35 @@
   private static List<Registration> upstreams(final int count) {
     final List<Registration> list = new ArrayList<>();
     for (int index = 0; index < count; index++) {
-      list.add(new Registration("i-" + Integer.toHexString(index * 77_777_777), "service-" + index % 3, "10." + index % 8 + ".64." + index % 200 + ":8129", "zone-" + index % 8, "v1", 4, 0, 1 + index, 1_800_000_000_000L + index, 0));
+      list.add(
+          new Registration(
+              "i-" + Integer.toHexString(index * 77_777_777),
+              "service-" + index % 3,
+              "10." + index % 8 + ".64." + index % 200 + ":8129",
+              "zone-" + index % 8,
+              "v1",
+              4,
+              0,
+              1 + index,
+              1_800_000_000_000L + index,
+              0));
     }
     return list;
   }
 
   private static Words.Board board(final int index) {
-    return new Words.Board("10." + index % 8 + ".0." + index, "10." + index % 8 + ".0." + index + ":8161", "zone-" + index % 8, "north", 1000 + index, false, 0, false, 1, 0, 0);
+    return new Words.Board(
+        "10." + index % 8 + ".0." + index,
+        "10." + index % 8 + ".0." + index + ":8161",
+        "zone-" + index % 8,
+        "north",
+        1000 + index,
+        false,
+        0,
+        false,
+        1,
+        0,
+        0);
   }
 
   @Test
@@ -95,7 +133,9 @@
       assertSame(view, first, "one view for all");
       assertTrue(messages.size() <= 3, messages.size() + " messages to one switchboard");
     }
-    assertTrue(Wire.bytes(first).length < 45 * UPSTREAMS, "a whole view of " + Wire.bytes(first).length + " bytes");
+    assertTrue(
+        Wire.bytes(first).length < 45 * UPSTREAMS,
+        "a whole view of " + Wire.bytes(first).length + " bytes");
   }
 
   @Test
@@ -115,7 +155,19 @@
     }
     assertTrue(bytes < 60L * BOARDS, bytes + " bytes for " + BOARDS + " switchboards");
     final Registration gone = had.get(7);
-    had.set(7, new Registration(gone.id, gone.service, gone.address, gone.site, gone.software, gone.capacity, Stage.DRAINING.ordinal(), 99, gone.issued, 0));
+    had.set(
+        7,
+        new Registration(
+            gone.id,
+            gone.service,
+            gone.address,
+            gone.site,
+            gone.software,
+            gone.capacity,
+            Stage.DRAINING.ordinal(),
+            99,
+            gone.issued,
+            0));
     core.boardState("late", board(BOARDS), Buckets.digests(had, false), told.now);
     final Words.View view = (Words.View) told.boards.get("late").get(0);
     final List<Registration> given = Buckets.unpack(view.packed);
@@ -123,22 +175,36 @@
     assertTrue(given.stream().anyMatch(one -> one.id.equals(gone.id)));
   }
 
-  private static void meet(final Told[] told, final ExchangeCore[] cores, final int from, final Message message, final long[] bytes) {
+  private static void meet(
+      final Told[] told,
+      final ExchangeCore[] cores,
+      final int from,
+      final Message message,
+      final long[] bytes) {
     bytes[0] += Wire.bytes(message).length;
-    cores[1 - from].receive("10.0.0." + (1 + from), (Message) Wire.value(Wire.bytes(message), message.getClass()), answer -> meet(told, cores, 1 - from, answer, bytes), told[0].now);
+    cores[1 - from].receive(
+        "10.0.0." + (1 + from),
+        (Message) Wire.value(Wire.bytes(message), message.getClass()),
+        answer -> meet(told, cores, 1 - from, answer, bytes),
+        told[0].now);
   }
 
   private static Message gossip(final Told told, final ExchangeCore core, final String to) {
     told.members.clear();
     told.now += 1000;
     core.tick(told.now);
-    return told.members.get(to).stream().filter(message -> message instanceof Words.Gossip).findFirst().orElseThrow();
+    return told.members.get(to).stream()
+        .filter(message -> message instanceof Words.Gossip)
+        .findFirst()
+        .orElseThrow();
   }
 
   @Test
   public void exchangesThatAgreeSpendFewBytesAndThoseThatDifferMeetOnce() {
     final Told[] told = {new Told(), new Told()};
-    final ExchangeCore[] cores = {told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", UPSTREAMS)};
+    final ExchangeCore[] cores = {
+      told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", UPSTREAMS)
+    };
     for (int index = 0; index < 100; index++) {
       cores[0].boardState("stream-" + index, board(index), null, told[0].now);
     }
@@ -146,13 +212,18 @@
     meet(told, cores, 0, gossip(told[0], cores[0], "10.0.0.2"), first);
     final long[] calm = new long[1];
     meet(told, cores, 0, gossip(told[0], cores[0], "10.0.0.2"), calm);
-    assertTrue(calm[0] < 2L * (UPSTREAMS + 2 * 100 + 200), calm[0] + " bytes while nothing differs");
-    final ExchangeCore[] wiped = {told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", 0)};
+    assertTrue(
+        calm[0] < 2L * (UPSTREAMS + 2 * 100 + 200), calm[0] + " bytes while nothing differs");
+    final ExchangeCore[] wiped = {
+      told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", 0)
+    };
     final long[] refill = new long[1];
     meet(told, wiped, 1, gossip(told[1], wiped[1], "10.0.0.1"), refill);
     assertEquals(wiped[1].history().size(), UPSTREAMS);
     assertTrue(wiped[1].informed(told[1].now) || wiped[1].history().size() == UPSTREAMS);
-    final ExchangeCore[] apart = {told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", UPSTREAMS - 2)};
+    final ExchangeCore[] apart = {
+      told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", UPSTREAMS - 2)
+    };
     final long[] few = new long[1];
     meet(told, apart, 0, gossip(told[0], apart[0], "10.0.0.2"), few);
     assertEquals(apart[1].history().size(), UPSTREAMS);
@@ -166,7 +237,12 @@
     final long silentSince = told[0].now;
     for (int round = 0; round < 12; round++) {
       told[1].now = told[0].now;
-      meet(told, cores, round % 2, gossip(told[round % 2], cores[round % 2], "10.0.0." + (2 - round % 2)), new long[1]);
+      meet(
+          told,
+          cores,
+          round % 2,
+          gossip(told[round % 2], cores[round % 2], "10.0.0." + (2 - round % 2)),
+          new long[1]);
       told[0].now = Math.max(told[0].now, told[1].now);
     }
     for (final ExchangeCore core : cores) {
@@ -176,7 +252,10 @@
     final List<Message> last = new ArrayList<>();
     cores[0].boardState("s", board(1), null, told[0].now + 700);
     last.addAll(told[0].boards.get("s"));
-    assertEquals(((Words.View) last.get(0)).suspects.size(), 4, "upstreams that nobody has heard of for 10 s are suspect");
+    assertEquals(
+        ((Words.View) last.get(0)).suspects.size(),
+        4,
+        "upstreams that nobody has heard of for 10 s are suspect");
   }
 
   @Test
@@ -191,15 +270,24 @@
     told.now += 600;
     core.tick(told.now);
     for (final List<Message> messages : told.boards.values()) {
-      final List<Message> lists = messages.stream().filter(message -> message instanceof Words.Neighbours).toList();
+      final List<Message> lists =
+          messages.stream().filter(message -> message instanceof Words.Neighbours).toList();
       assertEquals(lists.size(), 1);
       assertEquals(((Words.Neighbours) lists.get(0)).addresses.size(), 3);
     }
     core.boardState("new", board(24), null, told.now);
     told.now += 600;
     core.tick(told.now);
-    assertEquals(told.boards.get("stream-0").stream().filter(message -> message instanceof Words.Neighbours).count(), 2);
-    assertEquals(told.boards.get("stream-1").stream().filter(message -> message instanceof Words.Neighbours).count(), 1);
+    assertEquals(
+        told.boards.get("stream-0").stream()
+            .filter(message -> message instanceof Words.Neighbours)
+            .count(),
+        2);
+    assertEquals(
+        told.boards.get("stream-1").stream()
+            .filter(message -> message instanceof Words.Neighbours)
+            .count(),
+        1);
   }
 
   @Test
@@ -208,7 +296,9 @@
     assertEquals(Buckets.unpack(Buckets.pack(upstreams(2))).size(), 2);
     final Told told = new Told();
     told.exchange("10.0.0.1", 0).boardState("s", board(1), null, told.now);
-    assertTrue(told.boards.isEmpty() || Buckets.unpack(((Words.View) told.boards.get("s").get(0)).packed).isEmpty());
+    assertTrue(
+        told.boards.isEmpty()
+            || Buckets.unpack(((Words.View) told.boards.get("s").get(0)).packed).isEmpty());
   }
 
   @Test
@@ -220,8 +310,18 @@
     assertEquals(status.settled(), false);
     assertEquals(status.upstreams(), 3);
     assertEquals(status.version(), "00000001");
-    assertEquals(status.daemons().stream().filter(one -> one.program().equals("switchboard")).map(Calls.DaemonStatus::heardMs).toList(), List.of(500L));
-    assertEquals(status.daemons().stream().filter(one -> one.address().equals("10.0.0.2")).map(Calls.DaemonStatus::heardMs).toList(), List.of(-1L));
+    assertEquals(
+        status.daemons().stream()
+            .filter(one -> one.program().equals("switchboard"))
+            .map(Calls.DaemonStatus::heardMs)
+            .toList(),
+        List.of(500L));
+    assertEquals(
+        status.daemons().stream()
+            .filter(one -> one.address().equals("10.0.0.2"))
+            .map(Calls.DaemonStatus::heardMs)
+            .toList(),
+        List.of(-1L));
     assertTrue(status.placements().isEmpty());
   }
 }
--- a/exchange/src/test/java/weldpoint/exchange/StageTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/StageTest.java
@@ -13,7 +13,17 @@
 /** Merging histories must not depend on order, grouping or repetition. */
 public final class StageTest {
   private static Registration one(final Random random) {
-    return new Registration("i", "s", "10.0.0." + random.nextInt(2) + ":80", "z", "v", 4, random.nextInt(4), random.nextInt(3), random.nextInt(3), random.nextInt(2) * 500L);
+    return new Registration(
+        "i",
+        "s",
+        "10.0.0." + random.nextInt(2) + ":80",
+        "z",
+        "v",
+        4,
+        random.nextInt(4),
+        random.nextInt(3),
+        random.nextInt(3),
+        random.nextInt(2) * 500L);
   }
 
   @Test
@@ -36,9 +46,12 @@
 
   @Test
   public void aDrainingUpstreamNeverComesBackAndALapsedOneDoes() {
-    final Registration joined = new Registration("i", "s", "a:1", "z", "v", 4, Stage.JOINED.ordinal(), 9, 0, 0);
-    final Registration draining = new Registration("i", "s", "a:1", "z", "v", 4, Stage.DRAINING.ordinal(), 3, 0, 0);
-    final Registration lapsed = new Registration("i", "s", "a:1", "z", "v", 4, Stage.LAPSED.ordinal(), 8, 0, 0);
+    final Registration joined =
+        new Registration("i", "s", "a:1", "z", "v", 4, Stage.JOINED.ordinal(), 9, 0, 0);
+    final Registration draining =
+        new Registration("i", "s", "a:1", "z", "v", 4, Stage.DRAINING.ordinal(), 3, 0, 0);
+    final Registration lapsed =
+        new Registration("i", "s", "a:1", "z", "v", 4, Stage.LAPSED.ordinal(), 8, 0, 0);
     assertSame(Stage.later(joined, draining), draining);
     assertSame(Stage.later(lapsed, joined), joined);
   }
--- a/exchange/src/test/java/weldpoint/exchange/StandstillTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/StandstillTest.java
@@ -15,7 +15,10 @@
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words;
 
-/** A daemon that stood still: what waited in its sockets for longer than a caller waits is not carried out. */
+/**
+ * A daemon that stood still: what waited in its sockets for longer than a caller waits is not
+ * carried out.
+ */
 public final class StandstillTest {
   private long now;
   private int storeCalls;
@@ -28,57 +31,72 @@
     now = 1000;
     storeCalls = 0;
     statuses = new ArrayList<>();
-    core = new ExchangeCore("127.0.0.1", List.of("127.0.0.1"), true, 1500, new Random(1), new ExchangeCore.Outlet() {
-      @Override
-      public boolean member(final String address, final Message message) {
-        return false;
-      }
-
-      @Override
-      public boolean frame(final String address, final Words.Call call) {
-        storeCalls++;
-        return true;
-      }
-
-      @Override
-      public void board(final Object stream, final Message message) {
-      }
-
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-      }
-
-      @Override
-      public void peers(final List<String> members) {
-      }
-    });
+    core =
+        new ExchangeCore(
+            "127.0.0.1",
+            List.of("127.0.0.1"),
+            true,
+            1500,
+            new Random(1),
+            new ExchangeCore.Outlet() {
+              @Override
+              public boolean member(final String address, final Message message) {
+                return false;
+              }
+
+              @Override
+              public boolean frame(final String address, final Words.Call call) {
+                storeCalls++;
+                return true;
+              }
+
+              @Override
+              public void board(final Object stream, final Message message) {}
+
+              @Override
+              public void append(final byte[] record, final Runnable synced) {}
+
+              @Override
+              public void peers(final List<String> members) {}
+            });
     core.start(List.of(), now);
-    final Boot boot = Boot.parse("station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:81\n");
-    door = new ControlDoor(boot, core, Runnable::run, new ControlDoor.Clock() {
-      @Override
-      public long steadyMillis() {
-        return now;
-      }
-
-      @Override
-      public long dayMillis() {
-        return now;
-      }
-    });
+    final Boot boot =
+        Boot.parse(
+            "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:81\n");
+    door =
+        new ControlDoor(
+            boot,
+            core,
+            Runnable::run,
+            new ControlDoor.Clock() {
+              @Override
+              public long steadyMillis() {
+                return now;
+              }
+
+              @Override
+              public long dayMillis() {
+                return now;
+              }
+            });
   }
 
   private void call() {
-    door.call(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/api/numbers/n", Unpooled.EMPTY_BUFFER), "10.9.9.9", new ControlDoor.Caller() {
-      @Override
-      public boolean waits() {
-        return true;
-      }
-
-      @Override
-      public void answer(final int status, final byte[] body, final String location) {
-        statuses.add(status);
-      }
-    });
+    door.call(
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.POST, "/api/numbers/n", Unpooled.EMPTY_BUFFER),
+        "10.9.9.9",
+        new ControlDoor.Caller() {
+          @Override
+          public boolean waits() {
+            return true;
+          }
+
+          @Override
+          public void answer(final int status, final byte[] body, final String location) {
+            statuses.add(status);
+          }
+        });
   }
 
   private void runs(final int ticks) {
--- a/exchange/src/test/java/weldpoint/exchange/StoreCallerTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/StoreCallerTest.java
@@ -14,23 +14,29 @@
 import weldpoint.frame.Deed;
 import weldpoint.trunk.Words;
 
-/** Calls to frames under scripted lines: each carries who calls, and an answer counts only from whom, and for whom, it was asked. */
+/**
+ * Calls to frames under scripted lines: each carries who calls, and an answer counts only from
+ * whom, and for whom, it was asked.
+ */
 public final class StoreCallerTest {
-  private record Sent(String to, Words.Call call) {
-  }
+  private record Sent(String to, Words.Call call) {}
 
   private final List<Sent> sent = new ArrayList<>();
   private final List<String> down = new ArrayList<>();
   private StoreCaller store;
 
   private StoreCaller life(final long seed) {
-    final StoreCaller one = new StoreCaller("here", new Random(seed), (address, call) -> {
-      if (down.contains(address)) {
-        return false;
-      }
-      sent.add(new Sent(address, call));
-      return true;
-    });
+    final StoreCaller one =
+        new StoreCaller(
+            "here",
+            new Random(seed),
+            (address, call) -> {
+              if (down.contains(address)) {
+                return false;
+              }
+              sent.add(new Sent(address, call));
+              return true;
+            });
     one.frames(List.of("here", "there"));
     return one;
   }
@@ -148,7 +154,10 @@
   public void whatLeavesLaterIsOlder() {
     final Words.Call call = new Words.Call(1, 0, "l", "o", 0, 0, null).from(5);
     assertEquals(call.leaving(77L, 1000).age, 0);
-    assertEquals(call.aged(40, 1000).leaving(77L, 1600).age, 640, "a process that stood still between the two");
+    assertEquals(
+        call.aged(40, 1000).leaving(77L, 1600).age,
+        640,
+        "a process that stood still between the two");
     assertEquals((long) call.leaving(77L, 1000).clock, 77);
     assertEquals(call.leaving(null, 1000).clock, null);
   }
--- a/exchange/src/test/java/weldpoint/exchange/TakenVersionTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/TakenVersionTest.java
@@ -26,7 +26,10 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** A configuration whose version stands for another one: the operator is told so, with who sent that one and when. */
+/**
+ * A configuration whose version stands for another one: the operator is told so, with who sent that
+ * one and when.
+ */
 public final class TakenVersionTest {
   private static final String BODY = "{\"version\":\"0000000c\",\"listeners\":[],\"pools\":[]}";
 
@@ -42,34 +45,50 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
-    core = new ExchangeCore("127.0.0.1", List.of("127.0.0.1"), true, 1500, new Random(1), new ExchangeCore.Outlet() {
-      @Override
-      public boolean member(final String address, final Message message) {
-        return false;
-      }
-
-      @Override
-      public boolean frame(final String address, final Words.Call call) {
-        calls.add(call);
-        core.answered(address, (call.deed == Deed.CONTROL.ordinal() ? held(call) : new Words.Answer(call.number, next.status, next.first, next.body, null)).to(call.caller), 0);
-        return true;
-      }
-
-      @Override
-      public void board(final Object stream, final Message message) {
-      }
-
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-        synced.run();
-      }
-
-      @Override
-      public void peers(final List<String> members) {
-      }
-    });
+    core =
+        new ExchangeCore(
+            "127.0.0.1",
+            List.of("127.0.0.1"),
+            true,
+            1500,
+            new Random(1),
+            new ExchangeCore.Outlet() {
+              @Override
+              public boolean member(final String address, final Message message) {
+                return false;
+              }
+
+              @Override
+              public boolean frame(final String address, final Words.Call call) {
+                calls.add(call);
+                core.answered(
+                    address,
+                    (call.deed == Deed.CONTROL.ordinal()
+                            ? held(call)
+                            : new Words.Answer(
+                                call.number, next.status, next.first, next.body, null))
+                        .to(call.caller),
+                    0);
+                return true;
+              }
+
+              @Override
+              public void board(final Object stream, final Message message) {}
+
+              @Override
+              public void append(final byte[] record, final Runnable synced) {
+                synced.run();
+              }
+
+              @Override
+              public void peers(final List<String> members) {}
+            });
     core.start(List.of(), 0);
-    final Boot boot = Boot.parse("station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:" + port + "\n");
+    final Boot boot =
+        Boot.parse(
+            "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:"
+                + port
+                + "\n");
     door = new ControlDoor(boot, core, Runnable::run, ControlDoor.Clock.SYSTEM);
     door.serve(loop, boot.requiredAddress("listen.control"));
   }
@@ -81,8 +100,28 @@
 
   /** What the frames hold: version 12, and this machine as the only voter. */
   private static Words.Answer held(final Words.Call call) {
-    final Words.Roster roster = new Words.Roster(1, List.of(new Words.Voter("127.0.0.1", "a", "r", List.of())));
-    return new Words.Answer(call.number, 200, 12, Wire.bytes(new Values.Control(12, Packing.deflate(BODY.getBytes(StandardCharsets.UTF_8)), List.of(), 0, roster, List.of(), 0, null, List.of(), false, 0, null, null)), null);
+    final Words.Roster roster =
+        new Words.Roster(1, List.of(new Words.Voter("127.0.0.1", "a", "r", List.of())));
+    return new Words.Answer(
+        call.number,
+        200,
+        12,
+        Wire.bytes(
+            new Values.Control(
+                12,
+                Packing.deflate(BODY.getBytes(StandardCharsets.UTF_8)),
+                List.of(),
+                0,
+                roster,
+                List.of(),
+                0,
+                null,
+                List.of(),
+                false,
+                0,
+                null,
+                null)),
+        null);
   }
 
   private String replace(final Words.Answer answer) throws IOException {
@@ -92,23 +131,50 @@
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
       socket.setSoTimeout(5000);
-      socket.getOutputStream().write(("POST /api/rpc?call=configuration.replace HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY).getBytes(StandardCharsets.UTF_8));
+      socket
+          .getOutputStream()
+          .write(
+              ("POST /api/rpc?call=configuration.replace HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: "
+                      + BODY.length()
+                      + "\r\n\r\n"
+                      + BODY)
+                  .getBytes(StandardCharsets.UTF_8));
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
   }
 
   @Test
   public void theRefusalNamesVersionAuthorAndTime() throws IOException {
-    final String answer = replace(new Words.Answer(0, 409, 12, Wire.bytes(new Values.TakenVersion(12, "dispatch lead", 1_700_000_000_000L)), null));
+    final String answer =
+        replace(
+            new Words.Answer(
+                0,
+                409,
+                12,
+                Wire.bytes(new Values.TakenVersion(12, "dispatch lead", 1_700_000_000_000L)),
+                null));
     assertTrue(answer.startsWith("HTTP/1.1 409"), answer);
-    assertTrue(answer.contains("\"kind\":\"VERSION_TAKEN\"") && answer.contains("0000000c") && answer.contains("dispatch lead") && answer.contains("2023-11-14T22:13:20Z"), answer);
-    assertEquals(calls.get(calls.size() - 1).content, CanonicalJson.digest(BODY.getBytes(StandardCharsets.UTF_8)));
+    assertTrue(
+        answer.contains("\"kind\":\"VERSION_TAKEN\"")
+            && answer.contains("0000000c")
+            && answer.contains("dispatch lead")
+            && answer.contains("2023-11-14T22:13:20Z"),
+        answer);
+    assertEquals(
+        calls.get(calls.size() - 1).content,
+        CanonicalJson.digest(BODY.getBytes(StandardCharsets.UTF_8)));
   }
 
   @Test
   public void whatIsNotKnownOfTheOtherIsLeftOut() throws IOException {
-    final String answer = replace(new Words.Answer(0, 409, 12, Wire.bytes(new Values.TakenVersion(12, "", 0)), null));
-    assertTrue(answer.startsWith("HTTP/1.1 409") && answer.contains("0000000c") && !answer.contains("1970") && !answer.contains("sent by"), answer);
+    final String answer =
+        replace(new Words.Answer(0, 409, 12, Wire.bytes(new Values.TakenVersion(12, "", 0)), null));
+    assertTrue(
+        answer.startsWith("HTTP/1.1 409")
+            && answer.contains("0000000c")
+            && !answer.contains("1970")
+            && !answer.contains("sent by"),
+        answer);
   }
 
   @Test
--- a/exchange/src/test/java/weldpoint/exchange/TollboothTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/TollboothTest.java
@@ -16,9 +16,20 @@
 import weldpoint.trunk.Words.Voter;
 
 public class TollboothTest {
-  private static final Boot BOOT = Boot.parse("station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nbound.quota-tolerance = 0\n");
-  private static final Dialplan PLAN = Dialplan.compile("{\"version\":\"1\",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"ratePerS\":20}],\"listeners\":[],\"pools\":[]}".getBytes(StandardCharsets.UTF_8));
-  private static final Roster ROSTER = new Roster(3, List.of(new Voter("a", "s", "r", null), new Voter("b", "s", "r", null), new Voter("c", "s", "r", null)));
+  private static final Boot BOOT =
+      Boot.parse(
+          "station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nbound.quota-tolerance = 0\n");
+  private static final Dialplan PLAN =
+      Dialplan.compile(
+          "{\"version\":\"1\",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"ratePerS\":20}],\"listeners\":[],\"pools\":[]}"
+              .getBytes(StandardCharsets.UTF_8));
+  private static final Roster ROSTER =
+      new Roster(
+          3,
+          List.of(
+              new Voter("a", "s", "r", null),
+              new Voter("b", "s", "r", null),
+              new Voter("c", "s", "r", null)));
 
   private final List<Message> relayed = new ArrayList<>();
   private final List<Integer> granted = new ArrayList<>();
@@ -26,11 +37,19 @@
   private Tollbooth booth(final boolean lines) {
     relayed.clear();
     granted.clear();
-    return new Tollbooth("a", new Tollhouse(BOOT, false, 1000), (address, message) -> lines && relayed.add(message));
+    return new Tollbooth(
+        "a", new Tollhouse(BOOT, false, 1000), (address, message) -> lines && relayed.add(message));
   }
 
   private void ask(final Tollbooth booth, final int count, final long ageMillis, final long now) {
-    booth.ask(new PermitAsk(1, "tenant/t", count, 0), answer -> granted.add(((PermitAnswer) answer).granted), PLAN, ROSTER, 1, ageMillis, now);
+    booth.ask(
+        new PermitAsk(1, "tenant/t", count, 0),
+        answer -> granted.add(((PermitAnswer) answer).granted),
+        PLAN,
+        ROSTER,
+        1,
+        ageMillis,
+        now);
   }
 
   @Test
@@ -56,7 +75,8 @@
     assertEquals(granted, List.of(1));
     ask(booth, 400, 100, 1300);
     final int left = ((PermitAsk) relayed.get(1)).count;
-    assertEquals(left, 400 - (int) (0.9 * 100 * 1.1 / 3 / 2), "half of a third of what may be granted");
+    assertEquals(
+        left, 400 - (int) (0.9 * 100 * 1.1 / 3 / 2), "half of a third of what may be granted");
     booth.tick(1300 + 700);
     assertEquals(granted.get(1).intValue(), 400 - left, "the next has not answered");
   }
--- a/frame/src/main/java/weldpoint/frame/AuditBook.java
+++ b/frame/src/main/java/weldpoint/frame/AuditBook.java
@@ -14,8 +14,9 @@
 import weldpoint.trunk.Words;
 
 /**
- * The history as the holder of partition 0 sees it: which entry is the last, and which are not yet in the logs of a
- * majority and therefore travel with the register that changed. One change is under way at a time.
+ * The history as the holder of partition 0 sees it: which entry is the last, and which are not yet
+ * in the logs of a majority and therefore travel with the register that changed. One change is
+ * under way at a time.
  */
 class AuditBook {
   private static final int FIXED_BYTES = 456;
@@ -35,7 +36,10 @@
     this.entryBytes = entryBytes;
   }
 
-  /** Begins from what a majority told: the register whose tail reaches furthest carries all that may be missing in logs. */
+  /**
+   * Begins from what a majority told: the register whose tail reaches furthest carries all that may
+   * be missing in logs.
+   */
   void begin(final Iterable<Held> registers) {
     tail.clear();
     tailBase = 0;
@@ -69,7 +73,10 @@
     decidedDigest = AuditEntry.NO_DIGEST;
   }
 
-  /** All that was begun from is on a majority of disks now; the entries of the tail are thereby decided. */
+  /**
+   * All that was begun from is on a majority of disks now; the entries of the tail are thereby
+   * decided.
+   */
   List<byte[]> serve() {
     decided = last;
     decidedDigest = digest;
@@ -89,7 +96,9 @@
     digest = AuditEntry.digest(bytes);
   }
 
-  /** The change of this register goes out with all entries that are not in the logs of a majority. */
+  /**
+   * The change of this register goes out with all entries that are not in the logs of a majority.
+   */
   void propose(final Held held) {
     inFlight = held;
     held.audit = Wire.bytes(new AuditTail(tailBase, tailDigest, new ArrayList<>(tail)));
@@ -154,7 +163,10 @@
     return tailBase;
   }
 
-  /** The entry, among those that travel with a register, with which a configuration took this version; null where none did. */
+  /**
+   * The entry, among those that travel with a register, with which a configuration took this
+   * version; null where none did.
+   */
   AuditEntry taking(final long version) {
     for (final byte[] bytes : tail) {
       final AuditEntry entry = AuditEntry.read(bytes);
@@ -180,44 +192,94 @@
     return inFlight == null;
   }
 
-  /** What a call changed, as an entry that has no place yet; null where its deed changes no routing. */
-  AuditEntry.Draft draft(final Deed deed, final Words.Call call, final Object before, final Object after, final long number, final long mark, final long time) {
-    final AuditEntry.Draft draft = switch (deed) {
-      case SPEC_REPLACE -> configuration((Values.Spec) before, (Values.Spec) after);
-      case EVACUATE -> new AuditEntry.Draft(((Values.Evacuation) after).on ? ChangeKind.EVACUATION_BEGUN : ChangeKind.EVACUATION_FINISHED, call.name).number(0, mark);
-      case TRIAL_WRITE -> trial((Words.Trial) before, (Words.Trial) after).number(0, mark);
-      default -> null;
-    };
+  /**
+   * What a call changed, as an entry that has no place yet; null where its deed changes no routing.
+   */
+  AuditEntry.Draft draft(
+      final Deed deed,
+      final Words.Call call,
+      final Object before,
+      final Object after,
+      final long number,
+      final long mark,
+      final long time) {
+    final AuditEntry.Draft draft =
+        switch (deed) {
+          case SPEC_REPLACE -> configuration((Values.Spec) before, (Values.Spec) after);
+          case EVACUATE ->
+              new AuditEntry.Draft(
+                      ((Values.Evacuation) after).on
+                          ? ChangeKind.EVACUATION_BEGUN
+                          : ChangeKind.EVACUATION_FINISHED,
+                      call.name)
+                  .number(0, mark);
+          case TRIAL_WRITE -> trial((Words.Trial) before, (Words.Trial) after).number(0, mark);
+          default -> null;
+        };
     if (draft == null) {
       return null;
     }
     final Words.Cause cause = call.cause;
-    return cause == null ? draft.origin(null, null, null, time) : draft.origin(cause.author, cause.caller, cause.taker, time);
+    return cause == null
+        ? draft.origin(null, null, null, time)
+        : draft.origin(cause.author, cause.caller, cause.taker, time);
   }
 
   private AuditEntry.Draft configuration(final Values.Spec before, final Values.Spec after) {
     final ConfigurationSummary old = summary(before);
     final ConfigurationSummary fresh = summary(after);
-    return new AuditEntry.Draft(ChangeKind.CONFIGURATION, "").number(after.version, 0).digests(old.digest, fresh.digest).content(after.content).difference(new ConfigurationDifference(old, fresh), Math.max(0, entryBytes - FIXED_BYTES));
+    return new AuditEntry.Draft(ChangeKind.CONFIGURATION, "")
+        .number(after.version, 0)
+        .digests(old.digest, fresh.digest)
+        .content(after.content)
+        .difference(new ConfigurationDifference(old, fresh), Math.max(0, entryBytes - FIXED_BYTES));
   }
 
   private AuditEntry.Draft trial(final Words.Trial before, final Words.Trial after) {
-    return new AuditEntry.Draft(ChangeKind.TRIAL, after.route).line("trial " + after.number + " of " + after.oldService + " -> " + after.newService + ": stage " + (before == null ? "" : before.stage + " -> ") + after.stage
-        + ", verdict " + (before == null ? "" : before.verdict + " -> ") + after.verdict + (after.reason == null || after.reason.isEmpty() ? "" : ", " + (after.reason.length() > 80 ? after.reason.substring(0, 80) : after.reason)));
+    return new AuditEntry.Draft(ChangeKind.TRIAL, after.route)
+        .line(
+            "trial "
+                + after.number
+                + " of "
+                + after.oldService
+                + " -> "
+                + after.newService
+                + ": stage "
+                + (before == null ? "" : before.stage + " -> ")
+                + after.stage
+                + ", verdict "
+                + (before == null ? "" : before.verdict + " -> ")
+                + after.verdict
+                + (after.reason == null || after.reason.isEmpty()
+                    ? ""
+                    : ", "
+                        + (after.reason.length() > 80
+                            ? after.reason.substring(0, 80)
+                            : after.reason)));
   }
 
   private static ConfigurationSummary summary(final Values.Spec spec) {
-    return spec == null || spec.summary == null ? ConfigurationSummary.none() : Wire.value(Packing.inflate(spec.summary), ConfigurationSummary.class);
+    return spec == null || spec.summary == null
+        ? ConfigurationSummary.none()
+        : Wire.value(Packing.inflate(spec.summary), ConfigurationSummary.class);
   }
 
   /** The first entry of a store that is older than its history. */
   AuditEntry.Draft upgrade(final Values.Spec spec, final String taker, final long time) {
-    return new AuditEntry.Draft(ChangeKind.UPGRADE, "").number(spec == null ? 0 : spec.version, 0).origin(weldpoint.audit.Authors.SYSTEM, "", taker, time)
-        .line("the store is older than its history; what was changed before is not in it").digests("", spec == null ? "" : AuditEntry.digest(Packing.inflate(spec.body))).content(spec == null ? null : TakenVersions.content(spec));
+    return new AuditEntry.Draft(ChangeKind.UPGRADE, "")
+        .number(spec == null ? 0 : spec.version, 0)
+        .origin(weldpoint.audit.Authors.SYSTEM, "", taker, time)
+        .line("the store is older than its history; what was changed before is not in it")
+        .digests("", spec == null ? "" : AuditEntry.digest(Packing.inflate(spec.body)))
+        .content(spec == null ? null : TakenVersions.content(spec));
   }
 
   /** The entry under which all replicas forget the oldest ones. */
-  AuditEntry.Draft retention(final long through, final String throughDigest, final String taker, final long time) {
-    return new AuditEntry.Draft(ChangeKind.RETENTION, "").origin(weldpoint.audit.Authors.SYSTEM, "", taker, time).trims(through, throughDigest).line("entries up to " + through + " are forgotten");
+  AuditEntry.Draft retention(
+      final long through, final String throughDigest, final String taker, final long time) {
+    return new AuditEntry.Draft(ChangeKind.RETENTION, "")
+        .origin(weldpoint.audit.Authors.SYSTEM, "", taker, time)
+        .trims(through, throughDigest)
+        .line("entries up to " + through + " are forgotten");
   }
 }
--- a/frame/src/main/java/weldpoint/frame/Decision.java
+++ b/frame/src/main/java/weldpoint/frame/Decision.java
@@ -22,7 +22,13 @@
   final Object value;
   final Values.Put put;
 
-  private Decision(final Way way, final int status, final long first, final byte[] body, final Object value, final Values.Put put) {
+  private Decision(
+      final Way way,
+      final int status,
+      final long first,
+      final byte[] body,
+      final Object value,
+      final Values.Put put) {
     this.way = way;
     this.status = status;
     this.first = first;
--- a/frame/src/main/java/weldpoint/frame/Deed.java
+++ b/frame/src/main/java/weldpoint/frame/Deed.java
@@ -13,13 +13,26 @@
 
 /** What may be asked of the store, each with how it is decided at the holder of the duty. */
 public enum Deed {
-  /** Takes a configuration: first is its version, second 1 where a route ties callers to nodes, body its compressed bytes; the answer's first is 0 if it alters nothing, since this or a later one holds. Status 409 if the version stands for another one. */
+  /**
+   * Takes a configuration: first is its version, second 1 where a route ties callers to nodes, body
+   * its compressed bytes; the answer's first is 0 if it alters nothing, since this or a later one
+   * holds. Status 409 if the version stands for another one.
+   */
   SPEC_REPLACE(Values.Kind.SPEC) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final Spec spec = (Spec) value;
-      return spec != null && call.first <= spec.version ? held.versions.decide(spec, call)
-          : Decision.write(new Spec(call.first, call.body, call.cause == null ? null : call.cause.extra, call.second == 1, TakenVersions.content(call)), null, call.first);
+      return spec != null && call.first <= spec.version
+          ? held.versions.decide(spec, call)
+          : Decision.write(
+              new Spec(
+                  call.first,
+                  call.body,
+                  call.cause == null ? null : call.cause.extra,
+                  call.second == 1,
+                  TakenVersions.content(call)),
+              null,
+              call.first);
     }
   },
   /** Reads the configuration: first is its version, body its compressed bytes. */
@@ -32,10 +45,15 @@
     @Override
     Decision read(final Object value, final Call call) {
       final Spec spec = (Spec) value;
-      return spec == null ? Decision.tell(404, 0, null) : Decision.tell(200, spec.version, spec.body);
+      return spec == null
+          ? Decision.tell(404, 0, null)
+          : Decision.tell(200, spec.version, spec.body);
     }
   },
-  /** Begins (first is 1) or finishes (0) the evacuation of a site, under the ticket second; status 410 if another order was decided since the ticket. */
+  /**
+   * Begins (first is 1) or finishes (0) the evacuation of a site, under the ticket second; status
+   * 410 if another order was decided since the ticket.
+   */
   EVACUATE(Values.Kind.EVACUATION) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
@@ -45,39 +63,58 @@
       }
       held.grants++;
       final boolean wanted = call.first == 1;
-      return evacuation.on == wanted ? Decision.confirm(200, evacuation.serial)
-          : Decision.write(new Evacuation(wanted, evacuation.serial + 1), null, evacuation.serial + 1);
+      return evacuation.on == wanted
+          ? Decision.confirm(200, evacuation.serial)
+          : Decision.write(
+              new Evacuation(wanted, evacuation.serial + 1), null, evacuation.serial + 1);
     }
   },
-  /** Writes a trial (body), if the one there has the serial first; a held one is never opened again. */
+  /**
+   * Writes a trial (body), if the one there has the serial first; a held one is never opened again.
+   */
   TRIAL_WRITE(Values.Kind.TRIAL) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final weldpoint.trunk.Words.Trial before = (weldpoint.trunk.Words.Trial) value;
-      final weldpoint.trunk.Words.Trial next = Wire.value(call.body, weldpoint.trunk.Words.Trial.class);
+      final weldpoint.trunk.Words.Trial next =
+          Wire.value(call.body, weldpoint.trunk.Words.Trial.class);
       if (before != null && java.util.Arrays.equals(Wire.bytes(before), call.body)) {
         return Decision.confirm(200, before.serial);
       }
-      final boolean reopens = before != null && before.number == next.number && next.verdict < before.verdict;
-      if (reopens || (before == null ? 0 : before.serial) != call.first || next.serial != call.first + 1) {
+      final boolean reopens =
+          before != null && before.number == next.number && next.verdict < before.verdict;
+      if (reopens
+          || (before == null ? 0 : before.serial) != call.first
+          || next.serial != call.first + 1) {
         return Decision.confirm(412, before == null ? 0 : before.serial);
       }
       return Decision.write(next, null, next.serial);
     }
   },
-  /** Ends an object (owner its host, body its path) or a label (owner null, body the label) for all caches. */
+  /**
+   * Ends an object (owner its host, body its path) or a label (owner null, body the label) for all
+   * caches.
+   */
   PURGE(Values.Kind.PURGES) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
-      final weldpoint.trunk.Words.Purges before = value == null ? new weldpoint.trunk.Words.Purges(0, 0, List.of()) : (weldpoint.trunk.Words.Purges) value;
+      final weldpoint.trunk.Words.Purges before =
+          value == null
+              ? new weldpoint.trunk.Words.Purges(0, 0, List.of())
+              : (weldpoint.trunk.Words.Purges) value;
       final String named = new String(call.body, java.nio.charset.StandardCharsets.UTF_8);
       final long serial = before.mark + 1;
-      final List<weldpoint.trunk.Words.Purge> all = new ArrayList<>(weldpoint.trunk.Words.list(before.purges));
-      all.add(call.owner == null ? new weldpoint.trunk.Words.Purge(serial, null, null, named) : new weldpoint.trunk.Words.Purge(serial, call.owner, named, null));
+      final List<weldpoint.trunk.Words.Purge> all =
+          new ArrayList<>(weldpoint.trunk.Words.list(before.purges));
+      all.add(
+          call.owner == null
+              ? new weldpoint.trunk.Words.Purge(serial, null, null, named)
+              : new weldpoint.trunk.Words.Purge(serial, call.owner, named, null));
       while (all.size() > MOST_PURGES) {
         all.remove(0);
       }
-      return Decision.write(new weldpoint.trunk.Words.Purges(all.get(0).serial - 1, serial, all), null, serial);
+      return Decision.write(
+          new weldpoint.trunk.Words.Purges(all.get(0).serial - 1, serial, all), null, serial);
     }
   },
   /** Writes who may choose a region's chief (body), if its mark follows the one there. */
@@ -85,12 +122,18 @@
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final weldpoint.trunk.Words.Electorate before = (weldpoint.trunk.Words.Electorate) value;
-      final weldpoint.trunk.Words.Electorate next = Wire.value(call.body, weldpoint.trunk.Words.Electorate.class);
+      final weldpoint.trunk.Words.Electorate next =
+          Wire.value(call.body, weldpoint.trunk.Words.Electorate.class);
       final long mark = before == null ? 0 : before.mark;
-      return next.mark == mark + 1 ? Decision.write(next, null, next.mark) : Decision.confirm(412, mark);
+      return next.mark == mark + 1
+          ? Decision.write(next, null, next.mark)
+          : Decision.confirm(412, mark);
     }
   },
-  /** Waits for control state newer than version first and the marks of evacuations and trials, second. */
+  /**
+   * Waits for control state newer than version first and the marks of evacuations and trials,
+   * second.
+   */
   CONTROL(Values.Kind.SPEC) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
@@ -118,13 +161,19 @@
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final Lock lock = (Lock) value;
-      if (lock == null || !lock.owner.equals(call.owner) || lock.fence != call.second || now >= held.expiresAt) {
+      if (lock == null
+          || !lock.owner.equals(call.owner)
+          || lock.fence != call.second
+          || now >= held.expiresAt) {
         return Decision.confirm(409, 0);
       }
       return extend(held, lock, call, now);
     }
   },
-  /** Asks for a ticket to give a lock back with: it is void once the lock has been granted or renewed again. */
+  /**
+   * Asks for a ticket to give a lock back with: it is void once the lock has been granted or
+   * renewed again.
+   */
   LOCK_TICKET(Values.Kind.LOCK) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
@@ -139,7 +188,8 @@
       if (call.first != held.ticket()) {
         return Decision.confirm(410, 0);
       }
-      return lock == null || !lock.owner.equals(call.owner) || lock.fence != call.second ? Decision.confirm(200, 0)
+      return lock == null || !lock.owner.equals(call.owner) || lock.fence != call.second
+          ? Decision.confirm(200, 0)
           : Decision.write(new Lock("", lock.fence, 0), null, lock.fence);
     }
   },
@@ -151,7 +201,10 @@
       return Decision.write(new Values.Number(next), null, next);
     }
   },
-  /** Puts a value (owner carries it) under a key (body names it); first is the revision it must have, -1 for any. */
+  /**
+   * Puts a value (owner carries it) under a key (body names it); first is the revision it must
+   * have, -1 for any.
+   */
   CELL_REPLACE(Values.Kind.GROUP) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
@@ -180,8 +233,12 @@
     @Override
     Decision read(final Object value, final Call call) {
       final Group group = value == null ? Group.EMPTY : (Group) value;
-      final Put put = group.cells.get(new String(call.body, java.nio.charset.StandardCharsets.UTF_8));
-      return put == null ? Decision.tell(404, 0, null) : Decision.tell(200, put.revision, put.value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+      final Put put =
+          group.cells.get(new String(call.body, java.nio.charset.StandardCharsets.UTF_8));
+      return put == null
+          ? Decision.tell(404, 0, null)
+          : Decision.tell(
+              200, put.revision, put.value.getBytes(java.nio.charset.StandardCharsets.UTF_8));
     }
   },
   /** Waits second milliseconds for puts above revision first. */
@@ -201,10 +258,14 @@
     @Override
     Decision read(final Object value, final Call call) {
       final Group group = value == null ? Group.EMPTY : (Group) value;
-      return Decision.tell(200, group.revision, Wire.bytes(new Values.Events(List.of(), group.revision)));
+      return Decision.tell(
+          200, group.revision, Wire.bytes(new Values.Events(List.of(), group.revision)));
     }
   },
-  /** Asks how far the history of routing changes reaches: the answer's first is the last decided entry, its body the digest. */
+  /**
+   * Asks how far the history of routing changes reaches: the answer's first is the last decided
+   * entry, its body the digest.
+   */
   HISTORY_HEAD(Values.Kind.AUDIT) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
@@ -218,13 +279,18 @@
       return Decision.read();
     }
   },
-  /** Writes among which upstreams a service's callers are placed (body), if its serial follows the one there. */
+  /**
+   * Writes among which upstreams a service's callers are placed (body), if its serial follows the
+   * one there.
+   */
   PLACEMENT_WRITE(Values.Kind.PLACEMENT) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final Words.Placement next = Wire.value(call.body, Words.Placement.class);
       final long serial = value == null ? 0 : ((Words.Placement) value).serial;
-      return next.serial == serial + 1 ? Decision.write(next, null, next.serial) : Decision.confirm(412, serial);
+      return next.serial == serial + 1
+          ? Decision.write(next, null, next.serial)
+          : Decision.confirm(412, serial);
     }
   },
   /** Writes which exchange keeps placements (body), if its serial follows the one there. */
@@ -233,10 +299,15 @@
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       final Words.Keeper next = Wire.value(call.body, Words.Keeper.class);
       final long serial = value == null ? 0 : ((Words.Keeper) value).serial;
-      return next.serial == serial + 1 ? Decision.write(next, null, next.serial) : Decision.confirm(412, serial);
+      return next.serial == serial + 1
+          ? Decision.write(next, null, next.serial)
+          : Decision.confirm(412, serial);
     }
   },
-  /** Asks for a ticket to order a site's evacuation with: it is void once any order for the site was decided, and with the duty. */
+  /**
+   * Asks for a ticket to order a site's evacuation with: it is void once any order for the site was
+   * decided, and with the duty.
+   */
   EVACUATION_TICKET(Values.Kind.EVACUATION) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
@@ -259,10 +330,18 @@
 
   /** The register that a call of this deed concerns. */
   public String register(final String identifier) {
-    return kind == Values.Kind.SPEC || kind == Values.Kind.PURGES || kind == Values.Kind.AUDIT || kind == Values.Kind.KEEPER ? kind.register("") : kind.register(identifier);
+    return kind == Values.Kind.SPEC
+            || kind == Values.Kind.PURGES
+            || kind == Values.Kind.AUDIT
+            || kind == Values.Kind.KEEPER
+        ? kind.register("")
+        : kind.register(identifier);
   }
 
-  /** Whether a copy that comes late would do something that the first did not, so that it must be known by its identity. */
+  /**
+   * Whether a copy that comes late would do something that the first did not, so that it must be
+   * known by its identity.
+   */
   boolean once() {
     return this == LOCK_BEGIN || this == NUMBER || this == PURGE;
   }
@@ -273,10 +352,12 @@
     throw new IllegalStateException(this + " reads nothing");
   }
 
-  private static Decision extend(final Held held, final Lock lock, final Call call, final long now) {
+  private static Decision extend(
+      final Held held, final Lock lock, final Call call, final long now) {
     held.grants++;
     held.expiresAt = Math.max(held.expiresAt, now + call.first);
-    return call.first > lock.holdMillis ? Decision.write(new Lock(lock.owner, lock.fence, call.first), null, lock.fence)
+    return call.first > lock.holdMillis
+        ? Decision.write(new Lock(lock.owner, lock.fence, call.first), null, lock.fence)
         : Decision.confirm(200, lock.fence);
   }
 
@@ -287,6 +368,7 @@
         events.add(put);
       }
     }
-    return Decision.tell(200, group.revision, Wire.bytes(new Values.Events(events, group.revision)));
+    return Decision.tell(
+        200, group.revision, Wire.bytes(new Values.Events(events, group.revision)));
   }
 }
--- a/frame/src/main/java/weldpoint/frame/Departure.java
+++ b/frame/src/main/java/weldpoint/frame/Departure.java
@@ -7,6 +7,7 @@
 final class Departure {
   /** For how long a voter that ends waits for the others. */
   static final long MOST_MILLIS = 2000;
+
   private static final long AGAIN_MILLIS = 150;
 
   private final boolean[] released = new boolean[FrameCore.PARTITIONS];
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -11,26 +11,24 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import weldpoint.audit.AuditEntry;
 import weldpoint.audit.AuditLog;
 import weldpoint.audit.AuditReplica;
 import weldpoint.audit.AuditStore;
 import weldpoint.audit.HeapStore;
 import weldpoint.frame.Partition.Phase;
-import weldpoint.frame.Partition.Stored;
 import weldpoint.frame.Partition.Waiter;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Wire;
+import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Entry;
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
-import weldpoint.trunk.Words;
 
 /**
- * The store's state and rules: registers under marks, ballots for the duty of writing a partition, and the roster of
- * voters. It knows neither threads nor clocks nor sockets: all that happens comes in through its methods, with the time
- * of a steady clock in milliseconds.
+ * The store's state and rules: registers under marks, ballots for the duty of writing a partition,
+ * and the roster of voters. It knows neither threads nor clocks nor sockets: all that happens comes
+ * in through its methods, with the time of a steady clock in milliseconds.
  */
 public final class FrameCore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -53,8 +51,12 @@
   private static final long SEEDS_MILLIS = 1000;
   private static final long CONTROL_MILLIS = 700;
   private static final long STALE_WORK_MILLIS = 1300;
-  /** A copy of a call is void so long after it was sent, as far as the frame's own clock can tell. */
+
+  /**
+   * A copy of a call is void so long after it was sent, as far as the frame's own clock can tell.
+   */
   static final long COPY_MILLIS = 2500;
+
   private static final long DISK_STUCK_MILLIS = 700;
   private static final int HISTORY_BYTES = 96 << 10;
   private static final int VIEW_BYTES = 64 << 10;
@@ -106,7 +108,17 @@
   private long retention = Long.MAX_VALUE;
 
   /** A core that has read nothing from disk yet. */
-  public FrameCore(final String self, final String site, final String region, final boolean mayVote, final int mostVoters, final long historyMillis, final long owner, final Random random, final List<String> seeds, final Outlet outlet) {
+  public FrameCore(
+      final String self,
+      final String site,
+      final String region,
+      final boolean mayVote,
+      final int mostVoters,
+      final long historyMillis,
+      final long owner,
+      final Random random,
+      final List<String> seeds,
+      final Outlet outlet) {
     this.self = self;
     this.site = site;
     this.region = region;
@@ -123,7 +135,10 @@
     history(new HeapStore(), Long.MAX_VALUE, 1024);
   }
 
-  /** Keeps the history of routing changes in this store: so many entries at least, none above so many bytes. To be called before the start. */
+  /**
+   * Keeps the history of routing changes in this store: so many entries at least, none above so
+   * many bytes. To be called before the start.
+   */
   public void history(final AuditStore store, final long entries, final int entryBytes) {
     history(store, entries, new AuditBook(entryBytes));
   }
@@ -131,7 +146,9 @@
   void history(final AuditStore store, final long entries, final AuditBook given) {
     retention = entries;
     book = given;
-    audit = new AuditReplica(new AuditLog(self, store, recovery::mayBeWhole), outlet::send, new Random(owner));
+    audit =
+        new AuditReplica(
+            new AuditLog(self, store, recovery::mayBeWhole), outlet::send, new Random(owner));
     versions = new TakenVersions(book, audit.log());
   }
 
@@ -153,7 +170,10 @@
 
   // ---- disk
 
-  /** Takes what the disk held and begins; records are empty where the disk is blank or counts as lost. */
+  /**
+   * Takes what the disk held and begins; records are empty where the disk is blank or counts as
+   * lost.
+   */
   public void start(final List<byte[]> records, final boolean firstStart, final long now) {
     for (final byte[] record : records) {
       replay(Wire.value(record, Values.DiskRecord.class));
@@ -172,7 +192,9 @@
     }
     membership.begins(now);
     tellPeers();
-    LOGGER.atInfo().log("frame %s starts: blank %s, roster %s of %s, incarnation %s", self, blank, roster.number, roster.voters.size(), incarnation);
+    LOGGER.atInfo().log(
+        "frame %s starts: blank %s, roster %s of %s, incarnation %s",
+        self, blank, roster.number, roster.voters.size(), incarnation);
   }
 
   private void replay(final Values.DiskRecord record) {
@@ -187,7 +209,12 @@
           partition.promised = record.ballot;
         }
       }
-      case REGISTERS -> partitions[record.partition].store(record.ballot, record.incarnation == 1, Words.list(record.entries), new ArrayList<>());
+      case REGISTERS ->
+          partitions[record.partition].store(
+              record.ballot,
+              record.incarnation == 1,
+              Words.list(record.entries),
+              new ArrayList<>());
       case ROSTER -> {
         if (record.roster.number > roster.number) {
           roster = record.roster;
@@ -197,7 +224,9 @@
         known.merge(record.address, record.incarnation, Math::max);
         lastingIncarnations.merge(record.address, record.incarnation, Math::max);
       }
-      default -> throw new IllegalStateException("disk record of type " + record.type + " is unknown; run the release that wrote it");
+      default ->
+          throw new IllegalStateException(
+              "disk record of type " + record.type + " is unknown; run the release that wrote it");
     }
   }
 
@@ -222,12 +251,20 @@
   List<byte[]> claims() {
     final List<byte[]> records = new ArrayList<>();
     for (final Map.Entry<String, Long> entry : known.entrySet()) {
-      records.add(Wire.bytes(new Values.DiskRecord(KNOWN, 0, null, null, null, entry.getKey(), entry.getValue())));
+      records.add(
+          Wire.bytes(
+              new Values.DiskRecord(KNOWN, 0, null, null, null, entry.getKey(), entry.getValue())));
     }
     records.add(Wire.bytes(new Values.DiskRecord(ROSTER, 0, null, null, roster, null, 0)));
     for (final Partition partition : partitions) {
-      records.add(Wire.bytes(new Values.DiskRecord(PROMISE, partition.number, partition.promised, null, null, null, 0)));
-      records.add(Wire.bytes(new Values.DiskRecord(REGISTERS, partition.number, partition.established, null, null, null, 1)));
+      records.add(
+          Wire.bytes(
+              new Values.DiskRecord(
+                  PROMISE, partition.number, partition.promised, null, null, null, 0)));
+      records.add(
+          Wire.bytes(
+              new Values.DiskRecord(
+                  REGISTERS, partition.number, partition.established, null, null, null, 1)));
     }
     return records;
   }
@@ -288,7 +325,10 @@
     }
   }
 
-  /** Takes the incarnations that the holder of a duty learned from a majority, and puts them on disk before what it established is there. */
+  /**
+   * Takes the incarnations that the holder of a duty learned from a majority, and puts them on disk
+   * before what it established is there.
+   */
   private void learnLasting(final List<Long> incarnations) {
     if (incarnations.size() != roster.voters.size()) {
       return;
@@ -298,28 +338,35 @@
       final long given = incarnations.get(index);
       if (address.equals(self) && given > incarnation) {
         rise(given + 1);
-      } else if (!address.equals(self) && given > 1 && given >= incarnationOf(address) && lastingIncarnations.getOrDefault(address, 1L) < given) {
+      } else if (!address.equals(self)
+          && given > 1
+          && given >= incarnationOf(address)
+          && lastingIncarnations.getOrDefault(address, 1L) < given) {
         lastingIncarnations.put(address, given);
-        persist(new Values.DiskRecord(KNOWN, 0, null, null, null, address, given), () -> {
-        });
+        persist(new Values.DiskRecord(KNOWN, 0, null, null, null, address, given), () -> {});
       }
     }
     learn(roster.number, incarnations);
   }
 
   /**
-   * Others know a later incarnation of this daemon: it lost its disk more than once, and whom it asked had not been voters
-   * then. They would never count it; what it has promised it keeps, so that it may take a later one at any time.
+   * Others know a later incarnation of this daemon: it lost its disk more than once, and whom it
+   * asked had not been voters then. They would never count it; what it has promised it keeps, so
+   * that it may take a later one at any time.
    */
   private void rise(final long next) {
     if (next > rising) {
       rising = next;
-      persist(new Values.DiskRecord(SELF, 0, null, null, null, null, next), () -> {
-        if (next > incarnation) {
-          LOGGER.atInfo().log("frame %s is known under a later incarnation than %s and takes %s", self, incarnation, next);
-          incarnation = next;
-        }
-      });
+      persist(
+          new Values.DiskRecord(SELF, 0, null, null, null, null, next),
+          () -> {
+            if (next > incarnation) {
+              LOGGER.atInfo().log(
+                  "frame %s is known under a later incarnation than %s and takes %s",
+                  self, incarnation, next);
+              incarnation = next;
+            }
+          });
     }
   }
 
@@ -328,7 +375,8 @@
 
   void overtaken(final int index) {
     for (final Partition partition : partitions) {
-      if (partition.phase.ordinal() > Phase.CANVASSING.ordinal() && index < partition.promises.length) {
+      if (partition.phase.ordinal() > Phase.CANVASSING.ordinal()
+          && index < partition.promises.length) {
         partition.promises[index] = null;
         if (partition.phase != Phase.PREPARING && !restart.contains(partition)) {
           restart.add(partition);
@@ -346,7 +394,8 @@
   // ---- messages from frames
 
   /** A frame has said something; replies go back over the same line. */
-  public void receive(final String from, final Message message, final Consumer<Message> reply, final long now) {
+  public void receive(
+      final String from, final Message message, final Consumer<Message> reply, final long now) {
     if (left) {
       return;
     }
@@ -422,9 +471,11 @@
     recovery.lineClosed(address);
     final int index = roster.index(address);
     for (final Partition partition : partitions) {
-      if (address.equals(partition.holder) && partition.phase.ordinal() <= Phase.CANVASSING.ordinal()) {
+      if (address.equals(partition.holder)
+          && partition.phase.ordinal() <= Phase.CANVASSING.ordinal()) {
         partition.heardAt = Long.MIN_VALUE / 2;
-        partition.vacateAt = Math.min(partition.vacateAt, now + 60 + rank(partition) * 120L + random.nextInt(60));
+        partition.vacateAt =
+            Math.min(partition.vacateAt, now + 60 + rank(partition) * 120L + random.nextInt(60));
       }
       if (index >= 0 && index < partition.establishSent.length) {
         partition.establishSent[index] = false;
@@ -438,7 +489,8 @@
     }
   }
 
-  private boolean agrees(final long theirs, final Consumer<Message> reply, final int partition, final Mark ballot) {
+  private boolean agrees(
+      final long theirs, final Consumer<Message> reply, final int partition, final Mark ballot) {
     if (theirs == roster.number) {
       return votes();
     }
@@ -450,20 +502,26 @@
     return false;
   }
 
-  private void onCanvass(final Words.Canvass canvass, final Consumer<Message> reply, final long now) {
+  private void onCanvass(
+      final Words.Canvass canvass, final Consumer<Message> reply, final long now) {
     if (!agrees(canvass.roster, reply, canvass.partition, Mark.NONE)) {
       return;
     }
     final Partition partition = partitions[canvass.partition];
-    if (partition.phase.ordinal() <= Phase.CANVASSING.ordinal() && now - partition.heardAt > HEARD_MILLIS) {
-      reply.accept(new Words.Canvassed(canvass.partition, canvass.number, partition.promised.round));
+    if (partition.phase.ordinal() <= Phase.CANVASSING.ordinal()
+        && now - partition.heardAt > HEARD_MILLIS) {
+      reply.accept(
+          new Words.Canvassed(canvass.partition, canvass.number, partition.promised.round));
     }
   }
 
   private void onCanvassed(final String from, final Words.Canvassed canvassed, final long now) {
     final Partition partition = partitions[canvassed.partition];
     final int place = roster.index(from);
-    if (partition.phase != Phase.CANVASSING || partition.canvass != canvassed.number || place < 0 || place >= partition.agreed.length) {
+    if (partition.phase != Phase.CANVASSING
+        || partition.canvass != canvassed.number
+        || place < 0
+        || place >= partition.agreed.length) {
       return;
     }
     highest = Math.max(highest, canvassed.round);
@@ -483,42 +541,74 @@
 
   private long canvasses;
 
-  private void onPrepare(final Words.Prepare prepare, final Consumer<Message> reply, final long now) {
+  private void onPrepare(
+      final Words.Prepare prepare, final Consumer<Message> reply, final long now) {
     if (!agrees(prepare.roster, reply, prepare.partition, prepare.ballot)) {
       return;
     }
     final Partition partition = partitions[prepare.partition];
     if (prepare.ballot.compareTo(partition.promised) < 0) {
-      reply.accept(new Words.Refused(prepare.partition, prepare.ballot, partition.promised, roster.number, knownIncarnations()));
+      reply.accept(
+          new Words.Refused(
+              prepare.partition,
+              prepare.ballot,
+              partition.promised,
+              roster.number,
+              knownIncarnations()));
       return;
     }
-    if (prepare.ballot.owner != owner && partition.phase != Phase.IDLE && !partition.ballot.sameBallot(prepare.ballot)) {
+    if (prepare.ballot.owner != owner
+        && partition.phase != Phase.IDLE
+        && !partition.ballot.sameBallot(prepare.ballot)) {
       stepDown(partition, now);
     }
     partition.promised = prepare.ballot;
     partition.vacateAt = Math.max(partition.vacateAt, now + BALLOT_MILLIS + random.nextInt(200));
     partition.heardAt = now;
-    persist(new Values.DiskRecord(PROMISE, partition.number, prepare.ballot, null, null, null, 0), () -> {
-      if (partition.promised.equals(prepare.ballot) && roster.number == prepare.roster) {
-        reply.accept(new Words.Promise(partition.number, prepare.ballot, partition.established, partition.entries(), incarnation, knownIncarnations()));
-      }
-    });
+    persist(
+        new Values.DiskRecord(PROMISE, partition.number, prepare.ballot, null, null, null, 0),
+        () -> {
+          if (partition.promised.equals(prepare.ballot) && roster.number == prepare.roster) {
+            reply.accept(
+                new Words.Promise(
+                    partition.number,
+                    prepare.ballot,
+                    partition.established,
+                    partition.entries(),
+                    incarnation,
+                    knownIncarnations()));
+          }
+        });
   }
 
-  private void onAccept(final String from, final Words.Accept accept, final Consumer<Message> reply, final long now) {
+  private void onAccept(
+      final String from, final Words.Accept accept, final Consumer<Message> reply, final long now) {
     if (!agrees(accept.roster, reply, accept.partition, accept.ballot)) {
       return;
     }
     final Partition partition = partitions[accept.partition];
     final List<Long> counted = Words.list(accept.counted);
     for (int index = 0; index < counted.size() && index < roster.voters.size(); index++) {
-      if (counted.get(index) > 0 && counted.get(index) < incarnationOf(roster.voters.get(index).address)) {
-        reply.accept(new Words.Refused(accept.partition, accept.ballot, partition.promised, roster.number, knownIncarnations()));
+      if (counted.get(index) > 0
+          && counted.get(index) < incarnationOf(roster.voters.get(index).address)) {
+        reply.accept(
+            new Words.Refused(
+                accept.partition,
+                accept.ballot,
+                partition.promised,
+                roster.number,
+                knownIncarnations()));
         return;
       }
     }
     if (accept.ballot.compareTo(partition.promised) < 0) {
-      reply.accept(new Words.Refused(accept.partition, accept.ballot, partition.promised, roster.number, knownIncarnations()));
+      reply.accept(
+          new Words.Refused(
+              accept.partition,
+              accept.ballot,
+              partition.promised,
+              roster.number,
+              knownIncarnations()));
       return;
     }
     if (accept.ballot.owner != owner && partition.phase != Phase.IDLE) {
@@ -542,10 +632,21 @@
         kept.add(entry);
       }
     }
-    persist(new Values.DiskRecord(REGISTERS, partition.number, accept.ballot, kept, null, null, accept.establish ? 1 : 0),
+    persist(
+        new Values.DiskRecord(
+            REGISTERS, partition.number, accept.ballot, kept, null, null, accept.establish ? 1 : 0),
         () -> {
           if (roster.number == accept.roster) {
-            reply.accept(new Words.Accepted(partition.number, accept.ballot, accept.establish, names, counts, lackingNames, incarnation, knownIncarnations()));
+            reply.accept(
+                new Words.Accepted(
+                    partition.number,
+                    accept.ballot,
+                    accept.establish,
+                    names,
+                    counts,
+                    lackingNames,
+                    incarnation,
+                    knownIncarnations()));
           }
         });
   }
@@ -559,7 +660,8 @@
     partition.vacateAt = now + VACANT_MILLIS + rank(partition) * 150L + random.nextInt(150);
   }
 
-  private void onPulse(final String from, final Words.Pulse pulse, final Consumer<Message> reply, final long now) {
+  private void onPulse(
+      final String from, final Words.Pulse pulse, final Consumer<Message> reply, final long now) {
     final List<Integer> numbers = Words.list(pulse.partitions);
     if (numbers.isEmpty() || !agrees(pulse.roster, reply, numbers.get(0), pulse.ballots.get(0))) {
       return;
@@ -578,20 +680,30 @@
         heardHolder(partition, from, now);
         membership.settled(partition.number, pulse.roster);
       } else {
-        reply.accept(new Words.Refused(partition.number, ballot, partition.promised, roster.number, knownIncarnations()));
+        reply.accept(
+            new Words.Refused(
+                partition.number, ballot, partition.promised, roster.number, knownIncarnations()));
       }
     }
-    reply.accept(new Words.Pulsed(standing, ballotsStanding, incarnation, knownIncarnations(), audit.log().durable()));
+    reply.accept(
+        new Words.Pulsed(
+            standing, ballotsStanding, incarnation, knownIncarnations(), audit.log().durable()));
   }
 
-  private void onRefused(final String from, final Words.Refused refused, final Consumer<Message> reply, final long now) {
+  private void onRefused(
+      final String from,
+      final Words.Refused refused,
+      final Consumer<Message> reply,
+      final long now) {
     if (refused.roster < roster.number) {
       outlet.send(from, new Words.RosterNews(roster));
       return;
     }
     learn(refused.roster, refused.known);
     final Partition partition = partitions[refused.partition];
-    if (partition.phase != Phase.IDLE && partition.ballot.sameBallot(refused.ballot) && refused.promised.compareTo(partition.ballot) > 0) {
+    if (partition.phase != Phase.IDLE
+        && partition.ballot.sameBallot(refused.ballot)
+        && refused.promised.compareTo(partition.ballot) > 0) {
       highest = Math.max(highest, refused.promised.round);
       stepDown(partition, now);
       partition.vacateAt = now + 300 + rank(partition) * 150L + random.nextInt(300);
@@ -600,14 +712,16 @@
 
   private long highest;
 
-  private void onResign(final String from, final Words.Resign resign, final Consumer<Message> reply, final long now) {
+  private void onResign(
+      final String from, final Words.Resign resign, final Consumer<Message> reply, final long now) {
     if (resign.leaving) {
       membership.leaves(from, now);
       release(from, reply);
     }
     for (final int number : Words.list(resign.partitions)) {
       final Partition partition = partitions[number];
-      if (from.equals(partition.holder) && partition.phase.ordinal() <= Phase.CANVASSING.ordinal()) {
+      if (from.equals(partition.holder)
+          && partition.phase.ordinal() <= Phase.CANVASSING.ordinal()) {
         partition.heardAt = Long.MIN_VALUE / 2;
         partition.vacateAt = now + rank(partition) * 120L + random.nextInt(20);
       }
@@ -627,27 +741,29 @@
     if (news == null || news.number <= roster.number || blank) {
       return;
     }
-    persist(new Values.DiskRecord(ROSTER, 0, null, null, news, null, 0), () -> {
-      if (news.number <= roster.number) {
-        return;
-      }
-      roster = news;
-      membership.adopted(news, now);
-      LOGGER.atInfo().log("frame %s adopts roster %s: %s", self, news.number, addresses(news));
-      tellPeers();
-      if (news.index(self) < 0) {
-        resign(false, now);
-      }
-      for (final Partition partition : partitions) {
-        final boolean held = partition.phase.ordinal() > Phase.CANVASSING.ordinal();
-        if (held) {
-          stepDown(partition, now);
-        }
-        if (votes() && held && !departure.begun()) {
-          begin(partition, now);
-        }
-      }
-    });
+    persist(
+        new Values.DiskRecord(ROSTER, 0, null, null, news, null, 0),
+        () -> {
+          if (news.number <= roster.number) {
+            return;
+          }
+          roster = news;
+          membership.adopted(news, now);
+          LOGGER.atInfo().log("frame %s adopts roster %s: %s", self, news.number, addresses(news));
+          tellPeers();
+          if (news.index(self) < 0) {
+            resign(false, now);
+          }
+          for (final Partition partition : partitions) {
+            final boolean held = partition.phase.ordinal() > Phase.CANVASSING.ordinal();
+            if (held) {
+              stepDown(partition, now);
+            }
+            if (votes() && held && !departure.begun()) {
+              begin(partition, now);
+            }
+          }
+        });
   }
 
   private static List<String> addresses(final Roster roster) {
@@ -752,15 +868,23 @@
     broadcast(new Words.Prepare(partition.number, roster.number, partition.ballot), now);
   }
 
-  /** Asks those again who have not promised: one that had not adopted the roster when it was asked may have by now. */
+  /**
+   * Asks those again who have not promised: one that had not adopted the roster when it was asked
+   * may have by now.
+   */
   private void prepareAgain(final Partition partition, final long now) {
     if (now - partition.preparedAt < PREPARE_MILLIS) {
       return;
     }
     partition.preparedAt = now;
-    for (int place = 0; place < partition.promises.length && place < roster.voters.size(); place++) {
+    for (int place = 0;
+        place < partition.promises.length && place < roster.voters.size();
+        place++) {
       if (partition.promises[place] == null) {
-        send(roster.voters.get(place).address, new Words.Prepare(partition.number, roster.number, partition.ballot), now);
+        send(
+            roster.voters.get(place).address,
+            new Words.Prepare(partition.number, roster.number, partition.ballot),
+            now);
       }
     }
   }
@@ -792,10 +916,14 @@
     looping = true;
     try {
       while (!loop.isEmpty()) {
-        receive(self, loop.poll(), answer -> {
-          loop.add(answer);
-          runLoop(lastNow);
-        }, now);
+        receive(
+            self,
+            loop.poll(),
+            answer -> {
+              loop.add(answer);
+              runLoop(lastNow);
+            },
+            now);
       }
     } finally {
       looping = false;
@@ -805,7 +933,9 @@
   private void onPromise(final String from, final Words.Promise promise, final long now) {
     final Partition partition = partitions[promise.partition];
     final int index = roster.index(from);
-    if (partition.phase != Phase.PREPARING || !partition.ballot.equals(promise.ballot) || index < 0) {
+    if (partition.phase != Phase.PREPARING
+        || !partition.ballot.equals(promise.ballot)
+        || index < 0) {
       return;
     }
     learn(roster.number, promise.known);
@@ -841,7 +971,8 @@
       if (one != null) {
         for (final Entry entry : Words.list(one.entries)) {
           final Entry before = best.get(entry.name);
-          if (entry.mark.compareTo(floor) >= 0 && (before == null || before.mark.compareTo(entry.mark) < 0)) {
+          if (entry.mark.compareTo(floor) >= 0
+              && (before == null || before.mark.compareTo(entry.mark) < 0)) {
             best.put(entry.name, entry);
           }
         }
@@ -875,20 +1006,39 @@
     final List<Entry> entries = new ArrayList<>(partition.held.size());
     for (final Held held : partition.held.values()) {
       if (held.proposed != null) {
-        entries.add(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed), held.audit));
+        entries.add(
+            new Entry(
+                held.name,
+                held.mark,
+                Mark.NONE,
+                null,
+                held.kind.encode(held.proposed),
+                held.audit));
         held.sent[place] = held.mark.count;
         held.sentAt[place] = now;
       }
     }
     partition.establishSent[place] = true;
     partition.establishSentAt[place] = now;
-    send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, true, partition.counted, entries, knownIncarnations()), now);
+    send(
+        roster.voters.get(place).address,
+        new Words.Accept(
+            partition.number,
+            roster.number,
+            partition.ballot,
+            true,
+            partition.counted,
+            entries,
+            knownIncarnations()),
+        now);
   }
 
   private void onAccepted(final String from, final Words.Accepted accepted, final long now) {
     final Partition partition = partitions[accepted.partition];
     final int place = roster.index(from);
-    if (partition.phase != Phase.ESTABLISHING && partition.phase != Phase.SERVING || !partition.ballot.sameBallot(accepted.ballot) || place < 0) {
+    if (partition.phase != Phase.ESTABLISHING && partition.phase != Phase.SERVING
+        || !partition.ballot.sameBallot(accepted.ballot)
+        || place < 0) {
       return;
     }
     learn(roster.number, accepted.known);
@@ -951,7 +1101,9 @@
         }
       }
     }
-    LOGGER.atInfo().log("frame %s serves partition %s under ballot %s, roster %s, registers %s", self, partition.number, partition.ballot, roster.number, partition.held.size());
+    LOGGER.atInfo().log(
+        "frame %s serves partition %s under ballot %s, roster %s, registers %s",
+        self, partition.number, partition.ballot, roster.number, partition.held.size());
     if (partition.number == 0) {
       audit.decided(book.serve(), others());
       final Held held = partition.held.get("roster");
@@ -980,7 +1132,12 @@
   private void pulse(final Partition partition, final long now) {
     partition.pulseCount++;
     partition.pulsedAt = now;
-    broadcast(new Words.Pulse(roster.number, List.of(partition.number), List.of(partition.ballot.at(partition.pulseCount))), now);
+    broadcast(
+        new Words.Pulse(
+            roster.number,
+            List.of(partition.number),
+            List.of(partition.ballot.at(partition.pulseCount))),
+        now);
   }
 
   private void pulseAll(final long now) {
@@ -1010,7 +1167,8 @@
     final List<Integer> numbers = Words.list(pulsed.partitions);
     for (int index = 0; index < numbers.size(); index++) {
       final Partition partition = partitions[numbers.get(index)];
-      if (partition.phase.ordinal() > Phase.CANVASSING.ordinal() && partition.ballot.sameBallot(pulsed.ballots.get(index))) {
+      if (partition.phase.ordinal() > Phase.CANVASSING.ordinal()
+          && partition.ballot.sameBallot(pulsed.ballots.get(index))) {
         learn(roster.number, pulsed.known);
         break;
       }
@@ -1030,7 +1188,9 @@
     for (int index = 0; index < numbers.size(); index++) {
       final Partition partition = partitions[numbers.get(index)];
       final Mark mark = pulsed.ballots.get(index);
-      if (partition.phase == Phase.SERVING && partition.ballot.sameBallot(mark) && !restart.contains(partition)) {
+      if (partition.phase == Phase.SERVING
+          && partition.ballot.sameBallot(mark)
+          && !restart.contains(partition)) {
         partition.pulsed[place] = Math.max(partition.pulsed[place], mark.count);
         confirmed(partition, now);
       }
@@ -1050,14 +1210,17 @@
       for (final Waiter waiter : due) {
         waiter.then.run();
       }
-      if (!partition.waiters.isEmpty() && !partition.confirmOut && partition.phase == Phase.SERVING) {
+      if (!partition.waiters.isEmpty()
+          && !partition.confirmOut
+          && partition.phase == Phase.SERVING) {
         partition.confirmOut = true;
         pulse(partition, now);
       }
     }
   }
 
-  private void confirm(final Partition partition, final long now, final Held.Work work, final Runnable then) {
+  private void confirm(
+      final Partition partition, final long now, final Held.Work work, final Runnable then) {
     if (!partition.confirmOut) {
       partition.confirmOut = true;
       partition.waiters.add(new Waiter(partition.pulseCount + 1, now, work, then));
@@ -1084,7 +1247,9 @@
     final String register = deed.register(call.name);
     final Partition partition = partitions[partition(register)];
     if (partition.phase != Phase.SERVING || departure.begun()) {
-      reply.accept(new Words.Answer(call.number, 0, 0, null, self.equals(partition.holder) ? null : partition.holder));
+      reply.accept(
+          new Words.Answer(
+              call.number, 0, 0, null, self.equals(partition.holder) ? null : partition.holder));
       return;
     }
     if (deed == Deed.CONTROL) {
@@ -1101,13 +1266,15 @@
   }
 
   private Held held(final Partition partition, final String register) {
-    return partition.held.computeIfAbsent(register, name -> {
-      final Held held = new Held(name, keepMillis, partition.ballot.round, versions);
-      held.mark = partition.ballot;
-      Arrays.fill(held.acked, -1);
-      Arrays.fill(held.sent, -1);
-      return held;
-    });
+    return partition.held.computeIfAbsent(
+        register,
+        name -> {
+          final Held held = new Held(name, keepMillis, partition.ballot.round, versions);
+          held.mark = partition.ballot;
+          Arrays.fill(held.acked, -1);
+          Arrays.fill(held.sent, -1);
+          return held;
+        });
   }
 
   private static Words.Answer answer(final Held.Work work, final Decision decision) {
@@ -1130,14 +1297,23 @@
         later.add(work);
         continue;
       }
-      if (late(work.call, now) || work.deed == Deed.LOCK_BEGIN && !datable(partition, work.call, now)) {
+      if (late(work.call, now)
+          || work.deed == Deed.LOCK_BEGIN && !datable(partition, work.call, now)) {
         work.reply.accept(redirect(work.call, partition));
         continue;
       }
       final Decision decision = decide(partition, held, value, work, now);
       if (decision.way == Decision.Way.WRITE) {
         if (held.kind.audited()) {
-          book.add(book.draft(work.deed, work.call, value, decision.value, work.call.first, controlMark(partition, held, decision.value), outlet.timeOfDay()));
+          book.add(
+              book.draft(
+                  work.deed,
+                  work.call,
+                  value,
+                  decision.value,
+                  work.call.first,
+                  controlMark(partition, held, decision.value),
+                  outlet.timeOfDay()));
         }
         changed = true;
         value = decision.value;
@@ -1162,17 +1338,30 @@
     return call.clock != null && now - call.clock > COPY_MILLIS;
   }
 
-  /** Whether a copy can be told to be of a call that was first sent before this duty began, or after that. */
+  /**
+   * Whether a copy can be told to be of a call that was first sent before this duty began, or after
+   * that.
+   */
   private static boolean datable(final Partition partition, final Words.Call call, final long now) {
-    return call.clock == null || call.clock - call.age >= partition.servedAt || older(partition, call, now);
+    return call.clock == null
+        || call.clock - call.age >= partition.servedAt
+        || older(partition, call, now);
   }
 
-  /** Whether a call was surely sent before this duty began, so that the holder before may have carried it out. */
+  /**
+   * Whether a call was surely sent before this duty began, so that the holder before may have
+   * carried it out.
+   */
   private static boolean older(final Partition partition, final Words.Call call, final long now) {
     return call.age > 0 && now - call.age < partition.servedAt;
   }
 
-  private Decision decide(final Partition partition, final Held held, final Object value, final Held.Work work, final long now) {
+  private Decision decide(
+      final Partition partition,
+      final Held held,
+      final Object value,
+      final Held.Work work,
+      final long now) {
     if (!work.deed.once()) {
       return work.deed.decide(held, value, work.call, now);
     }
@@ -1180,7 +1369,8 @@
     if (before != null) {
       return before;
     }
-    if (work.deed == Deed.LOCK_BEGIN && older(partition, work.call, now) || partition.recent.full(now)) {
+    if (work.deed == Deed.LOCK_BEGIN && older(partition, work.call, now)
+        || partition.recent.full(now)) {
       return Decision.confirm(504, 0);
     }
     final Decision decision = work.deed.decide(held, value, work.call, now);
@@ -1188,17 +1378,29 @@
     return decision;
   }
 
-  private void look(final Partition partition, final Held held, final Held.Work work, final long now) {
+  private void look(
+      final Partition partition, final Held held, final Held.Work work, final long now) {
     final Decision decision = work.deed.decide(held, held.committed, work.call, now);
     switch (decision.way) {
-      case READ -> confirm(partition, now, work, () -> work.reply.accept(answer(work, work.deed.read(held.committed, work.call))));
+      case READ ->
+          confirm(
+              partition,
+              now,
+              work,
+              () -> work.reply.accept(answer(work, work.deed.read(held.committed, work.call))));
       case PARK -> held.parked.add(work);
-      case CONFIRM -> confirm(partition, now, work, () -> work.reply.accept(answer(work, decision)));
+      case CONFIRM ->
+          confirm(partition, now, work, () -> work.reply.accept(answer(work, decision)));
       default -> work.reply.accept(answer(work, decision));
     }
   }
 
-  private void propose(final Partition partition, final Held held, final Object value, final List<Values.Put> puts, final long now) {
+  private void propose(
+      final Partition partition,
+      final Held held,
+      final Object value,
+      final List<Values.Put> puts,
+      final long now) {
     final Mark base = held.mark;
     final boolean fresh = held.committed == null;
     if (held.kind.audited()) {
@@ -1228,18 +1430,43 @@
       }
       held.sent[place] = held.mark.count;
       held.sentAt[place] = now;
-      send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, false, partition.counted, List.of(entry)), now);
+      send(
+          roster.voters.get(place).address,
+          new Words.Accept(
+              partition.number,
+              roster.number,
+              partition.ballot,
+              false,
+              partition.counted,
+              List.of(entry)),
+          now);
     }
   }
 
-  private void sendWhole(final Partition partition, final Held held, final int place, final long now) {
+  private void sendWhole(
+      final Partition partition, final Held held, final int place, final long now) {
     if (held.proposed == null) {
       return;
     }
     held.sent[place] = held.mark.count;
     held.sentAt[place] = now;
-    send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, false, partition.counted,
-        List.of(new Entry(held.name, held.mark, Mark.NONE, null, held.kind.encode(held.proposed), held.audit))), now);
+    send(
+        roster.voters.get(place).address,
+        new Words.Accept(
+            partition.number,
+            roster.number,
+            partition.ballot,
+            false,
+            partition.counted,
+            List.of(
+                new Entry(
+                    held.name,
+                    held.mark,
+                    Mark.NONE,
+                    null,
+                    held.kind.encode(held.proposed),
+                    held.audit))),
+        now);
   }
 
   private void tryCommit(final Partition partition, final Held held, final long now) {
@@ -1303,7 +1530,8 @@
   // ---- history
 
   /** Which number all evacuations and trials together are under. */
-  private static long controlMark(final Partition partition, final Held changing, final Object value) {
+  private static long controlMark(
+      final Partition partition, final Held changing, final Object value) {
     long mark = 0;
     for (final Held held : partition.held.values()) {
       mark += Values.serial(held.kind, held == changing ? value : held.committed);
@@ -1322,7 +1550,10 @@
     return others;
   }
 
-  /** The peers with whom the history is reconciled: the voters, and the seeds where no voter is known. */
+  /**
+   * The peers with whom the history is reconciled: the voters, and the seeds where no voter is
+   * known.
+   */
   private List<String> auditPeers() {
     final List<String> peers = others();
     if (peers.isEmpty()) {
@@ -1338,7 +1569,9 @@
     final List<byte[]> entries = new ArrayList<>();
     int bytes = 0;
     final long from = Math.max(call.first, log.base() + 1);
-    for (long sequence = from; sequence <= log.last() && entries.size() < call.second && bytes < HISTORY_BYTES; sequence++) {
+    for (long sequence = from;
+        sequence <= log.last() && entries.size() < call.second && bytes < HISTORY_BYTES;
+        sequence++) {
       final byte[] entry = log.read(sequence);
       if (entry == null) {
         break;
@@ -1346,15 +1579,40 @@
       bytes += entry.length;
       entries.add(entry);
     }
-    return new Words.Answer(call.number, 200, log.last(), Wire.bytes(new Values.HistoryPart(log.base(), log.last(), log.digest(), log.conflicts(), blank, from, entries)), null);
-  }
-
-  private void head(final Partition partition, final Words.Call call, final Consumer<Words.Answer> reply, final long now) {
+    return new Words.Answer(
+        call.number,
+        200,
+        log.last(),
+        Wire.bytes(
+            new Values.HistoryPart(
+                log.base(), log.last(), log.digest(), log.conflicts(), blank, from, entries)),
+        null);
+  }
+
+  private void head(
+      final Partition partition,
+      final Words.Call call,
+      final Consumer<Words.Answer> reply,
+      final long now) {
     final Held.Work work = new Held.Work(call, Deed.HISTORY_HEAD, reply, now);
-    confirm(partition, now, work, () -> reply.accept(new Words.Answer(call.number, 200, book.decided(), book.decidedDigest().getBytes(java.nio.charset.StandardCharsets.UTF_8), null)));
+    confirm(
+        partition,
+        now,
+        work,
+        () ->
+            reply.accept(
+                new Words.Answer(
+                    call.number,
+                    200,
+                    book.decided(),
+                    book.decidedDigest().getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                    null)));
   }
 
-  /** Proposes, where nothing else is under way, what the history itself needs: its first entry in an older store, and trimming. */
+  /**
+   * Proposes, where nothing else is under way, what the history itself needs: its first entry in an
+   * older store, and trimming.
+   */
   private void keepHistory(final Partition partition, final long now) {
     book.settle(roster);
     if (!book.idle()) {
@@ -1372,7 +1630,10 @@
     final AuditLog log = audit.log();
     final long slack = Math.max(16, retention / 10);
     final long through = book.decided() - retention;
-    if (retention < Long.MAX_VALUE / 2 && book.decided() - log.base() > retention + slack && log.last() == book.decided() && through <= book.settled(roster)) {
+    if (retention < Long.MAX_VALUE / 2
+        && book.decided() - log.base() > retention + slack
+        && log.last() == book.decided()
+        && through <= book.settled(roster)) {
       final String digest = log.digestAt(through);
       if (digest != null) {
         book.add(book.retention(through, digest, self, outlet.timeOfDay()));
@@ -1385,16 +1646,25 @@
 
   private final List<Held.Work> controlParked = new ArrayList<>();
 
-  private void control(final Partition partition, final Words.Call call, final Consumer<Words.Answer> reply, final long now) {
+  private void control(
+      final Partition partition,
+      final Words.Call call,
+      final Consumer<Words.Answer> reply,
+      final long now) {
     final Held.Work work = new Held.Work(call, Deed.CONTROL, reply, now);
-    confirm(partition, now, work, () -> {
-      if (!tellControl(partition, work, false)) {
-        controlParked.add(work);
-      }
-    });
+    confirm(
+        partition,
+        now,
+        work,
+        () -> {
+          if (!tellControl(partition, work, false)) {
+            controlParked.add(work);
+          }
+        });
   }
 
-  private boolean tellControl(final Partition partition, final Held.Work work, final boolean always) {
+  private boolean tellControl(
+      final Partition partition, final Held.Work work, final boolean always) {
     final Held spec = partition.held.get("spec");
     final Values.Spec value = spec == null ? null : (Values.Spec) spec.committed;
     long mark = 0;
@@ -1437,7 +1707,21 @@
     if (!news && !always) {
       return false;
     }
-    final Values.Control control = new Values.Control(version, version > work.call.first ? value.body : null, evacuated, mark, roster, trials, trialMark, purges, electorates, value != null && value.tied, placementMark, news ? placements : null, keeper);
+    final Values.Control control =
+        new Values.Control(
+            version,
+            version > work.call.first ? value.body : null,
+            evacuated,
+            mark,
+            roster,
+            trials,
+            trialMark,
+            purges,
+            electorates,
+            value != null && value.tied,
+            placementMark,
+            news ? placements : null,
+            keeper);
     work.reply.accept(new Words.Answer(work.call.number, 200, version, Wire.bytes(control), null));
     return true;
   }
@@ -1454,19 +1738,24 @@
 
   // ---- time
 
-  /** Tells how the disk fares: for how long the present write has lasted, and whether it refuses writes. */
+  /**
+   * Tells how the disk fares: for how long the present write has lasted, and whether it refuses
+   * writes.
+   */
   public void disk(final long busyMillis, final boolean refusing, final long now) {
     final boolean trouble = refusing || busyMillis > DISK_STUCK_MILLIS;
     if (trouble && !diskTrouble) {
-      LOGGER.atWarning().log("frame %s gives its duties up: its disk has hung for %s ms or refuses writes", self, busyMillis);
+      LOGGER.atWarning().log(
+          "frame %s gives its duties up: its disk has hung for %s ms or refuses writes",
+          self, busyMillis);
       resign(false, now);
     }
     diskTrouble = trouble;
   }
 
   /**
-   * Gives all duties up because the process ends, and stays a voter until the others hold without it all that this daemon
-   * counted for, or too long has passed; then the deed runs.
+   * Gives all duties up because the process ends, and stays a voter until the others hold without
+   * it all that this daemon counted for, or too long has passed; then the deed runs.
    */
   public void leave(final Runnable gone, final long now) {
     departure.begin(gone, roster.number, now);
@@ -1484,19 +1773,25 @@
       if (!departure.late(now)) {
         return;
       }
-      LOGGER.atWarning().log("frame %s leaves although partitions %s may be on too few other disks: no holder has said within %s ms that a majority has them without it; bring it back with its disk, or replace it, before another voter is lost", self, departure.open(), Departure.MOST_MILLIS);
+      LOGGER.atWarning().log(
+          "frame %s leaves although partitions %s may be on too few other disks: no holder has said within %s ms that a majority has them without it; bring it back with its disk, or replace it, before another voter is lost",
+          self, departure.open(), Departure.MOST_MILLIS);
     }
     resign(true, now);
     left = true;
     departure.gone().run();
   }
 
-  /** Tells a voter that leaves which partitions served here are on a majority of disks without it. */
+  /**
+   * Tells a voter that leaves which partitions served here are on a majority of disks without it.
+   */
   private void release(final String from, final Consumer<Message> reply) {
     final int place = roster.index(from);
     final List<Integer> numbers = new ArrayList<>();
     for (final Partition partition : partitions) {
-      if (partition.phase == Phase.SERVING && !restart.contains(partition) && (place < 0 || heldWithout(partition, place))) {
+      if (partition.phase == Phase.SERVING
+          && !restart.contains(partition)
+          && (place < 0 || heldWithout(partition, place))) {
         numbers.add(partition.number);
       }
     }
@@ -1512,7 +1807,12 @@
     for (final Held held : partition.held.values()) {
       int count = 0;
       for (int place = 0; place < roster.voters.size(); place++) {
-        count += place != leaver && partition.establishAcked[place] && held.acked[place] >= held.mark.count ? 1 : 0;
+        count +=
+            place != leaver
+                    && partition.establishAcked[place]
+                    && held.acked[place] >= held.mark.count
+                ? 1
+                : 0;
       }
       if (count < roster.majority() && held.proposed != null) {
         return false;
@@ -1607,9 +1907,10 @@
   }
 
   /**
-   * Brings voters up to date that lack something: in parts of a bounded size, the next once one was acknowledged, and
-   * nothing to those who answer no pulse. A value that the establishing took over as it was goes as its old mark: who has
-   * it under that one needs no more. The partition counts as established at a voter once all of it is there.
+   * Brings voters up to date that lack something: in parts of a bounded size, the next once one was
+   * acknowledged, and nothing to those who answer no pulse. A value that the establishing took over
+   * as it was goes as its old mark: who has it under that one needs no more. The partition counts
+   * as established at a voter once all of it is there.
    */
   private void resend(final Partition partition, final long now) {
     for (int place = 0; place < roster.voters.size(); place++) {
@@ -1628,19 +1929,39 @@
         if (bytes < REPAIR_BYTES && now - held.sentAt[place] > RESEND_MILLIS) {
           final boolean renamed = held.acked[place] < 0 && held.mark.equals(held.establishedMark);
           final byte[] value = renamed ? Values.UNCHANGED : held.kind.encode(held.proposed);
-          bytes += held.name.length() + ENTRY_BYTES + value.length + (held.audit == null ? 0 : held.audit.length);
-          entries.add(renamed ? new Entry(held.name, held.mark, held.source, value, null, held.audit) : new Entry(held.name, held.mark, Mark.NONE, null, value, held.audit));
+          bytes +=
+              held.name.length()
+                  + ENTRY_BYTES
+                  + value.length
+                  + (held.audit == null ? 0 : held.audit.length);
+          entries.add(
+              renamed
+                  ? new Entry(held.name, held.mark, held.source, value, null, held.audit)
+                  : new Entry(held.name, held.mark, Mark.NONE, null, value, held.audit));
           held.sent[place] = held.mark.count;
           held.sentAt[place] = now;
         }
       }
-      final boolean establish = whole && !partition.establishAcked[place] && now - partition.establishSentAt[place] > RESEND_MILLIS;
+      final boolean establish =
+          whole
+              && !partition.establishAcked[place]
+              && now - partition.establishSentAt[place] > RESEND_MILLIS;
       if (establish || !entries.isEmpty()) {
         repair.sentAt = now;
-        repair.pause = repair.pause == 0 ? RESEND_MILLIS : Math.min(MOST_PAUSE_MILLIS, repair.pause * 2);
+        repair.pause =
+            repair.pause == 0 ? RESEND_MILLIS : Math.min(MOST_PAUSE_MILLIS, repair.pause * 2);
         partition.establishSentAt[place] = establish ? now : partition.establishSentAt[place];
         repaired += bytes;
-        send(roster.voters.get(place).address, new Words.Accept(partition.number, roster.number, partition.ballot, establish, partition.counted, entries), now);
+        send(
+            roster.voters.get(place).address,
+            new Words.Accept(
+                partition.number,
+                roster.number,
+                partition.ballot,
+                establish,
+                partition.counted,
+                entries),
+            now);
       }
     }
   }
@@ -1654,17 +1975,25 @@
         held.waiting.removeIf(work -> now - work.receivedAt > STALE_WORK_MILLIS);
       }
       if (!held.parked.isEmpty()) {
-        held.parked.removeIf(work -> {
-          if (now - work.receivedAt < work.call.second) {
-            return false;
-          }
-          work.reply.accept(new Words.Answer(work.call.number, 200, work.call.first, Wire.bytes(new Values.Events(List.of(), work.call.first)), null));
-          return true;
-        });
+        held.parked.removeIf(
+            work -> {
+              if (now - work.receivedAt < work.call.second) {
+                return false;
+              }
+              work.reply.accept(
+                  new Words.Answer(
+                      work.call.number,
+                      200,
+                      work.call.first,
+                      Wire.bytes(new Values.Events(List.of(), work.call.first)),
+                      null));
+              return true;
+            });
       }
     }
     if (partition.number == 0) {
-      controlParked.removeIf(work -> now - work.receivedAt >= CONTROL_MILLIS && tellControl(partition, work, true));
+      controlParked.removeIf(
+          work -> now - work.receivedAt >= CONTROL_MILLIS && tellControl(partition, work, true));
     }
   }
 
@@ -1677,7 +2006,9 @@
     int better = 0;
     for (int place = 0; place < roster.voters.size(); place++) {
       final Voter voter = roster.voters.get(place);
-      if (voter.region.equals(best) && partition.pulsed[place] >= partition.pulseCount - 2 && partition.establishAcked[place]) {
+      if (voter.region.equals(best)
+          && partition.pulsed[place] >= partition.pulseCount - 2
+          && partition.establishAcked[place]) {
         better++;
       }
     }
@@ -1719,7 +2050,10 @@
     }
   }
 
-  /** Seeds that are neither voters nor known to wait may have lost their disks and know nobody: they are told who votes. */
+  /**
+   * Seeds that are neither voters nor known to wait may have lost their disks and know nobody: they
+   * are told who votes.
+   */
   private void tellSeeds(final long now) {
     if (now - seedsToldAt < SEEDS_MILLIS) {
       return;
@@ -1737,7 +2071,9 @@
   private void changeRoster(final long now) {
     final Partition partition = partitions[0];
     final Held held = held(partition, "roster");
-    if (held.inFlight || held.committed != null && ((Roster) held.committed).number > roster.number || book.settled(roster) < book.decided()) {
+    if (held.inFlight
+        || held.committed != null && ((Roster) held.committed).number > roster.number
+        || book.settled(roster) < book.decided()) {
       return;
     }
     final Roster next = membership.next(roster, now);
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -46,38 +46,56 @@
     this.boot = boot;
     final long owner = Chance.fresh();
     this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "frame", boot.address(), owner));
-    this.lines = new Lines(trunk, boot.trunkPort(1), to -> Trunk.on(desk, new Trunk.Ear() {
-      @Override
-      public void heard(final Line line, final Message message) {
-        core().receive(to, message, line::send, now());
-      }
+    this.lines =
+        new Lines(
+            trunk,
+            boot.trunkPort(1),
+            to ->
+                Trunk.on(
+                    desk,
+                    new Trunk.Ear() {
+                      @Override
+                      public void heard(final Line line, final Message message) {
+                        core().receive(to, message, line::send, now());
+                      }
 
-      @Override
-      public void closed(final Line line) {
-        core().lineClosed(to, now());
-      }
-    }));
-    this.core = new FrameCore(boot.address(), boot.site(), boot.region(), boot.voter(), MOST_VOTERS, boot.historyMillis(), owner, new Random(owner), boot.seeds(), new FrameCore.Outlet() {
-      @Override
-      public void send(final String address, final Message message) {
-        lines.send(address, message);
-      }
+                      @Override
+                      public void closed(final Line line) {
+                        core().lineClosed(to, now());
+                      }
+                    }));
+    this.core =
+        new FrameCore(
+            boot.address(),
+            boot.site(),
+            boot.region(),
+            boot.voter(),
+            MOST_VOTERS,
+            boot.historyMillis(),
+            owner,
+            new Random(owner),
+            boot.seeds(),
+            new FrameCore.Outlet() {
+              @Override
+              public void send(final String address, final Message message) {
+                lines.send(address, message);
+              }
 
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-        tape.append(record, synced);
-      }
+              @Override
+              public void append(final byte[] record, final Runnable synced) {
+                tape.append(record, synced);
+              }
 
-      @Override
-      public void peers(final List<String> addresses) {
-        lines.keep(addresses);
-      }
+              @Override
+              public void peers(final List<String> addresses) {
+                lines.keep(addresses);
+              }
 
-      @Override
-      public long timeOfDay() {
-        return System.currentTimeMillis();
-      }
-    });
+              @Override
+              public long timeOfDay() {
+                return System.currentTimeMillis();
+              }
+            });
   }
 
   private FrameCore core() {
@@ -91,31 +109,54 @@
   @Override
   public void start() throws IOException, InterruptedException {
     if (boot.folder().isEmpty()) {
-      throw new Breakdown(Breakdown.Kind.SETTING, "setting station.folder has the value ''; a frame needs a folder on a disk of its own");
+      throw new Breakdown(
+          Breakdown.Kind.SETTING,
+          "setting station.folder has the value ''; a frame needs a folder on a disk of its own");
     }
-    final Tape.Opened opened = Tape.open(Path.of(boot.folder(), "frame"), "frame " + boot.address(), FILES, FILE_BYTES, MOST_FILE_BYTES, desk, core::view);
+    final Tape.Opened opened =
+        Tape.open(
+            Path.of(boot.folder(), "frame"),
+            "frame " + boot.address(),
+            FILES,
+            FILE_BYTES,
+            MOST_FILE_BYTES,
+            desk,
+            core::view);
     final Ring.Found found = opened.found();
     if (found.lost()) {
-      LOGGER.atSevere().log("the disk of %s lost records that had been synced; it counts as blank and is refetched from the other frames", boot.name());
+      LOGGER.atSevere().log(
+          "the disk of %s lost records that had been synced; it counts as blank and is refetched from the other frames",
+          boot.name());
     }
     tape = opened.tape();
-    final SegmentStore segments = new SegmentStore(Path.of(boot.folder(), "frame-history"), boot.auditBytes(), desk);
+    final SegmentStore segments =
+        new SegmentStore(Path.of(boot.folder(), "frame-history"), boot.auditBytes(), desk);
     core.history(segments, boot.auditRetention(), boot.auditEntryBytes());
-    desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), boot.firstStart() && found.blank() && !found.lost(), now()));
+    desk.execute(
+        () ->
+            core.start(
+                found.lost() ? List.of() : found.records(),
+                boot.firstStart() && found.blank() && !found.lost(),
+                now()));
     tape.start("tape");
     segments.start("history");
-    trunk.serve(boot.address(), boot.trunkPort(1), Trunk.on(desk, new Trunk.Ear() {
-      @Override
-      public void heard(final Line line, final Message message) {
-        if (message instanceof Words.Call) {
-          core.call((Words.Call) message, answer -> line.send(answer.at(now())), now());
-        } else {
-          core.receive(line.peer().address, message, line::send, now());
-        }
-      }
-
-    }));
-    loop.scheduleAtFixedRate(() -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    trunk.serve(
+        boot.address(),
+        boot.trunkPort(1),
+        Trunk.on(
+            desk,
+            new Trunk.Ear() {
+              @Override
+              public void heard(final Line line, final Message message) {
+                if (message instanceof Words.Call) {
+                  core.call((Words.Call) message, answer -> line.send(answer.at(now())), now());
+                } else {
+                  core.receive(line.peer().address, message, line::send, now());
+                }
+              }
+            }));
+    loop.scheduleAtFixedRate(
+        () -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void tick() {
@@ -124,7 +165,16 @@
     core.tick(now);
     if (now - countersAt >= boot.countersMillis()) {
       countersAt = now;
-      LOGGER.atInfo().log("counters: serving %s ballots %s commits %s syncs %s %s roster %s %s %s", core.serving(), core.ballots(), core.commits(), tape.syncs(), tape.counters(), core.roster().number, core.historyCounters(), trunk.meter());
+      LOGGER.atInfo().log(
+          "counters: serving %s ballots %s commits %s syncs %s %s roster %s %s %s",
+          core.serving(),
+          core.ballots(),
+          core.commits(),
+          tape.syncs(),
+          tape.counters(),
+          core.roster().number,
+          core.historyCounters(),
+          trunk.meter());
     }
   }
 
@@ -136,7 +186,8 @@
   @Override
   public void stop() {
     final java.util.concurrent.CountDownLatch done = new java.util.concurrent.CountDownLatch(1);
-    desk.execute(() -> core.leave(() -> loop.schedule(done::countDown, 60, TimeUnit.MILLISECONDS), now()));
+    desk.execute(
+        () -> core.leave(() -> loop.schedule(done::countDown, 60, TimeUnit.MILLISECONDS), now()));
     try {
       done.await(Departure.MOST_MILLIS + 1000, TimeUnit.MILLISECONDS);
     } catch (final InterruptedException ended) {
--- a/frame/src/main/java/weldpoint/frame/Held.java
+++ b/frame/src/main/java/weldpoint/frame/Held.java
@@ -56,7 +56,11 @@
   final long ballotRound;
   final TakenVersions versions;
 
-  Held(final String name, final long keepMillis, final long ballotRound, final TakenVersions versions) {
+  Held(
+      final String name,
+      final long keepMillis,
+      final long ballotRound,
+      final TakenVersions versions) {
     this.versions = versions;
     this.ballotRound = ballotRound;
     this.name = name;
--- a/frame/src/main/java/weldpoint/frame/Membership.java
+++ b/frame/src/main/java/weldpoint/frame/Membership.java
@@ -11,7 +11,10 @@
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
 
-/** Who votes and who would like to: what the holder of partition 0 knows of members and newcomers, and the next change of the roster. */
+/**
+ * Who votes and who would like to: what the holder of partition 0 knows of members and newcomers,
+ * and the next change of the roster.
+ */
 final class Membership {
   private static final long UNREACHABLE_MILLIS = 2500;
   private static final long UNREACHABLE_CLOSED_MILLIS = 1600;
@@ -111,7 +114,8 @@
 
   private boolean here(final String address, final long now) {
     final long heard = heardAt.getOrDefault(address, Long.MIN_VALUE / 2);
-    return address.equals(self) || now - heard <= STEADY_MILLIS && closedAt.getOrDefault(address, Long.MIN_VALUE) < heard;
+    return address.equals(self)
+        || now - heard <= STEADY_MILLIS && closedAt.getOrDefault(address, Long.MIN_VALUE) < heard;
   }
 
   private List<Voter> newcomers(final long now) {
@@ -131,10 +135,10 @@
   }
 
   /**
-   * The next roster, one voter more or less or better described; null while the present one stays, or is not whole yet on
-   * a majority of its voters, or while it is in doubt whether a voter is there: one that is lost often goes with others.
-   * A change that would leave less behind after the loss of a zone gives way to the other order, first adding or first
-   * removing.
+   * The next roster, one voter more or less or better described; null while the present one stays,
+   * or is not whole yet on a majority of its voters, or while it is in doubt whether a voter is
+   * there: one that is lost often goes with others. A change that would leave less behind after the
+   * loss of a zone gives way to the other order, first adding or first removing.
    */
   Roster next(final Roster roster, final long now) {
     if (now - changedAt < CHANGE_MILLIS || !whole(roster)) {
@@ -170,7 +174,9 @@
       betterSince = 0;
       return null;
     }
-    final boolean needless = present.voters.size() == mostVoters && out.stream().noneMatch(voter -> away.contains(voter.address));
+    final boolean needless =
+        present.voters.size() == mostVoters
+            && out.stream().noneMatch(voter -> away.contains(voter.address));
     if (needless) {
       if (betterSince == 0) {
         betterSince = now;
@@ -185,13 +191,18 @@
     for (final Roster next : steps(present, in, out)) {
       final int nextZoneSpare = VoterChoice.spareAfterZoneLoss(next.voters, away);
       final int nextSpare = VoterChoice.spare(next.voters, away);
-      if (nextSpare >= 0 && (chosen == null || nextZoneSpare > zoneSpare || nextZoneSpare == zoneSpare && nextSpare > spare)) {
+      if (nextSpare >= 0
+          && (chosen == null
+              || nextZoneSpare > zoneSpare
+              || nextZoneSpare == zoneSpare && nextSpare > spare)) {
         chosen = next;
         zoneSpare = nextZoneSpare;
         spare = nextSpare;
       }
     }
-    if (chosen != null && needless && zoneSpare < Math.min(0, VoterChoice.spareAfterZoneLoss(present.voters, away))) {
+    if (chosen != null
+        && needless
+        && zoneSpare < Math.min(0, VoterChoice.spareAfterZoneLoss(present.voters, away))) {
       return null;
     }
     return chosen;
--- a/frame/src/main/java/weldpoint/frame/Partition.java
+++ b/frame/src/main/java/weldpoint/frame/Partition.java
@@ -10,11 +10,18 @@
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Entry;
 
-/** One partition as this daemon sees it: what it has promised and stored, and, where it holds the duty, how that stands. */
+/**
+ * One partition as this daemon sees it: what it has promised and stored, and, where it holds the
+ * duty, how that stands.
+ */
 final class Partition {
   /** How far this daemon is with the duty. */
   enum Phase {
-    IDLE, CANVASSING, PREPARING, ESTABLISHING, SERVING
+    IDLE,
+    CANVASSING,
+    PREPARING,
+    ESTABLISHING,
+    SERVING
   }
 
   /** A register's value under its mark, with the entries of the history that travel with it. */
@@ -30,7 +37,10 @@
     }
   }
 
-  /** How the holder brings a voter up to date: when it last answered a pulse, when it was last sent something, and how long to wait for that to be acknowledged. */
+  /**
+   * How the holder brings a voter up to date: when it last answered a pulse, when it was last sent
+   * something, and how long to wait for that to be acknowledged.
+   */
   static final class Repair {
     long heardAt = Long.MIN_VALUE / 4;
     long sentAt = Long.MIN_VALUE / 2;
@@ -90,7 +100,16 @@
   /** All that is stored, as it travels. */
   List<Entry> entries() {
     final List<Entry> entries = new ArrayList<>(stored.size());
-    stored.forEach((name, one) -> entries.add(new Entry(name, one.mark, Mark.NONE, null, Values.Kind.of(name).encode(one.value), one.audit)));
+    stored.forEach(
+        (name, one) ->
+            entries.add(
+                new Entry(
+                    name,
+                    one.mark,
+                    Mark.NONE,
+                    null,
+                    Values.Kind.of(name).encode(one.value),
+                    one.audit)));
     return entries;
   }
 
@@ -102,11 +121,14 @@
     for (final Map.Entry<String, Stored> one : stored.entrySet()) {
       final byte[] whole = Values.Kind.of(one.getKey()).encode(one.getValue().value);
       if (!some.isEmpty() && size + whole.length > bytes) {
-        records.add(Wire.bytes(new Values.DiskRecord(type, number, Mark.NONE, some, null, null, 0)));
+        records.add(
+            Wire.bytes(new Values.DiskRecord(type, number, Mark.NONE, some, null, null, 0)));
         some.clear();
         size = 0;
       }
-      some.add(new Entry(one.getKey(), one.getValue().mark, Mark.NONE, null, whole, one.getValue().audit));
+      some.add(
+          new Entry(
+              one.getKey(), one.getValue().mark, Mark.NONE, null, whole, one.getValue().audit));
       size += whole.length;
     }
     if (!some.isEmpty()) {
@@ -115,8 +137,15 @@
     return records;
   }
 
-  /** Stores what was accepted under a ballot; entries whose base is not here are added to those lacking. */
-  void store(final Mark given, final boolean establish, final List<Entry> entries, final List<Entry> lacking) {
+  /**
+   * Stores what was accepted under a ballot; entries whose base is not here are added to those
+   * lacking.
+   */
+  void store(
+      final Mark given,
+      final boolean establish,
+      final List<Entry> entries,
+      final List<Entry> lacking) {
     if (given.compareTo(promised) > 0) {
       promised = given.ballot();
     }
@@ -132,9 +161,18 @@
       final Values.Kind kind = Values.Kind.of(entry.name);
       if (entry.whole != null) {
         stored.put(entry.name, new Stored(entry.mark, kind.decode(entry.whole), entry.audit));
-      } else if (entry.difference != null && (before == null ? Mark.NONE : before.mark).equals(entry.base)) {
-        final boolean unchanged = before != null && entry.difference != null && entry.difference.length == 0;
-        stored.put(entry.name, new Stored(entry.mark, unchanged ? before.value : kind.apply(before == null ? null : before.value, entry.difference), entry.audit));
+      } else if (entry.difference != null
+          && (before == null ? Mark.NONE : before.mark).equals(entry.base)) {
+        final boolean unchanged =
+            before != null && entry.difference != null && entry.difference.length == 0;
+        stored.put(
+            entry.name,
+            new Stored(
+                entry.mark,
+                unchanged
+                    ? before.value
+                    : kind.apply(before == null ? null : before.value, entry.difference),
+                entry.audit));
       } else {
         lacking.add(entry);
       }
