--- a/replay/src/main/java/weldpoint/replay/DayFile.java
+++ b/replay/src/main/java/weldpoint/replay/DayFile.java
@@ -21,21 +21,30 @@
 import weldpoint.trunk.Words.Reel;
 import weldpoint.trunk.Words.Registration;
 
-/** A recorded day on disk: compressed, each part delimited, with an end that says how much there must be. */
+/**
+ * A recorded day on disk: compressed, each part delimited, with an end that says how much there
+ * must be.
+ */
 public final class DayFile {
   private static final byte[] MAGIC = "weldpoint day 1\n".getBytes(StandardCharsets.UTF_8);
 
-  private DayFile() {
-  }
+  private DayFile() {}
 
-  /** What was in force from a moment on; what did not change is null. Clocks are those of whoever collected the day. */
+  /**
+   * What was in force from a moment on; what did not change is null. Clocks are those of whoever
+   * collected the day.
+   */
   public static final class Control {
     public final long at;
     public final byte[] spec;
     public final List<Registration> registrations;
     public final List<String> evacuated;
 
-    public Control(final long at, final byte[] spec, final List<Registration> registrations, final List<String> evacuated) {
+    public Control(
+        final long at,
+        final byte[] spec,
+        final List<Registration> registrations,
+        final List<String> evacuated) {
       this.at = at;
       this.spec = spec;
       this.registrations = registrations;
@@ -54,14 +63,18 @@
     }
   }
 
-  /** The end of a whole recording: how many notes it holds, how many were dropped, and how well clocks agree. */
+  /**
+   * The end of a whole recording: how many notes it holds, how many were dropped, and how well
+   * clocks agree.
+   */
   public static final class End {
     public final long notes;
     public final long dropped;
     public final long clockError;
     public final List<String> silent;
 
-    public End(final long notes, final long dropped, final long clockError, final List<String> silent) {
+    public End(
+        final long notes, final long dropped, final long clockError, final List<String> silent) {
       this.notes = notes;
       this.dropped = dropped;
       this.clockError = clockError;
@@ -70,7 +83,9 @@
   }
 
   private enum Kind {
-    CONTROL(Control.class), TURN(Turn.class), END(End.class);
+    CONTROL(Control.class),
+    TURN(Turn.class),
+    END(End.class);
 
     private final Class<?> type;
 
@@ -96,7 +111,8 @@
       for (final Kind kind : Kind.values()) {
         if (kind.type == part.getClass()) {
           out.write(kind.ordinal());
-          ProtostuffIOUtil.writeDelimitedTo(out, part, (Schema<T>) RuntimeSchema.getSchema(part.getClass()), buffer);
+          ProtostuffIOUtil.writeDelimitedTo(
+              out, part, (Schema<T>) RuntimeSchema.getSchema(part.getClass()), buffer);
           buffer.clear();
         }
       }
@@ -121,10 +137,17 @@
         in = new BufferedInputStream(new GZIPInputStream(Files.newInputStream(path), 1 << 16));
         final byte[] magic = in.readNBytes(MAGIC.length);
         if (!java.util.Arrays.equals(magic, MAGIC)) {
-          throw new Breakdown(Breakdown.Kind.UNREADABLE, path + " is no recorded day of this version; record it anew with this release");
+          throw new Breakdown(
+              Breakdown.Kind.UNREADABLE,
+              path + " is no recorded day of this version; record it anew with this release");
         }
       } catch (final IOException problem) {
-        throw new Breakdown(Breakdown.Kind.UNREADABLE, path + " cannot be read as a recorded day (" + problem.getMessage() + "); name a file that weldpoint record wrote");
+        throw new Breakdown(
+            Breakdown.Kind.UNREADABLE,
+            path
+                + " cannot be read as a recorded day ("
+                + problem.getMessage()
+                + "); name a file that weldpoint record wrote");
       }
     }
 
@@ -145,9 +168,17 @@
         ended = part instanceof End;
         return part;
       } catch (final EOFException cut) {
-        throw new Breakdown(Breakdown.Kind.UNREADABLE, path + " is cut short; end the recording before the file is copied, or record the day anew");
+        throw new Breakdown(
+            Breakdown.Kind.UNREADABLE,
+            path
+                + " is cut short; end the recording before the file is copied, or record the day anew");
       } catch (final IOException | RuntimeException damaged) {
-        throw new Breakdown(Breakdown.Kind.UNREADABLE, path + " is damaged (" + damaged.getMessage() + "); copy it again, or record the day anew");
+        throw new Breakdown(
+            Breakdown.Kind.UNREADABLE,
+            path
+                + " is damaged ("
+                + damaged.getMessage()
+                + "); copy it again, or record the day anew");
       }
     }
 
--- a/replay/src/main/java/weldpoint/replay/Outcome.java
+++ b/replay/src/main/java/weldpoint/replay/Outcome.java
@@ -4,7 +4,10 @@
 final class Outcome {
   /** How it ended. */
   enum End {
-    SERVED, REFUSED, LOST, UNROUTED
+    SERVED,
+    REFUSED,
+    LOST,
+    UNROUTED
   }
 
   End end;
--- a/replay/src/main/java/weldpoint/replay/Replay.java
+++ b/replay/src/main/java/weldpoint/replay/Replay.java
@@ -4,11 +4,9 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -18,7 +16,10 @@
 import weldpoint.dialplan.Dialplan;
 import weldpoint.trunk.Words;
 
-/** Plays a recorded day under its own and under proposed settings, and compares the two call by call. */
+/**
+ * Plays a recorded day under its own and under proposed settings, and compares the two call by
+ * call.
+ */
 public final class Replay {
   private static final long SORT_MILLIS = 20_000;
   private static final long LEAST_ERROR_MILLIS = 20;
@@ -27,6 +28,7 @@
 
   /** Inflates a stored configuration. */
   public interface Inflater {
+    /** The configuration as it was sent, from its stored form. */
     byte[] inflate(byte[] stored);
   }
 
@@ -37,7 +39,12 @@
   private final long tolerance;
 
   /** A replay of a day through this configuration, with these further settings. */
-  public Replay(final Path day, final Dialplan proposed, final String extra, final long tolerance, final Inflater inflater) {
+  public Replay(
+      final Path day,
+      final Dialplan proposed,
+      final String extra,
+      final long tolerance,
+      final Inflater inflater) {
     this.day = day;
     this.proposed = proposed;
     this.extra = extra;
@@ -55,26 +62,57 @@
   /** Plays the day and judges it. */
   public Verdict run() throws IOException {
     if (proposed.all().stream().anyMatch(route -> route.affinity != null)) {
-      throw new Breakdown(Breakdown.Kind.INVALID, "the proposed configuration ties callers to nodes, and a recorded day does not hold who called; leave affinity out, or try it on a route by a trial");
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          "the proposed configuration ties callers to nodes, and a recorded day does not hold who called; leave affinity out, or try it on a route by a trial");
     }
     final Span first = new Span();
-    pass(first, true, (call, own, other) -> {
-      if (own.end == Outcome.End.SERVED && call.note.status >= 200 && call.note.status < 300) {
-        first.errors.add(call.note.route, Math.abs(own.total - call.note.total));
-      }
-    });
+    pass(
+        first,
+        true,
+        (call, own, other) -> {
+          if (own.end == Outcome.End.SERVED && call.note.status >= 200 && call.note.status < 300) {
+            first.errors.add(call.note.route, Math.abs(own.total - call.note.total));
+          }
+        });
     final Map<String, Long> errors = new TreeMap<>();
-    first.errors.worst(SEEN).forEach((route, error) -> errors.put(route, Math.max(LEAST_ERROR_MILLIS, error)));
+    first
+        .errors
+        .worst(SEEN)
+        .forEach((route, error) -> errors.put(route, Math.max(LEAST_ERROR_MILLIS, error)));
     for (final Map.Entry<String, Long> entry : errors.entrySet()) {
       if (entry.getValue() > tolerance) {
-        throw new Breakdown(Breakdown.Kind.INVALID, "the model misses the recorded times of route " + entry.getKey() + " by " + entry.getValue() + " ms, more than " + tolerance + "; record a day with fewer breakdowns, or allow more with --error-ms");
+        throw new Breakdown(
+            Breakdown.Kind.INVALID,
+            "the model misses the recorded times of route "
+                + entry.getKey()
+                + " by "
+                + entry.getValue()
+                + " ms, more than "
+                + tolerance
+                + "; record a day with fewer breakdowns, or allow more with --error-ms");
       }
     }
     final Verdict verdict = new Verdict(errors, first.end.clockError);
     final Span second = new Span();
-    pass(second, false, (call, own, other) -> verdict.add(call, own, other, errors.getOrDefault(call.note.route, LEAST_ERROR_MILLIS), MOST_LISTED));
+    pass(
+        second,
+        false,
+        (call, own, other) ->
+            verdict.add(
+                call,
+                own,
+                other,
+                errors.getOrDefault(call.note.route, LEAST_ERROR_MILLIS),
+                MOST_LISTED));
     if (second.calls != first.end.notes || second.ended != second.calls) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "of " + first.end.notes + " recorded calls " + second.ended + " were accounted for; record the day anew");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "of "
+              + first.end.notes
+              + " recorded calls "
+              + second.ended
+              + " were accounted for; record the day anew");
     }
     return verdict;
   }
@@ -89,7 +127,12 @@
     private final World own;
     private final World other;
     private final Compared compared;
-    private final PriorityQueue<Object[]> waiting = new PriorityQueue<>((one, two) -> one[0].equals(two[0]) ? Long.compare((long) one[1], (long) two[1]) : Long.compare((long) one[0], (long) two[0]));
+    private final PriorityQueue<Object[]> waiting =
+        new PriorityQueue<>(
+            (one, two) ->
+                one[0].equals(two[0])
+                    ? Long.compare((long) one[1], (long) two[1])
+                    : Long.compare((long) one[0], (long) two[0]));
     private final Map<String, String> sites = new LinkedHashMap<>();
     private final Map<String, long[]> serials = new HashMap<>();
     private final Set<String> open = new HashSet<>();
@@ -98,7 +141,8 @@
     private long order;
     private long playedTo = Long.MIN_VALUE / 2;
 
-    private Pass(final EventLoopGroup loop, final Span span, final boolean alone, final Compared compared) {
+    private Pass(
+        final EventLoopGroup loop, final Span span, final boolean alone, final Compared compared) {
       this.loop = loop;
       this.span = span;
       this.own = new World(loop, "", 7);
@@ -118,7 +162,15 @@
       } else {
         span.end = (DayFile.End) part;
         if (span.end.dropped > 0 || !Words.list(span.end.silent).isEmpty() || !open.isEmpty()) {
-          throw new Breakdown(Breakdown.Kind.INVALID, "the recording has gaps: " + span.end.dropped + " calls dropped, silent switchboards " + Words.list(span.end.silent) + ", not ended " + open + "; record the day anew");
+          throw new Breakdown(
+              Breakdown.Kind.INVALID,
+              "the recording has gaps: "
+                  + span.end.dropped
+                  + " calls dropped, silent switchboards "
+                  + Words.list(span.end.silent)
+                  + ", not ended "
+                  + open
+                  + "; record the day anew");
         }
       }
     }
@@ -127,7 +179,13 @@
       final Words.Reel reel = turn.reel;
       final String life = reel.board + "#" + reel.incarnation;
       if (reel.dropped > 0) {
-        throw new Breakdown(Breakdown.Kind.INVALID, "switchboard " + reel.board + " had to drop " + reel.dropped + " calls; record a shorter or calmer day");
+        throw new Breakdown(
+            Breakdown.Kind.INVALID,
+            "switchboard "
+                + reel.board
+                + " had to drop "
+                + reel.dropped
+                + " calls; record a shorter or calmer day");
       }
       if (sites.putIfAbsent(reel.site, reel.region) == null) {
         sites.put(reel.site, reel.region);
@@ -144,12 +202,23 @@
       final long[] serial = serials.computeIfAbsent(life, name -> new long[1]);
       for (final Words.Note note : Words.list(reel.notes)) {
         if (note.serial != serial[0] + 1) {
-          throw new Breakdown(Breakdown.Kind.INVALID, "the recording of " + reel.board + " lacks the calls between " + serial[0] + " and " + note.serial + "; record the day anew");
+          throw new Breakdown(
+              Breakdown.Kind.INVALID,
+              "the recording of "
+                  + reel.board
+                  + " lacks the calls between "
+                  + serial[0]
+                  + " and "
+                  + note.serial
+                  + "; record the day anew");
         }
         serial[0] = note.serial;
-        final Call call = new Call(note, reel.board, turn.offset, usual.getOrDefault(note.service, 100.0).longValue());
+        final Call call =
+            new Call(
+                note, reel.board, turn.offset, usual.getOrDefault(note.service, 100.0).longValue());
         if (call.work > 0 && note.status >= 200 && note.status < 300) {
-          usual.merge(note.service, (double) call.work, (before, now) -> before * 0.99 + now * 0.01);
+          usual.merge(
+              note.service, (double) call.work, (before, now) -> before * 0.99 + now * 0.01);
         }
         add(call.at, call);
       }
@@ -158,7 +227,11 @@
 
     private void add(final long at, final Object what) {
       if (at < playedTo) {
-        throw new Breakdown(Breakdown.Kind.INVALID, "the recording is more than " + SORT_MILLIS + " ms out of order; record the day anew, with fewer exchanges out of reach");
+        throw new Breakdown(
+            Breakdown.Kind.INVALID,
+            "the recording is more than "
+                + SORT_MILLIS
+                + " ms out of order; record the day anew, with fewer exchanges out of reach");
       }
       latest = Math.max(latest, at);
       waiting.add(new Object[] {at, order++, what});
@@ -194,21 +267,26 @@
     private void call(final Call call) {
       span.calls++;
       final Outcome[] both = new Outcome[2];
-      final Consumer<Integer> ended = which -> {
-        if (both[0] != null && (other == null || both[1] != null)) {
-          span.ended++;
-          compared.ended(call, both[0], both[1]);
-        }
-      };
-      own.play(call, outcome -> {
-        both[0] = outcome;
-        ended.accept(0);
-      });
+      final Consumer<Integer> ended =
+          which -> {
+            if (both[0] != null && (other == null || both[1] != null)) {
+              span.ended++;
+              compared.ended(call, both[0], both[1]);
+            }
+          };
+      own.play(
+          call,
+          outcome -> {
+            both[0] = outcome;
+            ended.accept(0);
+          });
       if (other != null) {
-        other.play(call, outcome -> {
-          both[1] = outcome;
-          ended.accept(1);
-        });
+        other.play(
+            call,
+            outcome -> {
+              both[1] = outcome;
+              ended.accept(1);
+            });
       }
     }
 
@@ -221,7 +299,8 @@
     }
   }
 
-  private void pass(final Span span, final boolean alone, final Compared compared) throws IOException {
+  private void pass(final Span span, final boolean alone, final Compared compared)
+      throws IOException {
     final EventLoopGroup loop = new NioEventLoopGroup(1);
     try (DayFile.Reader reader = new DayFile.Reader(day)) {
       final Pass pass = new Pass(loop, span, alone, compared);
@@ -230,17 +309,27 @@
       }
       pass.finish();
       if (span.end.notes != span.calls) {
-        throw new Breakdown(Breakdown.Kind.UNREADABLE, "the recording holds " + span.calls + " calls and says " + span.end.notes + "; record the day anew");
+        throw new Breakdown(
+            Breakdown.Kind.UNREADABLE,
+            "the recording holds "
+                + span.calls
+                + " calls and says "
+                + span.end.notes
+                + "; record the day anew");
       }
       if (span.calls == 0) {
-        throw new Breakdown(Breakdown.Kind.INVALID, "the recording holds no calls; record a day with traffic");
+        throw new Breakdown(
+            Breakdown.Kind.INVALID, "the recording holds no calls; record a day with traffic");
       }
     } finally {
       loop.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS);
     }
   }
 
-  /** The differences between recorded and modelled times, by route: a histogram, since a day has millions. */
+  /**
+   * The differences between recorded and modelled times, by route: a histogram, since a day has
+   * millions.
+   */
   private static final class Errors {
     private static final int MOST = 20_000;
     private final Map<String, int[]> counts = new TreeMap<>();
@@ -251,20 +340,20 @@
 
     private Map<String, Long> worst(final double share) {
       final Map<String, Long> worst = new TreeMap<>();
-      counts.forEach((route, histogram) -> {
-        long all = 0;
-        for (final int count : histogram) {
-          all += count;
-        }
-        long sum = 0;
-        int at = 0;
-        while (at < MOST && sum + histogram[at] < share * all) {
-          sum += histogram[at++];
-        }
-        worst.put(route, (long) at);
-      });
+      counts.forEach(
+          (route, histogram) -> {
+            long all = 0;
+            for (final int count : histogram) {
+              all += count;
+            }
+            long sum = 0;
+            int at = 0;
+            while (at < MOST && sum + histogram[at] < share * all) {
+              sum += histogram[at++];
+            }
+            worst.put(route, (long) at);
+          });
       return worst;
     }
   }
-
 }
--- a/replay/src/main/java/weldpoint/replay/Verdict.java
+++ b/replay/src/main/java/weldpoint/replay/Verdict.java
@@ -39,8 +39,16 @@
   }
 
   /** One write and what would change for it. */
-  public record Line(String id, String board, String route, long at, List<Change> changes, String before, String after, long waitedBefore, long waitedAfter) {
-  }
+  public record Line(
+      String id,
+      String board,
+      String route,
+      long at,
+      List<Change> changes,
+      String before,
+      String after,
+      long waitedBefore,
+      long waitedAfter) {}
 
   /** Calls of one route at one switchboard's site, other than writes. */
   public static final class Sum {
@@ -78,7 +86,9 @@
       changes.add(Change.REFUSED);
     } else if (other.end == Outcome.End.LOST && own.end != Outcome.End.LOST) {
       changes.add(Change.LOST);
-    } else if (own.end == Outcome.End.SERVED && other.end == Outcome.End.SERVED && other.total > own.total + error) {
+    } else if (own.end == Outcome.End.SERVED
+        && other.end == Outcome.End.SERVED
+        && other.total > own.total + error) {
       changes.add(Change.LONGER);
     }
     if (other.sent > Math.max(1, own.sent)) {
@@ -87,17 +97,27 @@
     if (other.ran > Math.max(1, own.ran)) {
       changes.add(Change.RUN_TWICE);
     }
-    if (own.service != null && other.service != null && (!own.service.equals(other.service) || !own.region.equals(other.region) && own.end == other.end)) {
+    if (own.service != null
+        && other.service != null
+        && (!own.service.equals(other.service)
+            || !own.region.equals(other.region) && own.end == other.end)) {
       changes.add(Change.ELSEWHERE);
     }
     return changes;
   }
 
-  void add(final Call call, final Outcome own, final Outcome other, final long error, final int most) {
+  void add(
+      final Call call, final Outcome own, final Outcome other, final long error, final int most) {
     final List<Change> changes = changes(own, other, error);
     if (!call.write()) {
       others++;
-      final Sum sum = sums.computeIfAbsent(call.note.route + " (" + RouteKind.values()[call.note.kind].name().toLowerCase(java.util.Locale.ROOT) + ")", name -> new Sum());
+      final Sum sum =
+          sums.computeIfAbsent(
+              call.note.route
+                  + " ("
+                  + RouteKind.values()[call.note.kind].name().toLowerCase(java.util.Locale.ROOT)
+                  + ")",
+              name -> new Sum());
       sum.calls++;
       sum.before += own.total;
       sum.after += other.total;
@@ -120,13 +140,26 @@
     }
     harmed += harms ? 1 : 0;
     if (lines.size() < most) {
-      lines.add(new Line(call.note.id, call.board, call.note.route, call.at, changes, own.service + " in " + own.region + ", " + own.end, other.service + " in " + other.region + ", " + other.end, own.total, other.total));
+      lines.add(
+          new Line(
+              call.note.id,
+              call.board,
+              call.note.route,
+              call.at,
+              changes,
+              own.service + " in " + own.region + ", " + own.end,
+              other.service + " in " + other.region + ", " + other.end,
+              own.total,
+              other.total));
     } else {
       unlisted++;
     }
   }
 
-  /** 0 where nothing once-only is harmed and only what may be repeated waits longer, otherwise 1; a route that was used and is gone is never passed over. */
+  /**
+   * 0 where nothing once-only is harmed and only what may be repeated waits longer, otherwise 1; a
+   * route that was used and is gone is never passed over.
+   */
   public int code() {
     return harmed == 0 && unrouted == 0 ? 0 : 1;
   }
@@ -158,23 +191,56 @@
 
   /** The report as text. */
   public void print(final PrintStream out) {
-    out.printf("calls %d: writes %d, others %d; clocks of switchboards agree within %d ms%n", writes + others, writes, others, clockError);
-    errors.forEach((route, error) -> out.printf("model error of route %s: %d ms (19 of 20 calls)%n", route, error));
+    out.printf(
+        "calls %d: writes %d, others %d; clocks of switchboards agree within %d ms%n",
+        writes + others, writes, others, clockError);
+    errors.forEach(
+        (route, error) ->
+            out.printf("model error of route %s: %d ms (19 of 20 calls)%n", route, error));
     out.printf("writes that exactly one upstream would run: %d of %d%n", writesOnce, writes);
     for (final Change change : Change.values()) {
-      out.printf("writes %-10s %d%n", change.name().toLowerCase(java.util.Locale.ROOT), writeCounts.getOrDefault(change, 0L));
+      out.printf(
+          "writes %-10s %d%n",
+          change.name().toLowerCase(java.util.Locale.ROOT), writeCounts.getOrDefault(change, 0L));
     }
     for (final Line line : lines) {
-      out.printf("  %s at %s on %s: %s; before %s after %d ms, proposed %s after %d ms%n", line.id, line.board, line.route, line.changes, line.before, line.waitedBefore, line.after, line.waitedAfter);
+      out.printf(
+          "  %s at %s on %s: %s; before %s after %d ms, proposed %s after %d ms%n",
+          line.id,
+          line.board,
+          line.route,
+          line.changes,
+          line.before,
+          line.waitedBefore,
+          line.after,
+          line.waitedAfter);
     }
     if (unlisted > 0) {
       out.printf("  and %d more writes%n", unlisted);
     }
-    sums.forEach((route, sum) -> out.printf("%s: %d calls, longer %d, refused %d, lost %d, elsewhere %d; mean %d ms before, %d ms proposed%n", route, sum.calls, sum.longer, sum.refused, sum.lost, sum.elsewhere, sum.before / sum.calls, sum.after / sum.calls));
+    sums.forEach(
+        (route, sum) ->
+            out.printf(
+                "%s: %d calls, longer %d, refused %d, lost %d, elsewhere %d; mean %d ms before, %d ms proposed%n",
+                route,
+                sum.calls,
+                sum.longer,
+                sum.refused,
+                sum.lost,
+                sum.elsewhere,
+                sum.before / sum.calls,
+                sum.after / sum.calls));
     if (unrouted > 0) {
-      out.printf("the configuration lacks routes that %d lookups or downloads used; add them, or tell their callers%n", unrouted);
+      out.printf(
+          "the configuration lacks routes that %d lookups or downloads used; add them, or tell their callers%n",
+          unrouted);
     }
-    out.println(harmed > 0 ? "verdict: " + harmed + " writes would be harmed" : waiting() > 0 ? "verdict: no write is harmed; only lookups and downloads wait" : "verdict: no write is harmed");
+    out.println(
+        harmed > 0
+            ? "verdict: " + harmed + " writes would be harmed"
+            : waiting() > 0
+                ? "verdict: no write is harmed; only lookups and downloads wait"
+                : "verdict: no write is harmed");
   }
 
   /** The report for machines. */
@@ -183,10 +249,25 @@
     for (final Line line : lines) {
       final List<String> names = new ArrayList<>();
       line.changes.forEach(change -> names.add(change.name()));
-      list.add(new ReportDocument.Write(line.id, line.board, line.route, line.at, names, line.before, line.after, line.waitedBefore, line.waitedAfter));
+      list.add(
+          new ReportDocument.Write(
+              line.id,
+              line.board,
+              line.route,
+              line.at,
+              names,
+              line.before,
+              line.after,
+              line.waitedBefore,
+              line.waitedAfter));
     }
     final List<ReportDocument.Other> rest = new ArrayList<>();
-    sums.forEach((route, sum) -> rest.add(new ReportDocument.Other(route, sum.calls, sum.longer, sum.refused, sum.lost, sum.elsewhere)));
-    return new ReportDocument(writes, writesOnce, others, harmed, unlisted, unrouted, clockError, errors, list, rest);
+    sums.forEach(
+        (route, sum) ->
+            rest.add(
+                new ReportDocument.Other(
+                    route, sum.calls, sum.longer, sum.refused, sum.lost, sum.elsewhere)));
+    return new ReportDocument(
+        writes, writesOnce, others, harmed, unlisted, unrouted, clockError, errors, list, rest);
   }
 }
--- a/replay/src/main/java/weldpoint/replay/World.java
+++ b/replay/src/main/java/weldpoint/replay/World.java
@@ -25,15 +25,15 @@
 import weldpoint.trunk.Words.Registration;
 
 /**
- * A fleet of the day's size on the day's clock under one configuration: the daemons' own plan, choice of upstreams, budgets
- * and rules for further tries, before scripted upstreams whose work the recording tells.
+ * A fleet of the day's size on the day's clock under one configuration: the daemons' own plan,
+ * choice of upstreams, budgets and rules for further tries, before scripted upstreams whose work
+ * the recording tells.
  */
 final class World {
   private static final long MARGIN_MILLIS = 15;
   private static final int QUEUE = 2;
 
-  private record Event(long at, long order, Runnable deed) {
-  }
+  private record Event(long at, long order, Runnable deed) {}
 
   private static final class Model {
     final int slots;
@@ -56,7 +56,12 @@
   private final Map<String, Random> chances = new HashMap<>();
   private final Map<String, Model> models = new HashMap<>();
   private final Map<String, Registration> registrations = new HashMap<>();
-  private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (one, other) ->
+              one.at != other.at
+                  ? Long.compare(one.at, other.at)
+                  : Long.compare(one.order, other.order));
   private List<String> evacuated = List.of();
   private Dialplan plan;
   private long now = Long.MIN_VALUE / 2;
@@ -90,25 +95,46 @@
   }
 
   /** Adds a switchboard of the day. */
-  void board(final String address, final String site, final String region, final Map<String, String> sites) {
+  void board(
+      final String address,
+      final String site,
+      final String region,
+      final Map<String, String> sites) {
     if (boards.containsKey(address)) {
       return;
     }
     final StringBuilder places = new StringBuilder();
-    sites.forEach((place, home) -> places.append(places.length() == 0 ? "" : ",").append(place).append(':').append(home));
-    final Boot boot = Boot.parse("station.name = replay\nstation.address = " + address + "\nstation.site = " + site + "\nstation.region = " + region
-        + "\ntrunk.ports = 7000,7015\ntrunk.seeds = " + address + ":7000\nsites = " + places + "\n" + extra);
+    sites.forEach(
+        (place, home) ->
+            places.append(places.length() == 0 ? "" : ",").append(place).append(':').append(home));
+    final Boot boot =
+        Boot.parse(
+            "station.name = replay\nstation.address = "
+                + address
+                + "\nstation.site = "
+                + site
+                + "\nstation.region = "
+                + region
+                + "\ntrunk.ports = 7000,7015\ntrunk.seeds = "
+                + address
+                + ":7000\nsites = "
+                + places
+                + "\n"
+                + extra);
     final Random chance = new Random(seed);
     final Cords cords = new Cords(loop, boot, chance);
     boots.put(address, boot);
     chances.put(address, chance);
     boards.put(address, cords);
     final List<Cords.Change> list = new ArrayList<>();
-    registrations.values().forEach(registration -> {
-      if (registration.stage == 0 && !registration.service.isEmpty()) {
-        list.add(new Cords.Change(registration, true));
-      }
-    });
+    registrations
+        .values()
+        .forEach(
+            registration -> {
+              if (registration.stage == 0 && !registration.service.isEmpty()) {
+                list.add(new Cords.Change(registration, true));
+              }
+            });
     cords.apply(list, now);
     cords.evacuated(new HashSet<>(evacuated), now);
     boards.values().forEach(one -> one.switchboards(boards.size()));
@@ -163,7 +189,8 @@
     private void start() {
       final Random chance = chances.get(call.board);
       chance.setSeed(call.note.id.hashCode() * 0x9e3779b97f4a7c15L + seed);
-      final Interpreter interpreter = new Interpreter(call.note.host, call.note.target, chance.nextDouble());
+      final Interpreter interpreter =
+          new Interpreter(call.note.host, call.note.target, chance.nextDouble());
       if (!plan.interpret(interpreter)) {
         end(Outcome.End.UNROUTED);
         return;
@@ -171,7 +198,11 @@
       route = interpreter.route();
       service = plan.services().get(interpreter.service());
       outcome.service = service.name();
-      cutoff = now + Math.max(1, Math.min(call.note.waits + MARGIN_MILLIS, route.timeoutMillis) - MARGIN_MILLIS);
+      cutoff =
+          now
+              + Math.max(
+                  1,
+                  Math.min(call.note.waits + MARGIN_MILLIS, route.timeoutMillis) - MARGIN_MILLIS);
       cords.budget(service.name()).request(now);
       after(cutoff - now, this::giveUp);
       if (!attempt(false)) {
@@ -196,7 +227,9 @@
         return false;
       }
       chances.get(call.board).setSeed(call.note.id.hashCode() * 31L + outcome.sent + seed);
-      if (cords.choose(service, route, tried, now) != Cords.Choice.CHOSEN || beside && !cords.roomy(now) || outcome.sent > 0 && !cords.repeat(service.name(), now)) {
+      if (cords.choose(service, route, tried, now) != Cords.Choice.CHOSEN
+          || beside && !cords.roomy(now)
+          || outcome.sent > 0 && !cords.repeat(service.name(), now)) {
         return false;
       }
       final Upstream upstream = cords.chosen();
@@ -207,11 +240,13 @@
       reach(upstream, attempt, first);
       if (!hedged && Further.hedges(route, outcome.sent)) {
         hedged = true;
-        after(Further.hedgeMillis(route), () -> {
-          if (!over && running() == 1) {
-            attempt(true, true);
-          }
-        });
+        after(
+            Further.hedgeMillis(route),
+            () -> {
+              if (!over && running() == 1) {
+                attempt(true, true);
+              }
+            });
       }
       return true;
     }
@@ -227,18 +262,41 @@
       final long begins = Math.max(now, model.free.poll());
       final long ends = begins + Math.max(1, call.work);
       model.free.add(ends);
-      after(ends - now, () -> {
-        model.present--;
-        answered(upstream, attempt, model, first && call.answerLost ? Cord.End.UNCERTAIN : Cord.End.ANSWERED, true);
-      });
+      after(
+          ends - now,
+          () -> {
+            model.present--;
+            answered(
+                upstream,
+                attempt,
+                model,
+                first && call.answerLost ? Cord.End.UNCERTAIN : Cord.End.ANSWERED,
+                true);
+          });
     }
 
-    private void answered(final Upstream upstream, final Cords.Attempt attempt, final Model model, final Cord.End end, final boolean ran) {
+    private void answered(
+        final Upstream upstream,
+        final Cords.Attempt attempt,
+        final Model model,
+        final Cord.End end,
+        final boolean ran) {
       if (!attempt.running()) {
         return;
       }
-      final HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, ran ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, false);
-      head.headers().set(Headers.LOAD, Math.min(model.present, model.slots) + "," + Math.max(0, model.present - model.slots) + "," + model.slots);
+      final HttpResponse head =
+          new DefaultHttpResponse(
+              HttpVersion.HTTP_1_1,
+              ran ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+              false);
+      head.headers()
+          .set(
+              Headers.LOAD,
+              Math.min(model.present, model.slots)
+                  + ","
+                  + Math.max(0, model.present - model.slots)
+                  + ","
+                  + model.slots);
       if (!ran) {
         head.headers().set(Headers.NOT_EXECUTED, "1");
       }
--- a/replay/src/test/java/weldpoint/replay/DayMaker.java
+++ b/replay/src/test/java/weldpoint/replay/DayMaker.java
@@ -13,7 +13,10 @@
 import weldpoint.trunk.Words.Reel;
 import weldpoint.trunk.Words.Registration;
 
-/** Makes recorded days by a plain rule of its own: a call takes its work, sometimes an answer is lost. */
+/**
+ * Makes recorded days by a plain rule of its own: a call takes its work, sometimes an answer is
+ * lost.
+ */
 final class DayMaker {
   static final String CONFIRM = "r-confirm";
   static final String LOOKUP = "r-lookup";
@@ -30,11 +33,31 @@
   boolean silent;
   long droppedNotes;
 
-  static String spec(final long version, final String confirmKind, final int lookupAttempts, final long confirmTarget, final String lookupService, final String extra) {
-    return "{\"version\":\"" + Long.toHexString(version) + "\",\"listeners\":[{\"host\":\"hall.example\",\"rules\":["
-        + "{\"name\":\"" + CONFIRM + "\",\"routeKind\":\"" + confirmKind + "\",\"targetLatencyMs\":" + confirmTarget + ",\"priority\":1,\"match\":{\"pathPrefix\":\"/confirm/\"},\"action\":{\"service\":\"desk\",\"timeoutMs\":4000,\"maxAttempts\":2}},"
+  static String spec(
+      final long version,
+      final String confirmKind,
+      final int lookupAttempts,
+      final long confirmTarget,
+      final String lookupService,
+      final String extra) {
+    return "{\"version\":\""
+        + Long.toHexString(version)
+        + "\",\"listeners\":[{\"host\":\"hall.example\",\"rules\":["
+        + "{\"name\":\""
+        + CONFIRM
+        + "\",\"routeKind\":\""
+        + confirmKind
+        + "\",\"targetLatencyMs\":"
+        + confirmTarget
+        + ",\"priority\":1,\"match\":{\"pathPrefix\":\"/confirm/\"},\"action\":{\"service\":\"desk\",\"timeoutMs\":4000,\"maxAttempts\":2}},"
         + extra
-        + "{\"name\":\"" + LOOKUP + "\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":800,\"priority\":2,\"match\":{\"pathPrefix\":\"/lookup/\"},\"action\":{\"service\":\"" + lookupService + "\",\"timeoutMs\":3000,\"maxAttempts\":" + lookupAttempts + "}}"
+        + "{\"name\":\""
+        + LOOKUP
+        + "\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":800,\"priority\":2,\"match\":{\"pathPrefix\":\"/lookup/\"},\"action\":{\"service\":\""
+        + lookupService
+        + "\",\"timeoutMs\":3000,\"maxAttempts\":"
+        + lookupAttempts
+        + "}}"
         + "]}],\"pools\":[{\"name\":\"desk\",\"maxConns\":100},{\"name\":\"other\",\"maxConns\":100},{\"name\":\"small\",\"maxConns\":100}]}";
   }
 
@@ -43,16 +66,41 @@
   }
 
   /** A day of so many hours over so many switchboards, with rushes. */
-  void write(final Path path, final long seed, final int boards, final int hours, final int perHour) throws IOException {
+  void write(final Path path, final long seed, final int boards, final int hours, final int perHour)
+      throws IOException {
     final Random random = new Random(seed);
     try (DayFile.Writer writer = new DayFile.Writer(path)) {
       final List<Registration> upstreams = new ArrayList<>();
       for (int index = 0; index < UPSTREAMS; index++) {
-        upstreams.add(new Registration("u" + index, "desk", "10.9.0." + index + ":80", index % 2 == 0 ? "port" : "couva", "v1", 6, 0, 1, 0, 0));
-        upstreams.add(new Registration("o" + index, "other", "10.9.1." + index + ":80", index % 2 == 0 ? "port" : "couva", "v1", 6, 0, 1, 0, 0));
+        upstreams.add(
+            new Registration(
+                "u" + index,
+                "desk",
+                "10.9.0." + index + ":80",
+                index % 2 == 0 ? "port" : "couva",
+                "v1",
+                6,
+                0,
+                1,
+                0,
+                0));
+        upstreams.add(
+            new Registration(
+                "o" + index,
+                "other",
+                "10.9.1." + index + ":80",
+                index % 2 == 0 ? "port" : "couva",
+                "v1",
+                6,
+                0,
+                1,
+                0,
+                0));
       }
       upstreams.add(new Registration("s0", "small", "10.9.2.1:80", "port", "v1", 2, 0, 1, 0, 0));
-      writer.add(new DayFile.Control(0, bytes(spec(1, "mutating", 2, 1000, "desk", "")), upstreams, List.of()));
+      writer.add(
+          new DayFile.Control(
+              0, bytes(spec(1, "mutating", 2, 1000, "desk", "")), upstreams, List.of()));
       final long[] serials = new long[boards];
       for (int slice = 0; slice < hours * 360; slice++) {
         final boolean rush = slice / 360 % 12 == 7;
@@ -76,7 +124,18 @@
             list.remove(0);
           }
           final boolean last = slice == hours * 360 - 1 && !(silent && board == 0);
-          writer.add(new DayFile.Turn(1000L * board, new Reel("10.0.0." + (board + 1), board % 2 == 0 ? "port" : "couva", board % 2 == 0 ? "north" : "south", 5, slice * 10_000L, droppedNotes, last, list)));
+          writer.add(
+              new DayFile.Turn(
+                  1000L * board,
+                  new Reel(
+                      "10.0.0." + (board + 1),
+                      board % 2 == 0 ? "port" : "couva",
+                      board % 2 == 0 ? "north" : "south",
+                      5,
+                      slice * 10_000L,
+                      droppedNotes,
+                      last,
+                      list)));
         }
       }
       if (!endless) {
@@ -100,9 +159,25 @@
         slow.add(id);
       }
     }
-    final String target = (write ? "/confirm/" : "/lookup/") + (random.nextInt(50) == 0 ? "vip/" : "") + "x" + calls;
+    final String target =
+        (write ? "/confirm/" : "/lookup/") + (random.nextInt(50) == 0 ? "vip/" : "") + "x" + calls;
     paths.put(id, target);
-    return new Note(serial, at, id, "hall.example", target, write ? CONFIRM : LOOKUP, (write ? RouteKind.MUTATING : RouteKind.IDEMPOTENT).ordinal(), "desk", write ? 4000 : 3000, 0,
-        List.of("u1"), List.of(0L), List.of(work), List.of(answerLost ? 3 : 1), work, answerLost ? 502 : 200);
+    return new Note(
+        serial,
+        at,
+        id,
+        "hall.example",
+        target,
+        write ? CONFIRM : LOOKUP,
+        (write ? RouteKind.MUTATING : RouteKind.IDEMPOTENT).ordinal(),
+        "desk",
+        write ? 4000 : 3000,
+        0,
+        List.of("u1"),
+        List.of(0L),
+        List.of(work),
+        List.of(answerLost ? 3 : 1),
+        work,
+        answerLost ? 502 : 200);
   }
 }
--- a/replay/src/test/java/weldpoint/replay/ReplayTest.java
+++ b/replay/src/test/java/weldpoint/replay/ReplayTest.java
@@ -47,11 +47,14 @@
 
   private static Set<String> ids(final Verdict verdict, final Verdict.Change change) {
     final Set<String> ids = new TreeSet<>();
-    verdict.lines().forEach(line -> {
-      if (line.changes().contains(change)) {
-        ids.add(line.id());
-      }
-    });
+    verdict
+        .lines()
+        .forEach(
+            line -> {
+              if (line.changes().contains(change)) {
+                ids.add(line.id());
+              }
+            });
     return ids;
   }
 
@@ -79,39 +82,63 @@
   @Test
   public void movedUnroutedAndWaitingWritesAreNamedExactly() throws IOException {
     final Set<String> vip = new TreeSet<>();
-    maker.paths.forEach((id, target) -> {
-      if (target.startsWith("/confirm/vip/")) {
-        vip.add(id);
-      }
-    });
-    final String rule = "{\"name\":\"r-vip\",\"routeKind\":\"mutating\",\"targetLatencyMs\":1000,\"match\":{\"pathPrefix\":\"/confirm/vip/\"},\"action\":{\"service\":\"%s\",\"timeoutMs\":4000,\"maxAttempts\":2}},";
-    final Verdict moved = replay(day, DayMaker.spec(2, "mutating", 2, 1000, "desk", String.format(rule, "other")));
+    maker.paths.forEach(
+        (id, target) -> {
+          if (target.startsWith("/confirm/vip/")) {
+            vip.add(id);
+          }
+        });
+    final String rule =
+        "{\"name\":\"r-vip\",\"routeKind\":\"mutating\",\"targetLatencyMs\":1000,\"match\":{\"pathPrefix\":\"/confirm/vip/\"},\"action\":{\"service\":\"%s\",\"timeoutMs\":4000,\"maxAttempts\":2}},";
+    final Verdict moved =
+        replay(day, DayMaker.spec(2, "mutating", 2, 1000, "desk", String.format(rule, "other")));
     assertEquals(ids(moved, Verdict.Change.ELSEWHERE), vip);
     assertEquals(moved.code(), 0, "to go elsewhere is shown, and harms nothing");
-    final Verdict cutShort = replay(day, DayMaker.spec(2, "mutating", 2, 1000, "desk", String.format(rule, "desk").replace("4000", "500")));
+    final Verdict cutShort =
+        replay(
+            day,
+            DayMaker.spec(
+                2,
+                "mutating",
+                2,
+                1000,
+                "desk",
+                String.format(rule, "desk").replace("4000", "500")));
     final Set<String> lateVip = new TreeSet<>(vip);
     lateVip.retainAll(new HashSet<>(maker.slow));
     assertEquals(ids(cutShort, Verdict.Change.LOST), lateVip);
-    final Verdict unrouted = replay(day, DayMaker.spec(2, "mutating", 2, 1000, "desk", "").replace("/confirm/", "/confirm/vip/"));
+    final Verdict unrouted =
+        replay(
+            day,
+            DayMaker.spec(2, "mutating", 2, 1000, "desk", "")
+                .replace("/confirm/", "/confirm/vip/"));
     final Set<String> left = new TreeSet<>();
-    maker.paths.forEach((id, target) -> {
-      if (target.startsWith("/confirm/") && !vip.contains(id)) {
-        left.add(id);
-      }
-    });
+    maker.paths.forEach(
+        (id, target) -> {
+          if (target.startsWith("/confirm/") && !vip.contains(id)) {
+            left.add(id);
+          }
+        });
     assertEquals(ids(unrouted, Verdict.Change.UNROUTED), left);
     assertEquals(unrouted.code(), 1);
-    final Verdict gone = replay(day, DayMaker.spec(2, "mutating", 2, 1000, "desk", "").replace("/lookup/", "/look/"));
+    final Verdict gone =
+        replay(
+            day, DayMaker.spec(2, "mutating", 2, 1000, "desk", "").replace("/lookup/", "/look/"));
     assertEquals(gone.code(), 1, "a route that lookups used and that is gone is no clean verdict");
-    assertFalse(gone.lines().stream().anyMatch(line -> line.changes().stream().anyMatch(Verdict.Change::harms)));
+    assertFalse(
+        gone.lines().stream()
+            .anyMatch(line -> line.changes().stream().anyMatch(Verdict.Change::harms)));
   }
 
   @Test
   public void whereOnlyLookupsWaitItPassesAndSaysSo() throws IOException {
     final Verdict verdict = replay(day, DayMaker.spec(2, "mutating", 1, 1000, "small", ""));
     assertEquals(verdict.code(), 0);
-    assertTrue(verdict.waiting() > 20, "one small upstream makes lookups wait: " + verdict.waiting());
-    assertFalse(verdict.lines().stream().anyMatch(line -> line.changes().stream().anyMatch(Verdict.Change::harms)));
+    assertTrue(
+        verdict.waiting() > 20, "one small upstream makes lookups wait: " + verdict.waiting());
+    assertFalse(
+        verdict.lines().stream()
+            .anyMatch(line -> line.changes().stream().anyMatch(Verdict.Change::harms)));
     final java.io.ByteArrayOutputStream text = new java.io.ByteArrayOutputStream();
     verdict.print(new java.io.PrintStream(text));
     assertTrue(text.toString().contains("only lookups and downloads wait"), text.toString());
@@ -134,15 +161,21 @@
           fleet.control(((DayFile.Control) part).registrations, null);
         } else if (part instanceof DayFile.Turn) {
           final DayFile.Turn turn = (DayFile.Turn) part;
-          fleet.board(turn.reel.board, turn.reel.site, turn.reel.region, java.util.Map.of("port", "north", "couva", "south"));
+          fleet.board(
+              turn.reel.board,
+              turn.reel.site,
+              turn.reel.region,
+              java.util.Map.of("port", "north", "couva", "south"));
           for (final var note : weldpoint.trunk.Words.list(turn.reel.notes)) {
             final Call call = new Call(note, turn.reel.board, turn.offset, 100);
             fleet.until(call.at);
-            fleet.play(call, outcome -> {
-              if (call.write() && outcome.ran > 1) {
-                happened.add(note.id);
-              }
-            });
+            fleet.play(
+                call,
+                outcome -> {
+                  if (call.write() && outcome.ran > 1) {
+                    happened.add(note.id);
+                  }
+                });
           }
         }
       }
@@ -163,7 +196,13 @@
   @Test
   public void partialRecordingsAreNeverJudged() throws IOException {
     final String spec = DayMaker.spec(2, "mutating", 2, 1000, "desk", "");
-    for (final Path path : List.of(bad(one -> one.skip = 30), bad(one -> one.misnumber = 1), bad(one -> one.endless = true), bad(one -> one.silent = true), bad(one -> one.droppedNotes = 4))) {
+    for (final Path path :
+        List.of(
+            bad(one -> one.skip = 30),
+            bad(one -> one.misnumber = 1),
+            bad(one -> one.endless = true),
+            bad(one -> one.silent = true),
+            bad(one -> one.droppedNotes = 4))) {
       assertThrows(Breakdown.class, () -> replay(path, spec));
     }
     final Path cut = folder.resolve("cut");
@@ -180,9 +219,18 @@
 
   @Test
   public void aRuleThatTiesCallersIsNeverJudgedWithoutThem() {
-    final weldpoint.dialplan.Dialplan tied = weldpoint.dialplan.Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"w\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/\"},"
-        + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":1,\"affinity\":{\"by\":\"address\"}}}]}],\"pools\":[{\"name\":\"s\"}]}").getBytes(java.nio.charset.StandardCharsets.UTF_8));
-    final weldpoint.boot.Breakdown breakdown = org.testng.Assert.expectThrows(weldpoint.boot.Breakdown.class, () -> new Replay(java.nio.file.Path.of("no-such-day"), tied, "", 100, bytes -> bytes).run());
-    org.testng.Assert.assertTrue(breakdown.getMessage().contains("does not hold who called"), breakdown.getMessage());
+    final weldpoint.dialplan.Dialplan tied =
+        weldpoint.dialplan.Dialplan.compile(
+            ("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"w\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/\"},"
+                    + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":1,\"affinity\":{\"by\":\"address\"}}}]}],\"pools\":[{\"name\":\"s\"}]}")
+                .getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    final weldpoint.boot.Breakdown breakdown =
+        org.testng.Assert.expectThrows(
+            weldpoint.boot.Breakdown.class,
+            () ->
+                new Replay(java.nio.file.Path.of("no-such-day"), tied, "", 100, bytes -> bytes)
+                    .run());
+    org.testng.Assert.assertTrue(
+        breakdown.getMessage().contains("does not hold who called"), breakdown.getMessage());
   }
 }
--- a/rig/src/main/java/weldpoint/rig/Applications.java
+++ b/rig/src/main/java/weldpoint/rig/Applications.java
@@ -11,18 +11,20 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Applications that take locks, ask for numbers, put and read keys, and watch groups, as the pages say. */
+/**
+ * Applications that take locks, ask for numbers, put and read keys, and watch groups, as the pages
+ * say.
+ */
 final class Applications {
-  private static final Pattern EVENT = Pattern.compile("\\{\"name\":\"([^\"]*)\",\"value\":\"([^\"]*)\",\"revision\":(\\d+)\\}");
+  private static final Pattern EVENT =
+      Pattern.compile("\\{\"name\":\"([^\"]*)\",\"value\":\"([^\"]*)\",\"revision\":(\\d+)\\}");
   private static final long HOLD_MILLIS = 1500;
   private static final long PUT_MILLIS = 4000;
   private static final long HISTORY_MILLIS = 20_000;
   private static final long WATCH_MILLIS = 2000;
-  private static final Runnable NOTHING = () -> {
-  };
+  private static final Runnable NOTHING = () -> {};
 
-  private record Seen(long after, long revision, List<Long> revisions) {
-  }
+  private record Seen(long after, long revision, List<Long> revisions) {}
 
   private final ControlFleet fleet;
   private final ControlLedger control;
@@ -37,7 +39,11 @@
   private int told;
   private boolean ended;
 
-  Applications(final ControlFleet fleet, final ControlLedger control, final Random random, final Caller caller) {
+  Applications(
+      final ControlFleet fleet,
+      final ControlLedger control,
+      final Random random,
+      final Caller caller) {
     this.fleet = fleet;
     this.control = control;
     this.random = random;
@@ -63,7 +69,16 @@
       for (final Seen one : group.getValue()) {
         for (final long revision : puts.subMap(one.after, false, one.revision, true).keySet()) {
           if (!one.revisions.contains(revision)) {
-            control.breach(fleet.now(), "a watch of " + group.getKey() + " after " + one.after + " up to " + one.revision + " passed over the put at " + revision);
+            control.breach(
+                fleet.now(),
+                "a watch of "
+                    + group.getKey()
+                    + " after "
+                    + one.after
+                    + " up to "
+                    + one.revision
+                    + " passed over the put at "
+                    + revision);
           }
         }
       }
@@ -81,11 +96,24 @@
     }
   }
 
-  private void call(final String call, final String of, final String body, final long patience, final Consumer<Caller.End> then) {
-    caller.call(null, HttpMethod.POST, "/api/rpc?call=" + call + "&of=" + of, body, Caller.SILENCE_MILLIS, patience, NOTHING, end -> {
-      then.accept(end);
-      note();
-    });
+  private void call(
+      final String call,
+      final String of,
+      final String body,
+      final long patience,
+      final Consumer<Caller.End> then) {
+    caller.call(
+        null,
+        HttpMethod.POST,
+        "/api/rpc?call=" + call + "&of=" + of,
+        body,
+        Caller.SILENCE_MILLIS,
+        patience,
+        NOTHING,
+        end -> {
+          then.accept(end);
+          note();
+        });
   }
 
   // ---- locks
@@ -94,18 +122,28 @@
     if (ended) {
       return;
     }
-    call("locks.begin", lock, "{\"owner\":\"" + owner + "\",\"holdMs\":" + HOLD_MILLIS + "}", 3000, end -> {
-      if (!end.good()) {
-        fleet.after(200 + random.nextInt(400), () -> take(lock, owner));
-        return;
-      }
-      final long fence = Text.number(end.body(), "fenceNumber");
-      ledger.taken(lock, owner, fence, end.sentAt(), fleet.now(), HOLD_MILLIS);
-      hold(lock, owner, fence, end.sentAt() + HOLD_MILLIS, random.nextInt(4));
-    });
+    call(
+        "locks.begin",
+        lock,
+        "{\"owner\":\"" + owner + "\",\"holdMs\":" + HOLD_MILLIS + "}",
+        3000,
+        end -> {
+          if (!end.good()) {
+            fleet.after(200 + random.nextInt(400), () -> take(lock, owner));
+            return;
+          }
+          final long fence = Text.number(end.body(), "fenceNumber");
+          ledger.taken(lock, owner, fence, end.sentAt(), fleet.now(), HOLD_MILLIS);
+          hold(lock, owner, fence, end.sentAt() + HOLD_MILLIS, random.nextInt(4));
+        });
   }
 
-  private void hold(final String lock, final String owner, final long fence, final long until, final int renewals) {
+  private void hold(
+      final String lock,
+      final String owner,
+      final long fence,
+      final long until,
+      final int renewals) {
     final long rest = until - fleet.now();
     if (rest <= 100) {
       fleet.after(300 + random.nextInt(500), () -> take("l" + random.nextInt(2), owner));
@@ -115,32 +153,56 @@
       fleet.after(rest + random.nextInt(2000), () -> take("l" + random.nextInt(2), owner));
       return;
     }
-    fleet.after(random.nextInt((int) rest), () -> {
-      if (renewals > 0) {
-        final long sentAt = fleet.now();
-        final boolean[] over = new boolean[1];
-        caller.call(null, HttpMethod.POST, "/api/rpc?call=locks.heartbeat&of=" + lock, "{\"owner\":\"" + owner + "\",\"fenceNumber\":" + fence + ",\"holdMs\":" + HOLD_MILLIS + "}", Caller.SILENCE_MILLIS, Math.max(1, until - sentAt), NOTHING, end -> {
-          if (over[0]) {
-            return;
-          }
-          over[0] = true;
-          if (end.good() && fleet.now() < until) {
-            ledger.taken(lock, owner, fence, end.sentAt(), fleet.now(), HOLD_MILLIS);
-            note();
-            hold(lock, owner, fence, end.sentAt() + HOLD_MILLIS, renewals - 1);
+    fleet.after(
+        random.nextInt((int) rest),
+        () -> {
+          if (renewals > 0) {
+            final long sentAt = fleet.now();
+            final boolean[] over = new boolean[1];
+            caller.call(
+                null,
+                HttpMethod.POST,
+                "/api/rpc?call=locks.heartbeat&of=" + lock,
+                "{\"owner\":\""
+                    + owner
+                    + "\",\"fenceNumber\":"
+                    + fence
+                    + ",\"holdMs\":"
+                    + HOLD_MILLIS
+                    + "}",
+                Caller.SILENCE_MILLIS,
+                Math.max(1, until - sentAt),
+                NOTHING,
+                end -> {
+                  if (over[0]) {
+                    return;
+                  }
+                  over[0] = true;
+                  if (end.good() && fleet.now() < until) {
+                    ledger.taken(lock, owner, fence, end.sentAt(), fleet.now(), HOLD_MILLIS);
+                    note();
+                    hold(lock, owner, fence, end.sentAt() + HOLD_MILLIS, renewals - 1);
+                  } else {
+                    give(lock, owner, fence);
+                  }
+                });
           } else {
             give(lock, owner, fence);
           }
         });
-      } else {
-        give(lock, owner, fence);
-      }
-    });
   }
 
   private void give(final String lock, final String owner, final long fence) {
     ledger.released(lock, owner, fence, fleet.now());
-    call("locks.finish", lock, "{\"owner\":\"" + owner + "\",\"fenceNumber\":" + fence + "}", 3000, end -> fleet.after(random.nextInt(800), () -> take(random.nextBoolean() ? lock : "l" + random.nextInt(2), owner)));
+    call(
+        "locks.finish",
+        lock,
+        "{\"owner\":\"" + owner + "\",\"fenceNumber\":" + fence + "}",
+        3000,
+        end ->
+            fleet.after(
+                random.nextInt(800),
+                () -> take(random.nextBoolean() ? lock : "l" + random.nextInt(2), owner)));
   }
 
   // ---- numbers
@@ -150,12 +212,21 @@
       return;
     }
     final String name = "n" + random.nextInt(3);
-    caller.call(null, HttpMethod.POST, "/api/numbers/" + name, "{}", Caller.SILENCE_MILLIS, 3000, NOTHING, end -> {
-      if (end.good()) {
-        ledger.given("number " + name, Text.number(end.body(), "value"), end.sentAt(), fleet.now());
-        note();
-      }
-    });
+    caller.call(
+        null,
+        HttpMethod.POST,
+        "/api/numbers/" + name,
+        "{}",
+        Caller.SILENCE_MILLIS,
+        3000,
+        NOTHING,
+        end -> {
+          if (end.good()) {
+            ledger.given(
+                "number " + name, Text.number(end.body(), "value"), end.sentAt(), fleet.now());
+            note();
+          }
+        });
     fleet.after(20 + random.nextInt(150), this::number);
   }
 
@@ -169,23 +240,31 @@
     final String key = group + "k" + random.nextInt(3);
     final String value = "v" + ++values;
     final Long revision = known.get(key);
-    final String enabled = revision == null || random.nextBoolean() ? "" : ",\"enabled\":" + revision;
-    call("cells.replace", key, "{\"value\":\"" + value + "\"" + enabled + "}", PUT_MILLIS, end -> {
-      if (end.good()) {
-        final long given = Text.number(end.body(), "revision");
-        ledger.put(key, value, given, fleet.now());
-        ledger.given("group " + group, given, end.firstSentAt(), fleet.now());
-        acked.computeIfAbsent(group, name -> new TreeMap<>()).put(given, value);
-        known.merge(key, given, Math::max);
-        shown(key, value, given);
-        if (!enabled.isEmpty() && revision > given) {
-          control.breach(fleet.now(), key + " was put at " + given + " on condition of revision " + revision);
-        }
-      } else if (end.status() == 412) {
-        ledger.turnedAway(value);
-        known.merge(key, Text.number(end.body(), "revision"), Math::max);
-      }
-    });
+    final String enabled =
+        revision == null || random.nextBoolean() ? "" : ",\"enabled\":" + revision;
+    call(
+        "cells.replace",
+        key,
+        "{\"value\":\"" + value + "\"" + enabled + "}",
+        PUT_MILLIS,
+        end -> {
+          if (end.good()) {
+            final long given = Text.number(end.body(), "revision");
+            ledger.put(key, value, given, fleet.now());
+            ledger.given("group " + group, given, end.firstSentAt(), fleet.now());
+            acked.computeIfAbsent(group, name -> new TreeMap<>()).put(given, value);
+            known.merge(key, given, Math::max);
+            shown(key, value, given);
+            if (!enabled.isEmpty() && revision > given) {
+              control.breach(
+                  fleet.now(),
+                  key + " was put at " + given + " on condition of revision " + revision);
+            }
+          } else if (end.status() == 412) {
+            ledger.turnedAway(value);
+            known.merge(key, Text.number(end.body(), "revision"), Math::max);
+          }
+        });
     fleet.after(20 + random.nextInt(200), this::put);
   }
 
@@ -194,17 +273,22 @@
       return;
     }
     final String key = "g" + random.nextInt(2) + ".k" + random.nextInt(3);
-    call("cells.read", key, "", 3000, end -> {
-      if (end.good()) {
-        final String value = Text.word(end.body(), "value");
-        final long revision = Text.number(end.body(), "revision");
-        ledger.read(key, value, revision, end.sentAt());
-        known.merge(key, revision, Math::max);
-        shown(key, value, revision);
-      } else if (end.status() == 404) {
-        ledger.read(key, null, 0, end.sentAt());
-      }
-    });
+    call(
+        "cells.read",
+        key,
+        "",
+        3000,
+        end -> {
+          if (end.good()) {
+            final String value = Text.word(end.body(), "value");
+            final long revision = Text.number(end.body(), "revision");
+            ledger.read(key, value, revision, end.sentAt());
+            known.merge(key, revision, Math::max);
+            shown(key, value, revision);
+          } else if (end.status() == 404) {
+            ledger.read(key, null, 0, end.sentAt());
+          }
+        });
     fleet.after(20 + random.nextInt(200), this::read);
   }
 
@@ -212,7 +296,8 @@
   private void shown(final String key, final String value, final long revision) {
     final Long before = revisionOf.putIfAbsent(key + "=" + value, revision);
     if (before != null && before != revision) {
-      control.breach(fleet.now(), key + " shows " + value + " under revisions " + before + " and " + revision);
+      control.breach(
+          fleet.now(), key + " shows " + value + " under revisions " + before + " and " + revision);
     }
   }
 
@@ -220,39 +305,66 @@
     if (ended) {
       return;
     }
-    caller.call(null, HttpMethod.GET, "/api/watch/" + group + "?after=" + after + "&waitMs=" + WATCH_MILLIS, "", Caller.SILENCE_MILLIS + WATCH_MILLIS, 1, NOTHING, end -> {
-      long next = after;
-      long since = givenAt;
-      if (end.good()) {
-        next = Text.number(end.body().substring(end.body().lastIndexOf(']')), "revision");
-        since = end.sentAt();
-        if (next < after) {
-          control.breach(fleet.now(), "a watch of " + group + " after " + after + " ended at " + next);
-        }
-        final List<Long> revisions = new ArrayList<>();
-        final Matcher matcher = EVENT.matcher(end.body());
-        while (matcher.find()) {
-          final long revision = Long.parseLong(matcher.group(3));
-          if (revision <= (revisions.isEmpty() ? after : revisions.get(revisions.size() - 1)) || revision > next) {
-            control.breach(fleet.now(), "a watch of " + group + " after " + after + " shows revision " + revision + " out of order");
+    caller.call(
+        null,
+        HttpMethod.GET,
+        "/api/watch/" + group + "?after=" + after + "&waitMs=" + WATCH_MILLIS,
+        "",
+        Caller.SILENCE_MILLIS + WATCH_MILLIS,
+        1,
+        NOTHING,
+        end -> {
+          long next = after;
+          long since = givenAt;
+          if (end.good()) {
+            next = Text.number(end.body().substring(end.body().lastIndexOf(']')), "revision");
+            since = end.sentAt();
+            if (next < after) {
+              control.breach(
+                  fleet.now(), "a watch of " + group + " after " + after + " ended at " + next);
+            }
+            final List<Long> revisions = new ArrayList<>();
+            final Matcher matcher = EVENT.matcher(end.body());
+            while (matcher.find()) {
+              final long revision = Long.parseLong(matcher.group(3));
+              if (revision <= (revisions.isEmpty() ? after : revisions.get(revisions.size() - 1))
+                  || revision > next) {
+                control.breach(
+                    fleet.now(),
+                    "a watch of "
+                        + group
+                        + " after "
+                        + after
+                        + " shows revision "
+                        + revision
+                        + " out of order");
+              }
+              revisions.add(revision);
+              ledger.showed(matcher.group(1), matcher.group(2), revision);
+              shown(matcher.group(1), matcher.group(2), revision);
+            }
+            if (after > 0) {
+              seen.computeIfAbsent(group, name -> new ArrayList<>())
+                  .add(new Seen(after, next, revisions));
+            }
+          } else if (end.status() == 410) {
+            if (fleet.now() - givenAt < HISTORY_MILLIS) {
+              control.breach(
+                  fleet.now(),
+                  "a watch of "
+                      + group
+                      + " got 410 for revision "
+                      + after
+                      + ", given "
+                      + (fleet.now() - givenAt)
+                      + " ms ago");
+            }
+            next = 0;
           }
-          revisions.add(revision);
-          ledger.showed(matcher.group(1), matcher.group(2), revision);
-          shown(matcher.group(1), matcher.group(2), revision);
-        }
-        if (after > 0) {
-          seen.computeIfAbsent(group, name -> new ArrayList<>()).add(new Seen(after, next, revisions));
-        }
-      } else if (end.status() == 410) {
-        if (fleet.now() - givenAt < HISTORY_MILLIS) {
-          control.breach(fleet.now(), "a watch of " + group + " got 410 for revision " + after + ", given " + (fleet.now() - givenAt) + " ms ago");
-        }
-        next = 0;
-      }
-      note();
-      final long to = next;
-      final long at = since;
-      fleet.after(end.good() ? 1 : 200, () -> watch(group, to, at));
-    });
+          note();
+          final long to = next;
+          final long at = since;
+          fleet.after(end.good() ? 1 : 200, () -> watch(group, to, at));
+        });
   }
 }
--- a/rig/src/main/java/weldpoint/rig/Caller.java
+++ b/rig/src/main/java/weldpoint/rig/Caller.java
@@ -7,13 +7,19 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-/** Somebody outside who calls doors as the pages say: a second of silence, then another daemon, with a pause that grows. */
+/**
+ * Somebody outside who calls doors as the pages say: a second of silence, then another daemon, with
+ * a pause that grows.
+ */
 final class Caller {
   static final long SILENCE_MILLIS = 1000;
   private static final int MOST_REDIRECTS = 2;
   private static final int MOST_REFUSALS = 3;
 
-  /** How a call ended: the status of the clear answer or 0, who gave it, when that try and the first were sent. */
+  /**
+   * How a call ended: the status of the clear answer or 0, who gave it, when that try and the first
+   * were sent.
+   */
   record End(int status, String body, String by, long sentAt, long firstSentAt) {
     boolean good() {
       return status >= 200 && status < 300;
@@ -36,10 +42,34 @@
     loss = share;
   }
 
-  /** Calls until there is a clear answer or the time is over; answers that come after their second are not heard. */
-  void call(final String first, final HttpMethod method, final String uri, final String body, final long silence, final long patience, final Runnable uponTry, final Consumer<End> then) {
+  /**
+   * Calls until there is a clear answer or the time is over; answers that come after their second
+   * are not heard.
+   */
+  void call(
+      final String first,
+      final HttpMethod method,
+      final String uri,
+      final String body,
+      final long silence,
+      final long patience,
+      final Runnable uponTry,
+      final Consumer<End> then) {
     final long begunAt = fleet.now();
-    attempt(first == null ? other(null) : first, uri, 0, 0, 0, method, uri, body, silence, begunAt, begunAt + patience, uponTry, then);
+    attempt(
+        first == null ? other(null) : first,
+        uri,
+        0,
+        0,
+        0,
+        method,
+        uri,
+        body,
+        silence,
+        begunAt,
+        begunAt + patience,
+        uponTry,
+        then);
   }
 
   private String other(final String but) {
@@ -51,50 +81,124 @@
   }
 
   /** Follows a redirect; should that fail too, the call goes on as it was. */
-  private void redirected(final String location, final int tries, final int redirects, final int refusals, final HttpMethod method, final String uri, final String body, final long silence, final long begunAt, final long until, final Runnable uponTry,
+  private void redirected(
+      final String location,
+      final int tries,
+      final int redirects,
+      final int refusals,
+      final HttpMethod method,
+      final String uri,
+      final String body,
+      final long silence,
+      final long begunAt,
+      final long until,
+      final Runnable uponTry,
       final Consumer<End> then) {
-    attempt(Text.host(location), Text.path(location, uri), tries, redirects, refusals, method, uri, body, silence, begunAt, until, uponTry, then);
+    attempt(
+        Text.host(location),
+        Text.path(location, uri),
+        tries,
+        redirects,
+        refusals,
+        method,
+        uri,
+        body,
+        silence,
+        begunAt,
+        until,
+        uponTry,
+        then);
   }
 
-  private void attempt(final String to, final String path, final int tries, final int redirects, final int refusals, final HttpMethod method, final String uri, final String body, final long silence, final long begunAt, final long until, final Runnable uponTry,
+  private void attempt(
+      final String to,
+      final String path,
+      final int tries,
+      final int redirects,
+      final int refusals,
+      final HttpMethod method,
+      final String uri,
+      final String body,
+      final long silence,
+      final long begunAt,
+      final long until,
+      final Runnable uponTry,
       final Consumer<End> then) {
     final long sentAt = fleet.now();
     final boolean[] done = new boolean[1];
     uponTry.run();
-    final Consumer<Integer> again = count -> {
-      final long pause = Math.min(1000, 50L << Math.min(5, tries)) + random.nextInt(50);
-      if (fleet.now() + pause >= until) {
-        then.accept(new End(0, "", to, sentAt, begunAt));
-      } else {
-        fleet.after(pause, () -> attempt(other(to), uri, tries + 1, 0, count, method, uri, body, silence, begunAt, until, uponTry, then));
-      }
-    };
+    final Consumer<Integer> again =
+        count -> {
+          final long pause = Math.min(1000, 50L << Math.min(5, tries)) + random.nextInt(50);
+          if (fleet.now() + pause >= until) {
+            then.accept(new End(0, "", to, sentAt, begunAt));
+          } else {
+            fleet.after(
+                pause,
+                () ->
+                    attempt(
+                        other(to), uri, tries + 1, 0, count, method, uri, body, silence, begunAt,
+                        until, uponTry, then));
+          }
+        };
     if (to == null) {
       again.accept(refusals);
       return;
     }
-    final ControlFleet.Calling calling = fleet.http(to, method, path, body, reply -> {
-      if (done[0] || loss > 0 && random.nextDouble() < loss) {
-        return;
-      }
-      done[0] = true;
-      final int status = reply.status();
-      if (status == 307 && redirects < MOST_REDIRECTS) {
-        redirected(reply.location(), tries, redirects + 1, refusals, method, uri, body, silence, begunAt, until, uponTry, then);
-      } else if (status < 200 || status >= 500 || status == 307 || status == 408 || status == 429) {
-        again.accept(refusals);
-      } else if (status >= 400 && status != 400 && status != 404 && status != 409 && status != 410 && status != 412 && status != 413 && status != 422 && refusals + 1 < MOST_REFUSALS) {
-        again.accept(refusals + 1);
-      } else {
-        then.accept(new End(status, reply.body(), to, sentAt, begunAt));
-      }
-    });
-    fleet.after(silence, () -> {
-      if (!done[0]) {
-        done[0] = true;
-        calling.giveUp();
-        again.accept(refusals);
-      }
-    });
+    final ControlFleet.Calling calling =
+        fleet.http(
+            to,
+            method,
+            path,
+            body,
+            reply -> {
+              if (done[0] || loss > 0 && random.nextDouble() < loss) {
+                return;
+              }
+              done[0] = true;
+              final int status = reply.status();
+              if (status == 307 && redirects < MOST_REDIRECTS) {
+                redirected(
+                    reply.location(),
+                    tries,
+                    redirects + 1,
+                    refusals,
+                    method,
+                    uri,
+                    body,
+                    silence,
+                    begunAt,
+                    until,
+                    uponTry,
+                    then);
+              } else if (status < 200
+                  || status >= 500
+                  || status == 307
+                  || status == 408
+                  || status == 429) {
+                again.accept(refusals);
+              } else if (status >= 400
+                  && status != 400
+                  && status != 404
+                  && status != 409
+                  && status != 410
+                  && status != 412
+                  && status != 413
+                  && status != 422
+                  && refusals + 1 < MOST_REFUSALS) {
+                again.accept(refusals + 1);
+              } else {
+                then.accept(new End(status, reply.body(), to, sentAt, begunAt));
+              }
+            });
+    fleet.after(
+        silence,
+        () -> {
+          if (!done[0]) {
+            done[0] = true;
+            calling.giveUp();
+            again.accept(refusals);
+          }
+        });
   }
 }
--- a/rig/src/main/java/weldpoint/rig/ControlDay.java
+++ b/rig/src/main/java/weldpoint/rig/ControlDay.java
@@ -13,7 +13,10 @@
 import weldpoint.frame.FrameCore;
 import weldpoint.trunk.Words;
 
-/** Plays one day: a fleet from its first start, operators, upstreams and applications, its troubles, and a calm end at which all must be well. */
+/**
+ * Plays one day: a fleet from its first start, operators, upstreams and applications, its troubles,
+ * and a calm end at which all must be well.
+ */
 public final class ControlDay {
   private static final String[] ZONES = {"a", "b", "c"};
   private static final int BOARDS = 3;
@@ -23,9 +26,11 @@
   private static final long CALM_MILLIS = 9000;
   private static final long SLACK_MILLIS = 2000;
 
-  /** How a day ended: the promises that were broken, when the first was, and how many answers were judged. */
-  public record Outcome(List<String> breaches, long firstBreachAt, long answers) {
-  }
+  /**
+   * How a day ended: the promises that were broken, when the first was, and how many answers were
+   * judged.
+   */
+  public record Outcome(List<String> breaches, long firstBreachAt, long answers) {}
 
   private final ControlPlan plan;
   private final ControlFleet fleet;
@@ -43,20 +48,31 @@
   private ControlDay(final ControlPlan plan, final ControlFleet.Meddler meddler) {
     this.plan = plan;
     final List<String> seeds = List.of(address(0), address(1), address(2));
-    fleet = new ControlFleet(plan.seed(), seeds, new ControlFleet.Watcher() {
-      @Override
-      public void takenUp(final ControlFleet.Machine board, final long life, final long startedAt, final long version, final byte[] spec) {
-        ledger.takenUp(board.address(), life, startedAt, version, Text.tag(spec), fleet().now());
-      }
+    fleet =
+        new ControlFleet(
+            plan.seed(),
+            seeds,
+            new ControlFleet.Watcher() {
+              @Override
+              public void takenUp(
+                  final ControlFleet.Machine board,
+                  final long life,
+                  final long startedAt,
+                  final long version,
+                  final byte[] spec) {
+                ledger.takenUp(
+                    board.address(), life, startedAt, version, Text.tag(spec), fleet().now());
+              }
 
-      @Override
-      public void evacuated(final ControlFleet.Machine board, final Set<String> zones) {
-      }
+              @Override
+              public void evacuated(final ControlFleet.Machine board, final Set<String> zones) {}
 
-      @Override
-      public void upstream(final ControlFleet.Machine board, final Words.Registration registration, final boolean open) {
-      }
-    });
+              @Override
+              public void upstream(
+                  final ControlFleet.Machine board,
+                  final Words.Registration registration,
+                  final boolean open) {}
+            });
     if (meddler != null) {
       fleet.meddler(meddler);
     }
@@ -69,9 +85,20 @@
     }
     final Random random = new Random(plan.seed() + 1);
     final Caller operator = new Caller(fleet, new Random(random.nextLong()), () -> list);
-    operators = new Operators(fleet, ledger, new Random(random.nextLong()), operator, List.of("a", "b"));
-    upstreams = new Upstreams(fleet, ledger, new Random(random.nextLong()), new Caller(fleet, new Random(random.nextLong()), () -> list));
-    applications = new Applications(fleet, ledger, new Random(random.nextLong()), new Caller(fleet, new Random(random.nextLong()), () -> list));
+    operators =
+        new Operators(fleet, ledger, new Random(random.nextLong()), operator, List.of("a", "b"));
+    upstreams =
+        new Upstreams(
+            fleet,
+            ledger,
+            new Random(random.nextLong()),
+            new Caller(fleet, new Random(random.nextLong()), () -> list));
+    applications =
+        new Applications(
+            fleet,
+            ledger,
+            new Random(random.nextLong()),
+            new Caller(fleet, new Random(random.nextLong()), () -> list));
   }
 
   private static String address(final int index) {
@@ -93,7 +120,11 @@
   }
 
   private Outcome play() {
-    fleet.machines().values().forEach(machine -> fleet.after(fleet.random().nextInt(300), () -> fleet.start(machine, true)));
+    fleet
+        .machines()
+        .values()
+        .forEach(
+            machine -> fleet.after(fleet.random().nextInt(300), () -> fleet.start(machine, true)));
     refresh();
     fleet.run(500);
     operators.begin();
@@ -105,7 +136,10 @@
     }
     fleet.run(plan.lasts());
     end();
-    return new Outcome(ledger.breaches(), ledger.firstBreachAt() >= 0 ? ledger.firstBreachAt() - beganAt - START_MILLIS : -1, ledger.answers() + applications.answers());
+    return new Outcome(
+        ledger.breaches(),
+        ledger.firstBreachAt() >= 0 ? ledger.firstBreachAt() - beganAt - START_MILLIS : -1,
+        ledger.answers() + applications.answers());
   }
 
   /** What operators and others know of the daemons: whom they could have read some time ago. */
@@ -125,7 +159,8 @@
     fleet.after(0, operators::end);
     long longest = 0;
     for (final Trouble trouble : plan.troubles()) {
-      longest = Math.max(longest, trouble.atMillis() + trouble.forMillis() + SLACK_MILLIS - plan.lasts());
+      longest =
+          Math.max(longest, trouble.atMillis() + trouble.forMillis() + SLACK_MILLIS - plan.lasts());
     }
     fleet.run(longest);
     calm = true;
@@ -135,27 +170,42 @@
     applications.end();
     final long highest = ledger.highestAcked();
     final boolean[] done = new boolean[2];
-    operators.last(end -> {
-      done[0] = end.good();
-      operators.readOnce(4000, read -> {
-        done[1] = read.good();
-        if (read.good()) {
-          ledger.finalRead(Text.version(read.body()), fleet.now());
-        }
-      });
-    });
+    operators.last(
+        end -> {
+          done[0] = end.good();
+          operators.readOnce(
+              4000,
+              read -> {
+                done[1] = read.good();
+                if (read.good()) {
+                  ledger.finalRead(Text.version(read.body()), fleet.now());
+                }
+              });
+        });
     fleet.run(6000);
     if (!done[0]) {
-      ledger.breach(fleet.now(), "a change sent " + CALM_MILLIS + " ms after the last trouble had no acknowledgement in 5 s");
+      ledger.breach(
+          fleet.now(),
+          "a change sent "
+              + CALM_MILLIS
+              + " ms after the last trouble had no acknowledgement in 5 s");
     } else if (!done[1]) {
       ledger.breach(fleet.now(), "the configuration could not be read back in the calm at the end");
     }
     for (final ControlFleet.Machine board : fleet.boards()) {
       if (board.version() < Math.max(highest, done[0] ? ledger.highestAcked() : 0)) {
-        ledger.breach(fleet.now(), board.address() + " has " + String.format("%08x", board.version()) + " in the calm at the end though " + String.format("%08x", ledger.highestAcked()) + " was acknowledged");
+        ledger.breach(
+            fleet.now(),
+            board.address()
+                + " has "
+                + String.format("%08x", board.version())
+                + " in the calm at the end though "
+                + String.format("%08x", ledger.highestAcked())
+                + " was acknowledged");
       }
       for (final String zone : List.of("a", "b")) {
-        ledger.finalEvacuation(board.address(), zone, board.evacuated().contains(zone), SLACK_MILLIS, fleet.now());
+        ledger.finalEvacuation(
+            board.address(), zone, board.evacuated().contains(zone), SLACK_MILLIS, fleet.now());
       }
       upstreams.check(board);
     }
@@ -166,17 +216,25 @@
   private void history() {
     FrameCore longest = null;
     for (final ControlFleet.Machine machine : fleet.core()) {
-      if (machine.frame() != null && !machine.frame().blank() && (longest == null || machine.frame().history().last() > longest.history().last())) {
+      if (machine.frame() != null
+          && !machine.frame().blank()
+          && (longest == null || machine.frame().history().last() > longest.history().last())) {
         longest = machine.frame();
       }
     }
-    if (longest == null || plan.troubles().stream().anyMatch(trouble -> trouble.kind() == Trouble.Kind.CLOCK_STEP)) {
+    if (longest == null
+        || plan.troubles().stream()
+            .anyMatch(trouble -> trouble.kind() == Trouble.Kind.CLOCK_STEP)) {
       return;
     }
-    for (long sequence = longest.history().base() + 1; sequence <= longest.history().last(); sequence++) {
+    for (long sequence = longest.history().base() + 1;
+        sequence <= longest.history().last();
+        sequence++) {
       final AuditEntry entry = AuditEntry.read(longest.history().read(sequence));
-      if (entry.kind() == ChangeKind.EVACUATION_BEGUN || entry.kind() == ChangeKind.EVACUATION_FINISHED) {
-        ledger.decided(entry.subject, entry.kind() == ChangeKind.EVACUATION_BEGUN, entry.time, SLACK_MILLIS);
+      if (entry.kind() == ChangeKind.EVACUATION_BEGUN
+          || entry.kind() == ChangeKind.EVACUATION_FINISHED) {
+        ledger.decided(
+            entry.subject, entry.kind() == ChangeKind.EVACUATION_BEGUN, entry.time, SLACK_MILLIS);
       }
     }
   }
@@ -193,7 +251,8 @@
   }
 
   /** So many of these, by lot. */
-  List<ControlFleet.Machine> draw(final List<ControlFleet.Machine> from, final int count, final Random random) {
+  List<ControlFleet.Machine> draw(
+      final List<ControlFleet.Machine> from, final int count, final Random random) {
     final List<ControlFleet.Machine> drawn = new ArrayList<>(from);
     Collections.shuffle(drawn, random);
     return new ArrayList<>(drawn.subList(0, Math.min(count, drawn.size())));
@@ -202,7 +261,9 @@
   /** The machine at this address and, by lot, other core machines, so many together. */
   List<ControlFleet.Machine> with(final String address, final int count, final Random random) {
     final List<ControlFleet.Machine> drawn = draw(fleet.core(), plan.cores() + 4, random);
-    drawn.sort((one, other) -> Boolean.compare(other.address().equals(address), one.address().equals(address)));
+    drawn.sort(
+        (one, other) ->
+            Boolean.compare(other.address().equals(address), one.address().equals(address)));
     return new ArrayList<>(drawn.subList(0, Math.min(count, drawn.size())));
   }
 
@@ -228,7 +289,10 @@
     }
   }
 
-  /** How many disks may be lost now: the budget, less those that were lost and have not had the time to catch up. */
+  /**
+   * How many disks may be lost now: the budget, less those that were lost and have not had the time
+   * to catch up.
+   */
   int mayLose() {
     lostUntil.values().removeIf(until -> until <= fleet.now());
     return Math.max(0, (plan.cores() < 5 ? 1 : 2) - lostUntil.size());
@@ -242,13 +306,17 @@
     fleet.kill(machine, true);
     fleet.wipe(machine);
     lostUntil.put(machine, Long.MAX_VALUE);
-    fleet.after(forMillis, () -> {
-      fleet.start(machine, false);
-      lostUntil.put(machine, fleet.now() + CATCH_UP_MILLIS);
-    });
+    fleet.after(
+        forMillis,
+        () -> {
+          fleet.start(machine, false);
+          lostUntil.put(machine, fleet.now() + CATCH_UP_MILLIS);
+        });
   }
 
-  /** A core machine goes for good; an empty one comes in its zone, before it where that is planned. */
+  /**
+   * A core machine goes for good; an empty one comes in its zone, before it where that is planned.
+   */
   void replace(final boolean planned, final long gapMillis, final Random random) {
     if (calm || mayLose() == 0) {
       return;
@@ -259,21 +327,33 @@
     lostUntil.put(gone, Long.MAX_VALUE);
     if (planned) {
       fleet.start(next, false);
-      fleet.after(Math.max(gapMillis, 1000), () -> fleet.stop(gone, () -> {
-        fleet.remove(gone);
-        lostUntil.put(gone, fleet.now() + CATCH_UP_MILLIS);
-      }));
+      fleet.after(
+          Math.max(gapMillis, 1000),
+          () ->
+              fleet.stop(
+                  gone,
+                  () -> {
+                    fleet.remove(gone);
+                    lostUntil.put(gone, fleet.now() + CATCH_UP_MILLIS);
+                  }));
     } else {
       fleet.remove(gone);
-      fleet.after(gapMillis, () -> {
-        fleet.start(next, false);
-        lostUntil.put(gone, fleet.now() + CATCH_UP_MILLIS);
-      });
+      fleet.after(
+          gapMillis,
+          () -> {
+            fleet.start(next, false);
+            lostUntil.put(gone, fleet.now() + CATCH_UP_MILLIS);
+          });
     }
   }
 
   /** Cuts the way between two machines, in one direction or both, for a while. */
-  void cut(final ControlFleet.Machine one, final ControlFleet.Machine other, final boolean there, final boolean back, final long forMillis) {
+  void cut(
+      final ControlFleet.Machine one,
+      final ControlFleet.Machine other,
+      final boolean there,
+      final boolean back,
+      final long forMillis) {
     if (there) {
       fleet.cut(one, other, true);
       fleet.after(forMillis, () -> fleet.cut(one, other, false));
@@ -293,7 +373,10 @@
         seeds.add(machine.address());
       }
     }
-    all().forEach(machine -> fleet.seeds(machine, List.copyOf(seeds.subList(0, Math.min(3, seeds.size())))));
+    all()
+        .forEach(
+            machine ->
+                fleet.seeds(machine, List.copyOf(seeds.subList(0, Math.min(3, seeds.size())))));
   }
 
   /** Loses most of the answers to the operator, or no longer. */
--- a/rig/src/main/java/weldpoint/rig/ControlFleet.java
+++ b/rig/src/main/java/weldpoint/rig/ControlFleet.java
@@ -26,12 +26,14 @@
 import weldpoint.trunk.Words;
 
 /**
- * Whole control sides on a fake clock, a fake network and fake disks, driven by one seed: on each core machine a frame and
- * an exchange with its door, on the others a switchboard's link. All run the product's own code.
+ * Whole control sides on a fake clock, a fake network and fake disks, driven by one seed: on each
+ * core machine a frame and an exchange with its door, on the others a switchboard's link. All run
+ * the product's own code.
  */
 public final class ControlFleet {
   /** How often the steps of a life that are due by time are run. */
   private static final long TICK_MILLIS = 50;
+
   private static final long DIAL_MILLIS = 50;
   private static final long MOST_DIAL_MILLIS = 250;
   private static final long SYN_MILLIS = 1000;
@@ -41,8 +43,7 @@
   private static final long BEAT_MILLIS = 1500;
   private static final long HISTORY_MILLIS = 20_000;
 
-  private record Event(long at, long order, Runnable deed) {
-  }
+  private record Event(long at, long order, Runnable deed) {}
 
   /** What the rig's user is told of switchboards. */
   public interface Watcher {
@@ -59,26 +60,35 @@
   /** What a test may do to messages on their way; it stands for a broken variant. */
   public interface Meddler {
     /** A machine's processes start. */
-    default void started(final String machine) {
-    }
+    default void started(final String machine) {}
 
     /** Takes a message on its way over a line; whatever is given on is heard. */
-    default void heard(final String from, final String to, final Message message, final Consumer<Message> ear) {
+    default void heard(
+        final String from, final String to, final Message message, final Consumer<Message> ear) {
       ear.accept(message);
     }
 
     /** Takes a write on its way to a disk; the callback says that it is lasting. */
-    default void append(final String machine, final String program, final byte[] record, final Runnable synced, final java.util.function.BiConsumer<byte[], Runnable> disk) {
+    default void append(
+        final String machine,
+        final String program,
+        final byte[] record,
+        final Runnable synced,
+        final java.util.function.BiConsumer<byte[], Runnable> disk) {
       disk.accept(record, synced);
     }
 
     /** Takes the answer of a door on its way to its caller. */
-    default void answered(final String machine, final String uri, final Reply reply, final Consumer<Reply> caller) {
+    default void answered(
+        final String machine, final String uri, final Reply reply, final Consumer<Reply> caller) {
       caller.accept(reply);
     }
   }
 
-  /** What a caller of a door gets: a status, or 0 for a failed connection, a body, and where a redirect leads. */
+  /**
+   * What a caller of a door gets: a status, or 0 for a failed connection, a body, and where a
+   * redirect leads.
+   */
   public record Reply(int status, String body, String location) {
     /** A connection that failed. */
     public static final Reply FAILED = new Reply(0, "", null);
@@ -103,7 +113,8 @@
     private long lives;
     private boolean removed;
 
-    private Machine(final String address, final String site, final String region, final boolean core) {
+    private Machine(
+        final String address, final String site, final String region, final boolean core) {
       this.address = address;
       this.site = site;
       this.region = region;
@@ -205,7 +216,10 @@
       return machine.life == this;
     }
 
-    /** Runs something on this life's threads: at once, later where the machine is slow, and after its thaw where it is frozen. */
+    /**
+     * Runs something on this life's threads: at once, later where the machine is slow, and after
+     * its thaw where it is frozen.
+     */
     void run(final Runnable deed) {
       if (!lives()) {
         return;
@@ -223,21 +237,25 @@
         return;
       }
       draining = true;
-      after(machine.slowMillis, () -> {
-        draining = false;
-        int most = 20;
-        while (lives() && machine.frozen == 0 && !inbox.isEmpty() && most-- > 0) {
-          inbox.poll().run();
-        }
-        drain();
-      });
+      after(
+          machine.slowMillis,
+          () -> {
+            draining = false;
+            int most = 20;
+            while (lives() && machine.frozen == 0 && !inbox.isEmpty() && most-- > 0) {
+              inbox.poll().run();
+            }
+            drain();
+          });
     }
-
   }
 
   /** What listens at a machine. */
   private enum Port {
-    FRAME, FRAME_CALLS, EXCHANGE, BOARDS
+    FRAME,
+    FRAME_CALLS,
+    EXCHANGE,
+    BOARDS
   }
 
   /** Keeps one line to an address open, dialling again after it ends. */
@@ -267,7 +285,10 @@
         return;
       }
       final Machine target = machines.get(to);
-      if (target == null || !target.powered || cut(life.machine, target) || cut(target, life.machine)) {
+      if (target == null
+          || !target.powered
+          || cut(life.machine, target)
+          || cut(target, life.machine)) {
         after(SYN_MILLIS, this::again);
         return;
       }
@@ -275,49 +296,56 @@
         after(2 * delay(life.machine, target), this::again);
         return;
       }
-      line = open(life, to, port, new FakeLine.Ear() {
-        @Override
-        public void opened(final FakeLine opened) {
-          if (ended) {
-            opened.close();
-            return;
-          }
-          pause = DIAL_MILLIS;
-          ear.opened(opened);
-        }
-
-        @Override
-        public void heard(final FakeLine heard, final Message message) {
-          ear.heard(heard, message);
-        }
-
-        @Override
-        public void closed(final FakeLine closed) {
-          line = null;
-          if (!ended) {
-            ear.closed(closed);
-          }
-          again();
-        }
-      });
+      line =
+          open(
+              life,
+              to,
+              port,
+              new FakeLine.Ear() {
+                @Override
+                public void opened(final FakeLine opened) {
+                  if (ended) {
+                    opened.close();
+                    return;
+                  }
+                  pause = DIAL_MILLIS;
+                  ear.opened(opened);
+                }
+
+                @Override
+                public void heard(final FakeLine heard, final Message message) {
+                  ear.heard(heard, message);
+                }
+
+                @Override
+                public void closed(final FakeLine closed) {
+                  line = null;
+                  if (!ended) {
+                    ear.closed(closed);
+                  }
+                  again();
+                }
+              });
       watchGreeting(line);
     }
 
     /** A line that is given up before its hello is dialled again. */
     private void watchGreeting(final FakeLine opening) {
-      after(100, () -> {
-        if (line == opening && life.lives()) {
-          if (opening.usable()) {
-            return;
-          }
-          if (opening.over() || !opening.dials()) {
-            line = null;
-            again();
-            return;
-          }
-          watchGreeting(opening);
-        }
-      });
+      after(
+          100,
+          () -> {
+            if (line == opening && life.lives()) {
+              if (opening.usable()) {
+                return;
+              }
+              if (opening.over() || !opening.dials()) {
+                line = null;
+                again();
+                return;
+              }
+              watchGreeting(opening);
+            }
+          });
     }
 
     private void again() {
@@ -359,13 +387,16 @@
       for (final String address : addresses) {
         diallers.computeIfAbsent(address, to -> new Dialler(life, to, port, ears.apply(to)));
       }
-      diallers.entrySet().removeIf(entry -> {
-        if (addresses.contains(entry.getKey())) {
-          return false;
-        }
-        entry.getValue().close();
-        return true;
-      });
+      diallers
+          .entrySet()
+          .removeIf(
+              entry -> {
+                if (addresses.contains(entry.getKey())) {
+                  return false;
+                }
+                entry.getValue().close();
+                return true;
+              });
     }
 
     private boolean send(final String address, final Message message) {
@@ -375,13 +406,17 @@
   }
 
   private final Random random;
-  private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (one, other) ->
+              one.at != other.at
+                  ? Long.compare(one.at, other.at)
+                  : Long.compare(one.order, other.order));
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Map<String, Integer> cuts = new HashMap<>();
   private final List<String> seeds;
   private final Watcher watcher;
-  private Meddler meddler = new Meddler() {
-  };
+  private Meddler meddler = new Meddler() {};
   private long now = 1_000_000;
   private long order;
   private int lineNumbers;
@@ -432,7 +467,9 @@
   // ---- network
 
   boolean cut(final Machine from, final Machine to) {
-    return from != to && !cuts.isEmpty() && cuts.getOrDefault(from.address + ">" + to.address, 0) > 0;
+    return from != to
+        && !cuts.isEmpty()
+        && cuts.getOrDefault(from.address + ">" + to.address, 0) > 0;
   }
 
   long delay(final Machine from, final Machine to) {
@@ -447,13 +484,19 @@
     return sealedBytes;
   }
 
-  void heard(final String from, final String to, final FakeLine line, final Message message, final Consumer<Message> ear) {
+  void heard(
+      final String from,
+      final String to,
+      final FakeLine line,
+      final Message message,
+      final Consumer<Message> ear) {
     meddler.heard(from, to, message, ear);
   }
 
   private FakeLine open(final Life from, final String to, final Port port, final FakeLine.Ear ear) {
     final Life target = machines.get(to).life;
-    final FakeLine line = new FakeLine(this, ++lineNumbers, from, ear, target, listener(target, port));
+    final FakeLine line =
+        new FakeLine(this, ++lineNumbers, from, ear, target, listener(target, port));
     from.lines.removeIf(FakeLine::over);
     from.lines.add(line);
     if (from != target) {
@@ -466,23 +509,30 @@
   private FakeLine.Ear listener(final Life life, final Port port) {
     return switch (port) {
       case FRAME -> (line, message) -> life.frame.receive(line.from(), message, line::reply, now);
-      case FRAME_CALLS -> (line, message) -> life.frame.call((Words.Call) message, line::reply, now);
-      case EXCHANGE -> (line, message) -> life.exchange.receive(line.from(), message, line::reply, now);
-      case BOARDS -> new FakeLine.Ear() {
-        @Override
-        public void heard(final FakeLine line, final Message message) {
-          if (message instanceof Words.BoardState) {
-            life.exchange.boardState(line, ((Words.BoardState) message).board, Words.list(((Words.BoardState) message).buckets), now);
-          } else {
-            life.exchange.receive(line.from(), message, line::reply, now);
-          }
-        }
+      case FRAME_CALLS ->
+          (line, message) -> life.frame.call((Words.Call) message, line::reply, now);
+      case EXCHANGE ->
+          (line, message) -> life.exchange.receive(line.from(), message, line::reply, now);
+      case BOARDS ->
+          new FakeLine.Ear() {
+            @Override
+            public void heard(final FakeLine line, final Message message) {
+              if (message instanceof Words.BoardState) {
+                life.exchange.boardState(
+                    line,
+                    ((Words.BoardState) message).board,
+                    Words.list(((Words.BoardState) message).buckets),
+                    now);
+              } else {
+                life.exchange.receive(line.from(), message, line::reply, now);
+              }
+            }
 
-        @Override
-        public void closed(final FakeLine line) {
-          life.exchange.streamClosed(line, line.from(), now);
-        }
-      };
+            @Override
+            public void closed(final FakeLine line) {
+              life.exchange.streamClosed(line, line.from(), now);
+            }
+          };
     };
   }
 
@@ -504,7 +554,8 @@
   }
 
   /** Adds a machine without processes. */
-  public Machine add(final String address, final String site, final String region, final boolean core) {
+  public Machine add(
+      final String address, final String site, final String region, final boolean core) {
     final Machine machine = new Machine(address, site, region, core);
     machines.put(address, machine);
     return machine;
@@ -530,61 +581,78 @@
   }
 
   private void tick(final Life life) {
-    after(TICK_MILLIS, () -> {
-      if (!life.lives()) {
-        return;
-      }
-      if (!life.machine.frozen()) {
-        life.run(() -> {
-          if (life.frame != null) {
-            life.frame.disk(life.frameWriter.busyMillis(), life.frameWriter.refusing(), now);
-            life.frame.tick(now);
-            life.door.awake();
-            life.exchange.tick(now);
-          } else {
-            life.link.tick(now);
+    after(
+        TICK_MILLIS,
+        () -> {
+          if (!life.lives()) {
+            return;
+          }
+          if (!life.machine.frozen()) {
+            life.run(
+                () -> {
+                  if (life.frame != null) {
+                    life.frame.disk(
+                        life.frameWriter.busyMillis(), life.frameWriter.refusing(), now);
+                    life.frame.tick(now);
+                    life.door.awake();
+                    life.exchange.tick(now);
+                  } else {
+                    life.link.tick(now);
+                  }
+                });
           }
+          tick(life);
         });
-      }
-      tick(life);
-    });
   }
 
   private void startFrame(final Life life, final boolean first) {
     final Machine machine = life.machine;
     final List<byte[]> found = machine.frameRecords.lasting();
-    life.frames.ears = to -> new FakeLine.Ear() {
-      @Override
-      public void heard(final FakeLine line, final Message message) {
-        life.frame.receive(to, message, line::send, now);
-      }
+    life.frames.ears =
+        to ->
+            new FakeLine.Ear() {
+              @Override
+              public void heard(final FakeLine line, final Message message) {
+                life.frame.receive(to, message, line::send, now);
+              }
 
-      @Override
-      public void closed(final FakeLine line) {
-        life.frame.lineClosed(to, now);
-      }
-    };
-    life.frame = new FrameCore(machine.address, machine.site, machine.region, true, MOST_VOTERS, HISTORY_MILLIS, ++incarnations, new Random(random.nextLong()), machine.seeds, new FrameCore.Outlet() {
-      @Override
-      public void send(final String to, final Message message) {
-        life.frames.send(to, message);
-      }
+              @Override
+              public void closed(final FakeLine line) {
+                life.frame.lineClosed(to, now);
+              }
+            };
+    life.frame =
+        new FrameCore(
+            machine.address,
+            machine.site,
+            machine.region,
+            true,
+            MOST_VOTERS,
+            HISTORY_MILLIS,
+            ++incarnations,
+            new Random(random.nextLong()),
+            machine.seeds,
+            new FrameCore.Outlet() {
+              @Override
+              public void send(final String to, final Message message) {
+                life.frames.send(to, message);
+              }
 
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-        meddler.append(machine.address, "frame", record, synced, life.frameWriter::append);
-      }
+              @Override
+              public void append(final byte[] record, final Runnable synced) {
+                meddler.append(machine.address, "frame", record, synced, life.frameWriter::append);
+              }
 
-      @Override
-      public void peers(final List<String> addresses) {
-        life.frames.keep(addresses);
-      }
+              @Override
+              public void peers(final List<String> addresses) {
+                life.frames.keep(addresses);
+              }
 
-      @Override
-      public long timeOfDay() {
-        return now + machine.clockStep;
-      }
-    });
+              @Override
+              public long timeOfDay() {
+                return now + machine.clockStep;
+              }
+            });
     life.frameWriter = machine.disk.new Writer(machine.frameRecords, life, () -> life.frame.view());
     life.frame.history(machine.disk.new EntryStore(machine.entries, life), ENTRIES, ENTRY_BYTES);
     life.frame.start(found, first && found.isEmpty(), now);
@@ -593,153 +661,212 @@
 
   private void startExchange(final Life life, final boolean first) {
     final Machine machine = life.machine;
-    life.members.ears = to -> new FakeLine.Ear() {
-      @Override
-      public void opened(final FakeLine line) {
-        life.exchange.memberOpened(to, now);
-      }
+    life.members.ears =
+        to ->
+            new FakeLine.Ear() {
+              @Override
+              public void opened(final FakeLine line) {
+                life.exchange.memberOpened(to, now);
+              }
 
-      @Override
-      public void heard(final FakeLine line, final Message message) {
-        life.exchange.receive(to, message, line::send, now);
-      }
+              @Override
+              public void heard(final FakeLine line, final Message message) {
+                life.exchange.receive(to, message, line::send, now);
+              }
 
-      @Override
-      public void closed(final FakeLine line) {
-        life.exchange.memberClosed(to, now);
-      }
-    };
-    life.calls.ears = to -> new FakeLine.Ear() {
-      @Override
-      public void heard(final FakeLine line, final Message message) {
-        if (message instanceof Words.Answer) {
-          life.exchange.answered(to, (Words.Answer) message, now);
-        }
-      }
+              @Override
+              public void closed(final FakeLine line) {
+                life.exchange.memberClosed(to, now);
+              }
+            };
+    life.calls.ears =
+        to ->
+            new FakeLine.Ear() {
+              @Override
+              public void heard(final FakeLine line, final Message message) {
+                if (message instanceof Words.Answer) {
+                  life.exchange.answered(to, (Words.Answer) message, now);
+                }
+              }
 
-      @Override
-      public void closed(final FakeLine line) {
-        life.exchange.frameClosed(to, now);
-      }
-    };
+              @Override
+              public void closed(final FakeLine line) {
+                life.exchange.frameClosed(to, now);
+              }
+            };
     final List<byte[]> found = machine.exchangeRecords.lasting();
-    life.exchange = new ExchangeCore(machine.address, machine.seeds, first && found.isEmpty(), BEAT_MILLIS, new Random(random.nextLong()), new ExchangeCore.Outlet() {
-      @Override
-      public boolean member(final String address, final Message message) {
-        return life.members.send(address, message);
-      }
+    life.exchange =
+        new ExchangeCore(
+            machine.address,
+            machine.seeds,
+            first && found.isEmpty(),
+            BEAT_MILLIS,
+            new Random(random.nextLong()),
+            new ExchangeCore.Outlet() {
+              @Override
+              public boolean member(final String address, final Message message) {
+                return life.members.send(address, message);
+              }
 
-      @Override
-      public boolean frame(final String address, final Words.Call call) {
-        return life.calls.send(address, call);
-      }
+              @Override
+              public boolean frame(final String address, final Words.Call call) {
+                return life.calls.send(address, call);
+              }
 
-      @Override
-      public void board(final Object stream, final Message message) {
-        ((FakeLine) stream).reply(message);
-      }
+              @Override
+              public void board(final Object stream, final Message message) {
+                ((FakeLine) stream).reply(message);
+              }
 
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-        meddler.append(machine.address, "exchange", record, synced, life.exchangeWriter::append);
-      }
+              @Override
+              public void append(final byte[] record, final Runnable synced) {
+                meddler.append(
+                    machine.address, "exchange", record, synced, life.exchangeWriter::append);
+              }
 
-      @Override
-      public void peers(final List<String> addresses) {
-        life.members.keep(addresses);
-        final List<String> all = new ArrayList<>(addresses);
-        all.add(machine.address);
-        life.calls.keep(all);
-      }
-    });
-    life.exchangeWriter = machine.disk.new Writer(machine.exchangeRecords, life, () -> life.exchange.view());
+              @Override
+              public void peers(final List<String> addresses) {
+                life.members.keep(addresses);
+                final List<String> all = new ArrayList<>(addresses);
+                all.add(machine.address);
+                life.calls.keep(all);
+              }
+            });
+    life.exchangeWriter =
+        machine.disk.new Writer(machine.exchangeRecords, life, () -> life.exchange.view());
     life.exchange.place(machine.site, machine.region);
     life.exchange.start(found, now);
     life.exchangeWriter.begin();
-    life.door = new ControlDoor(Boot.parse("station.name = one\nstation.address = " + machine.address + "\nstation.site = " + machine.site + "\nstation.region = " + machine.region
-        + "\ntrunk.ports = 7000,7015\ntrunk.seeds = " + String.join(":80,", machine.seeds) + ":80\nlisten.control = " + machine.address + ":80\n"), life.exchange, Runnable::run, new ControlDoor.Clock() {
-          @Override
-          public long steadyMillis() {
-            return now;
-          }
+    life.door =
+        new ControlDoor(
+            Boot.parse(
+                "station.name = one\nstation.address = "
+                    + machine.address
+                    + "\nstation.site = "
+                    + machine.site
+                    + "\nstation.region = "
+                    + machine.region
+                    + "\ntrunk.ports = 7000,7015\ntrunk.seeds = "
+                    + String.join(":80,", machine.seeds)
+                    + ":80\nlisten.control = "
+                    + machine.address
+                    + ":80\n"),
+            life.exchange,
+            Runnable::run,
+            new ControlDoor.Clock() {
+              @Override
+              public long steadyMillis() {
+                return now;
+              }
 
-          @Override
-          public long dayMillis() {
-            return now + machine.clockStep;
-          }
-        });
+              @Override
+              public long dayMillis() {
+                return now + machine.clockStep;
+              }
+            });
   }
 
   private void startBoard(final Life life) {
     final Machine machine = life.machine;
-    final Words.Board self = new Words.Board(machine.address, machine.address + ":90", machine.site, machine.region, ++incarnations, false, 0);
-    life.link = new BoardLink(self, machine.seeds, new Random(random.nextLong()), new BoardLink.Outlet() {
-      @Override
-      public void dial(final String address) {
-        if (life.boardDialler != null) {
-          life.boardDialler.close();
-        }
-        life.boardDialler = new Dialler(life, address, Port.BOARDS, new FakeLine.Ear() {
-          @Override
-          public void opened(final FakeLine line) {
-            life.link.opened(now);
-          }
-
-          @Override
-          public void heard(final FakeLine line, final Message message) {
-            if (message instanceof Words.View && ((Words.View) message).spec != null) {
-              life.lastSpec = ((Words.View) message).spec;
-            }
-            life.link.heard(message, now);
-          }
-
-          @Override
-          public void closed(final FakeLine line) {
-            life.link.closed(now);
-          }
-        });
-      }
+    final Words.Board self =
+        new Words.Board(
+            machine.address,
+            machine.address + ":90",
+            machine.site,
+            machine.region,
+            ++incarnations,
+            false,
+            0);
+    life.link =
+        new BoardLink(
+            self,
+            machine.seeds,
+            new Random(random.nextLong()),
+            new BoardLink.Outlet() {
+              @Override
+              public void dial(final String address) {
+                if (life.boardDialler != null) {
+                  life.boardDialler.close();
+                }
+                life.boardDialler =
+                    new Dialler(
+                        life,
+                        address,
+                        Port.BOARDS,
+                        new FakeLine.Ear() {
+                          @Override
+                          public void opened(final FakeLine line) {
+                            life.link.opened(now);
+                          }
+
+                          @Override
+                          public void heard(final FakeLine line, final Message message) {
+                            if (message instanceof Words.View
+                                && ((Words.View) message).spec != null) {
+                              life.lastSpec = ((Words.View) message).spec;
+                            }
+                            life.link.heard(message, now);
+                          }
+
+                          @Override
+                          public void closed(final FakeLine line) {
+                            life.link.closed(now);
+                          }
+                        });
+              }
 
-      @Override
-      public void send(final Message message) {
-        life.boardDialler.send(message);
-      }
+              @Override
+              public void send(final Message message) {
+                life.boardDialler.send(message);
+              }
 
-      @Override
-      public void outlook(final Dialplan plan, final Map<Words.Registration, Boolean> changes, final Set<String> evacuated, final Set<String> suspects, final int switchboards) {
-        if (plan != null) {
-          life.version = plan.version();
-          watcher.takenUp(machine, machine.lives, life.startedAt, plan.version(), life.lastSpec);
-          after(5, () -> life.run(() -> life.link.inForce(life.link.version(), life.link.mark(), now)));
-        }
-        changes.forEach((registration, open) -> {
-          if (open) {
-            life.upstreams.put(registration.id, registration);
-          } else {
-            life.upstreams.remove(registration.id);
-          }
-          watcher.upstream(machine, registration, open);
-        });
-        if (evacuated != null) {
-          life.evacuated = evacuated;
-          watcher.evacuated(machine, evacuated);
-        }
-      }
+              @Override
+              public void outlook(
+                  final Dialplan plan,
+                  final Map<Words.Registration, Boolean> changes,
+                  final Set<String> evacuated,
+                  final Set<String> suspects,
+                  final int switchboards) {
+                if (plan != null) {
+                  life.version = plan.version();
+                  watcher.takenUp(
+                      machine, machine.lives, life.startedAt, plan.version(), life.lastSpec);
+                  after(
+                      5,
+                      () ->
+                          life.run(
+                              () -> life.link.inForce(life.link.version(), life.link.mark(), now)));
+                }
+                changes.forEach(
+                    (registration, open) -> {
+                      if (open) {
+                        life.upstreams.put(registration.id, registration);
+                      } else {
+                        life.upstreams.remove(registration.id);
+                      }
+                      watcher.upstream(machine, registration, open);
+                    });
+                if (evacuated != null) {
+                  life.evacuated = evacuated;
+                  watcher.evacuated(machine, evacuated);
+                }
+              }
 
-      @Override
-      public void trials(final List<Words.Trial> trials, final long mark) {
-      }
+              @Override
+              public void trials(final List<Words.Trial> trials, final long mark) {}
 
-      @Override
-      public void admitted() {
-      }
-    });
+              @Override
+              public void admitted() {}
+            });
     life.link.start(now);
   }
 
   // ---- troubles
 
-  /** Ends the processes of a machine; with power loss a part of what was not synced is lost, and nobody is told. */
+  /**
+   * Ends the processes of a machine; with power loss a part of what was not synced is lost, and
+   * nobody is told.
+   */
   public void kill(final Machine machine, final boolean power) {
     final Life life = machine.life;
     if (life == null) {
@@ -764,21 +891,23 @@
       then.run();
       return;
     }
-    life.run(() -> {
-      if (life.frame != null) {
-        life.frame.leave(() -> {
-        }, now);
-        life.exchange.leave();
-      } else {
-        life.link.leave(now);
-      }
-    });
-    after(life.frame == null ? 1500 : 450, () -> {
-      if (life.lives()) {
-        kill(machine, false);
-      }
-      then.run();
-    });
+    life.run(
+        () -> {
+          if (life.frame != null) {
+            life.frame.leave(() -> {}, now);
+            life.exchange.leave();
+          } else {
+            life.link.leave(now);
+          }
+        });
+    after(
+        life.frame == null ? 1500 : 450,
+        () -> {
+          if (life.lives()) {
+            kill(machine, false);
+          }
+          then.run();
+        });
   }
 
   /** Empties the disk of a machine whose processes have ended. */
@@ -842,14 +971,15 @@
     machine.seeds = given;
     final Life life = machine.life;
     if (life != null) {
-      life.run(() -> {
-        if (life.frame != null) {
-          life.frame.seeds(given);
-          life.exchange.seeds(given, now);
-        } else {
-          life.link.seeds(given);
-        }
-      });
+      life.run(
+          () -> {
+            if (life.frame != null) {
+              life.frame.seeds(given);
+              life.exchange.seeds(given, now);
+            } else {
+              life.link.seeds(given);
+            }
+          });
     }
   }
 
@@ -859,61 +989,99 @@
   public final class Calling {
     private long closedAt = Long.MAX_VALUE;
 
-    /** The caller no longer waits: it closes its connection, and the door hears of it a little later. */
+    /**
+     * The caller no longer waits: it closes its connection, and the door hears of it a little
+     * later.
+     */
     public void giveUp() {
       closedAt = now + 5;
     }
   }
 
-  /** A call over HTTP to a machine's door, from a caller whom no cut concerns; the answer is given once, unless it never comes. */
-  public Calling http(final String to, final HttpMethod method, final String uri, final String body, final Consumer<Reply> then) {
+  /**
+   * A call over HTTP to a machine's door, from a caller whom no cut concerns; the answer is given
+   * once, unless it never comes.
+   */
+  public Calling http(
+      final String to,
+      final HttpMethod method,
+      final String uri,
+      final String body,
+      final Consumer<Reply> then) {
     final Calling calling = new Calling();
     final Machine machine = machines.get(to);
     final long trip = 1 + random.nextInt(12);
-    after(trip, () -> {
-      if (machine == null || !machine.powered) {
-        return;
-      }
-      final Life life = machine.life;
-      if (life == null || life.door == null) {
-        after(trip, () -> then.accept(Reply.FAILED));
-        return;
-      }
-      final boolean[] done = new boolean[1];
-      life.run(() -> life.door.call(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)), "10.9.9.9", new ControlDoor.Caller() {
-        private final long readAt = now;
-
-        @Override
-        public boolean waits() {
-          return now == readAt || now < calling.closedAt;
-        }
-
-        @Override
-        public void answer(final int status, final byte[] answer, final String location) {
-          if (life.lives()) {
-            meddler.answered(machine.address, uri, new Reply(status, new String(answer, StandardCharsets.UTF_8), location), reply -> after(trip, () -> {
-              if (!done[0]) {
-                done[0] = true;
-                then.accept(reply);
-              }
-            }));
+    after(
+        trip,
+        () -> {
+          if (machine == null || !machine.powered) {
+            return;
           }
-        }
-      }));
-      broken(machine, life, done, trip, then);
-    });
+          final Life life = machine.life;
+          if (life == null || life.door == null) {
+            after(trip, () -> then.accept(Reply.FAILED));
+            return;
+          }
+          final boolean[] done = new boolean[1];
+          life.run(
+              () ->
+                  life.door.call(
+                      new DefaultFullHttpRequest(
+                          HttpVersion.HTTP_1_1,
+                          method,
+                          uri,
+                          Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)),
+                      "10.9.9.9",
+                      new ControlDoor.Caller() {
+                        private final long readAt = now;
+
+                        @Override
+                        public boolean waits() {
+                          return now == readAt || now < calling.closedAt;
+                        }
+
+                        @Override
+                        public void answer(
+                            final int status, final byte[] answer, final String location) {
+                          if (life.lives()) {
+                            meddler.answered(
+                                machine.address,
+                                uri,
+                                new Reply(
+                                    status, new String(answer, StandardCharsets.UTF_8), location),
+                                reply ->
+                                    after(
+                                        trip,
+                                        () -> {
+                                          if (!done[0]) {
+                                            done[0] = true;
+                                            then.accept(reply);
+                                          }
+                                        }));
+                          }
+                        }
+                      }));
+          broken(machine, life, done, trip, then);
+        });
     return calling;
   }
 
   /** Where the process ends before it has answered, the caller's connection fails. */
-  private void broken(final Machine machine, final Life life, final boolean[] done, final long trip, final Consumer<Reply> then) {
+  private void broken(
+      final Machine machine,
+      final Life life,
+      final boolean[] done,
+      final long trip,
+      final Consumer<Reply> then) {
     for (int look = 1; look <= 3; look++) {
-      after(300L * look, () -> {
-        if (!done[0] && !life.lives() && machine.powered) {
-          done[0] = true;
-          after(trip, () -> then.accept(Reply.FAILED));
-        }
-      });
+      after(
+          300L * look,
+          () -> {
+            if (!done[0] && !life.lives() && machine.powered) {
+              done[0] = true;
+              after(trip, () -> then.accept(Reply.FAILED));
+            }
+          });
     }
   }
 }
--- a/rig/src/main/java/weldpoint/rig/ControlLedger.java
+++ b/rig/src/main/java/weldpoint/rig/ControlLedger.java
@@ -10,8 +10,9 @@
 import java.util.TreeMap;
 
 /**
- * What operators and switchboards saw of configurations and evacuations, checked against what was promised. The content of
- * a configuration is named by a tag that is part of it. Each breach is a line.
+ * What operators and switchboards saw of configurations and evacuations, checked against what was
+ * promised. The content of a configuration is named by a tag that is part of it. Each breach is a
+ * line.
  */
 public final class ControlLedger {
   /** What became of one content that was sent under a number. */
@@ -28,11 +29,9 @@
     }
   }
 
-  private record Acked(long version, long at) {
-  }
+  private record Acked(long version, long at) {}
 
-  private record Order(boolean on, long sentAt, long[] endedAt, boolean[] acked) {
-  }
+  private record Order(boolean on, long sentAt, long[] endedAt, boolean[] acked) {}
 
   private final TreeMap<Long, Map<String, Sent>> sent = new TreeMap<>();
   private final Map<Long, String> content = new HashMap<>();
@@ -81,7 +80,8 @@
 
   /** An operator sends a configuration for the first time, or sends one again. */
   public void sent(final long version, final String tag, final boolean valid, final long at) {
-    sent.computeIfAbsent(version, key -> new LinkedHashMap<>()).computeIfAbsent(tag, key -> new Sent(at, valid));
+    sent.computeIfAbsent(version, key -> new LinkedHashMap<>())
+        .computeIfAbsent(tag, key -> new Sent(at, valid));
   }
 
   /** A configuration was acknowledged with 200. */
@@ -105,11 +105,22 @@
       one.ackedAt = at;
       acked.add(new Acked(version, at));
     }
-    sent.get(version).forEach((otherTag, other) -> {
-      if (other != one && other.ackedAt != Long.MAX_VALUE && (other.highest || one.highest)) {
-        breach(at, "number " + number(version) + " was acknowledged with two contents, " + otherTag + " and " + tag);
-      }
-    });
+    sent.get(version)
+        .forEach(
+            (otherTag, other) -> {
+              if (other != one
+                  && other.ackedAt != Long.MAX_VALUE
+                  && (other.highest || one.highest)) {
+                breach(
+                    at,
+                    "number "
+                        + number(version)
+                        + " was acknowledged with two contents, "
+                        + otherTag
+                        + " and "
+                        + tag);
+              }
+            });
     if (one.highest) {
       settle(version, tag, at);
     }
@@ -121,13 +132,25 @@
     final Sent one = sent.get(version).get(tag);
     one.refused = true;
     if (one.ackedAt != Long.MAX_VALUE) {
-      breach(at, "configuration " + name(version, tag) + " was refused with " + status + " though it had been acknowledged");
+      breach(
+          at,
+          "configuration "
+              + name(version, tag)
+              + " was refused with "
+              + status
+              + " though it had been acknowledged");
     }
     if (one.valid && (status != 409 || sent.get(version).size() < 2)) {
       breach(at, "the valid configuration " + name(version, tag) + " was refused with " + status);
     }
     if (tag.equals(content.get(version))) {
-      breach(at, "configuration " + name(version, tag) + " was refused with " + status + " though it is in force");
+      breach(
+          at,
+          "configuration "
+              + name(version, tag)
+              + " was refused with "
+              + status
+              + " though it is in force");
     }
   }
 
@@ -135,13 +158,19 @@
   private void settle(final long version, final String tag, final long at) {
     final String before = content.putIfAbsent(version, tag);
     if (before != null && !before.equals(tag)) {
-      breach(at, "number " + number(version) + " stands for two contents, " + before + " and " + tag);
+      breach(
+          at, "number " + number(version) + " stands for two contents, " + before + " and " + tag);
     }
     final Sent one = sent.getOrDefault(version, Map.of()).get(tag);
     if (one == null) {
       breach(at, "configuration " + name(version, tag) + " is in force and nobody sent it");
     } else if (one.refused || !one.valid) {
-      breach(at, "configuration " + name(version, tag) + " is in force though it was " + (one.valid ? "refused" : "invalid"));
+      breach(
+          at,
+          "configuration "
+              + name(version, tag)
+              + " is in force though it was "
+              + (one.valid ? "refused" : "invalid"));
     }
   }
 
@@ -151,12 +180,30 @@
     settle(version, tag, at);
     for (final Acked one : acked) {
       if (one.at < sentAt && one.version > version) {
-        breach(at, "a read sent at " + sentAt + " gave " + name(version, tag) + " though " + number(one.version) + " had been acknowledged at " + one.at);
+        breach(
+            at,
+            "a read sent at "
+                + sentAt
+                + " gave "
+                + name(version, tag)
+                + " though "
+                + number(one.version)
+                + " had been acknowledged at "
+                + one.at);
       }
     }
     for (final Acked one : reads) {
       if (one.at < sentAt && one.version > version) {
-        breach(at, "a read sent at " + sentAt + " gave " + name(version, tag) + " though " + number(one.version) + " had been read at " + one.at);
+        breach(
+            at,
+            "a read sent at "
+                + sentAt
+                + " gave "
+                + name(version, tag)
+                + " though "
+                + number(one.version)
+                + " had been read at "
+                + one.at);
       }
     }
     reads.add(new Acked(version, at));
@@ -167,23 +214,54 @@
     answers++;
     for (final Acked one : acked) {
       if (one.at < sentAt) {
-        breach(at, "a read sent at " + sentAt + " found no configuration though " + number(one.version) + " had been acknowledged at " + one.at);
+        breach(
+            at,
+            "a read sent at "
+                + sentAt
+                + " found no configuration though "
+                + number(one.version)
+                + " had been acknowledged at "
+                + one.at);
       }
     }
   }
 
   /** A switchboard has taken a configuration up. */
-  public void takenUp(final String board, final long life, final long startedAt, final long version, final String tag, final long at) {
+  public void takenUp(
+      final String board,
+      final long life,
+      final long startedAt,
+      final long version,
+      final String tag,
+      final long at) {
     settle(version, tag, at);
     highestShown = Math.max(highestShown, version);
     final Long before = lives.put(board + "#" + life, version);
     if (before != null && before > version) {
-      breach(at, board + " went back from " + number(before) + " to " + name(version, tag) + " in one life");
+      breach(
+          at,
+          board
+              + " went back from "
+              + number(before)
+              + " to "
+              + name(version, tag)
+              + " in one life");
     }
     if (before == null) {
       for (final Acked one : acked) {
         if (one.at < startedAt && one.version > version) {
-          breach(at, "the fresh " + board + ", started at " + startedAt + ", took up " + name(version, tag) + " though " + number(one.version) + " had been acknowledged at " + one.at);
+          breach(
+              at,
+              "the fresh "
+                  + board
+                  + ", started at "
+                  + startedAt
+                  + ", took up "
+                  + name(version, tag)
+                  + " though "
+                  + number(one.version)
+                  + " had been acknowledged at "
+                  + one.at);
         }
       }
     }
@@ -194,16 +272,27 @@
     return acked.stream().mapToLong(Acked::version).max().orElse(0);
   }
 
-  /** At the end: what was read last must not be behind anything that was acknowledged or in force. */
+  /**
+   * At the end: what was read last must not be behind anything that was acknowledged or in force.
+   */
   public void finalRead(final long version, final long at) {
     if (version < highestShown) {
-      breach(at, "the last read gave " + number(version) + " though a switchboard had " + number(highestShown) + " in force");
+      breach(
+          at,
+          "the last read gave "
+              + number(version)
+              + " though a switchboard had "
+              + number(highestShown)
+              + " in force");
     }
   }
 
   // ---- evacuations
 
-  /** An operator orders a zone evacuated, or takes that back; the order is told of by its number in the zone. */
+  /**
+   * An operator orders a zone evacuated, or takes that back; the order is told of by its number in
+   * the zone.
+   */
   public int ordered(final String zone, final boolean on, final long at) {
     final List<Order> list = orders.computeIfAbsent(zone, key -> new ArrayList<>());
     list.add(new Order(on, at, new long[] {Long.MAX_VALUE}, new boolean[1]));
@@ -217,34 +306,71 @@
     orders.get(zone).get(order).acked[0] = ack;
   }
 
-  /** The history tells that an order on a zone was decided at this time: it must be one that was under way then. */
+  /**
+   * The history tells that an order on a zone was decided at this time: it must be one that was
+   * under way then.
+   */
   public void decided(final String zone, final boolean on, final long at, final long slackMillis) {
     boolean underWay = false;
     for (final Order order : orders.getOrDefault(zone, List.of())) {
-      final long until = order.acked[0] || order.endedAt[0] == Long.MAX_VALUE ? order.endedAt[0] : order.endedAt[0] + slackMillis;
+      final long until =
+          order.acked[0] || order.endedAt[0] == Long.MAX_VALUE
+              ? order.endedAt[0]
+              : order.endedAt[0] + slackMillis;
       underWay |= order.on == on && order.sentAt <= at && at <= until;
     }
     if (!underWay) {
-      breach(at, "the order " + (on ? "begin" : "finish") + " on zone " + zone + " was carried out while no such order was under way");
+      breach(
+          at,
+          "the order "
+              + (on ? "begin" : "finish")
+              + " on zone "
+              + zone
+              + " was carried out while no such order was under way");
     }
   }
 
-  /** At the end, long after the last order: the state of a zone must be one that some order of its orders allows. */
-  public void finalEvacuation(final String where, final String zone, final boolean on, final long slackMillis, final long at) {
+  /**
+   * At the end, long after the last order: the state of a zone must be one that some order of its
+   * orders allows.
+   */
+  public void finalEvacuation(
+      final String where,
+      final String zone,
+      final boolean on,
+      final long slackMillis,
+      final long at) {
     final List<Order> list = orders.getOrDefault(zone, List.of());
     boolean allowed = list.stream().noneMatch(order -> order.acked[0]) && !on;
     for (final Order last : list) {
       boolean mayBeLast = last.on == on;
       for (final Order other : list) {
-        final long until = last.acked[0] ? last.endedAt[0] : last.endedAt[0] == Long.MAX_VALUE ? Long.MAX_VALUE : last.endedAt[0] + slackMillis;
+        final long until =
+            last.acked[0]
+                ? last.endedAt[0]
+                : last.endedAt[0] == Long.MAX_VALUE
+                    ? Long.MAX_VALUE
+                    : last.endedAt[0] + slackMillis;
         mayBeLast &= other == last || !other.acked[0] || other.sentAt < until;
       }
       allowed |= mayBeLast;
     }
     if (!allowed) {
       final StringBuilder text = new StringBuilder();
-      list.forEach(order -> text.append(order.on ? " begin " : " finish ").append(order.sentAt).append(order.acked[0] ? " acked " : " unclear ").append(order.endedAt[0]));
-      breach(at, where + " has zone " + zone + (on ? " evacuated" : " not evacuated") + ", which no order of its orders allows:" + text);
+      list.forEach(
+          order ->
+              text.append(order.on ? " begin " : " finish ")
+                  .append(order.sentAt)
+                  .append(order.acked[0] ? " acked " : " unclear ")
+                  .append(order.endedAt[0]));
+      breach(
+          at,
+          where
+              + " has zone "
+              + zone
+              + (on ? " evacuated" : " not evacuated")
+              + ", which no order of its orders allows:"
+              + text);
     }
   }
 }
--- a/rig/src/main/java/weldpoint/rig/ControlPlan.java
+++ b/rig/src/main/java/weldpoint/rig/ControlPlan.java
@@ -5,7 +5,10 @@
 import java.util.Locale;
 import java.util.Random;
 
-/** What a day is made of: the seed of its traffic and network, its core machines, its length, and its troubles. */
+/**
+ * What a day is made of: the seed of its traffic and network, its core machines, its length, and
+ * its troubles.
+ */
 public record ControlPlan(long seed, int cores, long lasts, List<Trouble> troubles) {
   private static final long LONGEST = 600_000;
   private static final Trouble.Kind[] KINDS = Trouble.Kind.values();
@@ -20,27 +23,38 @@
     troubles.add(trouble(one, at, random));
     switch (random.nextInt(4)) {
       case 0 -> troubles.add(trouble(one, at + 1000 + random.nextInt(8000), random));
-      case 1 -> troubles.add(trouble(KINDS[random.nextInt(KINDS.length)], at + random.nextInt(1500), random));
+      case 1 ->
+          troubles.add(
+              trouble(KINDS[random.nextInt(KINDS.length)], at + random.nextInt(1500), random));
       case 2 -> {
-        troubles.add(trouble(KINDS[random.nextInt(KINDS.length)], at + random.nextInt(3000), random));
-        troubles.add(trouble(KINDS[random.nextInt(KINDS.length)], at + random.nextInt(8000), random));
-        troubles.add(trouble(KINDS[random.nextInt(KINDS.length)], at + 4000 + random.nextInt(6000), random));
-      }
-      default -> {
+        troubles.add(
+            trouble(KINDS[random.nextInt(KINDS.length)], at + random.nextInt(3000), random));
+        troubles.add(
+            trouble(KINDS[random.nextInt(KINDS.length)], at + random.nextInt(8000), random));
+        troubles.add(
+            trouble(KINDS[random.nextInt(KINDS.length)], at + 4000 + random.nextInt(6000), random));
       }
+      default -> {}
     }
     return new ControlPlan(seed, cores, 16_000 + random.nextInt(8000), List.copyOf(troubles));
   }
 
   private static Trouble trouble(final Trouble.Kind kind, final long at, final Random random) {
-    return new Trouble(kind, at, 500 + random.nextInt(random.nextInt(3) == 0 ? 10_000 : 4000), random.nextInt(1_000_000));
+    return new Trouble(
+        kind,
+        at,
+        500 + random.nextInt(random.nextInt(3) == 0 ? 10_000 : 4000),
+        random.nextInt(1_000_000));
   }
 
   /** Reads a day as {@link #toString} writes it; what makes no sense is refused with the remedy. */
   public static ControlPlan parse(final String text) {
     final String[] words = text.strip().split("\\s+");
     if (words.length < 3) {
-      throw new IllegalArgumentException("the day '" + text + "' lacks its seed, cores or length; write it as 'seed=1 cores=5 lasts=16000 node_kill@3000+2000#7'");
+      throw new IllegalArgumentException(
+          "the day '"
+              + text
+              + "' lacks its seed, cores or length; write it as 'seed=1 cores=5 lasts=16000 node_kill@3000+2000#7'");
     }
     final long seed = number("seed", value(words[0], "seed"));
     final long cores = number("cores", value(words[1], "cores"));
@@ -49,17 +63,36 @@
       throw new IllegalArgumentException("cores is " + cores + "; give 3 to 9 core machines");
     }
     if (lasts < 1000 || lasts > LONGEST) {
-      throw new IllegalArgumentException("lasts is " + lasts + "; give 1000 to " + LONGEST + " milliseconds");
+      throw new IllegalArgumentException(
+          "lasts is " + lasts + "; give 1000 to " + LONGEST + " milliseconds");
     }
     final List<Trouble> troubles = new ArrayList<>();
     for (int index = 3; index < words.length; index++) {
-      final java.util.regex.Matcher matcher = java.util.regex.Pattern.compile("([a-z_]+)@(-?\\w+)\\+(-?\\w+)#(-?\\w+)").matcher(words[index]);
+      final java.util.regex.Matcher matcher =
+          java.util.regex.Pattern.compile("([a-z_]+)@(-?\\w+)\\+(-?\\w+)#(-?\\w+)")
+              .matcher(words[index]);
       if (!matcher.matches()) {
-        throw new IllegalArgumentException("the trouble '" + words[index] + "' cannot be read; write it as kind@start+length#seed, in milliseconds");
+        throw new IllegalArgumentException(
+            "the trouble '"
+                + words[index]
+                + "' cannot be read; write it as kind@start+length#seed, in milliseconds");
       }
-      final Trouble one = new Trouble(kind(matcher.group(1)), number("the start of " + words[index], matcher.group(2)), number("the length of " + words[index], matcher.group(3)), number("the seed of " + words[index], matcher.group(4)));
-      if (one.atMillis() < 0 || one.forMillis() <= 0 || one.atMillis() >= lasts || one.forMillis() > LONGEST) {
-        throw new IllegalArgumentException("the trouble '" + words[index] + "' has times that make no sense; let it start inside the day and last 1 to " + LONGEST + " milliseconds");
+      final Trouble one =
+          new Trouble(
+              kind(matcher.group(1)),
+              number("the start of " + words[index], matcher.group(2)),
+              number("the length of " + words[index], matcher.group(3)),
+              number("the seed of " + words[index], matcher.group(4)));
+      if (one.atMillis() < 0
+          || one.forMillis() <= 0
+          || one.atMillis() >= lasts
+          || one.forMillis() > LONGEST) {
+        throw new IllegalArgumentException(
+            "the trouble '"
+                + words[index]
+                + "' has times that make no sense; let it start inside the day and last 1 to "
+                + LONGEST
+                + " milliseconds");
       }
       troubles.add(one);
     }
@@ -68,7 +101,12 @@
 
   private static String value(final String word, final String name) {
     if (!word.startsWith(name + "=")) {
-      throw new IllegalArgumentException("'" + word + "' stands where " + name + "=NUMBER is expected; write the day as it was printed");
+      throw new IllegalArgumentException(
+          "'"
+              + word
+              + "' stands where "
+              + name
+              + "=NUMBER is expected; write the day as it was printed");
     }
     return word.substring(name.length() + 1);
   }
@@ -91,7 +129,8 @@
       }
       names.add(kind.word());
     }
-    throw new IllegalArgumentException("the trouble '" + name + "' is unknown; name one of " + String.join(" ", names));
+    throw new IllegalArgumentException(
+        "the trouble '" + name + "' is unknown; name one of " + String.join(" ", names));
   }
 
   /** The day without one of its troubles. */
@@ -110,12 +149,18 @@
 
   /** The day with another length. */
   ControlPlan lasting(final long millis) {
-    return new ControlPlan(seed, cores, millis, troubles.stream().filter(trouble -> trouble.atMillis() < millis).toList());
+    return new ControlPlan(
+        seed,
+        cores,
+        millis,
+        troubles.stream().filter(trouble -> trouble.atMillis() < millis).toList());
   }
 
   @Override
   public String toString() {
-    final StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "seed=%d cores=%d lasts=%d", seed, cores, lasts));
+    final StringBuilder text =
+        new StringBuilder(
+            String.format(Locale.ROOT, "seed=%d cores=%d lasts=%d", seed, cores, lasts));
     troubles.forEach(trouble -> text.append(' ').append(trouble));
     return text.toString();
   }
--- a/rig/src/main/java/weldpoint/rig/ControlSearch.java
+++ b/rig/src/main/java/weldpoint/rig/ControlSearch.java
@@ -9,7 +9,8 @@
 
 /** The long search: plays day after day until a promise is broken, then shortens that day. */
 public final class ControlSearch {
-  private static final String USAGE = "use: ControlSearch (--days N | --minutes N) [--seed FIRST] [--kind TROUBLE], or ControlSearch --day 'DAY AS IT WAS PRINTED'";
+  private static final String USAGE =
+      "use: ControlSearch (--days N | --minutes N) [--seed FIRST] [--kind TROUBLE], or ControlSearch --day 'DAY AS IT WAS PRINTED'";
   private static final long TELL_MILLIS = 60_000;
   private static final int MOST_DAYS = 10_000_000;
   private static final int MOST_MINUTES = 1440;
@@ -29,7 +30,10 @@
     this.out = out;
   }
 
-  /** Runs the search; exits with 0 where nothing was found, 1 at the first broken promise, 2 for arguments that make no sense. */
+  /**
+   * Runs the search; exits with 0 where nothing was found, 1 at the first broken promise, 2 for
+   * arguments that make no sense.
+   */
   public static void main(final String[] arguments) {
     Logger.getLogger("").setLevel(Level.SEVERE);
     final ControlSearch search = new ControlSearch(System.out);
@@ -80,10 +84,12 @@
     }
   }
 
-  private static long within(final String name, final String value, final long least, final long most) {
+  private static long within(
+      final String name, final String value, final long least, final long most) {
     final long number = ControlPlan.number(name, value);
     if (number < least || number > most) {
-      throw new IllegalArgumentException(name + " is " + number + "; give " + least + " to " + most);
+      throw new IllegalArgumentException(
+          name + " is " + number + "; give " + least + " to " + most);
     }
     return number;
   }
@@ -92,7 +98,13 @@
     final ControlDay.Outcome outcome = ControlDay.play(single);
     count = 1;
     outcome.breaches().forEach(out::println);
-    out.println("one day, " + outcome.answers() + " answers judged, " + (outcome.breaches().isEmpty() ? "no promise broken" : outcome.breaches().size() + " promises broken"));
+    out.println(
+        "one day, "
+            + outcome.answers()
+            + " answers judged, "
+            + (outcome.breaches().isEmpty()
+                ? "no promise broken"
+                : outcome.breaches().size() + " promises broken"));
     return outcome.breaches().isEmpty() ? 0 : 1;
   }
 
@@ -100,7 +112,9 @@
     out.println("playing days from seed " + first + " on");
     final long begun = System.nanoTime();
     long told = begun;
-    for (long seed = first; days < 0 ? System.nanoTime() - begun < minutes * 60_000_000_000L : count < days; seed++) {
+    for (long seed = first;
+        days < 0 ? System.nanoTime() - begun < minutes * 60_000_000_000L : count < days;
+        seed++) {
       final ControlPlan plan = ControlPlan.drawn(seed);
       if (kind != null && plan.troubles().stream().noneMatch(trouble -> trouble.kind() == kind)) {
         continue;
@@ -108,7 +122,10 @@
       final ControlDay.Outcome outcome = ControlDay.play(plan);
       count++;
       answers += outcome.answers();
-      plan.troubles().stream().map(Trouble::kind).distinct().forEach(one -> played.merge(one, 1, Integer::sum));
+      plan.troubles().stream()
+          .map(Trouble::kind)
+          .distinct()
+          .forEach(one -> played.merge(one, 1, Integer::sum));
       if (!outcome.breaches().isEmpty()) {
         tell(begun);
         out.println("seed " + seed + " breaks a promise:");
@@ -116,7 +133,9 @@
         out.println("the day as drawn: " + plan);
         final ControlPlan shorter = Shrinker.shrink(plan, outcome, ControlDay::play);
         out.println("the shortened day: --day '" + shorter + "'");
-        ControlDay.play(shorter).breaches().stream().limit(5).forEach(breach -> out.println("  " + breach));
+        ControlDay.play(shorter).breaches().stream()
+            .limit(5)
+            .forEach(breach -> out.println("  " + breach));
         return 1;
       }
       if ((System.nanoTime() - told) / 1_000_000 > TELL_MILLIS) {
@@ -131,14 +150,24 @@
 
   private void tell(final long begun) {
     final double hours = (System.nanoTime() - begun) / 3.6e12;
-    out.printf(Locale.ROOT, "%d days played, %d answers judged, %.0f days an hour; by kind of trouble:", count, answers, count / hours);
+    out.printf(
+        Locale.ROOT,
+        "%d days played, %d answers judged, %.0f days an hour; by kind of trouble:",
+        count,
+        answers,
+        count / hours);
     played.forEach((one, number) -> out.print(" " + one.word() + " " + number));
     out.println();
   }
 
   private void interrupted() {
     if (!concluded) {
-      out.println("interrupted after " + count + " days, seeds from " + first + " on; nothing is concluded");
+      out.println(
+          "interrupted after "
+              + count
+              + " days, seeds from "
+              + first
+              + " on; nothing is concluded");
     }
   }
 }
--- a/rig/src/main/java/weldpoint/rig/FakeDisk.java
+++ b/rig/src/main/java/weldpoint/rig/FakeDisk.java
@@ -5,7 +5,10 @@
 import java.util.function.Supplier;
 import weldpoint.audit.AuditStore;
 
-/** A disk of one machine: what was synced outlives the process, what was only written may outlive its kill but not a loss of power. */
+/**
+ * A disk of one machine: what was synced outlives the process, what was only written may outlive
+ * its kill but not a loss of power.
+ */
 final class FakeDisk {
   private static final int TURN_RECORDS = 400;
   private static final long RETRY_MILLIS = 200;
@@ -36,7 +39,10 @@
     }
   }
 
-  /** What one life of a program does with its records: they are written and synced in batches, in order. */
+  /**
+   * What one life of a program does with its records: they are written and synced in batches, in
+   * order.
+   */
   final class Writer {
     private final Records records;
     private final Supplier<List<byte[]>> view;
@@ -88,10 +94,13 @@
         callbacks.clear();
       }
       written = batch;
-      fleet.after(syncMillis + fleet.random().nextInt((int) (1 + syncMillis)), () -> synced(whole, batch, done));
+      fleet.after(
+          syncMillis + fleet.random().nextInt((int) (1 + syncMillis)),
+          () -> synced(whole, batch, done));
     }
 
-    private void synced(final List<byte[]> whole, final List<byte[]> batch, final List<Runnable> done) {
+    private void synced(
+        final List<byte[]> whole, final List<byte[]> batch, final List<Runnable> done) {
       if (!life.lives()) {
         return;
       }
@@ -115,7 +124,8 @@
 
     /** The process has ended: all that was written stays, or with a loss of power a part of it. */
     void ended(final boolean power) {
-      records.lasting.addAll(written.subList(0, power ? fleet.random().nextInt(written.size() + 1) : written.size()));
+      records.lasting.addAll(
+          written.subList(0, power ? fleet.random().nextInt(written.size() + 1) : written.size()));
     }
 
     long busyMillis() {
@@ -175,19 +185,21 @@
 
     private void sync(final long sequence, final byte[] entry, final Runnable synced) {
       syncedAt = Math.max(syncedAt, fleet.now() + syncMillis + 1);
-      fleet.after(syncedAt - fleet.now(), () -> {
-        if (!life.lives()) {
-          return;
-        }
-        if (stalled > 0) {
-          sync(sequence, entry, synced);
-          return;
-        }
-        if (sequence == entries.base + entries.lasting.size() + 1) {
-          entries.lasting.add(entry);
-        }
-        life.run(synced);
-      });
+      fleet.after(
+          syncedAt - fleet.now(),
+          () -> {
+            if (!life.lives()) {
+              return;
+            }
+            if (stalled > 0) {
+              sync(sequence, entry, synced);
+              return;
+            }
+            if (sequence == entries.base + entries.lasting.size() + 1) {
+              entries.lasting.add(entry);
+            }
+            life.run(synced);
+          });
     }
 
     @Override
@@ -200,7 +212,8 @@
       if (through > base && through <= last()) {
         all.subList(0, (int) (through - base)).clear();
         base = through;
-        final int gone = (int) Math.min(entries.lasting.size(), Math.max(0, through - entries.base));
+        final int gone =
+            (int) Math.min(entries.lasting.size(), Math.max(0, through - entries.base));
         entries.lasting.subList(0, gone).clear();
         entries.base += gone;
       }
--- a/rig/src/main/java/weldpoint/rig/FakeLine.java
+++ b/rig/src/main/java/weldpoint/rig/FakeLine.java
@@ -6,8 +6,9 @@
 import weldpoint.trunk.Words;
 
 /**
- * One connection between two programs, as TCP has it: in order, bound to the two lives at its ends. What meets a cut waits
- * and arrives once the cut is healed, unless the line was given up meanwhile; an end that hears nothing closes it.
+ * One connection between two programs, as TCP has it: in order, bound to the two lives at its ends.
+ * What meets a cut waits and arrives once the cut is healed, unless the line was given up
+ * meanwhile; an end that hears nothing closes it.
  */
 final class FakeLine {
   private static final long RING_MILLIS = 500;
@@ -17,17 +18,14 @@
 
   /** What one end does with what comes. */
   interface Ear {
-    default void opened(final FakeLine line) {
-    }
+    default void opened(final FakeLine line) {}
 
     void heard(FakeLine line, Message message);
 
-    default void closed(final FakeLine line) {
-    }
+    default void closed(final FakeLine line) {}
   }
 
-  private record Packet(Object marker, Class<?> kind, byte[] bytes) {
-  }
+  private record Packet(Object marker, Class<?> kind, byte[] bytes) {}
 
   /** One end. */
   private final class End {
@@ -69,13 +67,15 @@
     /** The cut on the way from here is healed: what waited is sent again. */
     void healed() {
       if (!held.isEmpty()) {
-        fleet.after(10 + fleet.random().nextInt(400), () -> {
-          if (!fleet.cut(life.machine(), other().life.machine())) {
-            while (!held.isEmpty()) {
-              arrive(held.poll());
-            }
-          }
-        });
+        fleet.after(
+            10 + fleet.random().nextInt(400),
+            () -> {
+              if (!fleet.cut(life.machine(), other().life.machine())) {
+                while (!held.isEmpty()) {
+                  arrive(held.poll());
+                }
+              }
+            });
       }
     }
 
@@ -110,7 +110,12 @@
           }
           return;
         }
-        fleet.heard(other().life.machine().address, life.machine().address, FakeLine.this, message, heard -> ear.heard(FakeLine.this, heard));
+        fleet.heard(
+            other().life.machine().address,
+            life.machine().address,
+            FakeLine.this,
+            message,
+            heard -> ear.heard(FakeLine.this, heard));
       }
     }
 
@@ -131,24 +136,27 @@
     }
 
     void watch() {
-      fleet.after(RING_MILLIS, () -> {
-        if (!open || !life.lives()) {
-          return;
-        }
-        if (life.machine().frozen()) {
-          watch();
-          return;
-        }
-        if (fleet.now() - heardAt > SILENCE_MILLIS && fleet.now() - ringAt < 2 * SILENCE_MILLIS) {
-          close();
-          return;
-        }
-        ringAt = fleet.now();
-        if (this == dialler) {
-          say(new Words.Ring(false));
-        }
-        watch();
-      });
+      fleet.after(
+          RING_MILLIS,
+          () -> {
+            if (!open || !life.lives()) {
+              return;
+            }
+            if (life.machine().frozen()) {
+              watch();
+              return;
+            }
+            if (fleet.now() - heardAt > SILENCE_MILLIS
+                && fleet.now() - ringAt < 2 * SILENCE_MILLIS) {
+              close();
+              return;
+            }
+            ringAt = fleet.now();
+            if (this == dialler) {
+              say(new Words.Ring(false));
+            }
+            watch();
+          });
     }
   }
 
@@ -157,16 +165,23 @@
   private final End dialler;
   private final End acceptor;
 
-  FakeLine(final ControlFleet fleet, final int number, final ControlFleet.Life from, final Ear fromEar, final ControlFleet.Life to, final Ear toEar) {
+  FakeLine(
+      final ControlFleet fleet,
+      final int number,
+      final ControlFleet.Life from,
+      final Ear fromEar,
+      final ControlFleet.Life to,
+      final Ear toEar) {
     this.fleet = fleet;
     this.number = number;
     dialler = new End(from, fromEar);
     acceptor = new End(to, toEar);
     dialler.put(new Packet(OPEN, null, null));
-    acceptor.life.run(() -> {
-      acceptor.put(new Packet(OPEN, null, null));
-      acceptor.watch();
-    });
+    acceptor.life.run(
+        () -> {
+          acceptor.put(new Packet(OPEN, null, null));
+          acceptor.watch();
+        });
     dialler.watch();
   }
 
--- a/rig/src/main/java/weldpoint/rig/Fleet.java
+++ b/rig/src/main/java/weldpoint/rig/Fleet.java
@@ -23,8 +23,7 @@
   private static final long HISTORY_MILLIS = 20_000;
   private static final long DISK_BYTES = 2 << 20;
 
-  private record Event(long at, long order, Runnable deed) {
-  }
+  private record Event(long at, long order, Runnable deed) {}
 
   /** One machine: a disk that may outlive its process, and the process of the moment. */
   public final class Machine {
@@ -87,14 +86,16 @@
         return false;
       }
       all.add(entry);
-      after(machine.diskDelay + random.nextInt(3), () -> {
-        if (machine.life == life && machine.core != null) {
-          if (sequence == machine.entriesBase + machine.entries.size() + 1) {
-            machine.entries.add(entry);
-          }
-          synced.run();
-        }
-      });
+      after(
+          machine.diskDelay + random.nextInt(3),
+          () -> {
+            if (machine.life == life && machine.core != null) {
+              if (sequence == machine.entriesBase + machine.entries.size() + 1) {
+                machine.entries.add(entry);
+              }
+              synced.run();
+            }
+          });
       return true;
     }
 
@@ -108,7 +109,8 @@
       if (through > base && through <= last()) {
         all.subList(0, (int) (through - base)).clear();
         base = through;
-        final int gone = (int) Math.min(machine.entries.size(), Math.max(0, through - machine.entriesBase));
+        final int gone =
+            (int) Math.min(machine.entries.size(), Math.max(0, through - machine.entriesBase));
         machine.entries.subList(0, gone).clear();
         machine.entriesBase += gone;
       }
@@ -123,7 +125,10 @@
     }
   }
 
-  /** What a test may do to a core before it starts, and to a message on its way; null as the message loses it. */
+  /**
+   * What a test may do to a core before it starts, and to a message on its way; null as the message
+   * loses it.
+   */
   public interface Meddler {
     /** Takes part in setting up a core: the store and the number of entries to keep are given. */
     default void prepare(final FrameCore core, final AuditStore store, final long keeps) {
@@ -139,33 +144,26 @@
   /** Sees all that cores send to each other, get, and put on disk. */
   public interface Watcher {
     /** A core starts, and its disk holds these records. */
-    default void started(final String address, final List<byte[]> records) {
-    }
+    default void started(final String address, final List<byte[]> records) {}
 
     /** A core gives a record to its disk. */
-    default void appended(final String address, final byte[] record) {
-    }
+    default void appended(final String address, final byte[] record) {}
 
     /** A record is lasting; the core is told next, if it was not before. */
-    default void lasting(final String address, final byte[] record) {
-    }
+    default void lasting(final String address, final byte[] record) {}
 
     /** A core sends a message; it may be lost. */
-    default void sent(final String from, final String to, final Message message) {
-    }
+    default void sent(final String from, final String to, final Message message) {}
 
     /** A core is about to get a message, or what a test makes of it. */
-    default void received(final String from, final String to, final Message message) {
-    }
+    default void received(final String from, final String to, final Message message) {}
   }
 
   /** The most bytes of an entry of the history here. */
   public static final int ENTRY_BYTES = 1024;
 
-  private Meddler meddler = new Meddler() {
-  };
-  private Watcher watcher = new Watcher() {
-  };
+  private Meddler meddler = new Meddler() {};
+  private Watcher watcher = new Watcher() {};
   private long keeps = 2000;
 
   /** Lets a test meddle. */
@@ -185,7 +183,12 @@
 
   private final Random random;
   private final boolean syncsFirst;
-  private final PriorityQueue<Event> events = new PriorityQueue<>((one, other) -> one.at != other.at ? Long.compare(one.at, other.at) : Long.compare(one.order, other.order));
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (one, other) ->
+              one.at != other.at
+                  ? Long.compare(one.at, other.at)
+                  : Long.compare(one.order, other.order));
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Set<String> cuts = new HashSet<>();
   private final List<String> seeds;
@@ -194,7 +197,10 @@
   private long owners;
   private long calls;
 
-  /** A fleet whose disks sync before they say so; a broken one, for the checks to catch, says so at once. */
+  /**
+   * A fleet whose disks sync before they say so; a broken one, for the checks to catch, says so at
+   * once.
+   */
   public Fleet(final long seed, final List<String> seeds, final boolean syncsFirst) {
     this.random = new Random(seed);
     this.seeds = seeds;
@@ -243,48 +249,62 @@
     final int life = ++machine.life;
     machine.written.clear();
     machine.syncedAt = now;
-    machine.core = new FrameCore(address, machine.site, machine.region, true, 5, HISTORY_MILLIS, ++owners, new Random(random.nextLong()), seeds, new FrameCore.Outlet() {
-      @Override
-      public void send(final String to, final Message message) {
-        post(address, life, to, message);
-      }
-
-      @Override
-      public void append(final byte[] record, final Runnable synced) {
-        machine.written.add(record);
-        watcher.appended(address, record);
-        final Runnable lasting = () -> {
-          if (machine.life == life && machine.core != null) {
-            machine.written.remove(record);
-            machine.lasting.add(record);
-            watcher.lasting(address, record);
-            machine.lastingBytes += record.length;
-            turnOver(machine);
-            if (syncsFirst) {
-              synced.run();
-            }
-          }
-        };
-        machine.syncedAt = Math.max(machine.syncedAt, now + machine.diskDelay + random.nextInt(3));
-        after(machine.syncedAt - now, lasting);
-        if (!syncsFirst) {
-          after(0, () -> {
-            if (machine.life == life) {
-              synced.run();
-            }
-          });
-        }
-      }
-
-      @Override
-      public void peers(final List<String> addresses) {
-      }
-
-      @Override
-      public long timeOfDay() {
-        return now + machine.clockStep;
-      }
-    });
+    machine.core =
+        new FrameCore(
+            address,
+            machine.site,
+            machine.region,
+            true,
+            5,
+            HISTORY_MILLIS,
+            ++owners,
+            new Random(random.nextLong()),
+            seeds,
+            new FrameCore.Outlet() {
+              @Override
+              public void send(final String to, final Message message) {
+                post(address, life, to, message);
+              }
+
+              @Override
+              public void append(final byte[] record, final Runnable synced) {
+                machine.written.add(record);
+                watcher.appended(address, record);
+                final Runnable lasting =
+                    () -> {
+                      if (machine.life == life && machine.core != null) {
+                        machine.written.remove(record);
+                        machine.lasting.add(record);
+                        watcher.lasting(address, record);
+                        machine.lastingBytes += record.length;
+                        turnOver(machine);
+                        if (syncsFirst) {
+                          synced.run();
+                        }
+                      }
+                    };
+                machine.syncedAt =
+                    Math.max(machine.syncedAt, now + machine.diskDelay + random.nextInt(3));
+                after(machine.syncedAt - now, lasting);
+                if (!syncsFirst) {
+                  after(
+                      0,
+                      () -> {
+                        if (machine.life == life) {
+                          synced.run();
+                        }
+                      });
+                }
+              }
+
+              @Override
+              public void peers(final List<String> addresses) {}
+
+              @Override
+              public long timeOfDay() {
+                return now + machine.clockStep;
+              }
+            });
     machine.store = new FakeHistory(machine, life);
     meddler.prepare(machine.core, machine.store, keeps);
     machine.core.start(new ArrayList<>(machine.lasting), first && machine.lasting.isEmpty(), now);
@@ -305,14 +325,16 @@
   }
 
   private void tick(final Machine machine, final int life) {
-    after(50, () -> {
-      if (machine.life == life && machine.core != null) {
-        if (!machine.frozen) {
-          machine.core.tick(now);
-        }
-        tick(machine, life);
-      }
-    });
+    after(
+        50,
+        () -> {
+          if (machine.life == life && machine.core != null) {
+            if (!machine.frozen) {
+              machine.core.tick(now);
+            }
+            tick(machine, life);
+          }
+        });
   }
 
   private boolean cut(final String from, final String to) {
@@ -322,7 +344,8 @@
   private long delay(final String from, final String to) {
     final Machine one = machines.get(from);
     final Machine other = machines.get(to);
-    return (one != null && other != null && one.region.equals(other.region) ? 1 : 12) + random.nextInt(4);
+    return (one != null && other != null && one.region.equals(other.region) ? 1 : 12)
+        + random.nextInt(4);
   }
 
   private void post(final String from, final int fromLife, final String to, final Message message) {
@@ -334,7 +357,9 @@
   private final Map<String, Long> linkFreeAt = new HashMap<>();
   private final Map<String, Long> received = new HashMap<>();
 
-  /** Gives a machine so many bytes a millisecond for what it receives; 0 for as many as there are. */
+  /**
+   * Gives a machine so many bytes a millisecond for what it receives; 0 for as many as there are.
+   */
   public void link(final String to, final long bytesPerMilli) {
     linkBytes.put(to, bytesPerMilli);
   }
@@ -354,31 +379,50 @@
     return free - now;
   }
 
-  private void deliver(final String from, final int fromLife, final String to, final int toLife, final boolean bound, final Message message) {
+  private void deliver(
+      final String from,
+      final int fromLife,
+      final String to,
+      final int toLife,
+      final boolean bound,
+      final Message message) {
     final byte[] bytes = Wire.bytes(message);
     watcher.sent(from, to, message);
-    after(delay(from, to) + queued(to, bytes.length), () -> {
-      final Machine target = machines.get(to);
-      if (target == null || target.core == null || target.frozen || cut(from, to) || bound && target.life != toLife) {
-        return;
-      }
-      final Message came = (Message) Wire.value(bytes, message.getClass());
-      final Message copy = meddler.pass(from, to, came);
-      if (copy == null) {
-        return;
-      }
-      received.merge(to + message.getClass().getSimpleName(), (long) bytes.length, Long::sum);
-      final int life = target.life;
-      watcher.received(from, to, came);
-      target.core.receive(from, copy, answer -> {
-        if (target.life == life) {
-          deliver(to, life, from, fromLife, true, answer);
-        }
-      }, now);
-    });
-  }
-
-  /** Ends a process; with power loss, only a part of what was not synced may remain, otherwise all that was written. */
+    after(
+        delay(from, to) + queued(to, bytes.length),
+        () -> {
+          final Machine target = machines.get(to);
+          if (target == null
+              || target.core == null
+              || target.frozen
+              || cut(from, to)
+              || bound && target.life != toLife) {
+            return;
+          }
+          final Message came = (Message) Wire.value(bytes, message.getClass());
+          final Message copy = meddler.pass(from, to, came);
+          if (copy == null) {
+            return;
+          }
+          received.merge(to + message.getClass().getSimpleName(), (long) bytes.length, Long::sum);
+          final int life = target.life;
+          watcher.received(from, to, came);
+          target.core.receive(
+              from,
+              copy,
+              answer -> {
+                if (target.life == life) {
+                  deliver(to, life, from, fromLife, true, answer);
+                }
+              },
+              now);
+        });
+  }
+
+  /**
+   * Ends a process; with power loss, only a part of what was not synced may remain, otherwise all
+   * that was written.
+   */
   public void kill(final String address, final boolean power) {
     final Machine machine = machines.get(address);
     if (machine.core == null) {
@@ -392,25 +436,35 @@
     for (final Machine other : machines.values()) {
       if (other.core != null && other != machine) {
         final FrameCore core = other.core;
-        after(delay(address, other.address), () -> {
-          if (other.core == core) {
-            core.lineClosed(address, now);
-          }
-        });
+        after(
+            delay(address, other.address),
+            () -> {
+              if (other.core == core) {
+                core.lineClosed(address, now);
+              }
+            });
       }
     }
   }
 
-  /** Ends a process in order: it goes once the others hold without it what it counted for, or too long has passed. */
+  /**
+   * Ends a process in order: it goes once the others hold without it what it counted for, or too
+   * long has passed.
+   */
   public void leave(final String address) {
     final Machine machine = machines.get(address);
     final int life = machine.life;
     if (machine.core != null) {
-      machine.core.leave(() -> after(60, () -> {
-        if (machine.life == life) {
-          kill(address, false);
-        }
-      }), now);
+      machine.core.leave(
+          () ->
+              after(
+                  60,
+                  () -> {
+                    if (machine.life == life) {
+                      kill(address, false);
+                    }
+                  }),
+          now);
     }
   }
 
@@ -421,7 +475,10 @@
     machines.get(address).entriesBase = 0;
   }
 
-  /** Damages an entry of the history on the disk of a machine whose process has ended; false where there is none. */
+  /**
+   * Damages an entry of the history on the disk of a machine whose process has ended; false where
+   * there is none.
+   */
   public boolean damage(final String address) {
     final List<byte[]> entries = machines.get(address).entries;
     if (entries.isEmpty()) {
@@ -474,53 +531,103 @@
   /** The addresses of machines whose process runs. */
   public List<String> running() {
     final List<String> list = new ArrayList<>();
-    machines.forEach((address, machine) -> {
-      if (machine.core != null) {
-        list.add(address);
-      }
-    });
+    machines.forEach(
+        (address, machine) -> {
+          if (machine.core != null) {
+            list.add(address);
+          }
+        });
     Collections.sort(list);
     return list;
   }
 
-  /** Calls the store by way of one frame, following its word on who holds the duty; the answer may never come. */
-  public void call(final String at, final Deed deed, final String name, final String owner, final long first, final long second, final byte[] body, final Consumer<Words.Answer> then) {
+  /**
+   * Calls the store by way of one frame, following its word on who holds the duty; the answer may
+   * never come.
+   */
+  public void call(
+      final String at,
+      final Deed deed,
+      final String name,
+      final String owner,
+      final long first,
+      final long second,
+      final byte[] body,
+      final Consumer<Words.Answer> then) {
     call(at, new Words.Call(++calls, deed.ordinal(), name, owner, first, second, body), 0, then);
   }
 
   /** Calls the store with a change of routing, in somebody's name. */
-  public void change(final String at, final Deed deed, final String name, final long first, final byte[] body, final Words.Cause cause, final Consumer<Words.Answer> then) {
+  public void change(
+      final String at,
+      final Deed deed,
+      final String name,
+      final long first,
+      final byte[] body,
+      final Words.Cause cause,
+      final Consumer<Words.Answer> then) {
     call(at, new Words.Call(++calls, deed.ordinal(), name, null, first, 0, body, cause), 0, then);
   }
 
   /** Sends a call that was made before once more, with the same number or another. */
   public void again(final String at, final Words.Call call, final Consumer<Words.Answer> then) {
-    call(at, new Words.Call(++calls, call.deed, call.name, call.owner, call.first, call.second, call.body, call.cause, call.content), 0, then);
+    call(
+        at,
+        new Words.Call(
+            ++calls,
+            call.deed,
+            call.name,
+            call.owner,
+            call.first,
+            call.second,
+            call.body,
+            call.cause,
+            call.content),
+        0,
+        then);
   }
 
   /** Asks one frame, and only it. */
-  public void ask(final String at, final Deed deed, final long first, final long second, final Consumer<Words.Answer> then) {
+  public void ask(
+      final String at,
+      final Deed deed,
+      final long first,
+      final long second,
+      final Consumer<Words.Answer> then) {
     call(at, new Words.Call(++calls, deed.ordinal(), "", null, first, second, null), 3, then);
   }
 
   /** Calls the store at one frame only; whatever it says of others is not followed. */
-  public void callOnly(final String at, final Deed deed, final String name, final Consumer<Words.Answer> then) {
+  public void callOnly(
+      final String at, final Deed deed, final String name, final Consumer<Words.Answer> then) {
     call(at, new Words.Call(++calls, deed.ordinal(), name, null, 0, 0, null), 3, then);
   }
 
-  private void call(final String at, final Words.Call call, final int hops, final Consumer<Words.Answer> then) {
-    after(1 + random.nextInt(3), () -> {
-      final Machine machine = machines.get(at);
-      if (machine == null || machine.core == null || machine.frozen) {
-        return;
-      }
-      machine.core.call(call, answer -> after(1 + random.nextInt(3), () -> {
-        if (answer.status == 0 && answer.holder != null && hops < 3 && !answer.holder.equals(at)) {
-          call(answer.holder, call, hops + 1, then);
-        } else if (answer.status != 0) {
-          then.accept(answer);
-        }
-      }), now);
-    });
+  private void call(
+      final String at, final Words.Call call, final int hops, final Consumer<Words.Answer> then) {
+    after(
+        1 + random.nextInt(3),
+        () -> {
+          final Machine machine = machines.get(at);
+          if (machine == null || machine.core == null || machine.frozen) {
+            return;
+          }
+          machine.core.call(
+              call,
+              answer ->
+                  after(
+                      1 + random.nextInt(3),
+                      () -> {
+                        if (answer.status == 0
+                            && answer.holder != null
+                            && hops < 3
+                            && !answer.holder.equals(at)) {
+                          call(answer.holder, call, hops + 1, then);
+                        } else if (answer.status != 0) {
+                          then.accept(answer);
+                        }
+                      }),
+              now);
+        });
   }
 }
--- a/rig/src/main/java/weldpoint/rig/Ledger.java
+++ b/rig/src/main/java/weldpoint/rig/Ledger.java
@@ -7,14 +7,11 @@
 
 /** What callers saw, checked against a sequential model; each breach is a line. */
 public final class Ledger {
-  private record Given(long value, long sentAt, long answeredAt) {
-  }
+  private record Given(long value, long sentAt, long answeredAt) {}
 
-  private record Grip(String owner, long fence, long from, long until) {
-  }
+  private record Grip(String owner, long fence, long from, long until) {}
 
-  private record Put(long revision, long answeredAt) {
-  }
+  private record Put(long revision, long answeredAt) {}
 
   private final Map<String, List<Given>> rising = new HashMap<>();
   private final Map<String, List<Grip>> grips = new HashMap<>();
@@ -24,14 +21,18 @@
   private final List<String> breaches = new ArrayList<>();
   private int answers;
 
-  /** A number, revision or fence was given: unique, and above all that were given before the call was sent. */
+  /**
+   * A number, revision or fence was given: unique, and above all that were given before the call
+   * was sent.
+   */
   public void given(final String name, final long value, final long sentAt, final long answeredAt) {
     answers++;
     final List<Given> list = rising.computeIfAbsent(name, key -> new ArrayList<>());
     for (final Given before : list) {
       if (before.value == value) {
         breaches.add(name + " gave " + value + " twice");
-      } else if (before.answeredAt < sentAt && before.value > value || answeredAt < before.sentAt && value > before.value) {
+      } else if (before.answeredAt < sentAt && before.value > value
+          || answeredAt < before.sentAt && value > before.value) {
         breaches.add(name + " gave " + value + " though " + before.value + " had been given");
       }
     }
@@ -39,7 +40,13 @@
   }
 
   /** A lock was taken, for the caller's own count of its time. */
-  public void taken(final String lock, final String owner, final long fence, final long sentAt, final long answeredAt, final long hold) {
+  public void taken(
+      final String lock,
+      final String owner,
+      final long fence,
+      final long sentAt,
+      final long answeredAt,
+      final long hold) {
     final List<Grip> list = grips.computeIfAbsent(lock, key -> new ArrayList<>());
     final long until = sentAt + hold;
     for (final Grip before : list) {
@@ -47,7 +54,27 @@
         breaches.add(lock + " gave fence " + fence + " to two");
       }
       if (!before.owner.equals(owner) && before.from < until && answeredAt < before.until) {
-        breaches.add(lock + " has two holders, " + before.owner + " (fence " + before.fence + ", " + before.from + " to " + before.until + ") and " + owner + " (fence " + fence + ", sent " + sentAt + ", " + answeredAt + " to " + until + ")");
+        breaches.add(
+            lock
+                + " has two holders, "
+                + before.owner
+                + " (fence "
+                + before.fence
+                + ", "
+                + before.from
+                + " to "
+                + before.until
+                + ") and "
+                + owner
+                + " (fence "
+                + fence
+                + ", sent "
+                + sentAt
+                + ", "
+                + answeredAt
+                + " to "
+                + until
+                + ")");
       }
       if (before.fence > fence && before.from < sentAt) {
         breaches.add(lock + " gave fence " + fence + " after " + before.fence);
@@ -61,11 +88,18 @@
 
   /** The caller has begun to give a lock back and no longer counts itself as its holder. */
   public void released(final String lock, final String owner, final long fence, final long at) {
-    grips.getOrDefault(lock, new ArrayList<>()).replaceAll(grip -> grip.owner.equals(owner) && grip.fence == fence ? new Grip(owner, fence, grip.from, Math.min(grip.until, at)) : grip);
+    grips
+        .getOrDefault(lock, new ArrayList<>())
+        .replaceAll(
+            grip ->
+                grip.owner.equals(owner) && grip.fence == fence
+                    ? new Grip(owner, fence, grip.from, Math.min(grip.until, at))
+                    : grip);
   }
 
   /** A put was acknowledged. */
-  public void put(final String key, final String value, final long revision, final long answeredAt) {
+  public void put(
+      final String key, final String value, final long revision, final long answeredAt) {
     puts.computeIfAbsent(key, name -> new ArrayList<>()).add(new Put(revision, answeredAt));
     shown(key, value, revision);
     answers++;
@@ -81,7 +115,8 @@
     answers++;
     for (final Put put : puts.getOrDefault(key, List.of())) {
       if (put.answeredAt < sentAt && put.revision > revision) {
-        breaches.add(key + " was read at " + revision + " though " + put.revision + " was acknowledged");
+        breaches.add(
+            key + " was read at " + revision + " though " + put.revision + " was acknowledged");
       }
     }
     if (value != null) {
--- a/rig/src/main/java/weldpoint/rig/Operators.java
+++ b/rig/src/main/java/weldpoint/rig/Operators.java
@@ -6,14 +6,18 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
-/** Operators as the pages have them: changes, races under one number, old and bad ones, evacuations, reading back; up to eight orders under way. */
+/**
+ * Operators as the pages have them: changes, races under one number, old and bad ones, evacuations,
+ * reading back; up to eight orders under way.
+ */
 final class Operators {
   private static final int MOST_UNDER_WAY = 8;
   private static final long ACK_DEADLINE_MILLIS = 5000;
-  private static final String[] FLAWS = {"cut_short", "unknown_service", "no_timeout", "no_attempts"};
+  private static final String[] FLAWS = {
+    "cut_short", "unknown_service", "no_timeout", "no_attempts"
+  };
 
-  private record Change(long version, String tag, String flaw) {
-  }
+  private record Change(long version, String tag, String flaw) {}
 
   private final ControlFleet fleet;
   private final ControlLedger ledger;
@@ -27,7 +31,12 @@
   private int tags;
   private boolean ended;
 
-  Operators(final ControlFleet fleet, final ControlLedger ledger, final Random random, final Caller caller, final List<String> zones) {
+  Operators(
+      final ControlFleet fleet,
+      final ControlLedger ledger,
+      final Random random,
+      final Caller caller,
+      final List<String> zones) {
     this.fleet = fleet;
     this.ledger = ledger;
     this.random = random;
@@ -35,22 +44,28 @@
     this.zones = zones;
   }
 
-  /** Runs something once, with the address of the daemon that gives the next acknowledgement of a change. */
+  /**
+   * Runs something once, with the address of the daemon that gives the next acknowledgement of a
+   * change.
+   */
   void uponAck(final Consumer<String> deed) {
     uponAck.add(deed);
   }
 
   /** The first configuration, sent until it is taken; then the day's work. */
   void begin() {
-    send(next(""), 60_000, end -> {
-      if (end.good()) {
-        work();
-        for (final String zone : zones) {
-          fleet.after(1000 + random.nextInt(3000), () -> evacuate(zone, true));
-        }
-        read();
-      }
-    });
+    send(
+        next(""),
+        60_000,
+        end -> {
+          if (end.good()) {
+            work();
+            for (final String zone : zones) {
+              fleet.after(1000 + random.nextInt(3000), () -> evacuate(zone, true));
+            }
+            read();
+          }
+        });
   }
 
   void end() {
@@ -73,18 +88,26 @@
     if (change.flaw.isEmpty()) {
       past.add(change);
     }
-    caller.call(null, HttpMethod.POST, "/api/rpc?call=configuration.replace", Text.configuration(change.version, change.tag, change.flaw), Caller.SILENCE_MILLIS, patience, () -> ledger.sent(change.version, change.tag, change.flaw.isEmpty(), fleet.now()), end -> {
-      underWay--;
-      if (end.good()) {
-        ledger.acked(change.version, change.tag, fleet.now());
-        final List<Consumer<String>> due = new ArrayList<>(uponAck);
-        uponAck.clear();
-        due.forEach(one -> one.accept(end.by()));
-      } else if (end.status() >= 400) {
-        ledger.refused(change.version, change.tag, end.status(), fleet.now());
-      }
-      then.accept(end);
-    });
+    caller.call(
+        null,
+        HttpMethod.POST,
+        "/api/rpc?call=configuration.replace",
+        Text.configuration(change.version, change.tag, change.flaw),
+        Caller.SILENCE_MILLIS,
+        patience,
+        () -> ledger.sent(change.version, change.tag, change.flaw.isEmpty(), fleet.now()),
+        end -> {
+          underWay--;
+          if (end.good()) {
+            ledger.acked(change.version, change.tag, fleet.now());
+            final List<Consumer<String>> due = new ArrayList<>(uponAck);
+            uponAck.clear();
+            due.forEach(one -> one.accept(end.by()));
+          } else if (end.status() >= 400) {
+            ledger.refused(change.version, change.tag, end.status(), fleet.now());
+          }
+          then.accept(end);
+        });
   }
 
   private void work() {
@@ -92,8 +115,7 @@
       return;
     }
     if (underWay < MOST_UNDER_WAY) {
-      final Consumer<Caller.End> nothing = end -> {
-      };
+      final Consumer<Caller.End> nothing = end -> {};
       switch (random.nextInt(10)) {
         case 0 -> {
           final Change one = next("");
@@ -101,7 +123,11 @@
           send(new Change(one.version, "t" + ++tags, ""), 15_000, nothing);
         }
         case 1 -> send(past.get(random.nextInt(past.size())), 15_000, nothing);
-        case 2 -> send(new Change(past.get(random.nextInt(past.size())).version, "t" + ++tags, ""), 15_000, nothing);
+        case 2 ->
+            send(
+                new Change(past.get(random.nextInt(past.size())).version, "t" + ++tags, ""),
+                15_000,
+                nothing);
         case 3 -> send(next(FLAWS[random.nextInt(FLAWS.length)]), 15_000, nothing);
         default -> send(next(""), 15_000, nothing);
       }
@@ -113,19 +139,30 @@
     if (ended) {
       return;
     }
-    order(zone, on, end -> fleet.after(200 + random.nextInt(2500), () -> evacuate(zone, end.good() != on)));
+    order(
+        zone,
+        on,
+        end -> fleet.after(200 + random.nextInt(2500), () -> evacuate(zone, end.good() != on)));
   }
 
   private void order(final String zone, final boolean on, final Consumer<Caller.End> then) {
     final int order = ledger.ordered(zone, on, fleet.now());
-    caller.call(null, HttpMethod.POST, "/api/rpc?call=evacuation." + (on ? "begin" : "finish") + "&of=" + zone, "", Caller.SILENCE_MILLIS, ACK_DEADLINE_MILLIS, () -> {
-    }, end -> {
-      ledger.ended(zone, order, end.good(), fleet.now());
-      if (end.status() >= 400) {
-        ledger.breach(fleet.now(), "the order on zone " + zone + " was refused with " + end.status());
-      }
-      then.accept(end);
-    });
+    caller.call(
+        null,
+        HttpMethod.POST,
+        "/api/rpc?call=evacuation." + (on ? "begin" : "finish") + "&of=" + zone,
+        "",
+        Caller.SILENCE_MILLIS,
+        ACK_DEADLINE_MILLIS,
+        () -> {},
+        end -> {
+          ledger.ended(zone, order, end.good(), fleet.now());
+          if (end.status() >= 400) {
+            ledger.breach(
+                fleet.now(), "the order on zone " + zone + " was refused with " + end.status());
+          }
+          then.accept(end);
+        });
   }
 
   private void read() {
@@ -136,15 +173,22 @@
 
   /** Reads the configuration back. */
   void readOnce(final long patience, final Consumer<Caller.End> then) {
-    caller.call(null, HttpMethod.POST, "/api/rpc?call=configuration.read", "", Caller.SILENCE_MILLIS, patience, () -> {
-    }, end -> {
-      if (end.good()) {
-        ledger.read(Text.version(end.body()), Text.tag(end.body()), end.sentAt(), fleet.now());
-      } else if (end.status() == 404) {
-        ledger.readNothing(end.sentAt(), fleet.now());
-      }
-      then.accept(end);
-    });
+    caller.call(
+        null,
+        HttpMethod.POST,
+        "/api/rpc?call=configuration.read",
+        "",
+        Caller.SILENCE_MILLIS,
+        patience,
+        () -> {},
+        end -> {
+          if (end.good()) {
+            ledger.read(Text.version(end.body()), Text.tag(end.body()), end.sentAt(), fleet.now());
+          } else if (end.status() == 404) {
+            ledger.readNothing(end.sentAt(), fleet.now());
+          }
+          then.accept(end);
+        });
   }
 
   /** One change more, when all is calm. */
--- a/rig/src/main/java/weldpoint/rig/Shrinker.java
+++ b/rig/src/main/java/weldpoint/rig/Shrinker.java
@@ -14,7 +14,10 @@
   private ControlDay.Outcome outcome;
   private int plays;
 
-  private Shrinker(final ControlPlan plan, final ControlDay.Outcome outcome, final Function<ControlPlan, ControlDay.Outcome> play) {
+  private Shrinker(
+      final ControlPlan plan,
+      final ControlDay.Outcome outcome,
+      final Function<ControlPlan, ControlDay.Outcome> play) {
     this.best = plan;
     this.outcome = outcome;
     this.play = play;
@@ -22,7 +25,10 @@
   }
 
   /** The shortest day that was found, after a bounded number of plays. */
-  static ControlPlan shrink(final ControlPlan plan, final ControlDay.Outcome outcome, final Function<ControlPlan, ControlDay.Outcome> play) {
+  static ControlPlan shrink(
+      final ControlPlan plan,
+      final ControlDay.Outcome outcome,
+      final Function<ControlPlan, ControlDay.Outcome> play) {
     final Shrinker shrinker = new Shrinker(plan, outcome, play);
     shrinker.shrink();
     return shrinker.best;
@@ -48,7 +54,7 @@
   }
 
   private void shrink() {
-    for (boolean shorter = true; shorter && plays < MOST_PLAYS;) {
+    for (boolean shorter = true; shorter && plays < MOST_PLAYS; ) {
       shorter = false;
       for (int index = best.troubles().size() - 1; index >= 0; index--) {
         shorter |= keeps(best.without(index));
@@ -58,7 +64,12 @@
       shorter |= best.lasts() > 2000 && keeps(best.lasting(best.lasts() * 3 / 4));
       for (int index = 0; index < best.troubles().size(); index++) {
         final Trouble one = best.troubles().get(index);
-        shorter |= one.forMillis() / 2 >= SHORTEST_MILLIS && keeps(best.with(index, new Trouble(one.kind(), one.atMillis(), one.forMillis() / 2, one.seed())));
+        shorter |=
+            one.forMillis() / 2 >= SHORTEST_MILLIS
+                && keeps(
+                    best.with(
+                        index,
+                        new Trouble(one.kind(), one.atMillis(), one.forMillis() / 2, one.seed())));
       }
     }
   }
--- a/rig/src/main/java/weldpoint/rig/Text.java
+++ b/rig/src/main/java/weldpoint/rig/Text.java
@@ -11,14 +11,20 @@
   private static final Pattern VERSION = Pattern.compile("\"version\":\"(\\w+)\"");
   private static final Pattern LOCATION = Pattern.compile("http://([0-9.]+)(?::[0-9]+)?(/.*)");
 
-  private Text() {
-  }
+  private Text() {}
 
   /** A configuration whose content is named by a tag. */
   static String configuration(final long version, final String tag, final String flaw) {
-    final String text = String.format("{\"version\":\"%08x\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"listeners\":[{\"host\":\"a.example\",\"rules\":["
-        + "{\"name\":\"tag-%s\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/x/\"},\"action\":{\"service\":\"%s\",\"timeoutMs\":%d,\"maxAttempts\":%d,\"homeRegions\":[]}}]}],"
-        + "\"pools\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConns\":120,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":12.0}]}", version, tag, flaw.equals("unknown_service") ? "nowhere" : "s", flaw.equals("no_timeout") ? 0 : 2000, flaw.equals("no_attempts") ? 0 : 2);
+    final String text =
+        String.format(
+            "{\"version\":\"%08x\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"listeners\":[{\"host\":\"a.example\",\"rules\":["
+                + "{\"name\":\"tag-%s\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/x/\"},\"action\":{\"service\":\"%s\",\"timeoutMs\":%d,\"maxAttempts\":%d,\"homeRegions\":[]}}]}],"
+                + "\"pools\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConns\":120,\"protocol\":\"h1\",\"tls\":false,\"warmupS\":3.0,\"warmupPerS\":12.0}]}",
+            version,
+            tag,
+            flaw.equals("unknown_service") ? "nowhere" : "s",
+            flaw.equals("no_timeout") ? 0 : 2000,
+            flaw.equals("no_attempts") ? 0 : 2);
     return flaw.equals("cut_short") ? text.substring(0, text.length() - 40) : text;
   }
 
