--- a/rig/src/main/java/weldpoint/rig/Trouble.java
+++ b/rig/src/main/java/weldpoint/rig/Trouble.java
@@ -17,7 +17,8 @@
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
         final boolean power = random.nextBoolean();
-        for (final ControlFleet.Machine machine : day.draw(day.all(), 1 + random.nextInt(2), random)) {
+        for (final ControlFleet.Machine machine :
+            day.draw(day.all(), 1 + random.nextInt(2), random)) {
           day.down(machine, power, power ? trouble.forMillis : 200 + random.nextInt(START_MILLIS));
         }
       }
@@ -27,35 +28,56 @@
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
         final boolean power = random.nextBoolean();
-        day.fleet().core().forEach(machine -> day.down(machine, power, 300 + random.nextInt(START_MILLIS)));
+        day.fleet()
+            .core()
+            .forEach(machine -> day.down(machine, power, 300 + random.nextInt(START_MILLIS)));
       }
     },
     /** The machines are stopped in order, one after the other, and start again. */
     ROLL_TERM {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
-        final List<ControlFleet.Machine> order = new ArrayList<>(random.nextBoolean() ? day.fleet().core() : day.all());
+        final List<ControlFleet.Machine> order =
+            new ArrayList<>(random.nextBoolean() ? day.fleet().core() : day.all());
         final long gap = Math.max(600, trouble.forMillis / order.size());
         for (int index = 0; index < order.size(); index++) {
           final ControlFleet.Machine machine = order.get(index);
-          day.fleet().after(index * gap, () -> day.restart(machine, 100 + random.nextInt(START_MILLIS)));
+          day.fleet()
+              .after(index * gap, () -> day.restart(machine, 100 + random.nextInt(START_MILLIS)));
         }
       }
     },
-    /** One core machine is gone for good, and an empty one comes at another address; planned, the new one comes first. */
+    /**
+     * One core machine is gone for good, and an empty one comes at another address; planned, the
+     * new one comes first.
+     */
     REPLACE_CORE {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
         day.replace(random.nextBoolean(), 500 + random.nextInt(1500), random);
       }
     },
-    /** The machine that acknowledges the next change, and perhaps another, loses power within 4 ms. */
+    /**
+     * The machine that acknowledges the next change, and perhaps another, loses power within 4 ms.
+     */
     AFTER_ACK_KILL {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
         final int count = 1 + random.nextInt(2);
         final boolean power = random.nextInt(4) > 0;
-        day.uponAck(by -> day.fleet().after(random.nextInt(5), () -> day.with(by, count, random).forEach(machine -> day.down(machine, power, 300 + random.nextInt((int) trouble.forMillis + 1)))));
+        day.uponAck(
+            by ->
+                day.fleet()
+                    .after(
+                        random.nextInt(5),
+                        () ->
+                            day.with(by, count, random)
+                                .forEach(
+                                    machine ->
+                                        day.down(
+                                            machine,
+                                            power,
+                                            300 + random.nextInt((int) trouble.forMillis + 1)))));
       }
     },
     /** The same, and the disks are lost; the other core machines may lose power too. */
@@ -64,13 +86,27 @@
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
         final int count = 1 + random.nextInt(2);
         final boolean others = random.nextBoolean();
-        day.uponAck(by -> day.fleet().after(random.nextInt(5), () -> {
-          final List<ControlFleet.Machine> hit = day.with(by, Math.min(count, day.mayLose()), random);
-          hit.forEach(machine -> day.wiped(machine, 300 + random.nextInt((int) trouble.forMillis + 1)));
-          if (others && !hit.isEmpty()) {
-            day.fleet().core().forEach(machine -> day.down(machine, true, 300 + random.nextInt(START_MILLIS)));
-          }
-        }));
+        day.uponAck(
+            by ->
+                day.fleet()
+                    .after(
+                        random.nextInt(5),
+                        () -> {
+                          final List<ControlFleet.Machine> hit =
+                              day.with(by, Math.min(count, day.mayLose()), random);
+                          hit.forEach(
+                              machine ->
+                                  day.wiped(
+                                      machine, 300 + random.nextInt((int) trouble.forMillis + 1)));
+                          if (others && !hit.isEmpty()) {
+                            day.fleet()
+                                .core()
+                                .forEach(
+                                    machine ->
+                                        day.down(
+                                            machine, true, 300 + random.nextInt(START_MILLIS)));
+                          }
+                        }));
       }
     },
     /** A disk takes no more bytes. */
@@ -87,7 +123,8 @@
     DISK_SLOW {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
-        for (final ControlFleet.Machine machine : day.draw(day.fleet().core(), 1 + random.nextInt(2), random)) {
+        for (final ControlFleet.Machine machine :
+            day.draw(day.fleet().core(), 1 + random.nextInt(2), random)) {
           machine.disk.syncMillis *= 30;
           day.fleet().after(trouble.forMillis, () -> machine.disk.syncMillis /= 30);
         }
@@ -118,7 +155,8 @@
     ZONE_LOSS {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
-        day.zone(random).forEach(machine -> day.down(machine, true, trouble.forMillis + random.nextInt(1500)));
+        day.zone(random)
+            .forEach(machine -> day.down(machine, true, trouble.forMillis + random.nextInt(1500)));
       }
     },
     /** A zone is cut off from the others. */
@@ -133,16 +171,21 @@
         }
       }
     },
-    /** Core machines are cut off from the other core machines, at times in one direction, with new seeds, or restarted. */
+    /**
+     * Core machines are cut off from the other core machines, at times in one direction, with new
+     * seeds, or restarted.
+     */
     CORE_CUT {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
-        final List<ControlFleet.Machine> off = day.draw(day.fleet().core(), 1 + random.nextInt(2), random);
+        final List<ControlFleet.Machine> off =
+            day.draw(day.fleet().core(), 1 + random.nextInt(2), random);
         final int how = random.nextInt(4);
         final boolean towards = how != 1 || random.nextBoolean();
         for (final ControlFleet.Machine machine : day.fleet().core()) {
           if (!off.contains(machine)) {
-            off.forEach(one -> day.cut(one, machine, towards, how != 1 || !towards, trouble.forMillis));
+            off.forEach(
+                one -> day.cut(one, machine, towards, how != 1 || !towards, trouble.forMillis));
           }
         }
         if (how == 2) {
@@ -152,7 +195,15 @@
           others.forEach(machine -> day.down(machine, false, 200 + random.nextInt(START_MILLIS)));
         } else if (how == 3) {
           off.forEach(machine -> day.down(machine, false, 200 + random.nextInt(START_MILLIS)));
-          day.fleet().after(trouble.forMillis / 2, () -> day.fleet().core().stream().filter(machine -> !off.contains(machine)).forEach(machine -> day.down(machine, false, 200 + random.nextInt(START_MILLIS))));
+          day.fleet()
+              .after(
+                  trouble.forMillis / 2,
+                  () ->
+                      day.fleet().core().stream()
+                          .filter(machine -> !off.contains(machine))
+                          .forEach(
+                              machine ->
+                                  day.down(machine, false, 200 + random.nextInt(START_MILLIS))));
         }
       }
     },
@@ -161,7 +212,9 @@
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
         for (final ControlFleet.Machine board : day.draw(day.fleet().boards(), 2, random)) {
-          day.fleet().core().forEach(machine -> day.cut(board, machine, true, true, trouble.forMillis));
+          day.fleet()
+              .core()
+              .forEach(machine -> day.cut(board, machine, true, true, trouble.forMillis));
         }
       }
     },
@@ -169,7 +222,11 @@
     NODE_FREEZE {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
-        for (final ControlFleet.Machine machine : day.draw(random.nextInt(4) == 0 ? day.all() : day.fleet().core(), 1 + random.nextInt(2), random)) {
+        for (final ControlFleet.Machine machine :
+            day.draw(
+                random.nextInt(4) == 0 ? day.all() : day.fleet().core(),
+                1 + random.nextInt(2),
+                random)) {
           day.fleet().freeze(machine, true);
           day.fleet().after(trouble.forMillis, () -> day.fleet().freeze(machine, false));
         }
@@ -180,7 +237,8 @@
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
         final long slow = 5 + random.nextInt(60);
-        for (final ControlFleet.Machine machine : day.draw(day.all(), 1 + random.nextInt(2), random)) {
+        for (final ControlFleet.Machine machine :
+            day.draw(day.all(), 1 + random.nextInt(2), random)) {
           day.fleet().slow(machine, slow);
           day.fleet().after(trouble.forMillis, () -> day.fleet().slow(machine, -slow));
         }
@@ -214,7 +272,8 @@
     HUP {
       @Override
       void strike(final ControlDay day, final Trouble trouble, final Random random) {
-        day.draw(day.all(), 3, random).forEach(machine -> day.fleet().seeds(machine, machine.seeds));
+        day.draw(day.all(), 3, random)
+            .forEach(machine -> day.fleet().seeds(machine, machine.seeds));
       }
     };
 
--- a/rig/src/main/java/weldpoint/rig/Upstreams.java
+++ b/rig/src/main/java/weldpoint/rig/Upstreams.java
@@ -33,35 +33,58 @@
         return;
       }
       final boolean drains = draining;
-      final String body = "{\"service\":\"s\",\"address\":\"" + address + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"capacity\":4,\"state\":\"" + (drains ? "draining" : "ready") + "\",\"warmupLeftMs\":0,\"callSeq\":" + ++sequence + "}";
-      caller.call(target, HttpMethod.POST, "/api/rpc?call=instances.heartbeat&of=" + id, body, Caller.SILENCE_MILLIS, 4000, () -> {
-      }, end -> {
-        target = null;
-        if (end.good()) {
-          goodAt = fleet.now();
-          final String named = Text.word(end.body(), "beatTarget");
-          target = named == null ? null : named.substring(0, named.indexOf(':'));
-          if (drains) {
-            leftAcked = true;
-            fleet.after(DRAIN_MILLIS, this::leave);
-            return;
-          }
-        } else if (end.status() >= 400) {
-          ledger.breach(fleet.now(), "a beat of " + id + " was refused with " + end.status());
-        } else if (drains) {
-          fleet.after(DRAIN_MILLIS, this::leave);
-          return;
-        }
-        fleet.after(draining ? 0 : BEAT_MILLIS, this::beat);
-      });
+      final String body =
+          "{\"service\":\"s\",\"address\":\""
+              + address
+              + "\",\"zone\":\""
+              + zone
+              + "\",\"version\":\"v1\",\"capacity\":4,\"state\":\""
+              + (drains ? "draining" : "ready")
+              + "\",\"warmupLeftMs\":0,\"callSeq\":"
+              + ++sequence
+              + "}";
+      caller.call(
+          target,
+          HttpMethod.POST,
+          "/api/rpc?call=instances.heartbeat&of=" + id,
+          body,
+          Caller.SILENCE_MILLIS,
+          4000,
+          () -> {},
+          end -> {
+            target = null;
+            if (end.good()) {
+              goodAt = fleet.now();
+              final String named = Text.word(end.body(), "beatTarget");
+              target = named == null ? null : named.substring(0, named.indexOf(':'));
+              if (drains) {
+                leftAcked = true;
+                fleet.after(DRAIN_MILLIS, this::leave);
+                return;
+              }
+            } else if (end.status() >= 400) {
+              ledger.breach(fleet.now(), "a beat of " + id + " was refused with " + end.status());
+            } else if (drains) {
+              fleet.after(DRAIN_MILLIS, this::leave);
+              return;
+            }
+            fleet.after(draining ? 0 : BEAT_MILLIS, this::beat);
+          });
     }
 
     void leave() {
-      caller.call(null, HttpMethod.POST, "/api/rpc?call=instances.deregister&of=" + id, "", Caller.SILENCE_MILLIS, 4000, () -> {
-      }, end -> {
-        gone = true;
-        leftAcked |= end.good();
-      });
+      caller.call(
+          null,
+          HttpMethod.POST,
+          "/api/rpc?call=instances.deregister&of=" + id,
+          "",
+          Caller.SILENCE_MILLIS,
+          4000,
+          () -> {},
+          end -> {
+            gone = true;
+            leftAcked |= end.good();
+          });
     }
   }
 
@@ -72,7 +95,11 @@
   private final List<Upstream> all = new ArrayList<>();
   private boolean ended;
 
-  Upstreams(final ControlFleet fleet, final ControlLedger ledger, final Random random, final Caller caller) {
+  Upstreams(
+      final ControlFleet fleet,
+      final ControlLedger ledger,
+      final Random random,
+      final Caller caller) {
     this.fleet = fleet;
     this.ledger = ledger;
     this.random = random;
@@ -93,22 +120,25 @@
   }
 
   private void churn() {
-    fleet.after(1500 + random.nextInt(3000), () -> {
-      if (ended) {
-        return;
-      }
-      final List<Upstream> present = all.stream().filter(one -> !one.gone && !one.draining).toList();
-      if (present.size() > 2) {
-        final Upstream one = present.get(random.nextInt(present.size()));
-        if (random.nextInt(4) == 0) {
-          one.gone = true;
-        } else {
-          one.draining = true;
-        }
-      }
-      born();
-      churn();
-    });
+    fleet.after(
+        1500 + random.nextInt(3000),
+        () -> {
+          if (ended) {
+            return;
+          }
+          final List<Upstream> present =
+              all.stream().filter(one -> !one.gone && !one.draining).toList();
+          if (present.size() > 2) {
+            final Upstream one = present.get(random.nextInt(present.size()));
+            if (random.nextInt(4) == 0) {
+              one.gone = true;
+            } else {
+              one.draining = true;
+            }
+          }
+          born();
+          churn();
+        });
   }
 
   /** No more come or go. */
@@ -116,14 +146,24 @@
     ended = true;
   }
 
-  /** In the calm at the end: a switchboard has each upstream that beats, and none that left with an acknowledgement. */
+  /**
+   * In the calm at the end: a switchboard has each upstream that beats, and none that left with an
+   * acknowledgement.
+   */
   void check(final ControlFleet.Machine board) {
     for (final Upstream one : all) {
       final boolean known = board.upstreams().containsKey(one.id);
       if (one.leftAcked && known) {
-        ledger.breach(fleet.now(), board.address() + " still has " + one.id + ", which left with an acknowledgement");
-      } else if (!one.gone && !one.draining && one.goodAt >= 0 && fleet.now() - one.goodAt < 2 * BEAT_MILLIS && !known) {
-        ledger.breach(fleet.now(), board.address() + " lacks " + one.id + ", whose beats are acknowledged");
+        ledger.breach(
+            fleet.now(),
+            board.address() + " still has " + one.id + ", which left with an acknowledgement");
+      } else if (!one.gone
+          && !one.draining
+          && one.goodAt >= 0
+          && fleet.now() - one.goodAt < 2 * BEAT_MILLIS
+          && !known) {
+        ledger.breach(
+            fleet.now(), board.address() + " lacks " + one.id + ", whose beats are acknowledged");
       }
     }
   }
--- a/rig/src/test/java/weldpoint/exchange/CopiesTest.java
+++ b/rig/src/test/java/weldpoint/exchange/CopiesTest.java
@@ -19,10 +19,19 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** Three exchanges whose copies of calls are lost, come late by seconds, and cross changes of duty: nothing is carried out twice or out of its time. */
+/**
+ * Three exchanges whose copies of calls are lost, come late by seconds, and cross changes of duty:
+ * nothing is carried out twice or out of its time.
+ */
 public final class CopiesTest {
   private static final List<String> SEEDS = List.of("10.0.1.1", "10.0.2.1", "10.0.3.1");
-  private static final String[][] MACHINES = {{"10.0.1.1", "a", "x"}, {"10.0.1.2", "a", "x"}, {"10.0.2.1", "b", "y"}, {"10.0.3.1", "c", "x"}, {"10.0.4.1", "d", "y"}};
+  private static final String[][] MACHINES = {
+    {"10.0.1.1", "a", "x"},
+    {"10.0.1.2", "a", "x"},
+    {"10.0.2.1", "b", "y"},
+    {"10.0.3.1", "c", "x"},
+    {"10.0.4.1", "d", "y"}
+  };
 
   @BeforeClass
   public void quiet() {
@@ -48,7 +57,11 @@
       }
       for (int index = 0; index < 3; index++) {
         final int which = index;
-        final StoreCaller store = new StoreCaller(MACHINES[index][0], new Random(seed * 31 + index), (address, call) -> send(which, address, call));
+        final StoreCaller store =
+            new StoreCaller(
+                MACHINES[index][0],
+                new Random(seed * 31 + index),
+                (address, call) -> send(which, address, call));
         final List<String> all = new ArrayList<>();
         for (final String[] machine : MACHINES) {
           all.add(machine[0]);
@@ -70,11 +83,16 @@
       if (fleet.machines().get(to).core() == null) {
         return false;
       }
-      final Words.Call copy = identified ? call.leaving(fleet.now() - random.nextInt(500), fleet.now()) : call.from(0).leaving(null, fleet.now());
+      final Words.Call copy =
+          identified
+              ? call.leaving(fleet.now() - random.nextInt(500), fleet.now())
+              : call.from(0).leaving(null, fleet.now());
       final byte[] bytes = Wire.bytes(copy);
       final int chance = random.nextInt(20);
       if (chance > 0) {
-        fleet.after(chance < 4 ? 300 + random.nextInt(6000) : 1 + random.nextInt(8), () -> arrive(which, to, bytes, call.caller));
+        fleet.after(
+            chance < 4 ? 300 + random.nextInt(6000) : 1 + random.nextInt(8),
+            () -> arrive(which, to, bytes, call.caller));
       }
       return true;
     }
@@ -83,12 +101,21 @@
       if (frozen.containsKey(to)) {
         fleet.after(20, () -> arrive(which, to, bytes, caller));
       } else if (fleet.machines().get(to).core() != null) {
-        fleet.machines().get(to).core().call(Wire.value(bytes, Words.Call.class), answer -> {
-          final int chance = fleet.random().nextInt(10);
-          if (chance > 0) {
-            fleet.after(chance == 1 ? 500 : 1 + fleet.random().nextInt(8), () -> stores.get(which).answered(to, answer.to(caller), fleet.now()));
-          }
-        }, fleet.now());
+        fleet
+            .machines()
+            .get(to)
+            .core()
+            .call(
+                Wire.value(bytes, Words.Call.class),
+                answer -> {
+                  final int chance = fleet.random().nextInt(10);
+                  if (chance > 0) {
+                    fleet.after(
+                        chance == 1 ? 500 : 1 + fleet.random().nextInt(8),
+                        () -> stores.get(which).answered(to, answer.to(caller), fleet.now()));
+                  }
+                },
+                fleet.now());
       }
     }
 
@@ -101,7 +128,12 @@
         return;
       }
       final String owner = "owner " + ++begins;
-      any().call(Deed.LOCK_BEGIN, "l", owner, 30, 0, null, null, fleet.now(), 900).whenComplete((answer, problem) -> mayHold += problem != null || answer.status == 200 || answer.status == 504 ? 1 : 0);
+      any()
+          .call(Deed.LOCK_BEGIN, "l", owner, 30, 0, null, null, fleet.now(), 900)
+          .whenComplete(
+              (answer, problem) ->
+                  mayHold +=
+                      problem != null || answer.status == 200 || answer.status == 504 ? 1 : 0);
       fleet.after(60 + fleet.random().nextInt(80), this::begin);
     }
 
@@ -114,19 +146,51 @@
     }
 
     private void repeat(final int on) {
-      evacuate(any(), on, fleet.now() + 900).whenComplete((answer, problem) -> {
-        if (problem == null && answer.status == 200) {
-          fleet.after(20 + fleet.random().nextInt(300), this::order);
-        } else {
-          fleet.after(20, () -> repeat(on));
-        }
-      });
+      evacuate(any(), on, fleet.now() + 900)
+          .whenComplete(
+              (answer, problem) -> {
+                if (problem == null && answer.status == 200) {
+                  fleet.after(20 + fleet.random().nextInt(300), this::order);
+                } else {
+                  fleet.after(20, () -> repeat(on));
+                }
+              });
     }
 
-    private CompletableFuture<Words.Answer> evacuate(final StoreCaller store, final int on, final long cutoff) {
+    private CompletableFuture<Words.Answer> evacuate(
+        final StoreCaller store, final int on, final long cutoff) {
       final Words.Cause cause = new Words.Cause("operator", "", "", null);
-      return store.call(Deed.EVACUATION_TICKET, "z", null, 0, 0, null, null, fleet.now(), cutoff - fleet.now()).thenCompose(ticket -> ticket.status != 200 ? CompletableFuture.completedFuture(ticket)
-          : store.call(Deed.EVACUATE, "z", null, on, ticket.first, null, cause, fleet.now(), cutoff - fleet.now()).thenCompose(answer -> answer.status != 410 ? CompletableFuture.completedFuture(answer) : evacuate(store, on, cutoff)));
+      return store
+          .call(
+              Deed.EVACUATION_TICKET,
+              "z",
+              null,
+              0,
+              0,
+              null,
+              null,
+              fleet.now(),
+              cutoff - fleet.now())
+          .thenCompose(
+              ticket ->
+                  ticket.status != 200
+                      ? CompletableFuture.completedFuture(ticket)
+                      : store
+                          .call(
+                              Deed.EVACUATE,
+                              "z",
+                              null,
+                              on,
+                              ticket.first,
+                              null,
+                              cause,
+                              fleet.now(),
+                              cutoff - fleet.now())
+                          .thenCompose(
+                              answer ->
+                                  answer.status != 410
+                                      ? CompletableFuture.completedFuture(answer)
+                                      : evacuate(store, on, cutoff)));
     }
 
     private void trouble() {
@@ -141,10 +205,12 @@
         case 1 -> {
           fleet.freeze(one, true);
           frozen.put(one, true);
-          fleet.after(1500, () -> {
-            fleet.freeze(one, false);
-            frozen.remove(one);
-          });
+          fleet.after(
+              1500,
+              () -> {
+                fleet.freeze(one, false);
+                frozen.remove(one);
+              });
         }
         case 2 -> {
           for (final String other : running) {
@@ -167,11 +233,20 @@
       final List<String> breaches = new ArrayList<>();
       final long[] fence = new long[1];
       for (int round = 0; round < 20 && fence[0] == 0; round++) {
-        fleet.call(fleet.running().get(round % fleet.running().size()), Deed.LOCK_BEGIN, "l", "last", 30, 0, null, answer -> fence[0] = answer.status == 200 ? answer.first : 0);
+        fleet.call(
+            fleet.running().get(round % fleet.running().size()),
+            Deed.LOCK_BEGIN,
+            "l",
+            "last",
+            30,
+            0,
+            null,
+            answer -> fence[0] = answer.status == 200 ? answer.first : 0);
         fleet.run(400);
       }
       if (fence[0] - 1 > mayHold) {
-        breaches.add("the lock was granted " + (fence[0] - 1) + " times to " + mayHold + " callers");
+        breaches.add(
+            "the lock was granted " + (fence[0] - 1) + " times to " + mayHold + " callers");
       }
       final AuditLog log = fleet.machines().get("10.0.1.1").core().history();
       long before = 0;
@@ -182,7 +257,8 @@
         before++;
       }
       if (before != orders || begun != (orders + 1) / 2) {
-        breaches.add(orders + " orders, one after the other, changed the evacuation " + before + " times");
+        breaches.add(
+            orders + " orders, one after the other, changed the evacuation " + before + " times");
       }
       return breaches;
     }
@@ -210,7 +286,9 @@
       final List<String> breaches = play(seed, true, counts);
       assertTrue(breaches.isEmpty(), "seed " + seed + ": " + breaches);
     }
-    assertTrue(counts[0] > 30 * 150 && counts[1] > 30 * 15, "only " + counts[0] + " calls for the lock and " + counts[1] + " orders");
+    assertTrue(
+        counts[0] > 30 * 150 && counts[1] > 30 * 15,
+        "only " + counts[0] + " calls for the lock and " + counts[1] + " orders");
   }
 
   @Test
@@ -223,21 +301,34 @@
   }
 
   private static Words.Call begin(final long number, final long hold) {
-    return new Words.Call(number, Deed.LOCK_BEGIN.ordinal(), "k", "owner " + number, hold, 0, null).from(9);
+    return new Words.Call(number, Deed.LOCK_BEGIN.ordinal(), "k", "owner " + number, hold, 0, null)
+        .from(9);
   }
 
   private static Words.Answer ask(final World world, final String at, final Words.Call call) {
     final Words.Answer[] answer = new Words.Answer[1];
-    world.fleet.machines().get(at).core().call(Wire.value(Wire.bytes(call), Words.Call.class), one -> answer[0] = one, world.fleet.now());
+    world
+        .fleet
+        .machines()
+        .get(at)
+        .core()
+        .call(
+            Wire.value(Wire.bytes(call), Words.Call.class),
+            one -> answer[0] = one,
+            world.fleet.now());
     world.fleet.run(300);
     return answer[0];
   }
 
-  /** Whoever holds the duty, found by beginning the lock under this number, or one of those after it where another holds it still. */
+  /**
+   * Whoever holds the duty, found by beginning the lock under this number, or one of those after it
+   * where another holds it still.
+   */
   private static String holder(final World world, final long number, final long hold) {
     for (int round = 0; round < 40; round++) {
       for (final String address : world.fleet.running()) {
-        final Words.Answer answer = ask(world, address, begin(number + round, hold).leaving(world.fleet.now(), 0));
+        final Words.Answer answer =
+            ask(world, address, begin(number + round, hold).leaving(world.fleet.now(), 0));
         if (answer != null && answer.status == 200) {
           return address;
         }
@@ -255,7 +346,8 @@
     world.fleet.kill(first, true);
     final String next = holder(world, 100, 100);
     world.fleet.run(300);
-    final Words.Answer copy = ask(world, next, call.aged(world.fleet.now() - sentAt, 0).leaving(world.fleet.now(), 0));
+    final Words.Answer copy =
+        ask(world, next, call.aged(world.fleet.now() - sentAt, 0).leaving(world.fleet.now(), 0));
     assertEquals(copy.status, 504);
     assertEquals(copy.caller, 9);
     final Words.Answer fresh = ask(world, next, begin(203, 100).leaving(world.fleet.now(), 0));
@@ -276,7 +368,10 @@
     final long before = world.fleet.now();
     world.fleet.kill(last, true);
     final String next = holder(world, 400, 100);
-    assertEquals(ask(world, next, begin(205, 100).leaving(before, 0)).status, 0, "sent before the duty began, or after: not known");
+    assertEquals(
+        ask(world, next, begin(205, 100).leaving(before, 0)).status,
+        0,
+        "sent before the duty began, or after: not known");
     world.fleet.run(300);
     assertEquals(ask(world, next, begin(205, 100).leaving(world.fleet.now(), 0)).first, 5);
   }
@@ -291,9 +386,11 @@
     final Words.Answer other = ask(world, at, begin(203, 100).leaving(world.fleet.now(), 0));
     assertEquals(other.first, first.first + 1);
     world.fleet.run(300);
-    final Words.Answer second = ask(world, at, begin(202, 100).aged(900, 0).leaving(world.fleet.now(), 0));
+    final Words.Answer second =
+        ask(world, at, begin(202, 100).aged(900, 0).leaving(world.fleet.now(), 0));
     assertEquals(second.status, 200);
     assertEquals(second.first, first.first);
-    assertEquals(ask(world, at, begin(204, 100).leaving(world.fleet.now(), 0)).first, other.first + 1);
+    assertEquals(
+        ask(world, at, begin(204, 100).leaving(world.fleet.now(), 0)).first, other.first + 1);
   }
 }
--- a/rig/src/test/java/weldpoint/frame/BrokenBook.java
+++ b/rig/src/test/java/weldpoint/frame/BrokenBook.java
@@ -6,39 +6,44 @@
 
 /** Holders that keep the history wrongly, for the checks to catch. */
 public final class BrokenBook {
-  private BrokenBook() {
-  }
+  private BrokenBook() {}
 
   /** A holder that lets several changes be under way at once, each with its own entry only. */
   public static void hasty(final FrameCore core, final AuditStore store, final long keeps) {
-    core.history(store, keeps, new AuditBook(Fleet.ENTRY_BYTES) {
-      @Override
-      boolean busy(final Held held) {
-        return false;
-      }
+    core.history(
+        store,
+        keeps,
+        new AuditBook(Fleet.ENTRY_BYTES) {
+          @Override
+          boolean busy(final Held held) {
+            return false;
+          }
 
-      @Override
-      void settle(final weldpoint.trunk.Words.Roster roster) {
-        forget();
-      }
-    });
+          @Override
+          void settle(final weldpoint.trunk.Words.Roster roster) {
+            forget();
+          }
+        });
   }
 
   /** A holder that acknowledges whatever is not above the version held, and leaves it at that. */
   public static void heedless(final FrameCore core) {
-    core.versions(new TakenVersions(null, null) {
-      @Override
-      Decision decide(final Values.Spec held, final weldpoint.trunk.Words.Call call) {
-        return Decision.confirm(200, 0);
-      }
-    });
+    core.versions(
+        new TakenVersions(null, null) {
+          @Override
+          Decision decide(final Values.Spec held, final weldpoint.trunk.Words.Call call) {
+            return Decision.confirm(200, 0);
+          }
+        });
   }
 
   /** A holder that knows what the version held stands for, but of older ones nothing. */
   public static void forgetful(final FrameCore core, final AuditStore store, final long keeps) {
     core.history(store, keeps, Fleet.ENTRY_BYTES);
-    core.versions(new TakenVersions(new AuditBook(Fleet.ENTRY_BYTES), new weldpoint.audit.AuditLog("none", new weldpoint.audit.HeapStore(), () -> {
-    })));
+    core.versions(
+        new TakenVersions(
+            new AuditBook(Fleet.ENTRY_BYTES),
+            new weldpoint.audit.AuditLog("none", new weldpoint.audit.HeapStore(), () -> {})));
   }
 
   /** A configuration as a store wrote it before it kept the digest of what it says. */
@@ -47,25 +52,34 @@
       return entry;
     }
     final Values.Spec spec = (Values.Spec) Values.Kind.SPEC.decode(entry.whole);
-    return new weldpoint.trunk.Words.Entry(entry.name, entry.mark, entry.base, entry.difference, Values.Kind.SPEC.encode(new Values.Spec(spec.version, spec.body, spec.summary, spec.tied, null)), entry.audit);
+    return new weldpoint.trunk.Words.Entry(
+        entry.name,
+        entry.mark,
+        entry.base,
+        entry.difference,
+        Values.Kind.SPEC.encode(
+            new Values.Spec(spec.version, spec.body, spec.summary, spec.tied, null)),
+        entry.audit);
   }
 
   /** A holder as before there was a history: no entries at all. */
   public static void silent(final FrameCore core, final AuditStore store, final long keeps) {
-    core.history(store, keeps, new AuditBook(Fleet.ENTRY_BYTES) {
-      @Override
-      void add(final AuditEntry.Draft draft) {
-      }
+    core.history(
+        store,
+        keeps,
+        new AuditBook(Fleet.ENTRY_BYTES) {
+          @Override
+          void add(final AuditEntry.Draft draft) {}
 
-      @Override
-      void propose(final Held held) {
-        held.audit = null;
-      }
+          @Override
+          void propose(final Held held) {
+            held.audit = null;
+          }
 
-      @Override
-      boolean idle() {
-        return false;
-      }
-    });
+          @Override
+          boolean idle() {
+            return false;
+          }
+        });
   }
 }
--- a/rig/src/test/java/weldpoint/frame/Kept.java
+++ b/rig/src/test/java/weldpoint/frame/Kept.java
@@ -12,7 +12,11 @@
 public final class Kept {
   /** What a record is about. */
   public enum Kind {
-    SELF, PROMISE, REGISTERS, ROSTER, KNOWN
+    SELF,
+    PROMISE,
+    REGISTERS,
+    ROSTER,
+    KNOWN
   }
 
   private final Partition[] partitions = new Partition[FrameCore.PARTITIONS];
@@ -53,7 +57,12 @@
           partitions[record.partition].promised = record.ballot;
         }
       }
-      case REGISTERS -> partitions[record.partition].store(record.ballot, record.incarnation == 1, Words.list(record.entries), new ArrayList<>());
+      case REGISTERS ->
+          partitions[record.partition].store(
+              record.ballot,
+              record.incarnation == 1,
+              Words.list(record.entries),
+              new ArrayList<>());
       case ROSTER -> roster = record.roster.number > roster.number ? record.roster : roster;
       case KNOWN -> known.merge(record.address, record.incarnation, Math::max);
       default -> throw new IllegalStateException("no rule for " + kind(bytes));
--- a/rig/src/test/java/weldpoint/rig/BrokenControlTest.java
+++ b/rig/src/test/java/weldpoint/rig/BrokenControlTest.java
@@ -20,7 +20,10 @@
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words;
 
-/** Control sides with one safety mechanism broken, by meddling with what is said: the checker must notice each. */
+/**
+ * Control sides with one safety mechanism broken, by meddling with what is said: the checker must
+ * notice each.
+ */
 public final class BrokenControlTest {
   private static final int DAYS = 12;
   private static final int WHOLE_DAYS = 4;
@@ -35,7 +38,11 @@
     private final Map<String, ControlFleet.Reply> last = new HashMap<>();
 
     @Override
-    public void answered(final String machine, final String uri, final ControlFleet.Reply reply, final Consumer<ControlFleet.Reply> caller) {
+    public void answered(
+        final String machine,
+        final String uri,
+        final ControlFleet.Reply reply,
+        final Consumer<ControlFleet.Reply> caller) {
       if (uri.contains("configuration.read")) {
         if (reply.status() == 200) {
           last.put(machine, reply);
@@ -51,19 +58,31 @@
   /** A door that acknowledges a configuration which was refused, as though its number were free. */
   private static final class AcknowledgesTwice implements ControlFleet.Meddler {
     @Override
-    public void answered(final String machine, final String uri, final ControlFleet.Reply reply, final Consumer<ControlFleet.Reply> caller) {
-      caller.accept(uri.contains("configuration.replace") && reply.status() == 409 ? new ControlFleet.Reply(200, "{}", null) : reply);
+    public void answered(
+        final String machine,
+        final String uri,
+        final ControlFleet.Reply reply,
+        final Consumer<ControlFleet.Reply> caller) {
+      caller.accept(
+          uri.contains("configuration.replace") && reply.status() == 409
+              ? new ControlFleet.Reply(200, "{}", null)
+              : reply);
     }
   }
 
-  /** A holder of a duty who heeds no other ballot, and for whom each pulse counts as confirmed, whatever the answer said. */
+  /**
+   * A holder of a duty who heeds no other ballot, and for whom each pulse counts as confirmed,
+   * whatever the answer said.
+   */
   private static final class NeverOvertaken implements ControlFleet.Meddler {
     private final Map<String, Words.Pulse> pulses = new HashMap<>();
 
     @Override
-    public void heard(final String from, final String to, final Message message, final Consumer<Message> ear) {
+    public void heard(
+        final String from, final String to, final Message message, final Consumer<Message> ear) {
       final boolean holds = pulses.keySet().stream().anyMatch(way -> way.startsWith(to + ">"));
-      if (message instanceof Words.Refused || holds && (message instanceof Words.Prepare || message instanceof Words.Accept)) {
+      if (message instanceof Words.Refused
+          || holds && (message instanceof Words.Prepare || message instanceof Words.Accept)) {
         return;
       }
       if (message instanceof Words.Pulse) {
@@ -71,7 +90,9 @@
       } else if (message instanceof Words.Pulsed && pulses.containsKey(to + ">" + from)) {
         final Words.Pulse pulse = pulses.get(to + ">" + from);
         final Words.Pulsed pulsed = (Words.Pulsed) message;
-        ear.accept(new Words.Pulsed(pulse.partitions, pulse.ballots, pulsed.incarnation, pulsed.known, pulsed.audited));
+        ear.accept(
+            new Words.Pulsed(
+                pulse.partitions, pulse.ballots, pulsed.incarnation, pulsed.known, pulsed.audited));
         return;
       }
       ear.accept(message);
@@ -89,7 +110,8 @@
     }
 
     @Override
-    public void heard(final String from, final String to, final Message message, final Consumer<Message> ear) {
+    public void heard(
+        final String from, final String to, final Message message, final Consumer<Message> ear) {
       ear.accept(message);
       if (message instanceof Words.Call && ((Words.Call) message).deed == Deed.EVACUATE.ordinal()) {
         final Words.Call call = (Words.Call) message;
@@ -101,11 +123,23 @@
     }
 
     private static Words.Call unknown(final Words.Call call) {
-      return new Words.Call(call.number + 1_000_000, call.deed, call.name, call.owner, call.first, call.second, call.body, call.cause);
+      return new Words.Call(
+          call.number + 1_000_000,
+          call.deed,
+          call.name,
+          call.owner,
+          call.first,
+          call.second,
+          call.body,
+          call.cause);
     }
   }
 
-  /** An exchange is told the answer that its last life got to a call of the same kind, under a number of its own: under its own name too, so that it takes it, or under that of the life which asked. */
+  /**
+   * An exchange is told the answer that its last life got to a call of the same kind, under a
+   * number of its own: under its own name too, so that it takes it, or under that of the life which
+   * asked.
+   */
   private static final class OfAnotherLife implements ControlFleet.Meddler {
     private final boolean taken;
     private final Map<String, Words.Call> calls = new HashMap<>();
@@ -119,17 +153,19 @@
     @Override
     public void started(final String machine) {
       former.keySet().removeIf(key -> key.startsWith(machine + " "));
-      answers.forEach((key, answer) -> {
-        if (key.startsWith(machine + " ")) {
-          former.put(key, answer);
-        }
-      });
+      answers.forEach(
+          (key, answer) -> {
+            if (key.startsWith(machine + " ")) {
+              former.put(key, answer);
+            }
+          });
       answers.keySet().removeIf(key -> key.startsWith(machine + " "));
       calls.keySet().removeIf(key -> key.startsWith(machine + " "));
     }
 
     @Override
-    public void heard(final String from, final String to, final Message message, final Consumer<Message> ear) {
+    public void heard(
+        final String from, final String to, final Message message, final Consumer<Message> ear) {
       if (message instanceof Words.Call) {
         calls.put(from + " " + ((Words.Call) message).number, (Words.Call) message);
       } else if (message instanceof Words.Answer && ((Words.Answer) message).status == 200) {
@@ -139,7 +175,9 @@
           final Words.Answer old = former.remove(to + " " + call.name);
           answers.put(to + " " + call.name, answer);
           if (old != null) {
-            ear.accept(new Words.Answer(answer.number, old.status, old.first, old.body, old.holder).to(taken ? answer.caller : old.caller));
+            ear.accept(
+                new Words.Answer(answer.number, old.status, old.first, old.body, old.holder)
+                    .to(taken ? answer.caller : old.caller));
             return;
           }
         }
@@ -160,45 +198,96 @@
     }
 
     @Override
-    public void append(final String machine, final String program, final byte[] record, final Runnable synced, final BiConsumer<byte[], Runnable> disk) {
+    public void append(
+        final String machine,
+        final String program,
+        final byte[] record,
+        final Runnable synced,
+        final BiConsumer<byte[], Runnable> disk) {
       final ArrayDeque<byte[]> records = waiting.get(machine + " " + program);
       records.add(record);
       if (records.size() > WAITING) {
-        disk.accept(records.poll(), () -> {
-        });
+        disk.accept(records.poll(), () -> {});
       }
       synced.run();
     }
   }
 
   private static LongFunction<ControlPlan> days(final String troubles) {
-    return seed -> ControlPlan.parse("seed=" + seed + " cores=5 lasts=16000 " + troubles.replace("SEED", String.valueOf(seed)));
+    return seed ->
+        ControlPlan.parse(
+            "seed="
+                + seed
+                + " cores=5 lasts=16000 "
+                + troubles.replace("SEED", String.valueOf(seed)));
   }
 
   @DataProvider
   public Object[][] variants() {
     return new Object[][] {
-        {"an answer with authority without a majority since the question", (Supplier<ControlFleet.Meddler>) AnswersAlone::new, days("core_cut@3000+6000#SEED"), "a read sent at"},
-        {"a number acknowledged twice with different content", (Supplier<ControlFleet.Meddler>) AcknowledgesTwice::new, days(""), "with two contents"},
-        {"a stale holder that serves on after thawing", (Supplier<ControlFleet.Meddler>) NeverOvertaken::new, days("node_freeze@2000+2500#SEED node_freeze@6000+2500#1SEED node_freeze@11000+2500#2SEED"), "though"},
-        {"a call carried out a second time from a delayed copy", (Supplier<ControlFleet.Meddler>) () -> new DelayedCopies(false), days(""), "which no order of its orders allows"},
-        {"an answer given to the number of another life", (Supplier<ControlFleet.Meddler>) () -> new OfAnotherLife(true), days("roll_term@2000+6000#SEED"), "gave"},
-        {"a record that counts before it is synced", (Supplier<ControlFleet.Meddler>) SyncsLate::new, days("herd_kill@4000+1000#SEED herd_kill@8000+1000#1SEED"), "though"},
+      {
+        "an answer with authority without a majority since the question",
+        (Supplier<ControlFleet.Meddler>) AnswersAlone::new,
+        days("core_cut@3000+6000#SEED"),
+        "a read sent at"
+      },
+      {
+        "a number acknowledged twice with different content",
+        (Supplier<ControlFleet.Meddler>) AcknowledgesTwice::new,
+        days(""),
+        "with two contents"
+      },
+      {
+        "a stale holder that serves on after thawing",
+        (Supplier<ControlFleet.Meddler>) NeverOvertaken::new,
+        days("node_freeze@2000+2500#SEED node_freeze@6000+2500#1SEED node_freeze@11000+2500#2SEED"),
+        "though"
+      },
+      {
+        "a call carried out a second time from a delayed copy",
+        (Supplier<ControlFleet.Meddler>) () -> new DelayedCopies(false),
+        days(""),
+        "which no order of its orders allows"
+      },
+      {
+        "an answer given to the number of another life",
+        (Supplier<ControlFleet.Meddler>) () -> new OfAnotherLife(true),
+        days("roll_term@2000+6000#SEED"),
+        "gave"
+      },
+      {
+        "a record that counts before it is synced",
+        (Supplier<ControlFleet.Meddler>) SyncsLate::new,
+        days("herd_kill@4000+1000#SEED herd_kill@8000+1000#1SEED"),
+        "though"
+      },
     };
   }
 
   @Test(dataProvider = "variants")
-  public void aBrokenMechanismIsNoticed(final String name, final Supplier<ControlFleet.Meddler> variant, final LongFunction<ControlPlan> days, final String breach) {
+  public void aBrokenMechanismIsNoticed(
+      final String name,
+      final Supplier<ControlFleet.Meddler> variant,
+      final LongFunction<ControlPlan> days,
+      final String breach) {
     int caught = 0;
     for (long seed = 1; seed <= DAYS; seed++) {
       final ControlPlan plan = days.apply(seed);
-      caught += ControlDay.play(plan, variant.get()).breaches().stream().anyMatch(line -> line.contains(breach)) ? 1 : 0;
+      caught +=
+          ControlDay.play(plan, variant.get()).breaches().stream()
+                  .anyMatch(line -> line.contains(breach))
+              ? 1
+              : 0;
     }
     assertTrue(caught >= DAYS / 4, name + " was noticed on " + caught + " days of " + DAYS);
   }
 
   @Test(dataProvider = "variants")
-  public void theSameDaysAreWholeWithoutTheFault(final String name, final Supplier<ControlFleet.Meddler> variant, final LongFunction<ControlPlan> days, final String breach) {
+  public void theSameDaysAreWholeWithoutTheFault(
+      final String name,
+      final Supplier<ControlFleet.Meddler> variant,
+      final LongFunction<ControlPlan> days,
+      final String breach) {
     for (long seed = 1; seed <= WHOLE_DAYS; seed++) {
       final ControlPlan plan = days.apply(seed);
       assertEquals(ControlDay.play(plan).breaches(), List.of(), "--day '" + plan + "'");
@@ -208,19 +297,27 @@
   @Test
   public void copiesAndAnswersUnderTheirOwnNamesDoNoHarm() {
     for (long seed = 1; seed <= DAYS; seed++) {
-      final List<String> copies = ControlDay.play(days("").apply(seed), new DelayedCopies(true)).breaches();
+      final List<String> copies =
+          ControlDay.play(days("").apply(seed), new DelayedCopies(true)).breaches();
       assertTrue(copies.isEmpty(), "seed " + seed + ": " + copies);
-      final List<String> answers = ControlDay.play(days("roll_term@2000+6000#SEED").apply(seed), new OfAnotherLife(false)).breaches();
+      final List<String> answers =
+          ControlDay.play(days("roll_term@2000+6000#SEED").apply(seed), new OfAnotherLife(false))
+              .breaches();
       assertTrue(answers.isEmpty(), "seed " + seed + ": " + answers);
     }
   }
 
   @Test
   public void aDayThatBreaksAPromiseIsShortened() {
-    final ControlPlan plan = ControlPlan.parse("seed=3 cores=5 lasts=16000 hup@1000+500#1 core_cut@3000+6000#3 clock_step@4000+2000#2 seed_turnover@9000+500#4");
+    final ControlPlan plan =
+        ControlPlan.parse(
+            "seed=3 cores=5 lasts=16000 hup@1000+500#1 core_cut@3000+6000#3 clock_step@4000+2000#2 seed_turnover@9000+500#4");
     final ControlDay.Outcome outcome = ControlDay.play(plan, new AnswersAlone());
-    final ControlPlan shorter = Shrinker.shrink(plan, outcome, one -> ControlDay.play(one, new AnswersAlone()));
-    assertTrue(ControlDay.play(shorter, new AnswersAlone()).breaches().size() > 0, shorter.toString());
-    assertTrue(shorter.troubles().size() <= 1 && shorter.lasts() < plan.lasts(), shorter.toString());
+    final ControlPlan shorter =
+        Shrinker.shrink(plan, outcome, one -> ControlDay.play(one, new AnswersAlone()));
+    assertTrue(
+        ControlDay.play(shorter, new AnswersAlone()).breaches().size() > 0, shorter.toString());
+    assertTrue(
+        shorter.troubles().size() <= 1 && shorter.lasts() < plan.lasts(), shorter.toString());
   }
 }
--- a/rig/src/test/java/weldpoint/rig/CatchUpMeasureTest.java
+++ b/rig/src/test/java/weldpoint/rig/CatchUpMeasureTest.java
@@ -8,8 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import org.testng.annotations.BeforeClass;
 import org.testng.SkipException;
+import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 import weldpoint.audit.ConfigurationSummary;
 import weldpoint.dialplan.Dialplan;
@@ -19,13 +19,20 @@
 import weldpoint.trunk.Words;
 
 /**
- * Catching up after hundreds and thousands of configurations: a member is killed, cut off and wiped while they come, and
- * restarted and wiped after them. Prints time, bytes and memory; all on the fake clock, over links of 3.6 MB a second. The
- * runs of 10,000 changes are played with -Dweldpoint.catchup.long=true.
+ * Catching up after hundreds and thousands of configurations: a member is killed, cut off and wiped
+ * while they come, and restarted and wiped after them. Prints time, bytes and memory; all on the
+ * fake clock, over links of 3.6 MB a second. The runs of 10,000 changes are played with
+ * -Dweldpoint.catchup.long=true.
  */
 public final class CatchUpMeasureTest {
   private static final List<String> SEEDS = List.of("10.0.1.1", "10.0.2.1", "10.0.3.1");
-  private static final String[][] MACHINES = {{"10.0.1.1", "a", "x"}, {"10.0.1.2", "a", "x"}, {"10.0.2.1", "b", "y"}, {"10.0.3.1", "c", "x"}, {"10.0.4.1", "d", "y"}};
+  private static final String[][] MACHINES = {
+    {"10.0.1.1", "a", "x"},
+    {"10.0.1.2", "a", "x"},
+    {"10.0.2.1", "b", "y"},
+    {"10.0.3.1", "c", "x"},
+    {"10.0.4.1", "d", "y"}
+  };
   private static final String MEMBER = "10.0.4.1";
   private static final int RETENTION = 2000;
 
@@ -41,27 +48,56 @@
     while (rules.size() < routes) {
       rules.add(null);
     }
-    final StringBuilder text = new StringBuilder("{\"version\":\"" + String.format("%08x", version) + "\",\"listeners\":[{\"host\":\"h.example\",\"rules\":[");
+    final StringBuilder text =
+        new StringBuilder(
+            "{\"version\":\""
+                + String.format("%08x", version)
+                + "\",\"listeners\":[{\"host\":\"h.example\",\"rules\":[");
     final int changed = (int) (version % routes);
     for (int route = 0; route < routes; route++) {
       if (rules.get(route) == null || route == changed) {
-        rules.set(route, ("{\"name\":\"r-" + Long.toString(random.nextLong() >>> 1, 36) + "\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/p" + route + "/\"},\"action\":{\"service\":\"s" + random.nextInt(3)
-            + "\",\"timeoutMs\":" + (500 + random.nextInt(3000)) + ",\"maxAttempts\":2,\"homeRegions\":[]}}").getBytes(StandardCharsets.UTF_8));
+        rules.set(
+            route,
+            ("{\"name\":\"r-"
+                    + Long.toString(random.nextLong() >>> 1, 36)
+                    + "\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,\"priority\":2,\"match\":{\"pathPrefix\":\"/p"
+                    + route
+                    + "/\"},\"action\":{\"service\":\"s"
+                    + random.nextInt(3)
+                    + "\",\"timeoutMs\":"
+                    + (500 + random.nextInt(3000))
+                    + ",\"maxAttempts\":2,\"homeRegions\":[]}}")
+                .getBytes(StandardCharsets.UTF_8));
       }
-      text.append(route == 0 ? "" : ",").append(new String(rules.get(route), StandardCharsets.UTF_8));
+      text.append(route == 0 ? "" : ",")
+          .append(new String(rules.get(route), StandardCharsets.UTF_8));
     }
-    return text.append("]}],\"pools\":[{\"name\":\"s0\"},{\"name\":\"s1\"},{\"name\":\"s2\"}]}").toString().getBytes(StandardCharsets.UTF_8);
+    return text.append("]}],\"pools\":[{\"name\":\"s0\"},{\"name\":\"s1\"},{\"name\":\"s2\"}]}")
+        .toString()
+        .getBytes(StandardCharsets.UTF_8);
   }
 
   /** Sends configurations until the last is acknowledged. */
   private long change(final Fleet fleet, final long from, final long through, final int routes) {
     for (long version = from + 1; version <= through; version++) {
       final byte[] body = configuration(version, routes);
-      final Words.Cause cause = new Words.Cause("author", "10.9.9.9", "10.0.1.1", Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
+      final Words.Cause cause =
+          new Words.Cause(
+              "author",
+              "10.9.9.9",
+              "10.0.1.1",
+              Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
       final byte[] packed = Packing.deflate(body);
       final boolean[] taken = new boolean[1];
       for (int attempt = 0; attempt < 100 && !taken[0]; attempt++) {
-        fleet.change(SEEDS.get(attempt % 3), Deed.SPEC_REPLACE, "", version, packed, cause, answer -> taken[0] |= answer.status == 200);
+        fleet.change(
+            SEEDS.get(attempt % 3),
+            Deed.SPEC_REPLACE,
+            "",
+            version,
+            packed,
+            cause,
+            answer -> taken[0] |= answer.status == 200);
         for (int wait = 0; wait < 60 && !taken[0]; wait++) {
           fleet.run(10);
         }
@@ -72,11 +108,15 @@
   }
 
   private static long bytes(final Fleet fleet) {
-    return fleet.received(MEMBER, Words.Fetched.class) + fleet.received(MEMBER, Words.Accept.class) + fleet.received(MEMBER, Words.AuditPart.class);
+    return fleet.received(MEMBER, Words.Fetched.class)
+        + fleet.received(MEMBER, Words.Accept.class)
+        + fleet.received(MEMBER, Words.AuditPart.class);
   }
 
   private static boolean caughtUp(final Fleet fleet) {
-    return !fleet.machines().get(MEMBER).core().blank() && fleet.machines().get(MEMBER).core().history().durable() == fleet.machines().get(SEEDS.get(0)).core().history().durable();
+    return !fleet.machines().get(MEMBER).core().blank()
+        && fleet.machines().get(MEMBER).core().history().durable()
+            == fleet.machines().get(SEEDS.get(0)).core().history().durable();
   }
 
   private static long[] catchUp(final Fleet fleet) {
@@ -98,7 +138,10 @@
     return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
   }
 
-  /** One measurement: the bytes and times of a restart with the disk that missed the last half of the changes, and of a wiped disk. */
+  /**
+   * One measurement: the bytes and times of a restart with the disk that missed the last half of
+   * the changes, and of a wiped disk.
+   */
   private long[] measure(final int changes, final int routes) {
     final Fleet fleet = new Fleet(11, SEEDS, true);
     fleet.keeps(RETENTION);
@@ -137,18 +180,52 @@
       disk += record.length;
     }
     final long heap = heap();
-    System.out.println("catching up, " + changes + " changes of " + routes + " routes (" + Packing.deflate(configuration(version, routes)).length + " bytes packed): killed for an eighth " + killed[0] + " ms " + killed[1] + " bytes; cut for an eighth " + cut + " ms; killed for a half "
-        + restarted[0] + " ms " + restarted[1] + " bytes; wiped after all " + wiped[0] + " ms " + wiped[1] + " bytes; live state " + disk + " bytes, history " + fleet.machines().get(MEMBER).core().history().base() + " to " + fleet.machines().get(MEMBER).core().history().last()
-        + "; heap of five frames " + heap / 1024 + " KB; played in " + (System.nanoTime() - started) / 1_000_000 + " ms");
-    assertEquals(fleet.machines().get(MEMBER).core().history().last(), fleet.machines().get(SEEDS.get(0)).core().history().last());
+    System.out.println(
+        "catching up, "
+            + changes
+            + " changes of "
+            + routes
+            + " routes ("
+            + Packing.deflate(configuration(version, routes)).length
+            + " bytes packed): killed for an eighth "
+            + killed[0]
+            + " ms "
+            + killed[1]
+            + " bytes; cut for an eighth "
+            + cut
+            + " ms; killed for a half "
+            + restarted[0]
+            + " ms "
+            + restarted[1]
+            + " bytes; wiped after all "
+            + wiped[0]
+            + " ms "
+            + wiped[1]
+            + " bytes; live state "
+            + disk
+            + " bytes, history "
+            + fleet.machines().get(MEMBER).core().history().base()
+            + " to "
+            + fleet.machines().get(MEMBER).core().history().last()
+            + "; heap of five frames "
+            + heap / 1024
+            + " KB; played in "
+            + (System.nanoTime() - started) / 1_000_000
+            + " ms");
+    assertEquals(
+        fleet.machines().get(MEMBER).core().history().last(),
+        fleet.machines().get(SEEDS.get(0)).core().history().last());
     assertFalse(fleet.machines().get(MEMBER).core().blank());
     return new long[] {restarted[0], restarted[1], wiped[0], wiped[1], heap};
   }
 
   private static void linear(final long[] few, final long[] many, final double times) {
-    assertTrue(many[1] < few[1] * times * 1.5 + 200_000, "restart: " + few[1] + " bytes, then " + many[1]);
-    assertTrue(many[3] < few[3] * times * 1.5 + 200_000, "wipe: " + few[3] + " bytes, then " + many[3]);
-    assertTrue(many[0] < 6000 && many[2] < 6000, "restart " + many[0] + " ms, wipe " + many[2] + " ms");
+    assertTrue(
+        many[1] < few[1] * times * 1.5 + 200_000, "restart: " + few[1] + " bytes, then " + many[1]);
+    assertTrue(
+        many[3] < few[3] * times * 1.5 + 200_000, "wipe: " + few[3] + " bytes, then " + many[3]);
+    assertTrue(
+        many[0] < 6000 && many[2] < 6000, "restart " + many[0] + " ms, wipe " + many[2] + " ms");
   }
 
   @Test
@@ -156,7 +233,8 @@
     linear(measure(100, 3), measure(1000, 3), 10);
     final long[] large = measure(100, 500);
     assertTrue(large[0] < 4000 && large[2] < 4000);
-    assertTrue(large[1] < 1_500_000 && large[3] < 1_500_000, "restart " + large[1] + ", wipe " + large[3]);
+    assertTrue(
+        large[1] < 1_500_000 && large[3] < 1_500_000, "restart " + large[1] + ", wipe " + large[3]);
   }
 
   @Test
--- a/rig/src/test/java/weldpoint/rig/CatchUpTest.java
+++ b/rig/src/test/java/weldpoint/rig/CatchUpTest.java
@@ -17,10 +17,19 @@
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words;
 
-/** A member that was away, cut off or lost its disk catches up: over slow links, while changes go on, and only with what it lacks. */
+/**
+ * A member that was away, cut off or lost its disk catches up: over slow links, while changes go
+ * on, and only with what it lacks.
+ */
 public final class CatchUpTest {
   private static final List<String> SEEDS = List.of("10.0.1.1", "10.0.2.1", "10.0.3.1");
-  private static final String[][] MACHINES = {{"10.0.1.1", "a", "x"}, {"10.0.1.2", "a", "x"}, {"10.0.2.1", "b", "y"}, {"10.0.3.1", "c", "x"}, {"10.0.4.1", "d", "y"}};
+  private static final String[][] MACHINES = {
+    {"10.0.1.1", "a", "x"},
+    {"10.0.1.2", "a", "x"},
+    {"10.0.2.1", "b", "y"},
+    {"10.0.3.1", "c", "x"},
+    {"10.0.4.1", "d", "y"}
+  };
   private static final String MEMBER = "10.0.4.1";
 
   @BeforeClass
@@ -49,7 +58,10 @@
     return text.substring(0, length);
   }
 
-  /** Puts one key into each of so many groups, again where an answer did not come; returns how many puts were acknowledged. */
+  /**
+   * Puts one key into each of so many groups, again where an answer did not come; returns how many
+   * puts were acknowledged.
+   */
   private static int put(final Fleet fleet, final int groups, final int length) {
     final Map<Integer, String> open = new TreeMap<>();
     for (int group = 0; group < groups; group++) {
@@ -58,11 +70,19 @@
     for (int round = 0; round < 5 && !open.isEmpty(); round++) {
       int sent = 0;
       for (final Map.Entry<Integer, String> one : new ArrayList<>(open.entrySet())) {
-        fleet.call(SEEDS.get(0), Deed.CELL_REPLACE, "g" + one.getKey(), one.getValue(), -1, 0, "key".getBytes(StandardCharsets.UTF_8), answer -> {
-          if (answer.status == 200) {
-            open.remove(one.getKey());
-          }
-        });
+        fleet.call(
+            SEEDS.get(0),
+            Deed.CELL_REPLACE,
+            "g" + one.getKey(),
+            one.getValue(),
+            -1,
+            0,
+            "key".getBytes(StandardCharsets.UTF_8),
+            answer -> {
+              if (answer.status == 200) {
+                open.remove(one.getKey());
+              }
+            });
         if (++sent % 20 == 0) {
           fleet.run(40);
         }
@@ -74,7 +94,9 @@
 
   private static long untilWhole(final Fleet fleet, final long most) {
     final long from = fleet.now();
-    while (fleet.now() - from < most && (fleet.machines().get(MEMBER).core() == null || fleet.machines().get(MEMBER).core().blank())) {
+    while (fleet.now() - from < most
+        && (fleet.machines().get(MEMBER).core() == null
+            || fleet.machines().get(MEMBER).core().blank())) {
       fleet.run(10);
     }
     return fleet.now() - from;
@@ -90,7 +112,9 @@
 
   /** The bytes that the member was sent for catching up. */
   private static long bytes(final Fleet fleet) {
-    return fleet.received(MEMBER, Words.Fetched.class) + fleet.received(MEMBER, Words.Accept.class) + fleet.received(MEMBER, Words.AuditPart.class);
+    return fleet.received(MEMBER, Words.Fetched.class)
+        + fleet.received(MEMBER, Words.Accept.class)
+        + fleet.received(MEMBER, Words.AuditPart.class);
   }
 
   private static void restart(final Fleet fleet, final boolean wipe) {
@@ -141,14 +165,22 @@
     done[0] = true;
     assertFalse(fleet.machines().get(MEMBER).core().blank(), "still blank after " + took + " ms");
     final long fetched = fleet.received(MEMBER, Words.Fetched.class) - before;
-    assertTrue(fetched < 1_500_000, "600 KB of state came, over four lives, as " + fetched + " bytes");
+    assertTrue(
+        fetched < 1_500_000, "600 KB of state came, over four lives, as " + fetched + " bytes");
     assertTrue(took < 6000, "took " + took);
   }
 
   private static void change(final Fleet fleet, final boolean[] done) {
     if (!done[0]) {
-      fleet.call(SEEDS.get(0), Deed.CELL_REPLACE, "g" + fleet.random().nextInt(300), text(fleet.random(), 100), -1, 0, "other".getBytes(StandardCharsets.UTF_8), answer -> {
-      });
+      fleet.call(
+          SEEDS.get(0),
+          Deed.CELL_REPLACE,
+          "g" + fleet.random().nextInt(300),
+          text(fleet.random(), 100),
+          -1,
+          0,
+          "other".getBytes(StandardCharsets.UTF_8),
+          answer -> {});
       fleet.after(50, () -> change(fleet, done));
     }
   }
@@ -171,13 +203,13 @@
     assertTrue(took < 15_000, "took " + took);
   }
 
-  private static void configure(final Fleet fleet, final boolean[] done, final long[] version, final int length) {
+  private static void configure(
+      final Fleet fleet, final boolean[] done, final long[] version, final int length) {
     if (!done[0]) {
       final byte[] body = new byte[length];
       fleet.random().nextBytes(body);
       version[0]++;
-      fleet.call(SEEDS.get(0), Deed.SPEC_REPLACE, "", null, version[0], 0, body, answer -> {
-      });
+      fleet.call(SEEDS.get(0), Deed.SPEC_REPLACE, "", null, version[0], 0, body, answer -> {});
       fleet.after(700, () -> configure(fleet, done, version, length));
     }
   }
@@ -199,10 +231,14 @@
     final long few = missed(10);
     final long many = missed(100);
     final long most = missed(400);
-    assertTrue(many - few > 60_000 && many - few < 90 * 1_000 * 2, "10 changes " + few + " bytes, 100 changes " + many);
+    assertTrue(
+        many - few > 60_000 && many - few < 90 * 1_000 * 2,
+        "10 changes " + few + " bytes, 100 changes " + many);
 
     final double slope = (most - many) / 300.0 / ((many - few) / 90.0);
-    assertTrue(slope > 0.6 && slope < 1.6, "10 changes " + few + " bytes, 100 changes " + many + ", 400 changes " + most);
+    assertTrue(
+        slope > 0.6 && slope < 1.6,
+        "10 changes " + few + " bytes, 100 changes " + many + ", 400 changes " + most);
     assertTrue(few < 200_000, "of a state of 700 KB, 10 changes took " + few + " bytes");
   }
 
@@ -213,14 +249,23 @@
       public Message pass(final String from, final String to, final Message message) {
         if (message instanceof Words.Promise && to.equals(candidate)) {
           final Words.Promise promise = (Words.Promise) message;
-          return new Words.Promise(promise.partition, promise.ballot, Mark.NONE, List.of(), promise.incarnation, promise.known);
+          return new Words.Promise(
+              promise.partition,
+              promise.ballot,
+              Mark.NONE,
+              List.of(),
+              promise.incarnation,
+              promise.known);
         }
         return message;
       }
     };
   }
 
-  /** How many keys are read below what was acknowledged once a member with old state, and the best reach, has led. */
+  /**
+   * How many keys are read below what was acknowledged once a member with old state, and the best
+   * reach, has led.
+   */
   private static int behind(final boolean broken) {
     final Fleet fleet = fleet(5);
     if (broken) {
@@ -240,13 +285,22 @@
     fleet.cut("10.0.1.2", "10.0.2.1", true);
     fleet.cut("10.0.2.1", "10.0.1.2", true);
     fleet.run(6000);
-    assertTrue(fleet.machines().get(MEMBER).core().serving() > 0, "the member with the best reach leads");
+    assertTrue(
+        fleet.machines().get(MEMBER).core().serving() > 0, "the member with the best reach leads");
     final int[] found = new int[2];
     for (int group = 0; group < 40; group++) {
-      fleet.call(MEMBER, Deed.CELL_READ, "g" + group, null, 0, 0, "key".getBytes(StandardCharsets.UTF_8), answer -> {
-        found[0]++;
-        found[1] += answer.status == 200 && answer.first == 2 ? 0 : 1;
-      });
+      fleet.call(
+          MEMBER,
+          Deed.CELL_READ,
+          "g" + group,
+          null,
+          0,
+          0,
+          "key".getBytes(StandardCharsets.UTF_8),
+          answer -> {
+            found[0]++;
+            found[1] += answer.status == 200 && answer.first == 2 ? 0 : 1;
+          });
     }
     fleet.run(1500);
     assertTrue(found[0] > 30, "answers " + found[0]);
@@ -273,7 +327,8 @@
     done[0] = true;
     fleet.run(2000);
     final List<Long> learned = new ArrayList<>();
-    fleet.call(SEEDS.get(0), Deed.CONTROL, "", null, 0, 0, null, answer -> learned.add(answer.first));
+    fleet.call(
+        SEEDS.get(0), Deed.CONTROL, "", null, 0, 0, null, answer -> learned.add(answer.first));
     fleet.run(2000);
     assertTrue(version[0] > 40);
     assertEquals(learned, List.of(version[0]));
@@ -290,12 +345,15 @@
     fleet.run(2000);
     restart(fleet, true);
     final boolean[] lost = {true};
-    fleet.meddler(new Fleet.Meddler() {
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        return lost[0] && to.equals(MEMBER) && message instanceof Words.AuditPart ? null : message;
-      }
-    });
+    fleet.meddler(
+        new Fleet.Meddler() {
+          @Override
+          public Message pass(final String from, final String to, final Message message) {
+            return lost[0] && to.equals(MEMBER) && message instanceof Words.AuditPart
+                ? null
+                : message;
+          }
+        });
     fleet.start(MEMBER, false);
     fleet.run(5000);
     assertTrue(fleet.machines().get(MEMBER).core().blank());
@@ -303,9 +361,13 @@
     fleet.run(300);
     fleet.start(MEMBER, false);
     fleet.run(5000);
-    assertTrue(fleet.machines().get(MEMBER).core().blank(), "counts with " + fleet.machines().get(MEMBER).core().history().last() + " entries");
+    assertTrue(
+        fleet.machines().get(MEMBER).core().blank(),
+        "counts with " + fleet.machines().get(MEMBER).core().history().last() + " entries");
     lost[0] = false;
     assertTrue(untilWhole(fleet, 10_000) < 10_000);
-    assertEquals(fleet.machines().get(MEMBER).core().history().last(), fleet.machines().get(SEEDS.get(0)).core().history().last());
+    assertEquals(
+        fleet.machines().get(MEMBER).core().history().last(),
+        fleet.machines().get(SEEDS.get(0)).core().history().last());
   }
 }
--- a/rig/src/test/java/weldpoint/rig/FrameSafetyTest.java
+++ b/rig/src/test/java/weldpoint/rig/FrameSafetyTest.java
@@ -13,10 +13,19 @@
 import org.testng.annotations.Test;
 import weldpoint.frame.Deed;
 
-/** Five frames under cuts, freezes, kills, power loss, wipes and replacement; what callers saw must fit one order. */
+/**
+ * Five frames under cuts, freezes, kills, power loss, wipes and replacement; what callers saw must
+ * fit one order.
+ */
 public final class FrameSafetyTest {
   private static final List<String> SEEDS = List.of("10.0.1.1", "10.0.2.1", "10.0.3.1");
-  private static final String[][] MACHINES = {{"10.0.1.1", "a", "x"}, {"10.0.1.2", "a", "x"}, {"10.0.2.1", "b", "y"}, {"10.0.3.1", "c", "x"}, {"10.0.4.1", "d", "y"}};
+  private static final String[][] MACHINES = {
+    {"10.0.1.1", "a", "x"},
+    {"10.0.1.2", "a", "x"},
+    {"10.0.2.1", "b", "y"},
+    {"10.0.3.1", "c", "x"},
+    {"10.0.4.1", "d", "y"}
+  };
 
   @BeforeClass
   public void quiet() {
@@ -35,7 +44,8 @@
     return fleet;
   }
 
-  private static void traffic(final Fleet fleet, final Ledger ledger, final int[] count, final Set<String> busy) {
+  private static void traffic(
+      final Fleet fleet, final Ledger ledger, final int[] count, final Set<String> busy) {
     final Random random = fleet.random();
     final long sentAt = fleet.now();
     final List<String> running = fleet.running();
@@ -43,68 +53,134 @@
       final String at = running.get(random.nextInt(running.size()));
       final String name = "n" + random.nextInt(3);
       switch (random.nextInt(4)) {
-        case 0 -> fleet.call(at, Deed.NUMBER, name, null, 0, 0, null, answer -> {
-          if (answer.status == 200) {
-            ledger.given("number " + name, answer.first, sentAt, fleet.now());
-          }
-        });
+        case 0 ->
+            fleet.call(
+                at,
+                Deed.NUMBER,
+                name,
+                null,
+                0,
+                0,
+                null,
+                answer -> {
+                  if (answer.status == 200) {
+                    ledger.given("number " + name, answer.first, sentAt, fleet.now());
+                  }
+                });
         case 1 -> {
           final String owner = "o" + random.nextInt(3);
           if (!busy.add(name + owner)) {
             break;
           }
           final boolean[] answered = new boolean[1];
-          fleet.call(at, Deed.LOCK_BEGIN, name, owner, 800, 0, null, answer -> {
-            if (fleet.now() - sentAt >= 3000) {
-              return;
-            }
-            answered[0] = true;
-            busy.remove(name + owner);
-            if (answer.status == 200) {
-              ledger.taken(name, owner, answer.first, sentAt, fleet.now(), 800);
-              fleet.after(random.nextInt(500), () -> {
-                if (busy.add(name + owner)) {
-                  ledger.released(name, owner, answer.first, fleet.now());
-                  final long begunAt = fleet.now();
-                  fleet.after(1000, () -> busy.remove(name + owner));
-                  fleet.call(at, Deed.LOCK_TICKET, name, owner, 0, 0, null, ticket -> {
-                    if (ticket.status == 200 && fleet.now() - begunAt < 900) {
-                      fleet.call(at, Deed.LOCK_FINISH, name, owner, ticket.first, answer.first, null, done -> {
+          fleet.call(
+              at,
+              Deed.LOCK_BEGIN,
+              name,
+              owner,
+              800,
+              0,
+              null,
+              answer -> {
+                if (fleet.now() - sentAt >= 3000) {
+                  return;
+                }
+                answered[0] = true;
+                busy.remove(name + owner);
+                if (answer.status == 200) {
+                  ledger.taken(name, owner, answer.first, sentAt, fleet.now(), 800);
+                  fleet.after(
+                      random.nextInt(500),
+                      () -> {
+                        if (busy.add(name + owner)) {
+                          ledger.released(name, owner, answer.first, fleet.now());
+                          final long begunAt = fleet.now();
+                          fleet.after(1000, () -> busy.remove(name + owner));
+                          fleet.call(
+                              at,
+                              Deed.LOCK_TICKET,
+                              name,
+                              owner,
+                              0,
+                              0,
+                              null,
+                              ticket -> {
+                                if (ticket.status == 200 && fleet.now() - begunAt < 900) {
+                                  fleet.call(
+                                      at,
+                                      Deed.LOCK_FINISH,
+                                      name,
+                                      owner,
+                                      ticket.first,
+                                      answer.first,
+                                      null,
+                                      done -> {});
+                                  fleet.after(
+                                      random.nextInt(30),
+                                      () ->
+                                          fleet.call(
+                                              at,
+                                              Deed.LOCK_FINISH,
+                                              name,
+                                              owner,
+                                              ticket.first,
+                                              answer.first,
+                                              null,
+                                              done -> {}));
+                                }
+                              });
+                        }
                       });
-                      fleet.after(random.nextInt(30), () -> fleet.call(at, Deed.LOCK_FINISH, name, owner, ticket.first, answer.first, null, done -> {
-                      }));
-                    }
-                  });
                 }
               });
-            }
-          });
-          fleet.after(3000, () -> {
-            if (!answered[0]) {
-              busy.remove(name + owner);
-            }
-          });
+          fleet.after(
+              3000,
+              () -> {
+                if (!answered[0]) {
+                  busy.remove(name + owner);
+                }
+              });
         }
         case 2 -> {
           final String value = "v" + count[0]++;
           final String key = "g" + random.nextInt(2) + ".k" + random.nextInt(2);
           final long enabled = random.nextBoolean() ? -1 : random.nextInt(4);
-          fleet.call(at, Deed.CELL_REPLACE, key.substring(0, 3), value, enabled, 0, key.getBytes(StandardCharsets.UTF_8), answer -> {
-            if (answer.status == 200) {
-              ledger.put(key, value, answer.first, fleet.now());
-              ledger.given("group " + key.substring(0, 3), answer.first, sentAt, fleet.now());
-            } else if (answer.status == 412) {
-              ledger.turnedAway(value);
-            }
-          });
+          fleet.call(
+              at,
+              Deed.CELL_REPLACE,
+              key.substring(0, 3),
+              value,
+              enabled,
+              0,
+              key.getBytes(StandardCharsets.UTF_8),
+              answer -> {
+                if (answer.status == 200) {
+                  ledger.put(key, value, answer.first, fleet.now());
+                  ledger.given("group " + key.substring(0, 3), answer.first, sentAt, fleet.now());
+                } else if (answer.status == 412) {
+                  ledger.turnedAway(value);
+                }
+              });
         }
         default -> {
           final String key = "g" + random.nextInt(2) + ".k" + random.nextInt(2);
-          fleet.call(at, Deed.CELL_READ, key.substring(0, 3), null, 0, 0, key.getBytes(StandardCharsets.UTF_8), answer -> {
-            if (answer.status == 200 || answer.status == 404) {
-              ledger.read(key, answer.body == null ? null : new String(answer.body, StandardCharsets.UTF_8), answer.status == 404 ? 0 : answer.first, sentAt);
-            }
-          });
+          fleet.call(
+              at,
+              Deed.CELL_READ,
+              key.substring(0, 3),
+              null,
+              0,
+              0,
+              key.getBytes(StandardCharsets.UTF_8),
+              answer -> {
+                if (answer.status == 200 || answer.status == 404) {
+                  ledger.read(
+                      key,
+                      answer.body == null ? null : new String(answer.body, StandardCharsets.UTF_8),
+                      answer.status == 404 ? 0 : answer.first,
+                      sentAt);
+                }
+              });
         }
       }
     }
@@ -194,7 +270,11 @@
       final List<String> breaches = powerOutages(seed, true);
       assertTrue(breaches.isEmpty(), "seed " + seed + ": " + breaches);
     }
-    assertTrue(caught >= 8, "the check noticed a store that acknowledges before its sync only " + caught + " times of 10");
+    assertTrue(
+        caught >= 8,
+        "the check noticed a store that acknowledges before its sync only "
+            + caught
+            + " times of 10");
   }
 
   @Test
@@ -227,7 +307,10 @@
     assertEquals((int) tokens.get(63), 63);
     fleet.start("10.0.2.1", false);
     fleet.run(4000);
-    assertEquals(fleet.machines().get("10.0.2.1").core().roster().index("10.0.2.1"), -1, "a removed daemon must not vote again by itself");
+    assertEquals(
+        fleet.machines().get("10.0.2.1").core().roster().index("10.0.2.1"),
+        -1,
+        "a removed daemon must not vote again by itself");
   }
 
   @Test
@@ -244,11 +327,15 @@
     }
     final int[] good = new int[1];
     for (int index = 0; index < 40; index++) {
-      fleet.callOnly(few[index % 2], Deed.NUMBER, "n" + index, answer -> {
-        if (answer.status == 200) {
-          good[0]++;
-        }
-      });
+      fleet.callOnly(
+          few[index % 2],
+          Deed.NUMBER,
+          "n" + index,
+          answer -> {
+            if (answer.status == 200) {
+              good[0]++;
+            }
+          });
       fleet.run(50);
     }
     assertEquals(good[0], 0);
--- a/rig/src/test/java/weldpoint/rig/HistoryLedger.java
+++ b/rig/src/test/java/weldpoint/rig/HistoryLedger.java
@@ -12,7 +12,10 @@
 import weldpoint.audit.AuditLog;
 import weldpoint.audit.ChangeKind;
 
-/** Checks histories: what was acknowledged is in them once, what was ever seen in one stays, and all replicas agree to the byte. */
+/**
+ * Checks histories: what was acknowledged is in them once, what was ever seen in one stays, and all
+ * replicas agree to the byte.
+ */
 final class HistoryLedger {
   private final Map<Long, byte[]> seen = new HashMap<>();
   private final Map<Long, Boolean> acknowledged = new LinkedHashMap<>();
@@ -57,13 +60,19 @@
   }
 
   /** Looks at all replicas once everything is calm, with the configuration in force. */
-  List<String> finish(final Map<String, AuditLog> logs, final long versionInForce, final String digestInForce, final Map<String, Long> serials) {
+  List<String> finish(
+      final Map<String, AuditLog> logs,
+      final long versionInForce,
+      final String digestInForce,
+      final Map<String, Long> serials) {
     long last = -1;
     String digest = null;
     for (final Map.Entry<String, AuditLog> one : logs.entrySet()) {
       look(one.getKey(), one.getValue());
-      if (digest != null && (last != one.getValue().last() || !digest.equals(one.getValue().digest()))) {
-        breaches.add(one.getKey() + " ends at entry " + one.getValue().last() + " and another at " + last);
+      if (digest != null
+          && (last != one.getValue().last() || !digest.equals(one.getValue().digest()))) {
+        breaches.add(
+            one.getKey() + " ends at entry " + one.getValue().last() + " and another at " + last);
       }
       last = one.getValue().last();
       digest = one.getValue().digest();
@@ -97,10 +106,12 @@
         }
         newest = entry.version;
         newestDigest = entry.after;
-      } else if (entry.kind() == ChangeKind.EVACUATION_BEGUN || entry.kind() == ChangeKind.EVACUATION_FINISHED) {
+      } else if (entry.kind() == ChangeKind.EVACUATION_BEGUN
+          || entry.kind() == ChangeKind.EVACUATION_FINISHED) {
         final int count = zones.merge(entry.subject, 1, Integer::sum);
         if (count % 2 == 1 != (entry.kind() == ChangeKind.EVACUATION_BEGUN)) {
-          breaches.add("evacuations of " + entry.subject + " do not alternate at entry " + sequence);
+          breaches.add(
+              "evacuations of " + entry.subject + " do not alternate at entry " + sequence);
         }
       }
     }
@@ -112,16 +123,29 @@
     if (newest != versionInForce || !newestDigest.equals(digestInForce)) {
       breaches.add("version " + versionInForce + " is in force, the history ends with " + newest);
     }
-    evacuations.forEach((zone, serial) -> {
-      if (zones.getOrDefault(zone, 0) < serial) {
-        breaches.add("evacuation " + serial + " of " + zone + " was acknowledged and is not in the history");
-      }
-    });
-    serials.forEach((zone, serial) -> {
-      if (zones.getOrDefault(zone, 0).longValue() != serial) {
-        breaches.add("zone " + zone + " is at change " + serial + ", the history at " + zones.getOrDefault(zone, 0));
-      }
-    });
+    evacuations.forEach(
+        (zone, serial) -> {
+          if (zones.getOrDefault(zone, 0) < serial) {
+            breaches.add(
+                "evacuation "
+                    + serial
+                    + " of "
+                    + zone
+                    + " was acknowledged and is not in the history");
+          }
+        });
+    serials.forEach(
+        (zone, serial) -> {
+          if (zones.getOrDefault(zone, 0).longValue() != serial) {
+            breaches.add(
+                "zone "
+                    + zone
+                    + " is at change "
+                    + serial
+                    + ", the history at "
+                    + zones.getOrDefault(zone, 0));
+          }
+        });
     return breaches;
   }
 
--- a/rig/src/test/java/weldpoint/rig/HistoryTest.java
+++ b/rig/src/test/java/weldpoint/rig/HistoryTest.java
@@ -26,10 +26,20 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** Two operators change configurations and evacuations over cuts, freezes, power loss, wiped, slow and full disks and replaced machines. */
+/**
+ * Two operators change configurations and evacuations over cuts, freezes, power loss, wiped, slow
+ * and full disks and replaced machines.
+ */
 public final class HistoryTest {
   private static final List<String> SEEDS = List.of("10.0.1.1", "10.0.2.1", "10.0.3.1");
-  private static final String[][] MACHINES = {{"10.0.1.1", "a", "x"}, {"10.0.1.2", "a", "x"}, {"10.0.2.1", "b", "y"}, {"10.0.3.1", "c", "x"}, {"10.0.4.1", "d", "y"}, {"10.0.2.2", "b", "y"}};
+  private static final String[][] MACHINES = {
+    {"10.0.1.1", "a", "x"},
+    {"10.0.1.2", "a", "x"},
+    {"10.0.2.1", "b", "y"},
+    {"10.0.3.1", "c", "x"},
+    {"10.0.4.1", "d", "y"},
+    {"10.0.2.2", "b", "y"}
+  };
 
   @BeforeClass
   public void quiet() {
@@ -51,13 +61,24 @@
   }
 
   private static byte[] body(final long version, final int choice) {
-    return ("{\"version\":\"" + String.format("%08x", version) + "\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"book\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/b/\"},\"action\":{\"service\":\"s" + choice
-        + "\",\"timeoutMs\":" + (1000 + version) + ",\"maxAttempts\":1}},{\"name\":\"look\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/l/\"},\"action\":{\"service\":\"s0\",\"timeoutMs\":900,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s0\"},{\"name\":\"s1\"},{\"name\":\"s2\"}]}")
+    return ("{\"version\":\""
+            + String.format("%08x", version)
+            + "\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"book\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/b/\"},\"action\":{\"service\":\"s"
+            + choice
+            + "\",\"timeoutMs\":"
+            + (1000 + version)
+            + ",\"maxAttempts\":1}},{\"name\":\"look\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/l/\"},\"action\":{\"service\":\"s0\",\"timeoutMs\":900,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s0\"},{\"name\":\"s1\"},{\"name\":\"s2\"}]}")
         .getBytes(StandardCharsets.UTF_8);
   }
 
   private static Words.Cause cause(final String author, final byte[] body) {
-    return new Words.Cause(author, "10.9.9.9", "10.0.1.1", body == null ? null : Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
+    return new Words.Cause(
+        author,
+        "10.9.9.9",
+        "10.0.1.1",
+        body == null
+            ? null
+            : Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
   }
 
   private static final class Operators {
@@ -86,7 +107,16 @@
           final long sent = version;
           final byte[] body = body(sent, random.nextInt(3));
           ledger.offered(sent, AuditEntry.digest(body));
-          final Words.Call call = new Words.Call(0, Deed.SPEC_REPLACE.ordinal(), "", null, sent, 0, Packing.deflate(body), cause(author, body));
+          final Words.Call call =
+              new Words.Call(
+                  0,
+                  Deed.SPEC_REPLACE.ordinal(),
+                  "",
+                  null,
+                  sent,
+                  0,
+                  Packing.deflate(body),
+                  cause(author, body));
           earlier.add(call);
           fleet.again(at, call, answer -> acknowledge(sent, answer));
         } else if (pick < 7 && !earlier.isEmpty()) {
@@ -94,11 +124,18 @@
           fleet.again(at, call, answer -> acknowledge(call.first, answer));
         } else {
           final String zone = "z" + random.nextInt(2);
-          fleet.change(at, Deed.EVACUATE, zone, random.nextInt(2), null, cause(author, null), answer -> {
-            if (answer.status == 200) {
-              ledger.evacuated(zone, answer.first);
-            }
-          });
+          fleet.change(
+              at,
+              Deed.EVACUATE,
+              zone,
+              random.nextInt(2),
+              null,
+              cause(author, null),
+              answer -> {
+                if (answer.status == 200) {
+                  ledger.evacuated(zone, answer.first);
+                }
+              });
         }
       }
       fleet.after(40 + random.nextInt(120), () -> work(author));
@@ -166,24 +203,36 @@
     final String[] digest = {""};
     final Map<String, Long> serials = new HashMap<>();
     for (int round = 0; round < 40 && version[0] == 0; round++) {
-      fleet.call(fleet.running().get(round % fleet.running().size()), Deed.SPEC_READ, "", null, 0, 0, null, answer -> {
-        if (answer.status == 200) {
-          version[0] = answer.first;
-          digest[0] = AuditEntry.digest(Packing.inflate(answer.body));
-        }
-      });
+      fleet.call(
+          fleet.running().get(round % fleet.running().size()),
+          Deed.SPEC_READ,
+          "",
+          null,
+          0,
+          0,
+          null,
+          answer -> {
+            if (answer.status == 200) {
+              version[0] = answer.first;
+              digest[0] = AuditEntry.digest(Packing.inflate(answer.body));
+            }
+          });
       fleet.run(300);
     }
     final Map<String, AuditLog> logs = new LinkedHashMap<>();
-    fleet.machines().forEach((address, machine) -> {
-      if (machine.core() != null) {
-        logs.put(address, machine.core().history());
-      }
-    });
+    fleet
+        .machines()
+        .forEach(
+            (address, machine) -> {
+              if (machine.core() != null) {
+                logs.put(address, machine.core().history());
+              }
+            });
     return ledger.finish(logs, version[0], digest[0], serials);
   }
 
-  private static List<String> play(final long seed, final Fleet.Meddler meddler, final int[] changes, final long keeps) {
+  private static List<String> play(
+      final long seed, final Fleet.Meddler meddler, final int[] changes, final long keeps) {
     final Fleet fleet = fleet(seed, meddler, keeps);
     final HistoryLedger ledger = new HistoryLedger();
     final Operators operators = new Operators(fleet, ledger);
@@ -233,9 +282,13 @@
       long base = -1;
       for (final Fleet.Machine machine : fleet.machines().values()) {
         final AuditLog log = machine.core().history();
-        assertTrue(base < 0 || base == log.base(), "seed " + seed + ": trimmed up to " + base + " and " + log.base());
+        assertTrue(
+            base < 0 || base == log.base(),
+            "seed " + seed + ": trimmed up to " + base + " and " + log.base());
         base = log.base();
-        assertTrue(log.last() - base >= 30 && log.last() - base <= 30 + 60, "keeps " + (log.last() - base));
+        assertTrue(
+            log.last() - base >= 30 && log.last() - base <= 30 + 60,
+            "keeps " + (log.last() - base));
       }
       assertTrue(base > 0, "nothing was trimmed");
     }
@@ -272,50 +325,71 @@
     final Fleet fleet = fleet(9, null, 2000);
     final byte[] first = body(5, 0);
     for (int round = 0; round < 3; round++) {
-      fleet.change("10.0.1.1", Deed.SPEC_REPLACE, "", 5, Packing.deflate(first), cause("customer desk", first), answer -> {
-      });
-      fleet.change("10.0.2.1", Deed.EVACUATE, "z", 1, null, cause("customer desk", null), answer -> {
-      });
+      fleet.change(
+          "10.0.1.1",
+          Deed.SPEC_REPLACE,
+          "",
+          5,
+          Packing.deflate(first),
+          cause("customer desk", first),
+          answer -> {});
+      fleet.change(
+          "10.0.2.1", Deed.EVACUATE, "z", 1, null, cause("customer desk", null), answer -> {});
       fleet.run(800);
     }
     final byte[] second = body(9, 2);
     fleet.step("10.0.1.1", -100_000);
-    fleet.change("10.0.1.1", Deed.SPEC_REPLACE, "", 9, Packing.deflate(second), cause("dispatch lead", second), answer -> {
-    });
+    fleet.change(
+        "10.0.1.1",
+        Deed.SPEC_REPLACE,
+        "",
+        9,
+        Packing.deflate(second),
+        cause("dispatch lead", second),
+        answer -> {});
     fleet.run(1500);
     final AuditLog log = fleet.machines().get("10.0.4.1").core().history();
     assertEquals(log.last(), 3);
-    final AuditEntry begun = AuditEntry.read(log.read(AuditEntry.read(log.read(1)).kind() == ChangeKind.CONFIGURATION ? 1 : 2));
+    final AuditEntry begun =
+        AuditEntry.read(
+            log.read(AuditEntry.read(log.read(1)).kind() == ChangeKind.CONFIGURATION ? 1 : 2));
     assertEquals(begun.author, "customer desk");
     assertEquals(begun.added, 5);
     final AuditEntry changed = AuditEntry.read(log.read(3));
     assertEquals(changed.author, "dispatch lead");
     assertEquals(changed.writes, 1);
     assertEquals(changed.changed, 1);
-    assertTrue(changed.changes.get(0).startsWith("~ write route h/b/ (book): service s0 -> s2, timeoutMs 1005 -> 1009"), changed.changes.toString());
+    assertTrue(
+        changed
+            .changes
+            .get(0)
+            .startsWith("~ write route h/b/ (book): service s0 -> s2, timeoutMs 1005 -> 1009"),
+        changed.changes.toString());
     assertEquals(changed.before, AuditEntry.digest(first));
     assertEquals(changed.after, AuditEntry.digest(second));
   }
 
   @Test
   public void anOlderStoreBeginsItsHistoryBySayingSo() {
-    final Fleet fleet = fleet(11, new Fleet.Meddler() {
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        return message;
-      }
+    final Fleet fleet =
+        fleet(
+            11,
+            new Fleet.Meddler() {
+              @Override
+              public Message pass(final String from, final String to, final Message message) {
+                return message;
+              }
 
-      @Override
-      public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
-        BrokenBook.silent(core, store, keeps);
-      }
-    }, 2000);
+              @Override
+              public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
+                BrokenBook.silent(core, store, keeps);
+              }
+            },
+            2000);
     final byte[] old = body(3, 1);
-    fleet.change("10.0.1.1", Deed.SPEC_REPLACE, "", 3, Packing.deflate(old), null, answer -> {
-    });
+    fleet.change("10.0.1.1", Deed.SPEC_REPLACE, "", 3, Packing.deflate(old), null, answer -> {});
     fleet.run(1000);
-    fleet.meddler(new Fleet.Meddler() {
-    });
+    fleet.meddler(new Fleet.Meddler() {});
     for (final String address : fleet.running()) {
       fleet.kill(address, false);
       fleet.after(100, () -> fleet.start(address, false));
@@ -333,20 +407,42 @@
   public void anEntryWrittenAfterItsChangeIsCaught() {
     int caught = 0;
     for (long seed = 1; seed <= 12; seed++) {
-      caught += play(seed, new Fleet.Meddler() {
-        @Override
-        public Message pass(final String from, final String to, final Message message) {
-          if (message instanceof Words.Accept && !((Words.Accept) message).establish) {
-            final Words.Accept accept = (Words.Accept) message;
-            final List<Words.Entry> entries = new ArrayList<>();
-            for (final Words.Entry entry : Words.list(accept.entries)) {
-              entries.add(new Words.Entry(entry.name, entry.mark, entry.base, entry.difference, entry.whole));
-            }
-            return new Words.Accept(accept.partition, accept.roster, accept.ballot, false, accept.counted, entries);
-          }
-          return message;
-        }
-      }, new int[1], 2000).isEmpty() ? 0 : 1;
+      caught +=
+          play(
+                      seed,
+                      new Fleet.Meddler() {
+                        @Override
+                        public Message pass(
+                            final String from, final String to, final Message message) {
+                          if (message instanceof Words.Accept
+                              && !((Words.Accept) message).establish) {
+                            final Words.Accept accept = (Words.Accept) message;
+                            final List<Words.Entry> entries = new ArrayList<>();
+                            for (final Words.Entry entry : Words.list(accept.entries)) {
+                              entries.add(
+                                  new Words.Entry(
+                                      entry.name,
+                                      entry.mark,
+                                      entry.base,
+                                      entry.difference,
+                                      entry.whole));
+                            }
+                            return new Words.Accept(
+                                accept.partition,
+                                accept.roster,
+                                accept.ballot,
+                                false,
+                                accept.counted,
+                                entries);
+                          }
+                          return message;
+                        }
+                      },
+                      new int[1],
+                      2000)
+                  .isEmpty()
+              ? 0
+              : 1;
     }
     assertTrue(caught >= 6, "noticed only " + caught + " times of 12");
   }
@@ -355,12 +451,21 @@
   public void aSequenceGivenBeforeTheEarlierOneIsDecidedIsCaught() {
     int caught = 0;
     for (long seed = 1; seed <= 12; seed++) {
-      caught += play(seed, new Fleet.Meddler() {
-        @Override
-        public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
-          BrokenBook.hasty(core, store, keeps);
-        }
-      }, new int[1], 2000).isEmpty() ? 0 : 1;
+      caught +=
+          play(
+                      seed,
+                      new Fleet.Meddler() {
+                        @Override
+                        public void prepare(
+                            final FrameCore core, final AuditStore store, final long keeps) {
+                          BrokenBook.hasty(core, store, keeps);
+                        }
+                      },
+                      new int[1],
+                      2000)
+                  .isEmpty()
+              ? 0
+              : 1;
     }
     assertTrue(caught >= 6, "noticed only " + caught + " times of 12");
   }
--- a/rig/src/test/java/weldpoint/rig/IncarnationTest.java
+++ b/rig/src/test/java/weldpoint/rig/IncarnationTest.java
@@ -10,9 +10,13 @@
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words;
 
-/** An incarnation is taken once, whoever votes meanwhile, and is never held against another voter. */
+/**
+ * An incarnation is taken once, whoever votes meanwhile, and is never held against another voter.
+ */
 public class IncarnationTest {
-  private static final String[] SEEDS = {"10.0.1.1", "10.0.1.2", "10.0.1.3", "10.0.1.4", "10.0.1.5"};
+  private static final String[] SEEDS = {
+    "10.0.1.1", "10.0.1.2", "10.0.1.3", "10.0.1.4", "10.0.1.5"
+  };
   private static final String[] SPARES = {"10.0.1.6", "10.0.1.7", "10.0.1.8"};
 
   private static Fleet fleet(final long seed, final int spares) {
@@ -51,8 +55,9 @@
   }
 
   /**
-   * One voter loses its disk, all who then answered it are replaced, the others lose power and forget what they only
-   * heard, and the voter loses its disk again: its votes from between must not count as those of its third life.
+   * One voter loses its disk, all who then answered it are replaced, the others lose power and
+   * forget what they only heard, and the voter loses its disk again: its votes from between must
+   * not count as those of its third life.
    */
   @Test
   public void anIncarnationIsTakenOnceThoughAllWhoHeardOfItAreGone() {
@@ -60,15 +65,16 @@
       final Fleet fleet = fleet(seed, 3);
       final String twice = SEEDS[0];
       final long[] incarnation = new long[1];
-      fleet.meddler(new Fleet.Meddler() {
-        @Override
-        public Message pass(final String from, final String to, final Message message) {
-          if (from.equals(twice) && message instanceof Words.Pulsed) {
-            incarnation[0] = ((Words.Pulsed) message).incarnation;
-          }
-          return message;
-        }
-      });
+      fleet.meddler(
+          new Fleet.Meddler() {
+            @Override
+            public Message pass(final String from, final String to, final Message message) {
+              if (from.equals(twice) && message instanceof Words.Pulsed) {
+                incarnation[0] = ((Words.Pulsed) message).incarnation;
+              }
+              return message;
+            }
+          });
       fleet.cut(twice, SEEDS[4], true);
       fleet.cut(SEEDS[4], twice, true);
       wipe(fleet, twice);
@@ -93,7 +99,10 @@
     }
   }
 
-  /** An answer that was given under an older roster comes late: its list of incarnations is that of the older voters. */
+  /**
+   * An answer that was given under an older roster comes late: its list of incarnations is that of
+   * the older voters.
+   */
   @Test
   public void aLateListOfIncarnationsIsNotReadAsOneOfOtherVoters() {
     final Fleet fleet = fleet(3, 1);
@@ -102,21 +111,24 @@
     final Map<String, Words.Pulsed> kept = new HashMap<>();
     final boolean[] give = new boolean[1];
     final Map<String, List<Long>> lists = new HashMap<>();
-    fleet.meddler(new Fleet.Meddler() {
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        if (!(message instanceof Words.Pulsed)) {
-          return message;
-        }
-        if (from.equals(late) && !give[0]) {
-          kept.put(to, (Words.Pulsed) message);
-        }
-        lists.put(from, ((Words.Pulsed) message).known);
-        return from.equals(late) && give[0] && kept.containsKey(to) ? kept.remove(to) : message;
-      }
-    });
+    fleet.meddler(
+        new Fleet.Meddler() {
+          @Override
+          public Message pass(final String from, final String to, final Message message) {
+            if (!(message instanceof Words.Pulsed)) {
+              return message;
+            }
+            if (from.equals(late) && !give[0]) {
+              kept.put(to, (Words.Pulsed) message);
+            }
+            lists.put(from, ((Words.Pulsed) message).known);
+            return from.equals(late) && give[0] && kept.containsKey(to) ? kept.remove(to) : message;
+          }
+        });
     fleet.run(2000);
-    assertTrue(kept.values().stream().allMatch(pulsed -> pulsed.known.contains(2L)), "nobody knows of the lost disk");
+    assertTrue(
+        kept.values().stream().allMatch(pulsed -> pulsed.known.contains(2L)),
+        "nobody knows of the lost disk");
     final Map<String, Words.Pulsed> copies = new HashMap<>(kept);
     replace(fleet, SEEDS[0]);
     kept.clear();
@@ -126,12 +138,16 @@
     lists.clear();
     fleet.run(1000);
     final Words.Roster roster = roster(fleet);
-    lists.forEach((from, known) -> {
-      for (int index = 0; index < known.size(); index++) {
-        final String address = roster.voters.get(index).address;
-        assertEquals((long) known.get(index), address.equals(SEEDS[1]) ? 2L : 1L, from + " on the incarnation of " + address);
-      }
-    });
+    lists.forEach(
+        (from, known) -> {
+          for (int index = 0; index < known.size(); index++) {
+            final String address = roster.voters.get(index).address;
+            assertEquals(
+                (long) known.get(index),
+                address.equals(SEEDS[1]) ? 2L : 1L,
+                from + " on the incarnation of " + address);
+          }
+        });
     assertTrue(lists.size() >= 4, "only " + lists.keySet() + " answered");
   }
 }
--- a/rig/src/test/java/weldpoint/rig/RosterNumberTest.java
+++ b/rig/src/test/java/weldpoint/rig/RosterNumberTest.java
@@ -12,19 +12,28 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** A roster's number names one roster, whoever has it, and incarnations are those of the voters they were told of. */
+/**
+ * A roster's number names one roster, whoever has it, and incarnations are those of the voters they
+ * were told of.
+ */
 public class RosterNumberTest {
   private static String content(final Words.Roster roster) {
     final StringBuilder text = new StringBuilder();
     for (final Words.Voter voter : roster.voters) {
-      text.append(voter.address).append(' ').append(voter.site).append(' ').append(Words.list(voter.tokens)).append("; ");
+      text.append(voter.address)
+          .append(' ')
+          .append(voter.site)
+          .append(' ')
+          .append(Words.list(voter.tokens))
+          .append("; ");
     }
     return text.toString();
   }
 
   /**
    * Machines come one by one while disks are slow, so that rosters are decided while the one before
-   * is being adopted. A holder has one proposal for the register under way at a time, so that a second one says that the first was decided.
+   * is being adopted. A holder has one proposal for the register under way at a time, so that a
+   * second one says that the first was decided.
    */
   private static List<String> slowAdoptions(final long seed) {
     final Fleet fleet = new Fleet(seed, List.of("10.0.1.1", "10.0.1.2", "10.0.2.1"), true);
@@ -32,29 +41,44 @@
     final Map<Long, String> rosters = new HashMap<>();
     final Map<String, String> proposed = new HashMap<>();
     final List<String> breaches = new ArrayList<>();
-    fleet.meddler(new Fleet.Meddler() {
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        if (message instanceof Words.Accept && !((Words.Accept) message).establish) {
-          for (final Words.Entry entry : ((Words.Accept) message).entries) {
-            if (entry.name.equals("roster") && entry.whole != null) {
-              final Words.Roster roster = Wire.value(entry.whole, Words.Roster.class);
-              final String before = proposed.putIfAbsent(entry.mark.ballot() + " roster " + roster.number, content(roster));
-              if (before != null && !before.equals(content(roster))) {
-                breaches.add(from + " decided roster " + roster.number + " as " + before + " and then as " + content(roster));
+    fleet.meddler(
+        new Fleet.Meddler() {
+          @Override
+          public Message pass(final String from, final String to, final Message message) {
+            if (message instanceof Words.Accept && !((Words.Accept) message).establish) {
+              for (final Words.Entry entry : ((Words.Accept) message).entries) {
+                if (entry.name.equals("roster") && entry.whole != null) {
+                  final Words.Roster roster = Wire.value(entry.whole, Words.Roster.class);
+                  final String before =
+                      proposed.putIfAbsent(
+                          entry.mark.ballot() + " roster " + roster.number, content(roster));
+                  if (before != null && !before.equals(content(roster))) {
+                    breaches.add(
+                        from
+                            + " decided roster "
+                            + roster.number
+                            + " as "
+                            + before
+                            + " and then as "
+                            + content(roster));
+                  }
+                }
               }
             }
+            return message instanceof Words.RosterNews && random.nextInt(3) == 0 ? null : message;
           }
-        }
-        return message instanceof Words.RosterNews && random.nextInt(3) == 0 ? null : message;
-      }
-    });
-    final String[] addresses = {"10.0.1.1", "10.0.1.2", "10.0.2.1", "10.0.1.3", "10.0.3.1", "10.0.2.2", "10.0.4.1"};
+        });
+    final String[] addresses = {
+      "10.0.1.1", "10.0.1.2", "10.0.2.1", "10.0.1.3", "10.0.3.1", "10.0.2.2", "10.0.4.1"
+    };
     for (final String address : addresses) {
       fleet.add(address, "zone-" + address.charAt(5), "x");
       fleet.disk(address, random.nextInt(3) == 0 ? 500 : 60 + random.nextInt(60));
-      final boolean early = address.equals("10.0.1.1") || address.equals("10.0.1.2") || address.equals("10.0.2.1");
-      fleet.after(early ? random.nextInt(300) : 500 + random.nextInt(3000), () -> fleet.start(address, true));
+      final boolean early =
+          address.equals("10.0.1.1") || address.equals("10.0.1.2") || address.equals("10.0.2.1");
+      fleet.after(
+          early ? random.nextInt(300) : 500 + random.nextInt(3000),
+          () -> fleet.start(address, true));
     }
     for (int step = 0; step < 300; step++) {
       fleet.run(50);
--- a/rig/src/test/java/weldpoint/rig/RosterTest.java
+++ b/rig/src/test/java/weldpoint/rig/RosterTest.java
@@ -18,7 +18,10 @@
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
 
-/** Several losses in turn, planned and unplanned, with and without disks: a majority is left, and nothing that was answered is forgotten. */
+/**
+ * Several losses in turn, planned and unplanned, with and without disks: a majority is left, and
+ * nothing that was answered is forgotten.
+ */
 public final class RosterTest {
   private static final int SEEDS = Integer.getInteger("weldpoint.roster.seeds", 6);
   private static final int ROUNDS = 10;
@@ -27,10 +30,24 @@
 
   /** A loss that the fault budget allows. */
   private enum Loss {
-    ZONE, ZONE_WITH_DISKS, MACHINE, MACHINE_WITH_DISK, RESTART, REPLACED_UNPLANNED, REPLACED_PLANNED, FROZEN, SLOW_DISK
+    ZONE,
+    ZONE_WITH_DISKS,
+    MACHINE,
+    MACHINE_WITH_DISK,
+    RESTART,
+    REPLACED_UNPLANNED,
+    REPLACED_PLANNED,
+    FROZEN,
+    SLOW_DISK
   }
 
-  private static final int[][] SITES = {{2, 1, 1, 1}, {3, 3, 3, 2}, {2, 2, 2, 2, 2, 1}, {2, 2, 2, 2, 1, 1, 1, 1}, {2, 2, 1, 1, 1, 1, 1, 1, 1, 1}};
+  private static final int[][] SITES = {
+    {2, 1, 1, 1},
+    {3, 3, 3, 2},
+    {2, 2, 2, 2, 2, 1},
+    {2, 2, 2, 2, 1, 1, 1, 1},
+    {2, 2, 1, 1, 1, 1, 1, 1, 1, 1}
+  };
 
   private static final class Play {
     private final Fleet fleet;
@@ -78,13 +95,21 @@
       final long sentAt = fleet.now();
       if (!running.isEmpty()) {
         final String name = "n" + random.nextInt(3);
-        fleet.call(running.get(random.nextInt(running.size())), Deed.NUMBER, name, null, 0, 0, null, answer -> {
-          if (answer.status == 200) {
-            ledger.given("number " + name, answer.first, sentAt, fleet.now());
-            longest = Math.max(longest, fleet.now() - answeredAt);
-            answeredAt = fleet.now();
-          }
-        });
+        fleet.call(
+            running.get(random.nextInt(running.size())),
+            Deed.NUMBER,
+            name,
+            null,
+            0,
+            0,
+            null,
+            answer -> {
+              if (answer.status == 200) {
+                ledger.given("number " + name, answer.first, sentAt, fleet.now());
+                longest = Math.max(longest, fleet.now() - answeredAt);
+                answeredAt = fleet.now();
+              }
+            });
       }
       fleet.after(25, this::traffic);
     }
@@ -180,7 +205,10 @@
     java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.SEVERE);
   }
 
-  /** The next loss comes four seconds after the last machines are back, of which they take 1.5 to start; the long search: -Dweldpoint.roster.seeds=100. */
+  /**
+   * The next loss comes four seconds after the last machines are back, of which they take 1.5 to
+   * start; the long search: -Dweldpoint.roster.seeds=100.
+   */
   @Test
   public void aSecondLossAfterARepairLeavesAMajority() {
     final List<String> notes = new ArrayList<>();
@@ -198,9 +226,25 @@
           play.lose(loss);
           rounds++;
           longest = Math.max(longest, Math.max(play.longest, play.fleet.now() - play.answeredAt));
-          final String where = "site of " + site.length + " zones, seed " + seed + ", round " + round + ", " + loss + ", roster " + play.roster().number + " " + play.zones();
+          final String where =
+              "site of "
+                  + site.length
+                  + " zones, seed "
+                  + seed
+                  + ", round "
+                  + round
+                  + ", "
+                  + loss
+                  + ", roster "
+                  + play.roster().number
+                  + " "
+                  + play.zones();
           if (play.longest > 4000 || play.fleet.now() - play.answeredAt > 2000) {
-            notes.add(where + ": nothing was answered for " + Math.max(play.longest, play.fleet.now() - play.answeredAt) + " ms");
+            notes.add(
+                where
+                    + ": nothing was answered for "
+                    + Math.max(play.longest, play.fleet.now() - play.answeredAt)
+                    + " ms");
           }
           if (Collections.max(play.zones().values()) >= 3) {
             notes.add(where + ": crowded");
@@ -210,25 +254,45 @@
         most = Math.max(most, play.roster().number);
       }
     }
-    System.out.println("losses in turn: rounds " + rounds + " " + played + ", longest without an answer " + longest + " ms, rosters in one play at most " + most + " " + notes);
+    System.out.println(
+        "losses in turn: rounds "
+            + rounds
+            + " "
+            + played
+            + ", longest without an answer "
+            + longest
+            + " ms, rosters in one play at most "
+            + most
+            + " "
+            + notes);
     assertTrue(notes.isEmpty(), notes.toString());
     assertEquals(rounds, SEEDS * SITES.length * ROUNDS);
   }
 
-  /** How many voters know the incarnation of one that lost its disk, after daemons that had waited took the places of all others, and everything was restarted. */
+  /**
+   * How many voters know the incarnation of one that lost its disk, after daemons that had waited
+   * took the places of all others, and everything was restarted.
+   */
   private static int knowing(final long seed, final boolean told, final Roster[] last) {
     final Play play = new Play(seed, 3, 3, 3, 2);
     if (!told) {
-      play.fleet.meddler(new Fleet.Meddler() {
-        @Override
-        public Message pass(final String from, final String to, final Message message) {
-          if (!(message instanceof Words.Accept)) {
-            return message;
-          }
-          final Words.Accept accept = (Words.Accept) message;
-          return new Words.Accept(accept.partition, accept.roster, accept.ballot, accept.establish, accept.counted, accept.entries);
-        }
-      });
+      play.fleet.meddler(
+          new Fleet.Meddler() {
+            @Override
+            public Message pass(final String from, final String to, final Message message) {
+              if (!(message instanceof Words.Accept)) {
+                return message;
+              }
+              final Words.Accept accept = (Words.Accept) message;
+              return new Words.Accept(
+                  accept.partition,
+                  accept.roster,
+                  accept.ballot,
+                  accept.establish,
+                  accept.counted,
+                  accept.entries);
+            }
+          });
     }
     final String wiped = play.roster().voters.get(1).address;
     play.fleet.kill(wiped, true);
@@ -250,7 +314,8 @@
     assertTrue(own > 1, "the wiped voter has incarnation " + own);
     int knowing = 0;
     for (final Voter voter : last[0].voters) {
-      knowing += play.fleet.machines().get(voter.address).core().incarnationOf(wiped) >= own ? 1 : 0;
+      knowing +=
+          play.fleet.machines().get(voter.address).core().incarnationOf(wiped) >= own ? 1 : 0;
     }
     return knowing;
   }
@@ -261,10 +326,16 @@
     for (int seed = 1; seed <= 5; seed++) {
       final Roster[] last = new Roster[1];
       final int knowing = knowing(seed, true, last);
-      assertTrue(knowing >= last[0].majority(), "seed " + seed + ": only " + knowing + " of " + last[0].voters.size() + " know it");
+      assertTrue(
+          knowing >= last[0].majority(),
+          "seed " + seed + ": only " + knowing + " of " + last[0].voters.size() + " know it");
       forgotten += knowing(seed, false, last) < last[0].majority() ? 1 : 0;
     }
-    assertTrue(forgotten >= 3, "a roster that does not pass incarnations on was noticed only " + forgotten + " times of 5");
+    assertTrue(
+        forgotten >= 3,
+        "a roster that does not pass incarnations on was noticed only "
+            + forgotten
+            + " times of 5");
   }
 
   @Test
@@ -303,7 +374,10 @@
     assertEquals(play.roster().number, before);
   }
 
-  /** Two voters lag; the one that leaves is needed for what was just answered, and ends once they have it. */
+  /**
+   * Two voters lag; the one that leaves is needed for what was just answered, and ends once they
+   * have it.
+   */
   @Test
   public void aLeaverStaysUntilTheOthersHoldWhatItCountedFor() {
     for (int seed = 1; seed <= 6; seed++) {
@@ -319,7 +393,9 @@
       final String leaver = quick.get(seed % 3);
       play.fleet.leave(leaver);
       play.fleet.run(200);
-      assertNotNull(play.fleet.machines().get(leaver).core(), "the leaver ended before the others held what it counted for");
+      assertNotNull(
+          play.fleet.machines().get(leaver).core(),
+          "the leaver ended before the others held what it counted for");
       slow.forEach(address -> play.fleet.disk(address, 2));
       play.fleet.run(2500);
       assertEquals(play.fleet.machines().get(leaver).core(), null);
--- a/rig/src/test/java/weldpoint/rig/TrialTest.java
+++ b/rig/src/test/java/weldpoint/rig/TrialTest.java
@@ -25,19 +25,29 @@
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Trial;
 
-/** Switchboards, exchanges' panels and five frames on one fake clock; scripted upstreams of a new version at fault. */
+/**
+ * Switchboards, exchanges' panels and five frames on one fake clock; scripted upstreams of a new
+ * version at fault.
+ */
 public final class TrialTest {
   private static final String TOKEN = "only-testers";
   private static final long TARGET = 300;
-  private static final Dialplan PLAN = Dialplan.compile(("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":["
-      + "{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"match\":{\"pathPrefix\":\"/b/\"},\"action\":{\"split\":[{\"service\":\"old\",\"weight\":1},{\"service\":\"new\",\"weight\":1}],\"timeoutMs\":2000,\"maxAttempts\":2}},"
-      + "{\"name\":\"plain\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/p/\"},\"action\":{\"service\":\"old\",\"timeoutMs\":2000,\"maxAttempts\":2}},"
-      + "{\"name\":\"look\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/l/\"},\"action\":{\"split\":[{\"service\":\"old\",\"weight\":1},{\"service\":\"new\",\"weight\":1}],\"timeoutMs\":2000,\"maxAttempts\":2}}]}],"
-      + "\"pools\":[{\"name\":\"old\"},{\"name\":\"new\"}]}").getBytes(StandardCharsets.UTF_8));
+  private static final Dialplan PLAN =
+      Dialplan.compile(
+          ("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":["
+                  + "{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,\"match\":{\"pathPrefix\":\"/b/\"},\"action\":{\"split\":[{\"service\":\"old\",\"weight\":1},{\"service\":\"new\",\"weight\":1}],\"timeoutMs\":2000,\"maxAttempts\":2}},"
+                  + "{\"name\":\"plain\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/p/\"},\"action\":{\"service\":\"old\",\"timeoutMs\":2000,\"maxAttempts\":2}},"
+                  + "{\"name\":\"look\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/l/\"},\"action\":{\"split\":[{\"service\":\"old\",\"weight\":1},{\"service\":\"new\",\"weight\":1}],\"timeoutMs\":2000,\"maxAttempts\":2}}]}],"
+                  + "\"pools\":[{\"name\":\"old\"},{\"name\":\"new\"}]}")
+              .getBytes(StandardCharsets.UTF_8));
 
   /** What is wrong with the new version: one write in so many. */
   private enum Fault {
-    NONE, LOSES, DOUBLES, DELAYS, ELSEWHERE
+    NONE,
+    LOSES,
+    DOUBLES,
+    DELAYS,
+    ELSEWHERE
   }
 
   @BeforeClass
@@ -83,20 +93,28 @@
     void poll() {
       final List<String> running = fleet.running();
       if (!running.isEmpty()) {
-        fleet.call(running.get(random.nextInt(running.size())), Deed.CONTROL, "", null, version, Math.max(0, marks), null, answer -> {
-          if (answer.status == 200) {
-            final Values.Control control = Wire.value(answer.body, Values.Control.class);
-            if (control.trialMark > marks) {
-              marks = control.trialMark;
-              panel.take(Words.list(control.trials));
-              for (int index = 0; index < books.size(); index++) {
-                if (!cut.get(index)) {
-                  books.get(index).take(Words.list(control.trials), control.trialMark);
+        fleet.call(
+            running.get(random.nextInt(running.size())),
+            Deed.CONTROL,
+            "",
+            null,
+            version,
+            Math.max(0, marks),
+            null,
+            answer -> {
+              if (answer.status == 200) {
+                final Values.Control control = Wire.value(answer.body, Values.Control.class);
+                if (control.trialMark > marks) {
+                  marks = control.trialMark;
+                  panel.take(Words.list(control.trials));
+                  for (int index = 0; index < books.size(); index++) {
+                    if (!cut.get(index)) {
+                      books.get(index).take(Words.list(control.trials), control.trialMark);
+                    }
+                  }
                 }
               }
-            }
-          }
-        });
+            });
       }
       fleet.after(100, this::poll);
     }
@@ -105,7 +123,15 @@
       final boolean[] done = new boolean[1];
       for (int round = 0; round < 40 && !done[0]; round++) {
         final List<String> running = fleet.running();
-        fleet.call(running.get(random.nextInt(running.size())), Deed.TRIAL_WRITE, next.route, null, next.serial - 1, 0, Wire.bytes(next), answer -> done[0] |= answer.status == 200);
+        fleet.call(
+            running.get(random.nextInt(running.size())),
+            Deed.TRIAL_WRITE,
+            next.route,
+            null,
+            next.serial - 1,
+            0,
+            Wire.bytes(next),
+            answer -> done[0] |= answer.status == 200);
         fleet.run(100);
       }
       fleet.run(400);
@@ -129,8 +155,15 @@
       }
       for (final Trial verdict : panel.verdicts(PLAN)) {
         final List<String> running = fleet.running();
-        fleet.call(running.get(random.nextInt(running.size())), Deed.TRIAL_WRITE, verdict.route, null, verdict.serial - 1, 0, Wire.bytes(verdict), answer -> {
-        });
+        fleet.call(
+            running.get(random.nextInt(running.size())),
+            Deed.TRIAL_WRITE,
+            verdict.route,
+            null,
+            verdict.serial - 1,
+            0,
+            Wire.bytes(verdict),
+            answer -> {});
       }
     }
 
@@ -139,18 +172,30 @@
       final int board = random.nextInt(books.size());
       final TrialBook book = books.get(board);
       final String attempt = "a" + attempts++;
-      final String service = book.choose("book", random.nextBoolean() ? "old" : "new", rehearsal ? TOKEN : random.nextInt(50) == 0 ? "forged-token" : null, random.nextDouble());
+      final String service =
+          book.choose(
+              "book",
+              random.nextBoolean() ? "old" : "new",
+              rehearsal ? TOKEN : random.nextInt(50) == 0 ? "forged-token" : null,
+              random.nextDouble());
       if (service.equals("new") && !rehearsal) {
         exposedWithoutToken++;
       }
       book.sent("book", service, attempt);
-      final boolean strikes = service.equals("new") && fault != Fault.NONE && random.nextInt(oneIn) == 0;
+      final boolean strikes =
+          service.equals("new") && fault != Fault.NONE && random.nextInt(oneIn) == 0;
       book.other("new", true);
       if (strikes && fault == Fault.LOSES) {
         book.ended("book", service, attempt, TrialBook.Fate.LOST, 2000, TARGET);
         return;
       }
-      book.ended("book", service, attempt, TrialBook.Fate.CONFIRMED, strikes && fault == Fault.DELAYS ? 900 : random.nextInt(100) == 0 ? 350 : 120, TARGET);
+      book.ended(
+          "book",
+          service,
+          attempt,
+          TrialBook.Fate.CONFIRMED,
+          strikes && fault == Fault.DELAYS ? 900 : random.nextInt(100) == 0 ? 350 : 120,
+          TARGET);
       if (strikes && fault == Fault.DOUBLES) {
         book.surplus(attempt);
       }
@@ -195,7 +240,9 @@
       }
       assertEquals(Verdict.of(stage.trial()), Verdict.HELD, fault + " seed " + seed);
       assertEquals(stage.exposedWithoutToken, 0, fault + " seed " + seed);
-      assertFalse(Words.list(stage.trial().attempts).isEmpty(), fault + " seed " + seed + " names no attempt: " + stage.trial().reason);
+      assertFalse(
+          Words.list(stage.trial().attempts).isEmpty(),
+          fault + " seed " + seed + " names no attempt: " + stage.trial().reason);
       for (final TrialBook book : stage.books) {
         assertTrue(book.held("book"));
         assertEquals(book.choose("book", "new", TOKEN, 0), "old");
@@ -209,13 +256,33 @@
     for (long seed = 1; seed <= 10; seed++) {
       final Stage stage = new Stage(seed, fault, 5, 4);
       final Trial begun = stage.begin(fault == Fault.DELAYS ? 0 : 0.01);
-      stage.write(new Trial(begun.route, begun.number, begun.serial + 1, begun.oldService, begun.newService, begun.token, begun.stages, 2, 20, begun.lateAllowance, 0, "", List.of(), 0));
+      stage.write(
+          new Trial(
+              begun.route,
+              begun.number,
+              begun.serial + 1,
+              begun.oldService,
+              begun.newService,
+              begun.token,
+              begun.stages,
+              2,
+              20,
+              begun.lateAllowance,
+              0,
+              "",
+              List.of(),
+              0));
       stage.run(120, false);
       assertEquals(Verdict.of(stage.trial()), Verdict.HELD, fault + " seed " + seed);
       assertTrue(stage.trial().writes > 0);
       exposed += stage.exposedWithoutToken;
     }
-    assertTrue(exposed / 10 <= 20, fault + ": " + exposed / 10 + " writes exposed on average before the hold, with one in 5 at fault");
+    assertTrue(
+        exposed / 10 <= 20,
+        fault
+            + ": "
+            + exposed / 10
+            + " writes exposed on average before the hold, with one in 5 at fault");
   }
 
   @Test
@@ -246,13 +313,28 @@
       stage.traffic(true);
     }
     stage.reports();
-    assertEquals(expectThrows(Breakdown.class, () -> stage.panel.advance("book", stage.addresses, true, stage.fleet.now())).kind(), Breakdown.Kind.CONFLICT);
+    assertEquals(
+        expectThrows(
+                Breakdown.class,
+                () -> stage.panel.advance("book", stage.addresses, true, stage.fleet.now()))
+            .kind(),
+        Breakdown.Kind.CONFLICT);
     stage.cut.set(1, true);
     stage.run(40, true);
-    assertTrue(expectThrows(Breakdown.class, () -> stage.panel.advance("book", stage.addresses, true, stage.fleet.now())).getMessage().contains("10.1.0.1"));
+    assertTrue(
+        expectThrows(
+                Breakdown.class,
+                () -> stage.panel.advance("book", stage.addresses, true, stage.fleet.now()))
+            .getMessage()
+            .contains("10.1.0.1"));
     stage.cut.set(1, false);
     stage.reports();
-    assertTrue(expectThrows(Breakdown.class, () -> stage.panel.advance("book", stage.addresses, false, stage.fleet.now())).getMessage().contains("settled"));
+    assertTrue(
+        expectThrows(
+                Breakdown.class,
+                () -> stage.panel.advance("book", stage.addresses, false, stage.fleet.now()))
+            .getMessage()
+            .contains("settled"));
     assertEquals(stage.panel.advance("book", stage.addresses, true, stage.fleet.now()).stage, 1);
   }
 
@@ -263,8 +345,26 @@
     stage.run(30, true);
     final Trial held = stage.trial();
     assertEquals(Verdict.of(held), Verdict.HELD);
-    assertFalse(stage.write(new Trial(begun.route, begun.number, held.serial + 1, begun.oldService, begun.newService, begun.token, begun.stages, 1, 20, 0.01, Verdict.RUNNING.ordinal(), "", List.of(), 0)));
-    expectThrows(Breakdown.class, () -> stage.panel.advance("book", stage.addresses, true, stage.fleet.now()));
+    assertFalse(
+        stage.write(
+            new Trial(
+                begun.route,
+                begun.number,
+                held.serial + 1,
+                begun.oldService,
+                begun.newService,
+                begun.token,
+                begun.stages,
+                1,
+                20,
+                0.01,
+                Verdict.RUNNING.ordinal(),
+                "",
+                List.of(),
+                0)));
+    expectThrows(
+        Breakdown.class,
+        () -> stage.panel.advance("book", stage.addresses, true, stage.fleet.now()));
     for (final String address : stage.fleet.running()) {
       stage.fleet.kill(address, true);
       stage.fleet.after(400, () -> stage.fleet.start(address, false));
@@ -322,7 +422,9 @@
     final Stage stage = new Stage(7, Fault.NONE, 1, 3);
     stage.begin(0.01);
     assertTrue(stage.panel.verdicts(PLAN).isEmpty());
-    final Dialplan without = Dialplan.compile("{\"version\":\"2\",\"listeners\":[],\"pools\":[]}".getBytes(StandardCharsets.UTF_8));
+    final Dialplan without =
+        Dialplan.compile(
+            "{\"version\":\"2\",\"listeners\":[],\"pools\":[]}".getBytes(StandardCharsets.UTF_8));
     final Trial ended = stage.panel.verdicts(without).get(0);
     assertEquals(Verdict.of(ended), Verdict.FINISHED);
     assertTrue(ended.reason.contains("configuration"), ended.reason);
@@ -332,9 +434,15 @@
   public void aSecondTrialOnTheSameRouteIsRefusedUntilTheFirstIsFinished() {
     final Stage stage = new Stage(9, Fault.NONE, 1, 2);
     stage.begin(0.01);
-    assertEquals(expectThrows(Breakdown.class, () -> stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN)).kind(), Breakdown.Kind.CONFLICT);
+    assertEquals(
+        expectThrows(
+                Breakdown.class,
+                () -> stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN))
+            .kind(),
+        Breakdown.Kind.CONFLICT);
     assertTrue(stage.write(stage.panel.finish("book")));
-    assertEquals(stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN).number, 2);
+    assertEquals(
+        stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN).number, 2);
   }
 
   @Test
@@ -358,27 +466,38 @@
     final List<String> running = stage.fleet.running();
     stage.fleet.kill(running.get(0), true);
     stage.fleet.kill(running.get(1), true);
-    assertFalse(stage.write(stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN)));
+    assertFalse(
+        stage.write(stage.panel.begin("book", "old", "new", TOKEN, List.of(10), 20, 0.01, PLAN)));
   }
 
   @DataProvider
   public Object[][] badOrders() {
     return new Object[][] {
-        {"none", "old", "new", TOKEN, List.of(1, 10), "not in the configuration"},
-        {"look", "old", "new", TOKEN, List.of(1, 10), "no mutating one"},
-        {"plain", "old", "new", TOKEN, List.of(1, 10), "no split"},
-        {"book", "old", "other", TOKEN, List.of(1, 10), "no split"},
-        {"book", "old", "new", TOKEN, List.of(10, 10), "do not rise"},
-        {"book", "old", "new", TOKEN, List.of(10, 101), "do not rise"},
-        {"book", "old", "new", TOKEN, List.of(), "no stages"},
-        {"book", "old", "new", "short", List.of(1), "token"},
+      {"none", "old", "new", TOKEN, List.of(1, 10), "not in the configuration"},
+      {"look", "old", "new", TOKEN, List.of(1, 10), "no mutating one"},
+      {"plain", "old", "new", TOKEN, List.of(1, 10), "no split"},
+      {"book", "old", "other", TOKEN, List.of(1, 10), "no split"},
+      {"book", "old", "new", TOKEN, List.of(10, 10), "do not rise"},
+      {"book", "old", "new", TOKEN, List.of(10, 101), "do not rise"},
+      {"book", "old", "new", TOKEN, List.of(), "no stages"},
+      {"book", "old", "new", "short", List.of(1), "token"},
     };
   }
 
   @Test(dataProvider = "badOrders")
-  public void aBadOrderIsRefusedWithItsReason(final String route, final String old, final String fresh, final String token, final List<Integer> stages, final String reason) {
-    final Breakdown breakdown = expectThrows(Breakdown.class, () -> new TrialPanel().begin(route, old, fresh, token, stages, 10, 0.01, PLAN));
+  public void aBadOrderIsRefusedWithItsReason(
+      final String route,
+      final String old,
+      final String fresh,
+      final String token,
+      final List<Integer> stages,
+      final String reason) {
+    final Breakdown breakdown =
+        expectThrows(
+            Breakdown.class,
+            () -> new TrialPanel().begin(route, old, fresh, token, stages, 10, 0.01, PLAN));
     assertTrue(breakdown.getMessage().contains(reason), breakdown.getMessage());
-    assertTrue(breakdown.getMessage().contains(";"), "the remedy is missing: " + breakdown.getMessage());
+    assertTrue(
+        breakdown.getMessage().contains(";"), "the remedy is missing: " + breakdown.getMessage());
   }
 }
--- a/rig/src/test/java/weldpoint/rig/VersionsTest.java
+++ b/rig/src/test/java/weldpoint/rig/VersionsTest.java
@@ -28,10 +28,20 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** Two operators who use the same versions for different configurations, over cuts, freezes, losses of power and wiped disks: a version stands for one. */
+/**
+ * Two operators who use the same versions for different configurations, over cuts, freezes, losses
+ * of power and wiped disks: a version stands for one.
+ */
 public final class VersionsTest {
   private static final List<String> SEEDS = List.of("10.0.1.1", "10.0.2.1", "10.0.3.1");
-  private static final String[][] MACHINES = {{"10.0.1.1", "a", "x"}, {"10.0.1.2", "a", "x"}, {"10.0.2.1", "b", "y"}, {"10.0.3.1", "c", "x"}, {"10.0.4.1", "d", "y"}, {"10.0.2.2", "b", "y"}};
+  private static final String[][] MACHINES = {
+    {"10.0.1.1", "a", "x"},
+    {"10.0.1.2", "a", "x"},
+    {"10.0.2.1", "b", "y"},
+    {"10.0.3.1", "c", "x"},
+    {"10.0.4.1", "d", "y"},
+    {"10.0.2.2", "b", "y"}
+  };
 
   @BeforeClass
   public void quiet() {
@@ -54,15 +64,39 @@
 
   private static byte[] body(final long version, final int choice, final boolean rewritten) {
     final String number = String.format("%08x", version);
-    final String action = "{\"service\":\"s\",\"timeoutMs\":" + (1000 + choice) + (rewritten ? ".0" : "") + ",\"maxAttempts\":1}";
-    final String rest = "\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"book\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/b/\"},\"action\":" + action + "}]}],";
-    return (rewritten ? "{ \"pools\" : [ {\"name\":\"s\"} ],\n " + rest + "\"version\":\"" + number + "\"}" : "{\"version\":\"" + number + "\"," + rest + "\"pools\":[{\"name\":\"s\"}]}").getBytes(StandardCharsets.UTF_8);
+    final String action =
+        "{\"service\":\"s\",\"timeoutMs\":"
+            + (1000 + choice)
+            + (rewritten ? ".0" : "")
+            + ",\"maxAttempts\":1}";
+    final String rest =
+        "\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"book\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/b/\"},\"action\":"
+            + action
+            + "}]}],";
+    return (rewritten
+            ? "{ \"pools\" : [ {\"name\":\"s\"} ],\n " + rest + "\"version\":\"" + number + "\"}"
+            : "{\"version\":\"" + number + "\"," + rest + "\"pools\":[{\"name\":\"s\"}]}")
+        .getBytes(StandardCharsets.UTF_8);
   }
 
   private static Words.Call call(final long version, final int choice, final boolean rewritten) {
     final byte[] body = body(version, choice, rewritten);
-    final Words.Cause cause = new Words.Cause("operator " + choice, "10.9.9.9", "10.0.1.1", Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
-    return new Words.Call(0, Deed.SPEC_REPLACE.ordinal(), "", null, version, 0, Packing.deflate(body), cause, CanonicalJson.digest(body));
+    final Words.Cause cause =
+        new Words.Cause(
+            "operator " + choice,
+            "10.9.9.9",
+            "10.0.1.1",
+            Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
+    return new Words.Call(
+        0,
+        Deed.SPEC_REPLACE.ordinal(),
+        "",
+        null,
+        version,
+        0,
+        Packing.deflate(body),
+        cause,
+        CanonicalJson.digest(body));
   }
 
   private static String content(final long version, final int choice) {
@@ -77,7 +111,10 @@
     private int refused;
 
     private void told(final long version, final String content, final Words.Answer answer) {
-      answers.computeIfAbsent(version, key -> new HashMap<>()).computeIfAbsent(content, key -> new ArrayList<>()).add(answer);
+      answers
+          .computeIfAbsent(version, key -> new HashMap<>())
+          .computeIfAbsent(content, key -> new ArrayList<>())
+          .add(answer);
       accepted += answer.status == 200 ? 1 : 0;
       refused += answer.status == 409 ? 1 : 0;
       if (answer.status != 200 && answer.status != 409 && answer.status != 504) {
@@ -85,7 +122,8 @@
       }
     }
 
-    private List<String> finish(final AuditLog log, final long inForce, final String contentInForce) {
+    private List<String> finish(
+        final AuditLog log, final long inForce, final String contentInForce) {
       final Map<Long, AuditEntry> taken = new HashMap<>();
       for (long sequence = 1; sequence <= log.last(); sequence++) {
         final AuditEntry entry = AuditEntry.read(log.read(sequence));
@@ -93,31 +131,56 @@
           breaches.add("version " + entry.version + " was taken twice");
         }
       }
-      answers.forEach((version, contents) -> {
-        final AuditEntry entry = taken.get(version);
-        final String stands = entry == null ? null : java.util.HexFormat.of().formatHex(entry.content);
-        contents.forEach((content, list) -> {
-          for (final Words.Answer answer : list) {
-            if (entry == null && answer.status == 409) {
-              breaches.add("version " + version + " was refused and stands for nothing");
-            } else if (entry == null && answer.first == version) {
-              breaches.add("version " + version + " was acknowledged as taken and is not in the history");
-            } else if (entry != null && answer.status == 200 && !content.equals(stands)) {
-              breaches.add("version " + version + " was acknowledged with another content than it stands for");
-            } else if (entry != null && answer.status == 409) {
-              final Values.TakenVersion named = Wire.value(answer.body, Values.TakenVersion.class);
-              if (content.equals(stands)) {
-                breaches.add("version " + version + " was refused with the very content that it stands for");
-              }
-              if (named.version != version || !named.author.equals(entry.author) || named.time != entry.time) {
-                breaches.add("version " + version + " was refused in the name of " + named.author + " at " + named.time);
-              }
-            }
-          }
-        });
-      });
-      if (taken.get(inForce) == null || !java.util.HexFormat.of().formatHex(taken.get(inForce).content).equals(contentInForce)) {
-        breaches.add("in force is version " + inForce + " with a content that it does not stand for");
+      answers.forEach(
+          (version, contents) -> {
+            final AuditEntry entry = taken.get(version);
+            final String stands =
+                entry == null ? null : java.util.HexFormat.of().formatHex(entry.content);
+            contents.forEach(
+                (content, list) -> {
+                  for (final Words.Answer answer : list) {
+                    if (entry == null && answer.status == 409) {
+                      breaches.add("version " + version + " was refused and stands for nothing");
+                    } else if (entry == null && answer.first == version) {
+                      breaches.add(
+                          "version "
+                              + version
+                              + " was acknowledged as taken and is not in the history");
+                    } else if (entry != null && answer.status == 200 && !content.equals(stands)) {
+                      breaches.add(
+                          "version "
+                              + version
+                              + " was acknowledged with another content than it stands for");
+                    } else if (entry != null && answer.status == 409) {
+                      final Values.TakenVersion named =
+                          Wire.value(answer.body, Values.TakenVersion.class);
+                      if (content.equals(stands)) {
+                        breaches.add(
+                            "version "
+                                + version
+                                + " was refused with the very content that it stands for");
+                      }
+                      if (named.version != version
+                          || !named.author.equals(entry.author)
+                          || named.time != entry.time) {
+                        breaches.add(
+                            "version "
+                                + version
+                                + " was refused in the name of "
+                                + named.author
+                                + " at "
+                                + named.time);
+                      }
+                    }
+                  }
+                });
+          });
+      if (taken.get(inForce) == null
+          || !java.util.HexFormat.of()
+              .formatHex(taken.get(inForce).content)
+              .equals(contentInForce)) {
+        breaches.add(
+            "in force is version " + inForce + " with a content that it does not stand for");
       }
       return breaches;
     }
@@ -137,7 +200,10 @@
     private void send(final long number, final int choice) {
       final List<String> running = fleet.running();
       if (!running.isEmpty()) {
-        fleet.again(running.get(fleet.random().nextInt(running.size())), call(number, choice, fleet.random().nextBoolean()), answer -> told.told(number, content(number, choice), answer));
+        fleet.again(
+            running.get(fleet.random().nextInt(running.size())),
+            call(number, choice, fleet.random().nextBoolean()),
+            answer -> told.told(number, content(number, choice), answer));
       }
     }
 
@@ -154,7 +220,9 @@
           send(version, 1 - first);
         }
       } else {
-        send(random.nextInt(3) == 0 ? 1 + random.nextInt((int) version) : version, random.nextInt(2));
+        send(
+            random.nextInt(3) == 0 ? 1 + random.nextInt((int) version) : version,
+            random.nextInt(2));
       }
       fleet.after(30 + random.nextInt(120), this::work);
     }
@@ -194,7 +262,8 @@
     fleet.after(2500, fleet::heal);
   }
 
-  private static List<String> play(final long seed, final Fleet.Meddler meddler, final int[] counts) {
+  private static List<String> play(
+      final long seed, final Fleet.Meddler meddler, final int[] counts) {
     final Fleet fleet = fleet(seed, meddler);
     final Told told = new Told();
     final Operators operators = new Operators(fleet, told);
@@ -210,12 +279,22 @@
     final long[] inForce = new long[1];
     final String[] content = {""};
     for (int round = 0; round < 40 && inForce[0] == 0; round++) {
-      fleet.call(fleet.running().get(round % fleet.running().size()), Deed.SPEC_READ, "", null, 0, 0, null, answer -> {
-        if (answer.status == 200) {
-          inForce[0] = answer.first;
-          content[0] = java.util.HexFormat.of().formatHex(CanonicalJson.digest(Packing.inflate(answer.body)));
-        }
-      });
+      fleet.call(
+          fleet.running().get(round % fleet.running().size()),
+          Deed.SPEC_READ,
+          "",
+          null,
+          0,
+          0,
+          null,
+          answer -> {
+            if (answer.status == 200) {
+              inForce[0] = answer.first;
+              content[0] =
+                  java.util.HexFormat.of()
+                      .formatHex(CanonicalJson.digest(Packing.inflate(answer.body)));
+            }
+          });
       fleet.run(300);
     }
     counts[0] += told.accepted;
@@ -230,7 +309,9 @@
       final List<String> breaches = play(seed, null, counts);
       assertTrue(breaches.isEmpty(), "seed " + seed + ": " + breaches);
     }
-    assertTrue(counts[0] > 40 * 60 && counts[1] > 40 * 40, "only " + counts[0] + " were acknowledged and " + counts[1] + " refused");
+    assertTrue(
+        counts[0] > 40 * 60 && counts[1] > 40 * 40,
+        "only " + counts[0] + " were acknowledged and " + counts[1] + " refused");
   }
 
   @Test
@@ -249,14 +330,21 @@
 
   private static void race(final Fleet fleet, final int choice, final int[] statuses) {
     if (statuses[choice] == 0) {
-      fleet.again(fleet.running().get(fleet.random().nextInt(6)), call(5, choice, false), answer -> statuses[choice] = statuses[choice] == 0 ? answer.status : statuses[choice]);
+      fleet.again(
+          fleet.running().get(fleet.random().nextInt(6)),
+          call(5, choice, false),
+          answer -> statuses[choice] = statuses[choice] == 0 ? answer.status : statuses[choice]);
       fleet.after(400, () -> race(fleet, choice, statuses));
     }
   }
 
-  private static int status(final Fleet fleet, final long version, final int choice, final boolean rewritten) {
+  private static int status(
+      final Fleet fleet, final long version, final int choice, final boolean rewritten) {
     final int[] status = new int[1];
-    fleet.again(fleet.running().get(fleet.random().nextInt(fleet.running().size())), call(version, choice, rewritten), answer -> status[0] = answer.status);
+    fleet.again(
+        fleet.running().get(fleet.random().nextInt(fleet.running().size())),
+        call(version, choice, rewritten),
+        answer -> status[0] = answer.status);
     fleet.run(1500);
     return status[0];
   }
@@ -281,32 +369,43 @@
     assertEquals(status(fleet, 4, 1, true), 409);
     assertEquals(status(fleet, 8, 1, true), 200);
     assertEquals(status(fleet, 8, 0, false), 409);
-    assertEquals(status(fleet, 6, 0, false), 200, "a version that was never taken and lies below alters nothing");
+    assertEquals(
+        status(fleet, 6, 0, false),
+        200,
+        "a version that was never taken and lies below alters nothing");
     assertEquals(status(fleet, 6, 1, false), 200);
   }
 
   @Test
   public void anOlderStoresConfigurationIsComparedByItsBody() {
-    final Fleet fleet = fleet(5, new Fleet.Meddler() {
-      @Override
-      public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
-        BrokenBook.silent(core, store, keeps);
-      }
+    final Fleet fleet =
+        fleet(
+            5,
+            new Fleet.Meddler() {
+              @Override
+              public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
+                BrokenBook.silent(core, store, keeps);
+              }
 
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        if (!(message instanceof Words.Accept)) {
-          return message;
-        }
-        final Words.Accept accept = (Words.Accept) message;
-        final List<Words.Entry> entries = new ArrayList<>();
-        Words.list(accept.entries).forEach(entry -> entries.add(BrokenBook.older(entry)));
-        return new Words.Accept(accept.partition, accept.roster, accept.ballot, accept.establish, accept.counted, entries);
-      }
-    });
+              @Override
+              public Message pass(final String from, final String to, final Message message) {
+                if (!(message instanceof Words.Accept)) {
+                  return message;
+                }
+                final Words.Accept accept = (Words.Accept) message;
+                final List<Words.Entry> entries = new ArrayList<>();
+                Words.list(accept.entries).forEach(entry -> entries.add(BrokenBook.older(entry)));
+                return new Words.Accept(
+                    accept.partition,
+                    accept.roster,
+                    accept.ballot,
+                    accept.establish,
+                    accept.counted,
+                    entries);
+              }
+            });
     assertEquals(status(fleet, 4, 0, false), 200);
-    fleet.meddler(new Fleet.Meddler() {
-    });
+    fleet.meddler(new Fleet.Meddler() {});
     for (final String address : fleet.running()) {
       fleet.kill(address, false);
       fleet.after(100, () -> fleet.start(address, false));
@@ -321,23 +420,31 @@
 
   @Test
   public void aHolderThatAcknowledgesWhateverIsNotNewIsCaught() {
-    assertTrue(caught(new Fleet.Meddler() {
-      @Override
-      public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
-        core.history(store, keeps, Fleet.ENTRY_BYTES);
-        BrokenBook.heedless(core);
-      }
-    }) >= 6);
+    assertTrue(
+        caught(
+                new Fleet.Meddler() {
+                  @Override
+                  public void prepare(
+                      final FrameCore core, final AuditStore store, final long keeps) {
+                    core.history(store, keeps, Fleet.ENTRY_BYTES);
+                    BrokenBook.heedless(core);
+                  }
+                })
+            >= 6);
   }
 
   @Test
   public void aHolderThatForgetsWhatOlderVersionsStandForIsCaught() {
-    assertTrue(caught(new Fleet.Meddler() {
-      @Override
-      public void prepare(final FrameCore core, final AuditStore store, final long keeps) {
-        BrokenBook.forgetful(core, store, keeps);
-      }
-    }) >= 6);
+    assertTrue(
+        caught(
+                new Fleet.Meddler() {
+                  @Override
+                  public void prepare(
+                      final FrameCore core, final AuditStore store, final long keeps) {
+                    BrokenBook.forgetful(core, store, keeps);
+                  }
+                })
+            >= 6);
   }
 
   private static int caught(final Fleet.Meddler meddler) {
--- a/rig/src/test/java/weldpoint/rig/ZoneLossTest.java
+++ b/rig/src/test/java/weldpoint/rig/ZoneLossTest.java
@@ -15,8 +15,9 @@
 import weldpoint.trunk.Words.Voter;
 
 /**
- * One zone after another is lost and comes back. Voters must be spread so that each loss leaves a majority, and no zone
- * ever holds three of five while others could. The long search: -Dweldpoint.zones.seeds=40.
+ * One zone after another is lost and comes back. Voters must be spread so that each loss leaves a
+ * majority, and no zone ever holds three of five while others could. The long search:
+ * -Dweldpoint.zones.seeds=40.
  */
 public final class ZoneLossTest {
   private static final int SEEDS = Integer.getInteger("weldpoint.zones.seeds", 8);
@@ -24,8 +25,13 @@
 
   /** How many core machines stand in each zone; the zones' regions take turns. */
   private enum Layout {
-    ELEVEN_IN_FOUR_ZONES(2, 3, 3, 3, 2), ELEVEN_IN_THREE_ZONES(2, 4, 4, 3), ELEVEN_IN_SIX_ZONES(2, 2, 2, 2, 2, 2, 1), TWELVE_IN_EIGHT_ZONES(2, 2, 2, 2, 2, 1, 1, 1, 1),
-    TWELVE_IN_TEN_ZONES(2, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1), FIVE_IN_FOUR_ZONES(2, 2, 1, 1, 1), SIX_IN_THREE_REGIONS(3, 1, 1, 1, 1, 1, 1);
+    ELEVEN_IN_FOUR_ZONES(2, 3, 3, 3, 2),
+    ELEVEN_IN_THREE_ZONES(2, 4, 4, 3),
+    ELEVEN_IN_SIX_ZONES(2, 2, 2, 2, 2, 2, 1),
+    TWELVE_IN_EIGHT_ZONES(2, 2, 2, 2, 2, 1, 1, 1, 1),
+    TWELVE_IN_TEN_ZONES(2, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1),
+    FIVE_IN_FOUR_ZONES(2, 2, 1, 1, 1),
+    SIX_IN_THREE_REGIONS(3, 1, 1, 1, 1, 1, 1);
 
     private final int regions;
     private final int[] counts;
@@ -69,7 +75,16 @@
 
     @Override
     public String toString() {
-      return "rounds " + rounds + ", three or more voters in one zone " + crowded + ", no majority after one zone's loss " + lost + ", changes of roster in one seed at most " + most + " " + notes;
+      return "rounds "
+          + rounds
+          + ", three or more voters in one zone "
+          + crowded
+          + ", no majority after one zone's loss "
+          + lost
+          + ", changes of roster in one seed at most "
+          + most
+          + " "
+          + notes;
     }
   }
 
@@ -100,13 +115,28 @@
     final boolean[] ok = new boolean[1];
     for (int tries = 0; tries < 20 && !ok[0]; tries++) {
       final String at = fleet.running().get(random.nextInt(fleet.running().size()));
-      fleet.call(at, Deed.NUMBER, "n" + random.nextInt(3), null, 0, 0, null, answer -> ok[0] |= answer.status == 200);
+      fleet.call(
+          at,
+          Deed.NUMBER,
+          "n" + random.nextInt(3),
+          null,
+          0,
+          0,
+          null,
+          answer -> ok[0] |= answer.status == 200);
       fleet.run(500);
     }
     return ok[0];
   }
 
-  private static void play(final Layout layout, final long seed, final List<String> seeds, final List<String> order, final long back, final boolean disks, final Outcome outcome) {
+  private static void play(
+      final Layout layout,
+      final long seed,
+      final List<String> seeds,
+      final List<String> order,
+      final long back,
+      final boolean disks,
+      final Outcome outcome) {
     final Fleet fleet = layout.fleet(seed, seeds);
     for (final String address : order) {
       fleet.start(address, true);
@@ -133,7 +163,19 @@
       }
       if (!ok) {
         outcome.lost++;
-        outcome.notes.add(layout + " seed " + seed + " round " + round + ": zone " + zone + (disks ? "" : " with its disks") + " lost, no majority under roster " + roster.number + " " + zones(roster));
+        outcome.notes.add(
+            layout
+                + " seed "
+                + seed
+                + " round "
+                + round
+                + ": zone "
+                + zone
+                + (disks ? "" : " with its disks")
+                + " lost, no majority under roster "
+                + roster.number
+                + " "
+                + zones(roster));
       }
       for (final String address : gone) {
         if (!disks) {
@@ -157,12 +199,22 @@
   public void noZoneOfFourTakesTheMajorityWithIt() {
     final Outcome outcome = new Outcome();
     for (int seed = 1; seed <= SEEDS; seed++) {
-      play(Layout.ELEVEN_IN_FOUR_ZONES, seed, List.of("10.1.0.1", "10.2.0.1", "10.3.0.1"), Layout.ELEVEN_IN_FOUR_ZONES.addresses(), 8000, true, outcome);
+      play(
+          Layout.ELEVEN_IN_FOUR_ZONES,
+          seed,
+          List.of("10.1.0.1", "10.2.0.1", "10.3.0.1"),
+          Layout.ELEVEN_IN_FOUR_ZONES.addresses(),
+          8000,
+          true,
+          outcome);
     }
     holds(outcome, SEEDS * ROUNDS);
   }
 
-  /** Layouts, seed lists, orders of start and lost disks are drawn; the next zone is lost as soon as four seconds after machines are back, of which they take 1.5 to start. */
+  /**
+   * Layouts, seed lists, orders of start and lost disks are drawn; the next zone is lost as soon as
+   * four seconds after machines are back, of which they take 1.5 to start.
+   */
   @Test
   public void noZoneTakesTheMajorityWithItHoweverMachinesStand() {
     final Outcome outcome = new Outcome();
--- a/rig/src/test/java/weldpoint/rig/model/Model.java
+++ b/rig/src/test/java/weldpoint/rig/model/Model.java
@@ -7,10 +7,11 @@
 import java.util.function.Supplier;
 
 /**
- * The frame's ballots for one partition, as states and the steps between them: who promised and stored what, which
- * ballot was begun by whom and how far it is, which answers are on their way. What a ballot has sent once may arrive at
- * any time later, any number of times or never. Disks are synced before an answer, and a holder counts no more than the
- * messages that it needs; it may know less than FrameCore does, never more, so that all that FrameCore may do is here.
+ * The frame's ballots for one partition, as states and the steps between them: who promised and
+ * stored what, which ballot was begun by whom and how far it is, which answers are on their way.
+ * What a ballot has sent once may arrive at any time later, any number of times or never. Disks are
+ * synced before an answer, and a holder counts no more than the messages that it needs; it may know
+ * less than FrameCore does, never more, so that all that FrameCore may do is here.
  *
  * <p>A mark is ballot * 4 + count; count 0 is what the ballot began with.
  */
@@ -20,7 +21,8 @@
     void next(byte[] state, Supplier<String> label, String breach);
   }
 
-  private static final VarHandle LONGS = MethodHandles.byteArrayViewVarHandle(long[].class, ByteOrder.LITTLE_ENDIAN);
+  private static final VarHandle LONGS =
+      MethodHandles.byteArrayViewVarHandle(long[].class, ByteOrder.LITTLE_ENDIAN);
   private static final int WIPES = 0;
   private static final int DECIDED = 1;
   private static final int SETTLED = 2;
@@ -108,7 +110,8 @@
       for (final int mask : bounds.rosters()) {
         kind[node] = kind[node] * 2 + (mask >> node & 1);
       }
-      kind[node] = kind[node] * 4 + (bounds.servedOn() >> node & 1) * 2 + (bounds.wipeable() >> node & 1);
+      kind[node] =
+          kind[node] * 4 + (bounds.servedOn() >> node & 1) * 2 + (bounds.wipeable() >> node & 1);
       kind[node] = kind[node] * 8 + (bounds.apart() ? node : 0);
       if (bounds.servedOn() != 0 && node == Integer.numberOfTrailingZeros(bounds.servedOn())) {
         kind[node] = -1;
@@ -192,27 +195,33 @@
   }
 
   /**
-   * All that may happen next, less what cannot matter. Left out, since it only forbids what would else be allowed: a
-   * promise that is not counted, a ballot that ends before it has established, a roster that is adopted before there is a
-   * message under it, and what the highest ballot does but serve. Done at once, since it forbids nothing: serving,
-   * proposing and acknowledging, where the answers for it are on their way.
+   * All that may happen next, less what cannot matter. Left out, since it only forbids what would
+   * else be allowed: a promise that is not counted, a ballot that ends before it has established, a
+   * roster that is adopted before there is a message under it, and what the highest ballot does but
+   * serve. Done at once, since it forbids nothing: serving, proposing and acknowledging, where the
+   * answers for it are on their way.
    */
   void steps(final byte[] s, final Sink to) {
-    final Sink sink = (next, label, wrong) -> {
-      for (int ballot = 1; ballot <= ballots; ballot++) {
-        final byte phase = s[ballot(ballot) + PHASE];
-        if (next[ballot(ballot) + PHASE] == OVER && (phase == PREPARING || phase == ESTABLISHING && last(ballot))) {
-          return;
-        }
-      }
-      final byte[] before = next.clone();
-      final boolean news = advance(next, null);
-      to.next(next, () -> {
-        final StringBuilder words = new StringBuilder(label.get());
-        advance(before, words);
-        return words.toString();
-      }, wrong == null && news ? breach(next) : wrong);
-    };
+    final Sink sink =
+        (next, label, wrong) -> {
+          for (int ballot = 1; ballot <= ballots; ballot++) {
+            final byte phase = s[ballot(ballot) + PHASE];
+            if (next[ballot(ballot) + PHASE] == OVER
+                && (phase == PREPARING || phase == ESTABLISHING && last(ballot))) {
+              return;
+            }
+          }
+          final byte[] before = next.clone();
+          final boolean news = advance(next, null);
+          to.next(
+              next,
+              () -> {
+                final StringBuilder words = new StringBuilder(label.get());
+                advance(before, words);
+                return words.toString();
+              },
+              wrong == null && news ? breach(next) : wrong);
+        };
     if (bounds.ballotless()) {
       settle(s, sink);
     }
@@ -233,7 +242,9 @@
       }
       for (int node = 0; node < nodes; node++) {
         final int number = s[node(node) + NUMBER];
-        if (s[node(node) + STAGE] != WHOLE || !has(s[at + UNDER_VOTERS], node) || number > s[at + UNDER]) {
+        if (s[node(node) + STAGE] != WHOLE
+            || !has(s[at + UNDER_VOTERS], node)
+            || number > s[at + UNDER]) {
           continue;
         }
         if (number < s[at + UNDER]) {
@@ -252,8 +263,7 @@
           write(s, ballot, sink);
           ask(s, ballot, sink);
         }
-        default -> {
-        }
+        default -> {}
       }
     }
   }
@@ -277,7 +287,8 @@
             break;
           }
           s[from + ACKNOWLEDGED] = (byte) count;
-          Arrays.fill(s, from + accepts, from + accepts + ANSWER_BYTES * nodes * (writes + 1), (byte) 0);
+          Arrays.fill(
+              s, from + accepts, from + accepts + ANSWER_BYTES * nodes * (writes + 1), (byte) 0);
           news = true;
           say(words, "; ", ballot, "/" + count + " is acknowledged");
         } else if (count < writes && !bounds.registered() && !last(ballot)) {
@@ -296,7 +307,8 @@
     return ballot == ballots && !bounds.registered() && !bounds.reads();
   }
 
-  private static void say(final StringBuilder words, final String before, final int ballot, final String after) {
+  private static void say(
+      final StringBuilder words, final String before, final int ballot, final String after) {
     if (words != null) {
       words.append(before).append(ballot).append(after);
     }
@@ -306,7 +318,9 @@
 
   private void begin(final byte[] s, final int ballot, final int node, final Sink sink) {
     final int at = node(node);
-    if (votes(s, node) && ballot > s[at + PROMISED] && (!bounds.staged() || s[at + NUMBER] == ballot)) {
+    if (votes(s, node)
+        && ballot > s[at + PROMISED]
+        && (!bounds.staged() || s[at + NUMBER] == ballot)) {
       final byte[] next = s.clone();
       end(next, node, 0);
       final int to = ballot(ballot);
@@ -314,7 +328,18 @@
       next[to + UNDER] = s[at + NUMBER];
       next[to + UNDER_VOTERS] = s[at + VOTERS];
       next[to + PHASE] = PREPARING;
-      sink.next(next, () -> "node " + node + " begins ballot " + ballot + " under roster " + s[at + NUMBER] + " " + voters(s[at + VOTERS]), null);
+      sink.next(
+          next,
+          () ->
+              "node "
+                  + node
+                  + " begins ballot "
+                  + ballot
+                  + " under roster "
+                  + s[at + NUMBER]
+                  + " "
+                  + voters(s[at + VOTERS]),
+          null);
     }
   }
 
@@ -334,7 +359,8 @@
   private void endBeyondPreparing(final byte[] s, final int node) {
     for (int ballot = 1; ballot <= ballots; ballot++) {
       final int at = ballot(ballot);
-      if (s[at + OWNER] == node + 1 && (s[at + PHASE] == ESTABLISHING || s[at + PHASE] == SERVING)) {
+      if (s[at + OWNER] == node + 1
+          && (s[at + PHASE] == ESTABLISHING || s[at + PHASE] == SERVING)) {
         end(s, node, 0);
       }
     }
@@ -348,7 +374,9 @@
     }
     final int slot = from + promises + node * PROMISE_BYTES;
     final boolean heard = s[from + PHASE] == PREPARING;
-    if (heard ? s[slot] != 0 || given(s, from) >= majority(s[from + UNDER_VOTERS]) : !bounds.reads() || s[from + PHASE] == OVER || s[at + PROMISED] == ballot) {
+    if (heard
+        ? s[slot] != 0 || given(s, from) >= majority(s[from + UNDER_VOTERS])
+        : !bounds.reads() || s[from + PHASE] == OVER || s[at + PROMISED] == ballot) {
       return;
     }
     final byte[] next = s.clone();
@@ -365,7 +393,18 @@
       next[slot + 2] = s[at + STORED];
       pack(next, node, slot + 3);
     }
-    sink.next(next, () -> "node " + node + " promises ballot " + ballot + ", established " + s[at + ESTABLISHED] + ", stored " + mark(s[at + STORED]), null);
+    sink.next(
+        next,
+        () ->
+            "node "
+                + node
+                + " promises ballot "
+                + ballot
+                + ", established "
+                + s[at + ESTABLISHED]
+                + ", stored "
+                + mark(s[at + STORED]),
+        null);
   }
 
   private int given(final byte[] s, final int from) {
@@ -424,7 +463,18 @@
     next[from + PROPOSED] = 1;
     Arrays.fill(next, from + promises, from + accepts, (byte) 0);
     final int chosen = best;
-    sink.next(next, () -> "node " + (s[from + OWNER] - 1) + " counts the promises of " + voters(set) + " for ballot " + ballot + " and establishes " + mark(chosen), null);
+    sink.next(
+        next,
+        () ->
+            "node "
+                + (s[from + OWNER] - 1)
+                + " counts the promises of "
+                + voters(set)
+                + " for ballot "
+                + ballot
+                + " and establishes "
+                + mark(chosen),
+        null);
   }
 
   /** Whether a register has a value at a mark: a write, or an establishment of one. */
@@ -442,20 +492,28 @@
   private void accept(final byte[] s, final int ballot, final int node, final Sink sink) {
     final int at = node(node);
     final int from = ballot(ballot);
-    if (s[from + PROPOSED] == 0 || s[at + PROMISED] > ballot || last(ballot) && s[from + PHASE] != ESTABLISHING) {
+    if (s[from + PROPOSED] == 0
+        || s[at + PROMISED] > ballot
+        || last(ballot) && s[from + PHASE] != ESTABLISHING) {
       return;
     }
     if (!bounds.has(Variant.OVERTAKEN_COUNTED)) {
       for (int other = 0; other < nodes; other++) {
-        if (s[from + counted + other] > 0 && s[from + counted + other] < incarnation(s, at, other)) {
+        if (s[from + counted + other] > 0
+            && s[from + counted + other] < incarnation(s, at, other)) {
           return;
         }
       }
     }
     for (int count = 0; count <= s[from + WRITTEN]; count++) {
       final int slot = from + accepts + (count * nodes + node) * ANSWER_BYTES;
-      final boolean heard = s[from + PHASE] == ESTABLISHING && count == 0 || s[from + PHASE] == SERVING && count > s[from + ACKNOWLEDGED];
-      final boolean done = count == 0 ? s[at + ESTABLISHED] == ballot && bounds.wipes() == 0 : s[at + STORED] >= ballot * 4 + count;
+      final boolean heard =
+          s[from + PHASE] == ESTABLISHING && count == 0
+              || s[from + PHASE] == SERVING && count > s[from + ACKNOWLEDGED];
+      final boolean done =
+          count == 0
+              ? s[at + ESTABLISHED] == ballot && bounds.wipes() == 0
+              : s[at + STORED] >= ballot * 4 + count;
       if (done && s[at + PROMISED] == ballot && (!heard || s[slot] >= s[at + INCARNATION])) {
         continue;
       }
@@ -502,7 +560,8 @@
     return bounds.has(Variant.INCARNATIONS_OF_VOTERS_CARRIED) ? voters : (1 << nodes) - 1;
   }
 
-  private void learn(final byte[] next, final int node, final byte[] s, final int from, final int mask) {
+  private void learn(
+      final byte[] next, final int node, final byte[] s, final int from, final int mask) {
     final int at = node(node);
     boolean news = false;
     for (int other = 0; other < nodes; other++) {
@@ -541,7 +600,8 @@
       return;
     }
     final int value = from + VALUES + 2 * count;
-    if (!bounds.has(Variant.CHANGE_BEFORE_ADOPTION) && roster(s, ballot * 4 + count) / 256 > s[from + UNDER]) {
+    if (!bounds.has(Variant.CHANGE_BEFORE_ADOPTION)
+        && roster(s, ballot * 4 + count) / 256 > s[from + UNDER]) {
       return;
     }
     for (final int voters : bounds.rosters()) {
@@ -550,7 +610,18 @@
         next[from + WRITTEN]++;
         next[value] = (byte) (s[from + UNDER] + 1);
         next[value + 1] = (byte) voters;
-        sink.next(next, () -> "node " + (s[from + OWNER] - 1) + " proposes " + mark(ballot * 4 + count + 1) + ", roster " + next[value] + " " + voters(voters), null);
+        sink.next(
+            next,
+            () ->
+                "node "
+                    + (s[from + OWNER] - 1)
+                    + " proposes "
+                    + mark(ballot * 4 + count + 1)
+                    + ", roster "
+                    + next[value]
+                    + " "
+                    + voters(voters),
+            null);
       }
     }
   }
@@ -569,7 +640,12 @@
     final byte[] next = s.clone();
     next[from + ASKED] = 1;
     final boolean answers = bounds.has(Variant.ANSWER_WITHOUT_MAJORITY);
-    sink.next(next, () -> "node " + (s[from + OWNER] - 1) + " is asked under ballot " + ballot, answers ? "a read is answered that is older than what was acknowledged before it was asked" : null);
+    sink.next(
+        next,
+        () -> "node " + (s[from + OWNER] - 1) + " is asked under ballot " + ballot,
+        answers
+            ? "a read is answered that is older than what was acknowledged before it was asked"
+            : null);
   }
 
   private void confirm(final byte[] s, final int ballot, final int node, final Sink sink) {
@@ -582,7 +658,12 @@
       final byte[] next = s.clone();
       next[slot] = s[node(node) + INCARNATION];
       pack(next, node, slot + 1);
-      sink.next(next, () -> "node " + node + " confirms ballot " + ballot, agreed(next, from, from + confirms) ? "a read is confirmed that is older than what was acknowledged before it was asked" : null);
+      sink.next(
+          next,
+          () -> "node " + node + " confirms ballot " + ballot,
+          agreed(next, from, from + confirms)
+              ? "a read is confirmed that is older than what was acknowledged before it was asked"
+              : null);
     }
   }
 
@@ -613,7 +694,9 @@
       return;
     }
     for (int ballot = 1; ballot <= ballots; ballot++) {
-      for (int count = 0; s[ballot(ballot) + SERVED] == 1 && count <= s[ballot(ballot) + ACKNOWLEDGED]; count++) {
+      for (int count = 0;
+          s[ballot(ballot) + SERVED] == 1 && count <= s[ballot(ballot) + ACKNOWLEDGED];
+          count++) {
         final int told = roster(s, ballot * 4 + count);
         if (told / 256 > s[at + NUMBER]) {
           adopt(s, node, told / 256, told % 256, sink);
@@ -622,10 +705,12 @@
     }
   }
 
-  private void adopt(final byte[] s, final int node, final int number, final int voters, final Sink sink) {
+  private void adopt(
+      final byte[] s, final int node, final int number, final int voters, final Sink sink) {
     final byte[] next = adopted(s, node, number, voters);
     if (alone(s)) {
-      sink.next(next, () -> "node " + node + " adopts roster " + number + " " + voters(voters), null);
+      sink.next(
+          next, () -> "node " + node + " adopts roster " + number + " " + voters(voters), null);
     }
     for (int ballot = 1; ballot <= ballots; ballot++) {
       if (s[ballot(ballot) + PHASE] == 0) {
@@ -669,11 +754,18 @@
     if (settled && under >= majority(mask)) {
       final byte[] next = s.clone();
       next[DECIDED]++;
-      sink.next(next, () -> "partition 0 decides roster " + (number + 1) + " " + voters(bounds.rosters()[number]), null);
+      sink.next(
+          next,
+          () ->
+              "partition 0 decides roster " + (number + 1) + " " + voters(bounds.rosters()[number]),
+          null);
     }
   }
 
-  /** Without ballots: some majority promises, some majority accepts, and the present roster is settled. */
+  /**
+   * Without ballots: some majority promises, some majority accepts, and the present roster is
+   * settled.
+   */
   private void settle(final byte[] s, final Sink sink) {
     final int number = s[DECIDED];
     if (s[SETTLED] == number) {
@@ -691,7 +783,10 @@
       final byte[] knows = new byte[nodes];
       for (int node = 0; node < nodes; node++) {
         for (int voter = 0; voter < nodes; voter++) {
-          knows[node] = (byte) Math.max(knows[node], has(promising, voter) ? incarnation(s, node(voter), node) : 0);
+          knows[node] =
+              (byte)
+                  Math.max(
+                      knows[node], has(promising, voter) ? incarnation(s, node(voter), node) : 0);
         }
       }
       for (int accepting = under; accepting > 0; accepting = accepting - 1 & under) {
@@ -705,7 +800,16 @@
           }
           final int one = promising;
           final int other = accepting;
-          sink.next(next, () -> "roster " + number + " is settled by the promises of " + voters(one) + " and the acceptances of " + voters(other), null);
+          sink.next(
+              next,
+              () ->
+                  "roster "
+                      + number
+                      + " is settled by the promises of "
+                      + voters(one)
+                      + " and the acceptances of "
+                      + voters(other),
+              null);
         }
       }
     }
@@ -722,7 +826,9 @@
       end(next, node, 0);
       sink.next(next, () -> "node " + node + " loses power and what was not synced", null);
     }
-    final boolean voted = s[at + STAGE] == WHOLE && (s[at + PROMISED] > 0 || bounds.ballotless() && has(s[at + VOTERS], node));
+    final boolean voted =
+        s[at + STAGE] == WHOLE
+            && (s[at + PROMISED] > 0 || bounds.ballotless() && has(s[at + VOTERS], node));
     if (s[WIPES] > 0 && has(bounds.wipeable(), node) && (voted || s[at + STAGE] == REFETCHING)) {
       final byte[] next = s.clone();
       next[WIPES]--;
@@ -757,14 +863,19 @@
       final int[] told = new int[nodes];
       int answers = 0;
       for (int other = 0; other < nodes; other++) {
-        if (other != node && has(mask, other) && s[node(other) + STAGE] == WHOLE && s[node(other) + NUMBER] <= number) {
+        if (other != node
+            && has(mask, other)
+            && s[node(other) + STAGE] == WHOLE
+            && s[node(other) + NUMBER] <= number) {
           told[answers++] = incarnation(s, node(other), node);
         }
       }
       Arrays.sort(told, 0, answers);
       for (int index = majority(mask) - 1; index >= 0 && index < answers; index++) {
         final int taken = told[index] + 1;
-        if (taken <= bounds.incarnations() && taken > s[node(node) + FETCHING] && (index == majority(mask) - 1 || told[index] != told[index - 1])) {
+        if (taken <= bounds.incarnations()
+            && taken > s[node(node) + FETCHING]
+            && (index == majority(mask) - 1 || told[index] != told[index - 1])) {
           final byte[] next = s.clone();
           blank(next, node);
           final int at = node(node);
@@ -772,13 +883,26 @@
           next[at + NUMBER] = (byte) number;
           next[at + VOTERS] = (byte) mask;
           next[at + FETCHING] = (byte) taken;
-          sink.next(next, () -> "node " + node + " takes incarnation " + taken + " and fetches from roster " + number + " " + voters(mask), null);
+          sink.next(
+              next,
+              () ->
+                  "node "
+                      + node
+                      + " takes incarnation "
+                      + taken
+                      + " and fetches from roster "
+                      + number
+                      + " "
+                      + voters(mask),
+              null);
         }
       }
     }
   }
 
-  /** A blank node is answered by one voter; with a majority under the newest roster it counts again. */
+  /**
+   * A blank node is answered by one voter; with a majority under the newest roster it counts again.
+   */
   private void fetch(final byte[] s, final int node, final Sink sink) {
     final int at = node(node);
     if (s[at + STAGE] != REFETCHING) {
@@ -786,7 +910,10 @@
     }
     for (int voter = 0; voter < nodes; voter++) {
       final int from = node(voter);
-      if (voter == node || !votes(s, voter) || s[from + KNOWN + node] > s[at + FETCHING] || has(s[at + FETCHED], voter)) {
+      if (voter == node
+          || !votes(s, voter)
+          || s[from + KNOWN + node] > s[at + FETCHING]
+          || has(s[at + FETCHED], voter)) {
         continue;
       }
       final byte[] next = s.clone();
@@ -807,13 +934,15 @@
         next[at + FETCHED] |= (byte) (1 << voter);
         for (int other = 0; other < nodes; other++) {
           if (other != node && has(s[from + VOTERS], other)) {
-            next[at + KNOWN + other] = (byte) Math.max(next[at + KNOWN + other], incarnation(s, from, other));
+            next[at + KNOWN + other] =
+                (byte) Math.max(next[at + KNOWN + other], incarnation(s, from, other));
           }
         }
       }
       String wrong = null;
       final int mask = next[at + VOTERS];
-      if (Integer.bitCount(next[at + FETCHED] & mask & 0xff) >= (bounds.has(Variant.VOTES_BEFORE_REFETCH) ? 1 : majority(mask))) {
+      if (Integer.bitCount(next[at + FETCHED] & mask & 0xff)
+          >= (bounds.has(Variant.VOTES_BEFORE_REFETCH) ? 1 : majority(mask))) {
         next[at + STAGE] = WHOLE;
         next[at + INCARNATION] = s[at + FETCHING];
         next[at + FETCHING] = 0;
@@ -823,12 +952,23 @@
           next[at + STORED] = 0;
         }
         if (next[at + INCARNATION] <= s[at + HIGHEST]) {
-          wrong = "node " + node + " takes incarnation " + next[at + INCARNATION] + " a second time";
+          wrong =
+              "node " + node + " takes incarnation " + next[at + INCARNATION] + " a second time";
         }
         next[at + HIGHEST] = next[at + INCARNATION];
       }
       final int who = voter;
-      sink.next(next, () -> "node " + node + " has the answer of node " + who + (next[at + STAGE] == WHOLE ? " and counts again as incarnation " + next[at + INCARNATION] : ""), wrong);
+      sink.next(
+          next,
+          () ->
+              "node "
+                  + node
+                  + " has the answer of node "
+                  + who
+                  + (next[at + STAGE] == WHOLE
+                      ? " and counts again as incarnation " + next[at + INCARNATION]
+                      : ""),
+          wrong);
     }
   }
 
@@ -843,7 +983,11 @@
       for (int earlier = 1; earlier < later; earlier++) {
         final int from = ballot(earlier);
         if (s[from + SERVED] == 1 && !includes(s, later, earlier * 4 + s[from + ACKNOWLEDGED])) {
-          return "ballot " + later + " serves without " + mark(earlier * 4 + s[from + ACKNOWLEDGED]) + ", which was acknowledged";
+          return "ballot "
+              + later
+              + " serves without "
+              + mark(earlier * 4 + s[from + ACKNOWLEDGED])
+              + ", which was acknowledged";
         }
       }
     }
@@ -851,10 +995,17 @@
       final int[] byNumber = new int[16];
       byNumber[1] = bounds.rosters()[0];
       for (int ballot = 1; ballot <= ballots; ballot++) {
-        for (int count = 0; s[ballot(ballot) + SERVED] == 1 && count <= s[ballot(ballot) + ACKNOWLEDGED]; count++) {
+        for (int count = 0;
+            s[ballot(ballot) + SERVED] == 1 && count <= s[ballot(ballot) + ACKNOWLEDGED];
+            count++) {
           final int told = roster(s, ballot * 4 + count);
           if (told != 0 && byNumber[told / 256] != 0 && byNumber[told / 256] != told % 256) {
-            return "two rosters have the number " + told / 256 + ": " + voters(byNumber[told / 256]) + " and " + voters(told % 256);
+            return "two rosters have the number "
+                + told / 256
+                + ": "
+                + voters(byNumber[told / 256])
+                + " and "
+                + voters(told % 256);
           }
           byNumber[told / 256] = told % 256;
         }
@@ -948,18 +1099,30 @@
     final int at = node(node);
     long hash = kind[node];
     for (int field = 0; field < KNOWN; field++) {
-      hash = mix(hash, field == VOTERS || field == FETCHED ? (has(s[at + field], node) ? 1 : 0) + 2 * Integer.bitCount(s[at + field] & 0xff) : s[at + field]);
+      hash =
+          mix(
+              hash,
+              field == VOTERS || field == FETCHED
+                  ? (has(s[at + field], node) ? 1 : 0) + 2 * Integer.bitCount(s[at + field] & 0xff)
+                  : s[at + field]);
     }
     long others = 0;
     for (int other = 0; other < nodes; other++) {
       others += mix(17, s[node(other) + KNOWN + node] * 8 + s[at + KNOWN + other]);
-      others += mix(23, has(s[node(other) + VOTERS], node) ? 1 : 0) + mix(29, has(s[node(other) + FETCHED], node) ? 1 : 0);
+      others +=
+          mix(23, has(s[node(other) + VOTERS], node) ? 1 : 0)
+              + mix(29, has(s[node(other) + FETCHED], node) ? 1 : 0);
     }
     hash = mix(hash, others);
     for (int ballot = 1; ballot <= ballots; ballot++) {
       final int from = ballot(ballot);
       hash = mix(hash, s[from + OWNER] == node + 1 ? 1 : 0);
-      hash = mix(hash, (has(s[from + UNDER_VOTERS], node) ? 1 : 0) + s[from + counted + node] * 2 + s[from + knew + node] * 8);
+      hash =
+          mix(
+              hash,
+              (has(s[from + UNDER_VOTERS], node) ? 1 : 0)
+                  + s[from + counted + node] * 2
+                  + s[from + knew + node] * 8);
       for (int field = 0; field < 3; field++) {
         hash = mix(hash, s[from + promises + node * PROMISE_BYTES + field]);
       }
@@ -997,7 +1160,10 @@
     for (int index = 0; index < nodes; index++) {
       final int at = node(back[index]);
       for (int field = 0; field < KNOWN; field++) {
-        hash = mix(hash, field == VOTERS || field == FETCHED ? moved(s[at + field], place) : s[at + field]);
+        hash =
+            mix(
+                hash,
+                field == VOTERS || field == FETCHED ? moved(s[at + field], place) : s[at + field]);
       }
       long known = 0;
       for (int other = 0; other < nodes; other++) {
@@ -1020,13 +1186,22 @@
         hash = mix(hash, s[from + counted + node] * 4 + s[from + knew + node]);
         final int promise = from + promises + node * PROMISE_BYTES;
         if (s[promise] != 0) {
-          hash = mix(hash, s[promise] + 4L * s[promise + 1] + 256L * s[promise + 2] + 65536L * movedIncarnations(s, promise + 3, place));
+          hash =
+              mix(
+                  hash,
+                  s[promise]
+                      + 4L * s[promise + 1]
+                      + 256L * s[promise + 2]
+                      + 65536L * movedIncarnations(s, promise + 3, place));
         }
         hash = mix(hash, index);
         for (int answer = accepts; answer < ballotBytes; answer += ANSWER_BYTES * nodes) {
           final int slot = from + answer + node * ANSWER_BYTES;
           if (s[slot] != 0) {
-            hash = mix(hash, answer * 65536L * 4 + s[slot] + 4L * movedIncarnations(s, slot + 1, place));
+            hash =
+                mix(
+                    hash,
+                    answer * 65536L * 4 + s[slot] + 4L * movedIncarnations(s, slot + 1, place));
           }
         }
       }
--- a/rig/src/test/java/weldpoint/rig/model/ModelTest.java
+++ b/rig/src/test/java/weldpoint/rig/model/ModelTest.java
@@ -5,13 +5,14 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
-import org.testng.annotations.DataProvider;
 import org.testng.SkipException;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
- * The frame's ballots, searched whole within bounds, and the same with one rule broken, which must be found. The long
- * search goes further and is started with -Dmodel.long=true, and -Dmodel.states=N for another number of states each.
+ * The frame's ballots, searched whole within bounds, and the same with one rule broken, which must
+ * be found. The long search goes further and is started with -Dmodel.long=true, and
+ * -Dmodel.states=N for another number of states each.
  */
 public class ModelTest {
   private static final int ALL = 0b1111;
@@ -24,17 +25,68 @@
       Bounds.still("3 nodes, 2 ballots, 1 write each, 2 disks lost", 3, 2, 1, 2),
       Bounds.still("3 nodes, 3 ballots, 2 writes each", 3, 3, 2, 0),
       Bounds.still("4 nodes, 3 ballots, 1 write each", 4, 3, 1, 0),
-      Bounds.still("5 nodes, 2 ballots, 1 write each, 1 disk lost, from where the first ballot serves", 5, 2, 1, 1).served(0b111),
-      Bounds.still("3 to 4 voters, 3 ballots, 1 write each, from where the first ballot serves", 4, 3, 1, 0).rosters(0b111, ALL).served(0b11),
-      Bounds.still("3 to 4 voters, 2 ballots, 1 write each, 1 disk lost, from where the first ballot serves", 4, 2, 1, 1).rosters(0b111, ALL).served(0b11),
-      Bounds.still("4 to 5 to 4 voters, a ballot for each roster, 1 write each, from where the first ballot serves", 5, 3, 1, 0).rosters(ALL, 0b11111, 0b11110).served(0b111).aBallotEach(),
-      Bounds.still("the roster itself, of 3 to 5 voters out of 5, 3 ballots, 2 writes each", 5, 3, 2, 0).rostersInRegister(0b111, ALL, 0b10111, 0b11111),
+      Bounds.still(
+              "5 nodes, 2 ballots, 1 write each, 1 disk lost, from where the first ballot serves",
+              5,
+              2,
+              1,
+              1)
+          .served(0b111),
+      Bounds.still(
+              "3 to 4 voters, 3 ballots, 1 write each, from where the first ballot serves",
+              4,
+              3,
+              1,
+              0)
+          .rosters(0b111, ALL)
+          .served(0b11),
+      Bounds.still(
+              "3 to 4 voters, 2 ballots, 1 write each, 1 disk lost, from where the first ballot serves",
+              4,
+              2,
+              1,
+              1)
+          .rosters(0b111, ALL)
+          .served(0b11),
+      Bounds.still(
+              "4 to 5 to 4 voters, a ballot for each roster, 1 write each, from where the first ballot serves",
+              5,
+              3,
+              1,
+              0)
+          .rosters(ALL, 0b11111, 0b11110)
+          .served(0b111)
+          .aBallotEach(),
+      Bounds.still(
+              "the roster itself, of 3 to 5 voters out of 5, 3 ballots, 2 writes each", 5, 3, 2, 0)
+          .rostersInRegister(0b111, ALL, 0b10111, 0b11111),
       Bounds.still("reads, 3 nodes, 2 ballots, 1 write each, 1 disk lost", 3, 2, 1, 1).read(),
-      Bounds.still("reads, 3 to 4 voters, 2 ballots, 1 write each", 4, 2, 1, 0).rosters(0b111, ALL).read(),
-      Bounds.still("incarnations, 3 to 4 to 5 to 4 to 3 voters, 2 disks lost by one node", 5, 0, 0, 2).rosters(0b111, ALL, 0b11111, 0b11101, 0b11001).withoutBallots().wipeable(1),
-      Bounds.still("incarnations, a voter leaves and comes back, 2 disks lost by it", 5, 0, 0, 2).rosters(0b111, ALL, 0b1110, 0b11110, 0b11100).withoutBallots().wipeable(1),
-      Bounds.still("4 to 3 to 4 voters, a ballot for each roster, 1 write each, from where the first ballot serves", 5, 3, 1, 0).rosters(ALL, 0b1110, 0b11110).served(0b111).aBallotEach(),
-      Bounds.still("incarnations, 5 to 6 to 5 voters, 2 disks lost by one node", 6, 0, 0, 2).rosters(0b11111, 0b111111, 0b111110).withoutBallots().wipeable(1)};
+      Bounds.still("reads, 3 to 4 voters, 2 ballots, 1 write each", 4, 2, 1, 0)
+          .rosters(0b111, ALL)
+          .read(),
+      Bounds.still(
+              "incarnations, 3 to 4 to 5 to 4 to 3 voters, 2 disks lost by one node", 5, 0, 0, 2)
+          .rosters(0b111, ALL, 0b11111, 0b11101, 0b11001)
+          .withoutBallots()
+          .wipeable(1),
+      Bounds.still("incarnations, a voter leaves and comes back, 2 disks lost by it", 5, 0, 0, 2)
+          .rosters(0b111, ALL, 0b1110, 0b11110, 0b11100)
+          .withoutBallots()
+          .wipeable(1),
+      Bounds.still(
+              "4 to 3 to 4 voters, a ballot for each roster, 1 write each, from where the first ballot serves",
+              5,
+              3,
+              1,
+              0)
+          .rosters(ALL, 0b1110, 0b11110)
+          .served(0b111)
+          .aBallotEach(),
+      Bounds.still("incarnations, 5 to 6 to 5 voters, 2 disks lost by one node", 6, 0, 0, 2)
+          .rosters(0b11111, 0b111111, 0b111110)
+          .withoutBallots()
+          .wipeable(1)
+    };
   }
 
   @Test(dataProvider = "sound")
@@ -50,14 +102,31 @@
     return new Object[] {
       Bounds.still("3 nodes, 2 ballots", 3, 2, 1, 0).broken(Variant.PROMISE_NOT_SYNCED),
       Bounds.still("3 nodes, 2 ballots, 1 disk lost", 3, 2, 1, 1).broken(Variant.OVERTAKEN_COUNTED),
-      Bounds.still("3 to 4 to 5 voters", 5, 2, 1, 0).rosters(0b111, ALL, 0b11111).served(0b11).broken(Variant.CHANGE_NOT_SETTLED),
-      Bounds.still("3 to 4 voters", 5, 1, 2, 0).rostersInRegister(0b111, ALL, 0b10111).broken(Variant.CHANGE_BEFORE_ADOPTION),
-      Bounds.still("3 nodes, 2 ballots, 1 disk lost", 3, 2, 1, 1).broken(Variant.VOTES_BEFORE_REFETCH),
+      Bounds.still("3 to 4 to 5 voters", 5, 2, 1, 0)
+          .rosters(0b111, ALL, 0b11111)
+          .served(0b11)
+          .broken(Variant.CHANGE_NOT_SETTLED),
+      Bounds.still("3 to 4 voters", 5, 1, 2, 0)
+          .rostersInRegister(0b111, ALL, 0b10111)
+          .broken(Variant.CHANGE_BEFORE_ADOPTION),
+      Bounds.still("3 nodes, 2 ballots, 1 disk lost", 3, 2, 1, 1)
+          .broken(Variant.VOTES_BEFORE_REFETCH),
       Bounds.still("3 nodes, 2 ballots", 3, 2, 1, 0).read().broken(Variant.ANSWER_WITHOUT_MAJORITY),
       Bounds.still("3 nodes, 3 ballots", 3, 3, 1, 0).broken(Variant.FLOOR_IGNORED),
-      Bounds.still("3 to 4 to 5 to 4 to 3 voters, 2 disks lost", 5, 0, 0, 2).rosters(0b111, ALL, 0b11111, 0b11101, 0b11001).withoutBallots().wipeable(1).broken(Variant.INCARNATIONS_NOT_CARRIED),
-      Bounds.still("a voter leaves and comes back, 2 disks lost", 5, 0, 0, 2).rosters(0b111, ALL, 0b1110, 0b11110, 0b11100).withoutBallots().wipeable(1).broken(Variant.INCARNATIONS_OF_VOTERS_CARRIED),
-      Bounds.still("one voter of 5 replaced by another in one step", 6, 2, 1, 0).rosters(0b11111, 0b101111).served(0b111)};
+      Bounds.still("3 to 4 to 5 to 4 to 3 voters, 2 disks lost", 5, 0, 0, 2)
+          .rosters(0b111, ALL, 0b11111, 0b11101, 0b11001)
+          .withoutBallots()
+          .wipeable(1)
+          .broken(Variant.INCARNATIONS_NOT_CARRIED),
+      Bounds.still("a voter leaves and comes back, 2 disks lost", 5, 0, 0, 2)
+          .rosters(0b111, ALL, 0b1110, 0b11110, 0b11100)
+          .withoutBallots()
+          .wipeable(1)
+          .broken(Variant.INCARNATIONS_OF_VOTERS_CARRIED),
+      Bounds.still("one voter of 5 replaced by another in one step", 6, 2, 1, 0)
+          .rosters(0b11111, 0b101111)
+          .served(0b111)
+    };
   }
 
   @Test(dataProvider = "broken")
@@ -86,16 +155,23 @@
     final Search.Result one = Search.run(bounds, MOST);
     final Search.Result other = Search.run(bounds, MOST);
     assertEquals(one.states(), other.states());
-    assertEquals(Search.run(bounds.broken(Variant.OVERTAKEN_COUNTED), MOST).trace(), Search.run(bounds.broken(Variant.OVERTAKEN_COUNTED), MOST).trace());
+    assertEquals(
+        Search.run(bounds.broken(Variant.OVERTAKEN_COUNTED), MOST).trace(),
+        Search.run(bounds.broken(Variant.OVERTAKEN_COUNTED), MOST).trace());
   }
 
-  /** Nodes that are alike are counted once: without that, three nodes of one kind give up to six times as many states. */
+  /**
+   * Nodes that are alike are counted once: without that, three nodes of one kind give up to six
+   * times as many states.
+   */
   @Test
   public void likeNodesAreTakenForOneAnother() {
     final Search.Result alike = Search.run(Bounds.still("3 alike", 3, 2, 1, 0), MOST);
     final Search.Result apart = Search.run(Bounds.still("3 apart", 3, 2, 1, 0).toldApart(), MOST);
     assertTrue(apart.whole() && apart.breach() == null && alike.whole());
-    assertTrue(apart.states() > 3 * alike.states() && apart.states() <= 6 * alike.states(), alike + "; " + apart);
+    assertTrue(
+        apart.states() > 3 * alike.states() && apart.states() <= 6 * alike.states(),
+        alike + "; " + apart);
   }
 
   @Test
@@ -105,12 +181,37 @@
     }
     final int most = Integer.getInteger("model.states", 20_000_000);
     final Bounds[] further = {
-      Bounds.still("5 nodes, 3 ballots, 1 write each, from where the first ballot serves", 5, 3, 1, 0).served(0b111),
-      Bounds.still("5 to 6 to 5 voters, a ballot for each roster, 1 write each, from where the first ballot serves", 6, 3, 1, 0).rosters(0b11111, 0b111111, 0b111110).served(0b111).aBallotEach(),
-      Bounds.still("the roster itself, 3 to 4 voters, 2 ballots, 2 writes each, 1 disk lost", 4, 2, 2, 1).rostersInRegister(0b111, ALL, 0b11),
-      Bounds.still("reads, 3 to 4 voters, 3 ballots, 1 write each, from where the first ballot serves", 4, 3, 1, 0).rosters(0b111, ALL).read().served(0b11),
+      Bounds.still(
+              "5 nodes, 3 ballots, 1 write each, from where the first ballot serves", 5, 3, 1, 0)
+          .served(0b111),
+      Bounds.still(
+              "5 to 6 to 5 voters, a ballot for each roster, 1 write each, from where the first ballot serves",
+              6,
+              3,
+              1,
+              0)
+          .rosters(0b11111, 0b111111, 0b111110)
+          .served(0b111)
+          .aBallotEach(),
+      Bounds.still(
+              "the roster itself, 3 to 4 voters, 2 ballots, 2 writes each, 1 disk lost", 4, 2, 2, 1)
+          .rostersInRegister(0b111, ALL, 0b11),
+      Bounds.still(
+              "reads, 3 to 4 voters, 3 ballots, 1 write each, from where the first ballot serves",
+              4,
+              3,
+              1,
+              0)
+          .rosters(0b111, ALL)
+          .read()
+          .served(0b11),
       Bounds.still("3 nodes, 3 ballots, 1 write each, 2 disks lost", 3, 3, 1, 2),
-      Bounds.still("incarnations, 3 to 4 to 5 to 4 to 3 voters, 2 disks lost by two nodes", 5, 0, 0, 2).rosters(0b111, ALL, 0b11111, 0b11101, 0b11001).withoutBallots().wipeable(0b1001)};
+      Bounds.still(
+              "incarnations, 3 to 4 to 5 to 4 to 3 voters, 2 disks lost by two nodes", 5, 0, 0, 2)
+          .rosters(0b111, ALL, 0b11111, 0b11101, 0b11001)
+          .withoutBallots()
+          .wipeable(0b1001)
+    };
     for (final Bounds bounds : further) {
       final Search.Result result = Search.run(bounds, most);
       print(result);
