--- a/rig/src/test/java/weldpoint/rig/model/Search.java
+++ b/rig/src/test/java/weldpoint/rig/model/Search.java
@@ -7,8 +7,9 @@
 import java.util.List;
 
 /**
- * Visits every state that can be reached, nearest first, each once. States are told apart by 64 bits of hash, so that
- * two that differ are taken for one with a likelihood of about states squared / 2 to the 65th.
+ * Visits every state that can be reached, nearest first, each once. States are told apart by 64
+ * bits of hash, so that two that differ are taken for one with a likelihood of about states squared
+ * / 2 to the 65th.
  */
 public final class Search {
   /**
@@ -22,10 +23,27 @@
    * @param breach what went wrong; null where nothing did
    * @param trace the shortest way there, one step a line
    */
-  public record Result(String name, int states, int depth, long millis, boolean whole, String breach, List<String> trace) {
+  public record Result(
+      String name,
+      int states,
+      int depth,
+      long millis,
+      boolean whole,
+      String breach,
+      List<String> trace) {
     @Override
     public String toString() {
-      return name + ": " + states + " states, " + depth + " steps deep, " + millis + " ms, " + (breach != null ? "BREACH " + breach : whole ? "no breach" : "cut short, nothing concluded");
+      return name
+          + ": "
+          + states
+          + " states, "
+          + depth
+          + " steps deep, "
+          + millis
+          + " ms, "
+          + (breach != null
+              ? "BREACH " + breach
+              : whole ? "no breach" : "cut short, nothing concluded");
     }
   }
 
@@ -60,33 +78,44 @@
       final ArrayDeque<byte[]> next = new ArrayDeque<>();
       while (!level.isEmpty()) {
         final int parent = at++;
-        model.steps(level.poll(), (state, label, wrong) -> {
-          if (breach[0] != null) {
-            return;
-          }
-          final long exact = Model.exact(state);
-          final int recent = (int) (exact >>> 40) & lately.length - 1;
-          if (lately[recent] != exact) {
-            lately[recent] = exact;
-            if (add(model.hash(state), parent)) {
-              next.add(state);
-            }
-          }
-          if (wrong != null) {
-            breach[0] = wrong;
-          }
-        });
+        model.steps(
+            level.poll(),
+            (state, label, wrong) -> {
+              if (breach[0] != null) {
+                return;
+              }
+              final long exact = Model.exact(state);
+              final int recent = (int) (exact >>> 40) & lately.length - 1;
+              if (lately[recent] != exact) {
+                lately[recent] = exact;
+                if (add(model.hash(state), parent)) {
+                  next.add(state);
+                }
+              }
+              if (wrong != null) {
+                breach[0] = wrong;
+              }
+            });
         if (breach[0] != null) {
-          return new Result(name, states, depth + 1, (System.nanoTime() - begun) / 1_000_000, false, breach[0], trace(parent, breach[0]));
+          return new Result(
+              name,
+              states,
+              depth + 1,
+              (System.nanoTime() - begun) / 1_000_000,
+              false,
+              breach[0],
+              trace(parent, breach[0]));
         }
         if (states >= most) {
-          return new Result(name, states, depth, (System.nanoTime() - begun) / 1_000_000, false, null, List.of());
+          return new Result(
+              name, states, depth, (System.nanoTime() - begun) / 1_000_000, false, null, List.of());
         }
       }
       level = next;
       depth += level.isEmpty() ? 0 : 1;
     }
-    return new Result(name, states, depth, (System.nanoTime() - begun) / 1_000_000, true, null, List.of());
+    return new Result(
+        name, states, depth, (System.nanoTime() - begun) / 1_000_000, true, null, List.of());
   }
 
   /** Goes the way again, with words for the steps. */
@@ -100,21 +129,25 @@
     byte[] state = model.first();
     for (final int index : way) {
       final byte[][] found = new byte[1][];
-      model.steps(state, (next, label, wrong) -> {
-        if (found[0] == null && model.hash(next) == hashes[index]) {
-          found[0] = next;
-          lines.add(label.get());
-        }
-      });
+      model.steps(
+          state,
+          (next, label, wrong) -> {
+            if (found[0] == null && model.hash(next) == hashes[index]) {
+              found[0] = next;
+              lines.add(label.get());
+            }
+          });
       state = found[0];
     }
     final boolean[] told = new boolean[1];
-    model.steps(state, (next, label, wrong) -> {
-      if (wrong != null && !told[0]) {
-        told[0] = true;
-        lines.add(label.get());
-      }
-    });
+    model.steps(
+        state,
+        (next, label, wrong) -> {
+          if (wrong != null && !told[0]) {
+            told[0] = true;
+            lines.add(label.get());
+          }
+        });
     lines.add("=> " + breach);
     return lines;
   }
--- a/rig/src/test/java/weldpoint/rig/model/Trace.java
+++ b/rig/src/test/java/weldpoint/rig/model/Trace.java
@@ -17,13 +17,25 @@
 import weldpoint.trunk.Words;
 
 /**
- * Takes what real cores send, get and put on disk for steps of the model, and checks that the model allows each: by what
- * is lasting on the sender's own disk at that moment, and by what the sender got from others before.
+ * Takes what real cores send, get and put on disk for steps of the model, and checks that the model
+ * allows each: by what is lasting on the sender's own disk at that moment, and by what the sender
+ * got from others before.
  */
 final class Trace implements Fleet.Watcher {
   /** The steps of the model that are recognised. */
   enum Step {
-    BEGIN, PROMISE, ESTABLISH, ACCEPT, SERVE, PROPOSE, COMMIT, CONFIRM, ADOPT, PROPOSE_ROSTER, FETCH, COUNT_AGAIN
+    BEGIN,
+    PROMISE,
+    ESTABLISH,
+    ACCEPT,
+    SERVE,
+    PROPOSE,
+    COMMIT,
+    CONFIRM,
+    ADOPT,
+    PROPOSE_ROSTER,
+    FETCH,
+    COUNT_AGAIN
   }
 
   /** A ballot, as its owner sees it. */
@@ -110,7 +122,15 @@
     if (machine.whole() && (kind == Kept.Kind.PROMISE || kind == Kept.Kind.REGISTERS)) {
       final int partition = Kept.partition(record);
       final Mark ballot = Kept.ballot(record);
-      must(ballot.compareTo(machine.given[partition]) >= 0, address, "takes ballot " + ballot + " of partition " + partition + " though it has taken " + machine.given[partition]);
+      must(
+          ballot.compareTo(machine.given[partition]) >= 0,
+          address,
+          "takes ballot "
+              + ballot
+              + " of partition "
+              + partition
+              + " though it has taken "
+              + machine.given[partition]);
       machine.given[partition] = ballot;
     }
   }
@@ -142,7 +162,10 @@
     }
   }
 
-  /** A blank disk counts again: it holds at least what each of a majority told of it under one roster and this incarnation. */
+  /**
+   * A blank disk counts again: it holds at least what each of a majority told of it under one
+   * roster and this incarnation.
+   */
   private void countsAgain(final String address, final Machine machine) {
     step(Step.COUNT_AGAIN);
     final Kept kept = machine.kept;
@@ -151,7 +174,9 @@
       final Map<String, Boolean> pages = new HashMap<>();
       boolean ends = false;
       for (final Words.Fetched one : machine.fetched.getOrDefault(voter.address, List.of())) {
-        if (one.incarnation == kept.incarnation() && one.roster.number == kept.roster().number && !one.values) {
+        if (one.incarnation == kept.incarnation()
+            && one.roster.number == kept.roster().number
+            && !one.values) {
           pages.merge(one.after, covers(kept, one), (before, now) -> before || now);
           ends |= !one.more;
         }
@@ -159,7 +184,16 @@
       final boolean covered = ends && !pages.containsValue(false);
       told += covered ? 1 : 0;
     }
-    must(told >= kept.roster().majority(), address, "counts again as incarnation " + kept.incarnation() + " with what " + told + " of " + kept.roster().voters.size() + " voters hold");
+    must(
+        told >= kept.roster().majority(),
+        address,
+        "counts again as incarnation "
+            + kept.incarnation()
+            + " with what "
+            + told
+            + " of "
+            + kept.roster().voters.size()
+            + " voters hold");
     for (int partition = 0; partition < FrameCore.PARTITIONS; partition++) {
       machine.given[partition] = kept.promised(partition);
     }
@@ -167,13 +201,15 @@
 
   private static boolean covers(final Kept kept, final Words.Fetched told) {
     for (int partition = 0; partition < Words.list(told.promised).size(); partition++) {
-      if (kept.promised(partition).compareTo(told.promised.get(partition)) < 0 || kept.established(partition).compareTo(told.established.get(partition)) < 0) {
+      if (kept.promised(partition).compareTo(told.promised.get(partition)) < 0
+          || kept.established(partition).compareTo(told.established.get(partition)) < 0) {
         return false;
       }
     }
     for (final Words.Entry entry : Words.list(told.entries)) {
       final int partition = FrameCore.partition(entry.name);
-      if (entry.mark.compareTo(kept.established(partition)) >= 0 && kept.stored(partition, entry.name).compareTo(entry.mark) < 0) {
+      if (entry.mark.compareTo(kept.established(partition)) >= 0
+          && kept.stored(partition, entry.name).compareTo(entry.mark) < 0) {
         return false;
       }
     }
@@ -182,9 +218,13 @@
 
   private void known(final Words.Roster roster, final String address) {
     final StringBuilder content = new StringBuilder();
-    roster.voters.forEach(voter -> content.append(voter.address).append(' ').append(voter.site).append("; "));
+    roster.voters.forEach(
+        voter -> content.append(voter.address).append(' ').append(voter.site).append("; "));
     final String before = rosters.putIfAbsent(roster.number, content.toString());
-    must(before == null || before.equals(content.toString()), address, "has a second roster " + roster.number + ": " + content + " besides " + before);
+    must(
+        before == null || before.equals(content.toString()),
+        address,
+        "has a second roster " + roster.number + ": " + content + " besides " + before);
   }
 
   // ---- what is sent
@@ -208,22 +248,48 @@
       step(Step.FETCH);
       final Words.Fetched fetched = (Words.Fetched) message;
       must(machine.whole(), from, "answers a fetch though its own disk is blank");
-      must(machine.kept.known(to) >= fetched.incarnation, from, "answers a fetch of " + to + " before incarnation " + fetched.incarnation + " is on its disk");
+      must(
+          machine.kept.known(to) >= fetched.incarnation,
+          from,
+          "answers a fetch of "
+              + to
+              + " before incarnation "
+              + fetched.incarnation
+              + " is on its disk");
       for (int partition = 0; partition < Words.list(fetched.promised).size(); partition++) {
-        must(fetched.promised.get(partition).compareTo(machine.kept.promised(partition)) >= 0, from, "tells less than it has promised in partition " + partition);
+        must(
+            fetched.promised.get(partition).compareTo(machine.kept.promised(partition)) >= 0,
+            from,
+            "tells less than it has promised in partition " + partition);
       }
     } else if (message instanceof Words.RosterNews) {
       known(((Words.RosterNews) message).roster, from);
     }
   }
 
-  private void votes(final String from, final Machine machine, final long incarnation, final List<Long> known, final String what) {
+  private void votes(
+      final String from,
+      final Machine machine,
+      final long incarnation,
+      final List<Long> known,
+      final String what) {
     must(machine.whole(), from, what + " though its disk is blank");
-    must(incarnation == machine.kept.incarnation(), from, what + " as incarnation " + incarnation + " and is " + machine.kept.incarnation());
-    must(Words.list(known).size() == machine.kept.roster().voters.size(), from, what + " with a list of incarnations for another roster");
-    for (int place = 0; place < Words.list(known).size() && place < machine.kept.roster().voters.size(); place++) {
+    must(
+        incarnation == machine.kept.incarnation(),
+        from,
+        what + " as incarnation " + incarnation + " and is " + machine.kept.incarnation());
+    must(
+        Words.list(known).size() == machine.kept.roster().voters.size(),
+        from,
+        what + " with a list of incarnations for another roster");
+    for (int place = 0;
+        place < Words.list(known).size() && place < machine.kept.roster().voters.size();
+        place++) {
       final String address = machine.kept.roster().voters.get(place).address;
-      must(address.equals(from) || known.get(place) >= machine.kept.known(address), from, what + " and tells an older incarnation of " + address + " than it knows");
+      must(
+          address.equals(from) || known.get(place) >= machine.kept.known(address),
+          from,
+          what + " and tells an older incarnation of " + address + " than it knows");
     }
     must(machine.kept.roster().index(from) >= 0, from, what + " and is no voter");
   }
@@ -232,12 +298,21 @@
     step(Step.PROMISE);
     final String what = "promises ballot " + promise.ballot + " of partition " + promise.partition;
     votes(from, machine, promise.incarnation, promise.known, what);
-    must(machine.kept.promised(promise.partition).compareTo(promise.ballot) >= 0, from, what + " before it is on its disk");
-    must(promise.established.compareTo(machine.kept.established(promise.partition)) >= 0, from, what + " and hides an establishment");
+    must(
+        machine.kept.promised(promise.partition).compareTo(promise.ballot) >= 0,
+        from,
+        what + " before it is on its disk");
+    must(
+        promise.established.compareTo(machine.kept.established(promise.partition)) >= 0,
+        from,
+        what + " and hides an establishment");
     final Map<String, Mark> told = new HashMap<>();
     Words.list(promise.entries).forEach(entry -> told.put(entry.name, entry.mark));
     for (final Words.Entry entry : machine.kept.entries(promise.partition)) {
-      must(told.getOrDefault(entry.name, Mark.NONE).compareTo(entry.mark) >= 0, from, what + " and hides " + entry.name + " at " + entry.mark);
+      must(
+          told.getOrDefault(entry.name, Mark.NONE).compareTo(entry.mark) >= 0,
+          from,
+          what + " and hides " + entry.name + " at " + entry.mark);
     }
   }
 
@@ -245,11 +320,22 @@
     step(Step.ACCEPT);
     final String what = "accepts ballot " + accepted.ballot + " of partition " + accepted.partition;
     votes(from, machine, accepted.incarnation, accepted.known, what);
-    must(machine.kept.promised(accepted.partition).compareTo(accepted.ballot) >= 0, from, what + " before it is on its disk");
-    must(!accepted.establish || machine.kept.established(accepted.partition).compareTo(accepted.ballot) >= 0, from, what + " before the establishment is on its disk");
+    must(
+        machine.kept.promised(accepted.partition).compareTo(accepted.ballot) >= 0,
+        from,
+        what + " before it is on its disk");
+    must(
+        !accepted.establish
+            || machine.kept.established(accepted.partition).compareTo(accepted.ballot) >= 0,
+        from,
+        what + " before the establishment is on its disk");
     for (int index = 0; index < Words.list(accepted.names).size(); index++) {
       final Mark mark = accepted.ballot.at(accepted.counts.get(index));
-      must(machine.kept.stored(accepted.partition, accepted.names.get(index)).compareTo(mark) >= 0 || machine.kept.established(accepted.partition).compareTo(mark) > 0, from, what + " before " + accepted.names.get(index) + " is on its disk");
+      must(
+          machine.kept.stored(accepted.partition, accepted.names.get(index)).compareTo(mark) >= 0
+              || machine.kept.established(accepted.partition).compareTo(mark) > 0,
+          from,
+          what + " before " + accepted.names.get(index) + " is on its disk");
     }
   }
 
@@ -259,7 +345,16 @@
     for (int index = 0; index < Words.list(pulsed.partitions).size(); index++) {
       final int partition = pulsed.partitions.get(index);
       final Mark ballot = pulsed.ballots.get(index);
-      must(machine.kept.promised(partition).sameBallot(ballot) || machine.kept.promised(partition).compareTo(ballot) < 0, from, "confirms ballot " + ballot + " of partition " + partition + " and has promised " + machine.kept.promised(partition));
+      must(
+          machine.kept.promised(partition).sameBallot(ballot)
+              || machine.kept.promised(partition).compareTo(ballot) < 0,
+          from,
+          "confirms ballot "
+              + ballot
+              + " of partition "
+              + partition
+              + " and has promised "
+              + machine.kept.promised(partition));
     }
   }
 
@@ -272,11 +367,25 @@
     }
     step(Step.BEGIN);
     final String what = "begins ballot " + prepare.ballot + " of partition " + prepare.partition;
-    must(machine.whole() && machine.kept.roster().index(from) >= 0, from, what + " and is no voter that counts");
-    must(prepare.roster == machine.kept.roster().number, from, what + " under roster " + prepare.roster + " and has " + machine.kept.roster().number);
-    must(before == null || prepare.ballot.compareTo(before.mark) > 0, from, what + " after " + (before == null ? null : before.mark));
-    must(prepare.ballot.compareTo(machine.kept.promised(prepare.partition)) >= 0, from, what + " below what it has promised");
-    final String owner = owners.putIfAbsent(new Mark(prepare.ballot.round, prepare.ballot.owner, prepare.partition), from);
+    must(
+        machine.whole() && machine.kept.roster().index(from) >= 0,
+        from,
+        what + " and is no voter that counts");
+    must(
+        prepare.roster == machine.kept.roster().number,
+        from,
+        what + " under roster " + prepare.roster + " and has " + machine.kept.roster().number);
+    must(
+        before == null || prepare.ballot.compareTo(before.mark) > 0,
+        from,
+        what + " after " + (before == null ? null : before.mark));
+    must(
+        prepare.ballot.compareTo(machine.kept.promised(prepare.partition)) >= 0,
+        from,
+        what + " below what it has promised");
+    final String owner =
+        owners.putIfAbsent(
+            new Mark(prepare.ballot.round, prepare.ballot.owner, prepare.partition), from);
     must(owner == null || owner.equals(from), from, what + ", which " + owner + " has begun");
     final Ballot ballot = new Ballot(prepare.ballot, machine.kept.roster());
     machine.ballots[prepare.partition] = ballot;
@@ -292,7 +401,8 @@
   }
 
   private void proposes(final String from, final Machine machine, final Words.Accept accept) {
-    final String what = "proposes under ballot " + accept.ballot + " of partition " + accept.partition;
+    final String what =
+        "proposes under ballot " + accept.ballot + " of partition " + accept.partition;
     final Ballot ballot = ballot(machine, accept.partition, accept.ballot);
     if (ballot == null) {
       must(false, from, what + ", which it has not begun under its roster");
@@ -320,13 +430,28 @@
       ballot.proposed.put(entry.name, entry.mark.count);
       if (entry.name.equals("roster")) {
         step(Step.PROPOSE_ROSTER);
-        must(settled.getOrDefault(ballot.roster.number, Set.of()).size() == FrameCore.PARTITIONS, from, what + " a roster while only partitions " + settled.get(ballot.roster.number) + " are established under roster " + ballot.roster.number);
+        must(
+            settled.getOrDefault(ballot.roster.number, Set.of()).size() == FrameCore.PARTITIONS,
+            from,
+            what
+                + " a roster while only partitions "
+                + settled.get(ballot.roster.number)
+                + " are established under roster "
+                + ballot.roster.number);
       }
     }
   }
 
-  /** The holder establishes the highest marks, at or above the highest establishment, of a majority of promises that count. */
-  private void establishes(final String from, final Machine machine, final Ballot ballot, final Words.Accept accept, final String what) {
+  /**
+   * The holder establishes the highest marks, at or above the highest establishment, of a majority
+   * of promises that count.
+   */
+  private void establishes(
+      final String from,
+      final Machine machine,
+      final Ballot ballot,
+      final Words.Accept accept,
+      final String what) {
     step(Step.ESTABLISH);
     int promised = 0;
     Mark floor = Mark.NONE;
@@ -340,7 +465,10 @@
       }
       ballot.counted.put(voter, counted);
       if (voter.equals(from)) {
-        must(ballot.own != null, from, what + " and counts a promise of its own that is not on its disk");
+        must(
+            ballot.own != null,
+            from,
+            what + " and counts a promise of its own that is not on its disk");
         if (ballot.own == null) {
           return;
         }
@@ -350,8 +478,19 @@
         continue;
       }
       final Words.Promise promise = ballot.promises.get(voter);
-      must(promise != null && promise.incarnation == counted, from, what + " and counts a promise of " + voter + " that it has not got");
-      must(counted >= machine.heard.getOrDefault(voter, 1L) && counted >= machine.kept.known(voter), from, what + " and counts a promise of " + voter + " as incarnation " + counted + ", which is overtaken");
+      must(
+          promise != null && promise.incarnation == counted,
+          from,
+          what + " and counts a promise of " + voter + " that it has not got");
+      must(
+          counted >= machine.heard.getOrDefault(voter, 1L) && counted >= machine.kept.known(voter),
+          from,
+          what
+              + " and counts a promise of "
+              + voter
+              + " as incarnation "
+              + counted
+              + ", which is overtaken");
       if (promise == null) {
         return;
       }
@@ -359,26 +498,41 @@
       floor = floor.compareTo(promise.established) < 0 ? promise.established : floor;
       entries.addAll(Words.list(promise.entries));
     }
-    must(promised >= ballot.roster.majority(), from, what + " with " + promised + " promises of " + ballot.roster.voters.size());
+    must(
+        promised >= ballot.roster.majority(),
+        from,
+        what + " with " + promised + " promises of " + ballot.roster.voters.size());
     for (final Words.Entry entry : entries) {
       final Words.Entry other = best.get(entry.name);
-      if (entry.mark.compareTo(floor) >= 0 && (other == null || other.mark.compareTo(entry.mark) < 0)) {
+      if (entry.mark.compareTo(floor) >= 0
+          && (other == null || other.mark.compareTo(entry.mark) < 0)) {
         best.put(entry.name, entry);
       }
     }
     final Set<String> names = new HashSet<>();
     for (final Words.Entry entry : Words.list(accept.entries)) {
       names.add(entry.name);
-      must(best.containsKey(entry.name) && Arrays.equals(best.get(entry.name).whole, entry.whole), from, what + " and establishes " + entry.name + ", which is not what it was told at " + (best.containsKey(entry.name) ? best.get(entry.name).mark : null));
+      must(
+          best.containsKey(entry.name) && Arrays.equals(best.get(entry.name).whole, entry.whole),
+          from,
+          what
+              + " and establishes "
+              + entry.name
+              + ", which is not what it was told at "
+              + (best.containsKey(entry.name) ? best.get(entry.name).mark : null));
     }
-    must(names.equals(best.keySet()), from, what + " and establishes " + names + " where it was told " + best.keySet());
+    must(
+        names.equals(best.keySet()),
+        from,
+        what + " and establishes " + names + " where it was told " + best.keySet());
   }
 
   private void serves(final String from, final Machine machine, final Words.Pulse pulse) {
     for (int index = 0; index < Words.list(pulse.partitions).size(); index++) {
       final int partition = pulse.partitions.get(index);
       final Ballot ballot = ballot(machine, partition, pulse.ballots.get(index));
-      final String what = "serves partition " + partition + " under ballot " + pulse.ballots.get(index);
+      final String what =
+          "serves partition " + partition + " under ballot " + pulse.ballots.get(index);
       if (ballot == null) {
         must(false, from, what + ", which it has not begun under its roster");
         continue;
@@ -397,18 +551,32 @@
     }
   }
 
-  private void commits(final String from, final Machine machine, final Ballot ballot, final int partition, final String name, final long count, final String what) {
+  private void commits(
+      final String from,
+      final Machine machine,
+      final Ballot ballot,
+      final int partition,
+      final String name,
+      final long count,
+      final String what) {
     step(Step.COMMIT);
     final Set<String> by = new HashSet<>();
-    ballot.accepted.getOrDefault(name, Map.of()).forEach((voter, reached) -> {
-      if (reached >= count) {
-        by.add(voter);
-      }
-    });
+    ballot
+        .accepted
+        .getOrDefault(name, Map.of())
+        .forEach(
+            (voter, reached) -> {
+              if (reached >= count) {
+                by.add(voter);
+              }
+            });
     if (machine.kept.stored(partition, name).compareTo(ballot.mark.at(count)) >= 0) {
       by.add(from);
     }
-    must(by.size() >= ballot.roster.majority(), from, what + " the next value of " + name + " while the one before was accepted by " + by);
+    must(
+        by.size() >= ballot.roster.majority(),
+        from,
+        what + " the next value of " + name + " while the one before was accepted by " + by);
   }
 
   // ---- what is got
@@ -428,12 +596,16 @@
       final Ballot ballot = ballot(machine, accepted.partition, accepted.ballot);
       if (ballot != null) {
         hears(machine, accepted.known);
-        if (accepted.incarnation >= machine.heard.getOrDefault(from, 1L) && accepted.incarnation >= machine.kept.known(from)) {
+        if (accepted.incarnation >= machine.heard.getOrDefault(from, 1L)
+            && accepted.incarnation >= machine.kept.known(from)) {
           if (accepted.establish) {
             ballot.established.add(from);
           }
           for (int index = 0; index < Words.list(accepted.names).size(); index++) {
-            ballot.accepted.computeIfAbsent(accepted.names.get(index), key -> new HashMap<>()).merge(from, accepted.counts.get(index), Math::max);
+            ballot
+                .accepted
+                .computeIfAbsent(accepted.names.get(index), key -> new HashMap<>())
+                .merge(from, accepted.counts.get(index), Math::max);
           }
         }
       }
@@ -450,8 +622,11 @@
   }
 
   private void hears(final Machine machine, final List<Long> known) {
-    for (int place = 0; place < Words.list(known).size() && place < machine.kept.roster().voters.size(); place++) {
-      machine.heard.merge(machine.kept.roster().voters.get(place).address, known.get(place), Math::max);
+    for (int place = 0;
+        place < Words.list(known).size() && place < machine.kept.roster().voters.size();
+        place++) {
+      machine.heard.merge(
+          machine.kept.roster().voters.get(place).address, known.get(place), Math::max);
     }
   }
 }
--- a/rig/src/test/java/weldpoint/rig/model/TraceTest.java
+++ b/rig/src/test/java/weldpoint/rig/model/TraceTest.java
@@ -25,12 +25,28 @@
     if (!running.isEmpty()) {
       final String at = running.get(random.nextInt(running.size()));
       switch (random.nextInt(3)) {
-        case 0 -> fleet.call(at, Deed.NUMBER, "n" + random.nextInt(4), null, 0, 0, null, answer -> {
-        });
-        case 1 -> fleet.call(at, Deed.LOCK_BEGIN, "l" + random.nextInt(3), "o" + random.nextInt(3), 800, 0, null, answer -> {
-        });
-        default -> fleet.call(at, Deed.CELL_REPLACE, "g" + random.nextInt(2), "v" + random.nextInt(1 << 20), -1, 0, "k".getBytes(StandardCharsets.UTF_8), answer -> {
-        });
+        case 0 ->
+            fleet.call(at, Deed.NUMBER, "n" + random.nextInt(4), null, 0, 0, null, answer -> {});
+        case 1 ->
+            fleet.call(
+                at,
+                Deed.LOCK_BEGIN,
+                "l" + random.nextInt(3),
+                "o" + random.nextInt(3),
+                800,
+                0,
+                null,
+                answer -> {});
+        default ->
+            fleet.call(
+                at,
+                Deed.CELL_REPLACE,
+                "g" + random.nextInt(2),
+                "v" + random.nextInt(1 << 20),
+                -1,
+                0,
+                "k".getBytes(StandardCharsets.UTF_8),
+                answer -> {});
       }
     }
     fleet.after(25, () -> traffic(fleet));
@@ -41,11 +57,13 @@
     if (wipe) {
       fleet.wipe(address);
     }
-    fleet.after(200 + fleet.random().nextInt(1200), () -> {
-      if (fleet.machines().get(address).core() == null) {
-        fleet.start(address, false);
-      }
-    });
+    fleet.after(
+        200 + fleet.random().nextInt(1200),
+        () -> {
+          if (fleet.machines().get(address).core() == null) {
+            fleet.start(address, false);
+          }
+        });
   }
 
   private static void trouble(final Fleet fleet) {
@@ -56,10 +74,14 @@
     switch (random.nextInt(9)) {
       case 0 -> again(fleet, one, false);
       case 1 -> running.forEach(address -> again(fleet, address, false));
-      case 2 -> running.subList(1, running.size()).forEach(other -> {
-        fleet.cut(one, other, true);
-        fleet.cut(other, one, random.nextBoolean());
-      });
+      case 2 ->
+          running
+              .subList(1, running.size())
+              .forEach(
+                  other -> {
+                    fleet.cut(one, other, true);
+                    fleet.cut(other, one, random.nextBoolean());
+                  });
       case 3 -> fleet.freeze(one, true);
       case 4 -> running.forEach(address -> fleet.disk(address, 2 + random.nextInt(300)));
       case 5 -> {
@@ -68,14 +90,20 @@
       }
       case 6 -> {
         again(fleet, one, true);
-        fleet.after(150, () -> running.subList(1, 3).forEach(address -> again(fleet, address, false)));
+        fleet.after(
+            150, () -> running.subList(1, 3).forEach(address -> again(fleet, address, false)));
       }
       default -> again(fleet, one, true);
     }
     fleet.after(2500, fleet::heal);
   }
 
-  private static Fleet fleet(final long seed, final boolean syncsFirst, final int others, final Fleet.Meddler meddler, final Trace trace) {
+  private static Fleet fleet(
+      final long seed,
+      final boolean syncsFirst,
+      final int others,
+      final Fleet.Meddler meddler,
+      final Trace trace) {
     final Fleet fleet = new Fleet(seed, SEEDS, syncsFirst);
     fleet.watcher(trace);
     if (meddler != null) {
@@ -94,7 +122,8 @@
     return fleet;
   }
 
-  private static Trace day(final long seed, final boolean syncsFirst, final Fleet.Meddler meddler, final int rounds) {
+  private static Trace day(
+      final long seed, final boolean syncsFirst, final Fleet.Meddler meddler, final int rounds) {
     final Trace trace = new Trace();
     final Fleet fleet = fleet(seed, syncsFirst, OTHERS.length, meddler, trace);
     for (int round = 0; round < rounds; round++) {
@@ -116,32 +145,50 @@
     }
     System.out.println("trace: " + days + " days, " + steps);
     for (final Trace.Step step : Trace.Step.values()) {
-      assertTrue(steps.getOrDefault(step, 0) >= days, "too little of " + step + " was seen: " + steps);
+      assertTrue(
+          steps.getOrDefault(step, 0) >= days, "too little of " + step + " was seen: " + steps);
     }
   }
 
   @Test
   public void anAnswerBeforeTheSyncIsSeen() {
     final Trace trace = day(1, false, null, 1);
-    assertTrue(trace.breaches().stream().anyMatch(line -> line.contains("before it is on its disk")), trace.breaches().toString());
+    assertTrue(
+        trace.breaches().stream().anyMatch(line -> line.contains("before it is on its disk")),
+        trace.breaches().toString());
   }
 
-  /** One core takes all for the first incarnation of everybody, whatever it is told, and wins partitions after a disk was lost. */
+  /**
+   * One core takes all for the first incarnation of everybody, whatever it is told, and wins
+   * partitions after a disk was lost.
+   */
   @Test
   public void anOvertakenPromiseThatCountsIsSeen() {
     final Trace trace = new Trace();
-    final Fleet fleet = fleet(1, true, 2, new Fleet.Meddler() {
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        return to.equals(SEEDS.get(0)) ? asFirst(message) : message;
-      }
-    }, trace);
+    final Fleet fleet =
+        fleet(
+            1,
+            true,
+            2,
+            new Fleet.Meddler() {
+              @Override
+              public Message pass(final String from, final String to, final Message message) {
+                return to.equals(SEEDS.get(0)) ? asFirst(message) : message;
+              }
+            },
+            trace);
     fleet.run(3000);
     again(fleet, SEEDS.get(1), true);
     fleet.run(4000);
     assertTrue(trace.breaches().isEmpty(), trace.breaches().toString());
     othersPause(fleet);
-    assertTrue(trace.breaches().stream().anyMatch(line -> line.startsWith(SEEDS.get(0)) && line.contains("counts a promise of " + SEEDS.get(1))), trace.breaches().toString());
+    assertTrue(
+        trace.breaches().stream()
+            .anyMatch(
+                line ->
+                    line.startsWith(SEEDS.get(0))
+                        && line.contains("counts a promise of " + SEEDS.get(1))),
+        trace.breaches().toString());
   }
 
   /** All but the first core stand still in turn, so that the first wins their partitions. */
@@ -164,7 +211,8 @@
       return new Words.Promise(one.partition, one.ballot, one.established, one.entries, 1, null);
     } else if (message instanceof Words.Accepted) {
       final Words.Accepted one = (Words.Accepted) message;
-      return new Words.Accepted(one.partition, one.ballot, one.establish, one.names, one.counts, one.lacking, 1, null);
+      return new Words.Accepted(
+          one.partition, one.ballot, one.establish, one.names, one.counts, one.lacking, 1, null);
     } else if (message instanceof Words.Pulsed) {
       final Words.Pulsed one = (Words.Pulsed) message;
       return new Words.Pulsed(one.partitions, one.ballots, 1, null, one.audited);
@@ -173,7 +221,8 @@
       return new Words.Refused(one.partition, one.ballot, one.promised, one.roster, null);
     } else if (message instanceof Words.Accept) {
       final Words.Accept one = (Words.Accept) message;
-      return new Words.Accept(one.partition, one.roster, one.ballot, one.establish, one.counted, one.entries);
+      return new Words.Accept(
+          one.partition, one.roster, one.ballot, one.establish, one.counted, one.entries);
     }
     return message;
   }
@@ -182,44 +231,83 @@
   @Test
   public void anEstablishmentOfLessThanWasToldIsSeen() {
     final Trace trace = new Trace();
-    final Fleet fleet = fleet(2, true, 2, new Fleet.Meddler() {
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        if (to.equals(SEEDS.get(0)) && message instanceof Words.Accept) {
-          return null;
-        } else if (to.equals(SEEDS.get(0)) && message instanceof Words.Promise) {
-          final Words.Promise one = (Words.Promise) message;
-          return new Words.Promise(one.partition, one.ballot, one.established, List.of(), one.incarnation, one.known);
-        }
-        return message;
-      }
-    }, trace);
+    final Fleet fleet =
+        fleet(
+            2,
+            true,
+            2,
+            new Fleet.Meddler() {
+              @Override
+              public Message pass(final String from, final String to, final Message message) {
+                if (to.equals(SEEDS.get(0)) && message instanceof Words.Accept) {
+                  return null;
+                } else if (to.equals(SEEDS.get(0)) && message instanceof Words.Promise) {
+                  final Words.Promise one = (Words.Promise) message;
+                  return new Words.Promise(
+                      one.partition,
+                      one.ballot,
+                      one.established,
+                      List.of(),
+                      one.incarnation,
+                      one.known);
+                }
+                return message;
+              }
+            },
+            trace);
     othersPause(fleet);
-    assertTrue(trace.breaches().stream().anyMatch(line -> line.startsWith(SEEDS.get(0)) && line.contains("where it was told")), trace.breaches().toString());
+    assertTrue(
+        trace.breaches().stream()
+            .anyMatch(line -> line.startsWith(SEEDS.get(0)) && line.contains("where it was told")),
+        trace.breaches().toString());
   }
 
-  /** One core takes an answer for one to its later proposals too, and goes on before a majority has them. */
+  /**
+   * One core takes an answer for one to its later proposals too, and goes on before a majority has
+   * them.
+   */
   @Test
   public void aCommitWithoutAMajorityIsSeen() {
     final Trace trace = new Trace();
-    final Fleet fleet = fleet(1, true, 2, new Fleet.Meddler() {
-      @Override
-      public Message pass(final String from, final String to, final Message message) {
-        if (to.equals(SEEDS.get(0)) && message instanceof Words.Accepted && !((Words.Accepted) message).establish) {
-          final Words.Accepted one = (Words.Accepted) message;
-          final List<Long> more = new ArrayList<>();
-          Words.list(one.counts).forEach(count -> more.add(count + 5));
-          return new Words.Accepted(one.partition, one.ballot, one.establish, one.names, more, one.lacking, one.incarnation, one.known);
-        }
-        return message;
-      }
-    }, trace);
+    final Fleet fleet =
+        fleet(
+            1,
+            true,
+            2,
+            new Fleet.Meddler() {
+              @Override
+              public Message pass(final String from, final String to, final Message message) {
+                if (to.equals(SEEDS.get(0))
+                    && message instanceof Words.Accepted
+                    && !((Words.Accepted) message).establish) {
+                  final Words.Accepted one = (Words.Accepted) message;
+                  final List<Long> more = new ArrayList<>();
+                  Words.list(one.counts).forEach(count -> more.add(count + 5));
+                  return new Words.Accepted(
+                      one.partition,
+                      one.ballot,
+                      one.establish,
+                      one.names,
+                      more,
+                      one.lacking,
+                      one.incarnation,
+                      one.known);
+                }
+                return message;
+              }
+            },
+            trace);
     for (int call = 0; call < 1000; call++) {
-      fleet.after(call * 4L, () -> fleet.call(fleet.running().get(0), Deed.NUMBER, "n", null, 0, 0, null, answer -> {
-      }));
+      fleet.after(
+          call * 4L,
+          () ->
+              fleet.call(fleet.running().get(0), Deed.NUMBER, "n", null, 0, 0, null, answer -> {}));
     }
     fleet.run(1000);
     othersPause(fleet);
-    assertTrue(trace.breaches().stream().anyMatch(line -> line.startsWith(SEEDS.get(0)) && line.contains("the next value of")), trace.breaches().toString());
+    assertTrue(
+        trace.breaches().stream()
+            .anyMatch(line -> line.startsWith(SEEDS.get(0)) && line.contains("the next value of")),
+        trace.breaches().toString());
   }
 }
--- a/rig/src/test/java/weldpoint/rig/model/Variant.java
+++ b/rig/src/test/java/weldpoint/rig/model/Variant.java
@@ -6,9 +6,13 @@
   PROMISE_NOT_SYNCED,
   /** Promises, acceptances and confirmations of an overtaken incarnation count. */
   OVERTAKEN_COUNTED,
-  /** The next roster is decided before every partition has been established under the present one. */
+  /**
+   * The next roster is decided before every partition has been established under the present one.
+   */
   CHANGE_NOT_SETTLED,
-  /** The holder proposes a roster while the one that it decided last is not yet in force at itself. */
+  /**
+   * The holder proposes a roster while the one that it decided last is not yet in force at itself.
+   */
   CHANGE_BEFORE_ADOPTION,
   /** A blank voter votes after one answer to its fetch. */
   VOTES_BEFORE_REFETCH,
--- a/scale/src/main/java/weldpoint/scale/Child.java
+++ b/scale/src/main/java/weldpoint/scale/Child.java
@@ -15,11 +15,18 @@
 
 /** One real daemon as a process of its own, with what it counts of itself. */
 final class Child {
-  private static final Pattern TRUNK = Pattern.compile("trunk-in (\\d+) (\\d+) trunk-out (\\d+) (\\d+)");
+  private static final Pattern TRUNK =
+      Pattern.compile("trunk-in (\\d+) (\\d+) trunk-out (\\d+) (\\d+)");
 
   /** What a process has used and passed since its start. */
-  record Sample(long atNanos, long cpuMillis, long memoryKilobytes, long messagesIn, long bytesIn, long messagesOut, long bytesOut) {
-  }
+  record Sample(
+      long atNanos,
+      long cpuMillis,
+      long memoryKilobytes,
+      long messagesIn,
+      long bytesIn,
+      long messagesOut,
+      long bytesOut) {}
 
   final String program;
   private final Process process;
@@ -28,8 +35,23 @@
 
   Child(final String program, final Path settings, final int heapMegabytes) throws IOException {
     this.program = program;
-    final List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xms16m", "-Xmx" + heapMegabytes + "m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-        "-XX:MaxMetaspaceSize=64m", "-XX:ReservedCodeCacheSize=24m", "-XX:MaxDirectMemorySize=48m", "-XX:-UsePerfData", "-cp", System.getProperty("java.class.path"), "weldpoint.console.Weldpoint", program));
+    final List<String> words =
+        new ArrayList<>(
+            List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xms16m",
+                "-Xmx" + heapMegabytes + "m",
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:MaxMetaspaceSize=64m",
+                "-XX:ReservedCodeCacheSize=24m",
+                "-XX:MaxDirectMemorySize=48m",
+                "-XX:-UsePerfData",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "weldpoint.console.Weldpoint",
+                program));
     final ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
     builder.environment().put(Boot.VARIABLE, settings.toString());
     process = builder.start();
@@ -39,13 +61,23 @@
   }
 
   private void read() {
-    try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+    try (BufferedReader lines =
+        new BufferedReader(
+            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
       String line = lines.readLine();
       while (line != null) {
         last = line;
         final Matcher trunk = TRUNK.matcher(line);
         if (trunk.find()) {
-          counted = new Sample(System.nanoTime(), cpuMillis(), memory(), Long.parseLong(trunk.group(1)), Long.parseLong(trunk.group(2)), Long.parseLong(trunk.group(3)), Long.parseLong(trunk.group(4)));
+          counted =
+              new Sample(
+                  System.nanoTime(),
+                  cpuMillis(),
+                  memory(),
+                  Long.parseLong(trunk.group(1)),
+                  Long.parseLong(trunk.group(2)),
+                  Long.parseLong(trunk.group(3)),
+                  Long.parseLong(trunk.group(4)));
         }
         line = lines.readLine();
       }
@@ -55,7 +87,12 @@
   }
 
   private long cpuMillis() {
-    return process.toHandle().info().totalCpuDuration().map(java.time.Duration::toMillis).orElse(0L);
+    return process
+        .toHandle()
+        .info()
+        .totalCpuDuration()
+        .map(java.time.Duration::toMillis)
+        .orElse(0L);
   }
 
   private long memory() {
@@ -74,7 +111,15 @@
   /** What the process last counted; fails where it has died. */
   Sample sample() {
     if (!process.isAlive()) {
-      throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "a " + program + " has ended by itself with code " + process.exitValue() + " (" + last + "); the run gives no slope");
+      throw new Breakdown(
+          Breakdown.Kind.OUT_OF_REACH,
+          "a "
+              + program
+              + " has ended by itself with code "
+              + process.exitValue()
+              + " ("
+              + last
+              + "); the run gives no slope");
     }
     return counted;
   }
--- a/scale/src/main/java/weldpoint/scale/Fit.java
+++ b/scale/src/main/java/weldpoint/scale/Fit.java
@@ -3,14 +3,23 @@
 import weldpoint.boot.Breakdown;
 
 /** A straight line through points by least squares, with what it leaves over. */
-public record Fit(double slope, double fixed, double worst, double explained, double from, double to, int points) {
+public record Fit(
+    double slope,
+    double fixed,
+    double worst,
+    double explained,
+    double from,
+    double to,
+    int points) {
   private static final int LEAST_POINTS = 3;
   private static final double LEAST_SPAN = 4;
 
   /** The line through these points; fails where they are too few or too near each other. */
   public static Fit of(final double[] sizes, final double[] values) {
     if (sizes.length != values.length || sizes.length < LEAST_POINTS) {
-      throw new Breakdown(Breakdown.Kind.INVALID, sizes.length + " points give no slope; measure at least " + LEAST_POINTS + " sizes");
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          sizes.length + " points give no slope; measure at least " + LEAST_POINTS + " sizes");
     }
     double least = Double.MAX_VALUE;
     double most = 0;
@@ -23,7 +32,15 @@
       meanValue += values[index] / sizes.length;
     }
     if (!(least >= 0) || most < LEAST_SPAN * Math.max(1e-9, least)) {
-      throw new Breakdown(Breakdown.Kind.INVALID, "sizes from " + least + " to " + most + " lie too near each other; let the largest be " + LEAST_SPAN + " times the smallest");
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          "sizes from "
+              + least
+              + " to "
+              + most
+              + " lie too near each other; let the largest be "
+              + LEAST_SPAN
+              + " times the smallest");
     }
     double product = 0;
     double square = 0;
@@ -42,7 +59,8 @@
       worst = Math.max(worst, Math.abs(rest));
       left += rest * rest;
     }
-    return new Fit(slope, fixed, worst, total == 0 ? 1 : 1 - left / total, least, most, sizes.length);
+    return new Fit(
+        slope, fixed, worst, total == 0 ? 1 : 1 - left / total, least, most, sizes.length);
   }
 
   /** What the line gives at a size. */
--- a/scale/src/main/java/weldpoint/scale/HistoryMeasure.java
+++ b/scale/src/main/java/weldpoint/scale/HistoryMeasure.java
@@ -16,13 +16,16 @@
 import weldpoint.audit.SegmentStore;
 import weldpoint.trunk.Wire;
 
-/** The history alone: what entries take on disk and in memory, and what it costs an empty replica to have them. */
+/**
+ * The history alone: what entries take on disk and in memory, and what it costs an empty replica to
+ * have them.
+ */
 final class HistoryMeasure {
-  private HistoryMeasure() {
-  }
+  private HistoryMeasure() {}
 
   private static SegmentStore store(final Path folder, final int entries) throws IOException {
-    final SegmentStore store = new SegmentStore(folder, Math.max(4L << 20, entries * 1600L), Runnable::run);
+    final SegmentStore store =
+        new SegmentStore(folder, Math.max(4L << 20, entries * 1600L), Runnable::run);
     store.start("history");
     return store;
   }
@@ -39,29 +42,37 @@
 
   static Map<String, Double> measure(final int entries) throws IOException, InterruptedException {
     final Path folder = Files.createTempDirectory("weldpoint-history");
-    final AuditLog full = new AuditLog("full", store(folder.resolve("full"), entries), () -> {
-    });
+    final AuditLog full = new AuditLog("full", store(folder.resolve("full"), entries), () -> {});
     String digest = AuditEntry.NO_DIGEST;
     long bytes = 0;
     final long built = cpu();
     for (int sequence = 1; sequence <= entries; sequence++) {
-      final byte[] entry = new AuditEntry.Draft(ChangeKind.CONFIGURATION, "").number(sequence, 0).origin("dispatch lead", "10.0.0.9", "10.0.0.4", 1_800_000_000_000L + sequence).digests(digest, digest)
-          .line("~ write route booking.example/book/ (r-book): service booking-desk -> booking-desk-" + sequence % 7).bytes(sequence, digest);
+      final byte[] entry =
+          new AuditEntry.Draft(ChangeKind.CONFIGURATION, "")
+              .number(sequence, 0)
+              .origin("dispatch lead", "10.0.0.9", "10.0.0.4", 1_800_000_000_000L + sequence)
+              .digests(digest, digest)
+              .line(
+                  "~ write route booking.example/book/ (r-book): service booking-desk -> booking-desk-"
+                      + sequence % 7)
+              .bytes(sequence, digest);
       digest = AuditEntry.digest(entry);
       bytes += entry.length;
       full.offer(entry);
     }
     lasting(full, entries);
     final long told = cpu();
-    final AuditLog empty = new AuditLog("empty", store(folder.resolve("empty"), entries), () -> {
-    });
+    final AuditLog empty = new AuditLog("empty", store(folder.resolve("empty"), entries), () -> {});
     final long[] wire = new long[2];
     final ArrayDeque<Runnable> queue = new ArrayDeque<>();
     final AuditReplica[] replicas = new AuditReplica[2];
     final long began = System.nanoTime();
-    replicas[0] = new AuditReplica(full, (to, message) -> {
-    }, new Random(1));
-    replicas[1] = new AuditReplica(empty, (to, message) -> queue.add(() -> pass(replicas, 0, message, queue, wire)), new Random(1));
+    replicas[0] = new AuditReplica(full, (to, message) -> {}, new Random(1));
+    replicas[1] =
+        new AuditReplica(
+            empty,
+            (to, message) -> queue.add(() -> pass(replicas, 0, message, queue, wire)),
+            new Random(1));
     replicas[1].tick(List.of("full"), 10_000);
     while (!queue.isEmpty()) {
       queue.poll().run();
@@ -81,9 +92,15 @@
     return result;
   }
 
-  private static void pass(final AuditReplica[] replicas, final int to, final weldpoint.trunk.Message message, final ArrayDeque<Runnable> queue, final long[] wire) {
+  private static void pass(
+      final AuditReplica[] replicas,
+      final int to,
+      final weldpoint.trunk.Message message,
+      final ArrayDeque<Runnable> queue,
+      final long[] wire) {
     wire[0]++;
     wire[1] += Wire.bytes(message).length;
-    replicas[to].receive("peer", message, answer -> queue.add(() -> pass(replicas, 1 - to, answer, queue, wire)));
+    replicas[to].receive(
+        "peer", message, answer -> queue.add(() -> pass(replicas, 1 - to, answer, queue, wire)));
   }
 }
--- a/scale/src/main/java/weldpoint/scale/Hollows.java
+++ b/scale/src/main/java/weldpoint/scale/Hollows.java
@@ -22,7 +22,10 @@
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
-/** Switchboards without traffic, many to this process: each has its own link, stream and line, the very code of a real one. */
+/**
+ * Switchboards without traffic, many to this process: each has its own link, stream and line, the
+ * very code of a real one.
+ */
 final class Hollows {
   private static final long TICK_MILLIS = 100;
 
@@ -33,56 +36,76 @@
     private Ties ties;
 
     private Hollow(final Boot boot, final int index, final long incarnation) {
-      trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "switchboard", address(index), incarnation));
-      stream = new Stream(trunk, desk, boot, () -> {
-      });
-      final Words.Board self = new Words.Board(address(index), address(index) + ":8161", boot.site(), boot.region(), incarnation, false, 0);
-      link = new BoardLink(self, boot.seeds(), new Random(incarnation), new BoardLink.Outlet() {
-        @Override
-        public void dial(final String to) {
-          stream.dial(to);
-        }
-
-        @Override
-        public void send(final Message message) {
-          stream.send(message);
-        }
-
-        @Override
-        public void outlook(final Dialplan plan, final Map<Words.Registration, Boolean> changes, final Set<String> evacuated, final Set<String> suspects, final int switchboards) {
-          if (plan != null || evacuated != null) {
-            desk.execute(() -> link().inForce(link().version(), link().mark(), now()));
-          }
-          if (plan != null) {
-            versions.merge(plan.version(), 1, Integer::sum);
-          }
-        }
-
-        @Override
-        public void trials(final List<Words.Trial> trials, final long mark) {
-        }
-
-        @Override
-        public void placements(final Words.Placements placements) {
-          if (ties == null) {
-            ties = new Ties(self.address, incarnation, boot.affinityLeaseMillis(), stream::send);
-          }
-          ties.take(placements, now());
-          placed.merge(placements.mark, 1, Integer::sum);
-        }
-
-        @Override
-        public void leased(final Words.LeaseGrant grant) {
-          if (ties != null) {
-            ties.granted(grant, now());
-          }
-        }
-
-        @Override
-        public void admitted() {
-          admitted.incrementAndGet();
-        }
-      });
+      trunk =
+          new Trunk(
+              loop, new Words.Hello(Wire.PROTOCOL, "switchboard", address(index), incarnation));
+      stream = new Stream(trunk, desk, boot, () -> {});
+      final Words.Board self =
+          new Words.Board(
+              address(index),
+              address(index) + ":8161",
+              boot.site(),
+              boot.region(),
+              incarnation,
+              false,
+              0);
+      link =
+          new BoardLink(
+              self,
+              boot.seeds(),
+              new Random(incarnation),
+              new BoardLink.Outlet() {
+                @Override
+                public void dial(final String to) {
+                  stream.dial(to);
+                }
+
+                @Override
+                public void send(final Message message) {
+                  stream.send(message);
+                }
+
+                @Override
+                public void outlook(
+                    final Dialplan plan,
+                    final Map<Words.Registration, Boolean> changes,
+                    final Set<String> evacuated,
+                    final Set<String> suspects,
+                    final int switchboards) {
+                  if (plan != null || evacuated != null) {
+                    desk.execute(() -> link().inForce(link().version(), link().mark(), now()));
+                  }
+                  if (plan != null) {
+                    versions.merge(plan.version(), 1, Integer::sum);
+                  }
+                }
+
+                @Override
+                public void trials(final List<Words.Trial> trials, final long mark) {}
+
+                @Override
+                public void placements(final Words.Placements placements) {
+                  if (ties == null) {
+                    ties =
+                        new Ties(
+                            self.address, incarnation, boot.affinityLeaseMillis(), stream::send);
+                  }
+                  ties.take(placements, now());
+                  placed.merge(placements.mark, 1, Integer::sum);
+                }
+
+                @Override
+                public void leased(final Words.LeaseGrant grant) {
+                  if (ties != null) {
+                    ties.granted(grant, now());
+                  }
+                }
+
+                @Override
+                public void admitted() {
+                  admitted.incrementAndGet();
+                }
+              });
       stream.link(link);
       link.start(now());
     }
@@ -100,11 +123,13 @@
   }
 
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
-  private final ExecutorService desk = Executors.newSingleThreadExecutor(task -> {
-    final Thread thread = new Thread(task, "hollow");
-    thread.setDaemon(true);
-    return thread;
-  });
+  private final ExecutorService desk =
+      Executors.newSingleThreadExecutor(
+          task -> {
+            final Thread thread = new Thread(task, "hollow");
+            thread.setDaemon(true);
+            return thread;
+          });
   private final List<Hollow> hollows = new ArrayList<>();
   private final List<Boot> boots;
   private final AtomicLong admitted = new AtomicLong();
@@ -118,12 +143,17 @@
   /** So many switchboards, spread over these places. */
   Hollows(final List<Boot> boots, final int count) {
     this.boots = boots;
-    desk.execute(() -> {
-      for (int index = 0; index < count; index++) {
-        hollows.add(new Hollow(boots.get(index % boots.size()), index, ++incarnations));
-      }
-    });
-    loop.scheduleAtFixedRate(() -> desk.execute(() -> hollows.forEach(Hollow::tick)), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    desk.execute(
+        () -> {
+          for (int index = 0; index < count; index++) {
+            hollows.add(new Hollow(boots.get(index % boots.size()), index, ++incarnations));
+          }
+        });
+    loop.scheduleAtFixedRate(
+        () -> desk.execute(() -> hollows.forEach(Hollow::tick)),
+        TICK_MILLIS,
+        TICK_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 
   static String address(final int index) {
@@ -136,16 +166,17 @@
 
   /** Ends one and starts it again as a new life, as a restart does. */
   void restartOne() {
-    desk.execute(() -> {
-      if (!hollows.isEmpty()) {
-        final int index = next++ % hollows.size();
-        final Hollow before = hollows.get(index);
-        gone += before.trunk.meter().bytesIn();
-        goneMessages += before.trunk.meter().messagesIn();
-        before.stream.close();
-        hollows.set(index, new Hollow(boots.get(index % boots.size()), index, ++incarnations));
-      }
-    });
+    desk.execute(
+        () -> {
+          if (!hollows.isEmpty()) {
+            final int index = next++ % hollows.size();
+            final Hollow before = hollows.get(index);
+            gone += before.trunk.meter().bytesIn();
+            goneMessages += before.trunk.meter().messagesIn();
+            before.stream.close();
+            hollows.set(index, new Hollow(boots.get(index % boots.size()), index, ++incarnations));
+          }
+        });
   }
 
   /** How many views were given in all. */
@@ -165,34 +196,38 @@
 
   /** Messages and bytes that came to all. */
   long[] in() {
-    final java.util.concurrent.CompletableFuture<long[]> future = new java.util.concurrent.CompletableFuture<>();
-    desk.execute(() -> {
-      final long[] sums = {goneMessages, gone, 0, 0};
-      for (final Hollow one : hollows) {
-        final Meter meter = one.trunk.meter();
-        sums[0] += meter.messagesIn();
-        sums[1] += meter.bytesIn();
-        sums[2] += meter.messagesOut();
-        sums[3] += meter.bytesOut();
-      }
-      future.complete(sums);
-    });
+    final java.util.concurrent.CompletableFuture<long[]> future =
+        new java.util.concurrent.CompletableFuture<>();
+    desk.execute(
+        () -> {
+          final long[] sums = {goneMessages, gone, 0, 0};
+          for (final Hollow one : hollows) {
+            final Meter meter = one.trunk.meter();
+            sums[0] += meter.messagesIn();
+            sums[1] += meter.bytesIn();
+            sums[2] += meter.messagesOut();
+            sums[3] += meter.bytesOut();
+          }
+          future.complete(sums);
+        });
     return future.join();
   }
 
   void end() {
     final java.util.concurrent.CountDownLatch closed = new java.util.concurrent.CountDownLatch(1);
-    desk.execute(() -> {
-      hollows.forEach(one -> one.stream.close());
-      hollows.clear();
-      closed.countDown();
-    });
+    desk.execute(
+        () -> {
+          hollows.forEach(one -> one.stream.close());
+          hollows.clear();
+          closed.countDown();
+        });
     try {
       closed.await(2, TimeUnit.SECONDS);
     } catch (final InterruptedException ended) {
       Thread.currentThread().interrupt();
     }
-    loop.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly(3, TimeUnit.SECONDS);
+    loop.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(3, TimeUnit.SECONDS);
     desk.shutdown();
   }
 }
--- a/scale/src/main/java/weldpoint/scale/ScaleCommand.java
+++ b/scale/src/main/java/weldpoint/scale/ScaleCommand.java
@@ -12,18 +12,45 @@
 import joptsimple.OptionSpec;
 import weldpoint.boot.Breakdown;
 
-/** weldpoint scale: measures how state, messages and processor time of each role grow with the size of the fleet. */
+/**
+ * weldpoint scale: measures how state, messages and processor time of each role grow with the size
+ * of the fleet.
+ */
 public final class ScaleCommand {
   private final OptionParser parser = new OptionParser();
-  private final OptionSpec<String> series = parser.accepts("series", "what to vary: " + names() + "; all by default").withRequiredArg().withValuesSeparatedBy(',');
-  private final OptionSpec<Double> sizes = parser.accepts("sizes", "sizes of one series, at least three, the largest four times the smallest").withRequiredArg().ofType(Double.class).withValuesSeparatedBy(',');
-  private final OptionSpec<Integer> seconds = parser.accepts("seconds", "how long each size is measured, 3 to 120").withRequiredArg().ofType(Integer.class).defaultsTo(10);
-  private final OptionSpec<Integer> warmup = parser.accepts("warmup", "how many seconds each size runs before it is measured, 2 to 120").withRequiredArg().ofType(Integer.class).defaultsTo(11);
-  private final OptionSpec<Integer> port = parser.accepts("port", "the first of 20 free ports on loopback addresses").withRequiredArg().ofType(Integer.class).defaultsTo(21_000);
+  private final OptionSpec<String> series =
+      parser
+          .accepts("series", "what to vary: " + names() + "; all by default")
+          .withRequiredArg()
+          .withValuesSeparatedBy(',');
+  private final OptionSpec<Double> sizes =
+      parser
+          .accepts(
+              "sizes", "sizes of one series, at least three, the largest four times the smallest")
+          .withRequiredArg()
+          .ofType(Double.class)
+          .withValuesSeparatedBy(',');
+  private final OptionSpec<Integer> seconds =
+      parser
+          .accepts("seconds", "how long each size is measured, 3 to 120")
+          .withRequiredArg()
+          .ofType(Integer.class)
+          .defaultsTo(10);
+  private final OptionSpec<Integer> warmup =
+      parser
+          .accepts("warmup", "how many seconds each size runs before it is measured, 2 to 120")
+          .withRequiredArg()
+          .ofType(Integer.class)
+          .defaultsTo(11);
+  private final OptionSpec<Integer> port =
+      parser
+          .accepts("port", "the first of 20 free ports on loopback addresses")
+          .withRequiredArg()
+          .ofType(Integer.class)
+          .defaultsTo(21_000);
 
   /** Reads its own options. */
-  public ScaleCommand() {
-  }
+  public ScaleCommand() {}
 
   private static String names() {
     final List<String> names = new ArrayList<>();
@@ -34,7 +61,8 @@
   }
 
   /** Runs; 0 once all was measured, 1 where a run failed. */
-  public int run(final String[] words, final PrintStream out) throws IOException, InterruptedException {
+  public int run(final String[] words, final PrintStream out)
+      throws IOException, InterruptedException {
     java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.SEVERE);
     final OptionSet options = parser.parse(words);
     final List<Series> chosen = new ArrayList<>();
@@ -42,20 +70,30 @@
       try {
         chosen.add(Series.valueOf(name.toUpperCase(Locale.ROOT)));
       } catch (final IllegalArgumentException unknown) {
-        throw new Breakdown(Breakdown.Kind.USAGE, "'" + name + "' cannot be varied; choose among " + names());
+        throw new Breakdown(
+            Breakdown.Kind.USAGE, "'" + name + "' cannot be varied; choose among " + names());
       }
     }
     if (chosen.isEmpty()) {
       chosen.addAll(List.of(Series.values()));
     }
     if (options.has(sizes) && chosen.size() != 1) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "sizes belong to one series; name it with --series");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE, "sizes belong to one series; name it with --series");
     }
     final int span = options.valueOf(seconds);
     final int first = options.valueOf(port);
     final int before = options.valueOf(warmup);
-    if (span < 3 || span > 120 || before < 2 || before > 120 || first < 1024 || first > 65_000 || !options.nonOptionArguments().isEmpty()) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "scale takes --seconds from 3 to 120, --warmup from 2 to 120 and --port from 1024 to 65000, and no further words");
+    if (span < 3
+        || span > 120
+        || before < 2
+        || before > 120
+        || first < 1024
+        || first > 65_000
+        || !options.nonOptionArguments().isEmpty()) {
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          "scale takes --seconds from 3 to 120, --warmup from 2 to 120 and --port from 1024 to 65000, and no further words");
     }
     for (final Series one : chosen) {
       for (final double size : options.has(sizes) ? options.valuesOf(sizes) : one.usual()) {
@@ -63,12 +101,25 @@
       }
     }
     for (final Series one : chosen) {
-      measure(one, options.has(sizes) ? options.valuesOf(sizes) : one.usual(), before, span, first, out);
+      measure(
+          one,
+          options.has(sizes) ? options.valuesOf(sizes) : one.usual(),
+          before,
+          span,
+          first,
+          out);
     }
     return 0;
   }
 
-  private static void measure(final Series series, final List<Double> sizes, final int warmup, final int seconds, final int port, final PrintStream out) throws IOException, InterruptedException {
+  private static void measure(
+      final Series series,
+      final List<Double> sizes,
+      final int warmup,
+      final int seconds,
+      final int port,
+      final PrintStream out)
+      throws IOException, InterruptedException {
     final List<Map<String, Double>> results = new ArrayList<>();
     int shift = 0;
     for (final double size : sizes) {
@@ -78,10 +129,15 @@
         continue;
       }
       try (ScaleRun run = new ScaleRun(series.sizes(size), port + 20 * (shift++ % 50))) {
-        final Thread ends = new Thread(() -> {
-          out.println("interrupted: the figures of " + series.name().toLowerCase(Locale.ROOT) + " are partial and give no slope");
-          run.close();
-        });
+        final Thread ends =
+            new Thread(
+                () -> {
+                  out.println(
+                      "interrupted: the figures of "
+                          + series.name().toLowerCase(Locale.ROOT)
+                          + " are partial and give no slope");
+                  run.close();
+                });
         Runtime.getRuntime().addShutdownHook(ends);
         try {
           results.add(run.measure(warmup, seconds));
@@ -92,17 +148,39 @@
     }
     final TreeSet<String> names = new TreeSet<>();
     results.forEach(one -> names.addAll(one.keySet()));
-    out.printf(Locale.ROOT, "%n%s: %s, %d s each%n", series.name().toLowerCase(Locale.ROOT), sizes, seconds);
-    out.printf(Locale.ROOT, "%-32s %s | %14s %14s %14s %9s%n", "measure", "at each size", "slope", "fixed", "worst rest", "explained");
+    out.printf(
+        Locale.ROOT,
+        "%n%s: %s, %d s each%n",
+        series.name().toLowerCase(Locale.ROOT),
+        sizes,
+        seconds);
+    out.printf(
+        Locale.ROOT,
+        "%-32s %s | %14s %14s %14s %9s%n",
+        "measure",
+        "at each size",
+        "slope",
+        "fixed",
+        "worst rest",
+        "explained");
     final double[] at = sizes.stream().mapToDouble(Double::doubleValue).toArray();
     for (final String name : names) {
-      final double[] values = results.stream().mapToDouble(one -> one.getOrDefault(name, 0.0)).toArray();
+      final double[] values =
+          results.stream().mapToDouble(one -> one.getOrDefault(name, 0.0)).toArray();
       final Fit fit = Fit.of(at, values);
       final StringBuilder points = new StringBuilder();
       for (final double value : values) {
         points.append(String.format(Locale.ROOT, "%12.2f", value));
       }
-      out.printf(Locale.ROOT, "%-32s %s | %14.5f %14.3f %14.3f %9.3f%n", name, points, fit.slope(), fit.fixed(), fit.worst(), fit.explained());
+      out.printf(
+          Locale.ROOT,
+          "%-32s %s | %14.5f %14.3f %14.3f %9.3f%n",
+          name,
+          points,
+          fit.slope(),
+          fit.fixed(),
+          fit.worst(),
+          fit.explained());
     }
   }
 }
--- a/scale/src/main/java/weldpoint/scale/ScaleRun.java
+++ b/scale/src/main/java/weldpoint/scale/ScaleRun.java
@@ -19,7 +19,10 @@
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
 
-/** One size: real frames, exchanges and switchboards as processes on loopback addresses, with hollow ones, for a bounded time. */
+/**
+ * One size: real frames, exchanges and switchboards as processes on loopback addresses, with hollow
+ * ones, for a bounded time.
+ */
 final class ScaleRun implements AutoCloseable {
   private static final int COUNTERS_MILLIS = 1000;
   private static final long START_SECONDS = 60;
@@ -30,12 +33,19 @@
   private final int ports;
   private final Path folder;
   private final List<Child> children = new ArrayList<>();
-  private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(2)).build();
-  private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(1, task -> {
-    final Thread thread = new Thread(task, "scale");
-    thread.setDaemon(true);
-    return thread;
-  });
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(2))
+          .build();
+  private final ScheduledExecutorService clock =
+      Executors.newScheduledThreadPool(
+          1,
+          task -> {
+            final Thread thread = new Thread(task, "scale");
+            thread.setDaemon(true);
+            return thread;
+          });
   private final AtomicLong beats = new AtomicLong();
   private final AtomicLong beatsFailed = new AtomicLong();
   private Hollows hollows;
@@ -61,15 +71,39 @@
     for (int index = 0; index < Math.min(3, sizes.cores()); index++) {
       seeds.append(index == 0 ? "" : ",").append(core(index)).append(":").append(ports);
     }
-    return "station.name = " + address + "\nstation.address = " + address + "\nstation.site = " + place + "\nstation.region = " + region(place) + "\nstation.voter = true\nstation.first-start = true\ntrunk.ports = " + (ports + 1) + "," + (ports + 10)
-        + "\ntrunk.seeds = " + seeds + "\nsites = zone-0:north,zone-1:north,zone-2:south,zone-3:south\nbeat.every-ms = " + BEAT_MILLIS + "\nlog.counters-ms = " + COUNTERS_MILLIS + "\n" + extra;
+    return "station.name = "
+        + address
+        + "\nstation.address = "
+        + address
+        + "\nstation.site = "
+        + place
+        + "\nstation.region = "
+        + region(place)
+        + "\nstation.voter = true\nstation.first-start = true\ntrunk.ports = "
+        + (ports + 1)
+        + ","
+        + (ports + 10)
+        + "\ntrunk.seeds = "
+        + seeds
+        + "\nsites = zone-0:north,zone-1:north,zone-2:south,zone-3:south\nbeat.every-ms = "
+        + BEAT_MILLIS
+        + "\nlog.counters-ms = "
+        + COUNTERS_MILLIS
+        + "\n"
+        + extra;
   }
 
   private static String region(final String place) {
     return place.equals("zone-0") || place.equals("zone-1") ? "north" : "south";
   }
 
-  private void start(final String program, final String address, final String place, final String extra, final int heap) throws IOException {
+  private void start(
+      final String program,
+      final String address,
+      final String place,
+      final String extra,
+      final int heap)
+      throws IOException {
     final Path file = folder.resolve(program + "-" + address);
     Files.writeString(file, settings(address, place, extra));
     children.add(new Child(program, file, heap));
@@ -81,7 +115,14 @@
 
   private int post(final String url, final String body) throws InterruptedException {
     try {
-      return client.send(HttpRequest.newBuilder(URI.create(url)).timeout(Duration.ofSeconds(3)).POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+      return client
+          .send(
+              HttpRequest.newBuilder(URI.create(url))
+                  .timeout(Duration.ofSeconds(3))
+                  .POST(HttpRequest.BodyPublishers.ofString(body))
+                  .build(),
+              HttpResponse.BodyHandlers.discarding())
+          .statusCode();
     } catch (final IOException problem) {
       return 0;
     }
@@ -90,19 +131,50 @@
   private String spec() {
     final StringBuilder rules = new StringBuilder();
     for (int index = 0; index < sizes.routes(); index++) {
-      rules.append(index == 0 ? "" : ",").append("{\"name\":\"route-").append(index).append("\",\"routeKind\":\"").append(index % 3 == 0 ? "mutating" : "idempotent").append("\",\"targetLatencyMs\":300,\"priority\":1,\"match\":{\"pathPrefix\":\"/p").append(index)
-          .append("/\"},\"action\":{\"service\":\"service-").append(index % sizes.services()).append("\",\"timeoutMs\":").append(2000 + version % 1000).append(",\"maxAttempts\":2")
-          .append(sizes.tied() && index % 3 == 0 ? ",\"affinity\":{\"by\":\"address\"}" : "").append("}}");
+      rules
+          .append(index == 0 ? "" : ",")
+          .append("{\"name\":\"route-")
+          .append(index)
+          .append("\",\"routeKind\":\"")
+          .append(index % 3 == 0 ? "mutating" : "idempotent")
+          .append("\",\"targetLatencyMs\":300,\"priority\":1,\"match\":{\"pathPrefix\":\"/p")
+          .append(index)
+          .append("/\"},\"action\":{\"service\":\"service-")
+          .append(index % sizes.services())
+          .append("\",\"timeoutMs\":")
+          .append(2000 + version % 1000)
+          .append(",\"maxAttempts\":2")
+          .append(sizes.tied() && index % 3 == 0 ? ",\"affinity\":{\"by\":\"address\"}" : "")
+          .append("}}");
     }
     final StringBuilder pools = new StringBuilder();
     for (int index = 0; index < sizes.services(); index++) {
-      pools.append(index == 0 ? "" : ",").append("{\"name\":\"service-").append(index).append("\",\"healthPath\":\"/health\",\"maxConns\":100,\"warmupS\":3.0,\"warmupPerS\":12.0}");
+      pools
+          .append(index == 0 ? "" : ",")
+          .append("{\"name\":\"service-")
+          .append(index)
+          .append(
+              "\",\"healthPath\":\"/health\",\"maxConns\":100,\"warmupS\":3.0,\"warmupPerS\":12.0}");
     }
     final StringBuilder tenants = new StringBuilder();
     for (int index = 0; index < sizes.tenants(); index++) {
-      tenants.append(index == 0 ? "" : ",").append("{\"name\":\"tenant-").append(index).append("\",\"apiKeys\":[\"key-").append(Long.toHexString(index * 0x9e3779b97f4a7c15L)).append("\"],\"ratePerS\":10,\"burst\":20}");
+      tenants
+          .append(index == 0 ? "" : ",")
+          .append("{\"name\":\"tenant-")
+          .append(index)
+          .append("\",\"apiKeys\":[\"key-")
+          .append(Long.toHexString(index * 0x9e3779b97f4a7c15L))
+          .append("\"],\"ratePerS\":10,\"burst\":20}");
     }
-    return "{\"version\":\"" + String.format("%08x", version) + "\",\"tenants\":[" + tenants + "],\"listeners\":[{\"host\":\"scale.example\",\"rules\":[" + rules + "]}],\"pools\":[" + pools + "]}";
+    return "{\"version\":\""
+        + String.format("%08x", version)
+        + "\",\"tenants\":["
+        + tenants
+        + "],\"listeners\":[{\"host\":\"scale.example\",\"rules\":["
+        + rules
+        + "]}],\"pools\":["
+        + pools
+        + "]}";
   }
 
   private long change() throws InterruptedException {
@@ -115,28 +187,76 @@
       }
       Thread.sleep(100);
     }
-    throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "no configuration was acknowledged in " + START_SECONDS + " s; run it on a machine with less load");
+    throw new Breakdown(
+        Breakdown.Kind.OUT_OF_REACH,
+        "no configuration was acknowledged in "
+            + START_SECONDS
+            + " s; run it on a machine with less load");
   }
 
   private void beat() {
     final int index = nextUpstream++ % sizes.upstreams();
-    final String body = "{\"service\":\"service-" + index % sizes.services() + "\",\"address\":\"10." + index / 60_000 + "." + index / 250 % 240 + "." + (1 + index % 250) + ":8080\",\"zone\":\"" + place(index) + "\",\"version\":\"v1\",\"capacity\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"callSeq\":" + (1 + nextUpstream / sizes.upstreams()) + "}";
-    client.sendAsync(HttpRequest.newBuilder(URI.create(control(index) + "instances.heartbeat&of=i-" + index)).timeout(Duration.ofSeconds(2)).POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.discarding())
-        .whenComplete((answer, problem) -> (problem == null && answer.statusCode() == 200 ? beats : beatsFailed).incrementAndGet());
+    final String body =
+        "{\"service\":\"service-"
+            + index % sizes.services()
+            + "\",\"address\":\"10."
+            + index / 60_000
+            + "."
+            + index / 250 % 240
+            + "."
+            + (1 + index % 250)
+            + ":8080\",\"zone\":\""
+            + place(index)
+            + "\",\"version\":\"v1\",\"capacity\":4,\"state\":\"ready\",\"warmupLeftMs\":0,\"callSeq\":"
+            + (1 + nextUpstream / sizes.upstreams())
+            + "}";
+    client
+        .sendAsync(
+            HttpRequest.newBuilder(URI.create(control(index) + "instances.heartbeat&of=i-" + index))
+                .timeout(Duration.ofSeconds(2))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build(),
+            HttpResponse.BodyHandlers.discarding())
+        .whenComplete(
+            (answer, problem) ->
+                (problem == null && answer.statusCode() == 200 ? beats : beatsFailed)
+                    .incrementAndGet());
   }
 
-  /** Starts everything, lets it run so many seconds, and gives what each role used in that time, by "role measure". */
-  Map<String, Double> measure(final int warmup, final int seconds) throws IOException, InterruptedException {
+  /**
+   * Starts everything, lets it run so many seconds, and gives what each role used in that time, by
+   * "role measure".
+   */
+  Map<String, Double> measure(final int warmup, final int seconds)
+      throws IOException, InterruptedException {
     final List<Boot> places = new ArrayList<>();
     for (int index = 0; index < sizes.cores(); index++) {
       final String address = core(index);
       final String disk = "station.folder = " + folder.resolve("disk-" + address) + "\n";
       start("frame", address, place(index), disk, 64);
-      start("exchange", address, place(index), disk + "listen.control = " + address + ":" + ports + "\n", 96);
+      start(
+          "exchange",
+          address,
+          place(index),
+          disk + "listen.control = " + address + ":" + ports + "\n",
+          96);
     }
     for (int index = 0; index < sizes.realBoards(); index++) {
       final String address = "127.7.0." + (1 + index);
-      start("switchboard", address, place(index), "listen.traffic = " + address + ":" + ports + "\nlisten.readiness = " + address + ":" + (ports + 12) + "\n", 128);
+      start(
+          "switchboard",
+          address,
+          place(index),
+          "listen.traffic = "
+              + address
+              + ":"
+              + ports
+              + "\nlisten.readiness = "
+              + address
+              + ":"
+              + (ports + 12)
+              + "\n",
+          128);
     }
     for (int index = 0; index < 4; index++) {
       places.add(Boot.parse(settings("127.0.0.1", place(index), "")));
@@ -148,7 +268,17 @@
     final long cutoff = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_SECONDS);
     while (hollows.admitted() < sizes.boards() || beats.get() < sizes.upstreams() || !counted()) {
       if (System.nanoTime() > cutoff) {
-        throw new Breakdown(Breakdown.Kind.OUT_OF_REACH, "after " + START_SECONDS + " s " + hollows.admitted() + " of " + sizes.boards() + " switchboards had a view and " + beats.get() + " beats were acknowledged; measure a smaller size or on a machine with less load");
+        throw new Breakdown(
+            Breakdown.Kind.OUT_OF_REACH,
+            "after "
+                + START_SECONDS
+                + " s "
+                + hollows.admitted()
+                + " of "
+                + sizes.boards()
+                + " switchboards had a view and "
+                + beats.get()
+                + " beats were acknowledged; measure a smaller size or on a machine with less load");
       }
       Thread.sleep(100);
     }
@@ -181,7 +311,8 @@
         changes++;
         acknowledged += change();
         final long sent = System.nanoTime();
-        while (hollows.have(version) < sizes.boards() && System.nanoTime() - sent < 5_000_000_000L) {
+        while (hollows.have(version) < sizes.boards()
+            && System.nanoTime() - sent < 5_000_000_000L) {
           Thread.sleep(2);
         }
         spread += (System.nanoTime() - sent) / 1_000_000;
@@ -202,20 +333,31 @@
       final Child.Sample one = before.get(index);
       final Child.Sample two = child.sample();
       final double span = (two.atNanos() - one.atNanos()) / 1e9;
-      final double[] values = {(two.cpuMillis() - one.cpuMillis()) / span, two.memoryKilobytes() / 1024.0, (two.messagesIn() - one.messagesIn()) / span, (two.bytesIn() - one.bytesIn()) / span, (two.messagesOut() - one.messagesOut()) / span, (two.bytesOut() - one.bytesOut()) / span};
-      final double[] sum = sums.computeIfAbsent(child.program, program -> new double[values.length]);
+      final double[] values = {
+        (two.cpuMillis() - one.cpuMillis()) / span,
+        two.memoryKilobytes() / 1024.0,
+        (two.messagesIn() - one.messagesIn()) / span,
+        (two.bytesIn() - one.bytesIn()) / span,
+        (two.messagesOut() - one.messagesOut()) / span,
+        (two.bytesOut() - one.bytesOut()) / span
+      };
+      final double[] sum =
+          sums.computeIfAbsent(child.program, program -> new double[values.length]);
       for (int place = 0; place < values.length; place++) {
         sum[place] += values[place];
       }
       counts.merge(child.program, 1, Integer::sum);
     }
     final Map<String, Double> result = new LinkedHashMap<>();
-    final String[] names = {"cpu-ms/s", "memory-mb", "messages-in/s", "bytes-in/s", "messages-out/s", "bytes-out/s"};
-    sums.forEach((program, sum) -> {
-      for (int place = 0; place < names.length; place++) {
-        result.put(program + " " + names[place], sum[place] / counts.get(program));
-      }
-    });
+    final String[] names = {
+      "cpu-ms/s", "memory-mb", "messages-in/s", "bytes-in/s", "messages-out/s", "bytes-out/s"
+    };
+    sums.forEach(
+        (program, sum) -> {
+          for (int place = 0; place < names.length; place++) {
+            result.put(program + " " + names[place], sum[place] / counts.get(program));
+          }
+        });
     result.put("beats/s", (beats.get() - beatsBefore) / hollowSeconds);
     result.put("beats failed", (double) beatsFailed.get());
     result.put("changes/s", changes / hollowSeconds);
@@ -225,8 +367,11 @@
       result.put("everywhere-ms", spread / (double) changes);
     }
     if (sizes.boards() > 0) {
-      result.put("hollow messages-in/s", (hollowAfter[0] - hollowBefore[0]) / hollowSeconds / sizes.boards());
-      result.put("hollow bytes-in/s", (hollowAfter[1] - hollowBefore[1]) / hollowSeconds / sizes.boards());
+      result.put(
+          "hollow messages-in/s",
+          (hollowAfter[0] - hollowBefore[0]) / hollowSeconds / sizes.boards());
+      result.put(
+          "hollow bytes-in/s", (hollowAfter[1] - hollowBefore[1]) / hollowSeconds / sizes.boards());
       if (sizes.returnsPerSecond() == 0) {
         alike("messages-in/s", result);
         alike("bytes-in/s", result);
@@ -239,7 +384,14 @@
     final double hollow = result.get("hollow " + measure);
     final double real = result.get("switchboard " + measure);
     if (Math.abs(hollow - real) > MOST_APART * real) {
-      throw new Breakdown(Breakdown.Kind.INVALID, String.format(java.util.Locale.ROOT, "a hollow switchboard has %.1f %s and a real one %.1f; the run gives no slope", hollow, measure, real));
+      throw new Breakdown(
+          Breakdown.Kind.INVALID,
+          String.format(
+              java.util.Locale.ROOT,
+              "a hollow switchboard has %.1f %s and a real one %.1f; the run gives no slope",
+              hollow,
+              measure,
+              real));
     }
   }
 
--- a/scale/src/main/java/weldpoint/scale/Sizes.java
+++ b/scale/src/main/java/weldpoint/scale/Sizes.java
@@ -6,27 +6,84 @@
 import weldpoint.boot.Breakdown;
 
 /** The size of one run. */
-public record Sizes(int cores, int boards, int realBoards, int upstreams, int services, int routes, double changesPerSecond, double returnsPerSecond, boolean tied, int tenants) {
+public record Sizes(
+    int cores,
+    int boards,
+    int realBoards,
+    int upstreams,
+    int services,
+    int routes,
+    double changesPerSecond,
+    double returnsPerSecond,
+    boolean tied,
+    int tenants) {
   private static final int MOST_PROCESSES = 200;
   private static final long PROCESS_BYTES = 130L << 20;
   private static final long HOLLOW_BYTES = 400L << 10;
 
   /** A size without tenants. */
-  public Sizes(final int cores, final int boards, final int realBoards, final int upstreams, final int services, final int routes, final double changesPerSecond, final double returnsPerSecond, final boolean tied) {
-    this(cores, boards, realBoards, upstreams, services, routes, changesPerSecond, returnsPerSecond, tied, 0);
+  public Sizes(
+      final int cores,
+      final int boards,
+      final int realBoards,
+      final int upstreams,
+      final int services,
+      final int routes,
+      final double changesPerSecond,
+      final double returnsPerSecond,
+      final boolean tied) {
+    this(
+        cores,
+        boards,
+        realBoards,
+        upstreams,
+        services,
+        routes,
+        changesPerSecond,
+        returnsPerSecond,
+        tied,
+        0);
   }
 
   /** This size, checked against what the machine has. */
   public Sizes checked() {
-    if (cores < 1 || cores > 40 || boards < 0 || realBoards < 1 || upstreams < 1 || services < 1 || services > upstreams || routes < 1 || tenants < 0 || tenants > 100_000 || changesPerSecond < 0 || changesPerSecond > 20 || returnsPerSecond < 0 || returnsPerSecond > 200) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "the size " + this + " makes no sense; give 1 to 40 cores, at least one real switchboard, upstream, service and route, no more services than upstreams, and up to 20 changes and 200 returns a second");
+    if (cores < 1
+        || cores > 40
+        || boards < 0
+        || realBoards < 1
+        || upstreams < 1
+        || services < 1
+        || services > upstreams
+        || routes < 1
+        || tenants < 0
+        || tenants > 100_000
+        || changesPerSecond < 0
+        || changesPerSecond > 20
+        || returnsPerSecond < 0
+        || returnsPerSecond > 200) {
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          "the size "
+              + this
+              + " makes no sense; give 1 to 40 cores, at least one real switchboard, upstream, service and route, no more services than upstreams, and up to 20 changes and 200 returns a second");
     }
     if (processes() > MOST_PROCESSES) {
-      throw new Breakdown(Breakdown.Kind.USAGE, processes() + " processes are too many for one machine; keep to " + MOST_PROCESSES + ", with more hollow switchboards and fewer real ones");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          processes()
+              + " processes are too many for one machine; keep to "
+              + MOST_PROCESSES
+              + ", with more hollow switchboards and fewer real ones");
     }
     final long half = memory() / 2;
     if (needs() > half) {
-      throw new Breakdown(Breakdown.Kind.USAGE, "about " + (needs() >> 20) + " MB are needed and half of this machine's memory is " + (half >> 20) + "; measure a smaller size");
+      throw new Breakdown(
+          Breakdown.Kind.USAGE,
+          "about "
+              + (needs() >> 20)
+              + " MB are needed and half of this machine's memory is "
+              + (half >> 20)
+              + "; measure a smaller size");
     }
     return this;
   }
@@ -47,8 +104,10 @@
         }
       }
     } catch (final IOException problem) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "/proc/meminfo cannot be read; run this on Linux");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE, "/proc/meminfo cannot be read; run this on Linux");
     }
-    throw new Breakdown(Breakdown.Kind.UNREADABLE, "/proc/meminfo does not tell the memory; run this on Linux");
+    throw new Breakdown(
+        Breakdown.Kind.UNREADABLE, "/proc/meminfo does not tell the memory; run this on Linux");
   }
 }
--- a/tape/src/main/java/weldpoint/tape/FolderFiles.java
+++ b/tape/src/main/java/weldpoint/tape/FolderFiles.java
@@ -27,7 +27,12 @@
 
   private FileChannel channel(final int file) throws IOException {
     if (channels[file] == null) {
-      channels[file] = FileChannel.open(path(file), StandardOpenOption.READ, StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+      channels[file] =
+          FileChannel.open(
+              path(file),
+              StandardOpenOption.READ,
+              StandardOpenOption.WRITE,
+              StandardOpenOption.CREATE);
     }
     return channels[file];
   }
@@ -51,7 +56,8 @@
   }
 
   @Override
-  public void write(final int file, final long position, final ByteBuffer bytes) throws IOException {
+  public void write(final int file, final long position, final ByteBuffer bytes)
+      throws IOException {
     final FileChannel channel = channel(file);
     long at = position;
     while (bytes.hasRemaining()) {
--- a/tape/src/main/java/weldpoint/tape/Ring.java
+++ b/tape/src/main/java/weldpoint/tape/Ring.java
@@ -10,11 +10,12 @@
 import weldpoint.boot.Breakdown;
 
 /**
- * The format on disk: a ring of preallocated files. Each file opens with a snapshot of the live state, written and synced
- * before anything else goes there, and goes on with a tail of records. A record carries the file's generation, its own
- * number, a checksum, and the number up to which everything was known to be synced when it was written. The snapshot
- * begins with the format and whose store this is, and ends with the number up to which it reaches and a checksum of the
- * whole. A state that outgrows half a file goes on in larger files, up to a bound.
+ * The format on disk: a ring of preallocated files. Each file opens with a snapshot of the live
+ * state, written and synced before anything else goes there, and goes on with a tail of records. A
+ * record carries the file's generation, its own number, a checksum, and the number up to which
+ * everything was known to be synced when it was written. The snapshot begins with the format and
+ * whose store this is, and ends with the number up to which it reaches and a checksum of the whole.
+ * A state that outgrows half a file goes on in larger files, up to a bound.
  */
 public final class Ring {
   /** The format that is written; it and the ones before it are read. */
@@ -50,9 +51,11 @@
     void syncNames() throws IOException;
   }
 
-  /** What was found at opening: nothing ever written, or records that had been synced and cannot be read. */
-  public record Found(boolean blank, boolean lost, List<byte[]> records) {
-  }
+  /**
+   * What was found at opening: nothing ever written, or records that had been synced and cannot be
+   * read.
+   */
+  public record Found(boolean blank, boolean lost, List<byte[]> records) {}
 
   private final Files files;
   private final String owner;
@@ -72,7 +75,8 @@
   private volatile long diskBytes;
 
   /** A ring of an owner, with so many files of this size, none of which grows beyond the most. */
-  public Ring(final Files files, final String owner, final int count, final int size, final int most) {
+  public Ring(
+      final Files files, final String owner, final int count, final int size, final int most) {
     this.files = files;
     this.owner = owner;
     this.count = count;
@@ -106,7 +110,10 @@
       window.limit(window.position());
     }
 
-    /** The record at a place, of this generation or, below 0, of any; null where there is none that is sound. */
+    /**
+     * The record at a place, of this generation or, below 0, of any; null where there is none that
+     * is sound.
+     */
     private Item item(final int at, final long wanted) throws IOException {
       if (at < 0 || at + HEAD > length) {
         return null;
@@ -116,7 +123,9 @@
         return null;
       }
       final int bytes = window.getInt(at - from + 4);
-      if (bytes < 0 || bytes > length - at - HEAD || wanted >= 0 && window.getLong(at - from + 12) != wanted) {
+      if (bytes < 0
+          || bytes > length - at - HEAD
+          || wanted >= 0 && window.getLong(at - from + 12) != wanted) {
         return null;
       }
       load(at, HEAD + bytes);
@@ -131,15 +140,19 @@
       }
       final byte[] payload = new byte[bytes];
       System.arraycopy(window.array(), place + HEAD, payload, 0, bytes);
-      return new Item(window.getLong(place + 12), window.getLong(place + 20), window.getLong(place + 28), window.get(place + 36), payload);
+      return new Item(
+          window.getLong(place + 12),
+          window.getLong(place + 20),
+          window.getLong(place + 28),
+          window.get(place + 36),
+          payload);
     }
   }
 
-  private record Item(long generation, long number, long covered, byte type, byte[] payload) {
-  }
+  private record Item(long generation, long number, long covered, byte type, byte[] payload) {}
 
-  private record Scan(long generation, int format, boolean whole, boolean lost, List<byte[]> records, long last) {
-  }
+  private record Scan(
+      long generation, int format, boolean whole, boolean lost, List<byte[]> records, long last) {}
 
   /** The highest generation of any record behind a snapshot in a file; -1 where there is none. */
   private long strayGeneration(final Reader reader) throws IOException {
@@ -194,13 +207,26 @@
     final ByteBuffer header = ByteBuffer.wrap(payload);
     final int format = header.getInt();
     if (format > FORMAT) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the store of " + owner + " is of format " + format + " and this release reads up to " + FORMAT
-          + "; run the release that wrote it, or give an empty folder to have it fetched again");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the store of "
+              + owner
+              + " is of format "
+              + format
+              + " and this release reads up to "
+              + FORMAT
+              + "; run the release that wrote it, or give an empty folder to have it fetched again");
     }
-    final String whose = new String(payload, Integer.BYTES, payload.length - Integer.BYTES, StandardCharsets.UTF_8);
+    final String whose =
+        new String(payload, Integer.BYTES, payload.length - Integer.BYTES, StandardCharsets.UTF_8);
     if (!whose.equals(owner)) {
-      throw new Breakdown(Breakdown.Kind.UNREADABLE, "the folder of " + owner + " holds the store of " + whose
-          + "; give that machine its disk back, and this one its own or an empty folder");
+      throw new Breakdown(
+          Breakdown.Kind.UNREADABLE,
+          "the folder of "
+              + owner
+              + " holds the store of "
+              + whose
+              + "; give that machine its disk back, and this one its own or an empty folder");
     }
     return format;
   }
@@ -209,7 +235,10 @@
     return (length + ALIGNMENT - 1) / ALIGNMENT * ALIGNMENT;
   }
 
-  /** Reads what is there: the newest snapshot that is whole, with its tail. Nothing may be appended before {@link #begin}. */
+  /**
+   * Reads what is there: the newest snapshot that is whole, with its tail. Nothing may be appended
+   * before {@link #begin}.
+   */
   public Found open() throws IOException {
     final List<long[]> order = new ArrayList<>();
     long stray = -1;
@@ -269,11 +298,12 @@
   }
 
   /**
-   * Goes on to the next file, which opens with this snapshot and has room for so many bytes of records behind it. Where it
-   * fails, nothing is appended before it has succeeded.
+   * Goes on to the next file, which opens with this snapshot and has room for so many bytes of
+   * records behind it. Where it fails, nothing is appended before it has succeeded.
    */
   public void turnOver(final List<byte[]> snapshot, final int room) throws IOException {
-    final ByteBuffer header = ByteBuffer.allocate(Integer.BYTES + owner.getBytes(StandardCharsets.UTF_8).length);
+    final ByteBuffer header =
+        ByteBuffer.allocate(Integer.BYTES + owner.getBytes(StandardCharsets.UTF_8).length);
     header.putInt(FORMAT).put(owner.getBytes(StandardCharsets.UTF_8));
     final int needed = bytes(snapshot) + aligned(HEAD + header.capacity()) + aligned(HEAD + 24);
     final int next = (file + 1) % count;
@@ -282,7 +312,14 @@
       wanted = Math.min(most, wanted * 2);
     }
     if (needed + room > wanted) {
-      throw new IOException("the live state of " + needed + " bytes and " + room + " more do not fit the bound of " + most + " bytes for a file; remove what is not needed, or raise the bound in a release");
+      throw new IOException(
+          "the live state of "
+              + needed
+              + " bytes and "
+              + room
+              + " more do not fit the bound of "
+              + most
+              + " bytes for a file; remove what is not needed, or raise the bound in a release");
     }
     if (files.size(next) < wanted) {
       files.allocate(next, wanted);
@@ -308,7 +345,9 @@
     diskBytes = all;
   }
 
-  private int write(final int next, final List<byte[]> snapshot, final byte[] header, final long reach) throws IOException {
+  private int write(
+      final int next, final List<byte[]> snapshot, final byte[] header, final long reach)
+      throws IOException {
     final Writer writer = new Writer(next);
     writer.put(HEADER, header);
     final CRC32 whole = new CRC32();
@@ -316,7 +355,13 @@
       whole.update(record);
       writer.put(VIEW, record);
     }
-    writer.put(VIEW_END, ByteBuffer.allocate(24).putLong(reach).putLong(snapshot.size()).putLong(whole.getValue()).array());
+    writer.put(
+        VIEW_END,
+        ByteBuffer.allocate(24)
+            .putLong(reach)
+            .putLong(snapshot.size())
+            .putLong(whole.getValue())
+            .array());
     writer.flush();
     files.sync(next);
     return writer.at;
@@ -351,7 +396,13 @@
   private void put(final ByteBuffer buffer, final byte type, final byte[] record) {
     final int at = buffer.position();
     number++;
-    buffer.putInt(at, MAGIC).putInt(at + 4, record.length).putLong(at + 12, generation).putLong(at + 20, number).putLong(at + 28, covered).put(at + 36, type);
+    buffer
+        .putInt(at, MAGIC)
+        .putInt(at + 4, record.length)
+        .putLong(at + 12, generation)
+        .putLong(at + 20, number)
+        .putLong(at + 28, covered)
+        .put(at + 36, type);
     System.arraycopy(record, 0, buffer.array(), at + HEAD, record.length);
     final CRC32 sum = new CRC32();
     sum.update(buffer.array(), at + 12, HEAD - 12 + record.length);
--- a/tape/src/main/java/weldpoint/tape/Tape.java
+++ b/tape/src/main/java/weldpoint/tape/Tape.java
@@ -14,8 +14,7 @@
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long RETRY_MILLIS = 200;
 
-  private record Item(byte[] record, Runnable synced) {
-  }
+  private record Item(byte[] record, Runnable synced) {}
 
   private final Ring ring;
   private final Executor owner;
@@ -33,11 +32,21 @@
   }
 
   /** A tape that was opened, and what was found on it. */
-  public record Opened(Tape tape, Ring.Found found) {
-  }
-
-  /** Opens the ring of an owner in a folder, of so many files that begin with these bytes and grow to the most; nothing is written before {@link #start}. */
-  public static Opened open(final Path folder, final String whose, final int files, final int bytes, final int most, final Executor owner, final Supplier<List<byte[]>> view) throws IOException {
+  public record Opened(Tape tape, Ring.Found found) {}
+
+  /**
+   * Opens the ring of an owner in a folder, of so many files that begin with these bytes and grow
+   * to the most; nothing is written before {@link #start}.
+   */
+  public static Opened open(
+      final Path folder,
+      final String whose,
+      final int files,
+      final int bytes,
+      final int most,
+      final Executor owner,
+      final Supplier<List<byte[]>> view)
+      throws IOException {
     final Ring ring = new Ring(new FolderFiles(folder, files), whose, files, bytes, most);
     final Ring.Found found = ring.open();
     return new Opened(new Tape(ring, owner, view), found);
@@ -76,18 +85,26 @@
 
   /** What is on disk, as counters. */
   public String counters() {
-    return "disk " + ring.diskBytes() / 1024 + " KB snapshot " + ring.snapshotBytes() / 1024 + " KB snapshots " + ring.snapshots() + " damaged " + ring.damaged();
+    return "disk "
+        + ring.diskBytes() / 1024
+        + " KB snapshot "
+        + ring.snapshotBytes() / 1024
+        + " KB snapshots "
+        + ring.snapshots()
+        + " damaged "
+        + ring.damaged();
   }
 
   private List<byte[]> ownersView() {
     final CompletableFuture<List<byte[]>> future = new CompletableFuture<>();
-    owner.execute(() -> {
-      try {
-        future.complete(view.get());
-      } catch (final RuntimeException problem) {
-        future.completeExceptionally(problem);
-      }
-    });
+    owner.execute(
+        () -> {
+          try {
+            future.complete(view.get());
+          } catch (final RuntimeException problem) {
+            future.completeExceptionally(problem);
+          }
+        });
     return future.join();
   }
 
@@ -106,7 +123,9 @@
       } catch (final IOException problem) {
         if (!refusing) {
           refusing = true;
-          LOGGER.atWarning().log("the disk refuses writes (%s); trying again until it takes them", problem.getMessage());
+          LOGGER.atWarning().log(
+              "the disk refuses writes (%s); trying again until it takes them",
+              problem.getMessage());
         }
         Thread.sleep(RETRY_MILLIS);
       }
@@ -137,15 +156,18 @@
           final long before = ring.diskBytes();
           attempt(() -> ring.turnOver(ownersView(), Ring.bytes(records)));
           if (ring.diskBytes() > before) {
-            LOGGER.atInfo().log("the state has outgrown its files: a snapshot of %s KB, %s KB of disk from now on, %s at most", ring.snapshotBytes() / 1024, ring.diskBytes() / 1024, ring.mostBytes() / 1024);
+            LOGGER.atInfo().log(
+                "the state has outgrown its files: a snapshot of %s KB, %s KB of disk from now on, %s at most",
+                ring.snapshotBytes() / 1024, ring.diskBytes() / 1024, ring.mostBytes() / 1024);
           }
         }
         attempt(() -> ring.append(records));
-        owner.execute(() -> {
-          for (final Item item : batch) {
-            item.synced.run();
-          }
-        });
+        owner.execute(
+            () -> {
+              for (final Item item : batch) {
+                item.synced.run();
+              }
+            });
       }
     } catch (final InterruptedException ended) {
       Thread.currentThread().interrupt();
--- a/tape/src/test/java/weldpoint/tape/PowerLossTest.java
+++ b/tape/src/test/java/weldpoint/tape/PowerLossTest.java
@@ -13,9 +13,10 @@
 import org.testng.annotations.Test;
 
 /**
- * The ring on a disk that loses power: of what was not synced, each sector is there or missing by itself, and so is each
- * file whose name was not; some writes are refused, and processes die with and without power. Whatever was acknowledged
- * must be read again, in its order and without a gap; broken variants must be caught.
+ * The ring on a disk that loses power: of what was not synced, each sector is there or missing by
+ * itself, and so is each file whose name was not; some writes are refused, and processes die with
+ * and without power. Whatever was acknowledged must be read again, in its order and without a gap;
+ * broken variants must be caught.
  */
 public final class PowerLossTest {
   private static final int COUNT = 3;
@@ -24,7 +25,10 @@
   private static final int SECTOR = 128;
 
   private enum Variant {
-    SOUND, NO_SYNC, NO_NAMES, NO_TAIL
+    SOUND,
+    NO_SYNC,
+    NO_NAMES,
+    NO_TAIL
   }
 
   private static final class Disk implements Ring.Files {
@@ -53,11 +57,15 @@
 
     @Override
     public void read(final int file, final long position, final ByteBuffer bytes) {
-      bytes.put(seen[file], (int) position, Math.min(bytes.remaining(), seen[file].length - (int) position));
+      bytes.put(
+          seen[file],
+          (int) position,
+          Math.min(bytes.remaining(), seen[file].length - (int) position));
     }
 
     @Override
-    public void write(final int file, final long position, final ByteBuffer bytes) throws IOException {
+    public void write(final int file, final long position, final ByteBuffer bytes)
+        throws IOException {
       if (random.nextDouble() < refusals) {
         final int part = random.nextInt(bytes.remaining() + 1);
         bytes.get(seen[file], (int) position, part);
@@ -138,7 +146,10 @@
       disk.refusals = 0;
       final Ring ring = new Ring(disk, "frame 10.0.0.4", COUNT, SIZE, MOST);
       final Ring.Found found = ring.open();
-      final List<byte[]> records = variant == Variant.NO_TAIL ? found.records().subList(0, Math.min(keep, found.records().size())) : found.records();
+      final List<byte[]> records =
+          variant == Variant.NO_TAIL
+              ? found.records().subList(0, Math.min(keep, found.records().size()))
+              : found.records();
       if (found.lost()) {
         return "seed " + seed + " life " + life + ": counts as lost";
       }
@@ -150,9 +161,19 @@
         last++;
       }
       if (last < acknowledged || last > written) {
-        return "seed " + seed + " life " + life + ": read up to " + last + ", acknowledged " + acknowledged + ", written " + written;
+        return "seed "
+            + seed
+            + " life "
+            + life
+            + ": read up to "
+            + last
+            + ", acknowledged "
+            + acknowledged
+            + ", written "
+            + written;
       }
-      final List<byte[]> state = new ArrayList<>(records.subList(Math.max(0, records.size() - keep), records.size()));
+      final List<byte[]> state =
+          new ArrayList<>(records.subList(Math.max(0, records.size() - keep), records.size()));
       written = last;
       disk.refusals = random.nextInt(3) == 0 ? 0.1 : 0;
       try {
--- a/tape/src/test/java/weldpoint/tape/RingTest.java
+++ b/tape/src/test/java/weldpoint/tape/RingTest.java
@@ -33,11 +33,15 @@
 
     @Override
     public void read(final int file, final long position, final ByteBuffer bytes) {
-      bytes.put(files[file], (int) position, Math.min(bytes.remaining(), files[file].length - (int) position));
+      bytes.put(
+          files[file],
+          (int) position,
+          Math.min(bytes.remaining(), files[file].length - (int) position));
     }
 
     @Override
-    public void write(final int file, final long position, final ByteBuffer bytes) throws IOException {
+    public void write(final int file, final long position, final ByteBuffer bytes)
+        throws IOException {
       if (refuses) {
         throw new IOException("full");
       }
@@ -45,15 +49,17 @@
     }
 
     @Override
-    public void sync(final int file) {
-    }
+    public void sync(final int file) {}
 
     @Override
     public void allocate(final int file, final int size) throws IOException {
       if (refuses) {
         throw new IOException("full");
       }
-      files[file] = files[file] == null ? new byte[size] : Arrays.copyOf(files[file], Math.max(size, files[file].length));
+      files[file] =
+          files[file] == null
+              ? new byte[size]
+              : Arrays.copyOf(files[file], Math.max(size, files[file].length));
     }
 
     @Override
@@ -90,7 +96,10 @@
     ring.begin(List.of(bytes("view")));
     ring.append(List.of(bytes("one"), bytes("two")));
     final Memory before = memory.copy();
-    ring.append(List.of(bytes("three, which is somewhat longer than the others so that it spans a few more bytes")));
+    ring.append(
+        List.of(
+            bytes(
+                "three, which is somewhat longer than the others so that it spans a few more bytes")));
     final boolean[] lost = new boolean[1];
     assertEquals(read(memory, lost).size(), 4);
     int whole = 0;
@@ -164,7 +173,10 @@
     assertFalse(lost[0]);
   }
 
-  /** A ring of so many records, each of this many bytes, that has turned to its second file, with a tail or none. */
+  /**
+   * A ring of so many records, each of this many bytes, that has turned to its second file, with a
+   * tail or none.
+   */
   private static Memory filled(final boolean tail) throws IOException {
     final Memory memory = new Memory();
     final Ring ring = new Ring(memory, OWNER, COUNT, SIZE, MOST);
@@ -197,7 +209,8 @@
   }
 
   @Test
-  public void aDamagedSnapshotThatNothingFollowedGivesWayToTheOneBeforeWithItsTail() throws IOException {
+  public void aDamagedSnapshotThatNothingFollowedGivesWayToTheOneBeforeWithItsTail()
+      throws IOException {
     final Memory memory = filled(false);
     memory.files[1][place(memory, 1, "SNAPSHOT")] ^= 1;
     final boolean[] lost = new boolean[1];
@@ -228,7 +241,8 @@
   }
 
   @Test
-  public void aStateThatOutgrowsItsFileGoesOnAndShrinksAgainWithinABoundOfDisk() throws IOException {
+  public void aStateThatOutgrowsItsFileGoesOnAndShrinksAgainWithinABoundOfDisk()
+      throws IOException {
     final Memory memory = new Memory();
     final Ring ring = new Ring(memory, OWNER, COUNT, SIZE, MOST);
     ring.open();
@@ -264,7 +278,8 @@
     ring.begin(List.of(bytes("small")));
     ring.append(List.of(bytes("tail")));
     final List<byte[]> large = List.of(new byte[4 * SIZE]);
-    final IOException refusal = org.testng.Assert.expectThrows(IOException.class, () -> ring.turnOver(large, 0));
+    final IOException refusal =
+        org.testng.Assert.expectThrows(IOException.class, () -> ring.turnOver(large, 0));
     assertTrue(refusal.getMessage().contains("raise the bound"), refusal.getMessage());
     final boolean[] lost = new boolean[1];
     assertEquals(read(memory, lost), List.of("small", "tail"));
@@ -275,22 +290,43 @@
   @Test
   public void aStoreOfALaterFormatOrOfAnotherMachineIsRefusedWithTheRemedy() throws IOException {
     final Memory memory = filled(true);
-    final Breakdown foreign = org.testng.Assert.expectThrows(Breakdown.class, () -> new Ring(memory, "frame 10.0.0.9", COUNT, SIZE, MOST).open());
-    assertTrue(foreign.getMessage().contains("holds the store of " + OWNER) && foreign.getMessage().contains("give"), foreign.getMessage());
+    final Breakdown foreign =
+        org.testng.Assert.expectThrows(
+            Breakdown.class, () -> new Ring(memory, "frame 10.0.0.9", COUNT, SIZE, MOST).open());
+    assertTrue(
+        foreign.getMessage().contains("holds the store of " + OWNER)
+            && foreign.getMessage().contains("give"),
+        foreign.getMessage());
     final int at = place(memory, 1, OWNER) - Integer.BYTES;
     memory.files[1][at + 3] = Ring.FORMAT + 1;
     final ByteBuffer buffer = ByteBuffer.wrap(memory.files[1]);
     final java.util.zip.CRC32 sum = new java.util.zip.CRC32();
     sum.update(memory.files[1], 12, 28 + buffer.getInt(4));
     buffer.putInt(8, (int) sum.getValue());
-    final Breakdown later = org.testng.Assert.expectThrows(Breakdown.class, () -> new Ring(memory, OWNER, COUNT, SIZE, MOST).open());
-    assertTrue(later.getMessage().contains("format " + (Ring.FORMAT + 1)) && later.getMessage().contains("run the release"), later.getMessage());
+    final Breakdown later =
+        org.testng.Assert.expectThrows(
+            Breakdown.class, () -> new Ring(memory, OWNER, COUNT, SIZE, MOST).open());
+    assertTrue(
+        later.getMessage().contains("format " + (Ring.FORMAT + 1))
+            && later.getMessage().contains("run the release"),
+        later.getMessage());
   }
 
   /** A record as the first format wrote it. */
-  private static void oldRecord(final ByteBuffer buffer, final int type, final long number, final long covered, final byte[] payload) {
+  private static void oldRecord(
+      final ByteBuffer buffer,
+      final int type,
+      final long number,
+      final long covered,
+      final byte[] payload) {
     final int at = buffer.position();
-    buffer.putInt(at, 0x7e1d90a7).putInt(at + 4, payload.length).putLong(at + 12, 1).putLong(at + 20, number).putLong(at + 28, covered).put(at + 36, (byte) type);
+    buffer
+        .putInt(at, 0x7e1d90a7)
+        .putInt(at + 4, payload.length)
+        .putLong(at + 12, 1)
+        .putLong(at + 20, number)
+        .putLong(at + 28, covered)
+        .put(at + 36, (byte) type);
     System.arraycopy(payload, 0, buffer.array(), at + 40, payload.length);
     final java.util.zip.CRC32 sum = new java.util.zip.CRC32();
     sum.update(buffer.array(), at + 12, 28 + payload.length);
--- a/tape/src/test/java/weldpoint/tape/TapeTest.java
+++ b/tape/src/test/java/weldpoint/tape/TapeTest.java
@@ -28,7 +28,9 @@
   public void aStateThatOutgrowsItsFilesIsReadAgain() throws Exception {
     final Path folder = Files.createTempDirectory("tape").resolve("frame");
     final List<byte[]> state = new CopyOnWriteArrayList<>();
-    final Tape.Opened opened = Tape.open(folder, "frame 10.0.0.4", 3, BYTES, MOST, Runnable::run, () -> List.copyOf(state));
+    final Tape.Opened opened =
+        Tape.open(
+            folder, "frame 10.0.0.4", 3, BYTES, MOST, Runnable::run, () -> List.copyOf(state));
     assertTrue(opened.found().blank());
     opened.tape().start("tape");
     final CountDownLatch synced = new CountDownLatch(1500);
@@ -41,10 +43,14 @@
       }
     }
     assertTrue(synced.await(60, TimeUnit.SECONDS), "not all became lasting");
-    final Tape.Opened again = Tape.open(folder, "frame 10.0.0.4", 3, BYTES, MOST, Runnable::run, List::of);
+    final Tape.Opened again =
+        Tape.open(folder, "frame 10.0.0.4", 3, BYTES, MOST, Runnable::run, List::of);
     assertFalse(again.found().lost());
     final java.util.Set<String> read = new java.util.TreeSet<>();
-    again.found().records().forEach(record -> read.add(new String(record, StandardCharsets.UTF_8).trim()));
+    again
+        .found()
+        .records()
+        .forEach(record -> read.add(new String(record, StandardCharsets.UTF_8).trim()));
     assertEquals(read.size(), 1500);
     long disk = 0;
     for (int file = 0; file < 3; file++) {
--- a/toll/src/main/java/weldpoint/toll/Purse.java
+++ b/toll/src/main/java/weldpoint/toll/Purse.java
@@ -1,6 +1,9 @@
 package weldpoint.toll;
 
-/** Counts what was given out in a sliding window, and gives no more than a limit within any such window. */
+/**
+ * Counts what was given out in a sliding window, and gives no more than a limit within any such
+ * window.
+ */
 public final class Purse {
   private static final int SLICES = 24;
 
--- a/toll/src/main/java/weldpoint/toll/Tariff.java
+++ b/toll/src/main/java/weldpoint/toll/Tariff.java
@@ -13,7 +13,11 @@
       if (tenant == null) {
         return 0;
       }
-      return tenant.ratePerSecond() <= 0 ? UNLIMITED : (tenant.ratePerSecond() * windowMillis(boot) / 1000.0 + tenant.burst()) * (1 + boot.quotaOvershoot()) + boot.quotaTolerance();
+      return tenant.ratePerSecond() <= 0
+          ? UNLIMITED
+          : (tenant.ratePerSecond() * windowMillis(boot) / 1000.0 + tenant.burst())
+                  * (1 + boot.quotaOvershoot())
+              + boot.quotaTolerance();
     }
 
     @Override
@@ -71,8 +75,10 @@
 
   /** The allowance of what has no limit. */
   public static final double UNLIMITED = 1e9;
+
   /** What announcers may spend of an origin's allowance without asking. */
   public static final double ANNOUNCERS_PART = 0.55;
+
   /** How much longer than an origin's window permits are counted, for the way to the origin. */
   public static final long ORIGIN_TRANSIT_MILLIS = 300;
 
@@ -110,7 +116,10 @@
   /** How much longer than the window permits are counted, since what they allow arrives later. */
   abstract long transitMillis();
 
-  /** Whether two lives of one exchange share its part between them, rather than the later one waiting for a window. */
+  /**
+   * Whether two lives of one exchange share its part between them, rather than the later one
+   * waiting for a window.
+   */
   abstract boolean forgiving();
 
   /** The part of the allowance that exchanges give out together. */
--- a/toll/src/main/java/weldpoint/toll/Tollhouse.java
+++ b/toll/src/main/java/weldpoint/toll/Tollhouse.java
@@ -6,8 +6,8 @@
 import weldpoint.dialplan.Dialplan;
 
 /**
- * Gives out one exchange's fixed part of every allowance. The parts of all voters together never exceed the allowance, so
- * that no exchange needs to know what another gave.
+ * Gives out one exchange's fixed part of every allowance. The parts of all voters together never
+ * exceed the allowance, so that no exchange needs to know what another gave.
  */
 public final class Tollhouse {
   private final Boot boot;
@@ -25,7 +25,13 @@
   }
 
   /** Grants up to this many permits, being one of so many parts since then. */
-  public int grant(final String permit, final int count, final Dialplan plan, final int parts, final long partSince, final long now) {
+  public int grant(
+      final String permit,
+      final int count,
+      final Dialplan plan,
+      final int parts,
+      final long partSince,
+      final long now) {
     final Tariff tariff = Tariff.of(permit);
     if (tariff == null || plan == null || parts < 1 || count < 1) {
       return 0;
@@ -44,7 +50,8 @@
     if (!firstStart && now - partSince < window && partSince > startedAt) {
       limit = 0;
     }
-    final int taken = purses.computeIfAbsent(permit, name -> new Purse(window)).take(count, limit, now);
+    final int taken =
+        purses.computeIfAbsent(permit, name -> new Purse(window)).take(count, limit, now);
     granted += taken;
     refused += count - taken;
     return taken;
--- a/toll/src/test/java/weldpoint/toll/TollhouseTest.java
+++ b/toll/src/test/java/weldpoint/toll/TollhouseTest.java
@@ -12,15 +12,26 @@
 import weldpoint.dialplan.Dialplan;
 
 public class TollhouseTest {
-  private static final Boot BOOT = Boot.parse("station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\nbound.quota-tolerance = 20\nbound.origin-window-s = 5\nbound.origin-overshoot = 1.1\n");
+  private static final Boot BOOT =
+      Boot.parse(
+          "station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\nbound.quota-tolerance = 20\nbound.origin-window-s = 5\nbound.origin-overshoot = 1.1\n");
 
   private static Dialplan plan(final String tenants) {
-    return Dialplan.compile(("{\"version\":\"1\",\"tenants\":[" + tenants + "],\"listeners\":[],\"pools\":[{\"name\":\"media\",\"ratePerS\":80}]}").getBytes(StandardCharsets.UTF_8));
+    return Dialplan.compile(
+        ("{\"version\":\"1\",\"tenants\":["
+                + tenants
+                + "],\"listeners\":[],\"pools\":[{\"name\":\"media\",\"ratePerS\":80}]}")
+            .getBytes(StandardCharsets.UTF_8));
   }
 
-  private static final Dialplan PLAN = plan("{\"name\":\"t\",\"apiKeys\":[\"k\"],\"ratePerS\":30,\"burst\":30},{\"name\":\"free\",\"apiKeys\":[\"f\"]}");
+  private static final Dialplan PLAN =
+      plan(
+          "{\"name\":\"t\",\"apiKeys\":[\"k\"],\"ratePerS\":30,\"burst\":30},{\"name\":\"free\",\"apiKeys\":[\"f\"]}");
 
-  /** Five exchanges under more demand than the allowance, killed and replaced at random: the most granted in any window. */
+  /**
+   * Five exchanges under more demand than the allowance, killed and replaced at random: the most
+   * granted in any window.
+   */
   private static int most(final String permit, final long seed, final long window) {
     final Random random = new Random(seed);
     final int parts = 5;
@@ -40,7 +51,8 @@
         houses[at] = new Tollhouse(BOOT, false, now);
         since[at] = random.nextBoolean() ? now + 1 : 0;
       }
-      final int count = houses[at].grant(permit, 1 + random.nextInt(3), PLAN, parts, since[at], now);
+      final int count =
+          houses[at].grant(permit, 1 + random.nextInt(3), PLAN, parts, since[at], now);
       granted.add(new long[] {now, count});
       inWindow += count;
       while (granted.peekFirst()[0] <= now - window) {
@@ -70,7 +82,8 @@
     assertEquals(house.grant("tenant/free", 7, PLAN, 5, 0, 10), 7);
     assertEquals(house.grant("tenant/nobody", 7, PLAN, 5, 0, 10), 0);
     assertEquals(house.grant("somewhere/else", 7, PLAN, 5, 0, 10), 0);
-    assertEquals(house.grant("origin/media", 1, PLAN, 5, 0, 10), 0, "the life before may have used it up");
+    assertEquals(
+        house.grant("origin/media", 1, PLAN, 5, 0, 10), 0, "the life before may have used it up");
     assertEquals(house.grant("origin/media", 1, PLAN, 5, 0, 7000), 1);
   }
 
--- a/trial/src/main/java/weldpoint/trial/Count.java
+++ b/trial/src/main/java/weldpoint/trial/Count.java
@@ -3,9 +3,27 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What is counted for each version of a route under trial, writes apart from all other requests. */
+/**
+ * What is counted for each version of a route under trial, writes apart from all other requests.
+ */
 public enum Count {
-  OLD_SENT, OLD_CONFIRMED, OLD_LOST, OLD_DOUBLED, OLD_LATE, NEW_SENT, NEW_CONFIRMED, NEW_LOST, NEW_DOUBLED, NEW_LATE, NEW_REHEARSED, STAGE_CONFIRMED, STAGE, OLD_OTHERS, OLD_OTHERS_FAILED, NEW_OTHERS, NEW_OTHERS_FAILED;
+  OLD_SENT,
+  OLD_CONFIRMED,
+  OLD_LOST,
+  OLD_DOUBLED,
+  OLD_LATE,
+  NEW_SENT,
+  NEW_CONFIRMED,
+  NEW_LOST,
+  NEW_DOUBLED,
+  NEW_LATE,
+  NEW_REHEARSED,
+  STAGE_CONFIRMED,
+  STAGE,
+  OLD_OTHERS,
+  OLD_OTHERS_FAILED,
+  NEW_OTHERS,
+  NEW_OTHERS_FAILED;
 
   private static final int SIZE = values().length;
 
--- a/trial/src/main/java/weldpoint/trial/TrialBook.java
+++ b/trial/src/main/java/weldpoint/trial/TrialBook.java
@@ -12,8 +12,8 @@
 import weldpoint.trunk.Words.Trial;
 
 /**
- * A switchboard's side of trials: which version a request goes to, what became of it, and holding back at once on its own
- * evidence. It knows neither threads nor clocks.
+ * A switchboard's side of trials: which version a request goes to, what became of it, and holding
+ * back at once on its own evidence. It knows neither threads nor clocks.
  */
 public final class TrialBook {
   private static final int MOST_KEPT = 20_000;
@@ -42,8 +42,7 @@
   private final long incarnation;
   private final Map<String, Page> pages = new HashMap<>();
   private long mark = -1;
-  private Runnable alarm = () -> {
-  };
+  private Runnable alarm = () -> {};
 
   /** A book of the switchboard with this address and incarnation. */
   public TrialBook(final String board, final long incarnation) {
@@ -93,10 +92,12 @@
   }
 
   /**
-   * The service for a request on a route under trial. The spec's own choice stands where it is neither of the two
-   * versions; between the two, the stage decides, and the token in the rehearsal.
+   * The service for a request on a route under trial. The spec's own choice stands where it is
+   * neither of the two versions; between the two, the stage decides, and the token in the
+   * rehearsal.
    */
-  public String choose(final String route, final String chosen, final String token, final double chance) {
+  public String choose(
+      final String route, final String chosen, final String token, final double chance) {
     final Page page = pages.get(route);
     if (page == null) {
       return chosen;
@@ -112,7 +113,9 @@
       Count.NEW_REHEARSED.more(page.counts);
       return trial.newService;
     }
-    return chance * 100 < Words.list(trial.stages).get(trial.stage) ? trial.newService : trial.oldService;
+    return chance * 100 < Words.list(trial.stages).get(trial.stage)
+        ? trial.newService
+        : trial.oldService;
   }
 
   private static long digest(final String attempt) {
@@ -125,7 +128,10 @@
 
   private Page page(final String route, final String service) {
     final Page page = covers(route) ? pages.get(route) : null;
-    return page != null && (service.equals(page.trial.newService) || service.equals(page.trial.oldService)) ? page : null;
+    return page != null
+            && (service.equals(page.trial.newService) || service.equals(page.trial.oldService))
+        ? page
+        : null;
   }
 
   /** A write goes to one of the two versions. */
@@ -152,7 +158,13 @@
   }
 
   /** A write has ended at one of the two versions, after so many milliseconds of the target's. */
-  public void ended(final String route, final String service, final String attempt, final Fate fate, final long took, final long target) {
+  public void ended(
+      final String route,
+      final String service,
+      final String attempt,
+      final Fate fate,
+      final long took,
+      final long target) {
     final Page page = page(route, service);
     if (page == null) {
       return;
@@ -212,9 +224,24 @@
   }
 
   private void late(final Page page, final String attempt) {
-    if (Lateness.tooMany(Count.NEW_LATE.in(page.counts), Count.NEW_CONFIRMED.in(page.counts), Count.OLD_LATE.in(page.counts), Count.OLD_CONFIRMED.in(page.counts), page.trial.lateAllowance)) {
-      hold(page, "late: " + Count.NEW_LATE.in(page.counts) + " of " + Count.NEW_CONFIRMED.in(page.counts) + " writes were late on one switchboard, "
-          + Count.OLD_LATE.in(page.counts) + " of " + Count.OLD_CONFIRMED.in(page.counts) + " on the old version", attempt);
+    if (Lateness.tooMany(
+        Count.NEW_LATE.in(page.counts),
+        Count.NEW_CONFIRMED.in(page.counts),
+        Count.OLD_LATE.in(page.counts),
+        Count.OLD_CONFIRMED.in(page.counts),
+        page.trial.lateAllowance)) {
+      hold(
+          page,
+          "late: "
+              + Count.NEW_LATE.in(page.counts)
+              + " of "
+              + Count.NEW_CONFIRMED.in(page.counts)
+              + " writes were late on one switchboard, "
+              + Count.OLD_LATE.in(page.counts)
+              + " of "
+              + Count.OLD_CONFIRMED.in(page.counts)
+              + " on the old version",
+          attempt);
     } else if (page.attempts.size() < 20) {
       page.attempts.add(attempt);
     }
@@ -231,7 +258,10 @@
     alarm.run();
   }
 
-  /** What is to be reported; everything ever counted, and the digests since the last report, or all after a new stream. */
+  /**
+   * What is to be reported; everything ever counted, and the digests since the last report, or all
+   * after a new stream.
+   */
   public Words.TrialReport report(final boolean all) {
     if (pages.isEmpty()) {
       return null;
@@ -239,13 +269,22 @@
     final List<Tally> tallies = new ArrayList<>();
     final List<Long> digests = new ArrayList<>();
     for (final Page page : pages.values()) {
-      tallies.add(new Tally(page.trial.route, page.trial.number, board, incarnation, Count.list(page.counts), page.hold, new ArrayList<>(page.attempts)));
+      tallies.add(
+          new Tally(
+              page.trial.route,
+              page.trial.number,
+              board,
+              incarnation,
+              Count.list(page.counts),
+              page.hold,
+              new ArrayList<>(page.attempts)));
       if (all) {
-        page.sent.forEach((digest, fresh) -> {
-          if (fresh) {
-            digests.add(digest);
-          }
-        });
+        page.sent.forEach(
+            (digest, fresh) -> {
+              if (fresh) {
+                digests.add(digest);
+              }
+            });
       } else {
         digests.addAll(page.unreported);
       }
--- a/trial/src/main/java/weldpoint/trial/TrialPanel.java
+++ b/trial/src/main/java/weldpoint/trial/TrialPanel.java
@@ -13,15 +13,15 @@
 import weldpoint.trunk.Words.Trial;
 
 /**
- * An exchange's side of trials: it checks orders, gathers what switchboards have counted, and says when a trial has to be
- * held. Everything it knows besides the trials themselves is told again by the switchboards, so nothing of it is kept.
+ * An exchange's side of trials: it checks orders, gathers what switchboards have counted, and says
+ * when a trial has to be held. Everything it knows besides the trials themselves is told again by
+ * the switchboards, so nothing of it is kept.
  */
 public final class TrialPanel {
   private static final long FRESH_MILLIS = 2500;
   private static final int MOST_DIGESTS = 200_000;
 
-  private record Told(Tally tally, long heardAt) {
-  }
+  private record Told(Tally tally, long heardAt) {}
 
   private final Map<String, Trial> trials = new LinkedHashMap<>();
   private final Map<String, Map<String, Told>> told = new HashMap<>();
@@ -56,17 +56,28 @@
   }
 
   /** Checks an order to begin, against the configuration in force; a trial that may be written. */
-  public Trial begin(final String route, final String oldService, final String newService, final String token, final List<Integer> stages, final int leastWrites, final double lateAllowance, final Dialplan plan) {
+  public Trial begin(
+      final String route,
+      final String oldService,
+      final String newService,
+      final String token,
+      final List<Integer> stages,
+      final int leastWrites,
+      final double lateAllowance,
+      final Dialplan plan) {
     final Trial before = trials.get(route);
     if (before != null && Verdict.of(before) != Verdict.FINISHED) {
-      throw new Breakdown(Breakdown.Kind.CONFLICT, "route " + route + " is under trial already; finish that one first");
+      throw new Breakdown(
+          Breakdown.Kind.CONFLICT,
+          "route " + route + " is under trial already; finish that one first");
     }
     final String unfit = unfit(route, oldService, newService, plan);
     if (unfit != null) {
       throw refuse(unfit);
     }
     if (token == null || token.length() < 8) {
-      throw refuse("the rehearsal's token has under 8 characters; give a longer one that only testers know");
+      throw refuse(
+          "the rehearsal's token has under 8 characters; give a longer one that only testers know");
     }
     if (stages == null || stages.isEmpty()) {
       throw refuse("the trial has no stages; give rising shares in per cent, such as 1, 10, 50");
@@ -74,21 +85,40 @@
     int last = 0;
     for (final Integer stage : stages) {
       if (stage == null || stage <= last || stage > 100) {
-        throw refuse("the shares " + stages + " do not rise from above 0 to at most 100; give rising shares in per cent");
+        throw refuse(
+            "the shares "
+                + stages
+                + " do not rise from above 0 to at most 100; give rising shares in per cent");
       }
       last = stage;
     }
     if (leastWrites < 1 || lateAllowance < 0 || lateAllowance >= 1) {
-      throw refuse("the least writes must be 1 or more, and the allowance for late ones from 0 to below 1");
+      throw refuse(
+          "the least writes must be 1 or more, and the allowance for late ones from 0 to below 1");
     }
     final List<Integer> all = new ArrayList<>();
     all.add(0);
     all.addAll(stages);
-    return new Trial(route, before == null ? 1 : before.number + 1, before == null ? 1 : before.serial + 1, oldService, newService, token, all, 0, leastWrites, lateAllowance, Verdict.RUNNING.ordinal(), "", List.of(), 0);
+    return new Trial(
+        route,
+        before == null ? 1 : before.number + 1,
+        before == null ? 1 : before.serial + 1,
+        oldService,
+        newService,
+        token,
+        all,
+        0,
+        leastWrites,
+        lateAllowance,
+        Verdict.RUNNING.ordinal(),
+        "",
+        List.of(),
+        0);
   }
 
   /** Why a trial does not fit a configuration; null where it does. */
-  public static String unfit(final String route, final String oldService, final String newService, final Dialplan plan) {
+  public static String unfit(
+      final String route, final String oldService, final String newService, final Dialplan plan) {
     final Route found = plan == null ? null : plan.route(route);
     if (found == null) {
       return "the route " + route + " is not in the configuration in force; name one that is";
@@ -103,7 +133,13 @@
       fresh |= plan.services().get(service).name().equals(newService);
     }
     if (!old || !fresh || oldService.equals(newService)) {
-      return "the route " + route + " has no split between " + oldService + " and " + newService + "; send a configuration with one first";
+      return "the route "
+          + route
+          + " has no split between "
+          + oldService
+          + " and "
+          + newService
+          + "; send a configuration with one first";
     }
     return null;
   }
@@ -116,14 +152,21 @@
     return trial;
   }
 
-  /** Checks an order to go on to the next stage; live names the switchboards that should have reported. */
-  public Trial advance(final String route, final List<String> live, final boolean settled, final long now) {
+  /**
+   * Checks an order to go on to the next stage; live names the switchboards that should have
+   * reported.
+   */
+  public Trial advance(
+      final String route, final List<String> live, final boolean settled, final long now) {
     final Trial trial = open(route);
     if (Verdict.of(trial) == Verdict.HELD) {
-      throw new Breakdown(Breakdown.Kind.CONFLICT, "the trial is held for good (" + trial.reason + "); finish it and begin another");
+      throw new Breakdown(
+          Breakdown.Kind.CONFLICT,
+          "the trial is held for good (" + trial.reason + "); finish it and begin another");
     }
     if (trial.stage + 1 >= trial.stages.size()) {
-      throw refuse("the trial is at its last stage; finish it, and move the weights by a configuration");
+      throw refuse(
+          "the trial is at its last stage; finish it, and move the weights by a configuration");
     }
     final String missing = undecided(trial, live, settled, now);
     if (missing != null) {
@@ -133,7 +176,8 @@
   }
 
   /** What evidence is missing at the present stage; null where there is enough. */
-  public String undecided(final Trial trial, final List<String> live, final boolean settled, final long now) {
+  public String undecided(
+      final Trial trial, final List<String> live, final boolean settled, final long now) {
     if (!settled) {
       return "the core is not settled; wait until it is";
     }
@@ -143,17 +187,28 @@
       boolean fresh = false;
       for (final Told one : reports.values()) {
         final long[] counts = Count.array(one.tally.counts);
-        fresh |= one.tally.board.equals(board) && now - one.heardAt < FRESH_MILLIS && Count.STAGE.in(counts) == trial.stage;
+        fresh |=
+            one.tally.board.equals(board)
+                && now - one.heardAt < FRESH_MILLIS
+                && Count.STAGE.in(counts) == trial.stage;
       }
       if (!fresh) {
-        return "switchboard " + board + " has not reported on this stage; wait for it or take it away";
+        return "switchboard "
+            + board
+            + " has not reported on this stage; wait for it or take it away";
       }
     }
     for (final Told one : reports.values()) {
       final long[] counts = Count.array(one.tally.counts);
       writes += Count.STAGE.in(counts) == trial.stage ? Count.STAGE_CONFIRMED.in(counts) : 0;
     }
-    return writes >= trial.leastWrites ? null : "only " + writes + " of " + trial.leastWrites + " writes were confirmed on the new version at this stage; wait for more";
+    return writes >= trial.leastWrites
+        ? null
+        : "only "
+            + writes
+            + " of "
+            + trial.leastWrites
+            + " writes were confirmed on the new version at this stage; wait for more";
   }
 
   /** An order to hold. */
@@ -163,18 +218,57 @@
 
   /** An order to finish. */
   public Trial finish(final String route) {
-    return next(open(route), trials.get(route).stage, Verdict.FINISHED, trials.get(route).reason, trials.get(route).attempts);
+    return next(
+        open(route),
+        trials.get(route).stage,
+        Verdict.FINISHED,
+        trials.get(route).reason,
+        trials.get(route).attempts);
   }
 
-  private static Trial next(final Trial trial, final int stage, final Verdict verdict, final String reason, final List<String> attempts) {
-    return new Trial(trial.route, trial.number, trial.serial + 1, trial.oldService, trial.newService, trial.token, trial.stages, stage, trial.leastWrites, trial.lateAllowance, verdict.ordinal(), reason, attempts, trial.writes);
+  private static Trial next(
+      final Trial trial,
+      final int stage,
+      final Verdict verdict,
+      final String reason,
+      final List<String> attempts) {
+    return new Trial(
+        trial.route,
+        trial.number,
+        trial.serial + 1,
+        trial.oldService,
+        trial.newService,
+        trial.token,
+        trial.stages,
+        stage,
+        trial.leastWrites,
+        trial.lateAllowance,
+        verdict.ordinal(),
+        reason,
+        attempts,
+        trial.writes);
   }
 
   private Trial held(final Trial trial, final String reason, final List<String> attempts) {
     final long[] sum = sum(trial.route);
     final boolean both = Count.OLD_LOST.in(sum) > 0 && Count.NEW_LOST.in(sum) > 0;
-    return new Trial(trial.route, trial.number, trial.serial + 1, trial.oldService, trial.newService, trial.token, trial.stages, trial.stage, trial.leastWrites, trial.lateAllowance, Verdict.HELD.ordinal(),
-        both ? reason + " (the old version lost writes too: " + Count.OLD_LOST.in(sum) + ")" : reason, attempts, Count.NEW_SENT.in(sum));
+    return new Trial(
+        trial.route,
+        trial.number,
+        trial.serial + 1,
+        trial.oldService,
+        trial.newService,
+        trial.token,
+        trial.stages,
+        trial.stage,
+        trial.leastWrites,
+        trial.lateAllowance,
+        Verdict.HELD.ordinal(),
+        both
+            ? reason + " (the old version lost writes too: " + Count.OLD_LOST.in(sum) + ")"
+            : reason,
+        attempts,
+        Count.NEW_SENT.in(sum));
   }
 
   /** Takes what a switchboard has counted; reports may come late, twice and in any order. */
@@ -184,7 +278,8 @@
       if (trial == null || trial.number != tally.number) {
         continue;
       }
-      final Map<String, Told> reports = told.computeIfAbsent(tally.route, route -> new LinkedHashMap<>());
+      final Map<String, Told> reports =
+          told.computeIfAbsent(tally.route, route -> new LinkedHashMap<>());
       final String key = tally.board + "#" + tally.incarnation;
       final Told before = reports.get(key);
       reports.put(key, new Told(before == null ? tally : later(before.tally, tally), now));
@@ -215,7 +310,14 @@
     }
     final boolean fuller = Words.list(other.attempts).size() >= Words.list(one.attempts).size();
     final Tally held = other.hold != null || one.hold == null && fuller ? other : one;
-    return new Tally(one.route, one.number, one.board, one.incarnation, Count.list(most), held.hold, held.attempts);
+    return new Tally(
+        one.route,
+        one.number,
+        one.board,
+        one.incarnation,
+        Count.list(most),
+        held.hold,
+        held.attempts);
   }
 
   /** The counts of a route's trial over all switchboards. */
@@ -248,21 +350,52 @@
   private Trial verdict(final Trial trial, final Dialplan plan) {
     for (final Told one : told.getOrDefault(trial.route, Map.of()).values()) {
       if (one.tally.hold != null) {
-        return held(trial, one.tally.hold + " (switchboard " + one.tally.board + ")", Words.list(one.tally.attempts));
+        return held(
+            trial,
+            one.tally.hold + " (switchboard " + one.tally.board + ")",
+            Words.list(one.tally.attempts));
       }
     }
     if (trial.route.equals(doubledRoute) && !doubles.isEmpty()) {
-      return held(trial, "doubled: one attempt was sent by two switchboards", new ArrayList<>(doubles.subList(0, Math.min(20, doubles.size()))));
+      return held(
+          trial,
+          "doubled: one attempt was sent by two switchboards",
+          new ArrayList<>(doubles.subList(0, Math.min(20, doubles.size()))));
     }
     final long[] sum = sum(trial.route);
     if (Count.NEW_LOST.in(sum) > 0 || Count.NEW_DOUBLED.in(sum) > 0) {
-      return held(trial, "lost or doubled: " + Count.NEW_LOST.in(sum) + " and " + Count.NEW_DOUBLED.in(sum), List.of());
+      return held(
+          trial,
+          "lost or doubled: " + Count.NEW_LOST.in(sum) + " and " + Count.NEW_DOUBLED.in(sum),
+          List.of());
     }
-    if (Lateness.tooMany(Count.NEW_LATE.in(sum), Count.NEW_CONFIRMED.in(sum), Count.OLD_LATE.in(sum), Count.OLD_CONFIRMED.in(sum), trial.lateAllowance)) {
-      return held(trial, "late: " + Count.NEW_LATE.in(sum) + " of " + Count.NEW_CONFIRMED.in(sum) + " writes, " + Count.OLD_LATE.in(sum) + " of " + Count.OLD_CONFIRMED.in(sum) + " on the old version", lateAttempts(trial.route));
+    if (Lateness.tooMany(
+        Count.NEW_LATE.in(sum),
+        Count.NEW_CONFIRMED.in(sum),
+        Count.OLD_LATE.in(sum),
+        Count.OLD_CONFIRMED.in(sum),
+        trial.lateAllowance)) {
+      return held(
+          trial,
+          "late: "
+              + Count.NEW_LATE.in(sum)
+              + " of "
+              + Count.NEW_CONFIRMED.in(sum)
+              + " writes, "
+              + Count.OLD_LATE.in(sum)
+              + " of "
+              + Count.OLD_CONFIRMED.in(sum)
+              + " on the old version",
+          lateAttempts(trial.route));
     }
     if (plan != null && unfit(trial.route, trial.oldService, trial.newService, plan) != null) {
-      return next(trial, trial.stage, Verdict.FINISHED, "a newer configuration no longer has the split: " + unfit(trial.route, trial.oldService, trial.newService, plan), List.of());
+      return next(
+          trial,
+          trial.stage,
+          Verdict.FINISHED,
+          "a newer configuration no longer has the split: "
+              + unfit(trial.route, trial.oldService, trial.newService, plan),
+          List.of());
     }
     return null;
   }
@@ -278,11 +411,13 @@
   /** What each switchboard has counted in a trial. */
   public Map<String, long[]> byBoard(final Trial trial) {
     final Map<String, long[]> map = new LinkedHashMap<>();
-    told.getOrDefault(trial.route, Map.of()).forEach((key, one) -> {
-      if (one.tally.number == trial.number) {
-        map.put(key, Count.array(one.tally.counts));
-      }
-    });
+    told.getOrDefault(trial.route, Map.of())
+        .forEach(
+            (key, one) -> {
+              if (one.tally.number == trial.number) {
+                map.put(key, Count.array(one.tally.counts));
+              }
+            });
     return map;
   }
 }
--- a/trunk/src/main/java/weldpoint/trunk/Line.java
+++ b/trunk/src/main/java/weldpoint/trunk/Line.java
@@ -3,7 +3,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOutboundBuffer;
 
-/** One connection between two programs. Any thread may send; the traffic thread may end it at any moment between. */
+/**
+ * One connection between two programs. Any thread may send; the traffic thread may end it at any
+ * moment between.
+ */
 public final class Line {
   private static final int MOST_WAITING = 16 << 20;
 
@@ -22,7 +25,10 @@
     return peer;
   }
 
-  /** The latest time of the other end's steady clock, in milliseconds, that was heard on this very line; null where none was. */
+  /**
+   * The latest time of the other end's steady clock, in milliseconds, that was heard on this very
+   * line; null where none was.
+   */
   public Long peerClock() {
     return peerClock;
   }
--- a/trunk/src/main/java/weldpoint/trunk/Lines.java
+++ b/trunk/src/main/java/weldpoint/trunk/Lines.java
@@ -24,16 +24,22 @@
     for (final String address : addresses) {
       diallers.computeIfAbsent(address, to -> trunk.dial(to, port, ears.apply(to)));
     }
-    diallers.entrySet().removeIf(entry -> {
-      if (addresses.contains(entry.getKey())) {
-        return false;
-      }
-      entry.getValue().close();
-      return true;
-    });
+    diallers
+        .entrySet()
+        .removeIf(
+            entry -> {
+              if (addresses.contains(entry.getKey())) {
+                return false;
+              }
+              entry.getValue().close();
+              return true;
+            });
   }
 
-  /** For how many milliseconds nothing has come from an address; a large number where there is no line to it. */
+  /**
+   * For how many milliseconds nothing has come from an address; a large number where there is no
+   * line to it.
+   */
   public long silentMillis(final String address) {
     final Trunk.Dialler dialler = diallers.get(address);
     final Line line = dialler == null ? null : dialler.line();
--- a/trunk/src/main/java/weldpoint/trunk/Message.java
+++ b/trunk/src/main/java/weldpoint/trunk/Message.java
@@ -1,5 +1,4 @@
 package weldpoint.trunk;
 
 /** Anything that one program of the system says to another. */
-public interface Message {
-}
+public interface Message {}
--- a/trunk/src/main/java/weldpoint/trunk/Meter.java
+++ b/trunk/src/main/java/weldpoint/trunk/Meter.java
@@ -7,8 +7,7 @@
   private volatile long messagesOut;
   private volatile long bytesOut;
 
-  Meter() {
-  }
+  Meter() {}
 
   void in(final long bytes) {
     messagesIn++;
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -31,15 +31,13 @@
   /** Hears what happens on lines; called on the traffic thread. */
   public interface Ear {
     /** The peer has said hello. */
-    default void opened(final Line line) {
-    }
+    default void opened(final Line line) {}
 
     /** The peer has said something. */
     void heard(Line line, Message message);
 
     /** The line has ended. */
-    default void closed(final Line line) {
-    }
+    default void closed(final Line line) {}
   }
 
   private final EventLoopGroup loop;
@@ -58,27 +56,40 @@
   }
 
   /** Takes calls at an address, and returns once it does. */
-  public void serve(final String address, final int port, final Ear ear) throws InterruptedException {
+  public void serve(final String address, final int port, final Ear ear)
+      throws InterruptedException {
     listen(address, port, ear).sync();
   }
 
-  /** Begins to take calls at an address, without waiting: the control thread must never wait for the traffic thread, which may be waiting for it. */
+  /**
+   * Begins to take calls at an address, without waiting: the control thread must never wait for the
+   * traffic thread, which may be waiting for it.
+   */
   public ChannelFuture listen(final String address, final int port, final Ear ear) {
-    return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(ChannelOption.SO_BACKLOG, 256)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(new ChannelInitializer<SocketChannel>() {
-          @Override
-          protected void initChannel(final SocketChannel channel) {
-            prepare(channel, ear, false);
-          }
-        }).bind(address, port);
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(final SocketChannel channel) {
+                prepare(channel, ear, false);
+              }
+            })
+        .bind(address, port);
   }
 
   private Line prepare(final SocketChannel channel, final Ear ear, final boolean dialled) {
     final Line line = new Line(channel);
-    channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(MOST_BYTES, 0, 4, 0, 4), new Encoder(), new Handler(line, ear, dialled));
+    channel
+        .pipeline()
+        .addLast(
+            new LengthFieldBasedFrameDecoder(MOST_BYTES, 0, 4, 0, 4),
+            new Encoder(),
+            new Handler(line, ear, dialled));
     return line;
   }
 
@@ -107,38 +118,46 @@
       if (ended) {
         return;
       }
-      final ChannelFuture attempt = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-          .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
-          .option(ChannelOption.TCP_NODELAY, true)
-          .handler(new ChannelInitializer<SocketChannel>() {
-            @Override
-            protected void initChannel(final SocketChannel channel) {
-              prepare(channel, new Ear() {
-                @Override
-                public void opened(final Line opened) {
-                  if (take(opened)) {
-                    pauseMillis = 50;
-                    ear.opened(opened);
-                  } else {
-                    opened.close();
-                  }
-                }
-
-                @Override
-                public void heard(final Line heard, final Message message) {
-                  ear.heard(heard, message);
-                }
-
-                @Override
-                public void closed(final Line closed) {
-                  if (line == closed) {
-                    line = null;
-                    ear.closed(closed);
-                  }
-                }
-              }, true);
-            }
-          }).connect(new InetSocketAddress(address, port));
+      final ChannelFuture attempt =
+          new Bootstrap()
+              .group(loop)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+              .option(ChannelOption.TCP_NODELAY, true)
+              .handler(
+                  new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(final SocketChannel channel) {
+                      prepare(
+                          channel,
+                          new Ear() {
+                            @Override
+                            public void opened(final Line opened) {
+                              if (take(opened)) {
+                                pauseMillis = 50;
+                                ear.opened(opened);
+                              } else {
+                                opened.close();
+                              }
+                            }
+
+                            @Override
+                            public void heard(final Line heard, final Message message) {
+                              ear.heard(heard, message);
+                            }
+
+                            @Override
+                            public void closed(final Line closed) {
+                              if (line == closed) {
+                                line = null;
+                                ear.closed(closed);
+                              }
+                            }
+                          },
+                          true);
+                    }
+                  })
+              .connect(new InetSocketAddress(address, port));
       attempt.channel().closeFuture().addListener(done -> again());
     }
 
@@ -212,7 +231,8 @@
 
   private final class Encoder extends MessageToByteEncoder<Message> {
     @Override
-    protected void encode(final ChannelHandlerContext context, final Message message, final ByteBuf out) {
+    protected void encode(
+        final ChannelHandlerContext context, final Message message, final ByteBuf out) {
       final boolean sealed = message instanceof Sealed;
       final byte[] body = sealed ? ((Sealed) message).body : Wire.bytes(message);
       meter.out(body.length + 5);
@@ -244,20 +264,26 @@
     }
 
     private void watch(final Channel channel) {
-      channel.eventLoop().schedule(() -> {
-        if (!channel.isActive()) {
-          return;
-        }
-        if (System.nanoTime() - line.heardNanos > SILENCE_NANOS && System.nanoTime() - ringNanos < 2 * SILENCE_NANOS) {
-          channel.close();
-          return;
-        }
-        ringNanos = System.nanoTime();
-        if (dialled) {
-          channel.writeAndFlush(new Words.Ring(false));
-        }
-        watch(channel);
-      }, RING_MILLIS, TimeUnit.MILLISECONDS);
+      channel
+          .eventLoop()
+          .schedule(
+              () -> {
+                if (!channel.isActive()) {
+                  return;
+                }
+                if (System.nanoTime() - line.heardNanos > SILENCE_NANOS
+                    && System.nanoTime() - ringNanos < 2 * SILENCE_NANOS) {
+                  channel.close();
+                  return;
+                }
+                ringNanos = System.nanoTime();
+                if (dialled) {
+                  channel.writeAndFlush(new Words.Ring(false));
+                }
+                watch(channel);
+              },
+              RING_MILLIS,
+              TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -285,8 +311,11 @@
           context.writeAndFlush(new Words.Ring(true, System.nanoTime() / 1_000_000));
         }
       } else if (!open) {
-        if (!(message instanceof Words.Hello) || ((Words.Hello) message).protocol != Wire.PROTOCOL) {
-          LOGGER.atWarning().log("a peer at %s speaks another inner protocol than %d and was refused; run the same release everywhere", context.channel().remoteAddress(), Wire.PROTOCOL);
+        if (!(message instanceof Words.Hello)
+            || ((Words.Hello) message).protocol != Wire.PROTOCOL) {
+          LOGGER.atWarning().log(
+              "a peer at %s speaks another inner protocol than %d and was refused; run the same release everywhere",
+              context.channel().remoteAddress(), Wire.PROTOCOL);
           context.close();
           return;
         }
--- a/trunk/src/main/java/weldpoint/trunk/Wire.java
+++ b/trunk/src/main/java/weldpoint/trunk/Wire.java
@@ -21,13 +21,13 @@
     }
   }
 
-  private Wire() {
-  }
+  private Wire() {}
 
   /** The bytes of a value. */
   @SuppressWarnings("unchecked")
   public static <T> byte[] bytes(final T value) {
-    return ProtostuffIOUtil.toByteArray(value, (Schema<T>) RuntimeSchema.getSchema(value.getClass()), LinkedBuffer.allocate(512));
+    return ProtostuffIOUtil.toByteArray(
+        value, (Schema<T>) RuntimeSchema.getSchema(value.getClass()), LinkedBuffer.allocate(512));
   }
 
   /** The value that the bytes hold. */
