--- a/trunk/src/main/java/weldpoint/trunk/Words.java
+++ b/trunk/src/main/java/weldpoint/trunk/Words.java
@@ -2,19 +2,64 @@
 
 import java.util.List;
 
-/** The words of the inner protocol. A list that travelled empty arrives as null; {@link #list} mends that. */
+/**
+ * The words of the inner protocol. A list that travelled empty arrives as null; {@link #list} mends
+ * that.
+ */
 public final class Words {
   static final Class<?>[] KINDS = {
-      Hello.class, Ring.class, Prepare.class, Promise.class, Accept.class, Accepted.class, Pulse.class, Pulsed.class,
-      Enquire.class, Enquired.class, Fetch.class, Fetched.class, RosterNews.class, Refused.class, Join.class,
-      Resign.class, Canvass.class, Canvassed.class, Call.class, Answer.class, Gossip.class, Changes.class, Kept.class, BoardState.class,
-      View.class, Reach.class, TrialReport.class, Purges.class, PermitAsk.class, PermitAnswer.class, CopyAsk.class, CopyAnswer.class,
-      Electorate.class, Stand.class, Backed.class, Order.class, Heeded.class, RecordState.class, Reel.class, AuditState.class, AuditAsk.class, AuditPart.class,
-      Placements.class, LeaseAsk.class, LeaseGrant.class, Neighbours.class, Released.class, StateRead.class, StateHeld.class,
+    Hello.class,
+    Ring.class,
+    Prepare.class,
+    Promise.class,
+    Accept.class,
+    Accepted.class,
+    Pulse.class,
+    Pulsed.class,
+    Enquire.class,
+    Enquired.class,
+    Fetch.class,
+    Fetched.class,
+    RosterNews.class,
+    Refused.class,
+    Join.class,
+    Resign.class,
+    Canvass.class,
+    Canvassed.class,
+    Call.class,
+    Answer.class,
+    Gossip.class,
+    Changes.class,
+    Kept.class,
+    BoardState.class,
+    View.class,
+    Reach.class,
+    TrialReport.class,
+    Purges.class,
+    PermitAsk.class,
+    PermitAnswer.class,
+    CopyAsk.class,
+    CopyAnswer.class,
+    Electorate.class,
+    Stand.class,
+    Backed.class,
+    Order.class,
+    Heeded.class,
+    RecordState.class,
+    Reel.class,
+    AuditState.class,
+    AuditAsk.class,
+    AuditPart.class,
+    Placements.class,
+    LeaseAsk.class,
+    LeaseGrant.class,
+    Neighbours.class,
+    Released.class,
+    StateRead.class,
+    StateHeld.class,
   };
 
-  private Words() {
-  }
+  private Words() {}
 
   /** The list itself, or an empty one for null. */
   public static <T> List<T> list(final List<T> list) {
@@ -29,11 +74,17 @@
     public final long incarnation;
     public final Long clock;
 
-    public Hello(final int protocol, final String program, final String address, final long incarnation) {
+    public Hello(
+        final int protocol, final String program, final String address, final long incarnation) {
       this(protocol, program, address, incarnation, null);
     }
 
-    private Hello(final int protocol, final String program, final String address, final long incarnation, final Long clock) {
+    private Hello(
+        final int protocol,
+        final String program,
+        final String address,
+        final long incarnation,
+        final Long clock) {
       this.protocol = protocol;
       this.program = program;
       this.address = address;
@@ -69,7 +120,8 @@
     public final String region;
     public final List<Integer> tokens;
 
-    public Voter(final String address, final String site, final String region, final List<Integer> tokens) {
+    public Voter(
+        final String address, final String site, final String region, final List<Integer> tokens) {
       this.address = address;
       this.site = site;
       this.region = region;
@@ -112,11 +164,22 @@
     public final byte[] whole;
     public final byte[] audit;
 
-    public Entry(final String name, final Mark mark, final Mark base, final byte[] difference, final byte[] whole) {
+    public Entry(
+        final String name,
+        final Mark mark,
+        final Mark base,
+        final byte[] difference,
+        final byte[] whole) {
       this(name, mark, base, difference, whole, null);
     }
 
-    public Entry(final String name, final Mark mark, final Mark base, final byte[] difference, final byte[] whole, final byte[] audit) {
+    public Entry(
+        final String name,
+        final Mark mark,
+        final Mark base,
+        final byte[] difference,
+        final byte[] whole,
+        final byte[] audit) {
       this.audit = audit;
       this.name = name;
       this.mark = mark;
@@ -148,7 +211,13 @@
     public final long incarnation;
     public final List<Long> known;
 
-    public Promise(final int partition, final Mark ballot, final Mark established, final List<Entry> entries, final long incarnation, final List<Long> known) {
+    public Promise(
+        final int partition,
+        final Mark ballot,
+        final Mark established,
+        final List<Entry> entries,
+        final long incarnation,
+        final List<Long> known) {
       this.partition = partition;
       this.ballot = ballot;
       this.established = established;
@@ -158,7 +227,10 @@
     }
   }
 
-  /** Writes registers; an establishing one replaces the whole partition, and tells the incarnations that its sender knows. */
+  /**
+   * Writes registers; an establishing one replaces the whole partition, and tells the incarnations
+   * that its sender knows.
+   */
   public static final class Accept implements Message {
     public final int partition;
     public final long roster;
@@ -168,11 +240,24 @@
     public final List<Entry> entries;
     public final List<Long> known;
 
-    public Accept(final int partition, final long roster, final Mark ballot, final boolean establish, final List<Long> counted, final List<Entry> entries) {
+    public Accept(
+        final int partition,
+        final long roster,
+        final Mark ballot,
+        final boolean establish,
+        final List<Long> counted,
+        final List<Entry> entries) {
       this(partition, roster, ballot, establish, counted, entries, null);
     }
 
-    public Accept(final int partition, final long roster, final Mark ballot, final boolean establish, final List<Long> counted, final List<Entry> entries, final List<Long> known) {
+    public Accept(
+        final int partition,
+        final long roster,
+        final Mark ballot,
+        final boolean establish,
+        final List<Long> counted,
+        final List<Entry> entries,
+        final List<Long> known) {
       this.known = known;
       this.partition = partition;
       this.roster = roster;
@@ -183,7 +268,10 @@
     }
   }
 
-  /** The registers named are on the sender's disk under these marks; those it lacks the base for are named apart. */
+  /**
+   * The registers named are on the sender's disk under these marks; those it lacks the base for are
+   * named apart.
+   */
   public static final class Accepted implements Message {
     public final int partition;
     public final Mark ballot;
@@ -194,7 +282,15 @@
     public final long incarnation;
     public final List<Long> known;
 
-    public Accepted(final int partition, final Mark ballot, final boolean establish, final List<String> names, final List<Long> counts, final List<String> lacking, final long incarnation, final List<Long> known) {
+    public Accepted(
+        final int partition,
+        final Mark ballot,
+        final boolean establish,
+        final List<String> names,
+        final List<Long> counts,
+        final List<String> lacking,
+        final long incarnation,
+        final List<Long> known) {
       this.partition = partition;
       this.ballot = ballot;
       this.establish = establish;
@@ -219,7 +315,10 @@
     }
   }
 
-  /** The ballots that stand, with the count that each pulse carried, and up to where the sender's disk has the history. */
+  /**
+   * The ballots that stand, with the count that each pulse carried, and up to where the sender's
+   * disk has the history.
+   */
   public static final class Pulsed implements Message {
     public final List<Integer> partitions;
     public final List<Mark> ballots;
@@ -227,7 +326,12 @@
     public final List<Long> known;
     public final long audited;
 
-    public Pulsed(final List<Integer> partitions, final List<Mark> ballots, final long incarnation, final List<Long> known, final long audited) {
+    public Pulsed(
+        final List<Integer> partitions,
+        final List<Mark> ballots,
+        final long incarnation,
+        final List<Long> known,
+        final long audited) {
       this.audited = audited;
       this.partitions = partitions;
       this.ballots = ballots;
@@ -253,7 +357,12 @@
     public final long incarnation;
     public final List<String> holders;
 
-    public Enquired(final long number, final boolean blank, final Roster roster, final long incarnation, final List<String> holders) {
+    public Enquired(
+        final long number,
+        final boolean blank,
+        final Roster roster,
+        final long incarnation,
+        final List<String> holders) {
       this.number = number;
       this.blank = blank;
       this.roster = roster;
@@ -263,8 +372,9 @@
   }
 
   /**
-   * A blank disk asks, under its new incarnation, for the catalogue of all registers behind a name, in their order, or,
-   * where it names registers, for their values; a value is asked for from an offset on where part of it has come.
+   * A blank disk asks, under its new incarnation, for the catalogue of all registers behind a name,
+   * in their order, or, where it names registers, for their values; a value is asked for from an
+   * offset on where part of it has come.
    */
   public static final class Fetch implements Message {
     public final long incarnation;
@@ -278,7 +388,12 @@
       this(incarnation, "", null, 0, 0);
     }
 
-    public Fetch(final long incarnation, final String after, final List<String> names, final int offset, final long number) {
+    public Fetch(
+        final long incarnation,
+        final String after,
+        final List<String> names,
+        final int offset,
+        final long number) {
       this.number = number;
       this.incarnation = incarnation;
       this.after = after;
@@ -288,10 +403,10 @@
   }
 
   /**
-   * One part of what the sender holds: its promises and how far its partitions were established, with a page of the
-   * catalogue, in which entries for which there is no room come without their value; or the values that were named, those
-   * that it does not hold being listed apart. Of a value too large for one part, total tells its length and offset where
-   * this piece begins.
+   * One part of what the sender holds: its promises and how far its partitions were established,
+   * with a page of the catalogue, in which entries for which there is no room come without their
+   * value; or the values that were named, those that it does not hold being listed apart. Of a
+   * value too large for one part, total tells its length and offset where this piece begins.
    */
   public static final class Fetched implements Message {
     public final long incarnation;
@@ -309,8 +424,21 @@
     public final int total;
     public final long number;
 
-    public Fetched(final long incarnation, final Roster roster, final List<Mark> promised, final List<Mark> established, final List<Entry> entries, final List<Long> known, final long audited, final String after, final boolean values,
-        final boolean more, final List<String> absent, final int offset, final int total, final long number) {
+    public Fetched(
+        final long incarnation,
+        final Roster roster,
+        final List<Mark> promised,
+        final List<Mark> established,
+        final List<Entry> entries,
+        final List<Long> known,
+        final long audited,
+        final String after,
+        final boolean values,
+        final boolean more,
+        final List<String> absent,
+        final int offset,
+        final int total,
+        final long number) {
       this.number = number;
       this.audited = audited;
       this.incarnation = incarnation;
@@ -337,7 +465,10 @@
     }
   }
 
-  /** A refusal: a higher ballot was promised, a roster or an incarnation is overtaken, or the sender cannot vote. */
+  /**
+   * A refusal: a higher ballot was promised, a roster or an incarnation is overtaken, or the sender
+   * cannot vote.
+   */
   public static final class Refused implements Message {
     public final int partition;
     public final Mark ballot;
@@ -345,7 +476,12 @@
     public final long roster;
     public final List<Long> known;
 
-    public Refused(final int partition, final Mark ballot, final Mark promised, final long roster, final List<Long> known) {
+    public Refused(
+        final int partition,
+        final Mark ballot,
+        final Mark promised,
+        final long roster,
+        final List<Long> known) {
       this.partition = partition;
       this.ballot = ballot;
       this.promised = promised;
@@ -411,7 +547,10 @@
     }
   }
 
-  /** Who wants a change of routing: the author named, the address it came from and the daemon that took it; extra is a configuration's summary. */
+  /**
+   * Who wants a change of routing: the author named, the address it came from and the daemon that
+   * took it; extra is a configuration's summary.
+   */
   public static final class Cause {
     public final String author;
     public final String caller;
@@ -448,7 +587,10 @@
     }
   }
 
-  /** Among which upstreams of a service callers are placed in this epoch, and, where the next epoch is prepared, among which then. */
+  /**
+   * Among which upstreams of a service callers are placed in this epoch, and, where the next epoch
+   * is prepared, among which then.
+   */
   public static final class Placement {
     public final String service;
     public final long serial;
@@ -457,7 +599,13 @@
     public final boolean prepared;
     public final List<PlacementMember> next;
 
-    public Placement(final String service, final long serial, final long epoch, final List<PlacementMember> members, final boolean prepared, final List<PlacementMember> next) {
+    public Placement(
+        final String service,
+        final long serial,
+        final long epoch,
+        final List<PlacementMember> members,
+        final boolean prepared,
+        final List<PlacementMember> next) {
       this.service = service;
       this.serial = serial;
       this.epoch = epoch;
@@ -491,7 +639,10 @@
     }
   }
 
-  /** A switchboard asks for a lease; it has the placements under this mark, and has finished what had to be finished for those up to settled. Counts are from its start. */
+  /**
+   * A switchboard asks for a lease; it has the placements under this mark, and has finished what
+   * had to be finished for those up to settled. Counts are from its start.
+   */
   public static final class LeaseAsk implements Message {
     public final long number;
     public final String board;
@@ -500,7 +651,13 @@
     public final long settled;
     public final List<Long> counts;
 
-    public LeaseAsk(final long number, final String board, final long incarnation, final long mark, final long settled, final List<Long> counts) {
+    public LeaseAsk(
+        final long number,
+        final String board,
+        final long incarnation,
+        final long mark,
+        final long settled,
+        final List<Long> counts) {
       this.number = number;
       this.board = board;
       this.incarnation = incarnation;
@@ -517,7 +674,8 @@
     public final long incarnation;
     public final long millis;
 
-    public LeaseGrant(final long number, final String board, final long incarnation, final long millis) {
+    public LeaseGrant(
+        final long number, final String board, final long incarnation, final long millis) {
       this.number = number;
       this.board = board;
       this.incarnation = incarnation;
@@ -547,7 +705,10 @@
     }
   }
 
-  /** Entries of the history behind the base; whether the sender keeps none before them, and how far it reaches. */
+  /**
+   * Entries of the history behind the base; whether the sender keeps none before them, and how far
+   * it reaches.
+   */
   public static final class AuditPart implements Message {
     public final long base;
     public final String baseDigest;
@@ -555,7 +716,12 @@
     public final List<byte[]> entries;
     public final long last;
 
-    public AuditPart(final long base, final String baseDigest, final boolean trimmed, final List<byte[]> entries, final long last) {
+    public AuditPart(
+        final long base,
+        final String baseDigest,
+        final boolean trimmed,
+        final List<byte[]> entries,
+        final long last) {
       this.base = base;
       this.baseDigest = baseDigest;
       this.trimmed = trimmed;
@@ -565,10 +731,11 @@
   }
 
   /**
-   * A call to the store; content is the digest of what its body says, where the deed compares that. Caller, the incarnation
-   * of the process that calls, and number are its identity, which never recurs. Age is how long ago the first copy of it
-   * that may have been carried out was sent, 0 where there is none; clock is the latest time of the frame's own steady
-   * clock that the caller had heard over this line when it sent this copy.
+   * A call to the store; content is the digest of what its body says, where the deed compares that.
+   * Caller, the incarnation of the process that calls, and number are its identity, which never
+   * recurs. Age is how long ago the first copy of it that may have been carried out was sent, 0
+   * where there is none; clock is the latest time of the frame's own steady clock that the caller
+   * had heard over this line when it sent this copy.
    */
   public static final class Call implements Message {
     public final long number;
@@ -585,19 +752,56 @@
     public final Long clock;
     private final transient long agedAt;
 
-    public Call(final long number, final int deed, final String name, final String owner, final long first, final long second, final byte[] body) {
+    public Call(
+        final long number,
+        final int deed,
+        final String name,
+        final String owner,
+        final long first,
+        final long second,
+        final byte[] body) {
       this(number, deed, name, owner, first, second, body, null);
     }
 
-    public Call(final long number, final int deed, final String name, final String owner, final long first, final long second, final byte[] body, final Cause cause) {
+    public Call(
+        final long number,
+        final int deed,
+        final String name,
+        final String owner,
+        final long first,
+        final long second,
+        final byte[] body,
+        final Cause cause) {
       this(number, deed, name, owner, first, second, body, cause, null);
     }
 
-    public Call(final long number, final int deed, final String name, final String owner, final long first, final long second, final byte[] body, final Cause cause, final byte[] content) {
+    public Call(
+        final long number,
+        final int deed,
+        final String name,
+        final String owner,
+        final long first,
+        final long second,
+        final byte[] body,
+        final Cause cause,
+        final byte[] content) {
       this(number, deed, name, owner, first, second, body, cause, content, 0, 0, 0, null);
     }
 
-    private Call(final long number, final int deed, final String name, final String owner, final long first, final long second, final byte[] body, final Cause cause, final byte[] content, final long caller, final long age, final long agedAt, final Long clock) {
+    private Call(
+        final long number,
+        final int deed,
+        final String name,
+        final String owner,
+        final long first,
+        final long second,
+        final byte[] body,
+        final Cause cause,
+        final byte[] content,
+        final long caller,
+        final long age,
+        final long agedAt,
+        final Long clock) {
       this.agedAt = agedAt;
       this.caller = caller;
       this.age = age;
@@ -615,21 +819,59 @@
 
     /** This call in the name of a caller. */
     public Call from(final long givenCaller) {
-      return new Call(number, deed, name, owner, first, second, body, cause, content, givenCaller, age, agedAt, clock);
-    }
-
-    /** A copy of this call whose first copy that may have been carried out was sent so long before now, by the caller's steady clock. */
+      return new Call(
+          number,
+          deed,
+          name,
+          owner,
+          first,
+          second,
+          body,
+          cause,
+          content,
+          givenCaller,
+          age,
+          agedAt,
+          clock);
+    }
+
+    /**
+     * A copy of this call whose first copy that may have been carried out was sent so long before
+     * now, by the caller's steady clock.
+     */
     public Call aged(final long givenAge, final long now) {
-      return new Call(number, deed, name, owner, first, second, body, cause, content, caller, givenAge, now, clock);
+      return new Call(
+          number, deed, name, owner, first, second, body, cause, content, caller, givenAge, now,
+          clock);
     }
 
-    /** A copy of this call as it leaves now, over a line on which this time of the frame's clock had been heard before. */
+    /**
+     * A copy of this call as it leaves now, over a line on which this time of the frame's clock had
+     * been heard before.
+     */
     public Call leaving(final Long heardClock, final long now) {
-      return new Call(number, deed, name, owner, first, second, body, cause, content, caller, age == 0 ? 0 : age + Math.max(0, now - agedAt), agedAt, heardClock);
+      return new Call(
+          number,
+          deed,
+          name,
+          owner,
+          first,
+          second,
+          body,
+          cause,
+          content,
+          caller,
+          age == 0 ? 0 : age + Math.max(0, now - agedAt),
+          agedAt,
+          heardClock);
     }
   }
 
-  /** The store's answer to the call of this number and caller, with the time of the frame's steady clock; status 0 means that nothing was done and "ask the holder named", or nobody knows one where it is null. */
+  /**
+   * The store's answer to the call of this number and caller, with the time of the frame's steady
+   * clock; status 0 means that nothing was done and "ask the holder named", or nobody knows one
+   * where it is null.
+   */
   public static final class Answer implements Message {
     public final long number;
     public final int status;
@@ -639,11 +881,23 @@
     public final long caller;
     public final Long clock;
 
-    public Answer(final long number, final int status, final long first, final byte[] body, final String holder) {
+    public Answer(
+        final long number,
+        final int status,
+        final long first,
+        final byte[] body,
+        final String holder) {
       this(number, status, first, body, holder, 0, null);
     }
 
-    private Answer(final long number, final int status, final long first, final byte[] body, final String holder, final long caller, final Long clock) {
+    private Answer(
+        final long number,
+        final int status,
+        final long first,
+        final byte[] body,
+        final String holder,
+        final long caller,
+        final Long clock) {
       this.clock = clock;
       this.caller = caller;
       this.number = number;
@@ -677,7 +931,17 @@
     public final long issued;
     public final long warmupMillis;
 
-    public Registration(final String id, final String service, final String address, final String site, final String software, final int capacity, final int stage, final long sequence, final long issued, final long warmupMillis) {
+    public Registration(
+        final String id,
+        final String service,
+        final String address,
+        final String site,
+        final String software,
+        final int capacity,
+        final int stage,
+        final long sequence,
+        final long issued,
+        final long warmupMillis) {
       this.id = id;
       this.service = service;
       this.address = address;
@@ -691,7 +955,10 @@
     }
   }
 
-  /** One switchboard, or announcer, as the directory knows it: which configuration and which mark of evacuations and trials it has in force, and for how long. */
+  /**
+   * One switchboard, or announcer, as the directory knows it: which configuration and which mark of
+   * evacuations and trials it has in force, and for how long.
+   */
   public static final class Board {
     public final String address;
     public final String front;
@@ -705,15 +972,41 @@
     public final long mark;
     public final long heldMillis;
 
-    public Board(final String address, final String front, final String site, final String region, final long incarnation, final boolean leaving, final long ageMillis) {
+    public Board(
+        final String address,
+        final String front,
+        final String site,
+        final String region,
+        final long incarnation,
+        final boolean leaving,
+        final long ageMillis) {
       this(address, front, site, region, incarnation, leaving, ageMillis, false);
     }
 
-    public Board(final String address, final String front, final String site, final String region, final long incarnation, final boolean leaving, final long ageMillis, final boolean announcer) {
+    public Board(
+        final String address,
+        final String front,
+        final String site,
+        final String region,
+        final long incarnation,
+        final boolean leaving,
+        final long ageMillis,
+        final boolean announcer) {
       this(address, front, site, region, incarnation, leaving, ageMillis, announcer, 0, 0, 0);
     }
 
-    public Board(final String address, final String front, final String site, final String region, final long incarnation, final boolean leaving, final long ageMillis, final boolean announcer, final long version, final long mark, final long heldMillis) {
+    public Board(
+        final String address,
+        final String front,
+        final String site,
+        final String region,
+        final long incarnation,
+        final boolean leaving,
+        final long ageMillis,
+        final boolean announcer,
+        final long version,
+        final long mark,
+        final long heldMillis) {
       this.version = version;
       this.mark = mark;
       this.heldMillis = heldMillis;
@@ -743,7 +1036,10 @@
     }
   }
 
-  /** All purges above the floor up to the mark, in order; whoever knows less than the floor has missed some. */
+  /**
+   * All purges above the floor up to the mark, in order; whoever knows less than the floor has
+   * missed some.
+   */
   public static final class Purges implements Message {
     public final long floor;
     public final long mark;
@@ -778,7 +1074,8 @@
     public final long version;
     public final long ageMillis;
 
-    public PermitAnswer(final long number, final int granted, final long version, final long ageMillis) {
+    public PermitAnswer(
+        final long number, final int granted, final long version, final long ageMillis) {
       this.number = number;
       this.granted = granted;
       this.version = version;
@@ -797,14 +1094,21 @@
     }
   }
 
-  /** The switchboards of a region that may choose a chief, under a rising mark, with the region's part of all switchboards. */
+  /**
+   * The switchboards of a region that may choose a chief, under a rising mark, with the region's
+   * part of all switchboards.
+   */
   public static final class Electorate implements Message {
     public final String region;
     public final long mark;
     public final List<Elector> electors;
     public final double regionPart;
 
-    public Electorate(final String region, final long mark, final List<Elector> electors, final double regionPart) {
+    public Electorate(
+        final String region,
+        final long mark,
+        final List<Elector> electors,
+        final double regionPart) {
       this.region = region;
       this.mark = mark;
       this.electors = electors;
@@ -820,7 +1124,12 @@
     public final String address;
     public final long incarnation;
 
-    public Stand(final String region, final long mark, final long term, final String address, final long incarnation) {
+    public Stand(
+        final String region,
+        final long mark,
+        final long term,
+        final String address,
+        final long incarnation) {
       this.region = region;
       this.mark = mark;
       this.term = term;
@@ -859,7 +1168,19 @@
     public final List<String> suspects;
     public final List<String> uncertain;
 
-    public Order(final String region, final long mark, final long term, final String chief, final long incarnation, final long number, final long askedAt, final double admission, final List<String> addresses, final List<Double> parts, final List<String> suspects, final List<String> uncertain) {
+    public Order(
+        final String region,
+        final long mark,
+        final long term,
+        final String chief,
+        final long incarnation,
+        final long number,
+        final long askedAt,
+        final double admission,
+        final List<String> addresses,
+        final List<Double> parts,
+        final List<String> suspects,
+        final List<String> uncertain) {
       this.region = region;
       this.mark = mark;
       this.term = term;
@@ -875,7 +1196,10 @@
     }
   }
 
-  /** What one switchboard has seen lately: requests by kind, writes refused, what upstreams carried, silent upstreams, writes of unknown fate. */
+  /**
+   * What one switchboard has seen lately: requests by kind, writes refused, what upstreams carried,
+   * silent upstreams, writes of unknown fate.
+   */
   public static final class Sight {
     public final long repeatables;
     public final long writes;
@@ -884,7 +1208,13 @@
     public final List<String> silent;
     public final List<String> uncertain;
 
-    public Sight(final long repeatables, final long writes, final long refusedWrites, final long carried, final List<String> silent, final List<String> uncertain) {
+    public Sight(
+        final long repeatables,
+        final long writes,
+        final long refusedWrites,
+        final long carried,
+        final List<String> silent,
+        final List<String> uncertain) {
       this.repeatables = repeatables;
       this.writes = writes;
       this.refusedWrites = refusedWrites;
@@ -902,7 +1232,12 @@
     public final long askedAt;
     public final Sight sight;
 
-    public Heeded(final long mark, final long term, final long number, final long askedAt, final Sight sight) {
+    public Heeded(
+        final long mark,
+        final long term,
+        final long number,
+        final long askedAt,
+        final Sight sight) {
       this.mark = mark;
       this.term = term;
       this.number = number;
@@ -922,7 +1257,10 @@
     }
   }
 
-  /** One request as a switchboard carried it; serials of one switchboard's life leave no gap. Tries stand in three lists, in order. */
+  /**
+   * One request as a switchboard carried it; serials of one switchboard's life leave no gap. Tries
+   * stand in three lists, in order.
+   */
   public static final class Note {
     public final long serial;
     public final long at;
@@ -941,7 +1279,23 @@
     public final long total;
     public final int status;
 
-    public Note(final long serial, final long at, final String id, final String host, final String target, final String route, final int kind, final String service, final long waits, final long bytes, final List<String> upstreams, final List<Long> begun, final List<Long> took, final List<Integer> ends, final long total, final int status) {
+    public Note(
+        final long serial,
+        final long at,
+        final String id,
+        final String host,
+        final String target,
+        final String route,
+        final int kind,
+        final String service,
+        final long waits,
+        final long bytes,
+        final List<String> upstreams,
+        final List<Long> begun,
+        final List<Long> took,
+        final List<Integer> ends,
+        final long total,
+        final int status) {
       this.serial = serial;
       this.at = at;
       this.id = id;
@@ -961,7 +1315,10 @@
     }
   }
 
-  /** Notes of one switchboard's life, with its own clock when they were sent, and how many were dropped so far; the last reel of a life says so. */
+  /**
+   * Notes of one switchboard's life, with its own clock when they were sent, and how many were
+   * dropped so far; the last reel of a life says so.
+   */
   public static final class Reel implements Message {
     public final String board;
     public final String site;
@@ -972,7 +1329,15 @@
     public final boolean last;
     public final List<Note> notes;
 
-    public Reel(final String board, final String site, final String region, final long incarnation, final long sentAt, final long dropped, final boolean last, final List<Note> notes) {
+    public Reel(
+        final String board,
+        final String site,
+        final String region,
+        final long incarnation,
+        final long sentAt,
+        final long dropped,
+        final boolean last,
+        final List<Note> notes) {
       this.board = board;
       this.site = site;
       this.region = region;
@@ -992,7 +1357,12 @@
     public final String target;
     public final long waitMillis;
 
-    public CopyAsk(final long number, final String service, final String host, final String target, final long waitMillis) {
+    public CopyAsk(
+        final long number,
+        final String service,
+        final String host,
+        final String target,
+        final long waitMillis) {
       this.number = number;
       this.service = service;
       this.host = host;
@@ -1008,7 +1378,8 @@
     public final List<String> headers;
     public final byte[] body;
 
-    public CopyAnswer(final long number, final int status, final List<String> headers, final byte[] body) {
+    public CopyAnswer(
+        final long number, final int status, final List<String> headers, final byte[] body) {
       this.number = number;
       this.status = status;
       this.headers = headers;
@@ -1016,7 +1387,10 @@
     }
   }
 
-  /** Reconciles two exchanges. While the digests agree, ages stand alone, in the order of names; where they differ, only the buckets that do travel. */
+  /**
+   * Reconciles two exchanges. While the digests agree, ages stand alone, in the order of names;
+   * where they differ, only the buckets that do travel.
+   */
   public static final class Gossip implements Message {
     public final int depth;
     public final long digest;
@@ -1039,11 +1413,41 @@
     public final String site;
     public final String region;
 
-    public Gossip(final int depth, final long digest, final Roster roster, final List<String> members, final List<Registration> history, final List<Board> boards, final List<String> beaten, final List<Long> ages) {
-      this(depth, digest, roster, members, history, boards, beaten, ages, 0, 0, 0, 0, 0, null, 0, null, null, null, "", "");
-    }
-
-    public Gossip(final int depth, final long digest, final Roster roster, final List<String> members, final List<Registration> history, final List<Board> boards, final List<String> beaten, final List<Long> ages, final long version, final long mark, final long heldMillis, final long rosterNumber, final int count, final byte[] beatAges, final long boardDigest, final byte[] boardAges, final List<Long> buckets, final byte[] packed, final String site, final String region) {
+    public Gossip(
+        final int depth,
+        final long digest,
+        final Roster roster,
+        final List<String> members,
+        final List<Registration> history,
+        final List<Board> boards,
+        final List<String> beaten,
+        final List<Long> ages) {
+      this(
+          depth, digest, roster, members, history, boards, beaten, ages, 0, 0, 0, 0, 0, null, 0,
+          null, null, null, "", "");
+    }
+
+    public Gossip(
+        final int depth,
+        final long digest,
+        final Roster roster,
+        final List<String> members,
+        final List<Registration> history,
+        final List<Board> boards,
+        final List<String> beaten,
+        final List<Long> ages,
+        final long version,
+        final long mark,
+        final long heldMillis,
+        final long rosterNumber,
+        final int count,
+        final byte[] beatAges,
+        final long boardDigest,
+        final byte[] boardAges,
+        final List<Long> buckets,
+        final byte[] packed,
+        final String site,
+        final String region) {
       this.rosterNumber = rosterNumber;
       this.count = count;
       this.beatAges = beatAges;
@@ -1079,11 +1483,21 @@
     public final List<Trial> trials;
     public final long trialMark;
 
-    public Changes(final long number, final List<Registration> registrations, final List<Board> boards) {
+    public Changes(
+        final long number, final List<Registration> registrations, final List<Board> boards) {
       this(number, registrations, boards, 0, null, null, 0, null, 0);
     }
 
-    public Changes(final long number, final List<Registration> registrations, final List<Board> boards, final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final List<Trial> trials, final long trialMark) {
+    public Changes(
+        final long number,
+        final List<Registration> registrations,
+        final List<Board> boards,
+        final long version,
+        final byte[] spec,
+        final List<String> evacuated,
+        final long evacuationMark,
+        final List<Trial> trials,
+        final long trialMark) {
       this.evacuated = evacuated;
       this.evacuationMark = evacuationMark;
       this.trials = trials;
@@ -1096,7 +1510,10 @@
     }
   }
 
-  /** Changes pushed under this number are on the sender's disk; it knows the roster of the number given. */
+  /**
+   * Changes pushed under this number are on the sender's disk; it knows the roster of the number
+   * given.
+   */
   public static final class Kept implements Message {
     public final long number;
     public final long rosterNumber;
@@ -1112,8 +1529,9 @@
   }
 
   /**
-   * An exchange asks another for what it holds beyond what the asker has: configuration, evacuations, trials, registrations.
-   * It says so what it holds itself, and for how long from now it will confirm no change.
+   * An exchange asks another for what it holds beyond what the asker has: configuration,
+   * evacuations, trials, registrations. It says so what it holds itself, and for how long from now
+   * it will confirm no change.
    */
   public static final class StateRead implements Message {
     public final long number;
@@ -1124,7 +1542,14 @@
     public final List<Long> buckets;
     public final long leaseMillis;
 
-    public StateRead(final long number, final long rosterNumber, final long version, final long evacuationMark, final long trialMark, final List<Long> buckets, final long leaseMillis) {
+    public StateRead(
+        final long number,
+        final long rosterNumber,
+        final long version,
+        final long evacuationMark,
+        final long trialMark,
+        final List<Long> buckets,
+        final long leaseMillis) {
       this.leaseMillis = leaseMillis;
       this.number = number;
       this.rosterNumber = rosterNumber;
@@ -1136,8 +1561,9 @@
   }
 
   /**
-   * What an exchange holds beyond what the asker has, whether it still learns what was acknowledged before it came, how
-   * long ago it heard of a majority, and for how long from now it will confirm no change, so that the asker may rely on this.
+   * What an exchange holds beyond what the asker has, whether it still learns what was acknowledged
+   * before it came, how long ago it heard of a majority, and for how long from now it will confirm
+   * no change, so that the asker may rely on this.
    */
   public static final class StateHeld implements Message {
     public final long number;
@@ -1153,7 +1579,19 @@
     public final byte[] packed;
     public final long leaseMillis;
 
-    public StateHeld(final long number, final Roster roster, final boolean learning, final long majorityAgeMillis, final long version, final byte[] spec, final List<String> evacuated, final long evacuationMark, final List<Trial> trials, final long trialMark, final byte[] packed, final long leaseMillis) {
+    public StateHeld(
+        final long number,
+        final Roster roster,
+        final boolean learning,
+        final long majorityAgeMillis,
+        final long version,
+        final byte[] spec,
+        final List<String> evacuated,
+        final long evacuationMark,
+        final List<Trial> trials,
+        final long trialMark,
+        final byte[] packed,
+        final long leaseMillis) {
       this.leaseMillis = leaseMillis;
       this.number = number;
       this.roster = roster;
@@ -1169,7 +1607,10 @@
     }
   }
 
-  /** A switchboard tells of itself; at the opening of a stream also, by digests, which registrations it has. */
+  /**
+   * A switchboard tells of itself; at the opening of a stream also, by digests, which registrations
+   * it has.
+   */
   public static final class BoardState implements Message {
     public final Board board;
     public final List<Long> buckets;
@@ -1199,11 +1640,46 @@
     public final long trialMark;
     public final byte[] packed;
 
-    public View(final long version, final byte[] spec, final boolean evacuationsGiven, final List<String> evacuated, final long evacuationMark, final List<Registration> registrations, final boolean suspectsGiven, final List<String> suspects, final int boards, final List<Trial> trials, final long trialMark) {
-      this(version, spec, evacuationsGiven, evacuated, evacuationMark, registrations, suspectsGiven, suspects, boards, trials, trialMark, null);
-    }
-
-    public View(final long version, final byte[] spec, final boolean evacuationsGiven, final List<String> evacuated, final long evacuationMark, final List<Registration> registrations, final boolean suspectsGiven, final List<String> suspects, final int boards, final List<Trial> trials, final long trialMark, final byte[] packed) {
+    public View(
+        final long version,
+        final byte[] spec,
+        final boolean evacuationsGiven,
+        final List<String> evacuated,
+        final long evacuationMark,
+        final List<Registration> registrations,
+        final boolean suspectsGiven,
+        final List<String> suspects,
+        final int boards,
+        final List<Trial> trials,
+        final long trialMark) {
+      this(
+          version,
+          spec,
+          evacuationsGiven,
+          evacuated,
+          evacuationMark,
+          registrations,
+          suspectsGiven,
+          suspects,
+          boards,
+          trials,
+          trialMark,
+          null);
+    }
+
+    public View(
+        final long version,
+        final byte[] spec,
+        final boolean evacuationsGiven,
+        final List<String> evacuated,
+        final long evacuationMark,
+        final List<Registration> registrations,
+        final boolean suspectsGiven,
+        final List<String> suspects,
+        final int boards,
+        final List<Trial> trials,
+        final long trialMark,
+        final byte[] packed) {
       this.packed = packed;
       this.trials = trials;
       this.trialMark = trialMark;
@@ -1236,7 +1712,21 @@
     public final List<String> attempts;
     public final long writes;
 
-    public Trial(final String route, final long number, final long serial, final String oldService, final String newService, final String token, final List<Integer> stages, final int stage, final int leastWrites, final double lateAllowance, final int verdict, final String reason, final List<String> attempts, final long writes) {
+    public Trial(
+        final String route,
+        final long number,
+        final long serial,
+        final String oldService,
+        final String newService,
+        final String token,
+        final List<Integer> stages,
+        final int stage,
+        final int leastWrites,
+        final double lateAllowance,
+        final int verdict,
+        final String reason,
+        final List<String> attempts,
+        final long writes) {
       this.route = route;
       this.number = number;
       this.serial = serial;
@@ -1254,7 +1744,9 @@
     }
   }
 
-  /** What one life of a switchboard has counted in one trial, from its beginning: counts only rise. */
+  /**
+   * What one life of a switchboard has counted in one trial, from its beginning: counts only rise.
+   */
   public static final class Tally {
     public final String route;
     public final long number;
@@ -1264,7 +1756,14 @@
     public final String hold;
     public final List<String> attempts;
 
-    public Tally(final String route, final long number, final String board, final long incarnation, final List<Long> counts, final String hold, final List<String> attempts) {
+    public Tally(
+        final String route,
+        final long number,
+        final String board,
+        final long incarnation,
+        final List<Long> counts,
+        final String hold,
+        final List<String> attempts) {
       this.route = route;
       this.number = number;
       this.board = board;
@@ -1288,7 +1787,10 @@
     }
   }
 
-  /** An exchange tells how long ago it heard of a majority, how many switchboards there are, and of other exchanges with their places, as region/site. */
+  /**
+   * An exchange tells how long ago it heard of a majority, how many switchboards there are, and of
+   * other exchanges with their places, as region/site.
+   */
   public static final class Reach implements Message {
     public final long ageMillis;
     public final int boards;
@@ -1301,11 +1803,22 @@
       this(ageMillis, boards, members, null, null, ageMillis);
     }
 
-    public Reach(final long ageMillis, final int boards, final List<String> members, final List<String> announcers, final List<String> places) {
+    public Reach(
+        final long ageMillis,
+        final int boards,
+        final List<String> members,
+        final List<String> announcers,
+        final List<String> places) {
       this(ageMillis, boards, members, announcers, places, ageMillis);
     }
 
-    public Reach(final long ageMillis, final int boards, final List<String> members, final List<String> announcers, final List<String> places, final long contactMillis) {
+    public Reach(
+        final long ageMillis,
+        final int boards,
+        final List<String> members,
+        final List<String> announcers,
+        final List<String> places,
+        final long contactMillis) {
       this.contactMillis = contactMillis;
       this.places = places;
       this.announcers = announcers;
--- a/trunk/src/test/java/weldpoint/trunk/TrunkTest.java
+++ b/trunk/src/test/java/weldpoint/trunk/TrunkTest.java
@@ -44,13 +44,17 @@
       port = socket.getLocalPort();
     }
     heard.set(0);
-    new Trunk(loop, hello(Wire.PROTOCOL)).serve("127.0.0.1", port, new Trunk.Ear() {
-      @Override
-      public void heard(final Line line, final Message message) {
-        heard.incrementAndGet();
-        line.send(message);
-      }
-    });
+    new Trunk(loop, hello(Wire.PROTOCOL))
+        .serve(
+            "127.0.0.1",
+            port,
+            new Trunk.Ear() {
+              @Override
+              public void heard(final Line line, final Message message) {
+                heard.incrementAndGet();
+                line.send(message);
+              }
+            });
   }
 
   private static byte[] frame(final int kind, final byte[] body) throws IOException {
@@ -67,15 +71,16 @@
     final Message word = new Words.Kept(3);
     final byte[] kept = frame(Wire.number(word), Wire.bytes(word));
     return new Object[][] {
-        {frame(Wire.number(hello(99)), Wire.bytes(hello(99))), kept},
-        {kept, kept},
-        {frame(200, new byte[0]), kept},
-        {new byte[] {127, 127, 127, 127, 1}, kept},
+      {frame(Wire.number(hello(99)), Wire.bytes(hello(99))), kept},
+      {kept, kept},
+      {frame(200, new byte[0]), kept},
+      {new byte[] {127, 127, 127, 127, 1}, kept},
     };
   }
 
   @Test(dataProvider = "strangers")
-  public void whoDoesNotOpenWithThisProtocolsHelloIsRefused(final byte[] first, final byte[] then) throws IOException {
+  public void whoDoesNotOpenWithThisProtocolsHelloIsRefused(final byte[] first, final byte[] then)
+      throws IOException {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
       socket.setSoTimeout(5000);
       socket.getOutputStream().write(first);
@@ -95,19 +100,35 @@
   }
 
   @Test
-  public void wordsTravelWholeOverADialledLine() throws InterruptedException, ExecutionException, TimeoutException {
+  public void wordsTravelWholeOverADialledLine()
+      throws InterruptedException, ExecutionException, TimeoutException {
     final CompletableFuture<Words.Gossip> answer = new CompletableFuture<>();
-    final Trunk.Dialler dialler = new Trunk(loop, hello(Wire.PROTOCOL)).dial("127.0.0.1", port, new Trunk.Ear() {
-      @Override
-      public void opened(final Line line) {
-        line.send(new Words.Gossip(1, 42, new Words.Roster(3, List.of(new Words.Voter("a", "s", "r", List.of(1, 2)))), List.of("x"), null, List.of(), List.of("i"), List.of(5L)));
-      }
+    final Trunk.Dialler dialler =
+        new Trunk(loop, hello(Wire.PROTOCOL))
+            .dial(
+                "127.0.0.1",
+                port,
+                new Trunk.Ear() {
+                  @Override
+                  public void opened(final Line line) {
+                    line.send(
+                        new Words.Gossip(
+                            1,
+                            42,
+                            new Words.Roster(
+                                3, List.of(new Words.Voter("a", "s", "r", List.of(1, 2)))),
+                            List.of("x"),
+                            null,
+                            List.of(),
+                            List.of("i"),
+                            List.of(5L)));
+                  }
 
-      @Override
-      public void heard(final Line line, final Message message) {
-        answer.complete((Words.Gossip) message);
-      }
-    });
+                  @Override
+                  public void heard(final Line line, final Message message) {
+                    answer.complete((Words.Gossip) message);
+                  }
+                });
     final Words.Gossip gossip = answer.get(5, TimeUnit.SECONDS);
     dialler.close();
     assertEquals(gossip.digest, 42);
--- a/trunk/src/test/java/weldpoint/trunk/TrunkThreadsTest.java
+++ b/trunk/src/test/java/weldpoint/trunk/TrunkThreadsTest.java
@@ -25,7 +25,8 @@
 
 /** The control thread and the traffic thread take turns at the worst points. */
 public final class TrunkThreadsTest {
-  private static final Words.Hello HELLO = new Words.Hello(Wire.PROTOCOL, "exchange", "127.0.0.1", 7);
+  private static final Words.Hello HELLO =
+      new Words.Hello(Wire.PROTOCOL, "exchange", "127.0.0.1", 7);
 
   private static int port() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
@@ -33,23 +34,37 @@
     }
   }
 
-  /** A channel that the traffic thread closes at the moment in which the control thread has looked at its buffer so many times. */
+  /**
+   * A channel that the traffic thread closes at the moment in which the control thread has looked
+   * at its buffer so many times.
+   */
   private static Channel closingAfter(final int looks) {
     final EmbeddedChannel real = new EmbeddedChannel();
     final ChannelOutboundBuffer buffer = real.unsafe().outboundBuffer();
     final AtomicInteger looked = new AtomicInteger();
-    final Channel.Unsafe unsafe = (Channel.Unsafe) Proxy.newProxyInstance(Channel.Unsafe.class.getClassLoader(), new Class<?>[] {Channel.Unsafe.class},
-        (self, method, arguments) -> method.getName().equals("outboundBuffer") ? looked.getAndIncrement() < looks ? buffer : null : method.invoke(real.unsafe(), arguments));
-    return (Channel) Proxy.newProxyInstance(Channel.class.getClassLoader(), new Class<?>[] {Channel.class}, (self, method, arguments) -> {
-      if (method.getName().equals("unsafe")) {
-        return unsafe;
-      }
-      try {
-        return method.invoke(real, arguments);
-      } catch (final InvocationTargetException problem) {
-        throw problem.getCause();
-      }
-    });
+    final Channel.Unsafe unsafe =
+        (Channel.Unsafe)
+            Proxy.newProxyInstance(
+                Channel.Unsafe.class.getClassLoader(),
+                new Class<?>[] {Channel.Unsafe.class},
+                (self, method, arguments) ->
+                    method.getName().equals("outboundBuffer")
+                        ? looked.getAndIncrement() < looks ? buffer : null
+                        : method.invoke(real.unsafe(), arguments));
+    return (Channel)
+        Proxy.newProxyInstance(
+            Channel.class.getClassLoader(),
+            new Class<?>[] {Channel.class},
+            (self, method, arguments) -> {
+              if (method.getName().equals("unsafe")) {
+                return unsafe;
+              }
+              try {
+                return method.invoke(real, arguments);
+              } catch (final InvocationTargetException problem) {
+                throw problem.getCause();
+              }
+            });
   }
 
   @Test
@@ -60,7 +75,8 @@
   }
 
   @Test
-  public void listeningDoesNotWaitForATrafficThreadThatWaitsItself() throws IOException, InterruptedException {
+  public void listeningDoesNotWaitForATrafficThreadThatWaitsItself()
+      throws IOException, InterruptedException {
     final EventLoopGroup loop = new NioEventLoopGroup(1);
     final CountDownLatch held = new CountDownLatch(1);
     final CountDownLatch returned = new CountDownLatch(1);
@@ -68,14 +84,16 @@
     try {
       loop.execute(() -> awaitQuietly(held));
       final int port = port();
-      final Thread control = new Thread(() -> {
-        future[0] = new Trunk(loop, HELLO).listen("127.0.0.1", port, (line, message) -> {
-        });
-        returned.countDown();
-      });
+      final Thread control =
+          new Thread(
+              () -> {
+                future[0] = new Trunk(loop, HELLO).listen("127.0.0.1", port, (line, message) -> {});
+                returned.countDown();
+              });
       control.setDaemon(true);
       control.start();
-      assertTrue(returned.await(8, TimeUnit.SECONDS), "the control thread waits for the traffic thread");
+      assertTrue(
+          returned.await(8, TimeUnit.SECONDS), "the control thread waits for the traffic thread");
       assertFalse(future[0].isDone());
       held.countDown();
       assertTrue(future[0].await(8, TimeUnit.SECONDS) && future[0].isSuccess());
@@ -94,42 +112,49 @@
   }
 
   @Test
-  public void aLineThatIsEndedWhileItComesUpDoesNotStayOpen() throws IOException, InterruptedException {
+  public void aLineThatIsEndedWhileItComesUpDoesNotStayOpen()
+      throws IOException, InterruptedException {
     final EventLoopGroup loop = new NioEventLoopGroup(1);
     final Set<Line> open = Collections.synchronizedSet(new HashSet<>());
     final AtomicInteger opened = new AtomicInteger();
     final int port = port();
     try {
-      new Trunk(loop, HELLO).serve("127.0.0.1", port, new Trunk.Ear() {
-        @Override
-        public void opened(final Line line) {
-          opened.incrementAndGet();
-          open.add(line);
-        }
+      new Trunk(loop, HELLO)
+          .serve(
+              "127.0.0.1",
+              port,
+              new Trunk.Ear() {
+                @Override
+                public void opened(final Line line) {
+                  opened.incrementAndGet();
+                  open.add(line);
+                }
 
-        @Override
-        public void heard(final Line line, final Message message) {
-        }
+                @Override
+                public void heard(final Line line, final Message message) {}
 
-        @Override
-        public void closed(final Line line) {
-          open.remove(line);
-        }
-      });
+                @Override
+                public void closed(final Line line) {
+                  open.remove(line);
+                }
+              });
       final Random random = new Random(19);
       final Trunk trunk = new Trunk(loop, HELLO);
       for (int round = 0; round < 400; round++) {
         final CountDownLatch up = new CountDownLatch(1);
-        final Trunk.Dialler dialler = trunk.dial("127.0.0.1", port, new Trunk.Ear() {
-          @Override
-          public void opened(final Line line) {
-            up.countDown();
-          }
+        final Trunk.Dialler dialler =
+            trunk.dial(
+                "127.0.0.1",
+                port,
+                new Trunk.Ear() {
+                  @Override
+                  public void opened(final Line line) {
+                    up.countDown();
+                  }
 
-          @Override
-          public void heard(final Line line, final Message message) {
-          }
-        });
+                  @Override
+                  public void heard(final Line line, final Message message) {}
+                });
         if (round % 4 == 0) {
           up.await(8, TimeUnit.SECONDS);
         }
@@ -143,7 +168,8 @@
       while (!open.isEmpty() && System.nanoTime() < until) {
         TimeUnit.MILLISECONDS.sleep(5);
       }
-      assertEquals(open.size(), 0, "of " + opened.get() + " lines stay open that their owner has ended");
+      assertEquals(
+          open.size(), 0, "of " + opened.get() + " lines stay open that their owner has ended");
     } finally {
       loop.shutdownGracefully();
     }
