--- /dev/null
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -0,0 +1,325 @@
+package weldpoint.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Real state stores, registries and proxies as processes on loopback addresses, with stand-in
+ * upstreams that beat as upstreams do.
+ */
+final class LocalFleet implements AutoCloseable {
+  /** The host that the configuration's routes are listed under. */
+  static final String HOST = "soak.example";
+
+  /** A route whose requests run at most once. */
+  static final String WRITE_PATH = "/book/";
+
+  /** A route whose requests may run more than once. */
+  static final String READ_PATH = "/look/";
+
+  /** The upstreams' service. */
+  static final String SERVICE = "desk";
+
+  private static final long START_MILLIS = 60_000;
+  private static final long PAUSE_MILLIS = 100;
+  private static final int BEAT_MILLIS = 1000;
+  private static final int CALL_MILLIS = 2000;
+  private static final int TRAFFIC_PORT = 0;
+  private static final int CONTROL_PORT = 0;
+  private static final int READINESS_PORT = 12;
+
+  /**
+   * How large a fleet is.
+   *
+   * @param cores machines with a state store and a registry
+   * @param proxies machines with a proxy
+   * @param upstreams stand-in upstreams
+   */
+  record Size(int cores, int proxies, int upstreams) {}
+
+  private final Size size;
+  private final int port;
+  private final Path folder;
+  private final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
+  private final List<DaemonProcess> stores = new ArrayList<>();
+  private final List<DaemonProcess> registries = new ArrayList<>();
+  private final List<DaemonProcess> proxies = new ArrayList<>();
+  private final List<RecordingUpstream> upstreams = new ArrayList<>();
+  private final AtomicLong beats = new AtomicLong();
+  private final AtomicLong calls = new AtomicLong();
+  private final ScheduledExecutorService clock =
+      Executors.newScheduledThreadPool(2, LocalFleet::daemon);
+
+  LocalFleet(final Size size, final long seed) throws IOException {
+    this.size = size;
+    this.port = 20_000 + new Random(seed ^ System.nanoTime()).nextInt(1000) * 20;
+    this.folder = Files.createTempDirectory("weldpoint-soak");
+    for (int index = 0; index < size.cores(); index++) {
+      final String address = core(index);
+      final String disk = "station.folder = " + folder.resolve("disk-" + index) + "\n";
+      stores.add(process("frame", address, index, disk));
+      registries.add(
+          process(
+              "exchange",
+              address,
+              index,
+              disk + "listen.control = " + address + ":" + (port + CONTROL_PORT) + "\n"));
+    }
+    for (int index = 0; index < size.proxies(); index++) {
+      proxies.add(
+          process(
+              "switchboard",
+              proxyHost(index),
+              index,
+              "listen.traffic = "
+                  + proxy(index)
+                  + "\nlisten.readiness = "
+                  + readiness(index)
+                  + "\n"));
+    }
+    for (int index = 0; index < size.upstreams(); index++) {
+      upstreams.add(
+          new RecordingUpstream(
+              "i-" + index, "127.9.3." + (1 + index), port, runs, seed * 31 + index));
+    }
+  }
+
+  private static Thread daemon(final Runnable task) {
+    final Thread thread = new Thread(task, "fleet");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  private static String core(final int index) {
+    return "127.9.1." + (1 + index);
+  }
+
+  private static String proxyHost(final int index) {
+    return "127.9.2." + (1 + index);
+  }
+
+  /** The address at which a proxy takes requests. */
+  String proxy(final int index) {
+    return proxyHost(index) + ":" + (port + TRAFFIC_PORT);
+  }
+
+  private String readiness(final int index) {
+    return proxyHost(index) + ":" + (port + READINESS_PORT);
+  }
+
+  /** The address at which a registry takes control calls. */
+  String control(final int index) {
+    return core(index % size.cores()) + ":" + (port + CONTROL_PORT);
+  }
+
+  private DaemonProcess process(
+      final String program, final String address, final int index, final String extra) {
+    final StringBuilder seeds = new StringBuilder();
+    for (int core = 0; core < Math.min(3, size.cores()); core++) {
+      seeds.append(core == 0 ? "" : ",").append(control(core));
+    }
+    final String settings =
+        "station.name = "
+            + address
+            + "\nstation.address = "
+            + address
+            + "\nstation.site = zone-"
+            + index % 3
+            + "\nstation.region = home\nstation.voter = true\nstation.first-start = true\n"
+            + "trunk.ports = "
+            + (port + 1)
+            + ","
+            + (port + 10)
+            + "\ntrunk.seeds = "
+            + seeds
+            + "\nsites = zone-0:home,zone-1:home,zone-2:home\nbeat.every-ms = "
+            + BEAT_MILLIS
+            + "\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\n"
+            + "bound.quota-tolerance = 20\n"
+            + extra;
+    try {
+      final Path file = folder.resolve(program + "-" + index);
+      Files.writeString(file, settings);
+      return new DaemonProcess(program, address, file);
+    } catch (final IOException problem) {
+      throw new UncheckedIOException("cannot write settings", problem);
+    }
+  }
+
+  /** Starts all processes, gives them a configuration and waits until all proxies are ready. */
+  void start(final String configuration) throws InterruptedException {
+    stores.forEach(DaemonProcess::start);
+    registries.forEach(DaemonProcess::start);
+    proxies.forEach(DaemonProcess::start);
+    final long deadline = Clock.millis() + START_MILLIS;
+    replaceConfiguration(configuration, deadline);
+    for (int index = 0; index < size.upstreams(); index++) {
+      while (beat(index) != 200) {
+        pause(deadline, "no beat of upstream " + index + " was acknowledged");
+      }
+    }
+    clock.scheduleAtFixedRate(this::beatAll, BEAT_MILLIS, BEAT_MILLIS, TimeUnit.MILLISECONDS);
+    for (int index = 0; index < size.proxies(); index++) {
+      while (!ready(index)) {
+        pause(deadline, "proxy " + index + " is not ready");
+      }
+    }
+    Thread.sleep(BEAT_MILLIS);
+  }
+
+  private void pause(final long deadline, final String problem) throws InterruptedException {
+    if (Clock.millis() > deadline) {
+      throw new IllegalStateException(problem + " after " + START_MILLIS + " ms");
+    }
+    Thread.sleep(PAUSE_MILLIS);
+  }
+
+  /** Sends a configuration until it is acknowledged. */
+  void replaceConfiguration(final String configuration, final long deadline)
+      throws InterruptedException {
+    for (int tries = 0; ; tries++) {
+      if (control(tries, "configuration.replace", configuration).status() == 200) {
+        return;
+      }
+      pause(deadline, "no configuration was acknowledged");
+    }
+  }
+
+  /** Makes one call of the control interface. */
+  Reply control(final int registry, final String call, final String body) {
+    return HttpCaller.call(
+        control(registry),
+        "POST",
+        "/api/rpc?call=" + call,
+        Map.of("Host", control(registry)),
+        body,
+        CALL_MILLIS);
+  }
+
+  private void beatAll() {
+    for (int index = 0; index < size.upstreams(); index++) {
+      beat(index);
+    }
+  }
+
+  private int beat(final int index) {
+    final long number = beats.incrementAndGet();
+    return control(
+            (int) (number % size.cores()),
+            "instances.heartbeat&of=i-" + index,
+            "{\"service\":\""
+                + SERVICE
+                + "\",\"address\":\""
+                + "127.9.3."
+                + (1 + index)
+                + ":"
+                + port
+                + "\",\"zone\":\"zone-"
+                + index % 3
+                + "\",\"version\":\"v1\",\"capacity\":64,\"state\":\"ready\",\"warmupLeftMs\":0,"
+                + "\"callSeq\":"
+                + number
+                + "}")
+        .status();
+  }
+
+  private boolean ready(final int index) {
+    return HttpCaller.call(
+                readiness(index),
+                "GET",
+                "/api/readiness",
+                Map.of("Host", readiness(index)),
+                "",
+                CALL_MILLIS)
+            .status()
+        == 200;
+  }
+
+  /** An attempt id that no other request of this fleet bears. */
+  String attemptId() {
+    return String.format("%016x", calls.incrementAndGet());
+  }
+
+  /** Sends a request to a proxy; {@code key} and {@code apiKey} may be empty. */
+  Reply request(
+      final int proxy,
+      final String path,
+      final String attemptId,
+      final String key,
+      final String apiKey,
+      final int deadlineMillis) {
+    final Map<String, String> headers = new java.util.LinkedHashMap<>();
+    headers.put("Host", HOST);
+    headers.put("Weldpoint-Attempt-Id", attemptId);
+    headers.put("Weldpoint-Deadline-Ms", Integer.toString(deadlineMillis));
+    if (!key.isEmpty()) {
+      headers.put("Idempotency-Key", key);
+    }
+    if (!apiKey.isEmpty()) {
+      headers.put("Authorization", "Bearer " + apiKey);
+    }
+    return HttpCaller.call(
+        proxy(proxy), "POST", path, headers, "a booking", deadlineMillis + CALL_MILLIS);
+  }
+
+  /** All runs that the upstreams noted so far. */
+  List<Run> runs() {
+    return new ArrayList<>(runs);
+  }
+
+  List<DaemonProcess> stores() {
+    return stores;
+  }
+
+  List<DaemonProcess> registries() {
+    return registries;
+  }
+
+  List<DaemonProcess> proxies() {
+    return proxies;
+  }
+
+  List<RecordingUpstream> upstreams() {
+    return upstreams;
+  }
+
+  Size size() {
+    return size;
+  }
+
+  @Override
+  public void close() {
+    clock.shutdownNow();
+    final List<DaemonProcess> all = new ArrayList<>(proxies);
+    all.addAll(registries);
+    all.addAll(stores);
+    all.forEach(
+        process -> {
+          process.resume();
+          process.kill();
+        });
+    upstreams.forEach(RecordingUpstream::close);
+    delete(folder);
+  }
+
+  private static void delete(final Path folder) {
+    try (java.util.stream.Stream<Path> files = Files.walk(folder)) {
+      for (final Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+        Files.deleteIfExists(file);
+      }
+    } catch (final IOException left) {
+      // a temporary folder that cannot be removed is left to the system
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/weldpoint/soak/FleetBoundsTest.java
@@ -0,0 +1,100 @@
+package weldpoint.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Incidents 12 and 13 in small: three core machines, two proxies and three upstreams as processes
+ * on loopback, without any trouble.
+ */
+public final class FleetBoundsTest {
+  private static final int RATE = 20;
+  private static final int BURST = 20;
+  private static final int WINDOW_MILLIS = 5000;
+  private static final int ALLOWED = (int) ((RATE * 5 + BURST) * 1.1 + 20);
+  private static final int DEADLINE_MILLIS = 2000;
+
+  private LocalFleet fleet;
+
+  private static String configuration() {
+    final String action = "\"action\":{\"service\":\"desk\",\"timeoutMs\":2000,\"maxAttempts\":2}";
+    return "{\"version\":\"00000001\",\"tenants\":[{\"name\":\"limited\",\"apiKeys\":[\"key-l\"],"
+        + "\"ratePerS\":"
+        + RATE
+        + ",\"burst\":"
+        + BURST
+        + "},{\"name\":\"free\",\"apiKeys\":[\"key-f\"]}],\"listeners\":[{\"host\":\""
+        + LocalFleet.HOST
+        + "\",\"rules\":[{\"name\":\"look\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.READ_PATH
+        + "\"},"
+        + action
+        + "},{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.WRITE_PATH
+        + "\"},"
+        + action
+        + "}]}],\"pools\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":200}]}";
+  }
+
+  @BeforeClass
+  public void start() throws IOException, InterruptedException {
+    fleet = new LocalFleet(new LocalFleet.Size(3, 2, 3), 1);
+    fleet.start(configuration());
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void end() {
+    fleet.close();
+  }
+
+  private Reply book(final int proxy, final String key) {
+    return fleet.request(
+        proxy, LocalFleet.WRITE_PATH + "1", fleet.attemptId(), key, "key-f", DEADLINE_MILLIS);
+  }
+
+  @Test
+  public void aKeyThatHasRunDoesNotRunAgainThroughAnotherProxy() {
+    final Reply first = book(0, "move-1");
+    assertEquals(first.status(), 200, first.toString());
+    book(1, "move-1");
+    final List<Run> runs = fleet.runs().stream().filter(run -> run.key().equals("move-1")).toList();
+    assertEquals(runs.size(), 1, runs.toString());
+  }
+
+  @Test
+  public void aTenantGetsNoMoreThanItsLimitInAnyWindow() throws InterruptedException {
+    final ExecutorService callers = Executors.newFixedThreadPool(16);
+    final long end = Clock.millis() + WINDOW_MILLIS + 1000;
+    for (int caller = 0; caller < 16; caller++) {
+      final int proxy = caller % 2;
+      callers.execute(
+          () -> {
+            while (Clock.millis() < end) {
+              fleet.request(
+                  proxy,
+                  LocalFleet.READ_PATH + "1",
+                  fleet.attemptId(),
+                  "",
+                  "key-l",
+                  DEADLINE_MILLIS);
+            }
+          });
+    }
+    callers.shutdown();
+    assertTrue(callers.awaitTermination(30, TimeUnit.SECONDS));
+    final int most = Bounds.mostInWindow(fleet.runs(), "limited", WINDOW_MILLIS);
+    assertTrue(most <= ALLOWED, most + " runs in a window, allowed " + ALLOWED);
+    assertTrue(most >= RATE * 5, "only " + most + " runs in a window, owed " + RATE * 5);
+  }
+}
