Module toll becomes ratelimit: names of the field, behaviour unchanged

Change: Purse, Tariff, Tollhouse, Tollbooth, Permits and jack's Toll become SlidingWindowCounter, RateLimit, QuotaAllocator, QuotaEndpoint, PermitPool and CachedCopies; packages moved whole.

--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
@@ -16,7 +16,7 @@
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.jack.BoardLink;
-import weldpoint.jack.Permits;
+import weldpoint.jack.PermitPool;
 import weldpoint.jack.Stream;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Message;
@@ -35,7 +35,7 @@
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final Trunk trunk;
   private final Cords cords;
-  private final Permits permits;
+  private final PermitPool permits;
   private final Reader reader;
   private final AnnouncerCore core;
   private final BoardLink link;
@@ -51,7 +51,7 @@
     this.cords = new Cords(loop, boot, random);
     this.stream =
         new Stream(trunk, desk, boot, () -> loop.execute(() -> permits().sweep(true, now())));
-    this.permits = new Permits(stream::send);
+    this.permits = new PermitPool(stream::send);
     this.reader = new Reader(loop, boot, cords, permits, random);
     this.core =
         new AnnouncerCore(
@@ -128,7 +128,7 @@
     }
   }
 
-  private Permits permits() {
+  private PermitPool permits() {
     return permits;
   }
 
--- a/announcer/src/main/java/weldpoint/announcer/Reader.java
+++ b/announcer/src/main/java/weldpoint/announcer/Reader.java
@@ -24,9 +24,9 @@
 import weldpoint.cord.Upstream;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
-import weldpoint.jack.Permits;
-import weldpoint.toll.Purse;
-import weldpoint.toll.Tariff;
+import weldpoint.jack.PermitPool;
+import weldpoint.ratelimit.RateLimit;
+import weldpoint.ratelimit.SlidingWindowCounter;
 
 /**
  * Reads objects from origins, within the part of their rate that this announcer may use. All of it
@@ -45,9 +45,9 @@
   private final EventLoopGroup loop;
   private final Boot boot;
   private final Cords cords;
-  private final Permits permits;
+  private final PermitPool permits;
   private final Random random;
-  private final Map<String, Purse> purses = new HashMap<>();
+  private final Map<String, SlidingWindowCounter> counters = new HashMap<>();
   private final Map<String, Waiting> waitings = new HashMap<>();
   private final long openedAt = now();
   private int announcers;
@@ -58,7 +58,7 @@
       final EventLoopGroup loop,
       final Boot boot,
       final Cords cords,
-      final Permits permits,
+      final PermitPool permits,
       final Random random) {
     this.loop = loop;
     this.boot = boot;
@@ -90,18 +90,20 @@
   }
 
   private boolean own(final Dialplan.Service service, final long now) {
-    final long window = boot.originWindowMillis() + Tariff.ORIGIN_TRANSIT_MILLIS;
+    final long window = boot.originWindowMillis() + RateLimit.ORIGIN_TRANSIT_MILLIS;
     if (announcers == 0 || !boot.firstStart() && now - openedAt < window) {
       return false;
     }
     final double limit =
-        Tariff.ANNOUNCERS_PART
+        RateLimit.ANNOUNCERS_PART
             * service.ratePerSecond()
             * boot.originWindowMillis()
             / 1000.0
             * boot.originOvershoot()
             / announcers;
-    return purses.computeIfAbsent(service.name(), name -> new Purse(window)).take(1, limit, now)
+    return counters
+            .computeIfAbsent(service.name(), name -> new SlidingWindowCounter(window))
+            .take(1, limit, now)
         > 0;
   }
 
@@ -154,7 +156,7 @@
       if (!asking && now >= askAt) {
         asking = true;
         permits.ask(
-            Tariff.ORIGIN.permit(service.name()),
+            RateLimit.ORIGIN.permit(service.name()),
             Math.min(MOST_ASKED, reads.size()),
             (granted, version, confirmedAt) -> {
               asking = false;
--- a/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
@@ -21,7 +21,7 @@
 import weldpoint.boot.Boot;
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.jack.Permits;
+import weldpoint.jack.PermitPool;
 import weldpoint.trunk.Words.Registration;
 
 /** Reads for copies: no read goes to more upstreams than the route allows, whatever they do. */
@@ -88,7 +88,7 @@
                 .getBytes(StandardCharsets.UTF_8));
     final Cords cords = new Cords(loop, boot, new Random(1));
     final Reader reader =
-        new Reader(loop, boot, cords, new Permits(message -> false), new Random(1));
+        new Reader(loop, boot, cords, new PermitPool(message -> false), new Random(1));
     final CompletableFuture<Integer> status = new CompletableFuture<>();
     loop.execute(
         () -> {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -19,7 +19,7 @@
 import weldpoint.frame.Deed;
 import weldpoint.frame.Tokens;
 import weldpoint.frame.Values;
-import weldpoint.toll.Tollhouse;
+import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trial.TrialPanel;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Wire;
@@ -86,7 +86,7 @@
   private QuorumReads reads;
   private Authority authority;
   private Words.Purges purges;
-  private Tollbooth booth;
+  private QuotaEndpoint quotas;
   private final Neighbourhoods neighbourhoods = new Neighbourhoods();
   private Electorates electorates;
   private PlacementDesk placements;
@@ -201,8 +201,8 @@
   }
 
   /** Takes to giving out permits. */
-  public void tolls(final Tollhouse house) {
-    booth = new Tollbooth(self, house, outlet::member);
+  public void quotas(final QuotaAllocator allocator) {
+    quotas = new QuotaEndpoint(self, allocator, outlet::member);
   }
 
   /** Takes where this daemon stands. */
@@ -254,8 +254,8 @@
     }
     clock = now;
     authority.started(now);
-    if (booth != null) {
-      booth.began(roster);
+    if (quotas != null) {
+      quotas.began(roster);
     }
     reconciled = firstStart || registrations.size() > 0;
     registrations.began(now);
@@ -577,8 +577,8 @@
       }
     } else if (message instanceof Words.PermitAsk) {
       permit((Words.PermitAsk) message, reply, now);
-    } else if (message instanceof Words.PermitAnswer && booth != null) {
-      booth.answered((Words.PermitAnswer) message);
+    } else if (message instanceof Words.PermitAnswer && quotas != null) {
+      quotas.answered((Words.PermitAnswer) message);
     } else if (message instanceof Words.LeaseAsk && placements != null) {
       reply.accept(placements.keeper().ask((Words.LeaseAsk) message, majorityAt, now));
     } else if (message instanceof Words.LeaseGrant && placements != null) {
@@ -971,11 +971,11 @@
   /** Somebody asks for permits. */
   public void permit(
       final Words.PermitAsk ask, final java.util.function.Consumer<Message> reply, final long now) {
-    if (booth == null) {
+    if (quotas == null) {
       reply.accept(new Words.PermitAnswer(ask.number, 0, control.version(), Integer.MAX_VALUE));
       return;
     }
-    booth.ask(ask, reply, control.plan(), roster, control.version(), now - majorityAt, now);
+    quotas.ask(ask, reply, control.plan(), roster, control.version(), now - majorityAt, now);
   }
 
   // ---- switchboards
@@ -1491,8 +1491,8 @@
     clock = now;
     store.tick(now);
     historyDesk.tick(now);
-    if (booth != null) {
-      booth.tick(now);
+    if (quotas != null) {
+      quotas.tick(now);
     }
     if (now >= withheldUntil && !withheld.isEmpty()) {
       final List<Runnable> due = new ArrayList<>(withheld);
@@ -1625,7 +1625,7 @@
         + streams.size()
         + " boards "
         + switchboards.size()
-        + (booth == null ? "" : " " + booth.counters())
+        + (quotas == null ? "" : " " + quotas.counters())
         + " roster "
         + roster.number
         + " spec "
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -191,8 +191,8 @@
         boot.affinityLeaseMillis(),
         boot.affinityBatchMillis());
     if (boot.content()) {
-      core.tolls(
-          new weldpoint.toll.Tollhouse(
+      core.quotas(
+          new weldpoint.ratelimit.QuotaAllocator(
               boot, boot.firstStart() && found.blank() && !found.lost(), now()));
     }
     desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), now()));
--- a/exchange/src/main/java/weldpoint/exchange/Tollbooth.java
+++ b/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
@@ -7,7 +7,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.toll.Tollhouse;
+import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words.PermitAnswer;
 import weldpoint.trunk.Words.PermitAsk;
@@ -18,7 +18,7 @@
  * Answers those who ask for permits: from the own part, and where that is used up from another
  * exchange's.
  */
-final class Tollbooth {
+final class QuotaEndpoint {
   private static final long FRESH_MILLIS = 4000;
   private static final long RELAY_MILLIS = 600;
 
@@ -31,7 +31,7 @@
       long cutoff) {}
 
   private final String self;
-  private final Tollhouse house;
+  private final QuotaAllocator allocator;
   private final BiPredicate<String, Message> members;
   private final Map<Long, Relayed> relayed = new HashMap<>();
   private long number;
@@ -39,9 +39,12 @@
   private boolean among;
   private long amongSince;
 
-  Tollbooth(final String self, final Tollhouse house, final BiPredicate<String, Message> members) {
+  QuotaEndpoint(
+      final String self,
+      final QuotaAllocator allocator,
+      final BiPredicate<String, Message> members) {
     this.self = self;
-    this.house = house;
+    this.allocator = allocator;
     this.members = members;
   }
 
@@ -74,7 +77,7 @@
     final long age = Math.min(Integer.MAX_VALUE, ageMillis);
     final int granted =
         among && ageMillis < FRESH_MILLIS
-            ? house.grant(ask.name, ask.count, plan, roster.voters.size(), amongSince, now)
+            ? allocator.grant(ask.name, ask.count, plan, roster.voters.size(), amongSince, now)
             : 0;
     if (granted < ask.count && ask.hops < roster.voters.size()) {
       final long key = ++number;
@@ -125,6 +128,6 @@
   }
 
   String counters() {
-    return "permits " + house.granted() + " refused " + house.refused();
+    return "permits " + allocator.granted() + " refused " + allocator.refused();
   }
 }
--- a/exchange/src/test/java/weldpoint/exchange/TollboothTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/QuotaEndpointTest.java
@@ -8,14 +8,14 @@
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.toll.Tollhouse;
+import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words.PermitAnswer;
 import weldpoint.trunk.Words.PermitAsk;
 import weldpoint.trunk.Words.Roster;
 import weldpoint.trunk.Words.Voter;
 
-public class TollboothTest {
+public class QuotaEndpointTest {
   private static final Boot BOOT =
       Boot.parse(
           "station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nbound.quota-tolerance = 0\n");
@@ -34,15 +34,18 @@
   private final List<Message> relayed = new ArrayList<>();
   private final List<Integer> granted = new ArrayList<>();
 
-  private Tollbooth booth(final boolean lines) {
+  private QuotaEndpoint endpoint(final boolean lines) {
     relayed.clear();
     granted.clear();
-    return new Tollbooth(
-        "a", new Tollhouse(BOOT, false, 1000), (address, message) -> lines && relayed.add(message));
+    return new QuotaEndpoint(
+        "a",
+        new QuotaAllocator(BOOT, false, 1000),
+        (address, message) -> lines && relayed.add(message));
   }
 
-  private void ask(final Tollbooth booth, final int count, final long ageMillis, final long now) {
-    booth.ask(
+  private void ask(
+      final QuotaEndpoint endpoint, final int count, final long ageMillis, final long now) {
+    endpoint.ask(
         new PermitAsk(1, "tenant/t", count, 0),
         answer -> granted.add(((PermitAnswer) answer).granted),
         PLAN,
@@ -54,11 +57,11 @@
 
   @Test
   public void oneThatWasAVoterBeforeItsRestartGrantsAtOnceAndANewOneAfterAWindow() {
-    final Tollbooth old = booth(false);
+    final QuotaEndpoint old = endpoint(false);
     old.began(ROSTER);
     ask(old, 3, 100, 1200);
     assertEquals(granted, List.of(3));
-    final Tollbooth fresh = booth(false);
+    final QuotaEndpoint fresh = endpoint(false);
     fresh.began(new Roster(0, List.of()));
     ask(fresh, 3, 100, 1200);
     ask(fresh, 3, 100, 1200 + 6100);
@@ -67,17 +70,17 @@
 
   @Test
   public void withoutAMajorityNothingIsGrantedAndTheRestIsAskedOfTheNext() {
-    final Tollbooth booth = booth(true);
-    booth.began(ROSTER);
-    ask(booth, 1, 5000, 1200);
+    final QuotaEndpoint endpoint = endpoint(true);
+    endpoint.began(ROSTER);
+    ask(endpoint, 1, 5000, 1200);
     assertEquals(((PermitAsk) relayed.get(0)).hops, 1);
-    booth.answered(new PermitAnswer(((PermitAsk) relayed.get(0)).number, 1, 1, 0));
+    endpoint.answered(new PermitAnswer(((PermitAsk) relayed.get(0)).number, 1, 1, 0));
     assertEquals(granted, List.of(1));
-    ask(booth, 400, 100, 1300);
+    ask(endpoint, 400, 100, 1300);
     final int left = ((PermitAsk) relayed.get(1)).count;
     assertEquals(
         left, 400 - (int) (0.9 * 100 * 1.1 / 3 / 2), "half of a third of what may be granted");
-    booth.tick(1300 + 700);
+    endpoint.tick(1300 + 700);
     assertEquals(granted.get(1).intValue(), 400 - left, "the next has not answered");
   }
 }
--- a/jack/src/main/java/weldpoint/jack/Toll.java
+++ b/jack/src/main/java/weldpoint/jack/CachedCopies.java
@@ -13,8 +13,8 @@
 import weldpoint.trunk.Words;
 
 /** What the door does with keys and copies. */
-final class Toll {
-  private Toll() {}
+final class CachedCopies {
+  private CachedCopies() {}
 
   /** The key that a request carries; null where there is none, or where it is not clear. */
   static String key(final HttpHeaders headers) {
--- a/jack/src/main/java/weldpoint/jack/Permits.java
+++ b/jack/src/main/java/weldpoint/jack/PermitPool.java
@@ -10,7 +10,7 @@
 import weldpoint.trunk.Words.PermitAsk;
 
 /** Asks the exchange of the stream for permits. All of it lives on the traffic thread. */
-public final class Permits {
+public final class PermitPool {
   private static final long PATIENCE_MILLIS = 700;
 
   /**
@@ -30,8 +30,8 @@
   private long asked;
   private long denied;
 
-  /** Permits over a line that tells whether it took a message. */
-  public Permits(final Predicate<Message> line) {
+  /** PermitPool over a line that tells whether it took a message. */
+  public PermitPool(final Predicate<Message> line) {
     this.line = line;
   }
 
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -285,7 +285,7 @@
   }
 
   private void content() {
-    room.permits = new Permits(stream::send);
+    room.permits = new PermitPool(stream::send);
     final weldpoint.trunk.Lines lines =
         new weldpoint.trunk.Lines(
             trunk,
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -21,7 +21,7 @@
   final Random random;
   final EventLoopGroup loop;
   Dialplan plan;
-  Permits permits;
+  PermitPool permits;
   Ties ties;
   Affinity usual;
   long tieWaitMillis;
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -31,7 +31,7 @@
 import weldpoint.dialplan.Interpreter;
 import weldpoint.dialplan.Route;
 import weldpoint.dialplan.RouteKind;
-import weldpoint.toll.Tariff;
+import weldpoint.ratelimit.RateLimit;
 import weldpoint.trial.TrialBook;
 import weldpoint.trunk.Words;
 
@@ -175,7 +175,7 @@
   /** Finds whose request it is; false where it was refused. */
   private boolean admit(final Dialplan plan) {
     keyed = true;
-    key = Toll.key(request.headers());
+    key = CachedCopies.key(request.headers());
     tenant = key == null ? null : plan.holder(key);
     if (tenant != null || route.open) {
       return true;
@@ -198,7 +198,8 @@
       refuse("the origin is at its limit; come back", retryAfter());
       return;
     }
-    final FullHttpResponse copy = answer.status == 0 ? null : Toll.response(request, answer);
+    final FullHttpResponse copy =
+        answer.status == 0 ? null : CachedCopies.response(request, answer);
     if (copy == null) {
       origin();
     } else {
@@ -213,7 +214,7 @@
       return;
     }
     room.permits.ask(
-        Tariff.TENANT.permit(tenant.name()),
+        RateLimit.TENANT.permit(tenant.name()),
         1,
         (granted, version, confirmedAt) -> {
           if (over) {
@@ -333,7 +334,7 @@
       return;
     }
     room.permits.ask(
-        Tariff.ORIGIN.permit(service.name()),
+        RateLimit.ORIGIN.permit(service.name()),
         1,
         (granted, version, confirmedAt) -> {
           if (over) {
--- a/jack/src/test/java/weldpoint/jack/TollTest.java
+++ b/jack/src/test/java/weldpoint/jack/CachedCopiesTest.java
@@ -16,7 +16,7 @@
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.CopyAnswer;
 
-public class TollTest {
+public class CachedCopiesTest {
   private static FullHttpResponse ranged(final String range) {
     final DefaultHttpRequest request =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/1");
@@ -24,7 +24,7 @@
     if (range != null) {
       request.headers().set("Range", range);
     }
-    return Toll.response(
+    return CachedCopies.response(
         request,
         new CopyAnswer(
             1,
@@ -63,22 +63,22 @@
   @Test
   public void onlyOneClearKeyCounts() {
     final DefaultHttpHeaders headers = new DefaultHttpHeaders();
-    assertNull(Toll.key(headers));
+    assertNull(CachedCopies.key(headers));
     headers.add("Authorization", "Bearer k1");
-    assertEquals(Toll.key(headers), "k1");
+    assertEquals(CachedCopies.key(headers), "k1");
     headers.add("Authorization", "Bearer k2");
-    assertNull(Toll.key(headers));
+    assertNull(CachedCopies.key(headers));
     headers.set("Authorization", "Basic k1");
-    assertNull(Toll.key(headers));
+    assertNull(CachedCopies.key(headers));
     headers.set("Authorization", "Bearer k1, Bearer k2");
-    assertNull(Toll.key(headers));
+    assertNull(CachedCopies.key(headers));
   }
 
   @Test
   public void permitsThatAreNotAnsweredAreDenied() {
     final List<Message> sent = new ArrayList<>();
     final List<String> heard = new ArrayList<>();
-    final Permits permits = new Permits(sent::add);
+    final PermitPool permits = new PermitPool(sent::add);
     permits.ask(
         "tenant/t",
         1,
@@ -94,7 +94,7 @@
     assertEquals(heard.get(1), "late 0");
     permits.answered(new Words.PermitAnswer(((Words.PermitAsk) sent.get(1)).number, 1, 4, 0));
     assertEquals(heard.size(), 2, "each hears once");
-    new Permits(message -> false)
+    new PermitPool(message -> false)
         .ask("tenant/t", 1, (granted, version, confirmedAt) -> heard.add("no line " + granted), 1);
     assertEquals(heard.get(2), "no line 0");
   }
--- a/toll/src/main/java/weldpoint/toll/Tollhouse.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/QuotaAllocator.java
@@ -1,4 +1,4 @@
-package weldpoint.toll;
+package weldpoint.ratelimit;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -9,16 +9,16 @@
  * Gives out one exchange's fixed part of every allowance. The parts of all voters together never
  * exceed the allowance, so that no exchange needs to know what another gave.
  */
-public final class Tollhouse {
+public final class QuotaAllocator {
   private final Boot boot;
   private final long startedAt;
   private final boolean firstStart;
-  private final Map<String, Purse> purses = new HashMap<>();
+  private final Map<String, SlidingWindowCounter> counters = new HashMap<>();
   private long granted;
   private long refused;
 
-  /** A house that opens now; at the very first start nothing can have been given before. */
-  public Tollhouse(final Boot boot, final boolean firstStart, final long now) {
+  /** A allocator that opens now; at the very first start nothing can have been given before. */
+  public QuotaAllocator(final Boot boot, final boolean firstStart, final long now) {
     this.boot = boot;
     this.firstStart = firstStart;
     this.startedAt = now;
@@ -32,17 +32,17 @@
       final int parts,
       final long partSince,
       final long now) {
-    final Tariff tariff = Tariff.of(permit);
-    if (tariff == null || plan == null || parts < 1 || count < 1) {
+    final RateLimit rateLimit = RateLimit.of(permit);
+    if (rateLimit == null || plan == null || parts < 1 || count < 1) {
       return 0;
     }
-    final double allowance = tariff.allowance(boot, plan, tariff.bare(permit));
-    if (allowance >= Tariff.UNLIMITED) {
+    final double allowance = rateLimit.allowance(boot, plan, rateLimit.bare(permit));
+    if (allowance >= RateLimit.UNLIMITED) {
       return count;
     }
-    final long window = tariff.windowMillis(boot) + tariff.transitMillis();
-    double limit = tariff.exchangesPart() * allowance / parts;
-    if (tariff.forgiving()) {
+    final long window = rateLimit.windowMillis(boot) + rateLimit.transitMillis();
+    double limit = rateLimit.exchangesPart() * allowance / parts;
+    if (rateLimit.forgiving()) {
       limit /= 2;
     } else if (!firstStart && now - startedAt < window) {
       limit = 0;
@@ -51,7 +51,9 @@
       limit = 0;
     }
     final int taken =
-        purses.computeIfAbsent(permit, name -> new Purse(window)).take(count, limit, now);
+        counters
+            .computeIfAbsent(permit, name -> new SlidingWindowCounter(window))
+            .take(count, limit, now);
     granted += taken;
     refused += count - taken;
     return taken;
--- a/toll/src/main/java/weldpoint/toll/Tariff.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/RateLimit.java
@@ -1,10 +1,10 @@
-package weldpoint.toll;
+package weldpoint.ratelimit;
 
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
 
 /** What tenants and origins may get in one window, by the bounds in the settings. */
-public enum Tariff {
+public enum RateLimit {
   /** The requests of a tenant that upstreams run. */
   TENANT("tenant/") {
     @Override
@@ -84,7 +84,7 @@
 
   private final String prefix;
 
-  Tariff(final String prefix) {
+  RateLimit(final String prefix) {
     this.prefix = prefix;
   }
 
@@ -93,11 +93,11 @@
     return prefix + name;
   }
 
-  /** The tariff that a permit's name falls under; null where there is none. */
-  static Tariff of(final String permit) {
-    for (final Tariff tariff : values()) {
-      if (permit.startsWith(tariff.prefix)) {
-        return tariff;
+  /** The rateLimit that a permit's name falls under; null where there is none. */
+  static RateLimit of(final String permit) {
+    for (final RateLimit rateLimit : values()) {
+      if (permit.startsWith(rateLimit.prefix)) {
+        return rateLimit;
       }
     }
     return null;
--- a/toll/src/main/java/weldpoint/toll/Purse.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/SlidingWindowCounter.java
@@ -1,10 +1,10 @@
-package weldpoint.toll;
+package weldpoint.ratelimit;
 
 /**
  * Counts what was given out in a sliding window, and gives no more than a limit within any such
  * window.
  */
-public final class Purse {
+public final class SlidingWindowCounter {
   private static final int SLICES = 24;
 
   private final long sliceMillis;
@@ -13,7 +13,7 @@
   private int sum;
 
   /** A purse over a window of this many milliseconds. */
-  public Purse(final long windowMillis) {
+  public SlidingWindowCounter(final long windowMillis) {
     this.sliceMillis = Math.max(1, (windowMillis + SLICES - 2) / (SLICES - 1));
   }
 
--- a/toll/src/test/java/weldpoint/toll/TollhouseTest.java
+++ b/ratelimit/src/test/java/weldpoint/ratelimit/QuotaAllocatorTest.java
@@ -1,4 +1,4 @@
-package weldpoint.toll;
+package weldpoint.ratelimit;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -11,7 +11,7 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
 
-public class TollhouseTest {
+public class QuotaAllocatorTest {
   private static final Boot BOOT =
       Boot.parse(
           "station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\nbound.quota-tolerance = 20\nbound.origin-window-s = 5\nbound.origin-overshoot = 1.1\n");
@@ -35,11 +35,11 @@
   private static int most(final String permit, final long seed, final long window) {
     final Random random = new Random(seed);
     final int parts = 5;
-    final Tollhouse[] houses = new Tollhouse[parts];
+    final QuotaAllocator[] allocators = new QuotaAllocator[parts];
     final long[] since = new long[parts];
     final long[] killedAt = new long[parts];
     for (int index = 0; index < parts; index++) {
-      houses[index] = new Tollhouse(BOOT, true, 0);
+      allocators[index] = new QuotaAllocator(BOOT, true, 0);
     }
     final ArrayDeque<long[]> granted = new ArrayDeque<>();
     int inWindow = 0;
@@ -48,11 +48,11 @@
       final int at = random.nextInt(parts);
       if (random.nextInt(2000) == 0 && now - killedAt[at] > 2 * window) {
         killedAt[at] = now;
-        houses[at] = new Tollhouse(BOOT, false, now);
+        allocators[at] = new QuotaAllocator(BOOT, false, now);
         since[at] = random.nextBoolean() ? now + 1 : 0;
       }
       final int count =
-          houses[at].grant(permit, 1 + random.nextInt(3), PLAN, parts, since[at], now);
+          allocators[at].grant(permit, 1 + random.nextInt(3), PLAN, parts, since[at], now);
       granted.add(new long[] {now, count});
       inWindow += count;
       while (granted.peekFirst()[0] <= now - window) {
@@ -78,18 +78,20 @@
 
   @Test
   public void unlimitedUnknownAndFreshOnesAreToldApart() {
-    final Tollhouse house = new Tollhouse(BOOT, false, 0);
-    assertEquals(house.grant("tenant/free", 7, PLAN, 5, 0, 10), 7);
-    assertEquals(house.grant("tenant/nobody", 7, PLAN, 5, 0, 10), 0);
-    assertEquals(house.grant("somewhere/else", 7, PLAN, 5, 0, 10), 0);
+    final QuotaAllocator allocator = new QuotaAllocator(BOOT, false, 0);
+    assertEquals(allocator.grant("tenant/free", 7, PLAN, 5, 0, 10), 7);
+    assertEquals(allocator.grant("tenant/nobody", 7, PLAN, 5, 0, 10), 0);
+    assertEquals(allocator.grant("somewhere/else", 7, PLAN, 5, 0, 10), 0);
     assertEquals(
-        house.grant("origin/media", 1, PLAN, 5, 0, 10), 0, "the life before may have used it up");
-    assertEquals(house.grant("origin/media", 1, PLAN, 5, 0, 7000), 1);
+        allocator.grant("origin/media", 1, PLAN, 5, 0, 10),
+        0,
+        "the life before may have used it up");
+    assertEquals(allocator.grant("origin/media", 1, PLAN, 5, 0, 7000), 1);
   }
 
   @Test
   public void aWindowSlides() {
-    final Purse purse = new Purse(5000);
+    final SlidingWindowCounter purse = new SlidingWindowCounter(5000);
     assertEquals(purse.take(10, 4, 1), 4);
     assertEquals(purse.take(10, 4, 4000), 0);
     assertEquals(purse.take(1, 4, 6000), 1);
