Tenants' limits hold on every deployment and over any number of restarts

Besides: a registry that restarted twice in one window could give out its part three times, and a request that was sent again ran on one permit. Change: permits exist wherever the daemons run, so limits and strict revocation follow the configuration; each registry's part is a token bucket that starts empty, so that no memory of earlier lives is needed, and a tenant gets 98 in 100 of its limit in place of 45; after a change of roster the smaller part holds for 5 s; each further send of what may have run asks for its own permit; what no voter has is refused for 40 ms without asking again; 503 where nobody could be asked.

--- a/announcer/src/main/java/weldpoint/announcer/Reader.java
+++ b/announcer/src/main/java/weldpoint/announcer/Reader.java
@@ -95,7 +95,7 @@
       return false;
     }
     final double limit =
-        RateLimit.ANNOUNCERS_PART
+        RateLimit.CACHE_SHARE
             * service.ratePerSecond()
             * boot.originWindowMillis()
             / 1000.0
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -578,7 +578,7 @@
     } else if (message instanceof Words.PermitAsk) {
       permit((Words.PermitAsk) message, reply, now);
     } else if (message instanceof Words.PermitAnswer && quotas != null) {
-      quotas.answered((Words.PermitAnswer) message);
+      quotas.answered((Words.PermitAnswer) message, now);
     } else if (message instanceof Words.LeaseAsk && placements != null) {
       reply.accept(placements.keeper().ask((Words.LeaseAsk) message, majorityAt, now));
     } else if (message instanceof Words.LeaseGrant && placements != null) {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -190,11 +190,9 @@
         incarnation,
         boot.affinityLeaseMillis(),
         boot.affinityBatchMillis());
-    if (boot.content()) {
-      core.quotas(
-          new weldpoint.ratelimit.QuotaAllocator(
-              boot, boot.firstStart() && found.blank() && !found.lost(), now()));
-    }
+    core.quotas(
+        new weldpoint.ratelimit.QuotaAllocator(
+            boot, boot.firstStart() && found.blank() && !found.lost(), now()));
     desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), now()));
     tape.start("tape");
     trunk.serve(
--- a/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
+++ b/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import weldpoint.dialplan.Dialplan;
+import weldpoint.ratelimit.Part;
 import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words.PermitAnswer;
@@ -22,6 +23,14 @@
   private static final long FRESH_MILLIS = 4000;
   private static final long RELAY_MILLIS = 600;
 
+  /** For how long after a change of roster others may still count by the one before. */
+  private static final long STALE_MILLIS = FRESH_MILLIS + 1000;
+
+  /** For how long a name that no voter had a permit for is refused without asking again. */
+  private static final long DENIED_MILLIS = 40;
+
+  private static final int MOST_DENIED = 4096;
+
   private record Relayed(
       PermitAsk ask,
       Consumer<Message> reply,
@@ -38,6 +47,10 @@
   private long rosterNumber;
   private boolean among;
   private long amongSince;
+  private int voters;
+  private int votersBefore;
+  private long rosterAt = Long.MIN_VALUE / 2;
+  private final Map<String, Long> deniedAt = new HashMap<>();
 
   QuotaEndpoint(
       final String self,
@@ -56,8 +69,11 @@
     rosterNumber = roster.number;
     among = roster.index(self) >= 0;
     amongSince = Long.MIN_VALUE / 2;
+    voters = roster.voters.size();
+    votersBefore = voters;
   }
 
+  /** Answers an ask for permits, or passes the rest of it on to the next voter. */
   void ask(
       final PermitAsk ask,
       final Consumer<Message> reply,
@@ -66,36 +82,78 @@
       final long version,
       final long ageMillis,
       final long now) {
-    if (roster.number != rosterNumber) {
-      rosterNumber = roster.number;
-      final boolean is = roster.index(self) >= 0;
-      if (is && !among) {
-        amongSince = now;
-      }
-      among = is;
-    }
+    take(roster, now);
     final long age = Math.min(Integer.MAX_VALUE, ageMillis);
     final int granted =
         among && ageMillis < FRESH_MILLIS
-            ? allocator.grant(ask.name, ask.count, plan, roster.voters.size(), amongSince, now)
+            ? allocator.grant(ask.name, ask.count, plan, part(now), now)
             : 0;
-    if (granted < ask.count && ask.hops < roster.voters.size()) {
-      final long key = ++number;
-      for (final Voter next : following(roster)) {
-        if (members.test(
-            next.address, new PermitAsk(key, ask.name, ask.count - granted, ask.hops + 1))) {
-          relayed.put(key, new Relayed(ask, reply, granted, version, age, now + RELAY_MILLIS));
-          return;
-        }
+    final boolean more =
+        granted < ask.count && ask.hops < roster.voters.size() && !denied(ask.name, now);
+    if (!more || !relay(ask, reply, granted, roster, version, age, now)) {
+      reply.accept(new PermitAnswer(ask.number, granted, version, age));
+    }
+  }
+
+  private void take(final Roster roster, final long now) {
+    if (roster.number == rosterNumber) {
+      return;
+    }
+    final boolean is = roster.index(self) >= 0;
+    if (is && !among) {
+      final boolean founder = rosterNumber == 0 && allocator.firstStart();
+      amongSince = founder ? Long.MIN_VALUE / 2 : now + STALE_MILLIS;
+    }
+    among = is;
+    rosterNumber = roster.number;
+    rosterAt = now;
+    votersBefore = voters;
+    voters = roster.voters.size();
+  }
+
+  /** The own part; after a change of roster the smaller one of the two, until all have heard. */
+  private Part part(final long now) {
+    final int parts = now - rosterAt < STALE_MILLIS ? Math.max(voters, votersBefore) : voters;
+    return new Part(parts, amongSince);
+  }
+
+  private boolean relay(
+      final PermitAsk ask,
+      final Consumer<Message> reply,
+      final int granted,
+      final Roster roster,
+      final long version,
+      final long age,
+      final long now) {
+    final long key = ++number;
+    final PermitAsk rest = new PermitAsk(key, ask.name, ask.count - granted, ask.hops + 1);
+    for (final Voter next : following(roster)) {
+      if (members.test(next.address, rest)) {
+        relayed.put(key, new Relayed(ask, reply, granted, version, age, now + RELAY_MILLIS));
+        return true;
       }
     }
-    reply.accept(new PermitAnswer(ask.number, granted, version, age));
+    return false;
   }
 
+  private boolean denied(final String name, final long now) {
+    final Long at = deniedAt.get(name);
+    return at != null && now - at < DENIED_MILLIS;
+  }
+
+  private void noteDenied(final String name, final long now) {
+    if (deniedAt.size() >= MOST_DENIED) {
+      deniedAt.clear();
+    }
+    deniedAt.put(name, now);
+  }
+
+  /** The other voters, beginning after this one; those who are none spread over all of them. */
   private List<Voter> following(final Roster roster) {
     final List<Voter> list = new ArrayList<>();
     final int size = roster.voters.size();
-    final int from = Math.max(0, roster.index(self));
+    final int own = roster.index(self);
+    final int from = own >= 0 ? own : Math.floorMod(self.hashCode(), Math.max(1, size));
     for (int step = 1; step <= size; step++) {
       final Voter voter = roster.voters.get((from + step) % size);
       if (!voter.address.equals(self)) {
@@ -105,9 +163,13 @@
     return list;
   }
 
-  void answered(final PermitAnswer answer) {
+  /** A voter has answered what was passed on to it. */
+  void answered(final PermitAnswer answer, final long now) {
     final Relayed one = relayed.remove(answer.number);
     if (one != null) {
+      if (answer.granted == 0 && one.ask.hops == 0) {
+        noteDenied(one.ask.name, now);
+      }
       one.reply.accept(
           new PermitAnswer(
               one.ask.number, one.granted + answer.granted, one.version, one.ageMillis));
--- a/jack/src/main/java/weldpoint/jack/PermitPool.java
+++ b/jack/src/main/java/weldpoint/jack/PermitPool.java
@@ -11,6 +11,9 @@
 
 /** Asks the exchange of the stream for permits. All of it lives on the traffic thread. */
 public final class PermitPool {
+  /** What an asker hears as the confirmation's time where nobody answered. */
+  static final long UNANSWERED = Long.MIN_VALUE / 2;
+
   private static final long PATIENCE_MILLIS = 700;
 
   /**
@@ -43,7 +46,7 @@
     if (!line.test(new PermitAsk(key, name, count, 0))) {
       pending.remove(key);
       denied++;
-      asker.answered(0, 0, Long.MIN_VALUE / 2);
+      asker.answered(0, 0, UNANSWERED);
     }
   }
 
@@ -75,7 +78,7 @@
       final Asked one = pending.remove(key);
       if (one != null) {
         denied++;
-        one.asker.answered(0, 0, Long.MIN_VALUE / 2);
+        one.asker.answered(0, 0, UNANSWERED);
       }
     }
   }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -215,6 +215,7 @@
     if (boot.chief()) {
       chief = new ChiefDesk(boot, trunk, desk, loop, room, incarnation);
     }
+    permits();
     if (boot.content()) {
       content();
     }
@@ -232,11 +233,7 @@
             })
         .bind(readiness.host(), readiness.port())
         .sync();
-    loop.scheduleAtFixedRate(
-        () -> desk.execute(() -> link.tick(Switchroom.now())),
-        TICK_MILLIS,
-        TICK_MILLIS,
-        TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
         () -> report(false), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -284,8 +281,12 @@
     }
   }
 
-  private void content() {
+  /** Takes to asking for permits: limits hold wherever a configuration has them. */
+  private void permits() {
     room.permits = new PermitPool(stream::send);
+  }
+
+  private void content() {
     final weldpoint.trunk.Lines lines =
         new weldpoint.trunk.Lines(
             trunk,
@@ -323,13 +324,7 @@
               }
             });
     loop.scheduleAtFixedRate(
-        () -> {
-          room.permits.sweep(false, Switchroom.now());
-          room.recordings.sweep(Switchroom.now());
-        },
-        100,
-        100,
-        TimeUnit.MILLISECONDS);
+        () -> room.recordings.sweep(Switchroom.now()), 100, 100, TimeUnit.MILLISECONDS);
   }
 
   private void report(final boolean all) {
@@ -377,6 +372,11 @@
             });
   }
 
+  private void tick() {
+    desk.execute(() -> link.tick(Switchroom.now()));
+    room.permits.sweep(false, Switchroom.now());
+  }
+
   private void sweep() {
     final long now = Switchroom.now();
     room.cords.sweep(now);
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -41,6 +41,7 @@
   volatile int active;
   long served;
   long refused;
+  long refusedQuota;
   long failed;
   long repeated;
 
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -20,6 +20,7 @@
 import weldpoint.affinity.Rendezvous;
 import weldpoint.affinity.Ties;
 import weldpoint.affinity.Verdict;
+import weldpoint.boot.Invariant;
 import weldpoint.cord.Cord;
 import weldpoint.cord.Cords;
 import weldpoint.cord.Fate;
@@ -42,6 +43,8 @@
   private static final int MOST_UNTIED = 2;
   private static final long REVOKE_MARGIN_MILLIS = 300;
 
+  private static final Invariant HAS_PERMIT = Invariant.named("a limited send has its permit");
+
   private final Switchroom room;
   private final Session session;
   private final HttpRequest request;
@@ -55,6 +58,7 @@
   private boolean over;
   private int sent;
   private int unproved;
+  private int permits;
   private boolean uncertain;
   private boolean closeAfter;
   private boolean trialled;
@@ -234,8 +238,11 @@
                 "the key is unknown; send one of yours",
                 null,
                 closeAfter);
+          } else if (granted < 1 && limited() && confirmedAt == PermitPool.UNANSWERED) {
+            refuse("the quota cannot be asked for now; come back", retryAfter());
           } else if (granted < 1) {
             room.refused++;
+            room.refusedQuota++;
             finish();
             session.refuse(
                 HttpResponseStatus.TOO_MANY_REQUESTS,
@@ -243,12 +250,33 @@
                 retryAfter(),
                 closeAfter);
           } else {
+            permits += granted;
             send();
           }
         },
         Switchroom.now());
   }
 
+  /** Whether each run of this request counts towards its tenant's limit. */
+  private boolean limited() {
+    return room.permits != null && tenant != null && tenant.ratePerSecond() > 0;
+  }
+
+  /** Asks for one more permit, which a request that may have run needs before it is sent again. */
+  private void furtherPermit(final Runnable granted, final Runnable denied) {
+    room.permits.ask(
+        RateLimit.TENANT.permit(tenant.name()),
+        1,
+        (count, version, confirmedAt) -> {
+          if (over) {
+            return;
+          }
+          permits += count;
+          (count > 0 ? granted : denied).run();
+        },
+        Switchroom.now());
+  }
+
   private void send() {
     if (affinity != null) {
       sendTied();
@@ -386,6 +414,10 @@
           "this write was sent before and may have run; ask what became of it");
       return true;
     }
+    if (limited()) {
+      HAS_PERMIT.check(permits > 0, () -> "tenant " + tenant.name() + ", try " + (sent + 1));
+      permits--;
+    }
     tried.add(upstream);
     sent++;
     unproved++;
@@ -426,6 +458,9 @@
             (end, head, bytes) -> {
               ended[0] = true;
               final Fate fate = Fate.named(end, head);
+              if (fate == Fate.NOT_RUN) {
+                permits++;
+              }
               if (tie != null && end != Cord.End.UNCERTAIN) {
                 tie.ended();
                 room.ties.tick(Switchroom.now());
@@ -469,7 +504,18 @@
   }
 
   private void hedge() {
-    if (!over && running() == 1 && session.open()) {
+    if (over || running() != 1 || !session.open()) {
+      return;
+    }
+    if (limited() && permits < 1) {
+      furtherPermit(this::sendBeside, () -> {});
+    } else {
+      sendBeside();
+    }
+  }
+
+  private void sendBeside() {
+    if (running() == 1 && session.open()) {
       attempt(true, true);
     }
   }
@@ -579,9 +625,27 @@
           "the upstream gave no proper answer; the request may have run");
       return;
     }
-    if (Further.mayGoOn(route, uncertain) && attempt(true)) {
-      return;
+    if (!Further.mayGoOn(route, uncertain)) {
+      conclude();
+    } else if (limited() && permits < 1 && furtherFits()) {
+      furtherPermit(this::tryFurther, this::conclude);
+    } else {
+      tryFurther();
     }
+  }
+
+  private boolean furtherFits() {
+    return !single && !over && Further.fits(route, sent, Switchroom.now(), cutoff);
+  }
+
+  private void tryFurther() {
+    if (!attempt(true)) {
+      conclude();
+    }
+  }
+
+  /** Ends a request that is not sent again, unless a try is still at work. */
+  private void conclude() {
     if (over || running() > 0) {
       return;
     }
--- a/ratelimit/src/main/java/weldpoint/ratelimit/QuotaAllocator.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/QuotaAllocator.java
@@ -6,59 +6,98 @@
 import weldpoint.dialplan.Dialplan;
 
 /**
- * Gives out one exchange's fixed part of every allowance. The parts of all voters together never
- * exceed the allowance, so that no exchange needs to know what another gave.
+ * Gives out one registry's fixed part of every limit. The parts of all voters together never exceed
+ * the limit, whatever becomes of any of them, so that no registry needs to know what another gave,
+ * nor what it gave itself in an earlier life.
  */
 public final class QuotaAllocator {
   private final Boot boot;
   private final long startedAt;
   private final boolean firstStart;
-  private final Map<String, SlidingWindowCounter> counters = new HashMap<>();
+  private final Map<String, TenantShare> tenants = new HashMap<>();
+  private final Map<String, SlidingWindowCounter> origins = new HashMap<>();
+  private long partSince = Long.MIN_VALUE;
   private long granted;
   private long refused;
 
-  /** A allocator that opens now; at the very first start nothing can have been given before. */
+  /**
+   * An allocator of a process that starts now; at the very first start of the system nothing can
+   * have been given before.
+   */
   public QuotaAllocator(final Boot boot, final boolean firstStart, final long now) {
     this.boot = boot;
     this.firstStart = firstStart;
     this.startedAt = now;
   }
 
-  /** Grants up to this many permits, being one of so many parts since then. */
+  /** Grants up to so many permits out of a part. */
   public int grant(
-      final String permit,
-      final int count,
-      final Dialplan plan,
-      final int parts,
-      final long partSince,
-      final long now) {
-    final RateLimit rateLimit = RateLimit.of(permit);
-    if (rateLimit == null || plan == null || parts < 1 || count < 1) {
+      final String permit, final int count, final Dialplan plan, final Part part, final long now) {
+    final RateLimit limit = RateLimit.of(permit);
+    if (limit == null || plan == null || part.parts() < 1 || count < 1) {
       return 0;
     }
-    final double allowance = rateLimit.allowance(boot, plan, rateLimit.bare(permit));
-    if (allowance >= RateLimit.UNLIMITED) {
-      return count;
-    }
-    final long window = rateLimit.windowMillis(boot) + rateLimit.transitMillis();
-    double limit = rateLimit.exchangesPart() * allowance / parts;
-    if (rateLimit.forgiving()) {
-      limit /= 2;
-    } else if (!firstStart && now - startedAt < window) {
-      limit = 0;
-    }
-    if (!firstStart && now - partSince < window && partSince > startedAt) {
-      limit = 0;
+    if (part.since() != partSince) {
+      partSince = part.since();
+      tenants.clear();
     }
+    final String name = limit.bare(permit);
     final int taken =
-        counters
-            .computeIfAbsent(permit, name -> new SlidingWindowCounter(window))
-            .take(count, limit, now);
+        limit == RateLimit.TENANT
+            ? grantTenant(plan.tenant(name), count, part, now)
+            : grantOrigin(plan, name, count, part, now);
     granted += taken;
     refused += count - taken;
     return taken;
   }
 
+  private int grantTenant(
+      final Dialplan.Tenant tenant, final int count, final Part part, final long now) {
+    if (tenant == null) {
+      return 0;
+    }
+    if (tenant.ratePerSecond() <= 0) {
+      return count;
+    }
+    final RateLimit.TenantLimit limit = RateLimit.TenantLimit.of(boot, tenant, part.parts());
+    return tenants
+        .computeIfAbsent(tenant.name(), name -> share(limit.capacity(), part))
+        .take(count, limit.perMilli(), limit.capacity(), now);
+  }
+
+  /** A share is full at the system's first start, and empty at any other start. */
+  private TenantShare share(final double capacity, final Part part) {
+    final long window = boot.quotaWindowMillis();
+    return firstStart && part.since() <= startedAt
+        ? new TenantShare(capacity, startedAt, window)
+        : new TenantShare(0, Math.max(startedAt, part.since()), window);
+  }
+
+  private int grantOrigin(
+      final Dialplan plan, final String name, final int count, final Part part, final long now) {
+    final int service = plan.service(name);
+    if (service < 0) {
+      return 0;
+    }
+    final double rate = plan.services().get(service).ratePerSecond();
+    if (rate <= 0) {
+      return count;
+    }
+    final long window = boot.originWindowMillis() + RateLimit.ORIGIN_TRANSIT_MILLIS;
+    final boolean earlierLife = !firstStart && now - startedAt < window;
+    final boolean newPart = !firstStart && part.since() > startedAt && now - part.since() < window;
+    final double allowed =
+        earlierLife || newPart ? 0 : RateLimit.originAllowance(boot, rate) / part.parts();
+    return origins
+        .computeIfAbsent(name, unused -> new SlidingWindowCounter(window))
+        .take(count, allowed, now);
+  }
+
+  /** Whether the system has never run before. */
+  public boolean firstStart() {
+    return firstStart;
+  }
+
   /** How many permits were granted. */
   public long granted() {
     return granted;
--- a/ratelimit/src/main/java/weldpoint/ratelimit/RateLimit.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/RateLimit.java
@@ -3,85 +3,26 @@
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
 
-/** What tenants and origins may get in one window, by the bounds in the settings. */
+/** What is limited for the fleet as a whole, by the bounds in the settings. */
 public enum RateLimit {
   /** The requests of a tenant that upstreams run. */
-  TENANT("tenant/") {
-    @Override
-    double allowance(final Boot boot, final Dialplan plan, final String name) {
-      final Dialplan.Tenant tenant = plan.tenant(name);
-      if (tenant == null) {
-        return 0;
-      }
-      return tenant.ratePerSecond() <= 0
-          ? UNLIMITED
-          : (tenant.ratePerSecond() * windowMillis(boot) / 1000.0 + tenant.burst())
-                  * (1 + boot.quotaOvershoot())
-              + boot.quotaTolerance();
-    }
-
-    @Override
-    long windowMillis(final Boot boot) {
-      return boot.quotaWindowMillis();
-    }
-
-    @Override
-    long transitMillis() {
-      return 1000;
-    }
-
-    @Override
-    boolean forgiving() {
-      return true;
-    }
-
-    @Override
-    double exchangesPart() {
-      return 0.9;
-    }
-  },
+  TENANT("tenant/"),
   /** What an origin receives, from whomever. */
-  ORIGIN("origin/") {
-    @Override
-    double allowance(final Boot boot, final Dialplan plan, final String name) {
-      final int service = plan.service(name);
-      if (service < 0) {
-        return 0;
-      }
-      final double rate = plan.services().get(service).ratePerSecond();
-      return rate <= 0 ? UNLIMITED : rate * windowMillis(boot) / 1000.0 * boot.originOvershoot();
-    }
+  ORIGIN("origin/");
 
-    @Override
-    long windowMillis(final Boot boot) {
-      return boot.originWindowMillis();
-    }
-
-    @Override
-    long transitMillis() {
-      return ORIGIN_TRANSIT_MILLIS;
-    }
-
-    @Override
-    boolean forgiving() {
-      return false;
-    }
-
-    @Override
-    double exchangesPart() {
-      return 0.45;
-    }
-  };
-
-  /** The allowance of what has no limit. */
-  public static final double UNLIMITED = 1e9;
-
-  /** What announcers may spend of an origin's allowance without asking. */
-  public static final double ANNOUNCERS_PART = 0.55;
+  /** The part of an origin's allowance that cache nodes spend without asking. */
+  public static final double CACHE_SHARE = 0.55;
 
   /** How much longer than an origin's window permits are counted, for the way to the origin. */
   public static final long ORIGIN_TRANSIT_MILLIS = 300;
 
+  /** How much of its limit a tenant is given; the rest covers clocks that drift apart. */
+  static final double TENANT_SHARE = 0.98;
+
+  private static final double LEAST_CAPACITY = 3;
+  private static final double ORIGIN_SHARE_BESIDE_CACHES = 0.45;
+  private static final double ORIGIN_SHARE_ALONE = 0.95;
+
   private final String prefix;
 
   RateLimit(final String prefix) {
@@ -93,11 +34,11 @@
     return prefix + name;
   }
 
-  /** The rateLimit that a permit's name falls under; null where there is none. */
+  /** The limit that a permit's name falls under; null where there is none. */
   static RateLimit of(final String permit) {
-    for (final RateLimit rateLimit : values()) {
-      if (permit.startsWith(rateLimit.prefix)) {
-        return rateLimit;
+    for (final RateLimit limit : values()) {
+      if (permit.startsWith(limit.prefix)) {
+        return limit;
       }
     }
     return null;
@@ -107,21 +48,29 @@
     return permit.substring(prefix.length());
   }
 
-  /** How many may come in one window over the whole system. */
-  abstract double allowance(Boot boot, Dialplan plan, String name);
-
-  /** The window. */
-  abstract long windowMillis(Boot boot);
-
-  /** How much longer than the window permits are counted, since what they allow arrives later. */
-  abstract long transitMillis();
-
   /**
-   * Whether two lives of one exchange share its part between them, rather than the later one
-   * waiting for a window.
+   * One of several equal parts of a tenant's limit: in any span of {@code t} milliseconds it gives
+   * {@code capacity + perMilli x t} permits at most.
+   *
+   * @param perMilli permits that a millisecond brings
+   * @param capacity permits that may be saved up
    */
-  abstract boolean forgiving();
+  record TenantLimit(double perMilli, double capacity) {
+    /** Parts that could not save up a few permits take them from their rate. */
+    static TenantLimit of(final Boot boot, final Dialplan.Tenant tenant, final int parts) {
+      final double window = boot.quotaWindowMillis();
+      final double overshoot = 1 + boot.quotaOvershoot();
+      final double burst = tenant.burst() * overshoot + boot.quotaTolerance();
+      final double inWindow = tenant.ratePerSecond() / 1000 * window * overshoot + burst;
+      final double capacity = Math.max(burst, Math.min(inWindow / 2, LEAST_CAPACITY * parts));
+      final double share = TENANT_SHARE / parts;
+      return new TenantLimit(share * (inWindow - capacity) / window, share * capacity);
+    }
+  }
 
-  /** The part of the allowance that exchanges give out together. */
-  abstract double exchangesPart();
+  /** How many requests an origin may receive in one window through permits of registries. */
+  static double originAllowance(final Boot boot, final double ratePerSecond) {
+    final double share = boot.content() ? ORIGIN_SHARE_BESIDE_CACHES : ORIGIN_SHARE_ALONE;
+    return share * ratePerSecond * boot.originWindowMillis() / 1000.0 * boot.originOvershoot();
+  }
 }
