--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -122,6 +122,7 @@
     quotaWindowMillis();
     keyHeaders();
     keyWindowMillis();
+    metricsPort();
     quotaOvershoot();
     quotaTolerance();
     originWindowMillis();
@@ -383,6 +384,11 @@
     return (long) (1000 * number("keys.window-s", 75, 1, 300));
   }
 
+  /** The port at which the proxy tells its figures, the registry at the next; 0 where none does. */
+  public int metricsPort() {
+    return (int) number("metrics.port", 0, 0, 65_534);
+  }
+
   /** The window of quotas. */
   public long quotaWindowMillis() {
     return (long) (1000 * number("bound.quota-window-s", 5, 0.001, 3600));
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -19,6 +19,7 @@
 import weldpoint.frame.Deed;
 import weldpoint.frame.Tokens;
 import weldpoint.frame.Values;
+import weldpoint.metrics.Figure;
 import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trial.TrialPanel;
 import weldpoint.trunk.KeyMessages;
@@ -1643,6 +1644,25 @@
     return roster;
   }
 
+  /** What this registry tells of itself. */
+  public List<Figure> figures(final long now) {
+    final List<Figure> figures = new ArrayList<>();
+    figures.add(Figure.gauge("weldpoint_registrations", "Upstreams known.", registrations.size()));
+    figures.add(Figure.counter("weldpoint_beats", "Beats of upstreams taken here.", beats));
+    figures.add(Figure.gauge("weldpoint_streams", "Streams to proxies.", streams.size()));
+    figures.add(Figure.gauge("weldpoint_roster_number", "The roster's number.", roster.number));
+    figures.add(
+        Figure.gauge(
+            "weldpoint_majority_age_seconds",
+            "Time since a majority of state stores was last heard.",
+            Math.min(1e6, (now - majorityAt) / 1000.0)));
+    if (quotas != null) {
+      figures.addAll(quotas.figures());
+    }
+    figures.addAll(keyClaims.figures());
+    return figures;
+  }
+
   /** The counters, as one line. */
   public String counters() {
     return (placements == null || !placements.active() ? "" : placements.keeper().counters() + " ")
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
@@ -15,6 +16,7 @@
 import weldpoint.boot.Desk;
 import weldpoint.boot.Program;
 import weldpoint.dialplan.Affinity;
+import weldpoint.metrics.MetricsServer;
 import weldpoint.tape.Ring;
 import weldpoint.tape.Tape;
 import weldpoint.trunk.KeyMessages;
@@ -243,6 +245,13 @@
     if (directory != null && !directory.equals(boot.requiredAddress("listen.control"))) {
       door.serve(loop, directory);
     }
+    if (boot.metricsPort() > 0) {
+      MetricsServer.serve(
+          loop,
+          boot.address(),
+          boot.metricsPort() + 1,
+          () -> CompletableFuture.supplyAsync(() -> core.figures(now()), desk));
+    }
     loop.scheduleWithFixedDelay(door::awake, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
         () -> desk.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
--- a/exchange/src/main/java/weldpoint/exchange/KeyClaims.java
+++ b/exchange/src/main/java/weldpoint/exchange/KeyClaims.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import weldpoint.idempotency.ClaimCoordinator;
 import weldpoint.idempotency.ClaimTable;
+import weldpoint.metrics.Figure;
 import weldpoint.trunk.KeyMessages.Claim;
 import weldpoint.trunk.KeyMessages.ClaimAsk;
 import weldpoint.trunk.KeyMessages.ClaimRelease;
@@ -144,7 +145,17 @@
     return idle ? "" : " " + coordinator.counters() + " remembered " + table.size();
   }
 
-  ClaimCoordinator coordinator() {
-    return coordinator;
+  /** Figures of claims. */
+  List<Figure> figures() {
+    final String help = "Claims of idempotency keys that this registry asked the voters about.";
+    return List.of(
+        Figure.counter("weldpoint_key_claims", help, coordinator.granted())
+            .with("result", "granted"),
+        Figure.counter("weldpoint_key_claims", help, coordinator.conflicts())
+            .with("result", "held"),
+        Figure.counter("weldpoint_key_claims", help, coordinator.unknown())
+            .with("result", "unknown"),
+        Figure.gauge(
+            "weldpoint_keys_remembered", "Idempotency keys remembered here.", table.size()));
   }
 }
--- a/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
+++ b/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import weldpoint.dialplan.Dialplan;
+import weldpoint.metrics.Figure;
 import weldpoint.ratelimit.Part;
 import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trunk.Message;
@@ -31,6 +32,8 @@
 
   private static final int MOST_DENIED = 4096;
 
+  private static final int MOST_SERIES = 200;
+
   private record Relayed(
       PermitAsk ask,
       Consumer<Message> reply,
@@ -189,6 +192,22 @@
     }
   }
 
+  /** Figures of limits and permits. */
+  List<Figure> figures() {
+    final List<Figure> figures = new ArrayList<>();
+    final String granted = "Permits granted by this registry out of its part of a tenant's limit.";
+    final String refused = "Permits that this registry's part of a tenant's limit did not have.";
+    for (final QuotaAllocator.TenantCount count : allocator.tenantCounts(MOST_SERIES)) {
+      figures.add(
+          Figure.counter("weldpoint_permits_granted", granted, count.granted())
+              .with("tenant", count.tenant()));
+      figures.add(
+          Figure.counter("weldpoint_permits_refused", refused, count.refused())
+              .with("tenant", count.tenant()));
+    }
+    return figures;
+  }
+
   String counters() {
     return "permits " + allocator.granted() + " refused " + allocator.refused();
   }
--- a/jack/src/main/java/weldpoint/jack/KeyRuns.java
+++ b/jack/src/main/java/weldpoint/jack/KeyRuns.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import weldpoint.metrics.Figure;
 import weldpoint.trunk.KeyMessages.Claim;
 import weldpoint.trunk.KeyMessages.ClaimAnswer;
 import weldpoint.trunk.KeyMessages.ClaimAsk;
@@ -308,20 +309,17 @@
     }
   }
 
-  long claimed() {
-    return claimed;
-  }
-
-  long repeated() {
-    return repeated;
-  }
-
-  long conflicts() {
-    return conflicts;
-  }
-
-  long unavailable() {
-    return unavailable;
+  /** Figures of requests with keys. */
+  List<Figure> figures() {
+    final String help = "Requests with an idempotency key, by what was decided.";
+    return List.of(
+        Figure.counter("weldpoint_keyed_requests", help, claimed).with("decision", "claimed"),
+        Figure.counter("weldpoint_keyed_requests", help, repeated).with("decision", "repeated"),
+        Figure.counter("weldpoint_keyed_requests", help, conflicts).with("decision", "conflict"),
+        Figure.counter("weldpoint_keyed_requests", help, unavailable)
+            .with("decision", "unavailable"),
+        Figure.gauge("weldpoint_keyed_runs", "Keyed requests remembered here.", runs.size()),
+        Figure.gauge("weldpoint_keyed_bytes", "Bytes of answers kept for repeats.", bytes));
   }
 
   /** What was decided, as counters; empty where no request bore a key. */
--- a/jack/src/main/java/weldpoint/jack/PermitPool.java
+++ b/jack/src/main/java/weldpoint/jack/PermitPool.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import weldpoint.metrics.Figure;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Words.PermitAnswer;
 import weldpoint.trunk.Words.PermitAsk;
@@ -83,6 +84,13 @@
     }
   }
 
+  /** Figures of permits. */
+  List<Figure> figures() {
+    return List.of(
+        Figure.counter("weldpoint_permits_asked", "Asks for permits.", asked),
+        Figure.counter("weldpoint_permits_denied", "Asks that brought no permit.", denied));
+  }
+
   /** How many were asked for and how many of these were not granted. */
   public String counters() {
     return "permits asked " + asked + " denied " + denied;
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -27,6 +27,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import weldpoint.affinity.Ties;
 import weldpoint.boot.Boot;
@@ -35,6 +36,8 @@
 import weldpoint.boot.Program;
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
+import weldpoint.metrics.Figure;
+import weldpoint.metrics.MetricsServer;
 import weldpoint.trial.TrialBook;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Line;
@@ -226,6 +229,13 @@
     if (boot.content()) {
       content();
     }
+    if (boot.metricsPort() > 0) {
+      MetricsServer.serve(
+          loop,
+          boot.address(),
+          boot.metricsPort(),
+          () -> CompletableFuture.completedFuture(figures()));
+    }
     desk.execute(() -> link.start(Switchroom.now()));
     new ServerBootstrap()
         .group(loop)
@@ -255,7 +265,8 @@
                 room.active,
                 room.cords.count()
                     + (room.ties == null ? "" : " " + room.ties.counters(Switchroom.now()))
-                    + (chief == null ? "" : " " + chief.counters()),
+                    + (chief == null ? "" : " " + chief.counters())
+                    + room.keys.counters(),
                 room.plan == null ? "none" : Long.toHexString(room.plan.version()),
                 trunk.meter()),
         boot.countersMillis(),
@@ -288,6 +299,22 @@
     }
   }
 
+  private List<Figure> figures() {
+    final String help = "Requests by how they ended.";
+    final List<Figure> figures = new ArrayList<>();
+    figures.add(Figure.counter("weldpoint_requests", help, room.served).with("result", "served"));
+    figures.add(Figure.counter("weldpoint_requests", help, room.refused).with("result", "refused"));
+    figures.add(Figure.counter("weldpoint_requests", help, room.failed).with("result", "failed"));
+    figures.add(
+        Figure.counter(
+            "weldpoint_further_sends", "Sends beyond a request's first.", room.repeated));
+    figures.add(Figure.gauge("weldpoint_active", "Requests under way.", room.active));
+    figures.addAll(room.tenantCounts.figures());
+    figures.addAll(room.permits.figures());
+    figures.addAll(room.keys.figures());
+    return figures;
+  }
+
   /** Takes to asking for permits: limits hold wherever a configuration has them. */
   private void permits() {
     room.permits = new PermitPool(stream::send);
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -45,6 +45,7 @@
   long served;
   long refused;
   long refusedQuota;
+  final TenantCounts tenantCounts = new TenantCounts();
   long failed;
   long repeated;
 
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -1,5 +1,6 @@
 package weldpoint.jack;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -44,6 +45,7 @@
   private static final int MOST_UNTIED = 2;
   private static final long REVOKE_MARGIN_MILLIS = 300;
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final Invariant HAS_KEY = Invariant.named("a keyed send has claimed its key");
   private static final long MOST_KEYED_MILLIS = 300_000;
   private static final Invariant HAS_PERMIT = Invariant.named("a limited send has its permit");
@@ -247,6 +249,7 @@
           } else if (granted < 1) {
             room.refused++;
             room.refusedQuota++;
+            room.tenantCounts.refused(tenant.name());
             finish();
             session.refuse(
                 HttpResponseStatus.TOO_MANY_REQUESTS,
@@ -330,6 +333,12 @@
       deliver(CachedCopies.repeated(request, first));
       return;
     }
+    LOGGER.atInfo().log(
+        "key conflict: attempt %s tenant %s route %s outcome %s",
+        request.headers().get(Headers.ATTEMPT_ID),
+        tenant == null ? "-" : tenant.name(),
+        route.name,
+        first.outcome());
     final String text =
         switch (first.outcome()) {
           case OTHER_REQUEST -> "the key was used for another request; take a new one";
@@ -484,6 +493,7 @@
     if (limited()) {
       HAS_PERMIT.check(permits > 0, () -> "tenant " + tenant.name() + ", try " + (sent + 1));
       permits--;
+      room.tenantCounts.sent(tenant.name());
     }
     tried.add(upstream);
     sent++;
--- /dev/null
+++ b/metrics/src/main/java/weldpoint/metrics/Figure.java
@@ -0,0 +1,30 @@
+package weldpoint.metrics;
+
+import java.util.Map;
+
+/**
+ * One figure that a daemon tells of itself.
+ *
+ * @param name its name without {@code _total}, in lower case with underscores
+ * @param help what it counts, with its unit
+ * @param rises whether it only rises in one life of the process
+ * @param labels what tells it from others of the name
+ * @param value the value at the moment of the question
+ */
+public record Figure(
+    String name, String help, boolean rises, Map<String, String> labels, double value) {
+  /** A figure that only rises. */
+  public static Figure counter(final String name, final String help, final double value) {
+    return new Figure(name, help, true, Map.of(), value);
+  }
+
+  /** A figure that rises and falls. */
+  public static Figure gauge(final String name, final String help, final double value) {
+    return new Figure(name, help, false, Map.of(), value);
+  }
+
+  /** The same with a label. */
+  public Figure with(final String label, final String text) {
+    return new Figure(name, help, rises, Map.of(label, text), value);
+  }
+}
--- /dev/null
+++ b/metrics/src/main/java/weldpoint/metrics/Figures.java
@@ -0,0 +1,86 @@
+package weldpoint.metrics;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.Labels;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import weldpoint.boot.Invariant;
+
+/** Figures as Prometheus text. */
+final class Figures {
+  private Figures() {}
+
+  /** The text of these figures, with the violations of all invariants. */
+  static byte[] text(final List<Figure> figures) {
+    final Map<String, List<Figure>> byName = new LinkedHashMap<>();
+    figures.forEach(
+        figure -> byName.computeIfAbsent(figure.name(), name -> new ArrayList<>()).add(figure));
+    final List<Figure> violations = new ArrayList<>();
+    Invariant.counts()
+        .forEach(
+            (name, count) ->
+                violations.add(
+                    Figure.counter(
+                            "weldpoint_invariant_violations",
+                            "Checks of an invariant that did not hold.",
+                            count)
+                        .with("invariant", name)));
+    if (!violations.isEmpty()) {
+      byName.put("weldpoint_invariant_violations", violations);
+    }
+    final List<MetricSnapshot> snapshots = new ArrayList<>();
+    byName.values().forEach(same -> snapshots.add(snapshot(same)));
+    final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      new PrometheusTextFormatWriter(false).write(out, new MetricSnapshots(snapshots));
+    } catch (final IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+    return out.toByteArray();
+  }
+
+  private static MetricSnapshot snapshot(final List<Figure> same) {
+    return same.get(0).rises() ? counter(same) : gauge(same);
+  }
+
+  private static MetricSnapshot counter(final List<Figure> same) {
+    final CounterSnapshot.Builder builder =
+        CounterSnapshot.builder().name(same.get(0).name()).help(same.get(0).help());
+    for (final Figure figure : same) {
+      builder.dataPoint(
+          CounterSnapshot.CounterDataPointSnapshot.builder()
+              .value(figure.value())
+              .labels(labels(figure))
+              .build());
+    }
+    return builder.build();
+  }
+
+  private static MetricSnapshot gauge(final List<Figure> same) {
+    final GaugeSnapshot.Builder builder =
+        GaugeSnapshot.builder().name(same.get(0).name()).help(same.get(0).help());
+    for (final Figure figure : same) {
+      builder.dataPoint(
+          GaugeSnapshot.GaugeDataPointSnapshot.builder()
+              .value(figure.value())
+              .labels(labels(figure))
+              .build());
+    }
+    return builder.build();
+  }
+
+  private static Labels labels(final Figure figure) {
+    final Labels.Builder builder = Labels.builder();
+    figure.labels().forEach(builder::label);
+    return builder.build();
+  }
+}
--- /dev/null
+++ b/metrics/src/main/java/weldpoint/metrics/MetricsServer.java
@@ -0,0 +1,111 @@
+package weldpoint.metrics;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/**
+ * Answers {@code GET /metrics} with a daemon's figures as Prometheus text. Nothing is gathered
+ * while nobody asks, and an address that cannot be listened at is told and otherwise left alone.
+ */
+public final class MetricsServer {
+  /** The path that is answered. */
+  public static final String PATH = "/metrics";
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  private MetricsServer() {}
+
+  /** Listens at an address on a traffic thread; the figures may come from another thread. */
+  public static void serve(
+      final EventLoopGroup loop,
+      final String host,
+      final int port,
+      final Supplier<CompletableFuture<List<Figure>>> figures) {
+    new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(final SocketChannel channel) {
+                channel.pipeline().addLast(new HttpServerCodec(), new Handler(figures));
+              }
+            })
+        .bind(host, port)
+        .addListener(
+            (ChannelFuture bound) -> {
+              if (!bound.isSuccess()) {
+                LOGGER.atWarning().log(
+                    "metrics cannot be served at %s:%s (%s); set metrics.port to a free port",
+                    host, port, bound.cause().getMessage());
+              }
+            });
+  }
+
+  private static final class Handler extends SimpleChannelInboundHandler<HttpRequest> {
+    private final Supplier<CompletableFuture<List<Figure>>> figures;
+
+    Handler(final Supplier<CompletableFuture<List<Figure>>> figures) {
+      this.figures = figures;
+    }
+
+    @Override
+    protected void channelRead0(final ChannelHandlerContext context, final HttpRequest request) {
+      if (!request.uri().equals(PATH)) {
+        answer(context, HttpResponseStatus.NOT_FOUND, new byte[0]);
+        return;
+      }
+      figures
+          .get()
+          .whenComplete(
+              (list, problem) ->
+                  context
+                      .executor()
+                      .execute(
+                          () -> {
+                            if (problem == null) {
+                              answer(context, HttpResponseStatus.OK, Figures.text(list));
+                            } else {
+                              answer(context, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
+                            }
+                          }));
+    }
+
+    private static void answer(
+        final ChannelHandlerContext context, final HttpResponseStatus status, final byte[] body) {
+      final DefaultFullHttpResponse response =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+      response
+          .headers()
+          .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+          .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
+          .set(HttpHeaderNames.CONNECTION, "close");
+      context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+      context.close();
+    }
+  }
+}
--- a/ratelimit/src/main/java/weldpoint/ratelimit/QuotaAllocator.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/QuotaAllocator.java
@@ -1,6 +1,8 @@
 package weldpoint.ratelimit;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
@@ -98,6 +100,28 @@
     return firstStart;
   }
 
+  /**
+   * What a tenant was given here since this process took its part.
+   *
+   * @param tenant the tenant's name
+   * @param granted permits granted
+   * @param refused permits asked for and not granted here
+   */
+  public record TenantCount(String tenant, long granted, long refused) {}
+
+  /** The counts of so many tenants at most. */
+  public List<TenantCount> tenantCounts(final int most) {
+    final List<TenantCount> counts = new ArrayList<>();
+    for (final Map.Entry<String, TenantShare> entry : tenants.entrySet()) {
+      if (counts.size() == most) {
+        break;
+      }
+      final TenantShare share = entry.getValue();
+      counts.add(new TenantCount(entry.getKey(), share.granted(), share.refused()));
+    }
+    return counts;
+  }
+
   /** How many permits were granted. */
   public long granted() {
     return granted;
--- a/ratelimit/src/main/java/weldpoint/ratelimit/TenantShare.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/TenantShare.java
@@ -12,6 +12,8 @@
   private SlidingWindowCounter given;
   private double ratePerMilli;
   private double capacity;
+  private long granted;
+  private long refused;
 
   TenantShare(final double level, final long at, final long windowMillis) {
     this.bucket = new TokenBucket(level, at);
@@ -31,6 +33,16 @@
     final double allowed = capacity + ratePerMilli * windowMillis * CHECK_SPAN + 1;
     final int sum = given.taken(now);
     WITHIN_LIMIT.check(sum <= allowed, () -> sum + " granted in a window, allowed " + allowed);
+    granted += taken;
+    refused += count - taken;
     return taken;
   }
+
+  long granted() {
+    return granted;
+  }
+
+  long refused() {
+    return refused;
+  }
 }
