The retry budget holds over any number of restarts

Change: in the first window of a life the share grows from nothing to what caution leaves beside earlier lives' spending; a first start of the system is not held back.

--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -57,6 +57,8 @@
   private Set<String> orderedSuspects = Set.of();
   private Consumer<String> surplus = id -> {};
 
+  private long bornAt = Long.MIN_VALUE / 2;
+
   /** No upstreams yet. */
   public Cords(final EventLoopGroup loop, final Boot boot, final Random random) {
     this.boot = boot;
@@ -188,7 +190,12 @@
   public Budget budget(final String service) {
     return budgets.computeIfAbsent(
         service,
-        name -> new Budget(boot.retryRatio(), boot.retrySlack(), boot.retryWindowMillis()));
+        name -> new Budget(boot.retryRatio(), boot.retrySlack(), boot.retryWindowMillis(), bornAt));
+  }
+
+  /** This process may have had an earlier life, which spent of the same budgets. */
+  public void restarted(final long now) {
+    bornAt = now;
   }
 
   /** Takes a further try from a service's budget. */
--- a/cord/src/test/java/weldpoint/cord/BudgetTest.java
+++ b/cord/src/test/java/weldpoint/cord/BudgetTest.java
@@ -16,7 +16,7 @@
     final double slack = 60;
     final List<Budget> budgets = new ArrayList<>();
     for (int index = 0; index < boards; index++) {
-      budgets.add(new Budget(ratio, slack, 10_000));
+      budgets.add(new Budget(ratio, slack, 10_000, Long.MIN_VALUE / 2));
     }
     final List<long[]> events = new ArrayList<>();
     final Random random = new Random(3);
@@ -47,4 +47,54 @@
       assertTrue(repeats <= ratio * requests + slack, repeats + " of " + requests);
     }
   }
+
+  /** Proxies that restart again and again, each life taking all it may get. */
+  private static int mostBeyond(final long seed, final int lifeMillis) {
+    final int boards = 10;
+    final double ratio = 0.2;
+    final double slack = 60;
+    final Random random = new Random(seed);
+    final List<Budget> budgets = new ArrayList<>();
+    for (int index = 0; index < boards; index++) {
+      budgets.add(new Budget(ratio, slack, 10_000, Long.MIN_VALUE / 2));
+    }
+    final List<long[]> events = new ArrayList<>();
+    for (long now = 100_000; now < 140_000; now += 5) {
+      for (int index = 0; index < boards; index++) {
+        if (random.nextInt(lifeMillis / 5) == 0) {
+          budgets.set(index, new Budget(ratio, slack, 10_000, now));
+        }
+        if (random.nextInt(50) == 0) {
+          budgets.get(index).request(now);
+          events.add(new long[] {now, 0});
+        }
+        if (budgets.get(index).take(boards, now)) {
+          events.add(new long[] {now, 1});
+        }
+      }
+    }
+    int most = Integer.MIN_VALUE;
+    for (long from = 100_000; from < 130_000; from += 250) {
+      int requests = 0;
+      int repeats = 0;
+      for (final long[] event : events) {
+        if (event[0] >= from && event[0] < from + 10_000) {
+          requests += event[1] == 0 ? 1 : 0;
+          repeats += event[1] == 1 ? 1 : 0;
+        }
+      }
+      most = Math.max(most, (int) Math.ceil(repeats - ratio * requests - slack));
+    }
+    return most;
+  }
+
+  @Test
+  public void noNumberOfRestartsWithinAWindowExceedsTheBudget() {
+    for (final int life : new int[] {20_000, 5000, 1500, 500}) {
+      for (long seed = 1; seed <= 8; seed++) {
+        final int beyond = mostBeyond(seed, life);
+        assertTrue(beyond <= 0, beyond + " beyond the budget, lives of " + life + " ms");
+      }
+    }
+  }
 }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -224,6 +224,9 @@
     if (boot.chief()) {
       chief = new ChiefDesk(boot, trunk, desk, loop, room, incarnation);
     }
+    if (!boot.firstStart()) {
+      room.cords.restarted(Switchroom.now());
+    }
     permits();
     keys();
     if (boot.content()) {
