--- a/soak/src/main/java/weldpoint/soak/Bounds.java
+++ b/soak/src/main/java/weldpoint/soak/Bounds.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Judges what the upstreams saw, apart from the daemons' own counts: each idempotency key and each
- * attempt of a write runs once, and no tenant runs more than its limit in any window.
+ * Judges what upstreams and clients saw, apart from the daemons' own counts: each idempotency key
+ * runs once, all answers to it are one, what was refused did not run, and no tenant runs more than
+ * its limit in any window.
  */
 final class Bounds {
   private Bounds() {}
@@ -46,4 +49,44 @@
     }
     return most;
   }
+
+  /** Keyed requests that were refused with a promise (429, 503) and ran all the same. */
+  static List<String> brokenPromises(final List<Call> calls, final List<Run> runs) {
+    final Set<String> ran = new HashSet<>();
+    runs.forEach(run -> ran.add(run.attemptId()));
+    final List<String> broken = new ArrayList<>();
+    for (final Call call : calls) {
+      final int status = call.reply().status();
+      final boolean promised = status == 429 || status == 503;
+      if (promised && !call.key().isEmpty() && ran.contains(call.attemptId())) {
+        broken.add("refused, and ran: " + call);
+      }
+    }
+    return broken;
+  }
+
+  /** Keys whose successes differ, or bear the seal of no run of theirs. */
+  static List<String> strangeAnswers(final List<Call> calls, final List<Run> runs) {
+    final Map<String, Set<String>> seals = new HashMap<>();
+    for (final Run run : runs) {
+      seals
+          .computeIfAbsent(run.key(), key -> new HashSet<>())
+          .add(run.instance() + "." + run.attemptId());
+    }
+    final Map<String, Reply> first = new HashMap<>();
+    final List<String> broken = new ArrayList<>();
+    for (final Call call : calls) {
+      if (call.key().isEmpty() || call.reply().status() != 200) {
+        continue;
+      }
+      final Reply before = first.putIfAbsent(call.key(), call.reply());
+      if (before != null && !before.equals(call.reply())) {
+        broken.add("two answers to one key: " + before + " and " + call);
+      }
+      if (!seals.getOrDefault(call.key(), Set.of()).contains(call.reply().seal())) {
+        broken.add("an answer of no run: " + call);
+      }
+    }
+    return broken;
+  }
 }
--- /dev/null
+++ b/soak/src/main/java/weldpoint/soak/Call.java
@@ -0,0 +1,11 @@
+package weldpoint.soak;
+
+/**
+ * One request that a client sent, and what it heard.
+ *
+ * @param attemptId the request's {@code Weldpoint-Attempt-Id}
+ * @param key its idempotency key; empty where it bears none
+ * @param sentAt when it was sent, in milliseconds of the steady clock
+ * @param reply what the client heard
+ */
+record Call(String attemptId, String key, long sentAt, Reply reply) {}
--- a/soak/src/main/java/weldpoint/soak/DaemonProcess.java
+++ b/soak/src/main/java/weldpoint/soak/DaemonProcess.java
@@ -71,6 +71,13 @@
     reader.start();
   }
 
+  /** Starts the process where it does not run. */
+  synchronized void startIfDown() {
+    if (!alive()) {
+      start();
+    }
+  }
+
   private void read(final Process from) {
     try (BufferedReader lines =
         new BufferedReader(new InputStreamReader(from.getInputStream(), StandardCharsets.UTF_8))) {
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -56,6 +57,7 @@
   private final List<DaemonProcess> registries = new ArrayList<>();
   private final List<DaemonProcess> proxies = new ArrayList<>();
   private final List<RecordingUpstream> upstreams = new ArrayList<>();
+  private final List<TcpRelay> relays = new ArrayList<>();
   private final AtomicLong beats = new AtomicLong();
   private final AtomicLong calls = new AtomicLong();
   private final ScheduledExecutorService clock =
@@ -89,9 +91,9 @@
                   + "\n"));
     }
     for (int index = 0; index < size.upstreams(); index++) {
-      upstreams.add(
-          new RecordingUpstream(
-              "i-" + index, "127.9.3." + (1 + index), port, runs, seed * 31 + index));
+      final String host = "127.9.4." + (1 + index);
+      upstreams.add(new RecordingUpstream("i-" + index, host, port, runs, seed * 31 + index));
+      relays.add(new TcpRelay("127.9.3." + (1 + index), port, new InetSocketAddress(host, port)));
     }
   }
 
@@ -294,6 +296,18 @@
     return upstreams;
   }
 
+  List<TcpRelay> relays() {
+    return relays;
+  }
+
+  /** All daemons. */
+  List<DaemonProcess> all() {
+    final List<DaemonProcess> all = new ArrayList<>(stores);
+    all.addAll(registries);
+    all.addAll(proxies);
+    return all;
+  }
+
   Size size() {
     return size;
   }
@@ -301,15 +315,20 @@
   @Override
   public void close() {
     clock.shutdownNow();
-    final List<DaemonProcess> all = new ArrayList<>(proxies);
-    all.addAll(registries);
-    all.addAll(stores);
-    all.forEach(
-        process -> {
-          process.resume();
-          process.kill();
-        });
+    all()
+        .forEach(
+            process -> {
+              process.resume();
+              process.kill();
+            });
     upstreams.forEach(RecordingUpstream::close);
+    for (final TcpRelay relay : relays) {
+      try {
+        relay.close();
+      } catch (final IOException alreadyClosed) {
+        // nothing is left to do
+      }
+    }
     delete(folder);
   }
 
--- /dev/null
+++ b/soak/src/main/java/weldpoint/soak/SoakCommand.java
@@ -0,0 +1,96 @@
+package weldpoint.soak;
+
+import java.io.IOException;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/**
+ * Plays soaks of real processes on loopback, one seed after the other. Exit 0: nothing was broken;
+ * 1: something was, with its seed and evidence; 2: arguments that make no sense.
+ */
+public final class SoakCommand {
+  private SoakCommand() {}
+
+  /** Plays the soaks that the arguments ask for. */
+  public static void main(final String[] arguments) throws IOException, InterruptedException {
+    final OptionParser parser = new OptionParser();
+    final OptionSpec<Long> seed =
+        parser
+            .accepts("seed", "the first seed")
+            .withRequiredArg()
+            .ofType(Long.class)
+            .defaultsTo(1L);
+    final OptionSpec<Integer> runs =
+        parser
+            .accepts("runs", "how many seeds")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(10);
+    final OptionSpec<Integer> seconds =
+        parser
+            .accepts("seconds", "how long each is troubled")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(30);
+    final OptionSpec<Integer> proxies =
+        parser
+            .accepts("proxies", "how many proxies")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(3);
+    parser.accepts("help", "shows this");
+    final OptionSet options;
+    try {
+      options = parser.parse(arguments);
+    } catch (final OptionException problem) {
+      System.err.println(problem.getMessage());
+      parser.printHelpOn(System.err);
+      System.exit(2);
+      return;
+    }
+    if (options.has("help")) {
+      parser.printHelpOn(System.out);
+      return;
+    }
+    final LocalFleet.Size size = new LocalFleet.Size(3, options.valueOf(proxies), 3);
+    final long troubledMillis = 1000L * options.valueOf(seconds);
+    final boolean good = play(options.valueOf(seed), options.valueOf(runs), size, troubledMillis);
+    System.exit(good ? 0 : 1);
+  }
+
+  private static boolean play(
+      final long first, final int runs, final LocalFleet.Size size, final long troubledMillis)
+      throws IOException, InterruptedException {
+    boolean good = true;
+    for (long seed = first; seed < first + runs; seed++) {
+      final SoakRun.Verdict verdict = new SoakRun(seed, size, troubledMillis).play();
+      System.out.println(text(verdict));
+      good &= verdict.broken().isEmpty();
+    }
+    return good;
+  }
+
+  /** A verdict in one line, with the evidence below where something was broken. */
+  static String text(final SoakRun.Verdict verdict) {
+    final List<String> broken = verdict.broken();
+    return "seed "
+        + verdict.seed()
+        + (broken.isEmpty() ? " good" : " BROKEN")
+        + ": calls "
+        + verdict.calls()
+        + " served "
+        + verdict.served()
+        + " keyed runs "
+        + verdict.keyedRuns()
+        + " most in a window "
+        + verdict.mostInWindow()
+        + " of "
+        + SoakRun.ALLOWED
+        + " troubles "
+        + verdict.troubles()
+        + (broken.isEmpty() ? "" : "\n  " + String.join("\n  ", broken));
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/weldpoint/soak/SoakRun.java
@@ -0,0 +1,129 @@
+package weldpoint.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * One soak: a fleet of real processes, clients that press, and troubles that overlap in time, all
+ * drawn from one seed; then a calm, and what upstreams and clients saw is judged.
+ */
+final class SoakRun {
+  private static final int CLIENTS = 6;
+  private static final int MOST_AT_ONCE = 3;
+  private static final int LEAST_LASTING_MILLIS = 300;
+  private static final int MOST_LASTING_MILLIS = 4000;
+  private static final int MOST_BETWEEN_MILLIS = 1500;
+  private static final long CALM_MILLIS = 4000;
+  private static final long STEP_MILLIS = 20;
+  private static final long KEY_SPAN_MILLIS = 60_000;
+  private static final long QUOTA_WINDOW_MILLIS = 5000;
+
+  /** The most runs of the limited tenant in a window, by the users' rule. */
+  static final int ALLOWED = (int) ((Workload.RATE * 5 + Workload.BURST) * 1.1 + 20);
+
+  private record Lasting(long until, Trouble trouble, Trouble.InForce inForce) {}
+
+  /**
+   * What a soak found.
+   *
+   * @param seed the seed
+   * @param broken what was broken, with the evidence; empty where nothing was
+   * @param troubles how often each trouble was brought about
+   * @param calls requests of clients
+   * @param served those that were answered with success
+   * @param keyedRuns runs of requests with a key
+   * @param mostInWindow the most runs of the limited tenant in any window
+   */
+  record Verdict(
+      long seed,
+      List<String> broken,
+      Map<Trouble, Integer> troubles,
+      int calls,
+      int served,
+      int keyedRuns,
+      int mostInWindow) {}
+
+  private final long seed;
+  private final LocalFleet.Size size;
+  private final long troubledMillis;
+  private final Random random;
+  private final Map<Trouble, Integer> counts = new EnumMap<>(Trouble.class);
+  private final List<String> notes = new ArrayList<>();
+
+  SoakRun(final long seed, final LocalFleet.Size size, final long troubledMillis) {
+    this.seed = seed;
+    this.size = size;
+    this.troubledMillis = troubledMillis;
+    this.random = new Random(seed);
+  }
+
+  /** Plays it. */
+  Verdict play() throws IOException, InterruptedException {
+    try (LocalFleet fleet = new LocalFleet(size, seed)) {
+      fleet.start(Workload.configuration());
+      final Workload workload = new Workload(fleet);
+      workload.start(CLIENTS, seed);
+      trouble(fleet);
+      Thread.sleep(CALM_MILLIS);
+      workload.end();
+      return judge(fleet, workload);
+    }
+  }
+
+  private void trouble(final LocalFleet fleet) throws InterruptedException {
+    final PriorityQueue<Lasting> lasting =
+        new PriorityQueue<>(Comparator.comparingLong(Lasting::until));
+    final long began = Clock.millis();
+    long next = began;
+    while (Clock.millis() - began < troubledMillis) {
+      final long now = Clock.millis();
+      while (!lasting.isEmpty() && lasting.peek().until() <= now) {
+        lasting.poll().inForce().end();
+      }
+      if (now >= next && lasting.size() < MOST_AT_ONCE) {
+        final Trouble trouble = Trouble.values()[random.nextInt(Trouble.values().length)];
+        final int millis =
+            LEAST_LASTING_MILLIS + random.nextInt(MOST_LASTING_MILLIS - LEAST_LASTING_MILLIS);
+        next = now + random.nextInt(MOST_BETWEEN_MILLIS);
+        counts.merge(trouble, 1, Integer::sum);
+        notes.add(now + " " + trouble + " for " + millis + " ms");
+        lasting.add(new Lasting(now + millis, trouble, trouble.begin(fleet, random)));
+      }
+      Thread.sleep(STEP_MILLIS);
+    }
+    lasting.forEach(one -> one.inForce().end());
+    fleet.all().forEach(DaemonProcess::resume);
+    fleet.all().forEach(DaemonProcess::startIfDown);
+  }
+
+  private Verdict judge(final LocalFleet fleet, final Workload workload) {
+    final List<Run> runs = fleet.runs();
+    final List<Call> calls = workload.calls();
+    final List<String> broken = new ArrayList<>(Bounds.doubledKeys(runs, KEY_SPAN_MILLIS));
+    broken.addAll(Bounds.brokenPromises(calls, runs));
+    broken.addAll(Bounds.strangeAnswers(calls, runs));
+    final int most = Bounds.mostInWindow(runs, Workload.LIMITED_TENANT, QUOTA_WINDOW_MILLIS);
+    if (most > ALLOWED) {
+      broken.add(most + " runs of the limited tenant in a window, allowed " + ALLOWED);
+    }
+    fleet
+        .all()
+        .forEach(
+            process ->
+                process.output().stream()
+                    .filter(line -> line.contains("invariant broken"))
+                    .forEach(line -> broken.add(process.name() + ": " + line)));
+    if (!broken.isEmpty()) {
+      broken.addAll(notes);
+    }
+    final int served = (int) calls.stream().filter(call -> call.reply().status() == 200).count();
+    final int keyed = (int) runs.stream().filter(run -> !run.key().isEmpty()).count();
+    return new Verdict(seed, broken, counts, calls.size(), served, keyed, most);
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/weldpoint/soak/TcpRelay.java
@@ -0,0 +1,133 @@
+package weldpoint.soak;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * A relay between two processes that can hold bytes up, delay them, and break connections off in
+ * place of an answer.
+ */
+final class TcpRelay implements Closeable {
+  private static final int BUFFER_BYTES = 16 << 10;
+  private static final long HOLD_STEP_MILLIS = 5;
+
+  private final ServerSocket server;
+  private final InetSocketAddress target;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private volatile boolean cut;
+  private volatile boolean answersDropped;
+  private volatile int delayMillis;
+  private volatile boolean closed;
+
+  TcpRelay(final String host, final int port, final InetSocketAddress target) throws IOException {
+    this.target = target;
+    this.server = new ServerSocket(port, 256, InetAddress.getByName(host));
+    start(this::accept, "relay");
+  }
+
+  private static void start(final Runnable task, final String name) {
+    final Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Holds all bytes up, both ways, until it is joined again; nothing is lost. */
+  void cut(final boolean given) {
+    cut = given;
+  }
+
+  /** Breaks a connection off when an answer comes back over it. */
+  void dropAnswers(final boolean given) {
+    answersDropped = given;
+  }
+
+  /** Delays each piece by so many milliseconds, both ways. */
+  void delayMillis(final int given) {
+    delayMillis = given;
+  }
+
+  private void accept() {
+    while (!closed) {
+      try {
+        final Socket client = server.accept();
+        final Socket upstream = new Socket();
+        sockets.add(client);
+        sockets.add(upstream);
+        start(() -> connect(client, upstream), "relay-out");
+      } catch (final IOException ended) {
+        return;
+      }
+    }
+  }
+
+  private void connect(final Socket client, final Socket upstream) {
+    try {
+      client.setTcpNoDelay(true);
+      upstream.connect(target, 1000);
+      upstream.setTcpNoDelay(true);
+      start(() -> pump(upstream, client, true), "relay-back");
+      pump(client, upstream, false);
+    } catch (final IOException refused) {
+      end(client);
+      end(upstream);
+    }
+  }
+
+  private void pump(final Socket from, final Socket to, final boolean answers) {
+    final byte[] buffer = new byte[BUFFER_BYTES];
+    try {
+      final InputStream in = from.getInputStream();
+      final OutputStream out = to.getOutputStream();
+      for (int count = in.read(buffer); count > 0; count = in.read(buffer)) {
+        hold();
+        if (answers && answersDropped) {
+          break;
+        }
+        out.write(buffer, 0, count);
+        out.flush();
+      }
+    } catch (final IOException ended) {
+      // both sides are ended below
+    } finally {
+      end(from);
+      end(to);
+    }
+  }
+
+  private void hold() {
+    try {
+      if (delayMillis > 0) {
+        Thread.sleep(delayMillis);
+      }
+      while (cut && !closed) {
+        Thread.sleep(HOLD_STEP_MILLIS);
+      }
+    } catch (final InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void end(final Socket socket) {
+    sockets.remove(socket);
+    try {
+      socket.close();
+    } catch (final IOException alreadyClosed) {
+      // nothing is left to do
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closed = true;
+    server.close();
+    sockets.forEach(this::end);
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/weldpoint/soak/Trouble.java
@@ -0,0 +1,92 @@
+package weldpoint.soak;
+
+import java.util.List;
+import java.util.Random;
+
+/** A trouble that a soak brings about and takes back. */
+enum Trouble {
+  /** A proxy is killed and started again. */
+  PROXY_KILL,
+  /** A proxy is asked to end and started again. */
+  PROXY_RESTART,
+  /** A proxy is frozen. */
+  PROXY_FREEZE,
+  /** A registry is killed and started again. */
+  REGISTRY_KILL,
+  /** A registry is frozen. */
+  REGISTRY_FREEZE,
+  /** A state store is killed and started again. */
+  STORE_KILL,
+  /** A state store is frozen. */
+  STORE_FREEZE,
+  /** A core machine's registry and state store are killed together. */
+  MACHINE_KILL,
+  /** All registries are killed at once. */
+  ALL_REGISTRIES_KILL,
+  /** The bytes between proxies and an upstream are held up. */
+  UPSTREAM_CUT,
+  /** The bytes between proxies and an upstream are late. */
+  UPSTREAM_DELAY,
+  /** An upstream's answers are lost on their way. */
+  ANSWERS_LOST;
+
+  /** One trouble that is in force. */
+  interface InForce {
+    /** Takes the trouble back. */
+    void end();
+  }
+
+  private static final int DELAY_MILLIS = 150;
+
+  /** Brings it about at a place that is drawn. */
+  InForce begin(final LocalFleet fleet, final Random random) {
+    return switch (this) {
+      case PROXY_KILL -> killed(List.of(drawn(fleet.proxies(), random)));
+      case PROXY_RESTART -> terminated(drawn(fleet.proxies(), random));
+      case PROXY_FREEZE -> frozen(drawn(fleet.proxies(), random));
+      case REGISTRY_KILL -> killed(List.of(drawn(fleet.registries(), random)));
+      case REGISTRY_FREEZE -> frozen(drawn(fleet.registries(), random));
+      case STORE_KILL -> killed(List.of(drawn(fleet.stores(), random)));
+      case STORE_FREEZE -> frozen(drawn(fleet.stores(), random));
+      case MACHINE_KILL -> {
+        final int machine = random.nextInt(fleet.stores().size());
+        yield killed(List.of(fleet.registries().get(machine), fleet.stores().get(machine)));
+      }
+      case ALL_REGISTRIES_KILL -> killed(fleet.registries());
+      case UPSTREAM_CUT -> {
+        final TcpRelay relay = drawn(fleet.relays(), random);
+        relay.cut(true);
+        yield () -> relay.cut(false);
+      }
+      case UPSTREAM_DELAY -> {
+        final TcpRelay relay = drawn(fleet.relays(), random);
+        relay.delayMillis(DELAY_MILLIS);
+        yield () -> relay.delayMillis(0);
+      }
+      case ANSWERS_LOST -> {
+        final TcpRelay relay = drawn(fleet.relays(), random);
+        relay.dropAnswers(true);
+        yield () -> relay.dropAnswers(false);
+      }
+    };
+  }
+
+  private static <T> T drawn(final List<T> those, final Random random) {
+    return those.get(random.nextInt(those.size()));
+  }
+
+  private static InForce killed(final List<DaemonProcess> processes) {
+    processes.forEach(DaemonProcess::kill);
+    return () -> processes.forEach(DaemonProcess::startIfDown);
+  }
+
+  private static InForce terminated(final DaemonProcess process) {
+    process.terminate();
+    return process::startIfDown;
+  }
+
+  private static InForce frozen(final DaemonProcess process) {
+    process.pause();
+    return process::resume;
+  }
+}
--- /dev/null
+++ b/soak/src/main/java/weldpoint/soak/Workload.java
@@ -0,0 +1,144 @@
+package weldpoint.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/**
+ * Clients of a soak: some press for writes with keys and send them again and again through any
+ * proxy, others read for a tenant with a limit, faster than it allows.
+ */
+final class Workload {
+  /** The key of the tenant without a limit. */
+  static final String FREE = "key-f";
+
+  /** The key of the tenant with a limit. */
+  static final String LIMITED = "key-l";
+
+  /** The tenant with a limit. */
+  static final String LIMITED_TENANT = "limited";
+
+  /** Permits a second that the limited tenant has. */
+  static final int RATE = 20;
+
+  /** Permits that the limited tenant may save up. */
+  static final int BURST = 20;
+
+  private static final int DEADLINE_MILLIS = 1500;
+  private static final int MOST_PRESSES = 4;
+  private static final int MOST_PAUSE_MILLIS = 2500;
+  private static final int READ_PAUSE_MILLIS = 60;
+
+  private final LocalFleet fleet;
+  private final ConcurrentLinkedQueue<Call> calls = new ConcurrentLinkedQueue<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private volatile boolean over;
+
+  Workload(final LocalFleet fleet) {
+    this.fleet = fleet;
+  }
+
+  /** The configuration that the workload needs. */
+  static String configuration() {
+    final String action = "\"action\":{\"service\":\"desk\",\"timeoutMs\":1500,\"maxAttempts\":2}";
+    return "{\"version\":\"00000001\",\"tenants\":[{\"name\":\""
+        + LIMITED_TENANT
+        + "\",\"apiKeys\":[\"key-l\"],\"ratePerS\":"
+        + RATE
+        + ",\"burst\":"
+        + BURST
+        + "},{\"name\":\"free\",\"apiKeys\":[\"key-f\"]}],\"listeners\":[{\"host\":\""
+        + LocalFleet.HOST
+        + "\",\"rules\":[{\"name\":\"look\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.READ_PATH
+        + "\"},"
+        + action
+        + "},{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.WRITE_PATH
+        + "\"},"
+        + action
+        + "}]}],\"pools\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":200}]}";
+  }
+
+  /** Starts so many clients of each kind. */
+  void start(final int clients, final long seed) {
+    for (int client = 0; client < clients; client++) {
+      final long own = seed * 1000 + client;
+      thread(() -> write(own));
+      thread(() -> read(own));
+    }
+  }
+
+  private void thread(final Runnable task) {
+    final Thread thread = new Thread(task, "client");
+    thread.setDaemon(true);
+    thread.start();
+    threads.add(thread);
+  }
+
+  private void write(final long seed) {
+    final Random random = new Random(seed);
+    for (int order = 0; !over; order++) {
+      final String key = "order-" + seed + "-" + order;
+      final int presses = 1 + random.nextInt(MOST_PRESSES);
+      for (int press = 0; press < presses && !over; press++) {
+        if (random.nextInt(3) == 0) {
+          thread(() -> call(random.nextInt(fleet.size().proxies()), key));
+        } else {
+          call(random.nextInt(fleet.size().proxies()), key);
+        }
+        pause(random.nextInt(1 + random.nextInt(MOST_PAUSE_MILLIS)));
+      }
+    }
+  }
+
+  private void call(final int proxy, final String key) {
+    final String attemptId = fleet.attemptId();
+    final long sentAt = Clock.millis();
+    final Reply reply =
+        fleet.request(proxy, LocalFleet.WRITE_PATH + "1", attemptId, key, FREE, DEADLINE_MILLIS);
+    calls.add(new Call(attemptId, key, sentAt, reply));
+  }
+
+  private void read(final long seed) {
+    final Random random = new Random(~seed);
+    while (!over) {
+      final String attemptId = fleet.attemptId();
+      final long sentAt = Clock.millis();
+      final Reply reply =
+          fleet.request(
+              random.nextInt(fleet.size().proxies()),
+              LocalFleet.READ_PATH + "1",
+              attemptId,
+              "",
+              LIMITED,
+              DEADLINE_MILLIS);
+      calls.add(new Call(attemptId, "", sentAt, reply));
+      pause(random.nextInt(READ_PAUSE_MILLIS));
+    }
+  }
+
+  private void pause(final int millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (final InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Ends all clients and waits for their last answers. */
+  void end() throws InterruptedException {
+    over = true;
+    for (final Thread thread : new ArrayList<>(threads)) {
+      thread.join(2L * DEADLINE_MILLIS + 3000);
+    }
+  }
+
+  /** All requests that were answered or given up. */
+  List<Call> calls() {
+    return new ArrayList<>(calls);
+  }
+}
--- a/soak/src/test/java/weldpoint/soak/FleetBoundsTest.java
+++ b/soak/src/test/java/weldpoint/soak/FleetBoundsTest.java
@@ -17,40 +17,17 @@
  * on loopback, without any trouble.
  */
 public final class FleetBoundsTest {
-  private static final int RATE = 20;
-  private static final int BURST = 20;
+  private static final int RATE = Workload.RATE;
   private static final int WINDOW_MILLIS = 5000;
-  private static final int ALLOWED = (int) ((RATE * 5 + BURST) * 1.1 + 20);
+  private static final int ALLOWED = SoakRun.ALLOWED;
   private static final int DEADLINE_MILLIS = 2000;
 
   private LocalFleet fleet;
 
-  private static String configuration() {
-    final String action = "\"action\":{\"service\":\"desk\",\"timeoutMs\":2000,\"maxAttempts\":2}";
-    return "{\"version\":\"00000001\",\"tenants\":[{\"name\":\"limited\",\"apiKeys\":[\"key-l\"],"
-        + "\"ratePerS\":"
-        + RATE
-        + ",\"burst\":"
-        + BURST
-        + "},{\"name\":\"free\",\"apiKeys\":[\"key-f\"]}],\"listeners\":[{\"host\":\""
-        + LocalFleet.HOST
-        + "\",\"rules\":[{\"name\":\"look\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,"
-        + "\"match\":{\"pathPrefix\":\""
-        + LocalFleet.READ_PATH
-        + "\"},"
-        + action
-        + "},{\"name\":\"book\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,"
-        + "\"match\":{\"pathPrefix\":\""
-        + LocalFleet.WRITE_PATH
-        + "\"},"
-        + action
-        + "}]}],\"pools\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":200}]}";
-  }
-
   @BeforeClass
   public void start() throws IOException, InterruptedException {
     fleet = new LocalFleet(new LocalFleet.Size(3, 2, 3), 1);
-    fleet.start(configuration());
+    fleet.start(Workload.configuration());
   }
 
   @AfterClass(alwaysRun = true)
