--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -15,6 +15,7 @@
   /** The environment variable that names the settings file. */
   public static final String VARIABLE = "WELDPOINT_SETTINGS";
 
+  private static final String KEY_HEADERS = "Idempotency-Key,Weldpoint-Idempotency-Key";
   private static final int LEAST_TRANSFER = 16 << 10;
   private static final int MOST_TRANSFER = 256 << 10;
   private static final double TRANSFER_SECONDS = 0.1;
@@ -371,7 +372,7 @@
   /** The headers that may bear a request's idempotency key; the first one that is there counts. */
   public List<String> keyHeaders() {
     final List<String> names = new ArrayList<>();
-    for (final String name : values.getOrDefault("keys.headers", "Idempotency-Key").split(",")) {
+    for (final String name : values.getOrDefault("keys.headers", KEY_HEADERS).split(",")) {
       if (!name.isBlank()) {
         names.add(name.strip());
       }
--- a/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
+++ b/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
@@ -21,7 +21,7 @@
  * exchange's.
  */
 final class QuotaEndpoint {
-  private static final long FRESH_MILLIS = 4000;
+  private static final long FRESH_MILLIS = 8000;
   private static final long RELAY_MILLIS = 600;
 
   /** For how long after a change of roster others may still count by the one before. */
--- a/exchange/src/test/java/weldpoint/exchange/KeyClaimsTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/KeyClaimsTest.java
@@ -94,6 +94,54 @@
     }
   }
 
+  @Test
+  public void aRegistryThatIsNoVoterAsksTheVoters() {
+    answers.clear();
+    number = 0;
+    final CoreNet net = new CoreNet(6, 5).startAll(true);
+    net.pass(2000);
+    net.version = 6;
+    net.pass(4000);
+    final Claim first = ask(net, 6, 7);
+    net.pass(100);
+    final Claim second = ask(net, 1, 7);
+    net.pass(100);
+    assertEquals(result(first), ClaimResult.GRANTED);
+    assertEquals(result(second), ClaimResult.HELD);
+  }
+
+  @Test
+  public void aVoterThatReplacesAnotherLearnsTheClaimsBeforeItVotes() {
+    answers.clear();
+    number = 0;
+    final CoreNet net = new CoreNet(7, 5).startAll(true);
+    net.pass(2000);
+    net.version = 6;
+    net.pass(4000);
+    net.cut(5, true, true);
+    net.cut(4, true, true);
+    final Claim first = ask(net, 1, 7);
+    net.pass(100);
+    assertEquals(result(first), ClaimResult.GRANTED);
+    net.cut.clear();
+    net.pass(3000);
+    net.roster =
+        CoreNet.roster(2, List.of("10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6"));
+    net.pass(8000);
+    net.roster =
+        CoreNet.roster(3, List.of("10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6", "10.0.0.7"));
+    net.pass(8000);
+    net.freeze(3);
+    net.freeze(1);
+    net.freeze(2);
+    final Claim second = ask(net, 6, 7);
+    net.pass(1200);
+    assertEquals(
+        result(second),
+        ClaimResult.UNKNOWN,
+        "two that missed it grant, two newcomers that learned it do not, and the fifth is away");
+  }
+
   @Test
   public void aKeyThatIsGivenBackIsFree() {
     final CoreNet net = settled();
--- a/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
+++ b/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
@@ -34,6 +34,7 @@
   private static final long RESEND_MILLIS = 300;
   private static final long BATCH_MILLIS = 10;
   private static final long GRANTS_KEPT_MILLIS = 60_000;
+  private static final long FORGET_MILLIS = 1000;
   private static final Invariant ONE_GRANT = Invariant.named("a key is granted to one request");
 
   private record Claimant(long incarnation, long number) {}
@@ -61,6 +62,7 @@
   private final Map<Long, Grant> grants = new HashMap<>();
   private final List<Claim> unsent = new ArrayList<>();
   private long flushedAt = Long.MIN_VALUE / 2;
+  private long forgotAt = Long.MIN_VALUE / 2;
   private long granted;
   private long conflicts;
   private long unknown;
@@ -201,7 +203,10 @@
       unknown += over.size();
       voters.accept(new ClaimRelease(over));
     }
-    grants.values().removeIf(grant -> grant.until() <= now);
+    if (now - forgotAt >= FORGET_MILLIS) {
+      forgotAt = now;
+      grants.values().removeIf(grant -> grant.until() <= now);
+    }
   }
 
   /** What was decided, as counters. */
--- a/jack/src/main/java/weldpoint/jack/KeyRuns.java
+++ b/jack/src/main/java/weldpoint/jack/KeyRuns.java
@@ -83,6 +83,7 @@
   private final Map<Long, Asked> pending = new HashMap<>();
   private final Map<Digest, KeyRun> runs = new HashMap<>();
   private final ArrayDeque<KeyRun> oldest = new ArrayDeque<>();
+  private final ArrayDeque<KeyRun> answered = new ArrayDeque<>();
   private final Map<Long, Long> neverRan = new HashMap<>();
   private final List<Claim> owed = new ArrayList<>();
   private long number;
@@ -235,19 +236,14 @@
         kept
             ? new OutcomeAnswer(Outcome.ANSWERED, status, headers, body)
             : new OutcomeAnswer(Outcome.UNCERTAIN));
-    bytes += run.bytes();
-    trim();
-  }
-
-  private void trim() {
-    for (final KeyRun run : oldest) {
-      if (bytes <= MOST_BYTES) {
-        return;
-      }
-      if (run.bytes() > 0) {
-        bytes -= run.bytes();
-        run.forgetAnswer();
-      }
+    if (run.bytes() > 0) {
+      bytes += run.bytes();
+      answered.add(run);
+    }
+    while (bytes > MOST_BYTES) {
+      final KeyRun first = answered.poll();
+      bytes -= first.bytes();
+      first.forgetAnswer();
     }
   }
 
@@ -289,7 +285,9 @@
     neverRan.values().removeIf(until -> until <= now);
     while (!oldest.isEmpty() && (oldest.peek().until() <= now || oldest.size() > MOST_RUNS)) {
       final KeyRun past = oldest.poll();
-      bytes -= past.bytes();
+      if (answered.remove(past)) {
+        bytes -= past.bytes();
+      }
       uncertain(past);
       runs.remove(new Digest(past.claim().high, past.claim().low), past);
     }
--- a/jack/src/main/java/weldpoint/jack/OutcomeLines.java
+++ b/jack/src/main/java/weldpoint/jack/OutcomeLines.java
@@ -19,6 +19,7 @@
 final class OutcomeLines {
   private static final int PORT = 4;
   private static final long LEAST_WAIT_MILLIS = 200;
+  private static final long CONNECT_MILLIS = 500;
 
   private final Trunk trunk;
   private final Boot boot;
@@ -84,9 +85,15 @@
             new Trunk.Ear() {
               @Override
               public void opened(final Line line) {
+                question.opened = true;
                 line.send(new OutcomeAsk(holder, fingerprint, waitMillis));
               }
 
+              @Override
+              public void closed(final Line line) {
+                question.over(new OutcomeAnswer(Outcome.UNCERTAIN));
+              }
+
               @Override
               public void heard(final Line line, final Message message) {
                 if (message instanceof OutcomeAnswer) {
@@ -94,6 +101,14 @@
                 }
               }
             });
+    loop.schedule(
+        () -> {
+          if (!question.opened) {
+            question.over(new OutcomeAnswer(Outcome.UNCERTAIN));
+          }
+        },
+        Math.min(waitMillis, CONNECT_MILLIS),
+        TimeUnit.MILLISECONDS);
     loop.schedule(
         () -> question.over(new OutcomeAnswer(Outcome.UNCERTAIN)),
         waitMillis,
@@ -103,6 +118,7 @@
   private static final class Question {
     private final Consumer<OutcomeAnswer> hears;
     private Trunk.Dialler dialler;
+    private boolean opened;
     private boolean over;
 
     Question(final Consumer<OutcomeAnswer> hears) {
--- a/ratelimit/src/main/java/weldpoint/ratelimit/QuotaAllocator.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/QuotaAllocator.java
@@ -13,11 +13,15 @@
  * nor what it gave itself in an earlier life.
  */
 public final class QuotaAllocator {
+  private static final int MANY_TENANTS = 10_000;
+  private static final long FORGET_MILLIS = 10_000;
+
   private final Boot boot;
   private final long startedAt;
   private final boolean firstStart;
   private final Map<String, TenantShare> tenants = new HashMap<>();
   private final Map<String, SlidingWindowCounter> origins = new HashMap<>();
+  private long forgotAt;
   private long partSince = Long.MIN_VALUE;
   private long granted;
   private long refused;
@@ -61,6 +65,10 @@
     if (tenant.ratePerSecond() <= 0) {
       return count;
     }
+    if (tenants.size() >= MANY_TENANTS && now - forgotAt >= FORGET_MILLIS) {
+      forgotAt = now;
+      tenants.values().removeIf(share -> share.idle(now));
+    }
     final RateLimit.TenantLimit limit = RateLimit.TenantLimit.of(boot, tenant, part.parts());
     return tenants
         .computeIfAbsent(tenant.name(), name -> share(limit.capacity(), part))
--- a/ratelimit/src/main/java/weldpoint/ratelimit/TenantShare.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/TenantShare.java
@@ -38,6 +38,11 @@
     return taken;
   }
 
+  /** Whether a new share would give the same as this one: nothing was given for a window. */
+  boolean idle(final long now) {
+    return given.taken(now) == 0 && bucket.full(ratePerMilli, capacity, now);
+  }
+
   long granted() {
     return granted;
   }
--- a/ratelimit/src/main/java/weldpoint/ratelimit/TokenBucket.java
+++ b/ratelimit/src/main/java/weldpoint/ratelimit/TokenBucket.java
@@ -32,4 +32,9 @@
     level -= taken;
     return taken;
   }
+
+  /** Whether nothing was taken lately and the bucket is full again by now. */
+  boolean full(final double ratePerMilli, final double capacity, final long now) {
+    return level + Math.max(0, now - at) * ratePerMilli >= capacity;
+  }
 }
--- a/ratelimit/src/test/java/weldpoint/ratelimit/QuotaAllocatorTest.java
+++ b/ratelimit/src/test/java/weldpoint/ratelimit/QuotaAllocatorTest.java
@@ -1,6 +1,7 @@
 package weldpoint.ratelimit;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -100,6 +101,17 @@
     assertTrue(given <= (30 * 5 + 30) * 1.1 + 20, "given " + given);
   }
 
+  @Test
+  public void oneThatIsForgottenWhileIdleGetsNoMoreThanOneThatIsNot() {
+    final TenantShare share = new TenantShare(0, 0, 5000);
+    assertEquals(share.take(100, 0.01, 20, 10_000), 20);
+    assertFalse(share.idle(11_000), "it has not earned its permits again");
+    assertFalse(share.idle(11_900));
+    assertTrue(share.idle(16_000));
+    assertEquals(new TenantShare(0, 0, 5000).take(100, 0.01, 20, 16_000), 20);
+    assertEquals(share.take(100, 0.01, 20, 16_000), 20);
+  }
+
   @Test
   public void aMemberThatReturnsBeginsAnewWithItsPart() {
     final QuotaAllocator allocator = new QuotaAllocator(BOOT, true, 0);
