--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -159,8 +159,14 @@
     }
   }
 
+  /** Kills the processes of an interrupted run. */
+  private void killAll() {
+    all().forEach(DaemonProcess::kill);
+  }
+
   /** Starts all processes, gives them a configuration and waits until all proxies are ready. */
   void start(final String configuration) throws InterruptedException {
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killAll, "ends-fleet"));
     stores.forEach(DaemonProcess::start);
     registries.forEach(DaemonProcess::start);
     proxies.forEach(DaemonProcess::start);
