Keys: only a registry that is cut off refuses at once; claims still being decided are waited for

Change: a claim is refused at once where this registry is cut off, by the rule for control calls; a proxy that is asked about a claim of its own which is still being decided answers once it is. The test's message has the reply; the fleets of the soak serve their figures.

--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -989,7 +989,7 @@
   /** A proxy claims an idempotency key for a request, or gives one back. */
   public void key(
       final Message message, final java.util.function.Consumer<Message> reply, final long now) {
-    if (message instanceof KeyMessages.ClaimAsk && now - majorityAt > MAJORITY_MILLIS) {
+    if (message instanceof KeyMessages.ClaimAsk && cutOff(now)) {
       final long number = ((KeyMessages.ClaimAsk) message).claim.number;
       reply.accept(new KeyMessages.ClaimAnswer(number, KeyMessages.ClaimResult.UNKNOWN, null));
       return;
--- a/jack/src/main/java/weldpoint/jack/KeyRuns.java
+++ b/jack/src/main/java/weldpoint/jack/KeyRuns.java
@@ -201,7 +201,10 @@
   /** Tells what became of a claim's request at this proxy, once that is known. */
   void outcome(final Claim claim, final long fingerprint, final Consumer<OutcomeAnswer> hears) {
     final KeyRun run = runs.get(new Digest(claim.high, claim.low));
-    if (claim.incarnation == incarnation && neverRan.containsKey(claim.number)) {
+    final boolean own = claim.incarnation == incarnation;
+    if (own && pending.containsKey(claim.number)) {
+      outlet.later(() -> outcome(claim, fingerprint, hears), AGAIN_MILLIS);
+    } else if (own && neverRan.containsKey(claim.number)) {
       hears.accept(new OutcomeAnswer(Outcome.NEVER_RAN));
     } else if (run == null || !run.claim().sameClaimant(claim)) {
       hears.accept(new OutcomeAnswer(Outcome.UNCERTAIN));
--- a/jack/src/test/java/weldpoint/jack/KeyRunsTest.java
+++ b/jack/src/test/java/weldpoint/jack/KeyRunsTest.java
@@ -226,6 +226,19 @@
     assertEquals(told(lastClaim(), 4), Outcome.NEVER_RAN);
   }
 
+  @Test
+  public void aClaimThatIsStillBeingDecidedIsToldOnceItIs() {
+    final Heard first = begin(KEY);
+    final Claim claim = lastClaim();
+    final List<OutcomeAnswer> heard = new ArrayList<>();
+    runs.outcome(claim, 3, heard::add);
+    answer(claim, ClaimResult.GRANTED, null);
+    later.get(0).run();
+    assertEquals(heard, List.of(), "now it is at work");
+    runs.ran(first.run, 200, List.of(), new byte[0]);
+    assertEquals(heard.get(0).outcome(), Outcome.ANSWERED);
+  }
+
   @Test
   public void answersThatTakeTooMuchAreForgottenButNotTheRun() {
     final List<KeyRun> all = new ArrayList<>();
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -39,6 +39,7 @@
   private static final int TRAFFIC_PORT = 0;
   private static final int CONTROL_PORT = 0;
   private static final int READINESS_PORT = 12;
+  private static final int METRICS_PORT = 13;
 
   /**
    * How large a fleet is.
@@ -148,7 +149,9 @@
             + "\nsites = zone-0:home,zone-1:home,zone-2:home\nbeat.every-ms = "
             + BEAT_MILLIS
             + "\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\n"
-            + "bound.quota-tolerance = 20\n"
+            + "bound.quota-tolerance = 20\nmetrics.port = "
+            + (port + METRICS_PORT)
+            + "\n"
             + extra;
     try {
       final Path file = folder.resolve(program + "-" + index);
@@ -204,6 +207,21 @@
     }
   }
 
+  /** The figures of a registry as Prometheus text; empty where it does not answer. */
+  String registryFigures(final int registry) {
+    return figures(core(registry) + ":" + (port + METRICS_PORT + 1));
+  }
+
+  /** The figures of a proxy as Prometheus text; empty where it does not answer. */
+  String proxyFigures(final int proxy) {
+    return figures(proxyHost(proxy) + ":" + (port + METRICS_PORT));
+  }
+
+  private static String figures(final String address) {
+    return HttpCaller.call(address, "GET", "/metrics", Map.of("Host", address), "", CALL_MILLIS)
+        .body();
+  }
+
   /** Makes one call of the control interface. */
   Reply control(final int registry, final String call, final String body) {
     return HttpCaller.call(
--- a/soak/src/test/java/weldpoint/soak/FleetBoundsTest.java
+++ b/soak/src/test/java/weldpoint/soak/FleetBoundsTest.java
@@ -59,7 +59,8 @@
 
   @Test
   public void aKeyIsOneTenantsAndOneRequests() {
-    assertEquals(book(0, "move-3").status(), 200);
+    final Reply first = book(0, "move-3");
+    assertEquals(first.status(), 200, first.toString());
     final String path = LocalFleet.WRITE_PATH + "2";
     final int proxy = 1;
     assertEquals(
