The check of grants counts releases that came through another registry

Change: a registry that hears of a release as a voter forgets the grant; the check is made where the registry itself voted for the claim, since without its vote it may have missed a release.

--- a/exchange/src/main/java/weldpoint/exchange/KeyClaims.java
+++ b/exchange/src/main/java/weldpoint/exchange/KeyClaims.java
@@ -41,7 +41,7 @@
     this.self = self;
     this.members = members;
     this.disk = disk;
-    this.coordinator = new ClaimCoordinator(this::tellVoters);
+    this.coordinator = new ClaimCoordinator(self, this::tellVoters);
   }
 
   /** Takes back what the disk remembered: spans begin anew, since nobody knows how long it was. */
@@ -104,7 +104,9 @@
         coordinator.voted(from, answer, roster, before, now);
       }
     } else if (message instanceof ClaimRelease) {
-      ((ClaimRelease) message).claims.forEach(table::release);
+      final List<Claim> claims = ((ClaimRelease) message).claims;
+      claims.forEach(table::release);
+      coordinator.released(claims);
     }
   }
 
--- a/exchange/src/test/java/weldpoint/exchange/KeyClaimsTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/KeyClaimsTest.java
@@ -159,6 +159,23 @@
     assertEquals(result(third), ClaimResult.HELD, "a late release frees nobody else's claim");
   }
 
+  @Test
+  public void aGrantThatIsGivenBackThroughAnotherRegistryFreesItsKeyEverywhere() {
+    final CoreNet net = settled();
+    final Claim first = ask(net, 1, 7);
+    net.pass(100);
+    net.cut("10.0.0.1", "10.0.0.2", true, true);
+    net.node(2).core.key(new ClaimRelease(List.of(first)), unused -> {}, net.now);
+    net.pass(100);
+    final Claim second = ask(net, 1, 7);
+    net.pass(1200);
+    assertEquals(result(second), ClaimResult.GRANTED, "by the voters that heard of it");
+    net.cut.clear();
+    final Claim third = ask(net, 1, 7);
+    net.pass(1200);
+    assertEquals(result(third), ClaimResult.HELD);
+  }
+
   @Test
   public void withoutAMajorityNothingIsGrantedAndNothingStaysBehind() {
     final CoreNet net = settled();
--- a/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
+++ b/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
@@ -57,6 +57,7 @@
     }
   }
 
+  private final String self;
   private final Consumer<Message> voters;
   private final Map<Claimant, Pending> pending = new LinkedHashMap<>();
   private final Map<Long, Grant> grants = new HashMap<>();
@@ -67,8 +68,12 @@
   private long conflicts;
   private long unknown;
 
-  /** A coordinator that tells all voters, this registry among them, through this. */
-  public ClaimCoordinator(final Consumer<Message> voters) {
+  /**
+   * A coordinator of the registry at this address, which tells all voters, that registry among
+   * them, through this.
+   */
+  public ClaimCoordinator(final String self, final Consumer<Message> voters) {
+    this.self = self;
     this.voters = voters;
   }
 
@@ -128,7 +133,9 @@
     if (majority(one, roster) && (before == null || majority(one, before))) {
       pending.remove(claimant);
       granted++;
-      checkGrant(one.claim, now);
+      if (one.granted.contains(self)) {
+        checkGrant(one.claim, now);
+      }
       one.reply.accept(new ClaimAnswer(one.claim.number, ClaimResult.GRANTED, null));
     } else if (hopeless(one, roster)) {
       pending.remove(claimant);
@@ -155,6 +162,10 @@
     return count;
   }
 
+  /**
+   * Where this registry itself voted for a claim, its table must not have forgotten an earlier one
+   * that was granted here. Without its vote nothing can be said: it may have missed a release.
+   */
   private void checkGrant(final Claim claim, final long now) {
     final Grant earlier = grants.put(claim.high, new Grant(claim, now + GRANTS_KEPT_MILLIS));
     ONE_GRANT.check(
@@ -167,13 +178,17 @@
 
   /** A request that held a claim never ran: its key is free again. */
   public void release(final List<Claim> claims) {
+    voters.accept(new ClaimRelease(claims));
+  }
+
+  /** This registry, as a voter, has heard that requests which held claims never ran. */
+  public void released(final List<Claim> claims) {
     for (final Claim claim : claims) {
       final Grant grant = grants.get(claim.high);
       if (grant != null && grant.claim().sameClaimant(claim)) {
         grants.remove(claim.high);
       }
     }
-    voters.accept(new ClaimRelease(claims));
   }
 
   /** Time has passed: waiting claims go out, and those past their deadline are given up. */
