An interrupted soak leaves no process behind

Cause: a soak that was ended from outside left one proxy running: a trouble started it again after all had been killed. Change: processes that were ended for good are not started again.

--- a/soak/src/main/java/weldpoint/soak/DaemonProcess.java
+++ b/soak/src/main/java/weldpoint/soak/DaemonProcess.java
@@ -28,6 +28,7 @@
   private Process process;
   private boolean paused;
   private int starts;
+  private boolean over;
 
   DaemonProcess(final String program, final String name, final Path settings) {
     this.program = program;
@@ -42,6 +43,9 @@
 
   /** Starts the process; the settings file is read anew. */
   synchronized void start() {
+    if (over) {
+      return;
+    }
     final List<String> command =
         new ArrayList<>(
             List.of(
@@ -113,6 +117,13 @@
     }
   }
 
+  /** Ends the process at once; it is not started again. */
+  synchronized void endForGood() {
+    over = true;
+    resume();
+    kill();
+  }
+
   /** Asks the process to end in order, and ends it at once if it does not. */
   synchronized void terminate() {
     if (process == null) {
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -164,7 +164,7 @@
 
   /** Kills the processes of an interrupted run. */
   private void killAll() {
-    all().forEach(DaemonProcess::kill);
+    all().forEach(DaemonProcess::endForGood);
   }
 
   /** Starts all processes, gives them a configuration and waits until all proxies are ready. */
@@ -339,12 +339,7 @@
   @Override
   public void close() {
     clock.shutdownNow();
-    all()
-        .forEach(
-            process -> {
-              process.resume();
-              process.kill();
-            });
+    killAll();
     upstreams.forEach(RecordingUpstream::close);
     for (final TcpRelay relay : relays) {
       try {
