--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -44,7 +44,6 @@
   volatile int active;
   long served;
   long refused;
-  long refusedQuota;
   final TenantCounts tenantCounts = new TenantCounts();
   long failed;
   long repeated;
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -248,7 +248,6 @@
             refuse("the quota cannot be asked for now; come back", retryAfter());
           } else if (granted < 1) {
             room.refused++;
-            room.refusedQuota++;
             room.tenantCounts.refused(tenant.name());
             finish();
             session.refuse(
--- a/ratelimit/src/test/java/weldpoint/ratelimit/QuotaAllocatorTest.java
+++ b/ratelimit/src/test/java/weldpoint/ratelimit/QuotaAllocatorTest.java
@@ -18,6 +18,10 @@
       Boot.parse(
           "station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\nbound.quota-tolerance = 20\nbound.origin-window-s = 5\nbound.origin-overshoot = 1.1\n");
 
+  private static final Boot CONTENT =
+      Boot.parse(
+          "station.name = a\nstation.address = 10.0.0.1\nstation.site = s\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:7000\nstation.rollout = content\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\nbound.quota-tolerance = 20\nbound.origin-window-s = 5\nbound.origin-overshoot = 1.1\n");
+
   private static Dialplan plan(final String tenants) {
     return Dialplan.compile(
         ("{\"version\":\"1\",\"tenants\":["
@@ -35,13 +39,17 @@
    * and again within one window: the most granted in any window.
    */
   private static int most(
-      final String permit, final long seed, final long window, final int lifeMillis) {
+      final Boot boot,
+      final String permit,
+      final long seed,
+      final long window,
+      final int lifeMillis) {
     final Random random = new Random(seed);
     final int parts = 5;
     final QuotaAllocator[] allocators = new QuotaAllocator[parts];
     final long[] since = new long[parts];
     for (int index = 0; index < parts; index++) {
-      allocators[index] = new QuotaAllocator(BOOT, true, 0);
+      allocators[index] = new QuotaAllocator(boot, true, 0);
     }
     final ArrayDeque<long[]> granted = new ArrayDeque<>();
     int inWindow = 0;
@@ -49,7 +57,7 @@
     for (long now = 1; now < 60_000; now += 1 + random.nextInt(4)) {
       final int at = random.nextInt(parts);
       if (random.nextInt(lifeMillis) == 0) {
-        allocators[at] = new QuotaAllocator(BOOT, false, now);
+        allocators[at] = new QuotaAllocator(boot, false, now);
         since[at] = random.nextBoolean() ? now + 1 : 0;
       }
       final int count =
@@ -75,10 +83,12 @@
       final int lifeMillis) {
     int best = 0;
     for (long seed = 0; seed < 150; seed++) {
-      final int tenant = most("tenant/t", seed, 5000, lifeMillis);
+      final int tenant = most(BOOT, "tenant/t", seed, 5000, lifeMillis);
       assertTrue(tenant <= (30 * 5 + 30) * 1.1 + 20, "seed " + seed + " " + tenant);
       best = Math.max(best, tenant);
-      final int origin = most("origin/media", seed, 5000, lifeMillis);
+      final int beside = most(CONTENT, "origin/media", seed, 5000, lifeMillis);
+      assertTrue(beside <= 0.45 * 80 * 5 * 1.1, "beside cache nodes, seed " + seed + " " + beside);
+      final int origin = most(BOOT, "origin/media", seed, 5000, lifeMillis);
       assertTrue(origin <= 0.95 * 80 * 5 * 1.1, "seed " + seed + " " + origin);
     }
     assertTrue(best > (lifeMillis < 100 ? 60 : 190), "most of what may be is granted: " + best);
