--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -29,6 +29,14 @@
   /** A route whose requests may run more than once. */
   static final String READ_PATH = "/look/";
 
+  /** A route to the service that is divided by key. */
+  static final String SHELF_PATH = "/shelf/";
+
+  /** The service that is divided by key. */
+  static final String SHELF = "shelf";
+
+  private static final double SLOW_CLOCK = 1.02;
+
   /** The upstreams' service. */
   static final String SERVICE = "desk";
 
@@ -47,8 +55,13 @@
    * @param cores machines with a state store and a registry
    * @param proxies machines with a proxy
    * @param upstreams stand-in upstreams
+   * @param keyHolders stand-in upstreams of a service that is divided by key
    */
-  record Size(int cores, int proxies, int upstreams) {}
+  record Size(int cores, int proxies, int upstreams, int keyHolders) {
+    Size(final int cores, final int proxies, final int upstreams) {
+      this(cores, proxies, upstreams, 0);
+    }
+  }
 
   private final Size size;
   private final int port;
@@ -59,6 +72,11 @@
   private final List<DaemonProcess> proxies = new ArrayList<>();
   private final List<RecordingUpstream> upstreams = new ArrayList<>();
   private final List<TcpRelay> relays = new ArrayList<>();
+  private final List<RecordingUpstream> keyHolders = new ArrayList<>();
+  private final List<TcpRelay> keyRelays = new ArrayList<>();
+  private final HeldKeys.HolderJudge holderJudge = new HeldKeys.HolderJudge();
+  private final java.util.Set<Integer> draining =
+      java.util.concurrent.ConcurrentHashMap.newKeySet();
   private final AtomicLong beats = new AtomicLong();
   private final AtomicLong calls = new AtomicLong();
   private final ScheduledExecutorService clock =
@@ -96,6 +114,58 @@
       upstreams.add(new RecordingUpstream("i-" + index, host, port, runs, seed * 31 + index));
       relays.add(new TcpRelay("127.9.3." + (1 + index), port, new InetSocketAddress(host, port)));
     }
+    keyHolders(seed);
+  }
+
+  private void keyHolders(final long seed) throws IOException {
+    for (int index = 0; index < size.keyHolders(); index++) {
+      final String host = "127.9.6." + (1 + index);
+      final HeldKeys keys =
+          new HeldKeys("k-" + index, index % 2 == 0 ? SLOW_CLOCK : 1, holderJudge);
+      keyHolders.add(
+          new RecordingUpstream("k-" + index, host, port, runs, seed * 37 + index, keys));
+      final TcpRelay relay =
+          new TcpRelay("127.9.5." + (1 + index), port, new InetSocketAddress(host, port));
+      relay.loseHeld(true);
+      keyRelays.add(relay);
+    }
+  }
+
+  /** The stand-in upstreams of the service that is divided by key. */
+  List<RecordingUpstream> keyHolders() {
+    return keyHolders;
+  }
+
+  /** The relays before them. */
+  List<TcpRelay> keyRelays() {
+    return keyRelays;
+  }
+
+  /** What was seen of two upstreams that held one key. */
+  List<String> twoHolders() {
+    return holderJudge.broken();
+  }
+
+  /** A holder of keys tells from now on that it leaves, or that it is ready again. */
+  void drain(final int keyHolder, final boolean drains) {
+    if (drains) {
+      draining.add(keyHolder);
+    } else {
+      draining.remove(keyHolder);
+    }
+    beatHolder(keyHolder);
+  }
+
+  private int beatHolder(final int index) {
+    final long number = beats.incrementAndGet();
+    return beat(
+        (int) (number % size.cores()),
+        "k-" + index,
+        SHELF,
+        "127.9.5." + (1 + index),
+        index,
+        draining.contains(index) ? "draining" : "ready",
+        number);
   }
 
   private static Thread daemon(final Runnable task) {
@@ -180,6 +250,11 @@
         pause(deadline, "no beat of upstream " + index + " was acknowledged");
       }
     }
+    for (int index = 0; index < size.keyHolders(); index++) {
+      while (beatHolder(index) != 200) {
+        pause(deadline, "no beat of key holder " + index + " was acknowledged");
+      }
+    }
     clock.scheduleAtFixedRate(this::beatAll, BEAT_MILLIS, BEAT_MILLIS, TimeUnit.MILLISECONDS);
     for (int index = 0; index < size.proxies(); index++) {
       while (!ready(index)) {
@@ -237,24 +312,45 @@
     for (int index = 0; index < size.upstreams(); index++) {
       beat(index);
     }
+    for (int index = 0; index < size.keyHolders(); index++) {
+      beatHolder(index);
+    }
   }
 
   private int beat(final int index) {
     final long number = beats.incrementAndGet();
+    return beat(
+        (int) (number % size.cores()),
+        "i-" + index,
+        SERVICE,
+        "127.9.3." + (1 + index),
+        index,
+        "ready",
+        number);
+  }
+
+  private int beat(
+      final int registry,
+      final String instance,
+      final String service,
+      final String host,
+      final int index,
+      final String state,
+      final long number) {
     return control(
-            (int) (number % size.cores()),
-            "instances.heartbeat&of=i-" + index,
+            registry,
+            "instances.heartbeat&of=" + instance,
             "{\"service\":\""
-                + SERVICE
+                + service
                 + "\",\"address\":\""
-                + "127.9.3."
-                + (1 + index)
+                + host
                 + ":"
                 + port
                 + "\",\"zone\":\"zone-"
                 + index % 3
-                + "\",\"version\":\"v1\",\"capacity\":64,\"state\":\"ready\",\"warmupLeftMs\":0,"
-                + "\"callSeq\":"
+                + "\",\"version\":\"v1\",\"capacity\":64,\"state\":\""
+                + state
+                + "\",\"warmupLeftMs\":0,\"callSeq\":"
                 + number
                 + "}")
         .status();
@@ -299,6 +395,19 @@
         proxy(proxy), "POST", path, headers, "a booking", deadlineMillis + CALL_MILLIS);
   }
 
+  /** Sends a request for a key of the divided service to a proxy. */
+  Reply shelfRequest(final int proxy, final String attemptId, final String shardKey) {
+    final Map<String, String> headers = new java.util.LinkedHashMap<>();
+    headers.put("Host", HOST);
+    headers.put("Weldpoint-Attempt-Id", attemptId);
+    headers.put("Weldpoint-Deadline-Ms", Integer.toString(CALL_MILLIS));
+    headers.put("Authorization", "Bearer key-f");
+    if (!shardKey.isEmpty()) {
+      headers.put("Weldpoint-Shard-Key", shardKey);
+    }
+    return HttpCaller.call(proxy(proxy), "GET", SHELF_PATH + "1", headers, "", 2 * CALL_MILLIS);
+  }
+
   /** All runs that the upstreams noted so far. */
   List<Run> runs() {
     return new ArrayList<>(runs);
@@ -341,6 +450,8 @@
     clock.shutdownNow();
     killAll();
     upstreams.forEach(RecordingUpstream::close);
+    keyHolders.forEach(RecordingUpstream::close);
+    relays.addAll(keyRelays);
     for (final TcpRelay relay : relays) {
       try {
         relay.close();
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -10,6 +10,9 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A stand-in upstream that notes each request that it runs, works for a while and answers. */
 final class RecordingUpstream implements AutoCloseable {
@@ -24,6 +27,8 @@
           });
   private final ConcurrentLinkedQueue<Run> runs;
   private final Random random;
+  private final HeldKeys heldKeys;
+  private final AtomicLong turnedAway = new AtomicLong();
   private volatile int workMillis = 20;
   private volatile double lostAnswers;
 
@@ -34,6 +39,19 @@
       final ConcurrentLinkedQueue<Run> runs,
       final long seed)
       throws IOException {
+    this(instance, host, port, runs, seed, null);
+  }
+
+  /** An upstream of a divided service, which runs only what it holds the key of. */
+  RecordingUpstream(
+      final String instance,
+      final String host,
+      final int port,
+      final ConcurrentLinkedQueue<Run> runs,
+      final long seed,
+      final HeldKeys heldKeys)
+      throws IOException {
+    this.heldKeys = heldKeys;
     this.instance = instance;
     this.runs = runs;
     this.random = new Random(seed);
@@ -53,8 +71,46 @@
     lostAnswers = share;
   }
 
+  /** How many requests were turned away since their key was not held. */
+  long turnedAway() {
+    return turnedAway.get();
+  }
+
+  private static long field(final String body, final String name) {
+    final Matcher matcher = Pattern.compile("\"" + name + "\":(\\d+)").matcher(body);
+    return matcher.find() ? Long.parseLong(matcher.group(1)) : -1;
+  }
+
+  /** Answers the calls by which keys are given and taken; false for any other request. */
+  private boolean keyCall(final HttpExchange exchange, final String body) throws IOException {
+    final String path = exchange.getRequestURI().getPath();
+    if (heldKeys == null || !path.equals("/api/grant") && !path.equals("/api/release")) {
+      return false;
+    }
+    final int first = (int) field(body, "source");
+    final int last = (int) field(body, "targetVersion");
+    final long fence = field(body, "fenceNumber");
+    if (path.equals("/api/grant")) {
+      answer(exchange, heldKeys.grant(first, last, fence, field(body, "holdMs")), "");
+      return true;
+    }
+    try {
+      exchange
+          .getResponseHeaders()
+          .set("Weldpoint-Duty-Transfer", heldKeys.release(first, last, fence));
+      answer(exchange, 200, "");
+    } catch (final InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+    return true;
+  }
+
   private void handle(final HttpExchange exchange) throws IOException {
-    exchange.getRequestBody().readAllBytes();
+    final String body =
+        new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    if (keyCall(exchange, body)) {
+      return;
+    }
     exchange.getResponseHeaders().set("Weldpoint-Instance-Id", instance);
     if (exchange.getRequestURI().getPath().equals("/health")) {
       answer(exchange, 200, "");
@@ -65,6 +121,31 @@
       answer(exchange, 421, "");
       return;
     }
+    final int shardKey = heldKeys == null ? -1 : shardKey(exchange);
+    if (heldKeys != null && !heldKeys.begin(shardKey)) {
+      turnedAway.incrementAndGet();
+      exchange.getResponseHeaders().set("Weldpoint-Not-Executed", "1");
+      exchange
+          .getResponseHeaders()
+          .set("Weldpoint-Attempt-Id", header(exchange, "Weldpoint-Attempt-Id"));
+      answer(exchange, 421, "");
+      return;
+    }
+    try {
+      run(exchange);
+    } finally {
+      if (heldKeys != null) {
+        heldKeys.end(shardKey);
+      }
+    }
+  }
+
+  private static int shardKey(final HttpExchange exchange) {
+    final String text = header(exchange, "Weldpoint-Shard-Key");
+    return text.matches("\\d{1,5}") ? Integer.parseInt(text) : -1;
+  }
+
+  private void run(final HttpExchange exchange) throws IOException {
     final String attemptId = header(exchange, "Weldpoint-Attempt-Id");
     runs.add(
         new Run(
--- a/soak/src/main/java/weldpoint/soak/TcpRelay.java
+++ b/soak/src/main/java/weldpoint/soak/TcpRelay.java
@@ -25,6 +25,7 @@
   private volatile boolean cut;
   private volatile boolean answersDropped;
   private volatile int delayMillis;
+  private volatile boolean heldLost;
   private volatile boolean closed;
 
   TcpRelay(final String host, final int port, final InetSocketAddress target) throws IOException {
@@ -44,6 +45,11 @@
     cut = given;
   }
 
+  /** From now on a cut breaks off the connections whose bytes it held up: those bytes are lost. */
+  void loseHeld(final boolean given) {
+    heldLost = given;
+  }
+
   /** Breaks a connection off when an answer comes back over it. */
   void dropAnswers(final boolean given) {
     answersDropped = given;
@@ -87,8 +93,8 @@
       final InputStream in = from.getInputStream();
       final OutputStream out = to.getOutputStream();
       for (int count = in.read(buffer); count > 0; count = in.read(buffer)) {
-        hold();
-        if (answers && answersDropped) {
+        final boolean held = hold();
+        if (answers && answersDropped || held && heldLost) {
           break;
         }
         out.write(buffer, 0, count);
@@ -102,17 +108,21 @@
     }
   }
 
-  private void hold() {
+  /** Waits while bytes are held up; true where a cut held them. */
+  private boolean hold() {
+    boolean held = false;
     try {
       if (delayMillis > 0) {
         Thread.sleep(delayMillis);
       }
       while (cut && !closed) {
+        held = true;
         Thread.sleep(HOLD_STEP_MILLIS);
       }
     } catch (final InterruptedException stopped) {
       Thread.currentThread().interrupt();
     }
+    return held;
   }
 
   private void end(final Socket socket) {
--- a/soak/src/main/java/weldpoint/soak/Workload.java
+++ b/soak/src/main/java/weldpoint/soak/Workload.java
@@ -60,7 +60,13 @@
         + LocalFleet.WRITE_PATH
         + "\"},"
         + action
-        + "}]}],\"pools\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":200}]}";
+        + "},{\"name\":\"shelf\",\"routeKind\":\"egress\",\"targetLatencyMs\":1000,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.SHELF_PATH
+        + "\"},\"action\":{\"service\":\"shelf\",\"timeoutMs\":1500,\"maxAttempts\":2}"
+        + "}]}],\"pools\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":200},"
+        + "{\"name\":\"shelf\",\"healthPath\":\"/health\",\"maxConns\":200,"
+        + "\"partitioned\":true,\"warmS\":1.0}]}";
   }
 
   /** Starts so many clients of each kind. */
--- /dev/null
+++ b/soak/src/test/java/weldpoint/soak/DividedServiceTest.java
@@ -0,0 +1,102 @@
+package weldpoint.soak;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Incident 14 in small: three core machines, two proxies and four upstreams of a service that is
+ * divided by key, as processes and stand-ins on loopback.
+ */
+public final class DividedServiceTest {
+  private static final int REQUESTS = 60;
+  private static final int KEY_STEP = 1091;
+  private static final long PATIENCE_MILLIS = 10_000;
+
+  private LocalFleet fleet;
+
+  @BeforeClass
+  public void start() throws IOException, InterruptedException {
+    fleet = new LocalFleet(new LocalFleet.Size(3, 2, 1, 4), 14);
+    fleet.start(Workload.configuration());
+    awaitServed();
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void end() {
+    fleet.close();
+  }
+
+  private void awaitServed() throws InterruptedException {
+    final long deadline = Clock.millis() + PATIENCE_MILLIS;
+    while (Clock.millis() < deadline && served(4) < 4) {
+      Thread.sleep(100);
+    }
+  }
+
+  private int served(final int requests) {
+    int served = 0;
+    for (int index = 0; index < requests; index++) {
+      final String key = Integer.toString(index * KEY_STEP % HeldKeys.KEYS);
+      served += fleet.shelfRequest(index % 2, fleet.attemptId(), key).status() == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
+  @Test
+  public void aDividedServiceIsServedForEveryKey() {
+    assertEquals(served(REQUESTS), REQUESTS);
+    assertEquals(fleet.twoHolders(), List.of());
+  }
+
+  @Test
+  public void aRequestWithoutAProperKeyIsTurnedAwayWithAReason() {
+    for (final String bad : List.of("", "65536", "-1", "abc")) {
+      final Reply reply = fleet.shelfRequest(0, fleet.attemptId(), bad);
+      assertEquals(reply.status(), 400, reply.toString());
+      assertTrue(reply.body().contains("Weldpoint-Shard-Key"), reply.toString());
+    }
+  }
+
+  @Test(dependsOnMethods = "aDividedServiceIsServedForEveryKey")
+  public void anUpstreamThatLeavesGivesItsKeysUpAtOnce() throws InterruptedException {
+    fleet.drain(0, true);
+    Thread.sleep(2000);
+    final long ranBefore = runsOf("k-0");
+    assertEquals(served(REQUESTS), REQUESTS);
+    assertEquals(runsOf("k-0"), ranBefore, "nothing runs there any more");
+    assertEquals(fleet.twoHolders(), List.of());
+  }
+
+  private long runsOf(final String instance) {
+    return fleet.runs().stream().filter(run -> run.instance().equals(instance)).count();
+  }
+
+  @Test(dependsOnMethods = "anUpstreamThatLeavesGivesItsKeysUpAtOnce")
+  public void theKeysOfAnUpstreamThatFallsSilentPassToOthers() throws InterruptedException {
+    fleet.keyRelays().get(1).cut(true);
+    final long deadline = Clock.millis() + 2 * PATIENCE_MILLIS;
+    int served = 0;
+    while (Clock.millis() < deadline && served < REQUESTS) {
+      Thread.sleep(500);
+      served = served(REQUESTS);
+    }
+    assertEquals(served, REQUESTS);
+    assertEquals(fleet.twoHolders(), List.of());
+  }
+
+  @Test(dependsOnMethods = "theKeysOfAnUpstreamThatFallsSilentPassToOthers")
+  public void anotherRegistryTakesOverFromOneThatIsKilled() throws InterruptedException {
+    fleet.registries().forEach(DaemonProcess::kill);
+    fleet.registries().forEach(DaemonProcess::start);
+    Thread.sleep(PATIENCE_MILLIS);
+    awaitServed();
+    assertEquals(served(REQUESTS), REQUESTS);
+    assertEquals(fleet.twoHolders(), List.of());
+  }
+}
