--- a/audit/src/main/java/weldpoint/audit/ConfigurationSummary.java
+++ b/audit/src/main/java/weldpoint/audit/ConfigurationSummary.java
@@ -51,6 +51,7 @@
       field(fields, "warmupS", pool.warmupS());
       field(fields, "warmupPerS", pool.warmupPerS());
       field(fields, "ratePerS", pool.ratePerS());
+      field(fields, "partitioned", pool.partitioned());
       lines.add(new Line("service " + pool.name(), false, fields));
     }
     if (document.limits() != null) {
--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -16,6 +16,8 @@
   public static final String VARIABLE = "WELDPOINT_SETTINGS";
 
   private static final String KEY_HEADERS = "Idempotency-Key,Weldpoint-Idempotency-Key";
+  private static final long USUAL_HOLD_MILLIS = 4000;
+  private static final long LEAST_HOLD_MILLIS = 1000;
   private static final int LEAST_TRANSFER = 16 << 10;
   private static final int MOST_TRANSFER = 256 << 10;
   private static final double TRANSFER_SECONDS = 0.1;
@@ -98,6 +100,7 @@
   private void check() {
     name();
     address();
+    bindAddress();
     site();
     region();
     voter();
@@ -153,6 +156,7 @@
     affinityWaitMillis();
     affinityBatchMillis();
     affinityReserve();
+    checkOwnershipHold();
     if (affinityLeaseMillis() < 1500) {
       throw bad(
           "affinity.lease-ms",
@@ -222,11 +226,23 @@
     return text("station.name");
   }
 
-  /** The IP address that everything binds to. */
+  /** The IP address by which other machines know this one. */
   public String address() {
-    final String value = text("station.address");
+    return addressOf("station.address", text("station.address"));
+  }
+
+  /**
+   * The IP address that inner ports and figures are bound to: the station's own, unless something
+   * stands between this machine and the others.
+   */
+  public String bindAddress() {
+    final String value = values.getOrDefault("station.bind", "");
+    return value.isEmpty() ? address() : addressOf("station.bind", value);
+  }
+
+  private static String addressOf(final String field, final String value) {
     if (!value.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}")) {
-      throw bad("station.address", value, "give an IPv4 address such as 10.0.0.1");
+      throw bad(field, value, "give an IPv4 address such as 10.0.0.1");
     }
     return value;
   }
@@ -456,6 +472,34 @@
     return (long) number("affinity.lease-ms", 4000, 500, 600_000);
   }
 
+  /**
+   * For how many milliseconds a grant of keys holds: the setting, or the usual 4000 where the bound
+   * allows that.
+   */
+  public long ownershipHoldMillis() {
+    return (long)
+        number("ownership.hold-ms", Math.min(USUAL_HOLD_MILLIS, holdLimitMillis()), 1, 600_000);
+  }
+
+  private long holdLimitMillis() {
+    return (long) number("bound.hold-limit-ms", 600_000, 1, 600_000);
+  }
+
+  private void checkOwnershipHold() {
+    if (values.getOrDefault("ownership.hold-ms", "").isEmpty()) {
+      return;
+    }
+    if (ownershipHoldMillis() < LEAST_HOLD_MILLIS || ownershipHoldMillis() > holdLimitMillis()) {
+      throw bad(
+          "ownership.hold-ms",
+          Long.toString(ownershipHoldMillis()),
+          "give at least "
+              + LEAST_HOLD_MILLIS
+              + ", since four renewals must fit with their answers, and at most bound.hold-limit-ms, "
+              + holdLimitMillis());
+    }
+  }
+
   /** For how long a write waits for its caller's move before it is refused. */
   public long affinityWaitMillis() {
     return (long) number("affinity.wait-ms", 250, 0, 60_000);
--- a/boot/src/test/java/weldpoint/boot/BootTest.java
+++ b/boot/src/test/java/weldpoint/boot/BootTest.java
@@ -22,6 +22,22 @@
     assertEquals(boot.beatMillis(), 1500);
   }
 
+  @Test
+  public void holdsOfKeysKeepToTheirBound() {
+    assertEquals(Boot.parse(GOOD).ownershipHoldMillis(), 4000);
+    assertEquals(Boot.parse(GOOD + "bound.hold-limit-ms = 900\n").ownershipHoldMillis(), 900);
+    assertEquals(Boot.parse(GOOD + "ownership.hold-ms = 2000\n").ownershipHoldMillis(), 2000);
+    for (final String bad : new String[] {"10", "5000"}) {
+      final Breakdown breakdown =
+          expectThrows(
+              Breakdown.class,
+              () ->
+                  Boot.parse(
+                      GOOD + "bound.hold-limit-ms = 4500\nownership.hold-ms = " + bad + "\n"));
+      assertTrue(breakdown.getMessage().contains("bound.hold-limit-ms"), breakdown.getMessage());
+    }
+  }
+
   @DataProvider
   public Object[][] bad() {
     return new Object[][] {
--- a/console/src/main/java/weldpoint/console/StatusCommand.java
+++ b/console/src/main/java/weldpoint/console/StatusCommand.java
@@ -3,6 +3,7 @@
 import io.avaje.jsonb.JsonType;
 import io.avaje.jsonb.Jsonb;
 import java.io.PrintStream;
+import java.util.List;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
@@ -65,6 +66,18 @@
                     one.version(),
                     one.mark(),
                     one.heardMs() < 0 ? "never" : one.heardMs() + " ms ago"));
+    for (final Calls.KeyRangeStatus range :
+        answer.keys() == null ? List.<Calls.KeyRangeStatus>of() : answer.keys()) {
+      out.printf(
+          "keys %d-%d of %s: %s by %s, fence %d, assigned by %s%n",
+          range.first(),
+          range.last(),
+          range.service(),
+          range.state(),
+          range.holder(),
+          range.fence(),
+          range.assigner());
+    }
     if (!answer.placements().isEmpty()) {
       out.printf("placements kept by %s%n", answer.keeper().isEmpty() ? "nobody" : answer.keeper());
       answer
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -38,6 +38,7 @@
   private static final double DOUBT = 3;
   private static final long COLD_MARGIN_MILLIS = 300;
   private static final int LEAST_WIDTH = 4;
+  private static final double HOLDER_ROOM = 1.6;
 
   private final Bootstrap bootstrap;
   private final String site;
@@ -485,6 +486,34 @@
     return Choice.CHOSEN;
   }
 
+  /**
+   * Chooses this very upstream for a request whose key it holds, or none: nobody else may run it,
+   * so it is given more than an upstream that has others beside it.
+   */
+  public Choice holder(
+      final Dialplan.Service service,
+      final Route route,
+      final int tenantRank,
+      final String id,
+      final long now) {
+    chosen = null;
+    final Upstream upstream = upstreams.get(id);
+    if (upstream == null
+        || !upstream.open
+        || !upstream.service.equals(service.name())
+        || evacuated.contains(upstream.site)
+        || !route.home(upstream.region)) {
+      return Choice.NONE;
+    }
+    final double most = upstream.capacity * Further.room(route, tenantRank) * HOLDER_ROOM;
+    if (!coldAdmits(upstream, service, now) || upstream.known(now) >= most) {
+      return Choice.FULL;
+    }
+    paced(upstream, service, now);
+    chosen = upstream;
+    return Choice.CHOSEN;
+  }
+
   private boolean kept(final Upstream upstream, final Route route, final long now) {
     if (!reserves || !route.kind.repeatable()) {
       return false;
--- a/cord/src/main/java/weldpoint/cord/Headers.java
+++ b/cord/src/main/java/weldpoint/cord/Headers.java
@@ -17,6 +17,9 @@
   public static final AsciiString TRIAL_TOKEN = AsciiString.cached("Weldpoint-Trial-Token");
   public static final AsciiString WARMUP = AsciiString.cached("Weldpoint-Warmup-Ms");
 
+  /** The key by which a request of a divided service belongs to one upstream. */
+  public static final AsciiString SHARD_KEY = AsciiString.cached("Weldpoint-Shard-Key");
+
   public static final AsciiString TENANT = AsciiString.cached("Weldpoint-Tenant");
   public static final AsciiString LABELS = AsciiString.cached("Weldpoint-Labels");
 
--- a/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
@@ -57,14 +57,15 @@
 
   private static final Step[] PROGRAM = Step.values();
 
-  /** What is known of a service. */
+  /** What is known of a service; a partitioned one is divided among its upstreams by key. */
   public record Service(
       int index,
       String name,
       String healthPath,
       int maxConnections,
       double warmupPerSecond,
-      double ratePerSecond) {}
+      double ratePerSecond,
+      boolean partitioned) {}
 
   /** Somebody with keys; a rate of 0 means no limit. */
   public record Tenant(
@@ -170,7 +171,8 @@
               pool.healthPath() == null ? "/health" : pool.healthPath(),
               (int) orElse(pool.maxConns(), 100),
               orElse(pool.warmupPerS(), 0),
-              orElse(pool.ratePerS(), 0)));
+              orElse(pool.ratePerS(), 0),
+              Boolean.TRUE.equals(pool.partitioned())));
     }
     final Map<String, Map<String, Route>> hosts = new HashMap<>();
     int count = 0;
@@ -329,6 +331,11 @@
     return services;
   }
 
+  /** The names of the services that are divided among their upstreams by key. */
+  public List<String> partitioned() {
+    return services.stream().filter(Service::partitioned).map(Service::name).toList();
+  }
+
   /** The index of a service, or -1. */
   public int service(final String name) {
     return serviceIndices.getOrDefault(name, -1);
--- a/dialplan/src/main/java/weldpoint/dialplan/SpecDocument.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/SpecDocument.java
@@ -73,5 +73,6 @@
       Double maxConns,
       Double warmupS,
       Double warmupPerS,
-      Double ratePerS) {}
+      Double ratePerS,
+      Boolean partitioned) {}
 }
--- a/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
+++ b/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
@@ -40,6 +40,14 @@
     assertFalse(plan.interpret(new Interpreter("b.example", "/x/z", 0.5)));
   }
 
+  @Test
+  public void aServiceMayBeDividedByKey() {
+    assertEquals(compile(GOOD).partitioned(), java.util.List.of());
+    final String divided =
+        GOOD.replace("{\"name\":\"t\",", "{\"name\":\"t\",\"partitioned\":true,");
+    assertEquals(compile(divided).partitioned(), java.util.List.of("t"));
+  }
+
   @DataProvider
   public Object[][] invalid() {
     return new Object[][] {
--- a/exchange/src/main/java/weldpoint/exchange/Calls.java
+++ b/exchange/src/main/java/weldpoint/exchange/Calls.java
@@ -31,8 +31,24 @@
 
   static final JsonType<StatusAnswer> STATUS = JSON.type(StatusAnswer.class);
 
+  static final JsonType<Grant> GRANT = JSON.type(Grant.class);
+
+  static final JsonType<Release> RELEASE = JSON.type(Release.class);
+
   private Calls() {}
 
+  /**
+   * Gives an upstream the keys from source to targetVersion, both inside, for holdMs from its
+   * arrival.
+   */
+  @Json
+  public record Grant(
+      int source, int targetVersion, long fenceNumber, long holdMs, String transfer) {}
+
+  /** Takes keys back from an upstream. */
+  @Json
+  public record Release(int source, int targetVersion, long fenceNumber) {}
+
   /**
    * What one exchange knows. Counts of tied writes are those of the switchboards that hold leases,
    * from the keeper only; disk is what the exchange itself takes there.
@@ -52,7 +68,21 @@
       String keeper,
       List<PlacementStatus> placements,
       List<WriteCount> writes,
-      String disk) {}
+      String disk,
+      List<KeyRangeStatus> keys) {}
+
+  /**
+   * Who holds a range of a divided service's keys, both ends inside, and which registry assigns.
+   */
+  @Json
+  public record KeyRangeStatus(
+      String service,
+      String assigner,
+      int first,
+      int last,
+      String holder,
+      long fence,
+      String state) {}
 
   /** One daemon as it told last; heardMs is -1 for one that has never been heard of. */
   @Json
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import weldpoint.affinity.PlacementKeeper;
@@ -20,10 +21,19 @@
 import weldpoint.frame.Tokens;
 import weldpoint.frame.Values;
 import weldpoint.metrics.Figure;
+import weldpoint.ownership.Assigner;
+import weldpoint.ownership.CallResult;
+import weldpoint.ownership.HoldTimes;
+import weldpoint.ownership.OwnershipCoordinator;
 import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trial.TrialPanel;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.OwnershipMessages.AssignerPulse;
+import weldpoint.trunk.OwnershipMessages.Assignment;
+import weldpoint.trunk.OwnershipMessages.Assignments;
+import weldpoint.trunk.OwnershipMessages.KeyRange;
+import weldpoint.trunk.OwnershipMessages.SlotReport;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Board;
@@ -48,6 +58,7 @@
   private static final long MOST_LEARNING_MILLIS = 10_000;
   private static final long JOINT_MILLIS = 3000;
   private static final long MAJORITY_MILLIS = 2500;
+  private static final long WRITE_MILLIS = 900;
 
   /** What the core does to the world. */
   public interface Outlet {
@@ -93,6 +104,7 @@
   private final Neighbourhoods neighbourhoods = new Neighbourhoods();
   private Electorates electorates;
   private PlacementDesk placements;
+  private OwnershipEndpoint ownership;
   private final Reels reels = new Reels();
   private final Map<String, Long> members = new LinkedHashMap<>();
   private final Set<String> connected = new HashSet<>();
@@ -208,6 +220,56 @@
     }
   }
 
+  /** Takes to assigning the keys of divided services. */
+  void ownership(final long incarnation, final HoldTimes times, final UpstreamCalls upstreams) {
+    ownership =
+        new OwnershipEndpoint(
+            self,
+            incarnation,
+            times,
+            new Assigner.Outlet() {
+              @Override
+              public void write(final Assignment next, final Runnable done) {
+                store
+                    .call(
+                        Deed.OWNERSHIP_WRITE,
+                        next.service,
+                        null,
+                        0,
+                        0,
+                        Wire.bytes(next),
+                        null,
+                        clock,
+                        WRITE_MILLIS)
+                    .whenComplete((answer, problem) -> done.run());
+              }
+
+              @Override
+              public void grant(
+                  final KeyRange range, final long sendBy, final Consumer<CallResult> done) {
+                upstreams.grant(range, sendBy, done);
+              }
+
+              @Override
+              public void release(
+                  final KeyRange range,
+                  final long sendBy,
+                  final long answerBy,
+                  final Consumer<CallResult> done) {
+                upstreams.release(range, sendBy, answerBy, done);
+              }
+            },
+            this::tellMembers,
+            outlet::member);
+  }
+
+  /** A proxy tells what it sent to the holders of keys. */
+  public void slotReport(final SlotReport report) {
+    if (ownership != null) {
+      ownership.fromProxy(report);
+    }
+  }
+
   /** Takes to giving out permits. */
   public void quotas(final QuotaAllocator allocator) {
     quotas = new QuotaEndpoint(self, allocator, outlet::member);
@@ -598,6 +660,10 @@
       reply.accept(placements.keeper().ask((Words.LeaseAsk) message, majorityAt, now));
     } else if (message instanceof Words.LeaseGrant && placements != null) {
       placements.granted((Words.LeaseGrant) message, streams::contains, outlet::board);
+    } else if (message instanceof AssignerPulse && ownership != null) {
+      ownership.pulse(from, (AssignerPulse) message, now);
+    } else if (message instanceof SlotReport && ownership != null) {
+      ownership.fromRegistry((SlotReport) message, now);
     } else if (message instanceof Words.Gossip) {
       onGossip(from, (Words.Gossip) message, reply, now);
     }
@@ -1066,6 +1132,9 @@
     if (placements != null && placements.keeper().mark() > 0) {
       outlet.board(stream, placements.keeper().placements());
     }
+    if (ownership != null && ownership.all() != null && !streams.announces(stream)) {
+      outlet.board(stream, ownership.all());
+    }
     neighbourhoods.tell(stream, outlet::board);
     outlet.board(stream, reach(now, true));
   }
@@ -1152,7 +1221,8 @@
                 : control.mark()
                     + (purges == null ? 0 : purges.mark)
                     + (electorates == null ? otherMarks : electorates.marks())
-                    + (placements == null ? placementMarks : placements.marks()),
+                    + (placements == null ? placementMarks : placements.marks())
+                    + (ownership == null ? ownershipMark : ownership.mark()),
             null,
             null,
             now,
@@ -1169,6 +1239,7 @@
   private long controlAskedAt;
   private long otherMarks;
   private long placementMarks;
+  private long ownershipMark;
   private long clock;
 
   private void takeControl(final Values.Control given, final long askedAt) {
@@ -1190,6 +1261,7 @@
     if (placements != null && placements.take(given, clock)) {
       streams.tellSwitchboards(placements.keeper().placements());
     }
+    takeAssignments(given.assignments);
     if (given.purges != null && (purges == null || given.purges.mark > purges.mark)) {
       purges = given.purges;
       streams.tellAnnouncers(purges);
@@ -1198,6 +1270,17 @@
     askControl(clock);
   }
 
+  private void takeAssignments(final List<Assignment> given) {
+    if (given == null) {
+      return;
+    }
+    ownershipMark = given.stream().mapToLong(assignment -> assignment.serial).sum();
+    final Assignments news = ownership == null ? null : ownership.take(given, clock);
+    if (news != null) {
+      streams.tellSwitchboards(news);
+    }
+  }
+
   // ---- trials
 
   /** A switchboard, or another exchange that passes it on, tells what was counted in trials. */
@@ -1444,7 +1527,27 @@
         placements == null ? "" : placements.keeper().keeper(),
         placed,
         writes,
-        outlet.disk());
+        outlet.disk(),
+        keyRanges());
+  }
+
+  private List<Calls.KeyRangeStatus> keyRanges() {
+    final List<Calls.KeyRangeStatus> list = new ArrayList<>();
+    for (final Assignment assignment :
+        ownership == null ? List.<Assignment>of() : ownership.assignments()) {
+      for (final KeyRange range : assignment.ranges()) {
+        list.add(
+            new Calls.KeyRangeStatus(
+                assignment.service,
+                assignment.assigner,
+                range.first,
+                range.last,
+                range.holder,
+                range.fence,
+                range.state().name().toLowerCase(java.util.Locale.ROOT)));
+      }
+    }
+    return list;
   }
 
   /** What each daemon has in force, as it told last. */
@@ -1553,6 +1656,14 @@
           now - majorityAt < MAJORITY_MILLIS,
           now);
     }
+    if (ownership != null) {
+      ownership.tick(
+          control.plan(),
+          registrations,
+          control.evacuated(),
+          new OwnershipCoordinator.Position(roster.index(self), roster.voters.size(), majorityAt),
+          now);
+    }
     if (now - reachAt >= REACH_MILLIS) {
       reachAt = now;
       switchboards.count(now);
@@ -1635,6 +1746,9 @@
   /** The process ends: its streams should go elsewhere. */
   public void leave() {
     leaving = true;
+    if (ownership != null) {
+      ownership.leave();
+    }
   }
 
   // ---- what tests and operators look at
@@ -1665,6 +1779,9 @@
       figures.addAll(quotas.figures());
     }
     figures.addAll(keyClaims.figures());
+    if (ownership != null) {
+      figures.addAll(ownership.figures(now));
+    }
     return figures;
   }
 
@@ -1683,6 +1800,7 @@
         + switchboards.size()
         + (quotas == null ? "" : " " + quotas.counters())
         + keyClaims.counters()
+        + (ownership == null ? "" : ownership.counters())
         + " roster "
         + roster.number
         + " spec "
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -17,12 +17,14 @@
 import weldpoint.boot.Program;
 import weldpoint.dialplan.Affinity;
 import weldpoint.metrics.MetricsServer;
+import weldpoint.ownership.HoldTimes;
 import weldpoint.tape.Ring;
 import weldpoint.tape.Tape;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Lines;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.OwnershipMessages.SlotReport;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
@@ -196,10 +198,13 @@
     core.quotas(
         new weldpoint.ratelimit.QuotaAllocator(
             boot, boot.firstStart() && found.blank() && !found.lost(), now()));
+    final HoldTimes times = HoldTimes.of(boot.ownershipHoldMillis());
+    core.ownership(
+        incarnation, times, new UpstreamCalls(loop, desk, times.holdMillis(), times.sendMillis()));
     desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), now()));
     tape.start("tape");
     trunk.serve(
-        boot.address(),
+        boot.bindAddress(),
         boot.trunkPort(0),
         Trunk.on(
             desk,
@@ -224,6 +229,9 @@
                     || message instanceof KeyMessages.ClaimRelease
                         && "switchboard".equals(line.peer().program)) {
                   core.key(message, line::send, now());
+                } else if (message instanceof SlotReport
+                    && "switchboard".equals(line.peer().program)) {
+                  core.slotReport((SlotReport) message);
                 } else if (message instanceof Words.PermitAsk
                     && !"exchange".equals(line.peer().program)) {
                   core.permit((Words.PermitAsk) message, line::send, now());
--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/UpstreamCalls.java
@@ -0,0 +1,291 @@
+package weldpoint.exchange;
+
+import io.avaje.jsonb.JsonType;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import weldpoint.boot.Boot;
+import weldpoint.ownership.CallResult;
+import weldpoint.trunk.OwnershipMessages.KeyRange;
+
+/**
+ * Grants keys to upstreams and takes them back, over HTTP. Grants to one upstream go one after the
+ * other over one connection; each release has a connection of its own, since its answer waits for
+ * the work under way. A call without an answer in time has its connection reset, so that nothing of
+ * it arrives later.
+ */
+final class UpstreamCalls {
+  private static final String TRANSFER = "Weldpoint-Duty-Transfer";
+  private static final int CONNECT_MILLIS = 400;
+  private static final int MOST_ANSWER = 8192;
+
+  private static final class Call {
+    final FullHttpRequest request;
+    final long sendBy;
+    final long answerBy;
+    final Consumer<CallResult> done;
+    private boolean over;
+
+    Call(
+        final FullHttpRequest request,
+        final long sendBy,
+        final long answerBy,
+        final Consumer<CallResult> done) {
+      this.request = request;
+      this.sendBy = sendBy;
+      this.answerBy = answerBy;
+      this.done = done;
+    }
+
+    void end(final CallResult result) {
+      if (!over) {
+        over = true;
+        done.accept(result);
+      }
+    }
+  }
+
+  /** One connection, and the calls that wait for it. */
+  private final class Link {
+    private final String address;
+    private final boolean kept;
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private Channel channel;
+    private Call sent;
+    private ScheduledFuture<?> timer;
+    private boolean connecting;
+
+    Link(final String address, final boolean kept) {
+      this.address = address;
+      this.kept = kept;
+    }
+
+    void add(final Call call) {
+      waiting.add(call);
+      next();
+    }
+
+    private void next() {
+      if (sent != null || connecting || waiting.isEmpty()) {
+        return;
+      }
+      if (channel == null || !channel.isActive()) {
+        connect();
+        return;
+      }
+      final Call call = waiting.poll();
+      if (now() >= call.sendBy) {
+        call.request.release();
+        call.end(CallResult.of(CallResult.End.NOT_SENT));
+        next();
+        return;
+      }
+      sent = call;
+      timer = loop.schedule(this::reset, Math.max(1, call.answerBy - now()), TimeUnit.MILLISECONDS);
+      channel.writeAndFlush(call.request);
+    }
+
+    private void connect() {
+      connecting = true;
+      final Boot.Address to = Boot.Address.parse("address", address);
+      bootstrap
+          .clone()
+          .handler(
+              new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(final SocketChannel made) {
+                  made.pipeline()
+                      .addLast(
+                          new HttpClientCodec(),
+                          new HttpObjectAggregator(MOST_ANSWER),
+                          new Answers(Link.this));
+                }
+              })
+          .connect(new InetSocketAddress(to.host(), to.port()))
+          .addListener(
+              (ChannelFuture future) -> {
+                connecting = false;
+                if (future.isSuccess()) {
+                  channel = future.channel();
+                  next();
+                } else {
+                  unreachable();
+                }
+              });
+    }
+
+    private void unreachable() {
+      while (!waiting.isEmpty()) {
+        final Call call = waiting.poll();
+        call.request.release();
+        call.end(CallResult.of(CallResult.End.NOT_SENT));
+      }
+      links.remove(address, this);
+    }
+
+    private void reset() {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
+
+    private void answered(final Channel from, final FullHttpResponse response) {
+      if (from != channel || sent == null) {
+        from.close();
+        return;
+      }
+      if (!kept || !HttpUtil.isKeepAlive(response)) {
+        channel = null;
+        from.close();
+      }
+      finish(result(response));
+    }
+
+    private void closed(final Channel which) {
+      if (which == channel) {
+        channel = null;
+        finish(CallResult.of(CallResult.End.UNKNOWN));
+      }
+    }
+
+    private void finish(final CallResult result) {
+      if (sent == null) {
+        return;
+      }
+      final Call ended = sent;
+      sent = null;
+      timer.cancel(false);
+      ended.end(result);
+      next();
+    }
+  }
+
+  /** Hears the answers on one connection. */
+  private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final Link link;
+
+    Answers(final Link link) {
+      this.link = link;
+    }
+
+    @Override
+    protected void channelRead0(
+        final ChannelHandlerContext context, final FullHttpResponse response) {
+      link.answered(context.channel(), response);
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext context) {
+      link.closed(context.channel());
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+      context.close();
+    }
+  }
+
+  private final EventLoopGroup loop;
+  private final Executor desk;
+  private final long holdMillis;
+  private final long sendMillis;
+  private final Bootstrap bootstrap;
+  private final Map<String, Link> links = new HashMap<>();
+
+  /**
+   * Calls on this loop; results are told on the desk.
+   *
+   * @param holdMillis for how long each grant holds
+   * @param sendMillis for how long a grant may wait for its answer
+   */
+  UpstreamCalls(
+      final EventLoopGroup loop,
+      final Executor desk,
+      final long holdMillis,
+      final long sendMillis) {
+    this.loop = loop;
+    this.desk = desk;
+    this.holdMillis = holdMillis;
+    this.sendMillis = sendMillis;
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Grants a range to its holder. */
+  void grant(final KeyRange range, final long sendBy, final Consumer<CallResult> done) {
+    final Calls.Grant body =
+        new Calls.Grant(range.first, range.last, range.fence, holdMillis, range.transfer);
+    final FullHttpRequest request = request(range.address, "/api/grant", Calls.GRANT, body);
+    final Call call = new Call(request, sendBy, now() + sendMillis, onDesk(done));
+    loop.execute(() -> links.computeIfAbsent(range.address, to -> new Link(to, true)).add(call));
+  }
+
+  /** Asks the holder of a range to give it up. */
+  void release(
+      final KeyRange range,
+      final long sendBy,
+      final long answerBy,
+      final Consumer<CallResult> done) {
+    final Calls.Release body = new Calls.Release(range.first, range.last, range.fence);
+    final FullHttpRequest request = request(range.address, "/api/release", Calls.RELEASE, body);
+    final Call call = new Call(request, sendBy, answerBy, onDesk(done));
+    loop.execute(() -> new Link(range.address, false).add(call));
+  }
+
+  private Consumer<CallResult> onDesk(final Consumer<CallResult> done) {
+    return result -> desk.execute(() -> done.accept(result));
+  }
+
+  private static <T> FullHttpRequest request(
+      final String address, final String path, final JsonType<T> type, final T body) {
+    final byte[] bytes = type.toJson(body).getBytes(StandardCharsets.UTF_8);
+    final FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.POST, path, Unpooled.wrappedBuffer(bytes));
+    request.headers().set(HttpHeaderNames.HOST, address);
+    request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    return request;
+  }
+
+  private static CallResult result(final FullHttpResponse response) {
+    return switch (response.status().code()) {
+      case 200 -> new CallResult(CallResult.End.DONE, response.headers().get(TRANSFER));
+      case 409 -> CallResult.of(CallResult.End.REFUSED);
+      default -> CallResult.of(CallResult.End.UNKNOWN);
+    };
+  }
+}
--- a/frame/src/main/java/weldpoint/frame/Deed.java
+++ b/frame/src/main/java/weldpoint/frame/Deed.java
@@ -7,6 +7,7 @@
 import weldpoint.frame.Values.Lock;
 import weldpoint.frame.Values.Put;
 import weldpoint.frame.Values.Spec;
+import weldpoint.trunk.OwnershipMessages;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Call;
@@ -313,6 +314,22 @@
     Decision decide(final Held held, final Object value, final Call call, final long now) {
       return Decision.confirm(200, held.ticket());
     }
+  },
+  /**
+   * Writes who holds the keys of a divided service (body), if its serial follows the one there.
+   * Only the registry that knows the latest assignment can write, so a change by one that has been
+   * overtaken never takes effect.
+   */
+  OWNERSHIP_WRITE(Values.Kind.OWNERSHIP) {
+    @Override
+    Decision decide(final Held held, final Object value, final Call call, final long now) {
+      final OwnershipMessages.Assignment next =
+          Wire.value(call.body, OwnershipMessages.Assignment.class);
+      final long serial = value == null ? 0 : ((OwnershipMessages.Assignment) value).serial;
+      return next.serial == serial + 1
+          ? Decision.write(next, null, next.serial)
+          : Decision.confirm(412, serial);
+    }
   };
 
   private static final int MOST_PURGES = 200;
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -19,6 +19,7 @@
 import weldpoint.frame.Partition.Waiter;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.OwnershipMessages;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Entry;
@@ -1675,6 +1676,7 @@
     final List<Words.Electorate> electorates = new ArrayList<>();
     final List<Words.Placement> placements = new ArrayList<>();
     Words.Keeper keeper = null;
+    final List<OwnershipMessages.Assignment> assignments = new ArrayList<>();
     long placementMark = 0;
     long others = 0;
     for (final Held held : partition.held.values()) {
@@ -1699,6 +1701,9 @@
       } else if (held.kind == Values.Kind.KEEPER && held.committed != null) {
         keeper = (Words.Keeper) held.committed;
         others += keeper.serial;
+      } else if (held.kind == Values.Kind.OWNERSHIP && held.committed != null) {
+        assignments.add((OwnershipMessages.Assignment) held.committed);
+        others += ((OwnershipMessages.Assignment) held.committed).serial;
       }
     }
     others += placementMark;
@@ -1721,7 +1726,8 @@
             value != null && value.tied,
             placementMark,
             news ? placements : null,
-            keeper);
+            keeper,
+            news ? assignments : null);
     work.reply.accept(new Words.Answer(work.call.number, 200, version, Wire.bytes(control), null));
     return true;
   }
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -141,7 +141,7 @@
     tape.start("tape");
     segments.start("history");
     trunk.serve(
-        boot.address(),
+        boot.bindAddress(),
         boot.trunkPort(1),
         Trunk.on(
             desk,
--- a/frame/src/main/java/weldpoint/frame/Values.java
+++ b/frame/src/main/java/weldpoint/frame/Values.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import weldpoint.trunk.OwnershipMessages;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
 
@@ -25,6 +26,7 @@
     AUDIT("audit", Retention.class),
     PLACEMENT("placement/", Words.Placement.class),
     KEEPER("keeper", Words.Keeper.class),
+    OWNERSHIP("ownership/", OwnershipMessages.Assignment.class),
     LOCK("lock/", Lock.class),
     NUMBER("number/", Number.class),
     GROUP("group/", Group.class);
@@ -322,6 +324,10 @@
     public final List<Words.Placement> placements;
     public final Words.Keeper keeper;
 
+    /** Who holds the keys of divided services; null where nothing is news. */
+    public final List<OwnershipMessages.Assignment> assignments;
+
+    /** Control state without divided services. */
     public Control(
         final long version,
         final byte[] spec,
@@ -336,6 +342,40 @@
         final long placementMark,
         final List<Words.Placement> placements,
         final Words.Keeper keeper) {
+      this(
+          version,
+          spec,
+          evacuated,
+          evacuationMark,
+          roster,
+          trials,
+          trialMark,
+          purges,
+          electorates,
+          tied,
+          placementMark,
+          placements,
+          keeper,
+          null);
+    }
+
+    /** Control state. */
+    public Control(
+        final long version,
+        final byte[] spec,
+        final List<String> evacuated,
+        final long evacuationMark,
+        final Words.Roster roster,
+        final List<Words.Trial> trials,
+        final long trialMark,
+        final Words.Purges purges,
+        final List<Words.Electorate> electorates,
+        final boolean tied,
+        final long placementMark,
+        final List<Words.Placement> placements,
+        final Words.Keeper keeper,
+        final List<OwnershipMessages.Assignment> assignments) {
+      this.assignments = assignments;
       this.tied = tied;
       this.placementMark = placementMark;
       this.placements = placements;
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -15,6 +15,8 @@
 import weldpoint.exchange.Stage;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.OwnershipMessages.Assignment;
+import weldpoint.trunk.OwnershipMessages.Assignments;
 import weldpoint.trunk.Packing;
 import weldpoint.trunk.Words;
 import weldpoint.trunk.Words.Board;
@@ -70,6 +72,9 @@
     /** Tells among which upstreams callers are placed. */
     default void placements(final Words.Placements placements) {}
 
+    /** Tells who holds the keys of divided services. */
+    default void assignments(final List<Assignment> assignments) {}
+
     /** A lease on placements was granted or refused. */
     default void leased(final Words.LeaseGrant grant) {}
 
@@ -200,6 +205,8 @@
       outlet.neighbours(Words.list(((Words.Neighbours) message).addresses));
     } else if (message instanceof Words.Placements) {
       outlet.placements((Words.Placements) message);
+    } else if (message instanceof Assignments) {
+      outlet.assignments(Words.list(((Assignments) message).assignments));
     } else if (message instanceof Words.LeaseGrant) {
       outlet.leased((Words.LeaseGrant) message);
     } else if (message instanceof Words.Electorate) {
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -42,6 +42,7 @@
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.OwnershipMessages.Assignment;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
 import weldpoint.trunk.Words;
@@ -154,6 +155,11 @@
                     });
               }
 
+              @Override
+              public void assignments(final List<Assignment> assignments) {
+                loop.execute(() -> room.owners.take(assignments));
+              }
+
               @Override
               public void leased(final Words.LeaseGrant grant) {
                 loop.execute(
@@ -256,6 +262,11 @@
     loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
         () -> report(false), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleAtFixedRate(
+        () -> room.owners.reports().forEach(stream::send),
+        REPORT_MILLIS,
+        REPORT_MILLIS,
+        TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
         () ->
@@ -312,6 +323,16 @@
         Figure.counter(
             "weldpoint_further_sends", "Sends beyond a request's first.", room.repeated));
     figures.add(Figure.gauge("weldpoint_active", "Requests under way.", room.active));
+    figures.add(
+        Figure.counter(
+            "weldpoint_key_waits",
+            "Requests that waited for their key's holder.",
+            room.owners.waitedCount()));
+    figures.add(
+        Figure.counter(
+            "weldpoint_key_turned_away",
+            "Requests that an upstream turned away, since it did not hold the key.",
+            room.owners.turnedAwayCount()));
     figures.addAll(room.tenantCounts.figures());
     figures.addAll(room.permits.figures());
     figures.addAll(room.keys.figures());
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -12,6 +12,7 @@
 import weldpoint.dialplan.Affinity;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.RouteKind;
+import weldpoint.ownership.KeyOwners;
 import weldpoint.trial.TrialBook;
 import weldpoint.trunk.Words;
 
@@ -26,6 +27,7 @@
   KeyRuns keys;
   List<String> keyHeaders = List.of();
   Ties ties;
+  final KeyOwners owners = new KeyOwners();
   Affinity usual;
   long tieWaitMillis;
   final Callers callers = new Callers();
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -36,6 +36,7 @@
 import weldpoint.ratelimit.RateLimit;
 import weldpoint.trial.TrialBook;
 import weldpoint.trunk.KeyMessages;
+import weldpoint.trunk.OwnershipMessages;
 import weldpoint.trunk.Words;
 
 /** One request from its arrival to its answer, with its tries at upstreams. */
@@ -73,6 +74,7 @@
   private boolean keyed;
   private boolean single;
   private Affinity affinity;
+  private HeldKey heldKey;
   private long caller;
   private Ties.Tie tie;
   private int untied;
@@ -142,6 +144,20 @@
       service = other < 0 ? service : plan.services().get(other);
       trialled = true;
     }
+    if (service.partitioned()) {
+      heldKey = HeldKey.of(request.headers());
+      affinity = null;
+      if (heldKey == null) {
+        finish();
+        session.refuse(
+            HttpResponseStatus.BAD_REQUEST,
+            "the service is divided by key, and the request has no proper one; send one"
+                + " Weldpoint-Shard-Key, a whole number from 0 to 65535",
+            null,
+            closeAfter);
+        return;
+      }
+    }
     final long waits = Headers.millis(request.headers(), Headers.DEADLINE, route.timeoutMillis);
     cutoff = arrivedAt + Math.max(1, Math.min(waits, route.timeoutMillis) - MARGIN_MILLIS);
     if (room.once != null) {
@@ -350,6 +366,10 @@
   }
 
   private void dispatch() {
+    if (heldKey != null) {
+      sendToHolder();
+      return;
+    }
     if (affinity != null) {
       sendTied();
       return;
@@ -358,6 +378,63 @@
     refuseUnsent();
   }
 
+  /**
+   * Sends a request of a divided service to the holder of its key. While nobody holds the key, or
+   * its holder is full, it waits a little, and is refused then.
+   */
+  private void sendToHolder() {
+    if (over) {
+      return;
+    }
+    final long now = Switchroom.now();
+    if (now >= cutoff) {
+      giveUp();
+      return;
+    }
+    if (choseHolder(now)) {
+      if (sent > 0 && !room.cords.repeat(service.name(), now)) {
+        conclude();
+        return;
+      }
+      transmit(room.cords.chosen(), now);
+    } else if (heldKey.mayWait(arrivedAt, route, now) && session.open()) {
+      heldKey.waits(room.owners);
+      room.loop.schedule(this::sendToHolder, HeldKey.PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      conclude();
+    }
+  }
+
+  private boolean choseHolder(final long now) {
+    final OwnershipMessages.KeyRange range = room.owners.range(service.name(), heldKey.key());
+    if (range == null || !range.held()) {
+      return false;
+    }
+    final int rank = tenant == null ? 0 : tenant.priority();
+    return room.cords.holder(service, route, rank, range.holder, now) == Cords.Choice.CHOSEN;
+  }
+
+  /** Goes on after a try at a key's holder that brought no answer for the client. */
+  private void nextAtHolder() {
+    if (over || running() > 0) {
+      return;
+    }
+    final long now = Switchroom.now();
+    final boolean again =
+        Further.mayGoOn(route, uncertain)
+            && !single
+            && sent < HeldKey.MOST_SENDS
+            && Further.fits(route, sent, now, cutoff)
+            && heldKey.triesAgain();
+    if (!again) {
+      conclude();
+    } else if (limited() && permits < 1) {
+      furtherPermit(this::sendToHolder, this::conclude);
+    } else {
+      room.loop.schedule(this::sendToHolder, HeldKey.RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   /** Sends a tied write to its caller's node, or waits a little for it, or refuses. */
   private void sendTied() {
     if (over) {
@@ -537,6 +614,9 @@
               if (fate == Fate.NOT_RUN) {
                 permits++;
               }
+              if (heldKey != null) {
+                heldKey.ended(room.owners, service.name(), fate, head, Switchroom.now() - now);
+              }
               if (tie != null && end != Cord.End.UNCERTAIN) {
                 tie.ended();
                 room.ties.tick(Switchroom.now());
@@ -560,7 +640,7 @@
     if (!ended[0]) {
       attempts.add(self[0]);
     }
-    if (!over && !single && hedge == null && Further.hedges(route, sent)) {
+    if (!over && !single && heldKey == null && hedge == null && Further.hedges(route, sent)) {
       hedge = room.loop.schedule(this::hedge, Further.hedgeMillis(route), TimeUnit.MILLISECONDS);
     }
     return true;
@@ -687,6 +767,10 @@
 
   /** Goes on after a try that brought no answer for the client. */
   private void next() {
+    if (heldKey != null) {
+      nextAtHolder();
+      return;
+    }
     if (affinity != null && !uncertain && lastAnswer == null && running() == 0) {
       if (sent == 0) {
         sendTied();
--- a/metrics/src/main/java/weldpoint/metrics/Figure.java
+++ b/metrics/src/main/java/weldpoint/metrics/Figure.java
@@ -1,6 +1,7 @@
 package weldpoint.metrics;
 
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * One figure that a daemon tells of itself.
@@ -23,8 +24,10 @@
     return new Figure(name, help, false, Map.of(), value);
   }
 
-  /** The same with a label. */
+  /** The same with one more label. */
   public Figure with(final String label, final String text) {
-    return new Figure(name, help, rises, Map.of(label, text), value);
+    final Map<String, String> more = new TreeMap<>(labels);
+    more.put(label, text);
+    return new Figure(name, help, rises, more, value);
   }
 }
--- /dev/null
+++ b/ownership/src/test/java/weldpoint/ownership/KeyOwnersTest.java
@@ -0,0 +1,71 @@
+package weldpoint.ownership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import java.util.List;
+import org.testng.annotations.Test;
+import weldpoint.trunk.OwnershipMessages.Assignment;
+import weldpoint.trunk.OwnershipMessages.KeyRange;
+import weldpoint.trunk.OwnershipMessages.RangeState;
+import weldpoint.trunk.OwnershipMessages.SlotReport;
+
+/** A proxy's table of holders, the keys that requests bear, and the reports of what was sent. */
+public final class KeyOwnersTest {
+  private static Assignment assignment(final long serial, final String first, final String second) {
+    return new Assignment(
+        "s",
+        serial,
+        "r",
+        1,
+        List.of(
+            new KeyRange(0, 999, first, "h:1", serial, RangeState.HELD, null),
+            new KeyRange(1000, 65_535, second, "h:2", serial, RangeState.RELEASING, null)));
+  }
+
+  @Test
+  public void aKeyIsFoundAtBothEndsOfItsRange() {
+    final KeyOwners owners = new KeyOwners();
+    owners.take(List.of(assignment(1, "a", "b")));
+    assertEquals(owners.range("s", 0).holder, "a");
+    assertEquals(owners.range("s", 999).holder, "a");
+    assertEquals(owners.range("s", 1000).holder, "b");
+    assertEquals(owners.range("s", 65_535).holder, "b");
+    assertNull(owners.range("another", 5));
+  }
+
+  @Test
+  public void anOlderAssignmentIsNeverTakenBack() {
+    final KeyOwners owners = new KeyOwners();
+    owners.take(List.of(assignment(2, "a", "b")));
+    owners.take(List.of(assignment(1, "x", "y")));
+    assertEquals(owners.range("s", 0).holder, "a");
+  }
+
+  @Test
+  public void onlyWholeNumbersOfTheKeySpaceAreKeys() {
+    assertEquals(KeySpace.parse("0"), 0);
+    assertEquals(KeySpace.parse(" 65535 "), 65_535);
+    for (final String bad : new String[] {null, "", " ", "65536", "-1", "1.0", "a", "000001"}) {
+      assertEquals(KeySpace.parse(bad), KeySpace.NO_KEY, bad);
+    }
+  }
+
+  @Test
+  public void reportsAddUpAndBeginAnew() {
+    final KeyOwners owners = new KeyOwners();
+    owners.answered("s", 0, 100);
+    owners.answered("s", 63, 50);
+    owners.answered("s", 64, 7);
+    final SlotReport report = owners.reports().get(0);
+    assertEquals(report.slots, List.of(0, 1));
+    assertEquals(report.requests, List.of(2, 1));
+    assertEquals(report.busyMillis, List.of(150, 7));
+    assertEquals(owners.reports(), List.of());
+    final SlotReports sums = new SlotReports();
+    sums.add(report);
+    sums.add(report);
+    assertEquals(sums.drain().get(0).busyMillis, List.of(300, 14));
+    assertEquals(sums.drain(), List.of());
+  }
+}
--- a/soak/src/main/java/weldpoint/soak/HeldKeys.java
+++ b/soak/src/main/java/weldpoint/soak/HeldKeys.java
@@ -16,7 +16,7 @@
   private static final int OVERTAKEN = 409;
   private static final int MALFORMED = 400;
 
-  private final String instance;
+  private volatile String instance;
   private final double slowness;
   private final HolderJudge judge;
   private final long[] until = new long[KEYS];
@@ -102,9 +102,11 @@
     return key >= 0 && key < KEYS && Clock.millis() < until[key];
   }
 
-  /** The process ends: it holds nothing any more. */
-  synchronized void crash() {
+  /** The process ends with all that it held, and another life begins, which holds nothing. */
+  synchronized void beginLife(final String id) {
+    instance = id;
     java.util.Arrays.fill(until, 0);
+    java.util.Arrays.fill(fences, 0);
   }
 
   /** Sees to it that no two upstreams of one fleet begin work on a key while both hold it. */
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -46,6 +46,8 @@
   private static final int CALL_MILLIS = 2000;
   private static final int TRAFFIC_PORT = 0;
   private static final int CONTROL_PORT = 0;
+  private static final int REGISTRY_PORT = 1;
+  private static final int STORE_PORT = 2;
   private static final int READINESS_PORT = 12;
   private static final int METRICS_PORT = 13;
 
@@ -73,14 +75,18 @@
   private final List<RecordingUpstream> upstreams = new ArrayList<>();
   private final List<TcpRelay> relays = new ArrayList<>();
   private final List<RecordingUpstream> keyHolders = new ArrayList<>();
+  private final List<TcpRelay> coreRelays = new ArrayList<>();
   private final List<TcpRelay> keyRelays = new ArrayList<>();
   private final HeldKeys.HolderJudge holderJudge = new HeldKeys.HolderJudge();
+  private final Map<Integer, Integer> lives = new java.util.concurrent.ConcurrentHashMap<>();
+  private final java.util.concurrent.atomic.AtomicInteger versions =
+      new java.util.concurrent.atomic.AtomicInteger(1);
   private final java.util.Set<Integer> draining =
       java.util.concurrent.ConcurrentHashMap.newKeySet();
   private final AtomicLong beats = new AtomicLong();
   private final AtomicLong calls = new AtomicLong();
   private final ScheduledExecutorService clock =
-      Executors.newScheduledThreadPool(2, LocalFleet::daemon);
+      Executors.newScheduledThreadPool(3, LocalFleet::daemon);
 
   LocalFleet(final Size size, final long seed) throws IOException {
     this.size = size;
@@ -88,7 +94,15 @@
     this.folder = Files.createTempDirectory("weldpoint-soak");
     for (int index = 0; index < size.cores(); index++) {
       final String address = core(index);
-      final String disk = "station.folder = " + folder.resolve("disk-" + index) + "\n";
+      final String bound = "127.9.11." + (1 + index);
+      final String disk =
+          "station.folder = "
+              + folder.resolve("disk-" + index)
+              + "\nstation.bind = "
+              + bound
+              + "\n";
+      coreRelays.add(coreRelay(address, bound, REGISTRY_PORT));
+      coreRelays.add(coreRelay(address, bound, STORE_PORT));
       stores.add(process("frame", address, index, disk));
       registries.add(
           process(
@@ -117,6 +131,20 @@
     keyHolders(seed);
   }
 
+  /** Bytes from any daemon to an inner port of a core machine pass through it. */
+  private TcpRelay coreRelay(final String told, final String bound, final int offset)
+      throws IOException {
+    final TcpRelay relay =
+        new TcpRelay(told, port + offset, new InetSocketAddress(bound, port + offset));
+    relay.loseHeld(true);
+    return relay;
+  }
+
+  /** The relays before the inner ports of core machines: two for each machine, in their order. */
+  List<TcpRelay> coreRelays() {
+    return coreRelays;
+  }
+
   private void keyHolders(final long seed) throws IOException {
     for (int index = 0; index < size.keyHolders(); index++) {
       final String host = "127.9.6." + (1 + index);
@@ -146,21 +174,35 @@
     return holderJudge.broken();
   }
 
-  /** A holder of keys tells from now on that it leaves, or that it is ready again. */
-  void drain(final int keyHolder, final boolean drains) {
-    if (drains) {
-      draining.add(keyHolder);
-    } else {
-      draining.remove(keyHolder);
-    }
+  /** A holder of keys tells from now on that it leaves. */
+  void drain(final int keyHolder) {
+    draining.add(keyHolder);
+    beatHolder(keyHolder);
+  }
+
+  /** A holder of keys ends, and another life of it begins at its address. */
+  void beginLife(final int keyHolder) {
+    final int life = lives.merge(keyHolder, 1, Integer::sum);
+    keyHolders.get(keyHolder).beginLife(holderId(keyHolder, life));
+    draining.remove(keyHolder);
     beatHolder(keyHolder);
   }
 
+  private static String holderId(final int keyHolder, final int life) {
+    return "k-" + keyHolder + (life == 0 ? "" : "-" + life);
+  }
+
+  /** Sends the workload's configuration under the next version, without waiting for the answer. */
+  void sendNextConfiguration() {
+    final int version = versions.incrementAndGet();
+    clock.execute(() -> control(version, "configuration.replace", Workload.configuration(version)));
+  }
+
   private int beatHolder(final int index) {
     final long number = beats.incrementAndGet();
     return beat(
         (int) (number % size.cores()),
-        "k-" + index,
+        holderId(index, lives.getOrDefault(index, 0)),
         SHELF,
         "127.9.5." + (1 + index),
         index,
@@ -452,6 +494,7 @@
     upstreams.forEach(RecordingUpstream::close);
     keyHolders.forEach(RecordingUpstream::close);
     relays.addAll(keyRelays);
+    relays.addAll(coreRelays);
     for (final TcpRelay relay : relays) {
       try {
         relay.close();
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -16,7 +16,7 @@
 
 /** A stand-in upstream that notes each request that it runs, works for a while and answers. */
 final class RecordingUpstream implements AutoCloseable {
-  private final String instance;
+  private volatile String instance;
   private final HttpServer server;
   private final ExecutorService workers =
       Executors.newCachedThreadPool(
@@ -71,6 +71,14 @@
     lostAnswers = share;
   }
 
+  /** The process ends with all that it holds, and another life begins at its address. */
+  void beginLife(final String id) {
+    instance = id;
+    if (heldKeys != null) {
+      heldKeys.beginLife(id);
+    }
+  }
+
   /** How many requests were turned away since their key was not held. */
   long turnedAway() {
     return turnedAway.get();
--- a/soak/src/main/java/weldpoint/soak/SoakCommand.java
+++ b/soak/src/main/java/weldpoint/soak/SoakCommand.java
@@ -41,6 +41,18 @@
             .withRequiredArg()
             .ofType(Integer.class)
             .defaultsTo(3);
+    final OptionSpec<Integer> cores =
+        parser
+            .accepts("cores", "how many core machines")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(3);
+    final OptionSpec<Integer> keyHolders =
+        parser
+            .accepts("key-holders", "how many upstreams of a service that is divided by key")
+            .withRequiredArg()
+            .ofType(Integer.class)
+            .defaultsTo(4);
     parser.accepts("help", "shows this");
     final OptionSet options;
     try {
@@ -55,7 +67,9 @@
       parser.printHelpOn(System.out);
       return;
     }
-    final LocalFleet.Size size = new LocalFleet.Size(3, options.valueOf(proxies), 3);
+    final LocalFleet.Size size =
+        new LocalFleet.Size(
+            options.valueOf(cores), options.valueOf(proxies), 3, options.valueOf(keyHolders));
     final long troubledMillis = 1000L * options.valueOf(seconds);
     final boolean good = play(options.valueOf(seed), options.valueOf(runs), size, troubledMillis);
     System.exit(good ? 0 : 1);
@@ -89,6 +103,10 @@
         + verdict.mostInWindow()
         + " of "
         + SoakRun.ALLOWED
+        + " fetched "
+        + verdict.fetched()
+        + " of "
+        + verdict.fetches()
         + " troubles "
         + verdict.troubles()
         + (broken.isEmpty() ? "" : "\n  " + String.join("\n  ", broken));
--- a/soak/src/main/java/weldpoint/soak/SoakRun.java
+++ b/soak/src/main/java/weldpoint/soak/SoakRun.java
@@ -39,6 +39,9 @@
    * @param served those that were answered with success
    * @param keyedRuns runs of requests with a key
    * @param mostInWindow the most runs of the limited tenant in any window
+   * @param fetches requests to the divided service
+   * @param fetched those that were answered with success
+   * @param twoHolders checks that found two holders of one key
    */
   record Verdict(
       long seed,
@@ -47,7 +50,10 @@
       int calls,
       int served,
       int keyedRuns,
-      int mostInWindow) {}
+      int mostInWindow,
+      int fetches,
+      int fetched,
+      int twoHolders) {}
 
   private final long seed;
   private final LocalFleet.Size size;
@@ -108,6 +114,7 @@
     final List<String> broken = new ArrayList<>(Bounds.doubledKeys(runs, KEY_SPAN_MILLIS));
     broken.addAll(Bounds.brokenPromises(calls, runs));
     broken.addAll(Bounds.strangeAnswers(calls, runs));
+    broken.addAll(fleet.twoHolders());
     final int most = Bounds.mostInWindow(runs, Workload.LIMITED_TENANT, QUOTA_WINDOW_MILLIS);
     if (most > ALLOWED) {
       broken.add(most + " runs of the limited tenant in a window, allowed " + ALLOWED);
@@ -124,6 +131,18 @@
     }
     final int served = (int) calls.stream().filter(call -> call.reply().status() == 200).count();
     final int keyed = (int) runs.stream().filter(run -> !run.key().isEmpty()).count();
-    return new Verdict(seed, broken, counts, calls.size(), served, keyed, most);
+    final List<Reply> replies = workload.fetched();
+    final int fetched = (int) replies.stream().filter(reply -> reply.status() == 200).count();
+    return new Verdict(
+        seed,
+        broken,
+        counts,
+        calls.size(),
+        served,
+        keyed,
+        most,
+        replies.size(),
+        fetched,
+        fleet.twoHolders().size());
   }
 }
--- a/soak/src/main/java/weldpoint/soak/Trouble.java
+++ b/soak/src/main/java/weldpoint/soak/Trouble.java
@@ -28,7 +28,19 @@
   /** The bytes between proxies and an upstream are late. */
   UPSTREAM_DELAY,
   /** An upstream's answers are lost on their way. */
-  ANSWERS_LOST;
+  ANSWERS_LOST,
+  /** What other daemons send to a core machine is held up, and lost with its connections. */
+  CORE_LINKS_CUT,
+  /** What other daemons send to a core machine is late. */
+  CORE_LINKS_DELAY,
+  /** An upstream that holds keys cannot be reached. */
+  HOLDER_CUT,
+  /** An upstream that holds keys leaves in order, and comes back. */
+  HOLDER_DRAIN,
+  /** All proxies are asked to end, one after the other, and started again. */
+  ROLLING_RESTART,
+  /** A configuration is sent. */
+  CONFIGURATION;
 
   /** One trouble that is in force. */
   interface InForce {
@@ -68,9 +80,65 @@
         relay.dropAnswers(true);
         yield () -> relay.dropAnswers(false);
       }
+      case CORE_LINKS_CUT -> {
+        final List<TcpRelay> relays = machineRelays(fleet, random);
+        relays.forEach(relay -> relay.cut(true));
+        yield () -> relays.forEach(relay -> relay.cut(false));
+      }
+      case CORE_LINKS_DELAY -> {
+        final List<TcpRelay> relays = machineRelays(fleet, random);
+        relays.forEach(relay -> relay.delayMillis(DELAY_MILLIS));
+        yield () -> relays.forEach(relay -> relay.delayMillis(0));
+      }
+      case HOLDER_CUT -> {
+        if (fleet.keyRelays().isEmpty()) {
+          yield () -> {};
+        }
+        final TcpRelay relay = drawn(fleet.keyRelays(), random);
+        relay.cut(true);
+        yield () -> relay.cut(false);
+      }
+      case HOLDER_DRAIN -> {
+        if (fleet.keyRelays().isEmpty()) {
+          yield () -> {};
+        }
+        final int holder = random.nextInt(fleet.keyRelays().size());
+        fleet.drain(holder);
+        yield () -> fleet.beginLife(holder);
+      }
+      case ROLLING_RESTART -> {
+        final Thread restarts = new Thread(() -> restartAll(fleet), "rolling-restart");
+        restarts.setDaemon(true);
+        restarts.start();
+        yield () -> join(restarts);
+      }
+      case CONFIGURATION -> {
+        fleet.sendNextConfiguration();
+        yield () -> {};
+      }
     };
   }
 
+  private static List<TcpRelay> machineRelays(final LocalFleet fleet, final Random random) {
+    final int machine = random.nextInt(fleet.stores().size());
+    return fleet.coreRelays().subList(2 * machine, 2 * machine + 2);
+  }
+
+  private static void restartAll(final LocalFleet fleet) {
+    for (final DaemonProcess proxy : fleet.proxies()) {
+      proxy.terminate();
+      proxy.startIfDown();
+    }
+  }
+
+  private static void join(final Thread thread) {
+    try {
+      thread.join();
+    } catch (final InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static <T> T drawn(final List<T> those, final Random random) {
     return those.get(random.nextInt(those.size()));
   }
--- a/soak/src/main/java/weldpoint/soak/Workload.java
+++ b/soak/src/main/java/weldpoint/soak/Workload.java
@@ -28,10 +28,12 @@
   private static final int DEADLINE_MILLIS = 1500;
   private static final int MOST_PRESSES = 4;
   private static final int MOST_PAUSE_MILLIS = 2500;
+  private static final int HOT_KEYS = 200;
   private static final int READ_PAUSE_MILLIS = 60;
 
   private final LocalFleet fleet;
   private final ConcurrentLinkedQueue<Call> calls = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Reply> fetched = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean over;
 
@@ -41,8 +43,15 @@
 
   /** The configuration that the workload needs. */
   static String configuration() {
+    return configuration(1);
+  }
+
+  /** The same under another version. */
+  static String configuration(final int version) {
     final String action = "\"action\":{\"service\":\"desk\",\"timeoutMs\":1500,\"maxAttempts\":2}";
-    return "{\"version\":\"00000001\",\"tenants\":[{\"name\":\""
+    return "{\"version\":\""
+        + String.format("%08x", version)
+        + "\",\"tenants\":[{\"name\":\""
         + LIMITED_TENANT
         + "\",\"apiKeys\":[\"key-l\"],\"ratePerS\":"
         + RATE
@@ -75,6 +84,9 @@
       final long own = seed * 1000 + client;
       thread(() -> write(own));
       thread(() -> read(own));
+      if (fleet.size().keyHolders() > 0) {
+        thread(() -> fetch(own));
+      }
     }
   }
 
@@ -127,6 +139,25 @@
     }
   }
 
+  /** Asks for keys of the divided service, some of them much more often than others. */
+  private void fetch(final long seed) {
+    final Random random = new Random(seed ^ 0x5eed);
+    while (!over) {
+      final int key =
+          random.nextInt(3) == 0 ? random.nextInt(HOT_KEYS) : random.nextInt(HeldKeys.KEYS);
+      final Reply reply =
+          fleet.shelfRequest(
+              random.nextInt(fleet.size().proxies()), fleet.attemptId(), Integer.toString(key));
+      fetched.add(reply);
+      pause(random.nextInt(READ_PAUSE_MILLIS));
+    }
+  }
+
+  /** What clients of the divided service heard. */
+  List<Reply> fetched() {
+    return new ArrayList<>(fetched);
+  }
+
   private void pause(final int millis) {
     try {
       Thread.sleep(millis);
--- a/soak/src/test/java/weldpoint/soak/DividedServiceTest.java
+++ b/soak/src/test/java/weldpoint/soak/DividedServiceTest.java
@@ -65,7 +65,7 @@
 
   @Test(dependsOnMethods = "aDividedServiceIsServedForEveryKey")
   public void anUpstreamThatLeavesGivesItsKeysUpAtOnce() throws InterruptedException {
-    fleet.drain(0, true);
+    fleet.drain(0);
     Thread.sleep(2000);
     final long ranBefore = runsOf("k-0");
     assertEquals(served(REQUESTS), REQUESTS);
--- a/soak/src/test/java/weldpoint/soak/SoakTest.java
+++ b/soak/src/test/java/weldpoint/soak/SoakTest.java
@@ -14,11 +14,12 @@
   @Test
   public void aShortSoakBreaksNothing() throws IOException, InterruptedException {
     final SoakRun.Verdict verdict =
-        new SoakRun(7, new LocalFleet.Size(3, 2, 3), TROUBLED_MILLIS).play();
+        new SoakRun(7, new LocalFleet.Size(3, 2, 3, 4), TROUBLED_MILLIS).play();
     System.out.println(SoakCommand.text(verdict));
     assertEquals(verdict.broken(), List.of());
     assertTrue(verdict.keyedRuns() > 10, "writes were made: " + verdict.keyedRuns());
     assertTrue(verdict.served() > verdict.calls() / 10, "something was served");
+    assertTrue(verdict.fetched() > verdict.fetches() / 10, "the divided service was served");
   }
 
   private static Run run(final String attemptId, final String key, final long at) {
--- a/trunk/src/main/java/weldpoint/trunk/Words.java
+++ b/trunk/src/main/java/weldpoint/trunk/Words.java
@@ -64,6 +64,9 @@
     KeyMessages.VoteAnswer.class,
     KeyMessages.OutcomeAsk.class,
     KeyMessages.OutcomeAnswer.class,
+    OwnershipMessages.Assignments.class,
+    OwnershipMessages.AssignerPulse.class,
+    OwnershipMessages.SlotReport.class,
   };
 
   private Words() {}
