--- a/affinity/src/main/java/weldpoint/affinity/PlacementKeeper.java
+++ b/affinity/src/main/java/weldpoint/affinity/PlacementKeeper.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.PlacementMessages.Placement;
+import weldpoint.trunk.PlacementMessages.PlacementMember;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Placement;
-import weldpoint.trunk.Words.PlacementMember;
 
 /**
  * The exchange's side: one exchange at a time, named by a register, grants leases on placements and
@@ -28,10 +30,10 @@
   /** Writes registers, if they still have the serial before. */
   public interface Writer {
     /** Writes who keeps placements. */
-    CompletableFuture<Words.Answer> keeper(Words.Keeper next, long now);
+    CompletableFuture<StoreCallMessages.Answer> keeper(PlacementMessages.Keeper next, long now);
 
     /** Writes a service's placement. */
-    CompletableFuture<Words.Answer> placement(Placement next, long now);
+    CompletableFuture<StoreCallMessages.Answer> placement(Placement next, long now);
   }
 
   private static final class Holder {
@@ -50,7 +52,7 @@
   private final Map<String, Long> differsSince = new HashMap<>();
   private final Map<String, Holder> holders = new LinkedHashMap<>();
   private Map<String, List<PlacementMember>> wanted = Map.of();
-  private Words.Keeper keeper = new Words.Keeper(0, "", 0);
+  private PlacementMessages.Keeper keeper = new PlacementMessages.Keeper(0, "", 0);
   private long mark;
   private long finishMillis;
   private long keeperSince;
@@ -75,7 +77,10 @@
 
   /** Takes what the frames hold; true where placements are new. */
   public boolean take(
-      final List<Placement> given, final Words.Keeper named, final long givenMark, final long now) {
+      final List<Placement> given,
+      final PlacementMessages.Keeper named,
+      final long givenMark,
+      final long now) {
     if (named != null && named.serial > keeper.serial) {
       keeper = named;
       keeperLostAt = -1;
@@ -129,18 +134,19 @@
   }
 
   /** All placements, as switchboards are told. */
-  public Words.Placements placements() {
-    return new Words.Placements(mark, new ArrayList<>(placements.values()));
+  public PlacementMessages.Placements placements() {
+    return new PlacementMessages.Placements(mark, new ArrayList<>(placements.values()));
   }
 
   /** Somebody asks for a lease; a majority confirmed what is known here at the time given. */
-  public Words.LeaseGrant ask(final Words.LeaseAsk ask, final long confirmedAt, final long now) {
+  public PlacementMessages.LeaseGrant ask(
+      final PlacementMessages.LeaseAsk ask, final long confirmedAt, final long now) {
     long millis = 0;
     if (keeps()) {
       final Holder holder =
           holders.computeIfAbsent(ask.board + "#" + ask.incarnation, key -> new Holder());
       holder.settled = Math.max(holder.settled, ask.settled);
-      holder.counts = Words.list(ask.counts);
+      holder.counts = Protocol.list(ask.counts);
       final long left = confirmedAt + leaseMillis - now;
       if (left > 0 && ask.mark >= mark) {
         millis = left;
@@ -149,7 +155,7 @@
         stale++;
       }
     }
-    return new Words.LeaseGrant(ask.number, ask.board, ask.incarnation, millis);
+    return new PlacementMessages.LeaseGrant(ask.number, ask.board, ask.incarnation, millis);
   }
 
   /**
@@ -170,7 +176,8 @@
                   || keeper.address.equals(self)
                   || now - keeperLostAt >= TAKE_OVER_MILLIS);
       if (mayKeep && due) {
-        write(writer.keeper(new Words.Keeper(keeper.serial + 1, self, incarnation), now));
+        write(
+            writer.keeper(new PlacementMessages.Keeper(keeper.serial + 1, self, incarnation), now));
       }
       return;
     }
@@ -216,7 +223,7 @@
     }
   }
 
-  private void write(final CompletableFuture<Words.Answer> future) {
+  private void write(final CompletableFuture<StoreCallMessages.Answer> future) {
     out = true;
     future.whenComplete((answer, problem) -> out = false);
   }
@@ -236,7 +243,7 @@
   }
 
   private static boolean same(final List<PlacementMember> one, final List<PlacementMember> other) {
-    final List<PlacementMember> first = Words.list(one);
+    final List<PlacementMember> first = Protocol.list(one);
     if (first.size() != other.size()) {
       return false;
     }
--- a/affinity/src/main/java/weldpoint/affinity/Ties.java
+++ b/affinity/src/main/java/weldpoint/affinity/Ties.java
@@ -8,8 +8,9 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.PlacementMember;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.PlacementMessages.PlacementMember;
+import weldpoint.trunk.Protocol;
 
 /**
  * The switchboard's side: which node a caller belongs to in the placement held, whether a lease
@@ -23,14 +24,14 @@
   private static final long ASK_AGAIN_MILLIS = 200;
 
   private static final class Epoch {
-    final Words.Placement placement;
+    final PlacementMessages.Placement placement;
     final Rendezvous.Table members;
     final Rendezvous.Table next;
 
-    Epoch(final Words.Placement placement) {
+    Epoch(final PlacementMessages.Placement placement) {
       this.placement = placement;
-      this.members = new Rendezvous.Table(Words.list(placement.members));
-      this.next = placement.prepared ? new Rendezvous.Table(Words.list(placement.next)) : null;
+      this.members = new Rendezvous.Table(Protocol.list(placement.members));
+      this.next = placement.prepared ? new Rendezvous.Table(Protocol.list(placement.next)) : null;
     }
   }
 
@@ -68,7 +69,7 @@
   private final String self;
   private final long incarnation;
   private final long leaseMillis;
-  private final Consumer<Words.LeaseAsk> outlet;
+  private final Consumer<PlacementMessages.LeaseAsk> outlet;
   private final Map<String, Epoch> epochs = new HashMap<>();
   private final List<Tie> ties = new ArrayList<>();
   private final Map<Long, Long> askedAt = new HashMap<>();
@@ -87,7 +88,7 @@
       final String self,
       final long incarnation,
       final long leaseMillis,
-      final Consumer<Words.LeaseAsk> outlet) {
+      final Consumer<PlacementMessages.LeaseAsk> outlet) {
     this.self = self;
     this.incarnation = incarnation;
     this.leaseMillis = leaseMillis;
@@ -95,12 +96,12 @@
   }
 
   /** Takes placements, unless newer ones are held. */
-  public void take(final Words.Placements given, final long now) {
+  public void take(final PlacementMessages.Placements given, final long now) {
     if (given.mark <= mark) {
       return;
     }
     mark = given.mark;
-    for (final Words.Placement placement : Words.list(given.placements)) {
+    for (final PlacementMessages.Placement placement : Protocol.list(given.placements)) {
       final Epoch before = epochs.get(placement.service);
       if (before == null || placement.serial > before.placement.serial) {
         epochs.put(placement.service, new Epoch(placement));
@@ -108,9 +109,9 @@
             "placement of %s: epoch %s of %s nodes%s",
             placement.service,
             placement.epoch,
-            Words.list(placement.members).size(),
+            Protocol.list(placement.members).size(),
             placement.prepared
-                ? ", the next of " + Words.list(placement.next).size() + " prepared"
+                ? ", the next of " + Protocol.list(placement.next).size() + " prepared"
                 : "");
       }
     }
@@ -118,7 +119,7 @@
   }
 
   /** A lease was granted, or refused. */
-  public void granted(final Words.LeaseGrant grant, final long now) {
+  public void granted(final PlacementMessages.LeaseGrant grant, final long now) {
     final Long asked = askedAt.remove(grant.number);
     if (asked != null && grant.incarnation == incarnation && grant.millis > 0) {
       leaseUntil = Math.max(leaseUntil, asked + grant.millis - MARGIN_MILLIS);
@@ -221,7 +222,7 @@
     for (final long count : counts) {
       told.add(count);
     }
-    outlet.accept(new Words.LeaseAsk(asks, self, incarnation, mark, settled, told));
+    outlet.accept(new PlacementMessages.LeaseAsk(asks, self, incarnation, mark, settled, told));
   }
 
   /** The mark of the placements held. */
--- a/affinity/src/test/java/weldpoint/affinity/AffinityTest.java
+++ b/affinity/src/test/java/weldpoint/affinity/AffinityTest.java
@@ -11,8 +11,8 @@
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 import weldpoint.dialplan.Affinity;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.PlacementMember;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.PlacementMessages.PlacementMember;
 
 /**
  * Callers tied to nodes over cutover weekends: nodes and switchboards come, go, freeze and are cut
@@ -165,22 +165,23 @@
 
   @Test
   public void anOlderPlacementAndAnotherLifesLeaseAreNotTaken() {
-    final List<Words.LeaseAsk> asks = new ArrayList<>();
+    final List<PlacementMessages.LeaseAsk> asks = new ArrayList<>();
     final Ties ties = new Ties("b", 7, 2000, asks::add);
     ties.take(
-        new Words.Placements(
-            5, List.of(new Words.Placement("desk", 3, 3, members(2, 4), false, null))),
+        new PlacementMessages.Placements(
+            5, List.of(new PlacementMessages.Placement("desk", 3, 3, members(2, 4), false, null))),
         1000);
     ties.take(
-        new Words.Placements(
-            4, List.of(new Words.Placement("desk", 4, 4, members(1, 4), false, null))),
+        new PlacementMessages.Placements(
+            4, List.of(new PlacementMessages.Placement("desk", 4, 4, members(1, 4), false, null))),
         1000);
     assertEquals(ties.epoch("desk"), 3);
     assertEquals(ties.decide("desk", 1, member -> true, 1000), Verdict.NO_LEASE);
-    ties.granted(new Words.LeaseGrant(asks.get(0).number, "b", 6, 2000), 1010);
+    ties.granted(new PlacementMessages.LeaseGrant(asks.get(0).number, "b", 6, 2000), 1010);
     assertFalse(ties.leased(1010));
     ties.tick(1300);
-    ties.granted(new Words.LeaseGrant(asks.get(asks.size() - 1).number, "b", 7, 2000), 1310);
+    ties.granted(
+        new PlacementMessages.LeaseGrant(asks.get(asks.size() - 1).number, "b", 7, 2000), 1310);
     assertEquals(ties.decide("desk", 1, member -> true, 1310), Verdict.GO);
     assertEquals(
         ties.decide("desk", 1, member -> true, 3300),
@@ -194,16 +195,20 @@
   public void aKeeperGrantsNothingOnAnOlderMarkNorWithoutAMajority() {
     final PlacementKeeper keeper = new PlacementKeeper("e", 1, 2000, 100, null);
     keeper.take(
-        List.of(new Words.Placement("desk", 2, 2, members(2, 4), false, null)),
-        new Words.Keeper(1, "e", 1),
+        List.of(new PlacementMessages.Placement("desk", 2, 2, members(2, 4), false, null)),
+        new PlacementMessages.Keeper(1, "e", 1),
         2,
         1000);
-    assertEquals(keeper.ask(new Words.LeaseAsk(1, "b", 1, 1, 1, null), 1000, 1100).millis, 0);
-    assertEquals(keeper.ask(new Words.LeaseAsk(2, "b", 1, 2, 2, null), 1000, 1100).millis, 1900);
-    assertEquals(keeper.ask(new Words.LeaseAsk(3, "b", 1, 2, 2, null), 1000, 3100).millis, 0);
+    assertEquals(
+        keeper.ask(new PlacementMessages.LeaseAsk(1, "b", 1, 1, 1, null), 1000, 1100).millis, 0);
+    assertEquals(
+        keeper.ask(new PlacementMessages.LeaseAsk(2, "b", 1, 2, 2, null), 1000, 1100).millis, 1900);
+    assertEquals(
+        keeper.ask(new PlacementMessages.LeaseAsk(3, "b", 1, 2, 2, null), 1000, 3100).millis, 0);
     final PlacementKeeper other = new PlacementKeeper("f", 1, 2000, 100, null);
-    other.take(List.of(), new Words.Keeper(1, "e", 1), 2, 1000);
-    assertEquals(other.ask(new Words.LeaseAsk(1, "b", 1, 2, 2, null), 1000, 1100).millis, 0);
+    other.take(List.of(), new PlacementMessages.Keeper(1, "e", 1), 2, 1000);
+    assertEquals(
+        other.ask(new PlacementMessages.LeaseAsk(1, "b", 1, 2, 2, null), 1000, 1100).millis, 0);
   }
 
   @Test
--- a/affinity/src/test/java/weldpoint/affinity/World.java
+++ b/affinity/src/test/java/weldpoint/affinity/World.java
@@ -11,9 +11,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Placement;
-import weldpoint.trunk.Words.PlacementMember;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.PlacementMessages.Placement;
+import weldpoint.trunk.PlacementMessages.PlacementMember;
+import weldpoint.trunk.StoreCallMessages;
 
 /**
  * A busy morning on a fake clock: switchboards, two exchanges, one register store, nodes and
@@ -93,7 +94,7 @@
   private final List<Board> boards = new ArrayList<>();
   private final List<Exchange> exchanges = new ArrayList<>();
   private final TreeMap<String, Placement> registers = new TreeMap<>();
-  private Words.Keeper keeper = new Words.Keeper(0, "", 0);
+  private PlacementMessages.Keeper keeper = new PlacementMessages.Keeper(0, "", 0);
   private boolean coreCut;
   private int lives;
   private int writes;
@@ -166,9 +167,9 @@
     return mark;
   }
 
-  private <T> CompletableFuture<Words.Answer> decide(
+  private <T> CompletableFuture<StoreCallMessages.Answer> decide(
       final Exchange from, final java.util.function.Supplier<Integer> write) {
-    final CompletableFuture<Words.Answer> future = new CompletableFuture<>();
+    final CompletableFuture<StoreCallMessages.Answer> future = new CompletableFuture<>();
     final long incarnation = from.incarnation;
     after(
         2 + random.nextInt(30),
@@ -182,7 +183,7 @@
               2 + random.nextInt(30),
               () -> {
                 if (from.running && from.incarnation == incarnation) {
-                  future.complete(new Words.Answer(0, status, 0, null, null));
+                  future.complete(new StoreCallMessages.Answer(0, status, 0, null, null));
                 }
               });
         });
@@ -196,7 +197,8 @@
     final PlacementKeeper.Writer writer =
         new PlacementKeeper.Writer() {
           @Override
-          public CompletableFuture<Words.Answer> keeper(final Words.Keeper next, final long at) {
+          public CompletableFuture<StoreCallMessages.Answer> keeper(
+              final PlacementMessages.Keeper next, final long at) {
             return decide(
                 exchange,
                 () -> {
@@ -209,7 +211,8 @@
           }
 
           @Override
-          public CompletableFuture<Words.Answer> placement(final Placement next, final long at) {
+          public CompletableFuture<StoreCallMessages.Answer> placement(
+              final Placement next, final long at) {
             return decide(
                 exchange,
                 () -> {
@@ -244,7 +247,7 @@
               && !coreCut
               && !exchange.cut) {
             final List<Placement> given = new ArrayList<>(registers.values());
-            final Words.Keeper named = keeper;
+            final PlacementMessages.Keeper named = keeper;
             final long mark = mark();
             after(
                 3 + random.nextInt(20),
@@ -269,7 +272,7 @@
 
   private void push(final Exchange exchange, final Board board) {
     if (board.running && board.exchange == exchange) {
-      final Words.Placements told = exchange.keeper.placements();
+      final PlacementMessages.Placements told = exchange.keeper.placements();
       final int life = board.life;
       after(2 + random.nextInt(8), () -> fromCore(board, life, () -> board.ties.take(told, now)));
     }
@@ -337,7 +340,8 @@
     tick(board, life);
   }
 
-  private Ties ties(final Board board, final java.util.function.Consumer<Words.LeaseAsk> outlet) {
+  private Ties ties(
+      final Board board, final java.util.function.Consumer<PlacementMessages.LeaseAsk> outlet) {
     return flaw != Flaw.NO_LEASE_CHECK
         ? new Ties(board.address, ++lives, LEASE, outlet)
         : new Ties(board.address, ++lives, LEASE, outlet) {
@@ -348,7 +352,7 @@
         };
   }
 
-  private void answer(final Board board, final int life, final Words.LeaseGrant grant) {
+  private void answer(final Board board, final int life, final PlacementMessages.LeaseGrant grant) {
     after(2 + random.nextInt(8), () -> fromCore(board, life, () -> board.ties.granted(grant, now)));
   }
 
--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
@@ -11,9 +11,10 @@
 import weldpoint.dialplan.Interpreter;
 import weldpoint.dialplan.Route;
 import weldpoint.dialplan.RouteKind;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.CopyAnswer;
-import weldpoint.trunk.Words.CopyAsk;
+import weldpoint.trunk.CacheMessages;
+import weldpoint.trunk.CacheMessages.CopyAnswer;
+import weldpoint.trunk.CacheMessages.CopyAsk;
+import weldpoint.trunk.Protocol;
 
 /**
  * The shared cache: one fetch per object at a time, copies no older than their route allows, and
@@ -83,7 +84,7 @@
   private final long trustMillis;
   private final Map<String, Fetch> fetches = new HashMap<>();
   private Dialplan plan;
-  private List<Words.Purge> purges = List.of();
+  private List<CacheMessages.Purge> purges = List.of();
   private long floor;
   private long mark;
   private long knownAt;
@@ -128,12 +129,12 @@
   }
 
   /** Takes purges: copies and fetches they name are void; with a gap in them, all are. */
-  public void purged(final Words.Purges given) {
+  public void purged(final CacheMessages.Purges given) {
     if (given.mark <= mark) {
       return;
     }
     final boolean gap = given.floor > mark;
-    for (final Words.Purge purge : Words.list(given.purges)) {
+    for (final CacheMessages.Purge purge : Protocol.list(given.purges)) {
       if (purge.serial > mark) {
         shelf.purge(purge.tag == null ? place(purge.host, purge.path) : null, purge.tag);
       }
@@ -141,7 +142,7 @@
     if (gap) {
       shelf.clear();
     }
-    purges = Words.list(given.purges);
+    purges = Protocol.list(given.purges);
     floor = given.floor;
     mark = given.mark;
   }
@@ -229,7 +230,7 @@
     }
     long first = 0;
     for (int index = purges.size() - 1; index >= 0 && purges.get(index).serial > above; index--) {
-      final Words.Purge purge = purges.get(index);
+      final CacheMessages.Purge purge = purges.get(index);
       if (purge.tag == null
           ? place(purge.host, purge.path).equals(place)
           : labels.contains(purge.tag)) {
--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
@@ -18,11 +18,15 @@
 import weldpoint.jack.BoardLink;
 import weldpoint.jack.PermitPool;
 import weldpoint.jack.Stream;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.PermitMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /** The shared cache as a process: copies and reads on one thread, control state on another. */
 public final class AnnouncerDaemon implements Program {
@@ -47,7 +51,8 @@
     final long incarnation = Chance.fresh();
     final Random random = new Random(incarnation);
     this.trunk =
-        new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "announcer", boot.address(), incarnation));
+        new Trunk(
+            loop, new Protocol.Hello(Wire.PROTOCOL, "announcer", boot.address(), incarnation));
     this.cords = new Cords(loop, boot, random);
     this.stream =
         new Stream(trunk, desk, boot, () -> loop.execute(() -> permits().sweep(true, now())));
@@ -56,8 +61,8 @@
     this.core =
         new AnnouncerCore(
             boot.copyBytes(), boot.purgeFirmMillis(), boot.purgeTrustMillis(), now(), reader);
-    final Words.Board self =
-        new Words.Board(
+    final RegistryMessages.Board self =
+        new RegistryMessages.Board(
             boot.address(), "", boot.site(), boot.region(), incarnation, false, 0, true);
     this.link = new BoardLink(self, boot.seeds(), new Random(incarnation + 1), new Outlet());
     stream.link(link);
@@ -77,7 +82,7 @@
     @Override
     public void outlook(
         final Dialplan plan,
-        final Map<Words.Registration, Boolean> changes,
+        final Map<RegistryMessages.Registration, Boolean> changes,
         final Set<String> evacuated,
         final Set<String> suspects,
         final int switchboards) {
@@ -99,12 +104,12 @@
     }
 
     @Override
-    public void trials(final List<Words.Trial> trials, final long mark) {
+    public void trials(final List<TrialMessages.Trial> trials, final long mark) {
       // an announcer carries no writes and takes no part in trials
     }
 
     @Override
-    public void purges(final Words.Purges purges) {
+    public void purges(final CacheMessages.Purges purges) {
       loop.execute(() -> core.purged(purges));
     }
 
@@ -118,7 +123,7 @@
     }
 
     @Override
-    public void permitted(final Words.PermitAnswer answer) {
+    public void permitted(final PermitMessages.PermitAnswer answer) {
       loop.execute(() -> permits.answered(answer));
     }
 
@@ -144,8 +149,8 @@
         new Trunk.Ear() {
           @Override
           public void heard(final Line line, final Message message) {
-            if (message instanceof Words.CopyAsk) {
-              core.ask((Words.CopyAsk) message, line::send, now());
+            if (message instanceof CacheMessages.CopyAsk) {
+              core.ask((CacheMessages.CopyAsk) message, line::send, now());
             }
           }
         });
--- a/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
@@ -14,10 +14,10 @@
 import org.testng.annotations.Test;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.CopyAnswer;
-import weldpoint.trunk.Words.CopyAsk;
-import weldpoint.trunk.Words.Purge;
+import weldpoint.trunk.CacheMessages;
+import weldpoint.trunk.CacheMessages.CopyAnswer;
+import weldpoint.trunk.CacheMessages.CopyAsk;
+import weldpoint.trunk.CacheMessages.Purge;
 
 public class AnnouncerCoreTest {
   private static final long TTL = 10_000;
@@ -81,7 +81,8 @@
       final List<Purge> list =
           new ArrayList<>(purges.subList(Math.max(0, purges.size() - 4), purges.size()));
       core.purged(
-          new Words.Purges(list.isEmpty() ? 0 : list.get(0).serial - 1, purges.size(), list));
+          new CacheMessages.Purges(
+              list.isEmpty() ? 0 : list.get(0).serial - 1, purges.size(), list));
       told = purges.size();
     }
 
--- a/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
@@ -22,7 +22,7 @@
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.jack.PermitPool;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /** Reads for copies: no read goes to more upstreams than the route allows, whatever they do. */
 public final class ReaderTest {
--- a/audit/src/main/java/weldpoint/audit/AuditReplica.java
+++ b/audit/src/main/java/weldpoint/audit/AuditReplica.java
@@ -6,8 +6,9 @@
 import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import weldpoint.trunk.AuditMessages;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
 
 /**
  * Keeps one replica's log alike with the others': what is decided is pushed at once, and a random
@@ -48,8 +49,9 @@
     }
     final AuditEntry first = AuditEntry.read(entries.get(0));
     final AuditEntry last = AuditEntry.read(entries.get(entries.size() - 1));
-    final Words.AuditPart part =
-        new Words.AuditPart(first.sequence - 1, first.previous, false, entries, last.sequence);
+    final AuditMessages.AuditPart part =
+        new AuditMessages.AuditPart(
+            first.sequence - 1, first.previous, false, entries, last.sequence);
     for (final String other : others) {
       outlet.accept(other, part);
     }
@@ -64,24 +66,24 @@
     outlet.accept(others.get(random.nextInt(others.size())), state());
   }
 
-  private Words.AuditState state() {
-    return new Words.AuditState(log.base(), log.last(), log.digest());
+  private AuditMessages.AuditState state() {
+    return new AuditMessages.AuditState(log.base(), log.last(), log.digest());
   }
 
   /** Asks one peer now for all that is missing here. */
   public void ask(final String peer) {
     asks++;
-    outlet.accept(peer, new Words.AuditAsk(log.last() + 1));
+    outlet.accept(peer, new AuditMessages.AuditAsk(log.last() + 1));
   }
 
   /** A peer has said something; false where it does not concern the history. */
   public boolean receive(final String from, final Message message, final Consumer<Message> reply) {
-    if (message instanceof Words.AuditState) {
-      onState(from, (Words.AuditState) message, reply);
-    } else if (message instanceof Words.AuditAsk) {
-      give(((Words.AuditAsk) message).from, reply);
-    } else if (message instanceof Words.AuditPart) {
-      onPart((Words.AuditPart) message, reply);
+    if (message instanceof AuditMessages.AuditState) {
+      onState(from, (AuditMessages.AuditState) message, reply);
+    } else if (message instanceof AuditMessages.AuditAsk) {
+      give(((AuditMessages.AuditAsk) message).from, reply);
+    } else if (message instanceof AuditMessages.AuditPart) {
+      onPart((AuditMessages.AuditPart) message, reply);
     } else {
       return false;
     }
@@ -89,7 +91,7 @@
   }
 
   private void onState(
-      final String from, final Words.AuditState state, final Consumer<Message> reply) {
+      final String from, final AuditMessages.AuditState state, final Consumer<Message> reply) {
     final String here = log.digestAt(state.last);
     if (here != null && !here.equals(state.digest)) {
       log.differs(from, state.last);
@@ -97,7 +99,7 @@
       give(state.last + 1, reply);
     } else if (state.last > log.last()) {
       asks++;
-      reply.accept(new Words.AuditAsk(log.last() + 1));
+      reply.accept(new AuditMessages.AuditAsk(log.last() + 1));
     }
   }
 
@@ -123,16 +125,16 @@
     if (before == null || entries.isEmpty() && !trimmed) {
       return;
     }
-    reply.accept(new Words.AuditPart(start - 1, before, trimmed, entries, log.last()));
+    reply.accept(new AuditMessages.AuditPart(start - 1, before, trimmed, entries, log.last()));
   }
 
-  private void onPart(final Words.AuditPart part, final Consumer<Message> reply) {
+  private void onPart(final AuditMessages.AuditPart part, final Consumer<Message> reply) {
     parts++;
     if (part.trimmed && part.base > log.last()) {
       log.reset(part.base, part.baseDigest);
     }
     final long before = log.last();
-    for (final byte[] entry : Words.list(part.entries)) {
+    for (final byte[] entry : Protocol.list(part.entries)) {
       final AuditLog.Outcome outcome = log.offer(entry);
       if (outcome != AuditLog.Outcome.APPENDED && outcome != AuditLog.Outcome.KNOWN) {
         break;
@@ -141,7 +143,7 @@
     final boolean behind = log.last() < part.last;
     if (behind && (log.last() > before || part.base > log.last())) {
       asks++;
-      reply.accept(new Words.AuditAsk(log.last() + 1));
+      reply.accept(new AuditMessages.AuditAsk(log.last() + 1));
     }
   }
 
--- a/audit/src/main/java/weldpoint/audit/ConfigurationDifference.java
+++ b/audit/src/main/java/weldpoint/audit/ConfigurationDifference.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import weldpoint.audit.ConfigurationSummary.Line;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
 
 /**
  * What one configuration changed against the one before it; routes that carry writes come first.
@@ -21,16 +21,16 @@
   public ConfigurationDifference(
       final ConfigurationSummary before, final ConfigurationSummary after) {
     final Map<String, Line> old = new LinkedHashMap<>();
-    for (final Line line : Words.list(before.lines)) {
+    for (final Line line : Protocol.list(before.lines)) {
       old.put(line.key, line);
     }
-    for (final Line line : Words.list(after.lines)) {
+    for (final Line line : Protocol.list(after.lines)) {
       final Line was = old.remove(line.key);
       if (was == null) {
         added++;
-        note(line.writes, "+ " + line.key + ": " + String.join(" ", Words.list(line.fields)));
+        note(line.writes, "+ " + line.key + ": " + String.join(" ", Protocol.list(line.fields)));
       } else {
-        final String fields = fields(Words.list(was.fields), Words.list(line.fields));
+        final String fields = fields(Protocol.list(was.fields), Protocol.list(line.fields));
         if (!fields.isEmpty()) {
           changed++;
           note(line.writes, "~ " + line.key + ": " + fields);
--- a/chief/src/main/java/weldpoint/chief/ChiefCore.java
+++ b/chief/src/main/java/weldpoint/chief/ChiefCore.java
@@ -9,13 +9,14 @@
 import java.util.Random;
 import java.util.Set;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Backed;
-import weldpoint.trunk.Words.Elector;
-import weldpoint.trunk.Words.Electorate;
-import weldpoint.trunk.Words.Heeded;
-import weldpoint.trunk.Words.Order;
-import weldpoint.trunk.Words.Stand;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.RegionMessages.Backed;
+import weldpoint.trunk.RegionMessages.Elector;
+import weldpoint.trunk.RegionMessages.Electorate;
+import weldpoint.trunk.RegionMessages.Heeded;
+import weldpoint.trunk.RegionMessages.Order;
+import weldpoint.trunk.RegionMessages.Stand;
 
 /**
  * A switchboard's part in choosing and heeding its region's chief while the core is silent. A
@@ -39,7 +40,7 @@
     boolean send(String address, Message message);
 
     /** What this switchboard has seen since it was last asked. */
-    Words.Sight sight();
+    RegionMessages.Sight sight();
 
     /** The orders in force have changed; null where there are none. */
     void ordered(Order order);
@@ -120,7 +121,7 @@
 
   private boolean elector(final String address, final long life) {
     if (electorate != null) {
-      for (final Elector one : Words.list(electorate.electors)) {
+      for (final Elector one : Protocol.list(electorate.electors)) {
         if (one.address.equals(address)) {
           return one.incarnation == life;
         }
@@ -130,12 +131,12 @@
   }
 
   private int majority() {
-    return Words.list(electorate.electors).size() / 2 + 1;
+    return Protocol.list(electorate.electors).size() / 2 + 1;
   }
 
   private List<String> others() {
     final List<String> list = new ArrayList<>();
-    for (final Elector one : Words.list(electorate.electors)) {
+    for (final Elector one : Protocol.list(electorate.electors)) {
       if (!one.address.equals(self)) {
         list.add(one.address);
       }
@@ -257,8 +258,8 @@
 
   private void pulse(final long now) {
     pulsedAt = now;
-    final Words.Sight own = outlet.sight();
-    final List<Words.Sight> sights = new ArrayList<>();
+    final RegionMessages.Sight own = outlet.sight();
+    final List<RegionMessages.Sight> sights = new ArrayList<>();
     final List<String> addresses = new ArrayList<>();
     sights.add(own);
     addresses.add(self);
@@ -271,7 +272,8 @@
           }
         });
     final Duties duties =
-        Duties.of(sights, addresses, Words.list(electorate.electors).size(), electorate.regionPart);
+        Duties.of(
+            sights, addresses, Protocol.list(electorate.electors).size(), electorate.regionPart);
     order =
         new Order(
             region,
--- a/chief/src/main/java/weldpoint/chief/Duties.java
+++ b/chief/src/main/java/weldpoint/chief/Duties.java
@@ -4,8 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Sight;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.RegionMessages.Sight;
 
 /**
  * What a chief makes of what its region's switchboards see: one admission for what may be repeated,
@@ -41,10 +42,10 @@
       writes += sight.writes;
       refusedWrites += sight.refusedWrites;
       room += sight.carried;
-      for (final String id : Words.list(sight.silent)) {
+      for (final String id : Protocol.list(sight.silent)) {
         silent.merge(id, 1, Integer::sum);
       }
-      for (final String id : Words.list(sight.uncertain)) {
+      for (final String id : Protocol.list(sight.uncertain)) {
         if (uncertain.size() < MOST_UNCERTAIN) {
           uncertain.add(id);
         }
@@ -76,8 +77,8 @@
   }
 
   /** One switchboard's part under an order; 0 where the order gives it none. */
-  public static double part(final Words.Order order, final String address) {
-    final int index = Words.list(order.addresses).indexOf(address);
+  public static double part(final RegionMessages.Order order, final String address) {
+    final int index = Protocol.list(order.addresses).indexOf(address);
     return index < 0 ? 0 : order.parts.get(index);
   }
 }
--- a/chief/src/test/java/weldpoint/chief/ChiefTest.java
+++ b/chief/src/test/java/weldpoint/chief/ChiefTest.java
@@ -8,9 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Order;
-import weldpoint.trunk.Words.Stand;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.RegionMessages.Order;
+import weldpoint.trunk.RegionMessages.Stand;
 
 public class ChiefTest {
   private static Region region(final long seed, final int size) {
@@ -233,8 +233,10 @@
 
   @Test
   public void dutiesLetWritesGoFirstAndNeverDivideMoreThanTheRegionHeld() {
-    final Words.Sight crowded = new Words.Sight(900, 40, 5, 300, List.of("u1"), List.of("w1"));
-    final Words.Sight calm = new Words.Sight(100, 10, 0, 100, List.of("u1", "u2"), null);
+    final RegionMessages.Sight crowded =
+        new RegionMessages.Sight(900, 40, 5, 300, List.of("u1"), List.of("w1"));
+    final RegionMessages.Sight calm =
+        new RegionMessages.Sight(100, 10, 0, 100, List.of("u1", "u2"), null);
     final Duties duties = Duties.of(List.of(crowded, calm), List.of("a", "b"), 3, 0.6);
     assertEquals(duties.admission(), (0.9 * 400 - 50) / 1000, 1e-9);
     assertEquals(duties.suspects(), List.of("u1"));
--- a/chief/src/test/java/weldpoint/chief/Region.java
+++ b/chief/src/test/java/weldpoint/chief/Region.java
@@ -11,10 +11,11 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Elector;
-import weldpoint.trunk.Words.Electorate;
-import weldpoint.trunk.Words.Order;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.RegionMessages.Elector;
+import weldpoint.trunk.RegionMessages.Electorate;
+import weldpoint.trunk.RegionMessages.Order;
 
 /**
  * The switchboards of one region on a fake clock and a fake network, with clients, and upstreams
@@ -74,9 +75,9 @@
                 }
 
                 @Override
-                public Words.Sight sight() {
-                  final Words.Sight sight =
-                      new Words.Sight(
+                public RegionMessages.Sight sight() {
+                  final RegionMessages.Sight sight =
+                      new RegionMessages.Sight(
                           repeatables,
                           writes,
                           refusedWrites,
@@ -93,7 +94,7 @@
                 @Override
                 public void ordered(final Order given) {
                   order = given;
-                  once.elsewhere(given == null ? List.of() : Words.list(given.uncertain));
+                  once.elsewhere(given == null ? List.of() : Protocol.list(given.uncertain));
                 }
               });
     }
--- a/console/src/main/java/weldpoint/console/RecordCommand.java
+++ b/console/src/main/java/weldpoint/console/RecordCommand.java
@@ -16,8 +16,9 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.exchange.Reels;
 import weldpoint.replay.DayFile;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegistryMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * weldpoint record: has all switchboards record, and collects what they recorded into a file until
@@ -69,15 +70,16 @@
     void add(final String exchange, final Reels.Drained drained, final long asked, final long now)
         throws IOException {
       droppedBy.put(exchange, drained.dropped);
-      final List<Words.Registration> changes = new ArrayList<>();
-      for (final Words.Registration registration : Words.list(drained.registrations)) {
+      final List<RegistryMessages.Registration> changes = new ArrayList<>();
+      for (final RegistryMessages.Registration registration :
+          Protocol.list(drained.registrations)) {
         final Integer before = known.put(registration.id, registration.stage);
         if (before == null ? registration.stage == 0 : before != registration.stage) {
           changes.add(registration);
         }
       }
       final boolean spec = drained.version > version && drained.spec != null;
-      final List<String> sites = Words.list(drained.evacuated);
+      final List<String> sites = Protocol.list(drained.evacuated);
       if (spec || !changes.isEmpty() || !sites.equals(evacuated)) {
         version = Math.max(version, drained.version);
         writer.add(
@@ -88,12 +90,12 @@
                 sites.equals(evacuated) ? null : sites));
         evacuated = sites;
       }
-      for (final Reels.Kept kept : Words.list(drained.reels)) {
+      for (final Reels.Kept kept : Protocol.list(drained.reels)) {
         final String life = kept.reel.board + "#" + kept.reel.incarnation;
         final long offset = asked - kept.ageMillis - kept.reel.sentAt;
         offsets.merge(life, offset, Math::min);
         clockError = Math.max(clockError, now - asked);
-        notes += Words.list(kept.reel.notes).size();
+        notes += Protocol.list(kept.reel.notes).size();
         if (kept.reel.last) {
           open.remove(life);
         } else {
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -126,7 +126,7 @@
   }
 
   /** A change in the registry. */
-  public record Change(weldpoint.trunk.Words.Registration registration, boolean open) {}
+  public record Change(weldpoint.trunk.RegistryMessages.Registration registration, boolean open) {}
 
   /** Takes which sites are evacuated; those taken back count as cold until told otherwise. */
   public void evacuated(final Set<String> sites, final long now) {
--- a/cord/src/main/java/weldpoint/cord/Upstream.java
+++ b/cord/src/main/java/weldpoint/cord/Upstream.java
@@ -1,7 +1,7 @@
 package weldpoint.cord;
 
 import java.util.ArrayDeque;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /** One upstream as this switchboard knows it: what it was told, and what it has seen itself. */
 public final class Upstream {
--- a/cord/src/test/java/weldpoint/cord/ColdBoundTest.java
+++ b/cord/src/test/java/weldpoint/cord/ColdBoundTest.java
@@ -15,7 +15,7 @@
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Interpreter;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * What a large fleet sends together to an upstream that turns cold: in no second more than its
--- a/cord/src/test/java/weldpoint/cord/CordsTest.java
+++ b/cord/src/test/java/weldpoint/cord/CordsTest.java
@@ -30,7 +30,7 @@
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Interpreter;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * The choice of upstreams: homes, evacuations, drains, and the bound of cold ones over many
--- a/exchange/src/main/java/weldpoint/exchange/Authority.java
+++ b/exchange/src/main/java/weldpoint/exchange/Authority.java
@@ -6,9 +6,9 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * Whether this exchange knows itself to be cut off from a majority, and who told lately that it is
@@ -71,7 +71,7 @@
     if (now - askedAt >= ASK_MILLIS && cutOff(roster, seeds, connected, majorityAt, now)) {
       askedAt = now;
       final Message question =
-          new Words.StateRead(
+          new RegistryMessages.StateRead(
               0, roster.number, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, null, 0);
       connected.forEach(member -> members.accept(member, question));
     }
--- a/exchange/src/main/java/weldpoint/exchange/Buckets.java
+++ b/exchange/src/main/java/weldpoint/exchange/Buckets.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.RegistryMessages.Registration;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words.Registration;
 
 /**
  * Registrations by buckets of their names, so that two sides find what differs without telling all;
--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
@@ -45,8 +45,11 @@
 import weldpoint.trial.Count;
 import weldpoint.trial.Verdict;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.StoreCallMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * The system's own interfaces over HTTP: each call is decoded into a command, which runs on the
@@ -173,7 +176,7 @@
           final SpecDocument document = Dialplan.read(body);
           final Dialplan plan = Dialplan.compile(document);
           final byte[] packed = Packing.deflate(body);
-          final Words.Cause cause =
+          final StoreCallMessages.Cause cause =
               door.core.cause(
                   origin.author,
                   origin.caller,
@@ -285,7 +288,7 @@
               .refresh(now)
               .thenApply(
                   done -> {
-                    for (final Words.Trial trial : door.core.panel().trials()) {
+                    for (final TrialMessages.Trial trial : door.core.panel().trials()) {
                       if (trial.route.equals(id)) {
                         return door.trial(trial);
                       }
@@ -915,7 +918,7 @@
     throw new Breakdown(Breakdown.Kind.UNREADABLE, "the body is empty; send a JSON object");
   }
 
-  private static Words.Answer notTaken(final Words.Answer answer) {
+  private static StoreCallMessages.Answer notTaken(final StoreCallMessages.Answer answer) {
     if (answer.status == 409 && answer.body != null) {
       final Values.TakenVersion taken = Wire.value(answer.body, Values.TakenVersion.class);
       throw new Breakdown(
@@ -929,7 +932,7 @@
     return answer;
   }
 
-  private static Reply status(final Words.Answer answer, final Reply good) {
+  private static Reply status(final StoreCallMessages.Answer answer, final Reply good) {
     return switch (answer.status) {
       case 504 ->
           Reply.problem(504, "the duty changed hands while the call was under way; send it again");
@@ -957,8 +960,8 @@
     Boot.Address.parse("address", beat.address());
     final long warmup =
         beat.warmupLeftMs() == null ? 0 : Math.max(0, beat.warmupLeftMs().longValue());
-    final Words.Registration registration =
-        new Words.Registration(
+    final RegistryMessages.Registration registration =
+        new RegistryMessages.Registration(
             id,
             beat.service(),
             beat.address(),
@@ -1037,7 +1040,7 @@
                         : core.settle(now).thenApply(done -> Reply.EMPTY));
   }
 
-  private Reply trial(final Words.Trial trial) {
+  private Reply trial(final TrialMessages.Trial trial) {
     final List<Calls.Counted> boards = new java.util.ArrayList<>();
     final long[] sum = Count.none();
     core.panel()
@@ -1062,13 +1065,13 @@
             trial.leastWrites,
             trial.lateAllowance,
             trial.writes,
-            Words.list(trial.attempts),
+            Protocol.list(trial.attempts),
             counted("all", trial, sum),
             boards));
   }
 
   private static Calls.Counted counted(
-      final String board, final Words.Trial trial, final long[] counts) {
+      final String board, final TrialMessages.Trial trial, final long[] counts) {
     return new Calls.Counted(
         board,
         new Calls.Side(
@@ -1174,7 +1177,7 @@
                   }
                   final Values.Events events = Wire.value(answer.body, Values.Events.class);
                   final List<Calls.Event> list = new java.util.ArrayList<>();
-                  for (final Values.Put put : Words.list(events.events)) {
+                  for (final Values.Put put : Protocol.list(events.events)) {
                     list.add(new Calls.Event(put.name, put.value, put.revision));
                   }
                   return Reply.of(200, Calls.WATCH, new Calls.WatchAnswer(list, events.revision));
--- a/exchange/src/main/java/weldpoint/exchange/ControlState.java
+++ b/exchange/src/main/java/weldpoint/exchange/ControlState.java
@@ -7,7 +7,8 @@
 import weldpoint.trial.TrialPanel;
 import weldpoint.trial.Verdict;
 import weldpoint.trunk.Packing;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.TrialMessages;
 
 /**
  * What operators have ordered as this exchange has learned it: the configuration, evacuations and
@@ -22,7 +23,7 @@
   private byte[] spec;
   private List<String> evacuated = List.of();
   private long evacuationMark;
-  private List<Words.Trial> trials = List.of();
+  private List<TrialMessages.Trial> trials = List.of();
   private long trialMark;
   private long heldSince;
   private Dialplan plan;
@@ -48,7 +49,7 @@
   }
 
   /** The trials that have not ended. */
-  List<Words.Trial> trials() {
+  List<TrialMessages.Trial> trials() {
     return trials;
   }
 
@@ -86,11 +87,11 @@
     }
     if (kept.evacuationMark > evacuationMark) {
       evacuationMark = kept.evacuationMark;
-      evacuated = new ArrayList<>(Words.list(kept.evacuated));
+      evacuated = new ArrayList<>(Protocol.list(kept.evacuated));
     }
     if (kept.trialMark > trialMark) {
       trialMark = kept.trialMark;
-      takeTrials(Words.list(kept.trials));
+      takeTrials(Protocol.list(kept.trials));
     }
   }
 
@@ -110,7 +111,7 @@
       final byte[] givenSpec,
       final List<String> givenEvacuated,
       final long givenEvacuationMark,
-      final List<Words.Trial> givenTrials,
+      final List<TrialMessages.Trial> givenTrials,
       final long givenTrialMark,
       final long now) {
     byte[] newSpec = null;
@@ -123,22 +124,22 @@
     final boolean evacuations = givenEvacuationMark > evacuationMark;
     if (evacuations) {
       evacuationMark = givenEvacuationMark;
-      evacuated = new ArrayList<>(Words.list(givenEvacuated));
+      evacuated = new ArrayList<>(Protocol.list(givenEvacuated));
     }
     final boolean trialNews = givenTrialMark > trialMark;
     if (trialNews) {
       trialMark = givenTrialMark;
-      takeTrials(Words.list(givenTrials));
+      takeTrials(Protocol.list(givenTrials));
     }
     final News news = new News(newSpec, evacuations, trialNews);
     heldSince = news.any() ? now : heldSince;
     return news;
   }
 
-  private void takeTrials(final List<Words.Trial> given) {
+  private void takeTrials(final List<TrialMessages.Trial> given) {
     panel.take(given);
     trials = new ArrayList<>();
-    for (final Words.Trial trial : panel.trials()) {
+    for (final TrialMessages.Trial trial : panel.trials()) {
       if (Verdict.of(trial) != Verdict.FINISHED) {
         trials.add(trial);
       }
--- a/exchange/src/main/java/weldpoint/exchange/Electorates.java
+++ b/exchange/src/main/java/weldpoint/exchange/Electorates.java
@@ -9,11 +9,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegionMessages.Elector;
+import weldpoint.trunk.RegionMessages.Electorate;
+import weldpoint.trunk.RegistryMessages.Board;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Board;
-import weldpoint.trunk.Words.Elector;
-import weldpoint.trunk.Words.Electorate;
 
 /**
  * Who may choose a region's chief: written to the frames once it has stood still for a while, told
@@ -24,7 +25,7 @@
 
   /** Writes a region's electorate. */
   interface Writer {
-    CompletableFuture<Words.Answer> write(String region, byte[] body, long now);
+    CompletableFuture<StoreCallMessages.Answer> write(String region, byte[] body, long now);
   }
 
   private final Writer writer;
@@ -90,7 +91,7 @@
           final Electorate before = known.get(region);
           if (!out
               && now - wantedAt.get(region) >= STILL_MILLIS
-              && (before == null || !same(electors, Words.list(before.electors)))) {
+              && (before == null || !same(electors, Protocol.list(before.electors)))) {
             out = true;
             final Electorate next =
                 new Electorate(
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -27,6 +27,7 @@
 import weldpoint.ownership.OwnershipCoordinator;
 import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trial.TrialPanel;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.OwnershipMessages.AssignerPulse;
@@ -34,12 +35,18 @@
 import weldpoint.trunk.OwnershipMessages.Assignments;
 import weldpoint.trunk.OwnershipMessages.KeyRange;
 import weldpoint.trunk.OwnershipMessages.SlotReport;
+import weldpoint.trunk.PermitMessages;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RecordingMessages;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.RegistryMessages.Board;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
+import weldpoint.trunk.StoreCallMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Board;
-import weldpoint.trunk.Words.Registration;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
 
 /**
  * The membership: a persisted history of upstreams, reconciled with a random peer every second and
@@ -66,7 +73,7 @@
     boolean member(String address, Message message);
 
     /** Sends to a frame; false where there is no line to it. */
-    boolean frame(String address, Words.Call call);
+    boolean frame(String address, StoreCallMessages.Call call);
 
     /** Sends to a switchboard's stream. */
     void board(Object stream, Message message);
@@ -98,7 +105,7 @@
   private Quorums quorums = new Quorums();
   private QuorumReads reads;
   private Authority authority;
-  private Words.Purges purges;
+  private CacheMessages.Purges purges;
   private QuotaEndpoint quotas;
   private final KeyClaims keyClaims;
   private final Neighbourhoods neighbourhoods = new Neighbourhoods();
@@ -184,15 +191,15 @@
                 batchMillis,
                 new PlacementKeeper.Writer() {
                   @Override
-                  public CompletableFuture<Words.Answer> keeper(
-                      final Words.Keeper next, final long now) {
+                  public CompletableFuture<StoreCallMessages.Answer> keeper(
+                      final PlacementMessages.Keeper next, final long now) {
                     return store.call(
                         Deed.KEEPER_WRITE, "", null, 0, 0, Wire.bytes(next), null, now, 900);
                   }
 
                   @Override
-                  public CompletableFuture<Words.Answer> placement(
-                      final Words.Placement next, final long now) {
+                  public CompletableFuture<StoreCallMessages.Answer> placement(
+                      final PlacementMessages.Placement next, final long now) {
                     return store.call(
                         Deed.PLACEMENT_WRITE,
                         next.service,
@@ -208,7 +215,7 @@
   }
 
   /** A switchboard asks for a lease on placements. */
-  public void lease(final Object stream, final Words.LeaseAsk ask, final long now) {
+  public void lease(final Object stream, final PlacementMessages.LeaseAsk ask, final long now) {
     if (placements == null) {
       return;
     }
@@ -303,14 +310,14 @@
       final Remembered kept = Wire.value(record, Remembered.class);
       learning =
           kept.learning == Remembered.UNSAID ? learning : kept.learning == Remembered.LEARNING;
-      for (final Registration registration : Words.list(kept.history)) {
+      for (final Registration registration : Protocol.list(kept.history)) {
         registrations.put(registration);
       }
       if (kept.roster != null && kept.roster.number > roster.number) {
         roster = kept.roster;
       }
       control.recall(kept);
-      keyClaims.recall(Words.list(kept.claims), now);
+      keyClaims.recall(Protocol.list(kept.claims), now);
     }
     if (learning && records.isEmpty()) {
       keepLearning();
@@ -380,7 +387,7 @@
     final int token = Math.floorMod(id.hashCode() * 0x9e3779b1, Tokens.COUNT);
     int first = 0;
     for (int index = 0; index < size; index++) {
-      if (Words.list(roster.voters.get(index).tokens).contains(token)) {
+      if (Protocol.list(roster.voters.get(index).tokens).contains(token)) {
         first = index;
       }
     }
@@ -443,7 +450,7 @@
         return quorum(changes, now);
       }
       persist(changes, null, () -> {});
-      tellMembers(new Words.Changes(0, changes, null));
+      tellMembers(new RegistryMessages.Changes(0, changes, null));
       streams.registrations(changes);
     }
     return drains
@@ -467,7 +474,8 @@
   }
 
   private CompletableFuture<Void> quorum(final List<Registration> changes, final long now) {
-    return begin(changes, key -> new Words.Changes(key, changes, null), now + QUORUM_MILLIS, now);
+    return begin(
+        changes, key -> new RegistryMessages.Changes(key, changes, null), now + QUORUM_MILLIS, now);
   }
 
   private CompletableFuture<Void> begin(
@@ -518,7 +526,7 @@
     final byte[] body = control.spec();
     return begin(
         List.of(),
-        key -> new Words.Changes(key, null, null, given, body, null, 0, null, 0),
+        key -> new RegistryMessages.Changes(key, null, null, given, body, null, 0, null, 0),
         now + QUORUM_MILLIS,
         now);
   }
@@ -530,12 +538,12 @@
             done -> {
               final List<String> evacuated = control.evacuated();
               final long evacuationMark = control.evacuationMark();
-              final List<Words.Trial> trials = control.panel().trials();
+              final List<TrialMessages.Trial> trials = control.panel().trials();
               final long trialMark = control.trialMark();
               return begin(
                   List.of(),
                   key ->
-                      new Words.Changes(
+                      new RegistryMessages.Changes(
                           key, null, null, 0, null, evacuated, evacuationMark, trials, trialMark),
                   now + QUORUM_MILLIS,
                   now);
@@ -565,7 +573,7 @@
       final byte[] spec,
       final List<String> evacuated,
       final long evacuationMark,
-      final List<Words.Trial> trials,
+      final List<TrialMessages.Trial> trials,
       final long trialMark) {
     final ControlState.News news =
         control.take(version, spec, evacuated, evacuationMark, trials, trialMark, clock);
@@ -583,7 +591,7 @@
                   control.trialMark())),
           () -> {});
       streams.tell(
-          new Words.View(
+          new RegistryMessages.View(
               news.spec() == null ? 0 : control.version(),
               news.spec(),
               news.evacuations(),
@@ -609,9 +617,9 @@
     if (members.put(from, now) == null) {
       tellPeers(now);
     }
-    if (message instanceof Words.Changes) {
-      final Words.Changes changes = (Words.Changes) message;
-      merge(Words.list(changes.registrations), now);
+    if (message instanceof RegistryMessages.Changes) {
+      final RegistryMessages.Changes changes = (RegistryMessages.Changes) message;
+      merge(Protocol.list(changes.registrations), now);
       take(
           changes.version,
           changes.spec,
@@ -619,53 +627,55 @@
           changes.evacuationMark,
           changes.trials,
           changes.trialMark);
-      switchboards.merge(Words.list(changes.boards), now);
-      for (final Board board : Words.list(changes.boards)) {
+      switchboards.merge(Protocol.list(changes.boards), now);
+      for (final Board board : Protocol.list(changes.boards)) {
         if (board.ageMillis >= Switchboards.GONE_MILLIS) {
           switchboards.gone(board, now);
         }
       }
       if (changes.number != 0) {
         final List<Registration> held = new ArrayList<>();
-        for (final Registration registration : Words.list(changes.registrations)) {
+        for (final Registration registration : Protocol.list(changes.registrations)) {
           held.add(registrations.get(registration.id));
         }
         persist(
             held,
             null,
-            () -> confirm(() -> reply.accept(new Words.Kept(changes.number, roster.number))));
+            () ->
+                confirm(
+                    () -> reply.accept(new RegistryMessages.Kept(changes.number, roster.number))));
       }
-    } else if (message instanceof Words.Kept) {
-      onKept(from, (Words.Kept) message, now);
-    } else if (message instanceof Words.StateRead) {
-      onRead(from, (Words.StateRead) message, reply, now);
-    } else if (message instanceof Words.StateHeld) {
-      onHeld(from, (Words.StateHeld) message, now);
-    } else if (message instanceof Words.TrialReport) {
-      trialReport((Words.TrialReport) message, now);
-    } else if (message instanceof Words.RecordState) {
-      if (reels.take((Words.RecordState) message)) {
+    } else if (message instanceof RegistryMessages.Kept) {
+      onKept(from, (RegistryMessages.Kept) message, now);
+    } else if (message instanceof RegistryMessages.StateRead) {
+      onRead(from, (RegistryMessages.StateRead) message, reply, now);
+    } else if (message instanceof RegistryMessages.StateHeld) {
+      onHeld(from, (RegistryMessages.StateHeld) message, now);
+    } else if (message instanceof TrialMessages.TrialReport) {
+      trialReport((TrialMessages.TrialReport) message, now);
+    } else if (message instanceof RecordingMessages.RecordState) {
+      if (reels.take((RecordingMessages.RecordState) message)) {
         streams.tell(message);
       }
-    } else if (message instanceof Words.PermitAsk) {
-      permit((Words.PermitAsk) message, reply, now);
-    } else if (message instanceof Words.PermitAnswer && quotas != null) {
-      quotas.answered((Words.PermitAnswer) message, now);
+    } else if (message instanceof PermitMessages.PermitAsk) {
+      permit((PermitMessages.PermitAsk) message, reply, now);
+    } else if (message instanceof PermitMessages.PermitAnswer && quotas != null) {
+      quotas.answered((PermitMessages.PermitAnswer) message, now);
     } else if (message instanceof KeyMessages.VoteAsk
         || message instanceof KeyMessages.VoteAnswer
         || message instanceof KeyMessages.ClaimRelease) {
       takeKeyRoster(now);
       keyClaims.receive(from, message, reply, now);
-    } else if (message instanceof Words.LeaseAsk && placements != null) {
-      reply.accept(placements.keeper().ask((Words.LeaseAsk) message, majorityAt, now));
-    } else if (message instanceof Words.LeaseGrant && placements != null) {
-      placements.granted((Words.LeaseGrant) message, streams::contains, outlet::board);
+    } else if (message instanceof PlacementMessages.LeaseAsk && placements != null) {
+      reply.accept(placements.keeper().ask((PlacementMessages.LeaseAsk) message, majorityAt, now));
+    } else if (message instanceof PlacementMessages.LeaseGrant && placements != null) {
+      placements.granted((PlacementMessages.LeaseGrant) message, streams::contains, outlet::board);
     } else if (message instanceof AssignerPulse && ownership != null) {
       ownership.pulse(from, (AssignerPulse) message, now);
     } else if (message instanceof SlotReport && ownership != null) {
       ownership.fromRegistry((SlotReport) message, now);
-    } else if (message instanceof Words.Gossip) {
-      onGossip(from, (Words.Gossip) message, reply, now);
+    } else if (message instanceof RegistryMessages.Gossip) {
+      onGossip(from, (RegistryMessages.Gossip) message, reply, now);
     }
   }
 
@@ -677,7 +687,7 @@
     }
   }
 
-  private void onKept(final String from, final Words.Kept kept, final long now) {
+  private void onKept(final String from, final RegistryMessages.Kept kept, final long now) {
     if (kept.rosterNumber > roster.number) {
       outlet.member(from, gossip(0, false, false, false, null, now));
       return;
@@ -698,7 +708,7 @@
   }
 
   private Message question(final long number, final long leaseMillis) {
-    return new Words.StateRead(
+    return new RegistryMessages.StateRead(
         number,
         roster.number,
         control.version(),
@@ -709,7 +719,7 @@
         learning);
   }
 
-  private Words.StateHeld held(final Words.StateRead read, final long now) {
+  private RegistryMessages.StateHeld held(final RegistryMessages.StateRead read, final long now) {
     final boolean spec = control.version() > read.version;
     final boolean evacuations = control.evacuationMark() > read.evacuationMark;
     final boolean trials = control.trialMark() > read.trialMark;
@@ -721,7 +731,7 @@
               Buckets.digests(registrations.all().values(), true),
               read.buckets);
     }
-    return new Words.StateHeld(
+    return new RegistryMessages.StateHeld(
         read.number,
         roster.number > read.rosterNumber ? roster : null,
         learning,
@@ -752,7 +762,7 @@
    */
   private void onRead(
       final String from,
-      final Words.StateRead read,
+      final RegistryMessages.StateRead read,
       final java.util.function.Consumer<Message> reply,
       final long now) {
     clock = Math.max(clock, now);
@@ -784,13 +794,13 @@
     }
   }
 
-  private void onHeld(final String from, final Words.StateHeld held, final long now) {
+  private void onHeld(final String from, final RegistryMessages.StateHeld held, final long now) {
     clock = Math.max(clock, now);
     authority.told(from, held.majorityAgeMillis, now);
     takeRoster(held.roster, now);
     take(held.version, held.spec, held.evacuated, held.evacuationMark, held.trials, held.trialMark);
     merge(Buckets.unpack(held.packed), now);
-    keyClaims.learn(Words.list(held.claims), now);
+    keyClaims.learn(Protocol.list(held.claims), now);
     if (!held.learning) {
       reads.answered(from, held.number);
       if (held.leaseMillis > 0) {
@@ -849,8 +859,9 @@
 
   private void missSwitchboards(final long now) {
     for (final Board board : switchboards.missed(now)) {
-      final Words.Changes message =
-          new Words.Changes(0, null, List.of(Switchboards.aged(board, Switchboards.GONE_MILLIS)));
+      final RegistryMessages.Changes message =
+          new RegistryMessages.Changes(
+              0, null, List.of(Switchboards.aged(board, Switchboards.GONE_MILLIS)));
       for (final String member : members.keySet()) {
         outlet.member(member, message);
       }
@@ -859,11 +870,11 @@
 
   private void onGossip(
       final String from,
-      final Words.Gossip gossip,
+      final RegistryMessages.Gossip gossip,
       final java.util.function.Consumer<Message> reply,
       final long now) {
     final boolean alike = gossip.digest == registrations.digest();
-    merge(Words.list(gossip.history), now);
+    merge(Protocol.list(gossip.history), now);
     merge(Buckets.unpack(gossip.packed), now);
     membersInForce.put(
         from, new InForce(from, "exchange", gossip.version, gossip.mark, gossip.heldMillis, now));
@@ -874,10 +885,10 @@
     if (boardsAlike && gossip.boardAges != null) {
       switchboards.takeAges(gossip.boardAges, now);
     }
-    switchboards.merge(Words.list(gossip.boards), now);
+    switchboards.merge(Protocol.list(gossip.boards), now);
     takeRoster(gossip.roster, now);
     boolean more = false;
-    for (final String member : Words.list(gossip.members)) {
+    for (final String member : Protocol.list(gossip.members)) {
       if (!members.containsKey(member) && !member.equals(self)) {
         members.put(member, now - 1500);
         more = true;
@@ -890,7 +901,7 @@
     if (alike && gossip.beatAges != null) {
       cleared = registrations.takeBeatAges(gossip.beatAges, now);
     }
-    final List<String> beaten = Words.list(gossip.beaten);
+    final List<String> beaten = Protocol.list(gossip.beaten);
     for (int index = 0; index < beaten.size(); index++) {
       cleared |= registrations.beaten(beaten.get(index), now - gossip.ages.get(index), now);
     }
@@ -910,7 +921,7 @@
     }
     if (gossip.depth < 3 && !alike && gossip.digest != registrations.digest()) {
       reply.accept(
-          gossip(gossip.depth + 1, true, !boardsAlike, false, Words.list(gossip.buckets), now));
+          gossip(gossip.depth + 1, true, !boardsAlike, false, Protocol.list(gossip.buckets), now));
     } else if (gossip.depth == 1 && (!boardsAlike || gossip.rosterNumber < roster.number)) {
       reply.accept(gossip(3, false, true, gossip.rosterNumber < roster.number, null, now));
     }
@@ -929,7 +940,7 @@
    * What is told to a peer: the history where it differs (all of it where there are no buckets to
    * compare), switchboards and the roster where they do.
    */
-  private Words.Gossip gossip(
+  private RegistryMessages.Gossip gossip(
       final int depth,
       final boolean differs,
       final boolean boardsDiffer,
@@ -947,7 +958,7 @@
         differs && there != null
             ? Buckets.pack(Buckets.differing(registrations.all().values(), here, there))
             : null;
-    return new Words.Gossip(
+    return new RegistryMessages.Gossip(
         depth,
         registrations.digest(),
         rosterToo ? roster : null,
@@ -1007,8 +1018,8 @@
   }
 
   /** Orders switchboards to begin or end recording. */
-  public Words.RecordState record(final boolean on, final long wall, final long now) {
-    final Words.RecordState state = reels.order(on, wall);
+  public RecordingMessages.RecordState record(final boolean on, final long wall, final long now) {
+    final RecordingMessages.RecordState state = reels.order(on, wall);
     streams.tell(state);
     tellRecording(now);
     return state;
@@ -1023,7 +1034,7 @@
   }
 
   /** A switchboard has recorded something. */
-  public void reel(final Words.Reel reel, final long now) {
+  public void reel(final RecordingMessages.Reel reel, final long now) {
     reels.add(reel, now);
   }
 
@@ -1071,9 +1082,12 @@
 
   /** Somebody asks for permits. */
   public void permit(
-      final Words.PermitAsk ask, final java.util.function.Consumer<Message> reply, final long now) {
+      final PermitMessages.PermitAsk ask,
+      final java.util.function.Consumer<Message> reply,
+      final long now) {
     if (quotas == null) {
-      reply.accept(new Words.PermitAnswer(ask.number, 0, control.version(), Integer.MAX_VALUE));
+      reply.accept(
+          new PermitMessages.PermitAnswer(ask.number, 0, control.version(), Integer.MAX_VALUE));
       return;
     }
     quotas.ask(ask, reply, control.plan(), roster, control.version(), now - majorityAt, now);
@@ -1098,7 +1112,7 @@
     switchboards.merge(List.of(board), now);
     if (news) {
       for (final String member : members.keySet()) {
-        outlet.member(member, new Words.Changes(0, null, List.of(board)));
+        outlet.member(member, new RegistryMessages.Changes(0, null, List.of(board)));
       }
     }
     if (!streams.contains(stream)) {
@@ -1152,7 +1166,7 @@
   /**
    * What is told each time, with the members where they have changed since they were told to all.
    */
-  private Words.Reach reach(final long now, final boolean first) {
+  private RegistryMessages.Reach reach(final long now, final boolean first) {
     final List<String> caches = switchboards.announcers(now);
     final List<String> places = new ArrayList<>();
     for (final String member : members.keySet()) {
@@ -1164,7 +1178,7 @@
       toldMembers = named;
       toldPlaces = places;
     }
-    return new Words.Reach(
+    return new RegistryMessages.Reach(
         Math.min(Integer.MAX_VALUE, now - majorityAt),
         switchboards.most(),
         first || news ? named : null,
@@ -1253,9 +1267,9 @@
         given.trials,
         given.trialMark);
     if (electorates != null) {
-      electorates.take(Words.list(given.electorates), outlet::board);
+      electorates.take(Protocol.list(given.electorates), outlet::board);
     } else if (given.electorates != null) {
-      otherMarks = Words.list(given.electorates).stream().mapToLong(one -> one.mark).sum();
+      otherMarks = Protocol.list(given.electorates).stream().mapToLong(one -> one.mark).sum();
     }
     placementMarks = given.placementMark + (given.keeper == null ? 0 : given.keeper.serial);
     if (placements != null && placements.take(given, clock)) {
@@ -1284,10 +1298,11 @@
   // ---- trials
 
   /** A switchboard, or another exchange that passes it on, tells what was counted in trials. */
-  public void trialReport(final Words.TrialReport report, final long now) {
+  public void trialReport(final TrialMessages.TrialReport report, final long now) {
     control.panel().report(report, now);
     if (!report.relayed) {
-      final Words.TrialReport relayed = new Words.TrialReport(true, report.tallies, report.digests);
+      final TrialMessages.TrialReport relayed =
+          new TrialMessages.TrialReport(true, report.tallies, report.digests);
       for (final String member : members.keySet()) {
         outlet.member(member, relayed);
       }
@@ -1300,15 +1315,15 @@
       return;
     }
     trialJudgedAt = now;
-    for (final Words.Trial verdict : control.panel().verdicts(control.plan())) {
-      writeTrial(verdict, new Words.Cause(Authors.SYSTEM, "", self, null), now);
+    for (final TrialMessages.Trial verdict : control.panel().verdicts(control.plan())) {
+      writeTrial(verdict, new StoreCallMessages.Cause(Authors.SYSTEM, "", self, null), now);
     }
   }
 
   private long trialJudgedAt;
 
-  private CompletableFuture<Words.Trial> writeTrial(
-      final Words.Trial next, final Words.Cause cause, final long now) {
+  private CompletableFuture<TrialMessages.Trial> writeTrial(
+      final TrialMessages.Trial next, final StoreCallMessages.Cause cause, final long now) {
     return store
         .call(
             Deed.TRIAL_WRITE,
@@ -1335,16 +1350,21 @@
    * Judges an order by what a majority confirms after it came, and acknowledges it once a majority
    * of exchanges has it.
    */
-  private CompletableFuture<Words.Trial> orderTrial(
-      final Supplier<Words.Trial> next, final Words.Cause cause, final long now) {
+  private CompletableFuture<TrialMessages.Trial> orderTrial(
+      final Supplier<TrialMessages.Trial> next,
+      final StoreCallMessages.Cause cause,
+      final long now) {
     return refresh(now)
         .thenCompose(done -> writeTrial(next.get(), cause, clock))
         .thenCompose(written -> settle(clock).thenApply(done -> written));
   }
 
   /** Begins a trial. */
-  public CompletableFuture<Words.Trial> beginTrial(
-      final String route, final Calls.TrialOrder order, final Words.Cause cause, final long now) {
+  public CompletableFuture<TrialMessages.Trial> beginTrial(
+      final String route,
+      final Calls.TrialOrder order,
+      final StoreCallMessages.Cause cause,
+      final long now) {
     final List<Integer> stages = new ArrayList<>();
     for (final Double stage : order.stages() == null ? List.<Double>of() : order.stages()) {
       stages.add(stage == null ? null : stage.intValue());
@@ -1367,8 +1387,8 @@
   }
 
   /** Moves a trial to its next stage, if the evidence is there. */
-  public CompletableFuture<Words.Trial> advanceTrial(
-      final String route, final Words.Cause cause, final long now) {
+  public CompletableFuture<TrialMessages.Trial> advanceTrial(
+      final String route, final StoreCallMessages.Cause cause, final long now) {
     final List<String> live = new ArrayList<>();
     switchboards.live(now).forEach(board -> live.add(board.address));
     return orderTrial(
@@ -1378,14 +1398,17 @@
   }
 
   /** Holds a trial by an operator's order. */
-  public CompletableFuture<Words.Trial> holdTrial(
-      final String route, final String reason, final Words.Cause cause, final long now) {
+  public CompletableFuture<TrialMessages.Trial> holdTrial(
+      final String route,
+      final String reason,
+      final StoreCallMessages.Cause cause,
+      final long now) {
     return orderTrial(() -> control.panel().hold(route, reason), cause, now);
   }
 
   /** Ends a trial. */
-  public CompletableFuture<Words.Trial> finishTrial(
-      final String route, final Words.Cause cause, final long now) {
+  public CompletableFuture<TrialMessages.Trial> finishTrial(
+      final String route, final StoreCallMessages.Cause cause, final long now) {
     return orderTrial(() -> control.panel().finish(route), cause, now);
   }
 
@@ -1395,7 +1418,7 @@
   }
 
   /** Calls the store. */
-  public CompletableFuture<Words.Answer> call(
+  public CompletableFuture<StoreCallMessages.Answer> call(
       final Deed deed,
       final String name,
       final String owner,
@@ -1408,13 +1431,13 @@
   }
 
   /** Calls the store with a change of routing, and who wants it. */
-  public CompletableFuture<Words.Answer> change(
+  public CompletableFuture<StoreCallMessages.Answer> change(
       final Deed deed,
       final String name,
       final long first,
       final long second,
       final byte[] body,
-      final Words.Cause cause,
+      final StoreCallMessages.Cause cause,
       final long timeout,
       final long now) {
     clock = Math.max(clock, now);
@@ -1427,8 +1450,8 @@
    * An evacuation is ordered under a ticket, so that a copy that comes late does nothing once
    * another order was decided.
    */
-  private CompletableFuture<Words.Answer> evacuate(
-      final String zone, final long on, final Words.Cause cause, final long cutoff) {
+  private CompletableFuture<StoreCallMessages.Answer> evacuate(
+      final String zone, final long on, final StoreCallMessages.Cause cause, final long cutoff) {
     return store
         .call(Deed.EVACUATION_TICKET, zone, null, 0, 0, null, null, clock, cutoff - clock)
         .thenCompose(
@@ -1454,12 +1477,12 @@
   }
 
   /** Calls the store with a configuration, the digest of what it says, and who wants it. */
-  public CompletableFuture<Words.Answer> replace(
+  public CompletableFuture<StoreCallMessages.Answer> replace(
       final long given,
       final boolean tied,
       final byte[] packed,
       final byte[] content,
-      final Words.Cause cause,
+      final StoreCallMessages.Cause cause,
       final long timeout,
       final long now) {
     return store.call(
@@ -1467,8 +1490,9 @@
   }
 
   /** Who wants a change that came in here. */
-  public Words.Cause cause(final String author, final String caller, final byte[] extra) {
-    return new Words.Cause(author, caller, self, extra);
+  public StoreCallMessages.Cause cause(
+      final String author, final String caller, final byte[] extra) {
+    return new StoreCallMessages.Cause(author, caller, self, extra);
   }
 
   /** The history of routing changes, read from the replica on this machine. */
@@ -1491,14 +1515,14 @@
     final List<Calls.PlacementStatus> placed = new ArrayList<>();
     final List<Calls.WriteCount> writes = new ArrayList<>();
     if (placements != null) {
-      for (final Words.Placement one : placements.keeper().placements().placements) {
+      for (final PlacementMessages.Placement one : placements.keeper().placements().placements) {
         placed.add(
             new Calls.PlacementStatus(
                 one.service,
                 one.epoch,
-                Words.list(one.members).size(),
+                Protocol.list(one.members).size(),
                 one.prepared,
-                Words.list(one.next).size()));
+                Protocol.list(one.next).size()));
       }
       final long[] counts = placements.keeper().counts();
       for (int index = 0; placements.keeper().keeps() && index < counts.length; index++) {
@@ -1597,7 +1621,7 @@
   private final Map<String, InForce> membersInForce = new HashMap<>();
 
   /** A frame has answered. */
-  public void answered(final String from, final Words.Answer answer, final long now) {
+  public void answered(final String from, final StoreCallMessages.Answer answer, final long now) {
     clock = now;
     store.answered(from, answer, now);
   }
@@ -1674,7 +1698,7 @@
       if (electorates != null && now - majorityAt < MAJORITY_MILLIS && writesElectorates()) {
         electorates.keep(switchboards.live(now), now);
       }
-      final Words.Reach reach = reach(now, false);
+      final RegistryMessages.Reach reach = reach(now, false);
       streams.tellEverybody(reach, informed(now), now);
       judge(now);
     }
@@ -1700,7 +1724,7 @@
       }
     }
     java.util.Collections.shuffle(others, random);
-    final Words.Gossip message = gossip(0, false, false, false, null, now);
+    final RegistryMessages.Gossip message = gossip(0, false, false, false, null, now);
     for (final String other : others) {
       if (outlet.member(other, message)) {
         gossips++;
@@ -1734,7 +1758,7 @@
         registrations.put(registration);
       }
       persist(lapsed, null, () -> {});
-      tellMembers(new Words.Changes(0, lapsed, null));
+      tellMembers(new RegistryMessages.Changes(0, lapsed, null));
       streams.registrations(lapsed);
     }
     if (changed) {
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -25,9 +25,15 @@
 import weldpoint.trunk.Lines;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.OwnershipMessages.SlotReport;
+import weldpoint.trunk.PermitMessages;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RecordingMessages;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.StoreCallMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * The registry as a process: it takes all outside calls, keeps the membership and tells
@@ -58,7 +64,7 @@
     this.boot = boot;
     incarnation = Chance.fresh();
     this.trunk =
-        new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
+        new Trunk(loop, new Protocol.Hello(Wire.PROTOCOL, "exchange", boot.address(), incarnation));
     this.members =
         new Lines(
             trunk,
@@ -92,9 +98,9 @@
                     new Trunk.Ear() {
                       @Override
                       public void heard(final Line line, final Message message) {
-                        if (message instanceof Words.Answer) {
-                          line.heardClock(((Words.Answer) message).clock);
-                          core().answered(to, (Words.Answer) message, now());
+                        if (message instanceof StoreCallMessages.Answer) {
+                          line.heardClock(((StoreCallMessages.Answer) message).clock);
+                          core().answered(to, (StoreCallMessages.Answer) message, now());
                         }
                       }
 
@@ -117,7 +123,7 @@
               }
 
               @Override
-              public boolean frame(final String address, final Words.Call call) {
+              public boolean frame(final String address, final StoreCallMessages.Call call) {
                 return frames.send(
                     address,
                     line -> {
@@ -211,20 +217,20 @@
             new Trunk.Ear() {
               @Override
               public void heard(final Line line, final Message message) {
-                if (message instanceof Words.BoardState) {
+                if (message instanceof RegistryMessages.BoardState) {
                   core.boardState(
                       line,
-                      ((Words.BoardState) message).board,
-                      Words.list(((Words.BoardState) message).buckets),
+                      ((RegistryMessages.BoardState) message).board,
+                      Protocol.list(((RegistryMessages.BoardState) message).buckets),
                       now());
-                } else if (message instanceof Words.TrialReport
+                } else if (message instanceof TrialMessages.TrialReport
                     && "switchboard".equals(line.peer().program)) {
-                  core.trialReport((Words.TrialReport) message, now());
-                } else if (message instanceof Words.LeaseAsk
+                  core.trialReport((TrialMessages.TrialReport) message, now());
+                } else if (message instanceof PlacementMessages.LeaseAsk
                     && "switchboard".equals(line.peer().program)) {
-                  core.lease(line, (Words.LeaseAsk) message, now());
-                } else if (message instanceof Words.Reel) {
-                  core.reel((Words.Reel) message, now());
+                  core.lease(line, (PlacementMessages.LeaseAsk) message, now());
+                } else if (message instanceof RecordingMessages.Reel) {
+                  core.reel((RecordingMessages.Reel) message, now());
                 } else if (message instanceof KeyMessages.ClaimAsk
                     || message instanceof KeyMessages.ClaimRelease
                         && "switchboard".equals(line.peer().program)) {
@@ -232,9 +238,9 @@
                 } else if (message instanceof SlotReport
                     && "switchboard".equals(line.peer().program)) {
                   core.slotReport((SlotReport) message);
-                } else if (message instanceof Words.PermitAsk
+                } else if (message instanceof PermitMessages.PermitAsk
                     && !"exchange".equals(line.peer().program)) {
-                  core.permit((Words.PermitAsk) message, line::send, now());
+                  core.permit((PermitMessages.PermitAsk) message, line::send, now());
                 } else {
                   core.receive(line.peer().address, message, line::send, now());
                 }
--- a/exchange/src/main/java/weldpoint/exchange/HistoryDesk.java
+++ b/exchange/src/main/java/weldpoint/exchange/HistoryDesk.java
@@ -11,8 +11,8 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.frame.Deed;
 import weldpoint.frame.Values;
+import weldpoint.trunk.Protocol;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Reads the history of routing changes from the replica on this machine. It is complete only if a
@@ -240,7 +240,7 @@
     final long last = Math.min(range.to(), through);
     long sequence = part.from;
     String digestThrough = headKnown ? headDigest : part.digest;
-    for (final byte[] bytes : Words.list(part.entries)) {
+    for (final byte[] bytes : Protocol.list(part.entries)) {
       if (sequence > last) {
         break;
       }
@@ -273,7 +273,7 @@
     if (query.route() == null || query.route().isEmpty() || query.route().equals(entry.subject)) {
       return true;
     }
-    for (final String change : Words.list(entry.changes)) {
+    for (final String change : Protocol.list(entry.changes)) {
       if (change.contains(query.route()) || change.startsWith("and ")) {
         return true;
       }
@@ -300,7 +300,7 @@
         entry.removed,
         entry.changed,
         entry.writes,
-        Words.list(entry.changes),
+        Protocol.list(entry.changes),
         AuditEntry.digest(bytes),
         entry.previous);
   }
@@ -391,7 +391,7 @@
                           reach(
                               found,
                               AuditEntry.read(
-                                  Words.list(
+                                  Protocol.list(
                                           Wire.value(answer.body, Values.HistoryPart.class).entries)
                                       .get(0)),
                               daemons,
--- a/exchange/src/main/java/weldpoint/exchange/KeyClaims.java
+++ b/exchange/src/main/java/weldpoint/exchange/KeyClaims.java
@@ -14,8 +14,8 @@
 import weldpoint.trunk.KeyMessages.VoteAnswer;
 import weldpoint.trunk.KeyMessages.VoteAsk;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * A registry's part in claims of idempotency keys: as a voter it remembers claims on its disk, and
--- a/exchange/src/main/java/weldpoint/exchange/Neighbourhoods.java
+++ b/exchange/src/main/java/weldpoint/exchange/Neighbourhoods.java
@@ -6,12 +6,12 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.RegistryMessages;
 
 /** Which switchboards share a site: told to those of the site, and only when it changes. */
 final class Neighbourhoods {
   private final Map<Object, String> sites = new HashMap<>();
-  private Map<String, Words.Neighbours> known = Map.of();
+  private Map<String, RegistryMessages.Neighbours> known = Map.of();
 
   void stream(final Object stream, final String site) {
     sites.put(stream, site);
@@ -22,7 +22,7 @@
   }
 
   void tell(final Object stream, final BiConsumer<Object, Message> board) {
-    final Words.Neighbours one = known.get(sites.getOrDefault(stream, ""));
+    final RegistryMessages.Neighbours one = known.get(sites.getOrDefault(stream, ""));
     if (one != null) {
       board.accept(stream, one);
     }
@@ -33,18 +33,18 @@
       final Map<String, List<String>> present,
       final Set<Object> streams,
       final BiConsumer<Object, Message> board) {
-    final Map<String, Words.Neighbours> next = new HashMap<>();
+    final Map<String, RegistryMessages.Neighbours> next = new HashMap<>();
     present.forEach(
         (site, addresses) -> {
           addresses.sort(null);
-          final Words.Neighbours before = known.get(site);
+          final RegistryMessages.Neighbours before = known.get(site);
           next.put(
               site,
               before != null && before.addresses.equals(addresses)
                   ? before
-                  : new Words.Neighbours(addresses));
+                  : new RegistryMessages.Neighbours(addresses));
         });
-    final Map<String, Words.Neighbours> last = known;
+    final Map<String, RegistryMessages.Neighbours> last = known;
     known = next;
     next.forEach(
         (site, one) -> {
--- a/exchange/src/main/java/weldpoint/exchange/OwnershipEndpoint.java
+++ b/exchange/src/main/java/weldpoint/exchange/OwnershipEndpoint.java
@@ -20,7 +20,7 @@
 import weldpoint.trunk.OwnershipMessages.Assignment;
 import weldpoint.trunk.OwnershipMessages.Assignments;
 import weldpoint.trunk.OwnershipMessages.SlotReport;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * A registry's part in services whose keys are divided among their upstreams: it knows who the
--- a/exchange/src/main/java/weldpoint/exchange/PlacementDesk.java
+++ b/exchange/src/main/java/weldpoint/exchange/PlacementDesk.java
@@ -15,9 +15,10 @@
 import weldpoint.dialplan.Route;
 import weldpoint.frame.Values;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.PlacementMember;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.PlacementMessages.PlacementMember;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * An exchange's part in affinity: it works out who should be placed where, and passes leases
@@ -58,7 +59,7 @@
       keeperSerial = Math.max(keeperSerial, control.keeper.serial);
     }
     return keeper.take(
-        Words.list(control.placements),
+        Protocol.list(control.placements),
         control.keeper,
         control.placements == null ? 0 : control.placementMark,
         now);
@@ -71,7 +72,7 @@
 
   /** Passes the keeper's answer on. */
   void granted(
-      final Words.LeaseGrant grant,
+      final PlacementMessages.LeaseGrant grant,
       final Predicate<Object> open,
       final BiConsumer<Object, Message> board) {
     final Object stream = askers.remove(grant.board);
--- a/exchange/src/main/java/weldpoint/exchange/QuorumReads.java
+++ b/exchange/src/main/java/weldpoint/exchange/QuorumReads.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words.Roster;
+import weldpoint.trunk.StateStoreMessages.Roster;
 
 /**
  * Reads of what a majority of the voters' exchanges have on disk. Every acknowledgement was counted
--- a/exchange/src/main/java/weldpoint/exchange/Quorums.java
+++ b/exchange/src/main/java/weldpoint/exchange/Quorums.java
@@ -10,8 +10,8 @@
 import java.util.function.LongFunction;
 import weldpoint.boot.Breakdown;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /** Changes that are acknowledged once a majority of the exchanges' disks has them. */
 class Quorums {
--- a/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
+++ b/exchange/src/main/java/weldpoint/exchange/QuotaEndpoint.java
@@ -11,10 +11,10 @@
 import weldpoint.ratelimit.Part;
 import weldpoint.ratelimit.QuotaAllocator;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words.PermitAnswer;
-import weldpoint.trunk.Words.PermitAsk;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.PermitMessages.PermitAnswer;
+import weldpoint.trunk.PermitMessages.PermitAsk;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * Answers those who ask for permits: from the own part, and where that is used up from another
--- a/exchange/src/main/java/weldpoint/exchange/Reels.java
+++ b/exchange/src/main/java/weldpoint/exchange/Reels.java
@@ -3,9 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.RecordState;
-import weldpoint.trunk.Words.Reel;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RecordingMessages.RecordState;
+import weldpoint.trunk.RecordingMessages.Reel;
+import weldpoint.trunk.RegistryMessages;
 
 /**
  * What switchboards recorded, until an operator collects it; bounded, and what had to be dropped is
@@ -38,7 +39,7 @@
     public final List<Kept> reels;
     public final long version;
     public final byte[] spec;
-    public final List<Words.Registration> registrations;
+    public final List<RegistryMessages.Registration> registrations;
     public final List<String> evacuated;
 
     public Drained(
@@ -49,7 +50,7 @@
         final List<Kept> reels,
         final long version,
         final byte[] spec,
-        final List<Words.Registration> registrations,
+        final List<RegistryMessages.Registration> registrations,
         final List<String> evacuated) {
       this.on = on;
       this.mark = mark;
@@ -103,7 +104,7 @@
   }
 
   void add(final Reel reel, final long now) {
-    final int count = Words.list(reel.notes).size();
+    final int count = Protocol.list(reel.notes).size();
     if (notes + count > MOST_NOTES) {
       dropped += count;
       return;
@@ -117,7 +118,7 @@
     int count = 0;
     while (!held.isEmpty() && count < MOST_DRAINED) {
       final Held one = held.poll();
-      count += Words.list(one.reel.notes).size();
+      count += Protocol.list(one.reel.notes).size();
       list.add(new Kept(now - one.at, one.reel));
     }
     notes -= count;
--- a/exchange/src/main/java/weldpoint/exchange/Registrations.java
+++ b/exchange/src/main/java/weldpoint/exchange/Registrations.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * The history of upstreams as this exchange has it: registrations, when each upstream beat last,
--- a/exchange/src/main/java/weldpoint/exchange/Remembered.java
+++ b/exchange/src/main/java/weldpoint/exchange/Remembered.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 import weldpoint.trunk.KeyMessages.Claim;
-import weldpoint.trunk.Words.Registration;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Trial;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.TrialMessages.Trial;
 
 /** What an exchange keeps on disk; parts that a record does not concern are null. */
 final class Remembered {
--- a/exchange/src/main/java/weldpoint/exchange/Stage.java
+++ b/exchange/src/main/java/weldpoint/exchange/Stage.java
@@ -1,6 +1,6 @@
 package weldpoint.exchange;
 
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /** The steps of an upstream's life as the history records them. */
 public enum Stage {
--- a/exchange/src/main/java/weldpoint/exchange/StoreCaller.java
+++ b/exchange/src/main/java/weldpoint/exchange/StoreCaller.java
@@ -9,7 +9,7 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.frame.Deed;
 import weldpoint.frame.FrameCore;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StoreCallMessages;
 
 /**
  * Carries calls to the frames: to the holder of the duty where it is known, otherwise to the frame
@@ -24,14 +24,14 @@
 
   /** Sends a call to a frame; false where there is no line to it. */
   interface Outlet {
-    boolean send(String address, Words.Call call);
+    boolean send(String address, StoreCallMessages.Call call);
   }
 
   private static final class Pending {
-    final Words.Call call;
+    final StoreCallMessages.Call call;
     final int partition;
     final long cutoff;
-    final CompletableFuture<Words.Answer> future = new CompletableFuture<>();
+    final CompletableFuture<StoreCallMessages.Answer> future = new CompletableFuture<>();
     final Map<String, Integer> copies = new HashMap<>();
     boolean doubtful;
     boolean copyLost;
@@ -44,7 +44,7 @@
     final String pinned;
 
     Pending(
-        final Words.Call call,
+        final StoreCallMessages.Call call,
         final int partition,
         final long cutoff,
         final long patience,
@@ -78,42 +78,44 @@
   }
 
   /** Calls the frame of this very machine, whoever holds the duty. */
-  CompletableFuture<Words.Answer> here(
+  CompletableFuture<StoreCallMessages.Answer> here(
       final Deed deed, final long first, final long second, final long now, final long timeout) {
-    final Words.Call call =
-        new Words.Call(++number, deed.ordinal(), "", null, first, second, null).from(caller);
+    final StoreCallMessages.Call call =
+        new StoreCallMessages.Call(++number, deed.ordinal(), "", null, first, second, null)
+            .from(caller);
     final Pending one = new Pending(call, 0, now + timeout, SILENCE_MILLIS, self);
     pending.put(call.number, one);
     send(one, now);
     return one.future;
   }
 
-  CompletableFuture<Words.Answer> call(
+  CompletableFuture<StoreCallMessages.Answer> call(
       final Deed deed,
       final String name,
       final String owner,
       final long first,
       final long second,
       final byte[] body,
-      final Words.Cause cause,
+      final StoreCallMessages.Cause cause,
       final long now,
       final long timeout) {
     return call(deed, name, owner, first, second, body, cause, null, now, timeout);
   }
 
-  CompletableFuture<Words.Answer> call(
+  CompletableFuture<StoreCallMessages.Answer> call(
       final Deed deed,
       final String name,
       final String owner,
       final long first,
       final long second,
       final byte[] body,
-      final Words.Cause cause,
+      final StoreCallMessages.Cause cause,
       final byte[] content,
       final long now,
       final long timeout) {
-    final Words.Call call =
-        new Words.Call(++number, deed.ordinal(), name, owner, first, second, body, cause, content)
+    final StoreCallMessages.Call call =
+        new StoreCallMessages.Call(
+                ++number, deed.ordinal(), name, owner, first, second, body, cause, content)
             .from(caller);
     final long patience =
         deed == Deed.WATCH
@@ -176,7 +178,7 @@
     one.doubtful &= one.copyLost || !one.copies.isEmpty();
   }
 
-  void answered(final String from, final Words.Answer answer, final long now) {
+  void answered(final String from, final StoreCallMessages.Answer answer, final long now) {
     final Pending one = answer.caller == caller ? pending.get(answer.number) : null;
     if (one == null || !one.copies.containsKey(from)) {
       return;
--- a/exchange/src/main/java/weldpoint/exchange/Streams.java
+++ b/exchange/src/main/java/weldpoint/exchange/Streams.java
@@ -10,9 +10,9 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Board;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.RegistryMessages.Board;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * The streams of switchboards and announcers to this exchange: those that have been given a first
@@ -29,7 +29,7 @@
   private final Set<Object> hopefuls = new LinkedHashSet<>();
   private final Set<Object> announcers = new HashSet<>();
   private final Map<Object, Opening> opening = new HashMap<>();
-  private Words.View whole;
+  private RegistryMessages.View whole;
   private long[] wholeState;
 
   /** What a switchboard has when its stream opens. */
@@ -96,7 +96,7 @@
    * given is told of each.
    */
   void admit(final long read, final Consumer<Object> admitted) {
-    final Words.View view = wholeView();
+    final RegistryMessages.View view = wholeView();
     final List<Long> here = Buckets.digests(registrations.all().values(), false);
     final List<Object> due = new ArrayList<>();
     for (final Object stream : hopefuls) {
@@ -118,7 +118,7 @@
   }
 
   /** What a switchboard that has been told before lacks. */
-  private Words.View partView(final Opening opened, final List<Long> here) {
+  private RegistryMessages.View partView(final Opening opened, final List<Long> here) {
     final Set<String> named = new HashSet<>();
     final List<Registration> lacking =
         Buckets.differing(registrations.all().values(), here, opened.buckets);
@@ -129,7 +129,7 @@
       }
     }
     final boolean newer = opened.version < control.version();
-    return new Words.View(
+    return new RegistryMessages.View(
         newer ? control.version() : 0,
         newer ? control.spec() : null,
         true,
@@ -148,7 +148,7 @@
    * All that a switchboard must know; the same object while nothing has changed, so that a
    * returning fleet costs one encoding.
    */
-  private Words.View wholeView() {
+  private RegistryMessages.View wholeView() {
     final long[] state = {
       control.version(),
       registrations.revision(),
@@ -166,7 +166,7 @@
         }
       }
       whole =
-          new Words.View(
+          new RegistryMessages.View(
               control.version(),
               control.spec(),
               true,
@@ -221,7 +221,7 @@
   void registrations(final List<Registration> changes) {
     if (!streams.isEmpty()) {
       tell(
-          new Words.View(
+          new RegistryMessages.View(
               0, null, false, null, 0, changes, false, null, switchboards.most(), null, -1));
     }
   }
@@ -229,7 +229,7 @@
   /** Tells who is suspect. */
   void suspects() {
     tell(
-        new Words.View(
+        new RegistryMessages.View(
             0,
             null,
             false,
--- a/exchange/src/test/java/weldpoint/exchange/ControlDoorFuzzTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ControlDoorFuzzTest.java
@@ -31,8 +31,9 @@
 import weldpoint.frame.Deed;
 import weldpoint.frame.Values;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Generated calls to the control interface, cut anywhere: each gets one answer, its own, with a
@@ -115,11 +116,11 @@
               }
 
               @Override
-              public boolean frame(final String address, final Words.Call call) {
-                final Words.Answer answer =
+              public boolean frame(final String address, final StoreCallMessages.Call call) {
+                final StoreCallMessages.Answer answer =
                     call.deed == Deed.CONTROL.ordinal()
                         ? held(call)
-                        : new Words.Answer(call.number, 409, 0, null, null);
+                        : new StoreCallMessages.Answer(call.number, 409, 0, null, null);
                 loop.schedule(
                     () -> core.answered(address, answer.to(call.caller), clock.get()),
                     2,
@@ -175,10 +176,11 @@
    * What the frames hold: no configuration, and this machine as the only voter, so that it is not
    * cut off.
    */
-  private static Words.Answer held(final Words.Call call) {
-    final Words.Roster roster =
-        new Words.Roster(1, List.of(new Words.Voter("127.0.0.1", "a", "r", List.of())));
-    return new Words.Answer(
+  private static StoreCallMessages.Answer held(final StoreCallMessages.Call call) {
+    final StateStoreMessages.Roster roster =
+        new StateStoreMessages.Roster(
+            1, List.of(new StateStoreMessages.Voter("127.0.0.1", "a", "r", List.of())));
+    return new StoreCallMessages.Answer(
         call.number,
         200,
         0,
--- a/exchange/src/test/java/weldpoint/exchange/ControlDoorTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ControlDoorTest.java
@@ -19,7 +19,7 @@
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StoreCallMessages;
 
 /**
  * Bad calls of operators, upstreams and applications: refused with their reason, and nothing of
@@ -52,7 +52,7 @@
               }
 
               @Override
-              public boolean frame(final String address, final Words.Call call) {
+              public boolean frame(final String address, final StoreCallMessages.Call call) {
                 storeCalls++;
                 return true;
               }
--- a/exchange/src/test/java/weldpoint/exchange/CoreNet.java
+++ b/exchange/src/test/java/weldpoint/exchange/CoreNet.java
@@ -13,9 +13,11 @@
 import weldpoint.frame.Values;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Registration;
 
 /**
  * Exchanges over scripted frames, on a fake clock: lines that can be cut one way, freezes, restarts
@@ -84,7 +86,7 @@
                 }
 
                 @Override
-                public boolean frame(final String to, final Words.Call call) {
+                public boolean frame(final String to, final StoreCallMessages.Call call) {
                   if (!to.equals(address) && !open.contains(to)) {
                     return false;
                   }
@@ -134,10 +136,10 @@
       core.start(new ArrayList<>(disk), now);
     }
 
-    List<Words.View> views(final Object stream) {
+    List<RegistryMessages.View> views(final Object stream) {
       return told.getOrDefault(stream, List.of()).stream()
-          .filter(message -> message instanceof Words.View)
-          .map(message -> (Words.View) message)
+          .filter(message -> message instanceof RegistryMessages.View)
+          .map(message -> (RegistryMessages.View) message)
           .toList();
     }
 
@@ -145,7 +147,7 @@
     void opens(final Object stream, final long version) {
       core.boardState(
           stream,
-          new Words.Board(
+          new RegistryMessages.Board(
               "10.9.0." + stream,
               "10.9.0." + stream + ":80",
               "z",
@@ -176,7 +178,7 @@
   final Set<String> cut = new HashSet<>();
   java.util.function.Consumer<Node> judges;
   long now = 10_000;
-  Words.Roster roster;
+  StateStoreMessages.Roster roster;
   long version;
   List<String> evacuated = List.of();
   long evacuationMark;
@@ -197,10 +199,11 @@
     roster = roster(1, seeds);
   }
 
-  static Words.Roster roster(final long number, final List<String> addresses) {
-    final List<Words.Voter> voters = new ArrayList<>();
-    addresses.forEach(address -> voters.add(new Words.Voter(address, address, "r", List.of())));
-    return new Words.Roster(number, voters);
+  static StateStoreMessages.Roster roster(final long number, final List<String> addresses) {
+    final List<StateStoreMessages.Voter> voters = new ArrayList<>();
+    addresses.forEach(
+        address -> voters.add(new StateStoreMessages.Voter(address, address, "r", List.of())));
+    return new StateStoreMessages.Roster(number, voters);
   }
 
   static byte[] spec(final long version) {
@@ -269,7 +272,7 @@
 
   private boolean majority(final String address) {
     int count = 0;
-    for (final Words.Voter voter : roster.voters) {
+    for (final StateStoreMessages.Voter voter : roster.voters) {
       final boolean runs = nodes.get(voter.address).life > 0 && !nodes.get(voter.address).frozen;
       count +=
           runs
@@ -287,13 +290,13 @@
    */
   private void answerCall(
       final String at,
-      final Words.Call call,
-      final java.util.function.Consumer<Words.Answer> reply) {
+      final StoreCallMessages.Call call,
+      final java.util.function.Consumer<StoreCallMessages.Answer> reply) {
     if (Deed.of(call.deed) != Deed.CONTROL || !majority(at)) {
       return;
     }
     final boolean news = version > call.first || call.second != evacuationMark;
-    final Words.Answer asked = control(call);
+    final StoreCallMessages.Answer asked = control(call);
     final Runnable answer = () -> reply.accept(majority(at) ? control(call) : asked);
     if (news) {
       answer.run();
@@ -302,7 +305,7 @@
     }
   }
 
-  private Words.Answer control(final Words.Call call) {
+  private StoreCallMessages.Answer control(final StoreCallMessages.Call call) {
     final Values.Control control =
         new Values.Control(
             version,
@@ -318,7 +321,7 @@
             0,
             null,
             null);
-    return new Words.Answer(call.number, 200, version, Wire.bytes(control), null);
+    return new StoreCallMessages.Answer(call.number, 200, version, Wire.bytes(control), null);
   }
 
   /** Restarts a machine: without its disk, what it held is lost. */
--- a/exchange/src/test/java/weldpoint/exchange/CutOffDoorTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/CutOffDoorTest.java
@@ -24,8 +24,9 @@
 import weldpoint.frame.Deed;
 import weldpoint.frame.Values;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * What callers of the control interface get from a daemon that is cut off: no answer with
@@ -56,8 +57,8 @@
   private EventLoopGroup loop;
   private ExchangeCore core;
   private int port;
-  private final List<Words.Call> calls = new ArrayList<>();
-  private Function<Words.Call, Words.Answer> frames;
+  private final List<StoreCallMessages.Call> calls = new ArrayList<>();
+  private Function<StoreCallMessages.Call, StoreCallMessages.Answer> frames;
 
   @BeforeMethod
   public void open() throws IOException, InterruptedException {
@@ -81,9 +82,9 @@
               }
 
               @Override
-              public boolean frame(final String address, final Words.Call call) {
+              public boolean frame(final String address, final StoreCallMessages.Call call) {
                 calls.add(call);
-                final Words.Answer answer = frames.apply(call);
+                final StoreCallMessages.Answer answer = frames.apply(call);
                 if (answer != null) {
                   core.answered(address, answer.to(call.caller), now());
                 }
@@ -104,7 +105,8 @@
     core.start(
         List.of(Wire.bytes(Remembered.membership(List.of(), CoreNet.roster(4, VOTERS)))),
         now() - 60_000);
-    core.boardState("s", new Words.Board("10.9.0.1", "10.9.0.1:80", "a", "r", 1, false, 0), now());
+    core.boardState(
+        "s", new RegistryMessages.Board("10.9.0.1", "10.9.0.1:80", "a", "r", 1, false, 0), now());
     final Boot boot =
         Boot.parse(
             "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:"
@@ -199,7 +201,7 @@
               core.memberOpened("10.0.0.9", now());
               core.receive(
                   "10.0.0.9",
-                  new Words.StateHeld(
+                  new RegistryMessages.StateHeld(
                       0, null, false, ageMillis, 0, null, null, 0, null, 0, null, 0),
                   ignored -> {},
                   now());
@@ -218,9 +220,9 @@
     frames =
         call ->
             call.deed == Deed.HISTORY_HEAD.ordinal()
-                ? new Words.Answer(call.number, 504, 0, null, null)
+                ? new StoreCallMessages.Answer(call.number, 504, 0, null, null)
                 : call.deed == Deed.HISTORY_READ.ordinal()
-                    ? new Words.Answer(
+                    ? new StoreCallMessages.Answer(
                         call.number,
                         200,
                         0,
@@ -241,7 +243,7 @@
     frames =
         call ->
             call.deed == Deed.CONTROL.ordinal()
-                ? new Words.Answer(
+                ? new StoreCallMessages.Answer(
                     call.number,
                     200,
                     0,
@@ -259,7 +261,7 @@
               && answer.contains(";"),
           answer);
     }
-    frames = call -> new Words.Answer(call.number, 504, 0, null, null);
+    frames = call -> new StoreCallMessages.Answer(call.number, 504, 0, null, null);
     for (final String call : List.of("trial.advance", "trial.status")) {
       assertTrue(call("POST", "/api/rpc?call=" + call + "&of=r", "").startsWith("HTTP/1.1 504"));
     }
@@ -275,7 +277,7 @@
         call ->
             call.deed != Deed.SPEC_REPLACE.ordinal()
                 ? null
-                : new Words.Answer(call.number, 200, 7, null, null);
+                : new StoreCallMessages.Answer(call.number, 200, 7, null, null);
     try (Socket socket = send("POST", "/api/rpc?call=configuration.replace", SPEC)) {
       final long until = System.nanoTime() + 30_000_000_000L;
       while (!loop.submit(() -> core.status(now()).version().equals("00000007")).get()) {
@@ -295,7 +297,7 @@
     frames =
         call ->
             call.deed == Deed.NUMBER.ordinal()
-                ? new Words.Answer(call.number, 200, 12, null, null)
+                ? new StoreCallMessages.Answer(call.number, 200, 12, null, null)
                 : null;
     assertTrue(call("POST", "/api/numbers/n", "{}").contains("\"value\":12"));
     assertTrue(
--- a/exchange/src/test/java/weldpoint/exchange/CutOffTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/CutOffTest.java
@@ -9,7 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.StateStoreMessages;
 
 /**
  * Exchanges that are cut off, restarted while cut off, frozen and thawed: none gives or
@@ -183,7 +184,7 @@
     }
     net.node(1).opens("1", 0);
     net.pass(500);
-    final List<Words.Registration> given =
+    final List<RegistryMessages.Registration> given =
         new ArrayList<>(Buckets.unpack(net.node(1).views("1").get(0).packed));
     assertEquals(given.stream().map(one -> Stage.of(one)).toList(), List.of(Stage.DRAINING));
   }
@@ -261,7 +262,8 @@
           .core
           .receive(
               "10.0.0.9",
-              new Words.StateHeld(0, net.roster, false, 0, 0, null, null, 0, null, 0, null, 0),
+              new RegistryMessages.StateHeld(
+                  0, net.roster, false, 0, 0, null, null, 0, null, 0, null, 0),
               ignored -> {},
               net.now);
     }
@@ -403,7 +405,7 @@
                     new Quorums(),
                     new QuorumReads(node.address) {
                       @Override
-                      long leasedUntil(final Words.Roster roster) {
+                      long leasedUntil(final StateStoreMessages.Roster roster) {
                         return super.leasedUntil(roster) + 10_000;
                       }
                     },
@@ -439,10 +441,13 @@
                     new Quorums(),
                     new QuorumReads(node.address) {
                       @Override
-                      boolean complete(final Words.Roster roster, final boolean whole) {
+                      boolean complete(
+                          final StateStoreMessages.Roster roster, final boolean whole) {
                         return super.complete(
-                            new Words.Roster(
-                                1, List.of(new Words.Voter(node.address, "", "", List.of()))),
+                            new StateStoreMessages.Roster(
+                                1,
+                                List.of(
+                                    new StateStoreMessages.Voter(node.address, "", "", List.of()))),
                             whole);
                       }
                     },
@@ -492,8 +497,8 @@
                       void kept(
                           final String from,
                           final long key,
-                          final Words.Roster roster,
-                          final Words.Roster before,
+                          final StateStoreMessages.Roster roster,
+                          final StateStoreMessages.Roster before,
                           final long now) {
                         super.kept(from, key, roster, before, Long.MIN_VALUE);
                       }
--- a/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
@@ -13,9 +13,10 @@
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.Test;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Registration;
 
 /** Three exchanges that talk directly, on a fake clock, with disks that sync when told. */
 public final class ExchangeCoreTest {
@@ -68,7 +69,7 @@
                   }
 
                   @Override
-                  public boolean frame(final String to, final Words.Call call) {
+                  public boolean frame(final String to, final StoreCallMessages.Call call) {
                     return false;
                   }
 
@@ -84,11 +85,12 @@
                   public void peers(final List<String> members) {}
                 }));
       }
-      final List<Words.Voter> voters = new ArrayList<>();
+      final List<StateStoreMessages.Voter> voters = new ArrayList<>();
       for (final String seed : SEEDS) {
-        voters.add(new Words.Voter(seed, seed, "r", List.of()));
+        voters.add(new StateStoreMessages.Voter(seed, seed, "r", List.of()));
       }
-      final byte[] record = Wire.bytes(Remembered.membership(null, new Words.Roster(1, voters)));
+      final byte[] record =
+          Wire.bytes(Remembered.membership(null, new StateStoreMessages.Roster(1, voters)));
       cores.values().forEach(core -> core.start(List.of(record), now));
     }
 
@@ -214,7 +216,7 @@
                 }
 
                 @Override
-                public boolean frame(final String to, final Words.Call call) {
+                public boolean frame(final String to, final StoreCallMessages.Call call) {
                   return false;
                 }
 
--- a/exchange/src/test/java/weldpoint/exchange/HistoryDeskTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/HistoryDeskTest.java
@@ -17,8 +17,8 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.frame.Deed;
 import weldpoint.frame.Values;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Reading the history at one replica: complete only when a majority said how far it goes and all of
@@ -173,8 +173,8 @@
   }
 
   private static final class Frames {
-    private final List<Words.Call> heads = new ArrayList<>();
-    private final List<Words.Call> reads = new ArrayList<>();
+    private final List<StoreCallMessages.Call> heads = new ArrayList<>();
+    private final List<StoreCallMessages.Call> reads = new ArrayList<>();
     private final StoreCaller store =
         new StoreCaller(
             "10.0.0.1",
@@ -195,7 +195,7 @@
     assertEquals(frames.reads.size(), 0);
     frames.store.answered(
         "10.0.0.1",
-        new Words.Answer(
+        new StoreCallMessages.Answer(
                 frames.heads.get(0).number,
                 200,
                 6,
@@ -205,7 +205,7 @@
         1010);
     frames.store.answered(
         "10.0.0.1",
-        new Words.Answer(
+        new StoreCallMessages.Answer(
                 frames.reads.get(0).number, 200, 4, Wire.bytes(part(all, 0, 4, 1, false)), null)
             .to(frames.reads.get(0).caller),
         1020);
@@ -213,7 +213,7 @@
     desk.tick(1200);
     frames.store.answered(
         "10.0.0.1",
-        new Words.Answer(
+        new StoreCallMessages.Answer(
                 frames.reads.get(1).number, 200, 6, Wire.bytes(part(all, 0, 6, 1, false)), null)
             .to(frames.reads.get(1).caller),
         1210);
--- a/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
@@ -16,9 +16,10 @@
 import org.testng.annotations.Test;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Registration;
 
 /**
  * What an exchange tells at hundreds of switchboards and upstreams: little while nothing differs,
@@ -49,7 +50,7 @@
                 }
 
                 @Override
-                public boolean frame(final String to, final Words.Call call) {
+                public boolean frame(final String to, final StoreCallMessages.Call call) {
                   return false;
                 }
 
@@ -104,8 +105,8 @@
     return list;
   }
 
-  private static Words.Board board(final int index) {
-    return new Words.Board(
+  private static RegistryMessages.Board board(final int index) {
+    return new RegistryMessages.Board(
         "10." + index % 8 + ".0." + index,
         "10." + index % 8 + ".0." + index + ":8161",
         "zone-" + index % 8,
@@ -148,7 +149,7 @@
       core.boardState("stream-" + index, board(index), Buckets.digests(had, false), told.now);
     }
     for (final List<Message> messages : told.boards.values()) {
-      final Words.View view = (Words.View) messages.get(0);
+      final RegistryMessages.View view = (RegistryMessages.View) messages.get(0);
       assertNull(view.packed);
       assertNull(view.spec);
       bytes += Wire.bytes(view).length;
@@ -169,7 +170,7 @@
             gone.issued,
             0));
     core.boardState("late", board(BOARDS), Buckets.digests(had, false), told.now);
-    final Words.View view = (Words.View) told.boards.get("late").get(0);
+    final RegistryMessages.View view = (RegistryMessages.View) told.boards.get("late").get(0);
     final List<Registration> given = Buckets.unpack(view.packed);
     assertTrue(given.size() < UPSTREAMS / 8, given.size() + " were told");
     assertTrue(given.stream().anyMatch(one -> one.id.equals(gone.id)));
@@ -194,7 +195,7 @@
     told.now += 1000;
     core.tick(told.now);
     return told.members.get(to).stream()
-        .filter(message -> message instanceof Words.Gossip)
+        .filter(message -> message instanceof RegistryMessages.Gossip)
         .findFirst()
         .orElseThrow();
   }
@@ -253,7 +254,7 @@
     cores[0].boardState("s", board(1), null, told[0].now + 700);
     last.addAll(told[0].boards.get("s"));
     assertEquals(
-        ((Words.View) last.get(0)).suspects.size(),
+        ((RegistryMessages.View) last.get(0)).suspects.size(),
         4,
         "upstreams that nobody has heard of for 10 s are suspect");
   }
@@ -271,21 +272,23 @@
     core.tick(told.now);
     for (final List<Message> messages : told.boards.values()) {
       final List<Message> lists =
-          messages.stream().filter(message -> message instanceof Words.Neighbours).toList();
+          messages.stream()
+              .filter(message -> message instanceof RegistryMessages.Neighbours)
+              .toList();
       assertEquals(lists.size(), 1);
-      assertEquals(((Words.Neighbours) lists.get(0)).addresses.size(), 3);
+      assertEquals(((RegistryMessages.Neighbours) lists.get(0)).addresses.size(), 3);
     }
     core.boardState("new", board(24), null, told.now);
     told.now += 600;
     core.tick(told.now);
     assertEquals(
         told.boards.get("stream-0").stream()
-            .filter(message -> message instanceof Words.Neighbours)
+            .filter(message -> message instanceof RegistryMessages.Neighbours)
             .count(),
         2);
     assertEquals(
         told.boards.get("stream-1").stream()
-            .filter(message -> message instanceof Words.Neighbours)
+            .filter(message -> message instanceof RegistryMessages.Neighbours)
             .count(),
         1);
   }
@@ -298,7 +301,8 @@
     told.exchange("10.0.0.1", 0).boardState("s", board(1), null, told.now);
     assertTrue(
         told.boards.isEmpty()
-            || Buckets.unpack(((Words.View) told.boards.get("s").get(0)).packed).isEmpty());
+            || Buckets.unpack(((RegistryMessages.View) told.boards.get("s").get(0)).packed)
+                .isEmpty());
   }
 
   @Test
--- a/exchange/src/test/java/weldpoint/exchange/StandstillTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/StandstillTest.java
@@ -13,7 +13,7 @@
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StoreCallMessages;
 
 /**
  * A daemon that stood still: what waited in its sockets for longer than a caller waits is not
@@ -45,7 +45,7 @@
               }
 
               @Override
-              public boolean frame(final String address, final Words.Call call) {
+              public boolean frame(final String address, final StoreCallMessages.Call call) {
                 storeCalls++;
                 return true;
               }
--- a/exchange/src/test/java/weldpoint/exchange/StoreCallerTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/StoreCallerTest.java
@@ -12,14 +12,14 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import weldpoint.frame.Deed;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StoreCallMessages;
 
 /**
  * Calls to frames under scripted lines: each carries who calls, and an answer counts only from
  * whom, and for whom, it was asked.
  */
 public final class StoreCallerTest {
-  private record Sent(String to, Words.Call call) {}
+  private record Sent(String to, StoreCallMessages.Call call) {}
 
   private final List<Sent> sent = new ArrayList<>();
   private final List<String> down = new ArrayList<>();
@@ -48,30 +48,31 @@
     store = life(1);
   }
 
-  private CompletableFuture<Words.Answer> begin(final StoreCaller one, final long now) {
+  private CompletableFuture<StoreCallMessages.Answer> begin(final StoreCaller one, final long now) {
     return one.call(Deed.LOCK_BEGIN, "l", "owner", 3000, 0, null, null, now, 900);
   }
 
-  private static Words.Answer good(final Words.Call call) {
-    return new Words.Answer(call.number, 200, 7, null, null).to(call.caller);
+  private static StoreCallMessages.Answer good(final StoreCallMessages.Call call) {
+    return new StoreCallMessages.Answer(call.number, 200, 7, null, null).to(call.caller);
   }
 
-  private static Words.Answer nothing(final Words.Call call, final String holder) {
-    return new Words.Answer(call.number, 0, 0, null, holder).to(call.caller);
+  private static StoreCallMessages.Answer nothing(
+      final StoreCallMessages.Call call, final String holder) {
+    return new StoreCallMessages.Answer(call.number, 0, 0, null, holder).to(call.caller);
   }
 
   @Test
   public void anAnswerToTheNumberOfAnotherLifeIsNotTaken() {
     begin(store, 0);
-    final Words.Call earlier = sent.get(0).call;
+    final StoreCallMessages.Call earlier = sent.get(0).call;
     final StoreCaller later = life(2);
-    final CompletableFuture<Words.Answer> future = begin(later, 10);
-    final Words.Call mine = sent.get(1).call;
+    final CompletableFuture<StoreCallMessages.Answer> future = begin(later, 10);
+    final StoreCallMessages.Call mine = sent.get(1).call;
     assertEquals(mine.number, earlier.number);
     assertNotEquals(mine.caller, earlier.caller);
     later.answered("here", good(earlier), 20);
     assertFalse(future.isDone());
-    later.answered("here", new Words.Answer(mine.number, 200, 7, null, null), 20);
+    later.answered("here", new StoreCallMessages.Answer(mine.number, 200, 7, null, null), 20);
     assertFalse(future.isDone(), "an answer that names nobody");
     later.answered("here", good(mine), 20);
     assertTrue(future.isDone());
@@ -79,7 +80,7 @@
 
   @Test
   public void anAnswerCountsOnlyFromAFrameThatWasAskedOnTheLineThatThereIs() {
-    final CompletableFuture<Words.Answer> future = begin(store, 0);
+    final CompletableFuture<StoreCallMessages.Answer> future = begin(store, 0);
     assertEquals(sent.get(0).to, "here");
     store.answered("there", good(sent.get(0).call), 5);
     assertFalse(future.isDone(), "a frame that was not asked");
@@ -94,7 +95,7 @@
 
   @Test
   public void aLateAnswerToTheFirstCopyCountsToo() {
-    final CompletableFuture<Words.Answer> future = begin(store, 0);
+    final CompletableFuture<StoreCallMessages.Answer> future = begin(store, 0);
     store.tick(401);
     assertEquals(sent.size(), 2);
     assertNotEquals(sent.get(1).to, sent.get(0).to);
@@ -152,7 +153,8 @@
 
   @Test
   public void whatLeavesLaterIsOlder() {
-    final Words.Call call = new Words.Call(1, 0, "l", "o", 0, 0, null).from(5);
+    final StoreCallMessages.Call call =
+        new StoreCallMessages.Call(1, 0, "l", "o", 0, 0, null).from(5);
     assertEquals(call.leaving(77L, 1000).age, 0);
     assertEquals(
         call.aged(40, 1000).leaving(77L, 1600).age,
--- a/exchange/src/test/java/weldpoint/exchange/TakenVersionTest.java
+++ b/exchange/src/test/java/weldpoint/exchange/TakenVersionTest.java
@@ -23,8 +23,9 @@
 import weldpoint.frame.Values;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * A configuration whose version stands for another one: the operator is told so, with who sent that
@@ -34,10 +35,10 @@
   private static final String BODY = "{\"version\":\"0000000c\",\"listeners\":[],\"pools\":[]}";
 
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
-  private final List<Words.Call> calls = new ArrayList<>();
+  private final List<StoreCallMessages.Call> calls = new ArrayList<>();
   private ExchangeCore core;
   private ControlDoor door;
-  private Words.Answer next;
+  private StoreCallMessages.Answer next;
   private int port;
 
   @BeforeClass
@@ -59,13 +60,13 @@
               }
 
               @Override
-              public boolean frame(final String address, final Words.Call call) {
+              public boolean frame(final String address, final StoreCallMessages.Call call) {
                 calls.add(call);
                 core.answered(
                     address,
                     (call.deed == Deed.CONTROL.ordinal()
                             ? held(call)
-                            : new Words.Answer(
+                            : new StoreCallMessages.Answer(
                                 call.number, next.status, next.first, next.body, null))
                         .to(call.caller),
                     0);
@@ -99,10 +100,11 @@
   }
 
   /** What the frames hold: version 12, and this machine as the only voter. */
-  private static Words.Answer held(final Words.Call call) {
-    final Words.Roster roster =
-        new Words.Roster(1, List.of(new Words.Voter("127.0.0.1", "a", "r", List.of())));
-    return new Words.Answer(
+  private static StoreCallMessages.Answer held(final StoreCallMessages.Call call) {
+    final StateStoreMessages.Roster roster =
+        new StateStoreMessages.Roster(
+            1, List.of(new StateStoreMessages.Voter("127.0.0.1", "a", "r", List.of())));
+    return new StoreCallMessages.Answer(
         call.number,
         200,
         12,
@@ -124,7 +126,7 @@
         null);
   }
 
-  private String replace(final Words.Answer answer) throws IOException {
+  private String replace(final StoreCallMessages.Answer answer) throws IOException {
     next = answer;
     door.awake();
     door.awake();
@@ -147,7 +149,7 @@
   public void theRefusalNamesVersionAuthorAndTime() throws IOException {
     final String answer =
         replace(
-            new Words.Answer(
+            new StoreCallMessages.Answer(
                 0,
                 409,
                 12,
@@ -168,7 +170,9 @@
   @Test
   public void whatIsNotKnownOfTheOtherIsLeftOut() throws IOException {
     final String answer =
-        replace(new Words.Answer(0, 409, 12, Wire.bytes(new Values.TakenVersion(12, "", 0)), null));
+        replace(
+            new StoreCallMessages.Answer(
+                0, 409, 12, Wire.bytes(new Values.TakenVersion(12, "", 0)), null));
     assertTrue(
         answer.startsWith("HTTP/1.1 409")
             && answer.contains("0000000c")
@@ -179,11 +183,13 @@
 
   @Test
   public void theSameAgainIsAcknowledged() throws IOException {
-    assertTrue(replace(new Words.Answer(0, 200, 0, null, null)).startsWith("HTTP/1.1 200"));
+    assertTrue(
+        replace(new StoreCallMessages.Answer(0, 200, 0, null, null)).startsWith("HTTP/1.1 200"));
   }
 
   @Test
   public void whatIsNotDecidedIsLeftUnclear() throws IOException {
-    assertTrue(replace(new Words.Answer(0, 504, 0, null, null)).startsWith("HTTP/1.1 504"));
+    assertTrue(
+        replace(new StoreCallMessages.Answer(0, 504, 0, null, null)).startsWith("HTTP/1.1 504"));
   }
 }
--- a/frame/src/main/java/weldpoint/frame/AuditBook.java
+++ b/frame/src/main/java/weldpoint/frame/AuditBook.java
@@ -10,8 +10,11 @@
 import weldpoint.audit.ConfigurationDifference;
 import weldpoint.audit.ConfigurationSummary;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * The history as the holder of partition 0 sees it: which entry is the last, and which are not yet
@@ -52,14 +55,14 @@
     for (final Held held : registers) {
       if (held.audit != null) {
         final AuditTail one = Wire.value(held.audit, AuditTail.class);
-        final long reaches = one.base + Words.list(one.entries).size();
+        final long reaches = one.base + Protocol.list(one.entries).size();
         if (best == null || reaches > last) {
           best = held;
           last = reaches;
           tailBase = one.base;
           tailDigest = one.baseDigest == null ? AuditEntry.NO_DIGEST : one.baseDigest;
           tail.clear();
-          tail.addAll(Words.list(one.entries));
+          tail.addAll(Protocol.list(one.entries));
         }
       }
     }
@@ -128,7 +131,7 @@
   }
 
   /** Forgets the tail up to where a majority of voters has it in their logs. */
-  void settle(final Words.Roster roster) {
+  void settle(final StateStoreMessages.Roster roster) {
     final long settled = settled(roster);
     while (!tail.isEmpty() && tailBase < settled && tailBase < decided) {
       tailDigest = AuditEntry.digest(tail.pollFirst());
@@ -144,12 +147,12 @@
   }
 
   /** Up to where the logs of a majority reach. */
-  long settled(final Words.Roster roster) {
+  long settled(final StateStoreMessages.Roster roster) {
     return settledWithout(roster, -1);
   }
 
   /** Up to where the logs of a majority reach that does without the voter at this place. */
-  long settledWithout(final Words.Roster roster, final int leaver) {
+  long settledWithout(final StateStoreMessages.Roster roster, final int leaver) {
     final long[] sorted = Arrays.copyOf(logged, roster.voters.size());
     if (leaver >= 0) {
       sorted[leaver] = 0;
@@ -197,7 +200,7 @@
    */
   AuditEntry.Draft draft(
       final Deed deed,
-      final Words.Call call,
+      final StoreCallMessages.Call call,
       final Object before,
       final Object after,
       final long number,
@@ -213,13 +216,14 @@
                           : ChangeKind.EVACUATION_FINISHED,
                       call.name)
                   .number(0, mark);
-          case TRIAL_WRITE -> trial((Words.Trial) before, (Words.Trial) after).number(0, mark);
+          case TRIAL_WRITE ->
+              trial((TrialMessages.Trial) before, (TrialMessages.Trial) after).number(0, mark);
           default -> null;
         };
     if (draft == null) {
       return null;
     }
-    final Words.Cause cause = call.cause;
+    final StoreCallMessages.Cause cause = call.cause;
     return cause == null
         ? draft.origin(null, null, null, time)
         : draft.origin(cause.author, cause.caller, cause.taker, time);
@@ -235,7 +239,8 @@
         .difference(new ConfigurationDifference(old, fresh), Math.max(0, entryBytes - FIXED_BYTES));
   }
 
-  private AuditEntry.Draft trial(final Words.Trial before, final Words.Trial after) {
+  private AuditEntry.Draft trial(
+      final TrialMessages.Trial before, final TrialMessages.Trial after) {
     return new AuditEntry.Draft(ChangeKind.TRIAL, after.route)
         .line(
             "trial "
--- a/frame/src/main/java/weldpoint/frame/Deed.java
+++ b/frame/src/main/java/weldpoint/frame/Deed.java
@@ -8,9 +8,9 @@
 import weldpoint.frame.Values.Put;
 import weldpoint.frame.Values.Spec;
 import weldpoint.trunk.OwnershipMessages;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.StoreCallMessages.Call;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Call;
 
 /** What may be asked of the store, each with how it is decided at the holder of the duty. */
 public enum Deed {
@@ -76,9 +76,10 @@
   TRIAL_WRITE(Values.Kind.TRIAL) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
-      final weldpoint.trunk.Words.Trial before = (weldpoint.trunk.Words.Trial) value;
-      final weldpoint.trunk.Words.Trial next =
-          Wire.value(call.body, weldpoint.trunk.Words.Trial.class);
+      final weldpoint.trunk.TrialMessages.Trial before =
+          (weldpoint.trunk.TrialMessages.Trial) value;
+      final weldpoint.trunk.TrialMessages.Trial next =
+          Wire.value(call.body, weldpoint.trunk.TrialMessages.Trial.class);
       if (before != null && java.util.Arrays.equals(Wire.bytes(before), call.body)) {
         return Decision.confirm(200, before.serial);
       }
@@ -99,32 +100,35 @@
   PURGE(Values.Kind.PURGES) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
-      final weldpoint.trunk.Words.Purges before =
+      final weldpoint.trunk.CacheMessages.Purges before =
           value == null
-              ? new weldpoint.trunk.Words.Purges(0, 0, List.of())
-              : (weldpoint.trunk.Words.Purges) value;
+              ? new weldpoint.trunk.CacheMessages.Purges(0, 0, List.of())
+              : (weldpoint.trunk.CacheMessages.Purges) value;
       final String named = new String(call.body, java.nio.charset.StandardCharsets.UTF_8);
       final long serial = before.mark + 1;
-      final List<weldpoint.trunk.Words.Purge> all =
-          new ArrayList<>(weldpoint.trunk.Words.list(before.purges));
+      final List<weldpoint.trunk.CacheMessages.Purge> all =
+          new ArrayList<>(weldpoint.trunk.Protocol.list(before.purges));
       all.add(
           call.owner == null
-              ? new weldpoint.trunk.Words.Purge(serial, null, null, named)
-              : new weldpoint.trunk.Words.Purge(serial, call.owner, named, null));
+              ? new weldpoint.trunk.CacheMessages.Purge(serial, null, null, named)
+              : new weldpoint.trunk.CacheMessages.Purge(serial, call.owner, named, null));
       while (all.size() > MOST_PURGES) {
         all.remove(0);
       }
       return Decision.write(
-          new weldpoint.trunk.Words.Purges(all.get(0).serial - 1, serial, all), null, serial);
+          new weldpoint.trunk.CacheMessages.Purges(all.get(0).serial - 1, serial, all),
+          null,
+          serial);
     }
   },
   /** Writes who may choose a region's chief (body), if its mark follows the one there. */
   ELECTORATE(Values.Kind.ELECTORATE) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
-      final weldpoint.trunk.Words.Electorate before = (weldpoint.trunk.Words.Electorate) value;
-      final weldpoint.trunk.Words.Electorate next =
-          Wire.value(call.body, weldpoint.trunk.Words.Electorate.class);
+      final weldpoint.trunk.RegionMessages.Electorate before =
+          (weldpoint.trunk.RegionMessages.Electorate) value;
+      final weldpoint.trunk.RegionMessages.Electorate next =
+          Wire.value(call.body, weldpoint.trunk.RegionMessages.Electorate.class);
       final long mark = before == null ? 0 : before.mark;
       return next.mark == mark + 1
           ? Decision.write(next, null, next.mark)
@@ -287,8 +291,9 @@
   PLACEMENT_WRITE(Values.Kind.PLACEMENT) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
-      final Words.Placement next = Wire.value(call.body, Words.Placement.class);
-      final long serial = value == null ? 0 : ((Words.Placement) value).serial;
+      final PlacementMessages.Placement next =
+          Wire.value(call.body, PlacementMessages.Placement.class);
+      final long serial = value == null ? 0 : ((PlacementMessages.Placement) value).serial;
       return next.serial == serial + 1
           ? Decision.write(next, null, next.serial)
           : Decision.confirm(412, serial);
@@ -298,8 +303,8 @@
   KEEPER_WRITE(Values.Kind.KEEPER) {
     @Override
     Decision decide(final Held held, final Object value, final Call call, final long now) {
-      final Words.Keeper next = Wire.value(call.body, Words.Keeper.class);
-      final long serial = value == null ? 0 : ((Words.Keeper) value).serial;
+      final PlacementMessages.Keeper next = Wire.value(call.body, PlacementMessages.Keeper.class);
+      final long serial = value == null ? 0 : ((PlacementMessages.Keeper) value).serial;
       return next.serial == serial + 1
           ? Decision.write(next, null, next.serial)
           : Decision.confirm(412, serial);
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -17,14 +17,20 @@
 import weldpoint.audit.HeapStore;
 import weldpoint.frame.Partition.Phase;
 import weldpoint.frame.Partition.Waiter;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.OwnershipMessages;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StateStoreMessages.Entry;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
+import weldpoint.trunk.StoreCallMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Entry;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
 
 /**
  * The store's state and rules: registers under marks, ballots for the duty of writing a partition,
@@ -214,7 +220,7 @@
           partitions[record.partition].store(
               record.ballot,
               record.incarnation == 1,
-              Words.list(record.entries),
+              Protocol.list(record.entries),
               new ArrayList<>());
       case ROSTER -> {
         if (record.roster.number > roster.number) {
@@ -314,7 +320,8 @@
   }
 
   private void learn(final long rosterNumber, final List<Long> incarnations) {
-    if (rosterNumber != roster.number || Words.list(incarnations).size() != roster.voters.size()) {
+    if (rosterNumber != roster.number
+        || Protocol.list(incarnations).size() != roster.voters.size()) {
       return;
     }
     for (int index = 0; index < incarnations.size(); index++) {
@@ -402,47 +409,47 @@
     }
     membership.heard(from, now);
     meet(from);
-    if (message instanceof Words.Enquire) {
-      recovery.onEnquire(from, (Words.Enquire) message, reply);
-    } else if (message instanceof Words.Enquired) {
-      recovery.onEnquired(from, (Words.Enquired) message, now);
-    } else if (message instanceof Words.Fetched) {
-      recovery.onFetched(from, (Words.Fetched) message, now);
+    if (message instanceof StateStoreMessages.Enquire) {
+      recovery.onEnquire(from, (StateStoreMessages.Enquire) message, reply);
+    } else if (message instanceof StateStoreMessages.Enquired) {
+      recovery.onEnquired(from, (StateStoreMessages.Enquired) message, now);
+    } else if (message instanceof StateStoreMessages.Fetched) {
+      recovery.onFetched(from, (StateStoreMessages.Fetched) message, now);
     } else if (audit.receive(from, message, reply)) {
       return;
     } else if (blank) {
       return;
-    } else if (message instanceof Words.RosterNews) {
-      adopt(((Words.RosterNews) message).roster, now);
-    } else if (message instanceof Words.Fetch) {
-      recovery.onFetch(from, (Words.Fetch) message, reply);
-    } else if (message instanceof Words.Join) {
-      onJoin((Words.Join) message, now);
-    } else if (message instanceof Words.Resign) {
-      onResign(from, (Words.Resign) message, reply, now);
-    } else if (message instanceof Words.Released) {
-      onReleased((Words.Released) message, now);
-    } else if (message instanceof Words.Canvass) {
-      onCanvass((Words.Canvass) message, reply, now);
-    } else if (message instanceof Words.Canvassed) {
-      onCanvassed(from, (Words.Canvassed) message, now);
-    } else if (message instanceof Words.Prepare) {
-      onPrepare((Words.Prepare) message, reply, now);
-    } else if (message instanceof Words.Accept) {
-      onAccept(from, (Words.Accept) message, reply, now);
-    } else if (message instanceof Words.Pulse) {
-      onPulse(from, (Words.Pulse) message, reply, now);
-    } else if (message instanceof Words.Promise) {
+    } else if (message instanceof StateStoreMessages.RosterNews) {
+      adopt(((StateStoreMessages.RosterNews) message).roster, now);
+    } else if (message instanceof StateStoreMessages.Fetch) {
+      recovery.onFetch(from, (StateStoreMessages.Fetch) message, reply);
+    } else if (message instanceof StateStoreMessages.Join) {
+      onJoin((StateStoreMessages.Join) message, now);
+    } else if (message instanceof StateStoreMessages.Resign) {
+      onResign(from, (StateStoreMessages.Resign) message, reply, now);
+    } else if (message instanceof StateStoreMessages.Released) {
+      onReleased((StateStoreMessages.Released) message, now);
+    } else if (message instanceof StateStoreMessages.Canvass) {
+      onCanvass((StateStoreMessages.Canvass) message, reply, now);
+    } else if (message instanceof StateStoreMessages.Canvassed) {
+      onCanvassed(from, (StateStoreMessages.Canvassed) message, now);
+    } else if (message instanceof StateStoreMessages.Prepare) {
+      onPrepare((StateStoreMessages.Prepare) message, reply, now);
+    } else if (message instanceof StateStoreMessages.Accept) {
+      onAccept(from, (StateStoreMessages.Accept) message, reply, now);
+    } else if (message instanceof StateStoreMessages.Pulse) {
+      onPulse(from, (StateStoreMessages.Pulse) message, reply, now);
+    } else if (message instanceof StateStoreMessages.Promise) {
       recovery.votes(from);
-      onPromise(from, (Words.Promise) message, now);
-    } else if (message instanceof Words.Accepted) {
+      onPromise(from, (StateStoreMessages.Promise) message, now);
+    } else if (message instanceof StateStoreMessages.Accepted) {
       recovery.votes(from);
-      onAccepted(from, (Words.Accepted) message, now);
-    } else if (message instanceof Words.Pulsed) {
+      onAccepted(from, (StateStoreMessages.Accepted) message, now);
+    } else if (message instanceof StateStoreMessages.Pulsed) {
       recovery.votes(from);
-      onPulsed(from, (Words.Pulsed) message, now);
-    } else if (message instanceof Words.Refused) {
-      onRefused(from, (Words.Refused) message, reply, now);
+      onPulsed(from, (StateStoreMessages.Pulsed) message, now);
+    } else if (message instanceof StateStoreMessages.Refused) {
+      onRefused(from, (StateStoreMessages.Refused) message, reply, now);
     }
     runRestarts(now);
   }
@@ -496,15 +503,16 @@
       return votes();
     }
     if (theirs < roster.number) {
-      reply.accept(new Words.RosterNews(roster));
+      reply.accept(new StateStoreMessages.RosterNews(roster));
     } else {
-      reply.accept(new Words.Refused(partition, ballot, Mark.NONE, roster.number, null));
+      reply.accept(
+          new StateStoreMessages.Refused(partition, ballot, Mark.NONE, roster.number, null));
     }
     return false;
   }
 
   private void onCanvass(
-      final Words.Canvass canvass, final Consumer<Message> reply, final long now) {
+      final StateStoreMessages.Canvass canvass, final Consumer<Message> reply, final long now) {
     if (!agrees(canvass.roster, reply, canvass.partition, Mark.NONE)) {
       return;
     }
@@ -512,11 +520,13 @@
     if (partition.phase.ordinal() <= Phase.CANVASSING.ordinal()
         && now - partition.heardAt > HEARD_MILLIS) {
       reply.accept(
-          new Words.Canvassed(canvass.partition, canvass.number, partition.promised.round));
+          new StateStoreMessages.Canvassed(
+              canvass.partition, canvass.number, partition.promised.round));
     }
   }
 
-  private void onCanvassed(final String from, final Words.Canvassed canvassed, final long now) {
+  private void onCanvassed(
+      final String from, final StateStoreMessages.Canvassed canvassed, final long now) {
     final Partition partition = partitions[canvassed.partition];
     final int place = roster.index(from);
     if (partition.phase != Phase.CANVASSING
@@ -537,20 +547,21 @@
     partition.canvass = ++canvasses;
     partition.canvassedAt = now;
     partition.agreed = new boolean[roster.voters.size()];
-    broadcast(new Words.Canvass(partition.number, roster.number, partition.canvass), now);
+    broadcast(
+        new StateStoreMessages.Canvass(partition.number, roster.number, partition.canvass), now);
   }
 
   private long canvasses;
 
   private void onPrepare(
-      final Words.Prepare prepare, final Consumer<Message> reply, final long now) {
+      final StateStoreMessages.Prepare prepare, final Consumer<Message> reply, final long now) {
     if (!agrees(prepare.roster, reply, prepare.partition, prepare.ballot)) {
       return;
     }
     final Partition partition = partitions[prepare.partition];
     if (prepare.ballot.compareTo(partition.promised) < 0) {
       reply.accept(
-          new Words.Refused(
+          new StateStoreMessages.Refused(
               prepare.partition,
               prepare.ballot,
               partition.promised,
@@ -571,7 +582,7 @@
         () -> {
           if (partition.promised.equals(prepare.ballot) && roster.number == prepare.roster) {
             reply.accept(
-                new Words.Promise(
+                new StateStoreMessages.Promise(
                     partition.number,
                     prepare.ballot,
                     partition.established,
@@ -583,17 +594,20 @@
   }
 
   private void onAccept(
-      final String from, final Words.Accept accept, final Consumer<Message> reply, final long now) {
+      final String from,
+      final StateStoreMessages.Accept accept,
+      final Consumer<Message> reply,
+      final long now) {
     if (!agrees(accept.roster, reply, accept.partition, accept.ballot)) {
       return;
     }
     final Partition partition = partitions[accept.partition];
-    final List<Long> counted = Words.list(accept.counted);
+    final List<Long> counted = Protocol.list(accept.counted);
     for (int index = 0; index < counted.size() && index < roster.voters.size(); index++) {
       if (counted.get(index) > 0
           && counted.get(index) < incarnationOf(roster.voters.get(index).address)) {
         reply.accept(
-            new Words.Refused(
+            new StateStoreMessages.Refused(
                 accept.partition,
                 accept.ballot,
                 partition.promised,
@@ -604,7 +618,7 @@
     }
     if (accept.ballot.compareTo(partition.promised) < 0) {
       reply.accept(
-          new Words.Refused(
+          new StateStoreMessages.Refused(
               accept.partition,
               accept.ballot,
               partition.promised,
@@ -616,8 +630,8 @@
       stepDown(partition, now);
     }
     heardHolder(partition, from, now);
-    learnLasting(Words.list(accept.known));
-    final List<Entry> entries = Words.list(accept.entries);
+    learnLasting(Protocol.list(accept.known));
+    final List<Entry> entries = Protocol.list(accept.entries);
     final List<Entry> lacking = new ArrayList<>();
     partition.store(accept.ballot, accept.establish, entries, lacking);
     final List<String> names = new ArrayList<>(entries.size());
@@ -639,7 +653,7 @@
         () -> {
           if (roster.number == accept.roster) {
             reply.accept(
-                new Words.Accepted(
+                new StateStoreMessages.Accepted(
                     partition.number,
                     accept.ballot,
                     accept.establish,
@@ -662,8 +676,11 @@
   }
 
   private void onPulse(
-      final String from, final Words.Pulse pulse, final Consumer<Message> reply, final long now) {
-    final List<Integer> numbers = Words.list(pulse.partitions);
+      final String from,
+      final StateStoreMessages.Pulse pulse,
+      final Consumer<Message> reply,
+      final long now) {
+    final List<Integer> numbers = Protocol.list(pulse.partitions);
     if (numbers.isEmpty() || !agrees(pulse.roster, reply, numbers.get(0), pulse.ballots.get(0))) {
       return;
     }
@@ -682,22 +699,22 @@
         membership.settled(partition.number, pulse.roster);
       } else {
         reply.accept(
-            new Words.Refused(
+            new StateStoreMessages.Refused(
                 partition.number, ballot, partition.promised, roster.number, knownIncarnations()));
       }
     }
     reply.accept(
-        new Words.Pulsed(
+        new StateStoreMessages.Pulsed(
             standing, ballotsStanding, incarnation, knownIncarnations(), audit.log().durable()));
   }
 
   private void onRefused(
       final String from,
-      final Words.Refused refused,
+      final StateStoreMessages.Refused refused,
       final Consumer<Message> reply,
       final long now) {
     if (refused.roster < roster.number) {
-      outlet.send(from, new Words.RosterNews(roster));
+      outlet.send(from, new StateStoreMessages.RosterNews(roster));
       return;
     }
     learn(refused.roster, refused.known);
@@ -714,12 +731,15 @@
   private long highest;
 
   private void onResign(
-      final String from, final Words.Resign resign, final Consumer<Message> reply, final long now) {
+      final String from,
+      final StateStoreMessages.Resign resign,
+      final Consumer<Message> reply,
+      final long now) {
     if (resign.leaving) {
       membership.leaves(from, now);
       release(from, reply);
     }
-    for (final int number : Words.list(resign.partitions)) {
+    for (final int number : Protocol.list(resign.partitions)) {
       final Partition partition = partitions[number];
       if (from.equals(partition.holder)
           && partition.phase.ordinal() <= Phase.CANVASSING.ordinal()) {
@@ -731,7 +751,7 @@
 
   // ---- newcomers
 
-  private void onJoin(final Words.Join join, final long now) {
+  private void onJoin(final StateStoreMessages.Join join, final long now) {
     recovery.votes(join.voter.address);
     if (membership.asks(join.voter, roster, now)) {
       tellPeers();
@@ -831,7 +851,8 @@
     }
     for (final Held held : partition.held.values()) {
       for (final Held.Proposed proposed : held.uponCommit) {
-        proposed.work.reply.accept(new Words.Answer(proposed.work.call.number, 504, 0, null, null));
+        proposed.work.reply.accept(
+            new StoreCallMessages.Answer(proposed.work.call.number, 504, 0, null, null));
       }
       for (final Held.Work work : held.waiting) {
         work.reply.accept(redirect(work.call, partition));
@@ -843,8 +864,9 @@
     partition.held = new LinkedHashMap<>();
   }
 
-  private static Words.Answer redirect(final Words.Call call, final Partition partition) {
-    return new Words.Answer(call.number, 0, 0, null, partition.holder);
+  private static StoreCallMessages.Answer redirect(
+      final StoreCallMessages.Call call, final Partition partition) {
+    return new StoreCallMessages.Answer(call.number, 0, 0, null, partition.holder);
   }
 
   private void begin(final Partition partition, final long now) {
@@ -854,7 +876,7 @@
     partition.ballot = new Mark(highest, owner, 0);
     partition.phase = Phase.PREPARING;
     partition.startedAt = now;
-    partition.promises = new Words.Promise[size];
+    partition.promises = new StateStoreMessages.Promise[size];
     partition.establishAcked = new boolean[size];
     partition.establishSent = new boolean[size];
     partition.establishSentAt = new long[size];
@@ -866,7 +888,8 @@
     partition.confirmOut = false;
     ballots++;
     partition.preparedAt = now;
-    broadcast(new Words.Prepare(partition.number, roster.number, partition.ballot), now);
+    broadcast(
+        new StateStoreMessages.Prepare(partition.number, roster.number, partition.ballot), now);
   }
 
   /**
@@ -884,7 +907,7 @@
       if (partition.promises[place] == null) {
         send(
             roster.voters.get(place).address,
-            new Words.Prepare(partition.number, roster.number, partition.ballot),
+            new StateStoreMessages.Prepare(partition.number, roster.number, partition.ballot),
             now);
       }
     }
@@ -931,7 +954,8 @@
     }
   }
 
-  private void onPromise(final String from, final Words.Promise promise, final long now) {
+  private void onPromise(
+      final String from, final StateStoreMessages.Promise promise, final long now) {
     final Partition partition = partitions[promise.partition];
     final int index = roster.index(from);
     if (partition.phase != Phase.PREPARING
@@ -948,7 +972,7 @@
     }
     partition.promises[index] = promise;
     int count = 0;
-    for (final Words.Promise one : partition.promises) {
+    for (final StateStoreMessages.Promise one : partition.promises) {
       count += one == null ? 0 : 1;
     }
     if (count < roster.majority()) {
@@ -958,7 +982,7 @@
     final Long[] counted = new Long[roster.voters.size()];
     Arrays.fill(counted, 0L);
     for (int place = 0; place < partition.promises.length; place++) {
-      final Words.Promise one = partition.promises[place];
+      final StateStoreMessages.Promise one = partition.promises[place];
       if (one != null) {
         counted[place] = one.incarnation;
         if (one.established.compareTo(floor) > 0) {
@@ -968,9 +992,9 @@
     }
     partition.counted = List.of(counted);
     final Map<String, Entry> best = new LinkedHashMap<>();
-    for (final Words.Promise one : partition.promises) {
+    for (final StateStoreMessages.Promise one : partition.promises) {
       if (one != null) {
-        for (final Entry entry : Words.list(one.entries)) {
+        for (final Entry entry : Protocol.list(one.entries)) {
           final Entry before = best.get(entry.name);
           if (entry.mark.compareTo(floor) >= 0
               && (before == null || before.mark.compareTo(entry.mark) < 0)) {
@@ -1023,7 +1047,7 @@
     partition.establishSentAt[place] = now;
     send(
         roster.voters.get(place).address,
-        new Words.Accept(
+        new StateStoreMessages.Accept(
             partition.number,
             roster.number,
             partition.ballot,
@@ -1034,7 +1058,8 @@
         now);
   }
 
-  private void onAccepted(final String from, final Words.Accepted accepted, final long now) {
+  private void onAccepted(
+      final String from, final StateStoreMessages.Accepted accepted, final long now) {
     final Partition partition = partitions[accepted.partition];
     final int place = roster.index(from);
     if (partition.phase != Phase.ESTABLISHING && partition.phase != Phase.SERVING
@@ -1046,7 +1071,7 @@
     if (restart.contains(partition) || accepted.incarnation != incarnationOf(from)) {
       return;
     }
-    final List<String> names = Words.list(accepted.names);
+    final List<String> names = Protocol.list(accepted.names);
     for (int index = 0; index < names.size(); index++) {
       final Held held = partition.held.get(names.get(index));
       if (held != null) {
@@ -1057,7 +1082,7 @@
       partition.establishAcked[place] = true;
     }
     partition.repairs[place].pause = 0;
-    for (final String name : Words.list(accepted.lacking)) {
+    for (final String name : Protocol.list(accepted.lacking)) {
       final Held held = partition.held.get(name);
       if (held != null) {
         sendWhole(partition, held, place, now);
@@ -1124,7 +1149,7 @@
     }
     for (final String address : told) {
       if (!address.equals(self)) {
-        outlet.send(address, new Words.RosterNews(news));
+        outlet.send(address, new StateStoreMessages.RosterNews(news));
       }
     }
     adopt(news, now);
@@ -1134,7 +1159,7 @@
     partition.pulseCount++;
     partition.pulsedAt = now;
     broadcast(
-        new Words.Pulse(
+        new StateStoreMessages.Pulse(
             roster.number,
             List.of(partition.number),
             List.of(partition.ballot.at(partition.pulseCount))),
@@ -1157,15 +1182,15 @@
       }
     }
     if (!numbers.isEmpty()) {
-      broadcast(new Words.Pulse(roster.number, numbers, marks), now);
+      broadcast(new StateStoreMessages.Pulse(roster.number, numbers, marks), now);
     }
   }
 
   private long pulsedAllAt;
 
-  private void onPulsed(final String from, final Words.Pulsed pulsed, final long now) {
+  private void onPulsed(final String from, final StateStoreMessages.Pulsed pulsed, final long now) {
     final int place = roster.index(from);
-    final List<Integer> numbers = Words.list(pulsed.partitions);
+    final List<Integer> numbers = Protocol.list(pulsed.partitions);
     for (int index = 0; index < numbers.size(); index++) {
       final Partition partition = partitions[numbers.get(index)];
       if (partition.phase.ordinal() > Phase.CANVASSING.ordinal()
@@ -1234,11 +1259,14 @@
   // ---- calls
 
   /** A call from an exchange. */
-  public void call(final Words.Call call, final Consumer<Words.Answer> line, final long now) {
-    final Consumer<Words.Answer> reply = answer -> line.accept(answer.to(call.caller));
+  public void call(
+      final StoreCallMessages.Call call,
+      final Consumer<StoreCallMessages.Answer> line,
+      final long now) {
+    final Consumer<StoreCallMessages.Answer> reply = answer -> line.accept(answer.to(call.caller));
     final Deed deed = Deed.of(call.deed);
     if (deed == null) {
-      reply.accept(new Words.Answer(call.number, 400, 0, null, null));
+      reply.accept(new StoreCallMessages.Answer(call.number, 400, 0, null, null));
       return;
     }
     if (deed == Deed.HISTORY_READ) {
@@ -1249,7 +1277,7 @@
     final Partition partition = partitions[partition(register)];
     if (partition.phase != Phase.SERVING || departure.begun()) {
       reply.accept(
-          new Words.Answer(
+          new StoreCallMessages.Answer(
               call.number, 0, 0, null, self.equals(partition.holder) ? null : partition.holder));
       return;
     }
@@ -1278,8 +1306,9 @@
         });
   }
 
-  private static Words.Answer answer(final Held.Work work, final Decision decision) {
-    return new Words.Answer(work.call.number, decision.status, decision.first, decision.body, null);
+  private static StoreCallMessages.Answer answer(final Held.Work work, final Decision decision) {
+    return new StoreCallMessages.Answer(
+        work.call.number, decision.status, decision.first, decision.body, null);
   }
 
   private void drain(final Partition partition, final Held held, final long now) {
@@ -1335,7 +1364,7 @@
   }
 
   /** Whether a copy was under way for too long; nothing is done for it. */
-  private static boolean late(final Words.Call call, final long now) {
+  private static boolean late(final StoreCallMessages.Call call, final long now) {
     return call.clock != null && now - call.clock > COPY_MILLIS;
   }
 
@@ -1343,7 +1372,8 @@
    * Whether a copy can be told to be of a call that was first sent before this duty began, or after
    * that.
    */
-  private static boolean datable(final Partition partition, final Words.Call call, final long now) {
+  private static boolean datable(
+      final Partition partition, final StoreCallMessages.Call call, final long now) {
     return call.clock == null
         || call.clock - call.age >= partition.servedAt
         || older(partition, call, now);
@@ -1353,7 +1383,8 @@
    * Whether a call was surely sent before this duty began, so that the holder before may have
    * carried it out.
    */
-  private static boolean older(final Partition partition, final Words.Call call, final long now) {
+  private static boolean older(
+      final Partition partition, final StoreCallMessages.Call call, final long now) {
     return call.age > 0 && now - call.age < partition.servedAt;
   }
 
@@ -1433,7 +1464,7 @@
       held.sentAt[place] = now;
       send(
           roster.voters.get(place).address,
-          new Words.Accept(
+          new StateStoreMessages.Accept(
               partition.number,
               roster.number,
               partition.ballot,
@@ -1453,7 +1484,7 @@
     held.sentAt[place] = now;
     send(
         roster.voters.get(place).address,
-        new Words.Accept(
+        new StateStoreMessages.Accept(
             partition.number,
             roster.number,
             partition.ballot,
@@ -1565,7 +1596,7 @@
   }
 
   /** Answers from what is here, whoever holds the duty: entries from first on, second at most. */
-  private Words.Answer history(final Words.Call call) {
+  private StoreCallMessages.Answer history(final StoreCallMessages.Call call) {
     final AuditLog log = audit.log();
     final List<byte[]> entries = new ArrayList<>();
     int bytes = 0;
@@ -1580,7 +1611,7 @@
       bytes += entry.length;
       entries.add(entry);
     }
-    return new Words.Answer(
+    return new StoreCallMessages.Answer(
         call.number,
         200,
         log.last(),
@@ -1592,8 +1623,8 @@
 
   private void head(
       final Partition partition,
-      final Words.Call call,
-      final Consumer<Words.Answer> reply,
+      final StoreCallMessages.Call call,
+      final Consumer<StoreCallMessages.Answer> reply,
       final long now) {
     final Held.Work work = new Held.Work(call, Deed.HISTORY_HEAD, reply, now);
     confirm(
@@ -1602,7 +1633,7 @@
         work,
         () ->
             reply.accept(
-                new Words.Answer(
+                new StoreCallMessages.Answer(
                     call.number,
                     200,
                     book.decided(),
@@ -1649,8 +1680,8 @@
 
   private void control(
       final Partition partition,
-      final Words.Call call,
-      final Consumer<Words.Answer> reply,
+      final StoreCallMessages.Call call,
+      final Consumer<StoreCallMessages.Answer> reply,
       final long now) {
     final Held.Work work = new Held.Work(call, Deed.CONTROL, reply, now);
     confirm(
@@ -1670,12 +1701,12 @@
     final Values.Spec value = spec == null ? null : (Values.Spec) spec.committed;
     long mark = 0;
     final List<String> evacuated = new ArrayList<>();
-    final List<Words.Trial> trials = new ArrayList<>();
+    final List<TrialMessages.Trial> trials = new ArrayList<>();
     long trialMark = 0;
-    Words.Purges purges = null;
-    final List<Words.Electorate> electorates = new ArrayList<>();
-    final List<Words.Placement> placements = new ArrayList<>();
-    Words.Keeper keeper = null;
+    CacheMessages.Purges purges = null;
+    final List<RegionMessages.Electorate> electorates = new ArrayList<>();
+    final List<PlacementMessages.Placement> placements = new ArrayList<>();
+    PlacementMessages.Keeper keeper = null;
     final List<OwnershipMessages.Assignment> assignments = new ArrayList<>();
     long placementMark = 0;
     long others = 0;
@@ -1687,19 +1718,19 @@
           evacuated.add(held.name.substring("evacuation/".length()));
         }
       } else if (held.kind == Values.Kind.TRIAL && held.committed != null) {
-        trials.add((Words.Trial) held.committed);
-        trialMark += ((Words.Trial) held.committed).serial;
+        trials.add((TrialMessages.Trial) held.committed);
+        trialMark += ((TrialMessages.Trial) held.committed).serial;
       } else if (held.kind == Values.Kind.PURGES && held.committed != null) {
-        purges = (Words.Purges) held.committed;
+        purges = (CacheMessages.Purges) held.committed;
         others += purges.mark;
       } else if (held.kind == Values.Kind.ELECTORATE && held.committed != null) {
-        electorates.add((Words.Electorate) held.committed);
-        others += ((Words.Electorate) held.committed).mark;
+        electorates.add((RegionMessages.Electorate) held.committed);
+        others += ((RegionMessages.Electorate) held.committed).mark;
       } else if (held.kind == Values.Kind.PLACEMENT && held.committed != null) {
-        placements.add((Words.Placement) held.committed);
-        placementMark += ((Words.Placement) held.committed).serial;
+        placements.add((PlacementMessages.Placement) held.committed);
+        placementMark += ((PlacementMessages.Placement) held.committed).serial;
       } else if (held.kind == Values.Kind.KEEPER && held.committed != null) {
-        keeper = (Words.Keeper) held.committed;
+        keeper = (PlacementMessages.Keeper) held.committed;
         others += keeper.serial;
       } else if (held.kind == Values.Kind.OWNERSHIP && held.committed != null) {
         assignments.add((OwnershipMessages.Assignment) held.committed);
@@ -1728,7 +1759,8 @@
             news ? placements : null,
             keeper,
             news ? assignments : null);
-    work.reply.accept(new Words.Answer(work.call.number, 200, version, Wire.bytes(control), null));
+    work.reply.accept(
+        new StoreCallMessages.Answer(work.call.number, 200, version, Wire.bytes(control), null));
     return true;
   }
 
@@ -1802,7 +1834,7 @@
       }
     }
     if (!numbers.isEmpty()) {
-      reply.accept(new Words.Released(roster.number, numbers));
+      reply.accept(new StateStoreMessages.Released(roster.number, numbers));
     }
   }
 
@@ -1827,9 +1859,9 @@
     return true;
   }
 
-  private void onReleased(final Words.Released released, final long now) {
+  private void onReleased(final StateStoreMessages.Released released, final long now) {
     if (departure.begun() && released.roster >= departure.roster()) {
-      departure.released(Words.list(released.partitions));
+      departure.released(Protocol.list(released.partitions));
       depart(now);
     }
   }
@@ -1846,7 +1878,7 @@
     if (ending || !numbers.isEmpty()) {
       for (final Voter voter : roster.voters) {
         if (!voter.address.equals(self)) {
-          outlet.send(voter.address, new Words.Resign(ending, numbers));
+          outlet.send(voter.address, new StateStoreMessages.Resign(ending, numbers));
         }
       }
     }
@@ -1960,7 +1992,7 @@
         repaired += bytes;
         send(
             roster.voters.get(place).address,
-            new Words.Accept(
+            new StateStoreMessages.Accept(
                 partition.number,
                 roster.number,
                 partition.ballot,
@@ -1987,7 +2019,7 @@
                 return false;
               }
               work.reply.accept(
-                  new Words.Answer(
+                  new StoreCallMessages.Answer(
                       work.call.number,
                       200,
                       work.call.first,
@@ -2025,12 +2057,12 @@
     } else if (now - partition.betterSince > 3000) {
       stepDown(partition, now);
       partition.vacateAt = now + 2000;
-      broadcast(new Words.Resign(false, List.of(partition.number)), now);
+      broadcast(new StateStoreMessages.Resign(false, List.of(partition.number)), now);
     }
   }
 
   private void outsider(final long now) {
-    final Words.Enquire enquire = recovery.enquire(now);
+    final StateStoreMessages.Enquire enquire = recovery.enquire(now);
     if (enquire == null) {
       return;
     }
@@ -2050,7 +2082,8 @@
       if (!address.equals(self)) {
         outlet.send(address, enquire);
         if (!blank && mayVote) {
-          outlet.send(address, new Words.Join(new Voter(self, site, region, List.of())));
+          outlet.send(
+              address, new StateStoreMessages.Join(new Voter(self, site, region, List.of())));
         }
       }
     }
@@ -2067,7 +2100,7 @@
     seedsToldAt = now;
     for (final String seed : seeds) {
       if (!seed.equals(self) && roster.index(seed) < 0 && !membership.joiners().contains(seed)) {
-        outlet.send(seed, new Words.RosterNews(roster));
+        outlet.send(seed, new StateStoreMessages.RosterNews(roster));
       }
     }
   }
--- a/frame/src/main/java/weldpoint/frame/FrameDaemon.java
+++ b/frame/src/main/java/weldpoint/frame/FrameDaemon.java
@@ -19,9 +19,10 @@
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Lines;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /** The store as a process: its core on one thread, its lines on another, its disk on a third. */
 public final class FrameDaemon implements Program {
@@ -45,7 +46,7 @@
   public FrameDaemon(final Boot boot) {
     this.boot = boot;
     final long owner = Chance.fresh();
-    this.trunk = new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "frame", boot.address(), owner));
+    this.trunk = new Trunk(loop, new Protocol.Hello(Wire.PROTOCOL, "frame", boot.address(), owner));
     this.lines =
         new Lines(
             trunk,
@@ -148,8 +149,11 @@
             new Trunk.Ear() {
               @Override
               public void heard(final Line line, final Message message) {
-                if (message instanceof Words.Call) {
-                  core.call((Words.Call) message, answer -> line.send(answer.at(now())), now());
+                if (message instanceof StoreCallMessages.Call) {
+                  core.call(
+                      (StoreCallMessages.Call) message,
+                      answer -> line.send(answer.at(now())),
+                      now());
                 } else {
                   core.receive(line.peer().address, message, line::send, now());
                 }
--- a/frame/src/main/java/weldpoint/frame/Held.java
+++ b/frame/src/main/java/weldpoint/frame/Held.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import weldpoint.trunk.Mark;
-import weldpoint.trunk.Words.Answer;
-import weldpoint.trunk.Words.Call;
+import weldpoint.trunk.StoreCallMessages.Answer;
+import weldpoint.trunk.StoreCallMessages.Call;
 
 /** A register as the holder of its duty sees it. */
 final class Held {
--- a/frame/src/main/java/weldpoint/frame/Membership.java
+++ b/frame/src/main/java/weldpoint/frame/Membership.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * Who votes and who would like to: what the holder of partition 0 knows of members and newcomers,
--- a/frame/src/main/java/weldpoint/frame/Partition.java
+++ b/frame/src/main/java/weldpoint/frame/Partition.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import weldpoint.trunk.Mark;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StateStoreMessages.Entry;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Entry;
 
 /**
  * One partition as this daemon sees it: what it has promised and stored, and, where it holds the
@@ -75,7 +75,7 @@
   long preparedAt;
   long servedAt;
   final RecentCalls recent = new RecentCalls();
-  Words.Promise[] promises = new Words.Promise[0];
+  StateStoreMessages.Promise[] promises = new StateStoreMessages.Promise[0];
   List<Long> counted = List.of();
   boolean[] establishAcked = new boolean[0];
   long[] establishSentAt = new long[0];
--- a/frame/src/main/java/weldpoint/frame/RecentCalls.java
+++ b/frame/src/main/java/weldpoint/frame/RecentCalls.java
@@ -3,7 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import weldpoint.trunk.Words.Call;
+import weldpoint.trunk.StoreCallMessages.Call;
 
 /**
  * What a holder of a duty has decided of late, by the identity of each call (its caller's
--- a/frame/src/main/java/weldpoint/frame/Recovery.java
+++ b/frame/src/main/java/weldpoint/frame/Recovery.java
@@ -14,9 +14,10 @@
 import weldpoint.frame.Partition.Stored;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Entry;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StateStoreMessages.Entry;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * How a frame whose disk is blank gets back what a majority of voters holds, and how the others
@@ -37,11 +38,11 @@
   /** What a voter that was asked has told so far. */
   private static final class Source {
     private final Map<String, Mark> marks = new HashMap<>();
-    private Words.Fetched first;
+    private StateStoreMessages.Fetched first;
     private String after = "";
     private boolean catalogued;
     private boolean heard;
-    private Words.Fetch asked;
+    private StateStoreMessages.Fetch asked;
     private long askedAt;
     private long pause = PAUSE_MILLIS;
   }
@@ -62,7 +63,7 @@
   private final FrameCore core;
   private long enquireNumber;
   private long enquiredAt = Long.MIN_VALUE / 2;
-  private final Map<String, Words.Enquired> enquired = new HashMap<>();
+  private final Map<String, StateStoreMessages.Enquired> enquired = new HashMap<>();
   private final Map<String, Source> sources = new LinkedHashMap<>();
   private final Map<String, Piece> pieces = new HashMap<>();
   private final Map<String, Given> given = new HashMap<>();
@@ -85,14 +86,14 @@
   }
 
   /** The next enquiry; null where the last one is too fresh. */
-  Words.Enquire enquire(final long now) {
+  StateStoreMessages.Enquire enquire(final long now) {
     if (now - enquiredAt < ENQUIRE_MILLIS) {
       return null;
     }
     enquiredAt = now;
     enquireNumber++;
     enquired.clear();
-    return new Words.Enquire(enquireNumber);
+    return new StateStoreMessages.Enquire(enquireNumber);
   }
 
   /**
@@ -110,24 +111,25 @@
     }
   }
 
-  void onEnquire(final String from, final Words.Enquire enquire, final Consumer<Message> reply) {
+  void onEnquire(
+      final String from, final StateStoreMessages.Enquire enquire, final Consumer<Message> reply) {
     final List<String> holders = new ArrayList<>();
     for (final Partition partition : core.partitions) {
       holders.add(partition.holder == null ? "" : partition.holder);
     }
     reply.accept(
-        new Words.Enquired(
+        new StateStoreMessages.Enquired(
             enquire.number, core.blank, core.roster, core.incarnationOf(from), holders));
   }
 
-  void onEnquired(final String from, final Words.Enquired answer, final long now) {
+  void onEnquired(final String from, final StateStoreMessages.Enquired answer, final long now) {
     if (answer.blank) {
       return;
     }
     if (!core.blank) {
       core.adopt(answer.roster, now);
       if (core.roster.index(core.self) < 0) {
-        final List<String> holders = Words.list(answer.holders);
+        final List<String> holders = Protocol.list(answer.holders);
         for (int index = 0; index < holders.size(); index++) {
           core.partitions[index].holder = holders.get(index).isEmpty() ? null : holders.get(index);
         }
@@ -146,7 +148,7 @@
     long most = 0;
     int answers = 0;
     for (final Voter voter : core.roster.voters) {
-      final Words.Enquired one = enquired.get(voter.address);
+      final StateStoreMessages.Enquired one = enquired.get(voter.address);
       if (one != null && !voter.address.equals(core.self)) {
         answers++;
         most = Math.max(most, one.incarnation);
@@ -182,7 +184,7 @@
     }
   }
 
-  private void takeRoster(final Words.Roster roster) {
+  private void takeRoster(final StateStoreMessages.Roster roster) {
     if (roster.number > core.roster.number) {
       core.roster = roster;
       core.tellPeers();
@@ -191,7 +193,8 @@
 
   // ---- the side that gives
 
-  void onFetch(final String from, final Words.Fetch fetch, final Consumer<Message> reply) {
+  void onFetch(
+      final String from, final StateStoreMessages.Fetch fetch, final Consumer<Message> reply) {
     if (!core.votes() || core.known.containsKey(from) && fetch.incarnation < core.known.get(from)) {
       return;
     }
@@ -205,7 +208,7 @@
           core.self, from, fetch.incarnation);
       core.overtaken(index);
     }
-    if (!news && !(fetch.after.isEmpty() && Words.list(fetch.names).isEmpty())) {
+    if (!news && !(fetch.after.isEmpty() && Protocol.list(fetch.names).isEmpty())) {
       reply.accept(part(from, fetch));
       return;
     }
@@ -214,12 +217,12 @@
         () -> reply.accept(part(from, fetch)));
   }
 
-  private Words.Fetched part(final String from, final Words.Fetch fetch) {
-    return Words.list(fetch.names).isEmpty() ? page(fetch) : values(from, fetch);
+  private StateStoreMessages.Fetched part(final String from, final StateStoreMessages.Fetch fetch) {
+    return Protocol.list(fetch.names).isEmpty() ? page(fetch) : values(from, fetch);
   }
 
-  private Words.Fetched fetched(
-      final Words.Fetch fetch,
+  private StateStoreMessages.Fetched fetched(
+      final StateStoreMessages.Fetch fetch,
       final List<Entry> entries,
       final boolean values,
       final boolean more,
@@ -232,7 +235,7 @@
       promised.add(partition.promised);
       established.add(partition.established);
     }
-    return new Words.Fetched(
+    return new StateStoreMessages.Fetched(
         fetch.incarnation,
         core.roster,
         promised,
@@ -253,7 +256,7 @@
    * The registers behind a name, in their order, until a part is full; values only while there is
    * room for them.
    */
-  private Words.Fetched page(final Words.Fetch fetch) {
+  private StateStoreMessages.Fetched page(final StateStoreMessages.Fetch fetch) {
     final TreeMap<String, Stored> all = new TreeMap<>();
     for (final Partition partition : core.partitions) {
       all.putAll(partition.stored);
@@ -285,7 +288,8 @@
     return fetched(fetch, entries, false, false, null, 0, 0);
   }
 
-  private Words.Fetched values(final String from, final Words.Fetch fetch) {
+  private StateStoreMessages.Fetched values(
+      final String from, final StateStoreMessages.Fetch fetch) {
     final List<Entry> entries = new ArrayList<>();
     final List<String> absent = new ArrayList<>();
     int room = PART_BYTES;
@@ -333,7 +337,7 @@
 
   // ---- the side that lacks
 
-  void onFetched(final String from, final Words.Fetched answer, final long now) {
+  void onFetched(final String from, final StateStoreMessages.Fetched answer, final long now) {
     if (!core.blank || fetched || answer.incarnation != fetching || fetching == 0) {
       return;
     }
@@ -342,7 +346,7 @@
     if (source == null || source.asked == null || source.asked.number != answer.number) {
       return;
     }
-    final List<Entry> entries = Words.list(answer.entries);
+    final List<Entry> entries = Protocol.list(answer.entries);
     parts++;
     if (answer.values) {
       takeValues(source, answer, entries);
@@ -367,8 +371,8 @@
   }
 
   private void takeValues(
-      final Source source, final Words.Fetched answer, final List<Entry> entries) {
-    for (final String name : Words.list(answer.absent)) {
+      final Source source, final StateStoreMessages.Fetched answer, final List<Entry> entries) {
+    for (final String name : Protocol.list(answer.absent)) {
       source.marks.remove(name);
     }
     if (answer.total == 0) {
@@ -453,7 +457,11 @@
       if (source.catalogued) {
         whole.put(voter.address, source);
       } else if (source.asked == null) {
-        ask(voter.address, source, new Words.Fetch(fetching, source.after, null, 0, ++asks), now);
+        ask(
+            voter.address,
+            source,
+            new StateStoreMessages.Fetch(fetching, source.after, null, 0, ++asks),
+            now);
       }
     }
     if (whole.size() >= core.roster.majority()) {
@@ -474,7 +482,10 @@
   }
 
   private void ask(
-      final String address, final Source source, final Words.Fetch fetch, final long now) {
+      final String address,
+      final Source source,
+      final StateStoreMessages.Fetch fetch,
+      final long now) {
     source.asked = fetch;
     source.askedAt = now;
     core.outlet.send(address, fetch);
@@ -518,7 +529,7 @@
     final Set<String> taken = new HashSet<>();
     for (final Source source : whole.values()) {
       if (source.asked != null) {
-        taken.addAll(Words.list(source.asked.names));
+        taken.addAll(Protocol.list(source.asked.names));
       }
     }
     final int share = Math.max(1, Math.min(MOST_NAMES, lacking.size() / Math.max(1, whole.size())));
@@ -548,7 +559,8 @@
         ask(
             one.getKey(),
             source,
-            new Words.Fetch(fetching, "", names, piece == null ? 0 : piece.bytes.size(), ++asks),
+            new StateStoreMessages.Fetch(
+                fetching, "", names, piece == null ? 0 : piece.bytes.size(), ++asks),
             now);
       }
     }
--- a/frame/src/main/java/weldpoint/frame/TakenVersions.java
+++ b/frame/src/main/java/weldpoint/frame/TakenVersions.java
@@ -9,8 +9,8 @@
 import weldpoint.frame.Values.Spec;
 import weldpoint.frame.Values.TakenVersion;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.StoreCallMessages.Call;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words.Call;
 
 /**
  * Which content each version of the configuration stands for, as the holder of its register knows
--- a/frame/src/main/java/weldpoint/frame/Values.java
+++ b/frame/src/main/java/weldpoint/frame/Values.java
@@ -4,9 +4,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.OwnershipMessages;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /** The values that registers hold. All are immutable. */
 public final class Values {
@@ -17,15 +22,15 @@
 
   /** The kinds of registers, told apart by the beginning of their names. */
   public enum Kind {
-    ROSTER("roster", Words.Roster.class),
+    ROSTER("roster", StateStoreMessages.Roster.class),
     SPEC("spec", Spec.class),
     EVACUATION("evacuation/", Evacuation.class),
-    TRIAL("trial/", Words.Trial.class),
-    PURGES("purges", Words.Purges.class),
-    ELECTORATE("electorate/", Words.Electorate.class),
+    TRIAL("trial/", TrialMessages.Trial.class),
+    PURGES("purges", CacheMessages.Purges.class),
+    ELECTORATE("electorate/", RegionMessages.Electorate.class),
     AUDIT("audit", Retention.class),
-    PLACEMENT("placement/", Words.Placement.class),
-    KEEPER("keeper", Words.Keeper.class),
+    PLACEMENT("placement/", PlacementMessages.Placement.class),
+    KEEPER("keeper", PlacementMessages.Keeper.class),
     OWNERSHIP("ownership/", OwnershipMessages.Assignment.class),
     LOCK("lock/", Lock.class),
     NUMBER("number/", Number.class),
@@ -78,7 +83,7 @@
     public Object apply(final Object value, final byte[] difference) {
       final Difference change = Wire.value(difference, Difference.class);
       return (value == null ? Group.EMPTY : (Group) value)
-          .with(Words.list(change.puts), change.floor);
+          .with(Protocol.list(change.puts), change.floor);
     }
   }
 
@@ -168,7 +173,7 @@
     }
     return kind == Kind.EVACUATION
         ? ((Evacuation) value).serial
-        : kind == Kind.TRIAL ? ((Words.Trial) value).serial : 0;
+        : kind == Kind.TRIAL ? ((TrialMessages.Trial) value).serial : 0;
   }
 
   /** Whether a site is evacuated, and how often that has changed. */
@@ -301,10 +306,10 @@
     static Group decode(final byte[] bytes) {
       final Packed packed = Wire.value(bytes, Packed.class);
       final Map<String, Put> cells = new LinkedHashMap<>();
-      for (final Put put : Words.list(packed.cells)) {
+      for (final Put put : Protocol.list(packed.cells)) {
         cells.put(put.name, put);
       }
-      return new Group(cells, Words.list(packed.history), packed.revision, packed.floor);
+      return new Group(cells, Protocol.list(packed.history), packed.revision, packed.floor);
     }
   }
 
@@ -314,15 +319,15 @@
     public final byte[] spec;
     public final List<String> evacuated;
     public final long evacuationMark;
-    public final Words.Roster roster;
-    public final List<Words.Trial> trials;
+    public final StateStoreMessages.Roster roster;
+    public final List<TrialMessages.Trial> trials;
     public final long trialMark;
-    public final Words.Purges purges;
-    public final List<Words.Electorate> electorates;
+    public final CacheMessages.Purges purges;
+    public final List<RegionMessages.Electorate> electorates;
     public final boolean tied;
     public final long placementMark;
-    public final List<Words.Placement> placements;
-    public final Words.Keeper keeper;
+    public final List<PlacementMessages.Placement> placements;
+    public final PlacementMessages.Keeper keeper;
 
     /** Who holds the keys of divided services; null where nothing is news. */
     public final List<OwnershipMessages.Assignment> assignments;
@@ -333,15 +338,15 @@
         final byte[] spec,
         final List<String> evacuated,
         final long evacuationMark,
-        final Words.Roster roster,
-        final List<Words.Trial> trials,
+        final StateStoreMessages.Roster roster,
+        final List<TrialMessages.Trial> trials,
         final long trialMark,
-        final Words.Purges purges,
-        final List<Words.Electorate> electorates,
+        final CacheMessages.Purges purges,
+        final List<RegionMessages.Electorate> electorates,
         final boolean tied,
         final long placementMark,
-        final List<Words.Placement> placements,
-        final Words.Keeper keeper) {
+        final List<PlacementMessages.Placement> placements,
+        final PlacementMessages.Keeper keeper) {
       this(
           version,
           spec,
@@ -365,15 +370,15 @@
         final byte[] spec,
         final List<String> evacuated,
         final long evacuationMark,
-        final Words.Roster roster,
-        final List<Words.Trial> trials,
+        final StateStoreMessages.Roster roster,
+        final List<TrialMessages.Trial> trials,
         final long trialMark,
-        final Words.Purges purges,
-        final List<Words.Electorate> electorates,
+        final CacheMessages.Purges purges,
+        final List<RegionMessages.Electorate> electorates,
         final boolean tied,
         final long placementMark,
-        final List<Words.Placement> placements,
-        final Words.Keeper keeper,
+        final List<PlacementMessages.Placement> placements,
+        final PlacementMessages.Keeper keeper,
         final List<OwnershipMessages.Assignment> assignments) {
       this.assignments = assignments;
       this.tied = tied;
@@ -408,8 +413,8 @@
     public final int type;
     public final int partition;
     public final weldpoint.trunk.Mark ballot;
-    public final List<Words.Entry> entries;
-    public final Words.Roster roster;
+    public final List<StateStoreMessages.Entry> entries;
+    public final StateStoreMessages.Roster roster;
     public final String address;
     public final long incarnation;
 
@@ -417,8 +422,8 @@
         final int type,
         final int partition,
         final weldpoint.trunk.Mark ballot,
-        final List<Words.Entry> entries,
-        final Words.Roster roster,
+        final List<StateStoreMessages.Entry> entries,
+        final StateStoreMessages.Roster roster,
         final String address,
         final long incarnation) {
       this.type = type;
--- a/frame/src/main/java/weldpoint/frame/VoterChoice.java
+++ b/frame/src/main/java/weldpoint/frame/VoterChoice.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * Which daemons should vote: first, no zone holds so many that its loss takes the majority, even if
--- a/frame/src/test/java/weldpoint/frame/FencingTest.java
+++ b/frame/src/test/java/weldpoint/frame/FencingTest.java
@@ -10,7 +10,7 @@
 import org.testng.annotations.Test;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StateStoreMessages;
 
 /**
  * One voter on its own: what carries an old roster, a lower ballot or an overtaken incarnation is
@@ -55,34 +55,37 @@
     return answers.isEmpty() ? null : answers.get(0);
   }
 
-  private static Words.Accept accept(final long round, final long second) {
-    return new Words.Accept(3, 1, new Mark(round, 9, 0), true, List.of(1L, second, 1L), List.of());
+  private static StateStoreMessages.Accept accept(final long round, final long second) {
+    return new StateStoreMessages.Accept(
+        3, 1, new Mark(round, 9, 0), true, List.of(1L, second, 1L), List.of());
   }
 
   @Test
   public void aBallotThatCountedAnOvertakenIncarnationIsRefused() {
-    assertTrue(say("10.0.0.3", accept(5, 1)) instanceof Words.Accepted);
-    assertTrue(say("10.0.0.2", new Words.Fetch(2)) instanceof Words.Fetched);
+    assertTrue(say("10.0.0.3", accept(5, 1)) instanceof StateStoreMessages.Accepted);
+    assertTrue(
+        say("10.0.0.2", new StateStoreMessages.Fetch(2)) instanceof StateStoreMessages.Fetched);
     final Message refused = say("10.0.0.3", accept(6, 1));
-    assertTrue(refused instanceof Words.Refused);
-    assertEquals(((Words.Refused) refused).known, List.of(1L, 2L, 1L));
-    assertTrue(say("10.0.0.3", accept(7, 2)) instanceof Words.Accepted);
+    assertTrue(refused instanceof StateStoreMessages.Refused);
+    assertEquals(((StateStoreMessages.Refused) refused).known, List.of(1L, 2L, 1L));
+    assertTrue(say("10.0.0.3", accept(7, 2)) instanceof StateStoreMessages.Accepted);
   }
 
   @Test
   public void aLowerBallotIsRefusedWithTheOnePromised() {
     assertTrue(
-        say("10.0.0.2", new Words.Prepare(3, 1, new Mark(8, 4, 0))) instanceof Words.Promise);
+        say("10.0.0.2", new StateStoreMessages.Prepare(3, 1, new Mark(8, 4, 0)))
+            instanceof StateStoreMessages.Promise);
     final Message refused = say("10.0.0.3", accept(7, 1));
-    assertEquals(((Words.Refused) refused).promised, new Mark(8, 4, 0));
+    assertEquals(((StateStoreMessages.Refused) refused).promised, new Mark(8, 4, 0));
   }
 
   @Test
   public void anOldRosterIsAnsweredWithTheNewerOne() {
-    final Words.Roster next = new Words.Roster(2, core.roster().voters);
-    assertEquals(say("10.0.0.2", new Words.RosterNews(next)), null);
+    final StateStoreMessages.Roster next = new StateStoreMessages.Roster(2, core.roster().voters);
+    assertEquals(say("10.0.0.2", new StateStoreMessages.RosterNews(next)), null);
     final Message answer = say("10.0.0.3", accept(9, 1));
-    assertEquals(((Words.RosterNews) answer).roster.number, 2);
+    assertEquals(((StateStoreMessages.RosterNews) answer).roster.number, 2);
   }
 
   @Test
@@ -112,7 +115,8 @@
             });
     blank.start(List.of(), false, 0);
     answers.clear();
-    blank.receive("10.0.0.1", new Words.Prepare(3, 1, new Mark(8, 4, 0)), answers::add, 10);
+    blank.receive(
+        "10.0.0.1", new StateStoreMessages.Prepare(3, 1, new Mark(8, 4, 0)), answers::add, 10);
     blank.receive("10.0.0.1", accept(8, 1), answers::add, 10);
     assertTrue(answers.isEmpty());
   }
--- a/frame/src/test/java/weldpoint/frame/RecentCallsTest.java
+++ b/frame/src/test/java/weldpoint/frame/RecentCallsTest.java
@@ -6,15 +6,16 @@
 import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.Test;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StoreCallMessages;
 
 /**
  * What a holder remembers of calls: by caller and number, as long as a copy can be under way, and
  * never more than it may.
  */
 public final class RecentCallsTest {
-  private static Words.Call call(final long caller, final long number) {
-    return new Words.Call(number, Deed.NUMBER.ordinal(), "n", null, 0, 0, null).from(caller);
+  private static StoreCallMessages.Call call(final long caller, final long number) {
+    return new StoreCallMessages.Call(number, Deed.NUMBER.ordinal(), "n", null, 0, 0, null)
+        .from(caller);
   }
 
   @Test
