--- a/frame/src/test/java/weldpoint/frame/ThawTest.java
+++ b/frame/src/test/java/weldpoint/frame/ThawTest.java
@@ -15,8 +15,10 @@
 import org.testng.annotations.Test;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * A holder that stands still at any moment around a call, while another takes its duties over and
@@ -155,7 +157,7 @@
     }
 
     /** Calls one frame; what it answers is put into the list. */
-    List<Words.Answer> call(
+    List<StoreCallMessages.Answer> call(
         final String to,
         final Deed deed,
         final String name,
@@ -163,9 +165,9 @@
         final long first,
         final long second,
         final String body) {
-      final List<Words.Answer> answers = new ArrayList<>();
-      final Words.Call call =
-          new Words.Call(
+      final List<StoreCallMessages.Answer> answers = new ArrayList<>();
+      final StoreCallMessages.Call call =
+          new StoreCallMessages.Call(
               ++calls,
               deed.ordinal(),
               name,
@@ -184,7 +186,8 @@
     String holder(final Deed deed, final String name, final String body) {
       for (final String address : SEEDS) {
         if (!frozen.contains(address)) {
-          final List<Words.Answer> answers = call(address, deed, name, "o", -1, 0, body);
+          final List<StoreCallMessages.Answer> answers =
+              call(address, deed, name, "o", -1, 0, body);
           pass(60);
           if (answers.stream()
               .anyMatch(
@@ -212,11 +215,13 @@
     frames.pass(3000);
     final String old = frames.holder(Deed.CELL_READ, "g.", "g.k");
     assertTrue(old != null, "nobody serves");
-    final List<Words.Answer> first = frames.call(old, Deed.CELL_REPLACE, "g.", "one", -1, 0, "g.k");
+    final List<StoreCallMessages.Answer> first =
+        frames.call(old, Deed.CELL_REPLACE, "g.", "one", -1, 0, "g.k");
     frames.pass(100);
     assertEquals(first.get(0).status, 200);
-    final List<Words.Answer> early = frames.call(old, Deed.CELL_READ, "g.", null, 0, 0, "g.k");
-    final List<Words.Answer> earlyPut =
+    final List<StoreCallMessages.Answer> early =
+        frames.call(old, Deed.CELL_READ, "g.", null, 0, 0, "g.k");
+    final List<StoreCallMessages.Answer> earlyPut =
         frames.call(old, Deed.CELL_REPLACE, "g.", "late", first.get(0).first, 0, "g.k");
     frames.pass(1 + seed % 13);
     frames.freeze(old);
@@ -227,20 +232,22 @@
       frames.pass(100);
     }
     assertTrue(holder != null && !holder.equals(old), "nobody took over");
-    final List<Words.Answer> newer =
+    final List<StoreCallMessages.Answer> newer =
         frames.call(holder, Deed.CELL_REPLACE, "g.", "two", -1, 0, "g.k");
     frames.pass(100);
     assertEquals(newer.get(0).status, 200);
     final long revision = newer.get(0).first;
-    final List<Words.Answer> queued = frames.call(old, Deed.CELL_READ, "g.", null, 0, 0, "g.k");
-    final List<Words.Answer> queuedPut =
+    final List<StoreCallMessages.Answer> queued =
+        frames.call(old, Deed.CELL_READ, "g.", null, 0, 0, "g.k");
+    final List<StoreCallMessages.Answer> queuedPut =
         frames.call(old, Deed.CELL_REPLACE, "g.", "three", revision - 1, 0, "g.k");
     frames.pass(20);
     frames.thaw(old, seed % 2 == 0);
-    final List<Words.Answer> woken = frames.call(old, Deed.CELL_READ, "g.", null, 0, 0, "g.k");
+    final List<StoreCallMessages.Answer> woken =
+        frames.call(old, Deed.CELL_READ, "g.", null, 0, 0, "g.k");
     frames.pass(2000);
-    for (final List<Words.Answer> reads : List.of(queued, woken)) {
-      for (final Words.Answer answer : reads) {
+    for (final List<StoreCallMessages.Answer> reads : List.of(queued, woken)) {
+      for (final StoreCallMessages.Answer answer : reads) {
         if (answer.status == 404 || answer.status == 200 && answer.first < revision) {
           faults.add(
               "a read that came after revision "
@@ -250,7 +257,7 @@
         }
       }
     }
-    for (final Words.Answer answer : queuedPut) {
+    for (final StoreCallMessages.Answer answer : queuedPut) {
       if (answer.status == 412 && answer.first < revision
           || answer.status == 200 && answer.first <= revision) {
         faults.add(
@@ -262,12 +269,12 @@
                 + answer.first);
       }
     }
-    for (final Words.Answer answer : earlyPut) {
+    for (final StoreCallMessages.Answer answer : earlyPut) {
       if (answer.status == 200 && answer.first == revision) {
         faults.add("revision " + revision + " was given twice");
       }
     }
-    for (final Words.Answer answer : early) {
+    for (final StoreCallMessages.Answer answer : early) {
       if (answer.status == 200 && answer.first < first.get(0).first) {
         faults.add(
             "a read found " + answer.first + " after " + first.get(0).first + " was acknowledged");
@@ -291,13 +298,13 @@
           story(
               seed,
               message -> {
-                if (!(message instanceof Words.Pulsed)) {
+                if (!(message instanceof StateStoreMessages.Pulsed)) {
                   return message;
                 }
-                final Words.Pulsed pulsed = (Words.Pulsed) message;
+                final StateStoreMessages.Pulsed pulsed = (StateStoreMessages.Pulsed) message;
                 final List<Mark> later = new ArrayList<>();
-                Words.list(pulsed.ballots).forEach(mark -> later.add(mark.at(Long.MAX_VALUE)));
-                return new Words.Pulsed(
+                Protocol.list(pulsed.ballots).forEach(mark -> later.add(mark.at(Long.MAX_VALUE)));
+                return new StateStoreMessages.Pulsed(
                     pulsed.partitions, later, pulsed.incarnation, pulsed.known, pulsed.audited);
               }));
     }
--- a/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
+++ b/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
@@ -17,8 +17,8 @@
 import weldpoint.trunk.KeyMessages.VoteAnswer;
 import weldpoint.trunk.KeyMessages.VoteAsk;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * Carries the claims of a registry's proxies to the voters and counts their votes. A claim is
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -13,14 +13,21 @@
 import weldpoint.dialplan.Dialplan;
 import weldpoint.exchange.Buckets;
 import weldpoint.exchange.Stage;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.OwnershipMessages.Assignment;
 import weldpoint.trunk.OwnershipMessages.Assignments;
 import weldpoint.trunk.Packing;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Board;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.PermitMessages;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RecordingMessages;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.RegistryMessages.Board;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.TrialMessages;
 
 /**
  * The switchboard's side of the stream: it keeps to one exchange, leaves one that is silent or has
@@ -55,37 +62,37 @@
         int switchboards);
 
     /** Tells the traffic thread of trials. */
-    void trials(List<Words.Trial> trials, long mark);
+    void trials(List<TrialMessages.Trial> trials, long mark);
 
     /** Tells what was ended for caches. */
-    default void purges(final Words.Purges purges) {}
+    default void purges(final CacheMessages.Purges purges) {}
 
     /** Tells how long ago the exchange heard of a majority, and which announcers there are. */
     default void reached(final long ageMillis, final int boards, final List<String> announcers) {}
 
     /** Tells who may choose the region's chief. */
-    default void electorate(final Words.Electorate electorate) {}
+    default void electorate(final RegionMessages.Electorate electorate) {}
 
     /** Tells which switchboards share the site. */
     default void neighbours(final List<String> addresses) {}
 
     /** Tells among which upstreams callers are placed. */
-    default void placements(final Words.Placements placements) {}
+    default void placements(final PlacementMessages.Placements placements) {}
 
     /** Tells who holds the keys of divided services. */
     default void assignments(final List<Assignment> assignments) {}
 
     /** A lease on placements was granted or refused. */
-    default void leased(final Words.LeaseGrant grant) {}
+    default void leased(final PlacementMessages.LeaseGrant grant) {}
 
     /** Tells whether to record. */
-    default void recording(final Words.RecordState state) {}
+    default void recording(final RecordingMessages.RecordState state) {}
 
     /** An answer to the claim of an idempotency key. */
     default void claimed(final KeyMessages.ClaimAnswer answer) {}
 
     /** An answer to an ask for permits. */
-    default void permitted(final Words.PermitAnswer answer) {}
+    default void permitted(final PermitMessages.PermitAnswer answer) {}
 
     /** A new stream has given its first view. */
     void admitted();
@@ -154,7 +161,7 @@
 
   private void tell(final long now) {
     toldAt = now;
-    outlet.send(new Words.BoardState(state(now)));
+    outlet.send(new RegistryMessages.BoardState(state(now)));
   }
 
   private Board state(final long now) {
@@ -177,7 +184,8 @@
     heardAt = now;
     open = true;
     toldAt = now;
-    outlet.send(new Words.BoardState(state(now), Buckets.digests(history.values(), false)));
+    outlet.send(
+        new RegistryMessages.BoardState(state(now), Buckets.digests(history.values(), false)));
   }
 
   /** The line has ended. */
@@ -188,39 +196,41 @@
   /** The exchange has said something. */
   public void heard(final Message message, final long now) {
     heardAt = now;
-    if (message instanceof Words.View) {
+    if (message instanceof RegistryMessages.View) {
       final boolean first = !viewed;
       viewed = true;
-      trialMark = Math.max(trialMark, ((Words.View) message).trialMark);
-      take((Words.View) message);
-      if (((Words.View) message).trialMark >= 0) {
-        outlet.trials(Words.list(((Words.View) message).trials), ((Words.View) message).trialMark);
+      trialMark = Math.max(trialMark, ((RegistryMessages.View) message).trialMark);
+      take((RegistryMessages.View) message);
+      if (((RegistryMessages.View) message).trialMark >= 0) {
+        outlet.trials(
+            Protocol.list(((RegistryMessages.View) message).trials),
+            ((RegistryMessages.View) message).trialMark);
       }
       if (first) {
         outlet.admitted();
       }
-    } else if (message instanceof Words.Purges) {
-      outlet.purges((Words.Purges) message);
-    } else if (message instanceof Words.Neighbours) {
-      outlet.neighbours(Words.list(((Words.Neighbours) message).addresses));
-    } else if (message instanceof Words.Placements) {
-      outlet.placements((Words.Placements) message);
+    } else if (message instanceof CacheMessages.Purges) {
+      outlet.purges((CacheMessages.Purges) message);
+    } else if (message instanceof RegistryMessages.Neighbours) {
+      outlet.neighbours(Protocol.list(((RegistryMessages.Neighbours) message).addresses));
+    } else if (message instanceof PlacementMessages.Placements) {
+      outlet.placements((PlacementMessages.Placements) message);
     } else if (message instanceof Assignments) {
-      outlet.assignments(Words.list(((Assignments) message).assignments));
-    } else if (message instanceof Words.LeaseGrant) {
-      outlet.leased((Words.LeaseGrant) message);
-    } else if (message instanceof Words.Electorate) {
-      outlet.electorate((Words.Electorate) message);
-    } else if (message instanceof Words.RecordState) {
-      outlet.recording((Words.RecordState) message);
+      outlet.assignments(Protocol.list(((Assignments) message).assignments));
+    } else if (message instanceof PlacementMessages.LeaseGrant) {
+      outlet.leased((PlacementMessages.LeaseGrant) message);
+    } else if (message instanceof RegionMessages.Electorate) {
+      outlet.electorate((RegionMessages.Electorate) message);
+    } else if (message instanceof RecordingMessages.RecordState) {
+      outlet.recording((RecordingMessages.RecordState) message);
     } else if (message instanceof KeyMessages.ClaimAnswer) {
       outlet.claimed((KeyMessages.ClaimAnswer) message);
-    } else if (message instanceof Words.PermitAnswer) {
-      outlet.permitted((Words.PermitAnswer) message);
-    } else if (message instanceof Words.Reach) {
-      final Words.Reach reach = (Words.Reach) message;
-      outlet.reached(reach.ageMillis, reach.boards, Words.list(reach.announcers));
-      final List<String> members = Words.list(reach.members);
+    } else if (message instanceof PermitMessages.PermitAnswer) {
+      outlet.permitted((PermitMessages.PermitAnswer) message);
+    } else if (message instanceof RegistryMessages.Reach) {
+      final RegistryMessages.Reach reach = (RegistryMessages.Reach) message;
+      outlet.reached(reach.ageMillis, reach.boards, Protocol.list(reach.announcers));
+      final List<String> members = Protocol.list(reach.members);
       for (int index = 0; index < members.size(); index++) {
         if (!exchanges.contains(members.get(index))) {
           exchanges.add(members.get(index));
@@ -282,7 +292,7 @@
         : place.equals(self.region + "/" + self.site) ? 0 : 1;
   }
 
-  private void take(final Words.View view) {
+  private void take(final RegistryMessages.View view) {
     Dialplan plan = null;
     if (view.spec != null && view.version > version) {
       try {
@@ -296,7 +306,7 @@
       }
     }
     final Map<Registration, Boolean> changes = new java.util.LinkedHashMap<>();
-    final List<Registration> given = new ArrayList<>(Words.list(view.registrations));
+    final List<Registration> given = new ArrayList<>(Protocol.list(view.registrations));
     given.addAll(Buckets.unpack(view.packed));
     for (final Registration registration : given) {
       final Registration before = history.get(registration.id);
@@ -312,13 +322,13 @@
     Set<String> evacuated = null;
     if (view.evacuationsGiven && view.evacuationMark > evacuationMark) {
       evacuationMark = view.evacuationMark;
-      evacuated = new HashSet<>(Words.list(view.evacuated));
+      evacuated = new HashSet<>(Protocol.list(view.evacuated));
     }
     outlet.outlook(
         plan,
         changes,
         evacuated,
-        view.suspectsGiven ? new HashSet<>(Words.list(view.suspects)) : null,
+        view.suspectsGiven ? new HashSet<>(Protocol.list(view.suspects)) : null,
         view.boards);
   }
 
--- a/jack/src/main/java/weldpoint/jack/CachedCopies.java
+++ b/jack/src/main/java/weldpoint/jack/CachedCopies.java
@@ -11,8 +11,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import weldpoint.cord.Headers;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.KeyMessages;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
 
 /** What the door does with keys and copies. */
 final class CachedCopies {
@@ -32,9 +33,9 @@
    * A copy as the answer to this request: the whole, or the part it asks for; null where it asks
    * for what lies beyond, since only the origin may say so under its seal.
    */
-  static FullHttpResponse response(final HttpRequest request, final Words.CopyAnswer copy) {
+  static FullHttpResponse response(final HttpRequest request, final CacheMessages.CopyAnswer copy) {
     final byte[] bytes = copy.body == null ? new byte[0] : copy.body;
-    final List<String> headers = Words.list(copy.headers);
+    final List<String> headers = Protocol.list(copy.headers);
     final String condition = request.headers().get(HttpHeaderNames.IF_RANGE);
     final boolean whole =
         copy.status != 200 || condition != null && !condition.equals(etag(headers));
@@ -78,7 +79,7 @@
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(first.status),
             Unpooled.wrappedBuffer(body));
-    final List<String> headers = Words.list(first.headers);
+    final List<String> headers = Protocol.list(first.headers);
     for (int index = 0; index + 1 < headers.size(); index += 2) {
       response.headers().add(headers.get(index), headers.get(index + 1));
     }
--- a/jack/src/main/java/weldpoint/jack/ChiefDesk.java
+++ b/jack/src/main/java/weldpoint/jack/ChiefDesk.java
@@ -15,8 +15,8 @@
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Lines;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.RegionMessages;
 import weldpoint.trunk.Trunk;
-import weldpoint.trunk.Words;
 
 /**
  * Gives a switchboard's part in choosing a chief its lines, its ticks and its effect. Its core runs
@@ -36,7 +36,7 @@
   private final Map<String, Line> incoming = new HashMap<>();
   private final ChiefCore core;
   private boolean serves;
-  private volatile Words.Sight sight = new Words.Sight(0, 0, 0, 0, null, null);
+  private volatile RegionMessages.Sight sight = new RegionMessages.Sight(0, 0, 0, 0, null, null);
   private volatile String counters = "chief CORE";
 
   ChiefDesk(
@@ -98,14 +98,14 @@
               }
 
               @Override
-              public Words.Sight sight() {
-                final Words.Sight seen = sight;
+              public RegionMessages.Sight sight() {
+                final RegionMessages.Sight seen = sight;
                 loop.execute(() -> sight = room.sight(Switchroom.now()));
                 return seen;
               }
 
               @Override
-              public void ordered(final Words.Order order) {
+              public void ordered(final RegionMessages.Order order) {
                 loop.execute(() -> room.ordered(order, boot.address()));
               }
             });
@@ -161,7 +161,7 @@
             }));
   }
 
-  void electorate(final Words.Electorate electorate) {
+  void electorate(final RegionMessages.Electorate electorate) {
     core.electorate(electorate);
   }
 
--- a/jack/src/main/java/weldpoint/jack/Outlook.java
+++ b/jack/src/main/java/weldpoint/jack/Outlook.java
@@ -4,7 +4,7 @@
 import java.util.Set;
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.trunk.Words.Trial;
+import weldpoint.trunk.TrialMessages.Trial;
 
 /** What the control thread hands to the traffic thread; parts that did not change are null. */
 record Outlook(
--- a/jack/src/main/java/weldpoint/jack/PermitPool.java
+++ b/jack/src/main/java/weldpoint/jack/PermitPool.java
@@ -7,8 +7,8 @@
 import java.util.function.Predicate;
 import weldpoint.metrics.Figure;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words.PermitAnswer;
-import weldpoint.trunk.Words.PermitAsk;
+import weldpoint.trunk.PermitMessages.PermitAnswer;
+import weldpoint.trunk.PermitMessages.PermitAsk;
 
 /** Asks the exchange of the stream for permits. All of it lives on the traffic thread. */
 public final class PermitPool {
--- a/jack/src/main/java/weldpoint/jack/Recorder.java
+++ b/jack/src/main/java/weldpoint/jack/Recorder.java
@@ -12,7 +12,7 @@
 import weldpoint.cord.Headers;
 import weldpoint.dialplan.Route;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.RecordingMessages;
 
 /**
  * Notes what a switchboard carries while an operator records a day; bounded, and what had to be
@@ -79,7 +79,7 @@
   private final String site;
   private final String region;
   private final long incarnation;
-  private final ArrayDeque<Words.Note> notes = new ArrayDeque<>();
+  private final ArrayDeque<RecordingMessages.Note> notes = new ArrayDeque<>();
   private long serial;
   private long dropped;
   private long mark;
@@ -93,7 +93,7 @@
     this.incarnation = incarnation;
   }
 
-  void state(final Words.RecordState state) {
+  void state(final RecordingMessages.RecordState state) {
     if (state.mark > mark) {
       mark = state.mark;
       closing = on && !state.on;
@@ -130,7 +130,7 @@
       return;
     }
     notes.add(
-        new Words.Note(
+        new RecordingMessages.Note(
             serial,
             draft.at,
             draft.id == null ? "" : draft.id,
@@ -153,12 +153,13 @@
     if (notes.isEmpty() && !closing) {
       return;
     }
-    final List<Words.Note> batch = new ArrayList<>();
+    final List<RecordingMessages.Note> batch = new ArrayList<>();
     while (batch.size() < MOST_SENT && !notes.isEmpty()) {
       batch.add(notes.poll());
     }
     final boolean last = closing && notes.isEmpty();
-    if (line.test(new Words.Reel(board, site, region, incarnation, now, dropped, last, batch))) {
+    if (line.test(
+        new RecordingMessages.Reel(board, site, region, incarnation, now, dropped, last, batch))) {
       closing = closing && !last;
     } else {
       for (int index = batch.size() - 1; index >= 0; index--) {
--- a/jack/src/main/java/weldpoint/jack/Recordings.java
+++ b/jack/src/main/java/weldpoint/jack/Recordings.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import weldpoint.boot.Rank;
+import weldpoint.trunk.CacheMessages.CopyAnswer;
+import weldpoint.trunk.CacheMessages.CopyAsk;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words.CopyAnswer;
-import weldpoint.trunk.Words.CopyAsk;
 
 /**
  * Asks announcers for objects: each object has its order among the announcers, by rendezvous
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -39,13 +39,20 @@
 import weldpoint.metrics.Figure;
 import weldpoint.metrics.MetricsServer;
 import weldpoint.trial.TrialBook;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.OwnershipMessages.Assignment;
+import weldpoint.trunk.PermitMessages;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RecordingMessages;
+import weldpoint.trunk.RegionMessages;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /** The proxy as a process: traffic on one thread, control state on another. */
 public final class SwitchboardDaemon implements Program {
@@ -75,7 +82,8 @@
     this.boot = boot;
     this.incarnation = Chance.fresh();
     this.trunk =
-        new Trunk(loop, new Words.Hello(Wire.PROTOCOL, "switchboard", boot.address(), incarnation));
+        new Trunk(
+            loop, new Protocol.Hello(Wire.PROTOCOL, "switchboard", boot.address(), incarnation));
     this.room =
         new Switchroom(
             loop, boot, new Random(incarnation), new TrialBook(boot.address(), incarnation));
@@ -90,8 +98,8 @@
                 loop.execute(() -> sweepAsks(true));
               }
             });
-    final Words.Board self =
-        new Words.Board(
+    final RegistryMessages.Board self =
+        new RegistryMessages.Board(
             boot.address(),
             boot.requiredAddress("listen.traffic").toString(),
             boot.site(),
@@ -118,7 +126,7 @@
               @Override
               public void outlook(
                   final Dialplan plan,
-                  final Map<Words.Registration, Boolean> changes,
+                  final Map<RegistryMessages.Registration, Boolean> changes,
                   final Set<String> evacuated,
                   final Set<String> suspects,
                   final int switchboards) {
@@ -135,7 +143,7 @@
               }
 
               @Override
-              public void trials(final List<Words.Trial> trials, final long mark) {
+              public void trials(final List<TrialMessages.Trial> trials, final long mark) {
                 loop.execute(
                     () -> room.take(new Outlook(null, List.of(), null, null, 0, trials, mark)));
                 inForce();
@@ -147,7 +155,7 @@
               }
 
               @Override
-              public void placements(final Words.Placements placements) {
+              public void placements(final PlacementMessages.Placements placements) {
                 loop.execute(
                     () -> {
                       ties();
@@ -161,7 +169,7 @@
               }
 
               @Override
-              public void leased(final Words.LeaseGrant grant) {
+              public void leased(final PlacementMessages.LeaseGrant grant) {
                 loop.execute(
                     () -> {
                       if (room.ties != null) {
@@ -171,12 +179,12 @@
               }
 
               @Override
-              public void recording(final Words.RecordState state) {
+              public void recording(final RecordingMessages.RecordState state) {
                 loop.execute(() -> record(state));
               }
 
               @Override
-              public void electorate(final Words.Electorate electorate) {
+              public void electorate(final RegionMessages.Electorate electorate) {
                 if (chief != null) {
                   chief.electorate(electorate);
                 }
@@ -199,7 +207,7 @@
               }
 
               @Override
-              public void permitted(final Words.PermitAnswer answer) {
+              public void permitted(final PermitMessages.PermitAnswer answer) {
                 loop.execute(() -> room.permits.answered(answer));
               }
 
@@ -297,7 +305,7 @@
     }
   }
 
-  private void record(final Words.RecordState state) {
+  private void record(final RecordingMessages.RecordState state) {
     if (state.on && room.recorder == null) {
       room.recorder = new Recorder(boot.address(), boot.site(), boot.region(), incarnation);
       loop.scheduleAtFixedRate(
@@ -385,8 +393,9 @@
                 new Trunk.Ear() {
                   @Override
                   public void heard(final Line line, final Message message) {
-                    if (message instanceof Words.CopyAnswer) {
-                      room.recordings.heard(to, (Words.CopyAnswer) message, Switchroom.now());
+                    if (message instanceof CacheMessages.CopyAnswer) {
+                      room.recordings.heard(
+                          to, (CacheMessages.CopyAnswer) message, Switchroom.now());
                     }
                   }
 
@@ -418,7 +427,7 @@
   }
 
   private void report(final boolean all) {
-    final Words.TrialReport report = room.trials.report(all);
+    final TrialMessages.TrialReport report = room.trials.report(all);
     if (report != null) {
       desk.execute(() -> stream.send(report));
     }
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -14,7 +14,8 @@
 import weldpoint.dialplan.RouteKind;
 import weldpoint.ownership.KeyOwners;
 import weldpoint.trial.TrialBook;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegionMessages;
 
 /** What all sessions of a switchboard share. All of it lives on the traffic thread. */
 final class Switchroom {
@@ -34,7 +35,7 @@
   Runnable uponTies;
   OnceOnly once;
   Recorder recorder;
-  Words.Order order;
+  RegionMessages.Order order;
   long seenRepeatables;
   long seenWrites;
   long refusedWrites;
@@ -64,18 +65,20 @@
   }
 
   /** Takes the orders of a chief; null where none are in force any longer. */
-  void ordered(final Words.Order given, final String self) {
+  void ordered(final RegionMessages.Order given, final String self) {
     order = given;
-    once.elsewhere(given == null ? java.util.List.of() : Words.list(given.uncertain));
+    once.elsewhere(given == null ? java.util.List.of() : Protocol.list(given.uncertain));
     cords.ordered(
         given == null ? 0 : Duties.part(given, self),
-        given == null ? java.util.Set.of() : new java.util.HashSet<>(Words.list(given.suspects)));
+        given == null
+            ? java.util.Set.of()
+            : new java.util.HashSet<>(Protocol.list(given.suspects)));
   }
 
   /** What was seen since the last time. */
-  Words.Sight sight(final long now) {
-    final Words.Sight sight =
-        new Words.Sight(
+  RegionMessages.Sight sight(final long now) {
+    final RegionMessages.Sight sight =
+        new RegionMessages.Sight(
             seenRepeatables,
             seenWrites,
             refusedWrites,
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -35,9 +35,10 @@
 import weldpoint.dialplan.RouteKind;
 import weldpoint.ratelimit.RateLimit;
 import weldpoint.trial.TrialBook;
+import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.OwnershipMessages;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.PlacementMessages;
 
 /** One request from its arrival to its answer, with its tries at upstreams. */
 final class Trip {
@@ -216,7 +217,7 @@
   }
 
   /** An announcer has answered, or none could. */
-  private void copied(final Words.CopyAnswer answer) {
+  private void copied(final CacheMessages.CopyAnswer answer) {
     if (over) {
       return;
     }
@@ -478,7 +479,7 @@
     final long now = Switchroom.now();
     final Route bound = route;
     final Dialplan.Tenant owner = tenant;
-    final java.util.function.Predicate<Words.PlacementMember> may =
+    final java.util.function.Predicate<PlacementMessages.PlacementMember> may =
         member -> {
           final String region = room.cords.region(member.site);
           return bound.home(region) && (owner == null || owner.home(region));
--- a/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
+++ b/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
@@ -16,8 +16,9 @@
 import weldpoint.exchange.Stage;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.TrialMessages;
 
 /** A switchboard's view never goes back, and a stale or silent exchange is left. */
 public final class BoardLinkTest {
@@ -32,7 +33,7 @@
     dialled.clear();
     final BoardLink link =
         new BoardLink(
-            new Words.Board("10.0.0.9", "10.0.0.9:80", "a", "r", 1, false, 0),
+            new RegistryMessages.Board("10.0.0.9", "10.0.0.9:80", "a", "r", 1, false, 0),
             List.of("e1", "e2", "e3"),
             new Random(1),
             new BoardLink.Outlet() {
@@ -61,7 +62,7 @@
               }
 
               @Override
-              public void trials(final List<Words.Trial> trials, final long mark) {}
+              public void trials(final List<TrialMessages.Trial> trials, final long mark) {}
 
               @Override
               public void admitted() {}
@@ -70,7 +71,7 @@
     return link;
   }
 
-  private static Words.View view(
+  private static RegistryMessages.View view(
       final int version,
       final long evacuationMark,
       final List<String> sites,
@@ -79,7 +80,7 @@
         Packing.deflate(
             ("{\"version\":\"0000000" + version + "\",\"listeners\":[],\"pools\":[]}")
                 .getBytes(StandardCharsets.UTF_8));
-    return new Words.View(
+    return new RegistryMessages.View(
         version,
         spec,
         true,
@@ -115,18 +116,18 @@
   public void aSilentOrStaleExchangeIsLeft() {
     final BoardLink link = link();
     link.heard(view(5, 0, List.of()), 10);
-    link.heard(new Words.Reach(100, 3, List.of("e1", "e2", "e3")), 500);
+    link.heard(new RegistryMessages.Reach(100, 3, List.of("e1", "e2", "e3")), 500);
     link.tick(1000);
     assertEquals(dialled.size(), 1);
     link.tick(2100);
     assertEquals(dialled.size(), 2);
     assertNotEquals(dialled.get(0), dialled.get(1));
     link.heard(view(5, 0, List.of()), 2200);
-    link.heard(new Words.Reach(9000, 3, List.of()), 2400);
+    link.heard(new RegistryMessages.Reach(9000, 3, List.of()), 2400);
     assertEquals(dialled.size(), 3);
     for (long now = 2600; now < 5000; now += 200) {
       link.heard(view(5, 0, List.of()), now);
-      link.heard(new Words.Reach(9000, 3, List.of()), now);
+      link.heard(new RegistryMessages.Reach(9000, 3, List.of()), now);
     }
     assertTrue(dialled.size() <= 6, "glances slow down while all are stale: " + dialled.size());
   }
@@ -142,7 +143,7 @@
     assertEquals(specs, List.of(5L));
     final BoardLink uninformed = link();
     uninformed.opened(10);
-    uninformed.heard(new Words.Reach(Integer.MAX_VALUE, 3, List.of()), 500);
+    uninformed.heard(new RegistryMessages.Reach(Integer.MAX_VALUE, 3, List.of()), 500);
     uninformed.tick(950);
     assertEquals(dialled.size(), 2);
     final BoardLink dead = link();
@@ -158,7 +159,7 @@
     link.opened(10);
     link.heard(view(5, 0, List.of()), 20);
     for (long now = 500; now < 60_000; now += 500) {
-      link.heard(new Words.Reach(100, 3, members, null, places), now);
+      link.heard(new RegistryMessages.Reach(100, 3, members, null, places), now);
       link.tick(now);
       if (dialled.size() == 2) {
         link.heard(view(5, 0, List.of()), now + 10);
--- a/jack/src/test/java/weldpoint/jack/CachedCopiesTest.java
+++ b/jack/src/test/java/weldpoint/jack/CachedCopiesTest.java
@@ -12,9 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
+import weldpoint.trunk.CacheMessages.CopyAnswer;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.CopyAnswer;
+import weldpoint.trunk.PermitMessages;
 
 public class CachedCopiesTest {
   private static FullHttpResponse ranged(final String range) {
@@ -84,7 +84,9 @@
         1,
         (granted, version, confirmedAt) -> heard.add(granted + " " + confirmedAt),
         1000);
-    permits.answered(new Words.PermitAnswer(((Words.PermitAsk) sent.get(0)).number, 1, 4, 300));
+    permits.answered(
+        new PermitMessages.PermitAnswer(
+            ((PermitMessages.PermitAsk) sent.get(0)).number, 1, 4, 300));
     assertEquals(heard, List.of("1 700"), "the spec's age counts from the own question");
     permits.ask(
         "tenant/t", 1, (granted, version, confirmedAt) -> heard.add("late " + granted), 2000);
@@ -92,7 +94,8 @@
     assertEquals(heard.size(), 1);
     permits.sweep(false, 2800);
     assertEquals(heard.get(1), "late 0");
-    permits.answered(new Words.PermitAnswer(((Words.PermitAsk) sent.get(1)).number, 1, 4, 0));
+    permits.answered(
+        new PermitMessages.PermitAnswer(((PermitMessages.PermitAsk) sent.get(1)).number, 1, 4, 0));
     assertEquals(heard.size(), 2, "each hears once");
     new PermitPool(message -> false)
         .ask("tenant/t", 1, (granted, version, confirmedAt) -> heard.add("no line " + granted), 1);
--- a/jack/src/test/java/weldpoint/jack/OnceTest.java
+++ b/jack/src/test/java/weldpoint/jack/OnceTest.java
@@ -38,7 +38,7 @@
 import weldpoint.jack.ScriptedUpstream.Ending;
 import weldpoint.jack.ScriptedUpstream.Step;
 import weldpoint.trial.TrialBook;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * Trouble at every byte between clients, the door and upstreams: what may not be repeated runs at
--- a/jack/src/test/java/weldpoint/jack/TripTest.java
+++ b/jack/src/test/java/weldpoint/jack/TripTest.java
@@ -32,8 +32,8 @@
 import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.trial.TrialBook;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * Requests through the whole door to scripted upstreams: what may be repeated is, what may not
@@ -209,22 +209,24 @@
             () -> {
               final long[] number = new long[1];
               room.ties = new Ties("127.0.0.1", 1, 4000, ask -> number[0] = ask.number);
-              final List<Words.PlacementMember> members =
+              final List<PlacementMessages.PlacementMember> members =
                   List.of(
-                      new Words.PlacementMember("i-0", 4, "a"),
-                      new Words.PlacementMember("i-1", 4, "a"),
-                      new Words.PlacementMember("i-2", 4, "a"));
-              final List<Words.PlacementMember> next =
-                  List.of(new Words.PlacementMember("i-9", 4, "a"));
+                      new PlacementMessages.PlacementMember("i-0", 4, "a"),
+                      new PlacementMessages.PlacementMember("i-1", 4, "a"),
+                      new PlacementMessages.PlacementMember("i-2", 4, "a"));
+              final List<PlacementMessages.PlacementMember> next =
+                  List.of(new PlacementMessages.PlacementMember("i-9", 4, "a"));
               room.ties.take(
-                  new Words.Placements(
+                  new PlacementMessages.Placements(
                       1,
                       List.of(
-                          new Words.Placement("s", 1, 1, members, moving, moving ? next : null))),
+                          new PlacementMessages.Placement(
+                              "s", 1, 1, members, moving, moving ? next : null))),
                   Switchroom.now());
               if (leased) {
                 room.ties.granted(
-                    new Words.LeaseGrant(number[0], "127.0.0.1", 1, 4000), Switchroom.now());
+                    new PlacementMessages.LeaseGrant(number[0], "127.0.0.1", 1, 4000),
+                    Switchroom.now());
               }
             })
         .sync();
--- a/replay/src/main/java/weldpoint/replay/Call.java
+++ b/replay/src/main/java/weldpoint/replay/Call.java
@@ -2,7 +2,7 @@
 
 import weldpoint.cord.Fate;
 import weldpoint.dialplan.RouteKind;
-import weldpoint.trunk.Words.Note;
+import weldpoint.trunk.RecordingMessages.Note;
 
 /**
  * One recorded call on the day's common clock, with what the recording tells of the work it makes.
--- a/replay/src/main/java/weldpoint/replay/DayFile.java
+++ b/replay/src/main/java/weldpoint/replay/DayFile.java
@@ -18,8 +18,8 @@
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
 import weldpoint.boot.Breakdown;
-import weldpoint.trunk.Words.Reel;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RecordingMessages.Reel;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * A recorded day on disk: compressed, each part delimited, with an end that says how much there
--- a/replay/src/main/java/weldpoint/replay/Replay.java
+++ b/replay/src/main/java/weldpoint/replay/Replay.java
@@ -14,7 +14,8 @@
 import java.util.function.Consumer;
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RecordingMessages;
 
 /**
  * Plays a recorded day under its own and under proposed settings, and compares the two call by
@@ -161,13 +162,13 @@
         turn((DayFile.Turn) part);
       } else {
         span.end = (DayFile.End) part;
-        if (span.end.dropped > 0 || !Words.list(span.end.silent).isEmpty() || !open.isEmpty()) {
+        if (span.end.dropped > 0 || !Protocol.list(span.end.silent).isEmpty() || !open.isEmpty()) {
           throw new Breakdown(
               Breakdown.Kind.INVALID,
               "the recording has gaps: "
                   + span.end.dropped
                   + " calls dropped, silent switchboards "
-                  + Words.list(span.end.silent)
+                  + Protocol.list(span.end.silent)
                   + ", not ended "
                   + open
                   + "; record the day anew");
@@ -176,7 +177,7 @@
     }
 
     private void turn(final DayFile.Turn turn) {
-      final Words.Reel reel = turn.reel;
+      final RecordingMessages.Reel reel = turn.reel;
       final String life = reel.board + "#" + reel.incarnation;
       if (reel.dropped > 0) {
         throw new Breakdown(
@@ -200,7 +201,7 @@
         other.board(reel.board, reel.site, reel.region, sites);
       }
       final long[] serial = serials.computeIfAbsent(life, name -> new long[1]);
-      for (final Words.Note note : Words.list(reel.notes)) {
+      for (final RecordingMessages.Note note : Protocol.list(reel.notes)) {
         if (note.serial != serial[0] + 1) {
           throw new Breakdown(
               Breakdown.Kind.INVALID,
--- a/replay/src/main/java/weldpoint/replay/World.java
+++ b/replay/src/main/java/weldpoint/replay/World.java
@@ -22,7 +22,7 @@
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Interpreter;
 import weldpoint.dialplan.Route;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * A fleet of the day's size on the day's clock under one configuration: the daemons' own plan,
--- a/replay/src/test/java/weldpoint/replay/DayMaker.java
+++ b/replay/src/test/java/weldpoint/replay/DayMaker.java
@@ -9,9 +9,9 @@
 import java.util.Map;
 import java.util.Random;
 import weldpoint.dialplan.RouteKind;
-import weldpoint.trunk.Words.Note;
-import weldpoint.trunk.Words.Reel;
-import weldpoint.trunk.Words.Registration;
+import weldpoint.trunk.RecordingMessages.Note;
+import weldpoint.trunk.RecordingMessages.Reel;
+import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * Makes recorded days by a plain rule of its own: a call takes its work, sometimes an answer is
--- a/replay/src/test/java/weldpoint/replay/ReplayTest.java
+++ b/replay/src/test/java/weldpoint/replay/ReplayTest.java
@@ -166,7 +166,7 @@
               turn.reel.site,
               turn.reel.region,
               java.util.Map.of("port", "north", "couva", "south"));
-          for (final var note : weldpoint.trunk.Words.list(turn.reel.notes)) {
+          for (final var note : weldpoint.trunk.Protocol.list(turn.reel.notes)) {
             final Call call = new Call(note, turn.reel.board, turn.offset, 100);
             fleet.until(call.at);
             fleet.play(
--- a/rig/src/main/java/weldpoint/rig/ControlDay.java
+++ b/rig/src/main/java/weldpoint/rig/ControlDay.java
@@ -11,7 +11,7 @@
 import weldpoint.audit.AuditEntry;
 import weldpoint.audit.ChangeKind;
 import weldpoint.frame.FrameCore;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.RegistryMessages;
 
 /**
  * Plays one day: a fleet from its first start, operators, upstreams and applications, its troubles,
@@ -70,7 +70,7 @@
               @Override
               public void upstream(
                   final ControlFleet.Machine board,
-                  final Words.Registration registration,
+                  final RegistryMessages.Registration registration,
                   final boolean open) {}
             });
     if (meddler != null) {
--- a/rig/src/main/java/weldpoint/rig/ControlFleet.java
+++ b/rig/src/main/java/weldpoint/rig/ControlFleet.java
@@ -22,8 +22,11 @@
 import weldpoint.frame.FrameCore;
 import weldpoint.jack.BoardLink;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.StoreCallMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Whole control sides on a fake clock, a fake network and fake disks, driven by one seed: on each
@@ -54,7 +57,7 @@
     void evacuated(Machine board, Set<String> zones);
 
     /** A switchboard has learned of an upstream. */
-    void upstream(Machine board, Words.Registration registration, boolean open);
+    void upstream(Machine board, RegistryMessages.Registration registration, boolean open);
   }
 
   /** What a test may do to messages on their way; it stands for a broken variant. */
@@ -171,7 +174,7 @@
     }
 
     /** The upstreams that the switchboard of the moment may use. */
-    public Map<String, Words.Registration> upstreams() {
+    public Map<String, RegistryMessages.Registration> upstreams() {
       return life == null ? Map.of() : life.upstreams;
     }
 
@@ -197,7 +200,7 @@
     private Dialler boardDialler;
     private long version;
     private Set<String> evacuated = Set.of();
-    private final Map<String, Words.Registration> upstreams = new LinkedHashMap<>();
+    private final Map<String, RegistryMessages.Registration> upstreams = new LinkedHashMap<>();
     private byte[] lastSpec;
     private final List<FakeLine> lines = new ArrayList<>();
     private final Lines frames = new Lines(this, Port.FRAME);
@@ -510,18 +513,18 @@
     return switch (port) {
       case FRAME -> (line, message) -> life.frame.receive(line.from(), message, line::reply, now);
       case FRAME_CALLS ->
-          (line, message) -> life.frame.call((Words.Call) message, line::reply, now);
+          (line, message) -> life.frame.call((StoreCallMessages.Call) message, line::reply, now);
       case EXCHANGE ->
           (line, message) -> life.exchange.receive(line.from(), message, line::reply, now);
       case BOARDS ->
           new FakeLine.Ear() {
             @Override
             public void heard(final FakeLine line, final Message message) {
-              if (message instanceof Words.BoardState) {
+              if (message instanceof RegistryMessages.BoardState) {
                 life.exchange.boardState(
                     line,
-                    ((Words.BoardState) message).board,
-                    Words.list(((Words.BoardState) message).buckets),
+                    ((RegistryMessages.BoardState) message).board,
+                    Protocol.list(((RegistryMessages.BoardState) message).buckets),
                     now);
               } else {
                 life.exchange.receive(line.from(), message, line::reply, now);
@@ -684,8 +687,8 @@
             new FakeLine.Ear() {
               @Override
               public void heard(final FakeLine line, final Message message) {
-                if (message instanceof Words.Answer) {
-                  life.exchange.answered(to, (Words.Answer) message, now);
+                if (message instanceof StoreCallMessages.Answer) {
+                  life.exchange.answered(to, (StoreCallMessages.Answer) message, now);
                 }
               }
 
@@ -709,7 +712,7 @@
               }
 
               @Override
-              public boolean frame(final String address, final Words.Call call) {
+              public boolean frame(final String address, final StoreCallMessages.Call call) {
                 return life.calls.send(address, call);
               }
 
@@ -768,8 +771,8 @@
 
   private void startBoard(final Life life) {
     final Machine machine = life.machine;
-    final Words.Board self =
-        new Words.Board(
+    final RegistryMessages.Board self =
+        new RegistryMessages.Board(
             machine.address,
             machine.address + ":90",
             machine.site,
@@ -801,9 +804,9 @@
 
                           @Override
                           public void heard(final FakeLine line, final Message message) {
-                            if (message instanceof Words.View
-                                && ((Words.View) message).spec != null) {
-                              life.lastSpec = ((Words.View) message).spec;
+                            if (message instanceof RegistryMessages.View
+                                && ((RegistryMessages.View) message).spec != null) {
+                              life.lastSpec = ((RegistryMessages.View) message).spec;
                             }
                             life.link.heard(message, now);
                           }
@@ -823,7 +826,7 @@
               @Override
               public void outlook(
                   final Dialplan plan,
-                  final Map<Words.Registration, Boolean> changes,
+                  final Map<RegistryMessages.Registration, Boolean> changes,
                   final Set<String> evacuated,
                   final Set<String> suspects,
                   final int switchboards) {
@@ -853,7 +856,7 @@
               }
 
               @Override
-              public void trials(final List<Words.Trial> trials, final long mark) {}
+              public void trials(final List<TrialMessages.Trial> trials, final long mark) {}
 
               @Override
               public void admitted() {}
--- a/rig/src/main/java/weldpoint/rig/FakeLine.java
+++ b/rig/src/main/java/weldpoint/rig/FakeLine.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayDeque;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Protocol;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * One connection between two programs, as TCP has it: in order, bound to the two lives at its ends.
@@ -104,9 +104,9 @@
         ear.opened(FakeLine.this);
       } else {
         final Message message = (Message) Wire.value(packet.bytes, packet.kind);
-        if (message instanceof Words.Ring) {
-          if (!((Words.Ring) message).echo) {
-            say(new Words.Ring(true));
+        if (message instanceof Protocol.Ring) {
+          if (!((Protocol.Ring) message).echo) {
+            say(new Protocol.Ring(true));
           }
           return;
         }
@@ -153,7 +153,7 @@
             }
             ringAt = fleet.now();
             if (this == dialler) {
-              say(new Words.Ring(false));
+              say(new Protocol.Ring(false));
             }
             watch();
           });
--- a/rig/src/main/java/weldpoint/rig/Fleet.java
+++ b/rig/src/main/java/weldpoint/rig/Fleet.java
@@ -15,8 +15,8 @@
 import weldpoint.frame.Deed;
 import weldpoint.frame.FrameCore;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /** Several frames on a fake clock, a fake network and fake disks, driven by one seed. */
 public final class Fleet {
@@ -553,8 +553,12 @@
       final long first,
       final long second,
       final byte[] body,
-      final Consumer<Words.Answer> then) {
-    call(at, new Words.Call(++calls, deed.ordinal(), name, owner, first, second, body), 0, then);
+      final Consumer<StoreCallMessages.Answer> then) {
+    call(
+        at,
+        new StoreCallMessages.Call(++calls, deed.ordinal(), name, owner, first, second, body),
+        0,
+        then);
   }
 
   /** Calls the store with a change of routing, in somebody's name. */
@@ -564,16 +568,23 @@
       final String name,
       final long first,
       final byte[] body,
-      final Words.Cause cause,
-      final Consumer<Words.Answer> then) {
-    call(at, new Words.Call(++calls, deed.ordinal(), name, null, first, 0, body, cause), 0, then);
+      final StoreCallMessages.Cause cause,
+      final Consumer<StoreCallMessages.Answer> then) {
+    call(
+        at,
+        new StoreCallMessages.Call(++calls, deed.ordinal(), name, null, first, 0, body, cause),
+        0,
+        then);
   }
 
   /** Sends a call that was made before once more, with the same number or another. */
-  public void again(final String at, final Words.Call call, final Consumer<Words.Answer> then) {
+  public void again(
+      final String at,
+      final StoreCallMessages.Call call,
+      final Consumer<StoreCallMessages.Answer> then) {
     call(
         at,
-        new Words.Call(
+        new StoreCallMessages.Call(
             ++calls,
             call.deed,
             call.name,
@@ -593,18 +604,28 @@
       final Deed deed,
       final long first,
       final long second,
-      final Consumer<Words.Answer> then) {
-    call(at, new Words.Call(++calls, deed.ordinal(), "", null, first, second, null), 3, then);
+      final Consumer<StoreCallMessages.Answer> then) {
+    call(
+        at,
+        new StoreCallMessages.Call(++calls, deed.ordinal(), "", null, first, second, null),
+        3,
+        then);
   }
 
   /** Calls the store at one frame only; whatever it says of others is not followed. */
   public void callOnly(
-      final String at, final Deed deed, final String name, final Consumer<Words.Answer> then) {
-    call(at, new Words.Call(++calls, deed.ordinal(), name, null, 0, 0, null), 3, then);
+      final String at,
+      final Deed deed,
+      final String name,
+      final Consumer<StoreCallMessages.Answer> then) {
+    call(at, new StoreCallMessages.Call(++calls, deed.ordinal(), name, null, 0, 0, null), 3, then);
   }
 
   private void call(
-      final String at, final Words.Call call, final int hops, final Consumer<Words.Answer> then) {
+      final String at,
+      final StoreCallMessages.Call call,
+      final int hops,
+      final Consumer<StoreCallMessages.Answer> then) {
     after(
         1 + random.nextInt(3),
         () -> {
--- a/rig/src/test/java/weldpoint/exchange/CopiesTest.java
+++ b/rig/src/test/java/weldpoint/exchange/CopiesTest.java
@@ -16,8 +16,8 @@
 import weldpoint.audit.ChangeKind;
 import weldpoint.frame.Deed;
 import weldpoint.rig.Fleet;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Three exchanges whose copies of calls are lost, come late by seconds, and cross changes of duty:
@@ -78,12 +78,12 @@
       fleet.after(40, this::tick);
     }
 
-    private boolean send(final int which, final String to, final Words.Call call) {
+    private boolean send(final int which, final String to, final StoreCallMessages.Call call) {
       final Random random = fleet.random();
       if (fleet.machines().get(to).core() == null) {
         return false;
       }
-      final Words.Call copy =
+      final StoreCallMessages.Call copy =
           identified
               ? call.leaving(fleet.now() - random.nextInt(500), fleet.now())
               : call.from(0).leaving(null, fleet.now());
@@ -106,7 +106,7 @@
             .get(to)
             .core()
             .call(
-                Wire.value(bytes, Words.Call.class),
+                Wire.value(bytes, StoreCallMessages.Call.class),
                 answer -> {
                   final int chance = fleet.random().nextInt(10);
                   if (chance > 0) {
@@ -157,9 +157,9 @@
               });
     }
 
-    private CompletableFuture<Words.Answer> evacuate(
+    private CompletableFuture<StoreCallMessages.Answer> evacuate(
         final StoreCaller store, final int on, final long cutoff) {
-      final Words.Cause cause = new Words.Cause("operator", "", "", null);
+      final StoreCallMessages.Cause cause = new StoreCallMessages.Cause("operator", "", "", null);
       return store
           .call(
               Deed.EVACUATION_TICKET,
@@ -300,20 +300,22 @@
     assertEquals(caught, 6);
   }
 
-  private static Words.Call begin(final long number, final long hold) {
-    return new Words.Call(number, Deed.LOCK_BEGIN.ordinal(), "k", "owner " + number, hold, 0, null)
+  private static StoreCallMessages.Call begin(final long number, final long hold) {
+    return new StoreCallMessages.Call(
+            number, Deed.LOCK_BEGIN.ordinal(), "k", "owner " + number, hold, 0, null)
         .from(9);
   }
 
-  private static Words.Answer ask(final World world, final String at, final Words.Call call) {
-    final Words.Answer[] answer = new Words.Answer[1];
+  private static StoreCallMessages.Answer ask(
+      final World world, final String at, final StoreCallMessages.Call call) {
+    final StoreCallMessages.Answer[] answer = new StoreCallMessages.Answer[1];
     world
         .fleet
         .machines()
         .get(at)
         .core()
         .call(
-            Wire.value(Wire.bytes(call), Words.Call.class),
+            Wire.value(Wire.bytes(call), StoreCallMessages.Call.class),
             one -> answer[0] = one,
             world.fleet.now());
     world.fleet.run(300);
@@ -327,7 +329,7 @@
   private static String holder(final World world, final long number, final long hold) {
     for (int round = 0; round < 40; round++) {
       for (final String address : world.fleet.running()) {
-        final Words.Answer answer =
+        final StoreCallMessages.Answer answer =
             ask(world, address, begin(number + round, hold).leaving(world.fleet.now(), 0));
         if (answer != null && answer.status == 200) {
           return address;
@@ -340,17 +342,18 @@
   @Test
   public void aCopyOfWhatTheHolderBeforeMayHaveDoneIsLeftUnclear() {
     final World world = new World(5, true);
-    final Words.Call call = begin(1, 200);
+    final StoreCallMessages.Call call = begin(1, 200);
     final long sentAt = world.fleet.now();
     final String first = holder(world, 1, 200);
     world.fleet.kill(first, true);
     final String next = holder(world, 100, 100);
     world.fleet.run(300);
-    final Words.Answer copy =
+    final StoreCallMessages.Answer copy =
         ask(world, next, call.aged(world.fleet.now() - sentAt, 0).leaving(world.fleet.now(), 0));
     assertEquals(copy.status, 504);
     assertEquals(copy.caller, 9);
-    final Words.Answer fresh = ask(world, next, begin(203, 100).leaving(world.fleet.now(), 0));
+    final StoreCallMessages.Answer fresh =
+        ask(world, next, begin(203, 100).leaving(world.fleet.now(), 0));
     assertEquals(fresh.status, 200);
     assertEquals(fresh.first, 3, "the copy was carried out after all");
   }
@@ -381,12 +384,14 @@
     final World world = new World(7, true);
     final String at = holder(world, 1, 100);
     world.fleet.run(300);
-    final Words.Answer first = ask(world, at, begin(202, 100).leaving(world.fleet.now(), 0));
+    final StoreCallMessages.Answer first =
+        ask(world, at, begin(202, 100).leaving(world.fleet.now(), 0));
     world.fleet.run(300);
-    final Words.Answer other = ask(world, at, begin(203, 100).leaving(world.fleet.now(), 0));
+    final StoreCallMessages.Answer other =
+        ask(world, at, begin(203, 100).leaving(world.fleet.now(), 0));
     assertEquals(other.first, first.first + 1);
     world.fleet.run(300);
-    final Words.Answer second =
+    final StoreCallMessages.Answer second =
         ask(world, at, begin(202, 100).aged(900, 0).leaving(world.fleet.now(), 0));
     assertEquals(second.status, 200);
     assertEquals(second.first, first.first);
--- a/rig/src/test/java/weldpoint/frame/BrokenBook.java
+++ b/rig/src/test/java/weldpoint/frame/BrokenBook.java
@@ -20,7 +20,7 @@
           }
 
           @Override
-          void settle(final weldpoint.trunk.Words.Roster roster) {
+          void settle(final weldpoint.trunk.StateStoreMessages.Roster roster) {
             forget();
           }
         });
@@ -31,7 +31,8 @@
     core.versions(
         new TakenVersions(null, null) {
           @Override
-          Decision decide(final Values.Spec held, final weldpoint.trunk.Words.Call call) {
+          Decision decide(
+              final Values.Spec held, final weldpoint.trunk.StoreCallMessages.Call call) {
             return Decision.confirm(200, 0);
           }
         });
@@ -47,12 +48,13 @@
   }
 
   /** A configuration as a store wrote it before it kept the digest of what it says. */
-  public static weldpoint.trunk.Words.Entry older(final weldpoint.trunk.Words.Entry entry) {
+  public static weldpoint.trunk.StateStoreMessages.Entry older(
+      final weldpoint.trunk.StateStoreMessages.Entry entry) {
     if (entry.whole == null || Values.Kind.of(entry.name) != Values.Kind.SPEC) {
       return entry;
     }
     final Values.Spec spec = (Values.Spec) Values.Kind.SPEC.decode(entry.whole);
-    return new weldpoint.trunk.Words.Entry(
+    return new weldpoint.trunk.StateStoreMessages.Entry(
         entry.name,
         entry.mark,
         entry.base,
--- a/rig/src/test/java/weldpoint/frame/Kept.java
+++ b/rig/src/test/java/weldpoint/frame/Kept.java
@@ -5,8 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import weldpoint.trunk.Mark;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /** What the records on one disk say, as a frame would read them after a loss of power. */
 public final class Kept {
@@ -21,7 +22,7 @@
 
   private final Partition[] partitions = new Partition[FrameCore.PARTITIONS];
   private final Map<String, Long> known = new HashMap<>();
-  private Words.Roster roster = new Words.Roster(0, List.of());
+  private StateStoreMessages.Roster roster = new StateStoreMessages.Roster(0, List.of());
   private long incarnation;
 
   /** A disk with these records. */
@@ -61,7 +62,7 @@
           partitions[record.partition].store(
               record.ballot,
               record.incarnation == 1,
-              Words.list(record.entries),
+              Protocol.list(record.entries),
               new ArrayList<>());
       case ROSTER -> roster = record.roster.number > roster.number ? record.roster : roster;
       case KNOWN -> known.merge(record.address, record.incarnation, Math::max);
@@ -75,7 +76,7 @@
   }
 
   /** The roster. */
-  public Words.Roster roster() {
+  public StateStoreMessages.Roster roster() {
     return roster;
   }
 
@@ -101,7 +102,7 @@
   }
 
   /** All registers of a partition. */
-  public List<Words.Entry> entries(final int partition) {
+  public List<StateStoreMessages.Entry> entries(final int partition) {
     return partitions[partition].entries();
   }
 }
--- a/rig/src/test/java/weldpoint/rig/BrokenControlTest.java
+++ b/rig/src/test/java/weldpoint/rig/BrokenControlTest.java
@@ -18,7 +18,8 @@
 import org.testng.annotations.Test;
 import weldpoint.frame.Deed;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 
 /**
  * Control sides with one safety mechanism broken, by meddling with what is said: the checker must
@@ -75,23 +76,26 @@
    * whatever the answer said.
    */
   private static final class NeverOvertaken implements ControlFleet.Meddler {
-    private final Map<String, Words.Pulse> pulses = new HashMap<>();
+    private final Map<String, StateStoreMessages.Pulse> pulses = new HashMap<>();
 
     @Override
     public void heard(
         final String from, final String to, final Message message, final Consumer<Message> ear) {
       final boolean holds = pulses.keySet().stream().anyMatch(way -> way.startsWith(to + ">"));
-      if (message instanceof Words.Refused
-          || holds && (message instanceof Words.Prepare || message instanceof Words.Accept)) {
+      if (message instanceof StateStoreMessages.Refused
+          || holds
+              && (message instanceof StateStoreMessages.Prepare
+                  || message instanceof StateStoreMessages.Accept)) {
         return;
       }
-      if (message instanceof Words.Pulse) {
-        pulses.put(from + ">" + to, (Words.Pulse) message);
-      } else if (message instanceof Words.Pulsed && pulses.containsKey(to + ">" + from)) {
-        final Words.Pulse pulse = pulses.get(to + ">" + from);
-        final Words.Pulsed pulsed = (Words.Pulsed) message;
+      if (message instanceof StateStoreMessages.Pulse) {
+        pulses.put(from + ">" + to, (StateStoreMessages.Pulse) message);
+      } else if (message instanceof StateStoreMessages.Pulsed
+          && pulses.containsKey(to + ">" + from)) {
+        final StateStoreMessages.Pulse pulse = pulses.get(to + ">" + from);
+        final StateStoreMessages.Pulsed pulsed = (StateStoreMessages.Pulsed) message;
         ear.accept(
-            new Words.Pulsed(
+            new StateStoreMessages.Pulsed(
                 pulse.partitions, pulse.ballots, pulsed.incarnation, pulsed.known, pulsed.audited));
         return;
       }
@@ -113,8 +117,9 @@
     public void heard(
         final String from, final String to, final Message message, final Consumer<Message> ear) {
       ear.accept(message);
-      if (message instanceof Words.Call && ((Words.Call) message).deed == Deed.EVACUATE.ordinal()) {
-        final Words.Call call = (Words.Call) message;
+      if (message instanceof StoreCallMessages.Call
+          && ((StoreCallMessages.Call) message).deed == Deed.EVACUATE.ordinal()) {
+        final StoreCallMessages.Call call = (StoreCallMessages.Call) message;
         copies.add(() -> ear.accept(known ? call : unknown(call)));
         if (copies.size() > 2) {
           copies.remove(random.nextInt(2)).run();
@@ -122,8 +127,8 @@
       }
     }
 
-    private static Words.Call unknown(final Words.Call call) {
-      return new Words.Call(
+    private static StoreCallMessages.Call unknown(final StoreCallMessages.Call call) {
+      return new StoreCallMessages.Call(
           call.number + 1_000_000,
           call.deed,
           call.name,
@@ -142,9 +147,9 @@
    */
   private static final class OfAnotherLife implements ControlFleet.Meddler {
     private final boolean taken;
-    private final Map<String, Words.Call> calls = new HashMap<>();
-    private final Map<String, Words.Answer> answers = new HashMap<>();
-    private final Map<String, Words.Answer> former = new HashMap<>();
+    private final Map<String, StoreCallMessages.Call> calls = new HashMap<>();
+    private final Map<String, StoreCallMessages.Answer> answers = new HashMap<>();
+    private final Map<String, StoreCallMessages.Answer> former = new HashMap<>();
 
     private OfAnotherLife(final boolean taken) {
       this.taken = taken;
@@ -166,17 +171,21 @@
     @Override
     public void heard(
         final String from, final String to, final Message message, final Consumer<Message> ear) {
-      if (message instanceof Words.Call) {
-        calls.put(from + " " + ((Words.Call) message).number, (Words.Call) message);
-      } else if (message instanceof Words.Answer && ((Words.Answer) message).status == 200) {
-        final Words.Answer answer = (Words.Answer) message;
-        final Words.Call call = calls.get(to + " " + answer.number);
+      if (message instanceof StoreCallMessages.Call) {
+        calls.put(
+            from + " " + ((StoreCallMessages.Call) message).number,
+            (StoreCallMessages.Call) message);
+      } else if (message instanceof StoreCallMessages.Answer
+          && ((StoreCallMessages.Answer) message).status == 200) {
+        final StoreCallMessages.Answer answer = (StoreCallMessages.Answer) message;
+        final StoreCallMessages.Call call = calls.get(to + " " + answer.number);
         if (call != null && call.deed == Deed.NUMBER.ordinal()) {
-          final Words.Answer old = former.remove(to + " " + call.name);
+          final StoreCallMessages.Answer old = former.remove(to + " " + call.name);
           answers.put(to + " " + call.name, answer);
           if (old != null) {
             ear.accept(
-                new Words.Answer(answer.number, old.status, old.first, old.body, old.holder)
+                new StoreCallMessages.Answer(
+                        answer.number, old.status, old.first, old.body, old.holder)
                     .to(taken ? answer.caller : old.caller));
             return;
           }
--- a/rig/src/test/java/weldpoint/rig/CatchUpMeasureTest.java
+++ b/rig/src/test/java/weldpoint/rig/CatchUpMeasureTest.java
@@ -14,9 +14,11 @@
 import weldpoint.audit.ConfigurationSummary;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.frame.Deed;
+import weldpoint.trunk.AuditMessages;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Catching up after hundreds and thousands of configurations: a member is killed, cut off and wiped
@@ -81,8 +83,8 @@
   private long change(final Fleet fleet, final long from, final long through, final int routes) {
     for (long version = from + 1; version <= through; version++) {
       final byte[] body = configuration(version, routes);
-      final Words.Cause cause =
-          new Words.Cause(
+      final StoreCallMessages.Cause cause =
+          new StoreCallMessages.Cause(
               "author",
               "10.9.9.9",
               "10.0.1.1",
@@ -108,9 +110,9 @@
   }
 
   private static long bytes(final Fleet fleet) {
-    return fleet.received(MEMBER, Words.Fetched.class)
-        + fleet.received(MEMBER, Words.Accept.class)
-        + fleet.received(MEMBER, Words.AuditPart.class);
+    return fleet.received(MEMBER, StateStoreMessages.Fetched.class)
+        + fleet.received(MEMBER, StateStoreMessages.Accept.class)
+        + fleet.received(MEMBER, AuditMessages.AuditPart.class);
   }
 
   private static boolean caughtUp(final Fleet fleet) {
--- a/rig/src/test/java/weldpoint/rig/CatchUpTest.java
+++ b/rig/src/test/java/weldpoint/rig/CatchUpTest.java
@@ -13,9 +13,10 @@
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 import weldpoint.frame.Deed;
+import weldpoint.trunk.AuditMessages;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StateStoreMessages;
 
 /**
  * A member that was away, cut off or lost its disk catches up: over slow links, while changes go
@@ -112,9 +113,9 @@
 
   /** The bytes that the member was sent for catching up. */
   private static long bytes(final Fleet fleet) {
-    return fleet.received(MEMBER, Words.Fetched.class)
-        + fleet.received(MEMBER, Words.Accept.class)
-        + fleet.received(MEMBER, Words.AuditPart.class);
+    return fleet.received(MEMBER, StateStoreMessages.Fetched.class)
+        + fleet.received(MEMBER, StateStoreMessages.Accept.class)
+        + fleet.received(MEMBER, AuditMessages.AuditPart.class);
   }
 
   private static void restart(final Fleet fleet, final boolean wipe) {
@@ -132,11 +133,11 @@
     restart(fleet, true);
     fleet.link(MEMBER, 100);
     fleet.run(500);
-    final long before = fleet.received(MEMBER, Words.Fetched.class);
+    final long before = fleet.received(MEMBER, StateStoreMessages.Fetched.class);
     fleet.start(MEMBER, false);
     final long took = untilWhole(fleet, 20_000);
     assertFalse(fleet.machines().get(MEMBER).core().blank(), "still blank after " + took + " ms");
-    final long fetched = fleet.received(MEMBER, Words.Fetched.class) - before;
+    final long fetched = fleet.received(MEMBER, StateStoreMessages.Fetched.class) - before;
     fleet.run(2000);
     assertTrue(ballots(fleet) - ballots <= 24, "ballots " + (ballots(fleet) - ballots));
     assertTrue(fetched < 950_000, "600 KB of state came as " + fetched + " bytes");
@@ -150,7 +151,7 @@
     restart(fleet, true);
     fleet.link(MEMBER, 200);
     fleet.run(500);
-    final long before = fleet.received(MEMBER, Words.Fetched.class);
+    final long before = fleet.received(MEMBER, StateStoreMessages.Fetched.class);
     fleet.start(MEMBER, false);
     final boolean[] done = new boolean[1];
     change(fleet, done);
@@ -164,7 +165,7 @@
     final long took = untilWhole(fleet, 20_000);
     done[0] = true;
     assertFalse(fleet.machines().get(MEMBER).core().blank(), "still blank after " + took + " ms");
-    final long fetched = fleet.received(MEMBER, Words.Fetched.class) - before;
+    final long fetched = fleet.received(MEMBER, StateStoreMessages.Fetched.class) - before;
     assertTrue(
         fetched < 1_500_000, "600 KB of state came, over four lives, as " + fetched + " bytes");
     assertTrue(took < 6000, "took " + took);
@@ -247,9 +248,9 @@
     return new Fleet.Meddler() {
       @Override
       public Message pass(final String from, final String to, final Message message) {
-        if (message instanceof Words.Promise && to.equals(candidate)) {
-          final Words.Promise promise = (Words.Promise) message;
-          return new Words.Promise(
+        if (message instanceof StateStoreMessages.Promise && to.equals(candidate)) {
+          final StateStoreMessages.Promise promise = (StateStoreMessages.Promise) message;
+          return new StateStoreMessages.Promise(
               promise.partition,
               promise.ballot,
               Mark.NONE,
@@ -349,7 +350,7 @@
         new Fleet.Meddler() {
           @Override
           public Message pass(final String from, final String to, final Message message) {
-            return lost[0] && to.equals(MEMBER) && message instanceof Words.AuditPart
+            return lost[0] && to.equals(MEMBER) && message instanceof AuditMessages.AuditPart
                 ? null
                 : message;
           }
--- a/rig/src/test/java/weldpoint/rig/HistoryTest.java
+++ b/rig/src/test/java/weldpoint/rig/HistoryTest.java
@@ -23,8 +23,10 @@
 import weldpoint.frame.FrameCore;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Two operators change configurations and evacuations over cuts, freezes, power loss, wiped, slow
@@ -71,8 +73,8 @@
         .getBytes(StandardCharsets.UTF_8);
   }
 
-  private static Words.Cause cause(final String author, final byte[] body) {
-    return new Words.Cause(
+  private static StoreCallMessages.Cause cause(final String author, final byte[] body) {
+    return new StoreCallMessages.Cause(
         author,
         "10.9.9.9",
         "10.0.1.1",
@@ -84,7 +86,7 @@
   private static final class Operators {
     private final Fleet fleet;
     private final HistoryLedger ledger;
-    private final List<Words.Call> earlier = new ArrayList<>();
+    private final List<StoreCallMessages.Call> earlier = new ArrayList<>();
     private long version;
     private boolean stopped;
 
@@ -107,8 +109,8 @@
           final long sent = version;
           final byte[] body = body(sent, random.nextInt(3));
           ledger.offered(sent, AuditEntry.digest(body));
-          final Words.Call call =
-              new Words.Call(
+          final StoreCallMessages.Call call =
+              new StoreCallMessages.Call(
                   0,
                   Deed.SPEC_REPLACE.ordinal(),
                   "",
@@ -120,7 +122,7 @@
           earlier.add(call);
           fleet.again(at, call, answer -> acknowledge(sent, answer));
         } else if (pick < 7 && !earlier.isEmpty()) {
-          final Words.Call call = earlier.get(random.nextInt(earlier.size()));
+          final StoreCallMessages.Call call = earlier.get(random.nextInt(earlier.size()));
           fleet.again(at, call, answer -> acknowledge(call.first, answer));
         } else {
           final String zone = "z" + random.nextInt(2);
@@ -141,7 +143,7 @@
       fleet.after(40 + random.nextInt(120), () -> work(author));
     }
 
-    private void acknowledge(final long sent, final Words.Answer answer) {
+    private void acknowledge(final long sent, final StoreCallMessages.Answer answer) {
       if (answer.status == 200 && answer.first == sent) {
         ledger.acknowledged(sent);
       }
@@ -414,20 +416,22 @@
                         @Override
                         public Message pass(
                             final String from, final String to, final Message message) {
-                          if (message instanceof Words.Accept
-                              && !((Words.Accept) message).establish) {
-                            final Words.Accept accept = (Words.Accept) message;
-                            final List<Words.Entry> entries = new ArrayList<>();
-                            for (final Words.Entry entry : Words.list(accept.entries)) {
+                          if (message instanceof StateStoreMessages.Accept
+                              && !((StateStoreMessages.Accept) message).establish) {
+                            final StateStoreMessages.Accept accept =
+                                (StateStoreMessages.Accept) message;
+                            final List<StateStoreMessages.Entry> entries = new ArrayList<>();
+                            for (final StateStoreMessages.Entry entry :
+                                Protocol.list(accept.entries)) {
                               entries.add(
-                                  new Words.Entry(
+                                  new StateStoreMessages.Entry(
                                       entry.name,
                                       entry.mark,
                                       entry.base,
                                       entry.difference,
                                       entry.whole));
                             }
-                            return new Words.Accept(
+                            return new StateStoreMessages.Accept(
                                 accept.partition,
                                 accept.roster,
                                 accept.ballot,
--- a/rig/src/test/java/weldpoint/rig/IncarnationTest.java
+++ b/rig/src/test/java/weldpoint/rig/IncarnationTest.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import org.testng.annotations.Test;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.StateStoreMessages;
 
 /**
  * An incarnation is taken once, whoever votes meanwhile, and is never held against another voter.
@@ -45,12 +45,12 @@
   private static void replace(final Fleet fleet, final String address) {
     fleet.kill(address, true);
     fleet.run(9000);
-    final Words.Roster roster = roster(fleet);
+    final StateStoreMessages.Roster roster = roster(fleet);
     assertEquals(roster.index(address), -1, "the voter that was lost is still in the roster");
     assertEquals(roster.voters.size(), 5);
   }
 
-  private static Words.Roster roster(final Fleet fleet) {
+  private static StateStoreMessages.Roster roster(final Fleet fleet) {
     return fleet.machines().get(fleet.running().get(0)).core().roster();
   }
 
@@ -69,8 +69,8 @@
           new Fleet.Meddler() {
             @Override
             public Message pass(final String from, final String to, final Message message) {
-              if (from.equals(twice) && message instanceof Words.Pulsed) {
-                incarnation[0] = ((Words.Pulsed) message).incarnation;
+              if (from.equals(twice) && message instanceof StateStoreMessages.Pulsed) {
+                incarnation[0] = ((StateStoreMessages.Pulsed) message).incarnation;
               }
               return message;
             }
@@ -108,20 +108,20 @@
     final Fleet fleet = fleet(3, 1);
     wipe(fleet, SEEDS[1]);
     final String late = SEEDS[4];
-    final Map<String, Words.Pulsed> kept = new HashMap<>();
+    final Map<String, StateStoreMessages.Pulsed> kept = new HashMap<>();
     final boolean[] give = new boolean[1];
     final Map<String, List<Long>> lists = new HashMap<>();
     fleet.meddler(
         new Fleet.Meddler() {
           @Override
           public Message pass(final String from, final String to, final Message message) {
-            if (!(message instanceof Words.Pulsed)) {
+            if (!(message instanceof StateStoreMessages.Pulsed)) {
               return message;
             }
             if (from.equals(late) && !give[0]) {
-              kept.put(to, (Words.Pulsed) message);
+              kept.put(to, (StateStoreMessages.Pulsed) message);
             }
-            lists.put(from, ((Words.Pulsed) message).known);
+            lists.put(from, ((StateStoreMessages.Pulsed) message).known);
             return from.equals(late) && give[0] && kept.containsKey(to) ? kept.remove(to) : message;
           }
         });
@@ -129,7 +129,7 @@
     assertTrue(
         kept.values().stream().allMatch(pulsed -> pulsed.known.contains(2L)),
         "nobody knows of the lost disk");
-    final Map<String, Words.Pulsed> copies = new HashMap<>(kept);
+    final Map<String, StateStoreMessages.Pulsed> copies = new HashMap<>(kept);
     replace(fleet, SEEDS[0]);
     kept.clear();
     kept.putAll(copies);
@@ -137,7 +137,7 @@
     fleet.run(4000);
     lists.clear();
     fleet.run(1000);
-    final Words.Roster roster = roster(fleet);
+    final StateStoreMessages.Roster roster = roster(fleet);
     lists.forEach(
         (from, known) -> {
           for (int index = 0; index < known.size(); index++) {
--- a/rig/src/test/java/weldpoint/rig/RosterNumberTest.java
+++ b/rig/src/test/java/weldpoint/rig/RosterNumberTest.java
@@ -9,22 +9,23 @@
 import java.util.Random;
 import org.testng.annotations.Test;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * A roster's number names one roster, whoever has it, and incarnations are those of the voters they
  * were told of.
  */
 public class RosterNumberTest {
-  private static String content(final Words.Roster roster) {
+  private static String content(final StateStoreMessages.Roster roster) {
     final StringBuilder text = new StringBuilder();
-    for (final Words.Voter voter : roster.voters) {
+    for (final StateStoreMessages.Voter voter : roster.voters) {
       text.append(voter.address)
           .append(' ')
           .append(voter.site)
           .append(' ')
-          .append(Words.list(voter.tokens))
+          .append(Protocol.list(voter.tokens))
           .append("; ");
     }
     return text.toString();
@@ -45,10 +46,13 @@
         new Fleet.Meddler() {
           @Override
           public Message pass(final String from, final String to, final Message message) {
-            if (message instanceof Words.Accept && !((Words.Accept) message).establish) {
-              for (final Words.Entry entry : ((Words.Accept) message).entries) {
+            if (message instanceof StateStoreMessages.Accept
+                && !((StateStoreMessages.Accept) message).establish) {
+              for (final StateStoreMessages.Entry entry :
+                  ((StateStoreMessages.Accept) message).entries) {
                 if (entry.name.equals("roster") && entry.whole != null) {
-                  final Words.Roster roster = Wire.value(entry.whole, Words.Roster.class);
+                  final StateStoreMessages.Roster roster =
+                      Wire.value(entry.whole, StateStoreMessages.Roster.class);
                   final String before =
                       proposed.putIfAbsent(
                           entry.mark.ballot() + " roster " + roster.number, content(roster));
@@ -65,7 +69,9 @@
                 }
               }
             }
-            return message instanceof Words.RosterNews && random.nextInt(3) == 0 ? null : message;
+            return message instanceof StateStoreMessages.RosterNews && random.nextInt(3) == 0
+                ? null
+                : message;
           }
         });
     final String[] addresses = {
@@ -84,7 +90,7 @@
       fleet.run(50);
       for (final Fleet.Machine machine : fleet.machines().values()) {
         if (machine.core() != null) {
-          final Words.Roster roster = machine.core().roster();
+          final StateStoreMessages.Roster roster = machine.core().roster();
           final String before = rosters.putIfAbsent(roster.number, content(roster));
           if (before != null && !before.equals(content(roster))) {
             breaches.add("roster " + roster.number + " is " + before + " and " + content(roster));
--- a/rig/src/test/java/weldpoint/rig/RosterTest.java
+++ b/rig/src/test/java/weldpoint/rig/RosterTest.java
@@ -14,9 +14,9 @@
 import org.testng.annotations.Test;
 import weldpoint.frame.Deed;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * Several losses in turn, planned and unplanned, with and without disks: a majority is left, and
@@ -280,11 +280,11 @@
           new Fleet.Meddler() {
             @Override
             public Message pass(final String from, final String to, final Message message) {
-              if (!(message instanceof Words.Accept)) {
+              if (!(message instanceof StateStoreMessages.Accept)) {
                 return message;
               }
-              final Words.Accept accept = (Words.Accept) message;
-              return new Words.Accept(
+              final StateStoreMessages.Accept accept = (StateStoreMessages.Accept) message;
+              return new StateStoreMessages.Accept(
                   accept.partition,
                   accept.roster,
                   accept.ballot,
--- a/rig/src/test/java/weldpoint/rig/TrialTest.java
+++ b/rig/src/test/java/weldpoint/rig/TrialTest.java
@@ -21,9 +21,10 @@
 import weldpoint.trial.TrialBook;
 import weldpoint.trial.TrialPanel;
 import weldpoint.trial.Verdict;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.TrialMessages;
+import weldpoint.trunk.TrialMessages.Trial;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Trial;
 
 /**
  * Switchboards, exchanges' panels and five frames on one fake clock; scripted upstreams of a new
@@ -64,7 +65,7 @@
     final Random random;
     final Fault fault;
     final int oneIn;
-    final List<Words.TrialReport> old = new ArrayList<>();
+    final List<TrialMessages.TrialReport> old = new ArrayList<>();
     long marks = -1;
     long version;
     int attempts;
@@ -106,10 +107,10 @@
                 final Values.Control control = Wire.value(answer.body, Values.Control.class);
                 if (control.trialMark > marks) {
                   marks = control.trialMark;
-                  panel.take(Words.list(control.trials));
+                  panel.take(Protocol.list(control.trials));
                   for (int index = 0; index < books.size(); index++) {
                     if (!cut.get(index)) {
-                      books.get(index).take(Words.list(control.trials), control.trialMark);
+                      books.get(index).take(Protocol.list(control.trials), control.trialMark);
                     }
                   }
                 }
@@ -144,7 +145,7 @@
 
     void reports() {
       for (int index = 0; index < books.size(); index++) {
-        final Words.TrialReport report = books.get(index).report(random.nextInt(5) == 0);
+        final TrialMessages.TrialReport report = books.get(index).report(random.nextInt(5) == 0);
         if (report != null && !cut.get(index)) {
           old.add(report);
           panel.report(report, fleet.now());
@@ -241,7 +242,7 @@
       assertEquals(Verdict.of(stage.trial()), Verdict.HELD, fault + " seed " + seed);
       assertEquals(stage.exposedWithoutToken, 0, fault + " seed " + seed);
       assertFalse(
-          Words.list(stage.trial().attempts).isEmpty(),
+          Protocol.list(stage.trial().attempts).isEmpty(),
           fault + " seed " + seed + " names no attempt: " + stage.trial().reason);
       for (final TrialBook book : stage.books) {
         assertTrue(book.held("book"));
@@ -411,7 +412,7 @@
     stage.run(20, true);
     stage.reports();
     final long sent = Count.NEW_SENT.in(stage.panel.sum("book"));
-    final List<Words.TrialReport> again = new ArrayList<>(stage.old);
+    final List<TrialMessages.TrialReport> again = new ArrayList<>(stage.old);
     Collections.shuffle(again, stage.random);
     again.forEach(report -> stage.panel.report(report, stage.fleet.now()));
     assertEquals(Count.NEW_SENT.in(stage.panel.sum("book")), sent);
--- a/rig/src/test/java/weldpoint/rig/VersionsTest.java
+++ b/rig/src/test/java/weldpoint/rig/VersionsTest.java
@@ -25,8 +25,10 @@
 import weldpoint.frame.Values;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
+import weldpoint.trunk.StoreCallMessages;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Two operators who use the same versions for different configurations, over cuts, freezes, losses
@@ -79,15 +81,16 @@
         .getBytes(StandardCharsets.UTF_8);
   }
 
-  private static Words.Call call(final long version, final int choice, final boolean rewritten) {
+  private static StoreCallMessages.Call call(
+      final long version, final int choice, final boolean rewritten) {
     final byte[] body = body(version, choice, rewritten);
-    final Words.Cause cause =
-        new Words.Cause(
+    final StoreCallMessages.Cause cause =
+        new StoreCallMessages.Cause(
             "operator " + choice,
             "10.9.9.9",
             "10.0.1.1",
             Packing.deflate(Wire.bytes(ConfigurationSummary.of(Dialplan.read(body), body))));
-    return new Words.Call(
+    return new StoreCallMessages.Call(
         0,
         Deed.SPEC_REPLACE.ordinal(),
         "",
@@ -105,12 +108,13 @@
 
   /** What operators were told of each version, and what the history says of it in the end. */
   private static final class Told {
-    private final Map<Long, Map<String, List<Words.Answer>>> answers = new TreeMap<>();
+    private final Map<Long, Map<String, List<StoreCallMessages.Answer>>> answers = new TreeMap<>();
     private final List<String> breaches = new ArrayList<>();
     private int accepted;
     private int refused;
 
-    private void told(final long version, final String content, final Words.Answer answer) {
+    private void told(
+        final long version, final String content, final StoreCallMessages.Answer answer) {
       answers
           .computeIfAbsent(version, key -> new HashMap<>())
           .computeIfAbsent(content, key -> new ArrayList<>())
@@ -138,7 +142,7 @@
                 entry == null ? null : java.util.HexFormat.of().formatHex(entry.content);
             contents.forEach(
                 (content, list) -> {
-                  for (final Words.Answer answer : list) {
+                  for (final StoreCallMessages.Answer answer : list) {
                     if (entry == null && answer.status == 409) {
                       breaches.add("version " + version + " was refused and stands for nothing");
                     } else if (entry == null && answer.first == version) {
@@ -389,13 +393,14 @@
 
               @Override
               public Message pass(final String from, final String to, final Message message) {
-                if (!(message instanceof Words.Accept)) {
+                if (!(message instanceof StateStoreMessages.Accept)) {
                   return message;
                 }
-                final Words.Accept accept = (Words.Accept) message;
-                final List<Words.Entry> entries = new ArrayList<>();
-                Words.list(accept.entries).forEach(entry -> entries.add(BrokenBook.older(entry)));
-                return new Words.Accept(
+                final StateStoreMessages.Accept accept = (StateStoreMessages.Accept) message;
+                final List<StateStoreMessages.Entry> entries = new ArrayList<>();
+                Protocol.list(accept.entries)
+                    .forEach(entry -> entries.add(BrokenBook.older(entry)));
+                return new StateStoreMessages.Accept(
                     accept.partition,
                     accept.roster,
                     accept.ballot,
--- a/rig/src/test/java/weldpoint/rig/ZoneLossTest.java
+++ b/rig/src/test/java/weldpoint/rig/ZoneLossTest.java
@@ -11,8 +11,8 @@
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 import weldpoint.frame.Deed;
-import weldpoint.trunk.Words.Roster;
-import weldpoint.trunk.Words.Voter;
+import weldpoint.trunk.StateStoreMessages.Roster;
+import weldpoint.trunk.StateStoreMessages.Voter;
 
 /**
  * One zone after another is lost and comes back. Voters must be spread so that each loss leaves a
--- a/rig/src/test/java/weldpoint/rig/model/Trace.java
+++ b/rig/src/test/java/weldpoint/rig/model/Trace.java
@@ -14,7 +14,8 @@
 import weldpoint.rig.Fleet;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
 
 /**
  * Takes what real cores send, get and put on disk for steps of the model, and checks that the model
@@ -41,18 +42,18 @@
   /** A ballot, as its owner sees it. */
   private static final class Ballot {
     final Mark mark;
-    final Words.Roster roster;
-    final Map<String, Words.Promise> promises = new HashMap<>();
+    final StateStoreMessages.Roster roster;
+    final Map<String, StateStoreMessages.Promise> promises = new HashMap<>();
     final Map<String, Long> counted = new HashMap<>();
     final Set<String> established = new HashSet<>();
     final Map<String, Map<String, Long>> accepted = new HashMap<>();
     final Map<String, Long> proposed = new HashMap<>();
-    List<Words.Entry> own;
+    List<StateStoreMessages.Entry> own;
     Mark ownEstablished;
     boolean establishes;
     boolean serves;
 
-    Ballot(final Mark mark, final Words.Roster roster) {
+    Ballot(final Mark mark, final StateStoreMessages.Roster roster) {
       this.mark = mark;
       this.roster = roster;
     }
@@ -64,7 +65,7 @@
     final Mark[] given = new Mark[FrameCore.PARTITIONS];
     final Ballot[] ballots = new Ballot[FrameCore.PARTITIONS];
     final Map<String, Long> heard = new HashMap<>();
-    final Map<String, List<Words.Fetched>> fetched = new HashMap<>();
+    final Map<String, List<StateStoreMessages.Fetched>> fetched = new HashMap<>();
 
     boolean whole() {
       return kept.incarnation() > 0;
@@ -170,10 +171,11 @@
     step(Step.COUNT_AGAIN);
     final Kept kept = machine.kept;
     int told = 0;
-    for (final Words.Voter voter : kept.roster().voters) {
+    for (final StateStoreMessages.Voter voter : kept.roster().voters) {
       final Map<String, Boolean> pages = new HashMap<>();
       boolean ends = false;
-      for (final Words.Fetched one : machine.fetched.getOrDefault(voter.address, List.of())) {
+      for (final StateStoreMessages.Fetched one :
+          machine.fetched.getOrDefault(voter.address, List.of())) {
         if (one.incarnation == kept.incarnation()
             && one.roster.number == kept.roster().number
             && !one.values) {
@@ -199,14 +201,14 @@
     }
   }
 
-  private static boolean covers(final Kept kept, final Words.Fetched told) {
-    for (int partition = 0; partition < Words.list(told.promised).size(); partition++) {
+  private static boolean covers(final Kept kept, final StateStoreMessages.Fetched told) {
+    for (int partition = 0; partition < Protocol.list(told.promised).size(); partition++) {
       if (kept.promised(partition).compareTo(told.promised.get(partition)) < 0
           || kept.established(partition).compareTo(told.established.get(partition)) < 0) {
         return false;
       }
     }
-    for (final Words.Entry entry : Words.list(told.entries)) {
+    for (final StateStoreMessages.Entry entry : Protocol.list(told.entries)) {
       final int partition = FrameCore.partition(entry.name);
       if (entry.mark.compareTo(kept.established(partition)) >= 0
           && kept.stored(partition, entry.name).compareTo(entry.mark) < 0) {
@@ -216,7 +218,7 @@
     return true;
   }
 
-  private void known(final Words.Roster roster, final String address) {
+  private void known(final StateStoreMessages.Roster roster, final String address) {
     final StringBuilder content = new StringBuilder();
     roster.voters.forEach(
         voter -> content.append(voter.address).append(' ').append(voter.site).append("; "));
@@ -232,21 +234,21 @@
   @Override
   public void sent(final String from, final String to, final Message message) {
     final Machine machine = machine(from);
-    if (message instanceof Words.Prepare) {
-      begins(from, machine, (Words.Prepare) message);
-    } else if (message instanceof Words.Promise) {
-      promises(from, machine, (Words.Promise) message);
-    } else if (message instanceof Words.Accept) {
-      proposes(from, machine, (Words.Accept) message);
-    } else if (message instanceof Words.Accepted) {
-      accepts(from, machine, (Words.Accepted) message);
-    } else if (message instanceof Words.Pulse) {
-      serves(from, machine, (Words.Pulse) message);
-    } else if (message instanceof Words.Pulsed) {
-      confirms(from, machine, (Words.Pulsed) message);
-    } else if (message instanceof Words.Fetched) {
+    if (message instanceof StateStoreMessages.Prepare) {
+      begins(from, machine, (StateStoreMessages.Prepare) message);
+    } else if (message instanceof StateStoreMessages.Promise) {
+      promises(from, machine, (StateStoreMessages.Promise) message);
+    } else if (message instanceof StateStoreMessages.Accept) {
+      proposes(from, machine, (StateStoreMessages.Accept) message);
+    } else if (message instanceof StateStoreMessages.Accepted) {
+      accepts(from, machine, (StateStoreMessages.Accepted) message);
+    } else if (message instanceof StateStoreMessages.Pulse) {
+      serves(from, machine, (StateStoreMessages.Pulse) message);
+    } else if (message instanceof StateStoreMessages.Pulsed) {
+      confirms(from, machine, (StateStoreMessages.Pulsed) message);
+    } else if (message instanceof StateStoreMessages.Fetched) {
       step(Step.FETCH);
-      final Words.Fetched fetched = (Words.Fetched) message;
+      final StateStoreMessages.Fetched fetched = (StateStoreMessages.Fetched) message;
       must(machine.whole(), from, "answers a fetch though its own disk is blank");
       must(
           machine.kept.known(to) >= fetched.incarnation,
@@ -256,14 +258,14 @@
               + " before incarnation "
               + fetched.incarnation
               + " is on its disk");
-      for (int partition = 0; partition < Words.list(fetched.promised).size(); partition++) {
+      for (int partition = 0; partition < Protocol.list(fetched.promised).size(); partition++) {
         must(
             fetched.promised.get(partition).compareTo(machine.kept.promised(partition)) >= 0,
             from,
             "tells less than it has promised in partition " + partition);
       }
-    } else if (message instanceof Words.RosterNews) {
-      known(((Words.RosterNews) message).roster, from);
+    } else if (message instanceof StateStoreMessages.RosterNews) {
+      known(((StateStoreMessages.RosterNews) message).roster, from);
     }
   }
 
@@ -279,11 +281,11 @@
         from,
         what + " as incarnation " + incarnation + " and is " + machine.kept.incarnation());
     must(
-        Words.list(known).size() == machine.kept.roster().voters.size(),
+        Protocol.list(known).size() == machine.kept.roster().voters.size(),
         from,
         what + " with a list of incarnations for another roster");
     for (int place = 0;
-        place < Words.list(known).size() && place < machine.kept.roster().voters.size();
+        place < Protocol.list(known).size() && place < machine.kept.roster().voters.size();
         place++) {
       final String address = machine.kept.roster().voters.get(place).address;
       must(
@@ -294,7 +296,8 @@
     must(machine.kept.roster().index(from) >= 0, from, what + " and is no voter");
   }
 
-  private void promises(final String from, final Machine machine, final Words.Promise promise) {
+  private void promises(
+      final String from, final Machine machine, final StateStoreMessages.Promise promise) {
     step(Step.PROMISE);
     final String what = "promises ballot " + promise.ballot + " of partition " + promise.partition;
     votes(from, machine, promise.incarnation, promise.known, what);
@@ -307,8 +310,8 @@
         from,
         what + " and hides an establishment");
     final Map<String, Mark> told = new HashMap<>();
-    Words.list(promise.entries).forEach(entry -> told.put(entry.name, entry.mark));
-    for (final Words.Entry entry : machine.kept.entries(promise.partition)) {
+    Protocol.list(promise.entries).forEach(entry -> told.put(entry.name, entry.mark));
+    for (final StateStoreMessages.Entry entry : machine.kept.entries(promise.partition)) {
       must(
           told.getOrDefault(entry.name, Mark.NONE).compareTo(entry.mark) >= 0,
           from,
@@ -316,7 +319,8 @@
     }
   }
 
-  private void accepts(final String from, final Machine machine, final Words.Accepted accepted) {
+  private void accepts(
+      final String from, final Machine machine, final StateStoreMessages.Accepted accepted) {
     step(Step.ACCEPT);
     final String what = "accepts ballot " + accepted.ballot + " of partition " + accepted.partition;
     votes(from, machine, accepted.incarnation, accepted.known, what);
@@ -329,7 +333,7 @@
             || machine.kept.established(accepted.partition).compareTo(accepted.ballot) >= 0,
         from,
         what + " before the establishment is on its disk");
-    for (int index = 0; index < Words.list(accepted.names).size(); index++) {
+    for (int index = 0; index < Protocol.list(accepted.names).size(); index++) {
       final Mark mark = accepted.ballot.at(accepted.counts.get(index));
       must(
           machine.kept.stored(accepted.partition, accepted.names.get(index)).compareTo(mark) >= 0
@@ -339,10 +343,11 @@
     }
   }
 
-  private void confirms(final String from, final Machine machine, final Words.Pulsed pulsed) {
+  private void confirms(
+      final String from, final Machine machine, final StateStoreMessages.Pulsed pulsed) {
     step(Step.CONFIRM);
     votes(from, machine, pulsed.incarnation, pulsed.known, "confirms");
-    for (int index = 0; index < Words.list(pulsed.partitions).size(); index++) {
+    for (int index = 0; index < Protocol.list(pulsed.partitions).size(); index++) {
       final int partition = pulsed.partitions.get(index);
       final Mark ballot = pulsed.ballots.get(index);
       must(
@@ -360,7 +365,8 @@
 
   // ---- what holders do
 
-  private void begins(final String from, final Machine machine, final Words.Prepare prepare) {
+  private void begins(
+      final String from, final Machine machine, final StateStoreMessages.Prepare prepare) {
     final Ballot before = machine.ballots[prepare.partition];
     if (before != null && before.mark.equals(prepare.ballot)) {
       return;
@@ -400,7 +406,8 @@
     return ballot != null && ballot.mark.sameBallot(mark) ? ballot : null;
   }
 
-  private void proposes(final String from, final Machine machine, final Words.Accept accept) {
+  private void proposes(
+      final String from, final Machine machine, final StateStoreMessages.Accept accept) {
     final String what =
         "proposes under ballot " + accept.ballot + " of partition " + accept.partition;
     final Ballot ballot = ballot(machine, accept.partition, accept.ballot);
@@ -418,7 +425,7 @@
       return;
     }
     must(ballot.serves, from, what + " before it serves");
-    for (final Words.Entry entry : Words.list(accept.entries)) {
+    for (final StateStoreMessages.Entry entry : Protocol.list(accept.entries)) {
       final Long before = ballot.proposed.get(entry.name);
       if (before != null && before >= entry.mark.count) {
         continue;
@@ -450,13 +457,13 @@
       final String from,
       final Machine machine,
       final Ballot ballot,
-      final Words.Accept accept,
+      final StateStoreMessages.Accept accept,
       final String what) {
     step(Step.ESTABLISH);
     int promised = 0;
     Mark floor = Mark.NONE;
-    final Map<String, Words.Entry> best = new HashMap<>();
-    final List<Words.Entry> entries = new ArrayList<>();
+    final Map<String, StateStoreMessages.Entry> best = new HashMap<>();
+    final List<StateStoreMessages.Entry> entries = new ArrayList<>();
     for (int place = 0; place < ballot.roster.voters.size(); place++) {
       final String voter = ballot.roster.voters.get(place).address;
       final long counted = accept.counted.get(place);
@@ -477,7 +484,7 @@
         entries.addAll(ballot.own);
         continue;
       }
-      final Words.Promise promise = ballot.promises.get(voter);
+      final StateStoreMessages.Promise promise = ballot.promises.get(voter);
       must(
           promise != null && promise.incarnation == counted,
           from,
@@ -496,21 +503,21 @@
       }
       promised++;
       floor = floor.compareTo(promise.established) < 0 ? promise.established : floor;
-      entries.addAll(Words.list(promise.entries));
+      entries.addAll(Protocol.list(promise.entries));
     }
     must(
         promised >= ballot.roster.majority(),
         from,
         what + " with " + promised + " promises of " + ballot.roster.voters.size());
-    for (final Words.Entry entry : entries) {
-      final Words.Entry other = best.get(entry.name);
+    for (final StateStoreMessages.Entry entry : entries) {
+      final StateStoreMessages.Entry other = best.get(entry.name);
       if (entry.mark.compareTo(floor) >= 0
           && (other == null || other.mark.compareTo(entry.mark) < 0)) {
         best.put(entry.name, entry);
       }
     }
     final Set<String> names = new HashSet<>();
-    for (final Words.Entry entry : Words.list(accept.entries)) {
+    for (final StateStoreMessages.Entry entry : Protocol.list(accept.entries)) {
       names.add(entry.name);
       must(
           best.containsKey(entry.name) && Arrays.equals(best.get(entry.name).whole, entry.whole),
@@ -527,8 +534,9 @@
         what + " and establishes " + names + " where it was told " + best.keySet());
   }
 
-  private void serves(final String from, final Machine machine, final Words.Pulse pulse) {
-    for (int index = 0; index < Words.list(pulse.partitions).size(); index++) {
+  private void serves(
+      final String from, final Machine machine, final StateStoreMessages.Pulse pulse) {
+    for (int index = 0; index < Protocol.list(pulse.partitions).size(); index++) {
       final int partition = pulse.partitions.get(index);
       final Ballot ballot = ballot(machine, partition, pulse.ballots.get(index));
       final String what =
@@ -584,15 +592,15 @@
   @Override
   public void received(final String from, final String to, final Message message) {
     final Machine machine = machine(to);
-    if (message instanceof Words.Promise) {
-      final Words.Promise promise = (Words.Promise) message;
+    if (message instanceof StateStoreMessages.Promise) {
+      final StateStoreMessages.Promise promise = (StateStoreMessages.Promise) message;
       final Ballot ballot = ballot(machine, promise.partition, promise.ballot);
       if (ballot != null) {
         hears(machine, promise.known);
         ballot.promises.put(from, promise);
       }
-    } else if (message instanceof Words.Accepted) {
-      final Words.Accepted accepted = (Words.Accepted) message;
+    } else if (message instanceof StateStoreMessages.Accepted) {
+      final StateStoreMessages.Accepted accepted = (StateStoreMessages.Accepted) message;
       final Ballot ballot = ballot(machine, accepted.partition, accepted.ballot);
       if (ballot != null) {
         hears(machine, accepted.known);
@@ -601,7 +609,7 @@
           if (accepted.establish) {
             ballot.established.add(from);
           }
-          for (int index = 0; index < Words.list(accepted.names).size(); index++) {
+          for (int index = 0; index < Protocol.list(accepted.names).size(); index++) {
             ballot
                 .accepted
                 .computeIfAbsent(accepted.names.get(index), key -> new HashMap<>())
@@ -609,21 +617,24 @@
           }
         }
       }
-    } else if (message instanceof Words.Pulsed) {
-      final Words.Pulsed pulsed = (Words.Pulsed) message;
-      for (int index = 0; index < Words.list(pulsed.partitions).size(); index++) {
+    } else if (message instanceof StateStoreMessages.Pulsed) {
+      final StateStoreMessages.Pulsed pulsed = (StateStoreMessages.Pulsed) message;
+      for (int index = 0; index < Protocol.list(pulsed.partitions).size(); index++) {
         if (ballot(machine, pulsed.partitions.get(index), pulsed.ballots.get(index)) != null) {
           hears(machine, pulsed.known);
         }
       }
-    } else if (message instanceof Words.Fetched) {
-      machine.fetched.computeIfAbsent(from, key -> new ArrayList<>()).add((Words.Fetched) message);
+    } else if (message instanceof StateStoreMessages.Fetched) {
+      machine
+          .fetched
+          .computeIfAbsent(from, key -> new ArrayList<>())
+          .add((StateStoreMessages.Fetched) message);
     }
   }
 
   private void hears(final Machine machine, final List<Long> known) {
     for (int place = 0;
-        place < Words.list(known).size() && place < machine.kept.roster().voters.size();
+        place < Protocol.list(known).size() && place < machine.kept.roster().voters.size();
         place++) {
       machine.heard.merge(
           machine.kept.roster().voters.get(place).address, known.get(place), Math::max);
--- a/rig/src/test/java/weldpoint/rig/model/TraceTest.java
+++ b/rig/src/test/java/weldpoint/rig/model/TraceTest.java
@@ -12,7 +12,8 @@
 import weldpoint.frame.Deed;
 import weldpoint.rig.Fleet;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.Words;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.StateStoreMessages;
 
 /** Whole days of real cores never leave the model; cores that are made to break a rule do. */
 public class TraceTest {
@@ -204,24 +205,26 @@
   }
 
   private static Message asFirst(final Message message) {
-    if (message instanceof Words.Fetch) {
+    if (message instanceof StateStoreMessages.Fetch) {
       return null;
-    } else if (message instanceof Words.Promise) {
-      final Words.Promise one = (Words.Promise) message;
-      return new Words.Promise(one.partition, one.ballot, one.established, one.entries, 1, null);
-    } else if (message instanceof Words.Accepted) {
-      final Words.Accepted one = (Words.Accepted) message;
-      return new Words.Accepted(
+    } else if (message instanceof StateStoreMessages.Promise) {
+      final StateStoreMessages.Promise one = (StateStoreMessages.Promise) message;
+      return new StateStoreMessages.Promise(
+          one.partition, one.ballot, one.established, one.entries, 1, null);
+    } else if (message instanceof StateStoreMessages.Accepted) {
+      final StateStoreMessages.Accepted one = (StateStoreMessages.Accepted) message;
+      return new StateStoreMessages.Accepted(
           one.partition, one.ballot, one.establish, one.names, one.counts, one.lacking, 1, null);
-    } else if (message instanceof Words.Pulsed) {
-      final Words.Pulsed one = (Words.Pulsed) message;
-      return new Words.Pulsed(one.partitions, one.ballots, 1, null, one.audited);
-    } else if (message instanceof Words.Refused) {
-      final Words.Refused one = (Words.Refused) message;
-      return new Words.Refused(one.partition, one.ballot, one.promised, one.roster, null);
-    } else if (message instanceof Words.Accept) {
-      final Words.Accept one = (Words.Accept) message;
-      return new Words.Accept(
+    } else if (message instanceof StateStoreMessages.Pulsed) {
+      final StateStoreMessages.Pulsed one = (StateStoreMessages.Pulsed) message;
+      return new StateStoreMessages.Pulsed(one.partitions, one.ballots, 1, null, one.audited);
+    } else if (message instanceof StateStoreMessages.Refused) {
+      final StateStoreMessages.Refused one = (StateStoreMessages.Refused) message;
+      return new StateStoreMessages.Refused(
+          one.partition, one.ballot, one.promised, one.roster, null);
+    } else if (message instanceof StateStoreMessages.Accept) {
+      final StateStoreMessages.Accept one = (StateStoreMessages.Accept) message;
+      return new StateStoreMessages.Accept(
           one.partition, one.roster, one.ballot, one.establish, one.counted, one.entries);
     }
     return message;
@@ -239,11 +242,12 @@
             new Fleet.Meddler() {
               @Override
               public Message pass(final String from, final String to, final Message message) {
-                if (to.equals(SEEDS.get(0)) && message instanceof Words.Accept) {
+                if (to.equals(SEEDS.get(0)) && message instanceof StateStoreMessages.Accept) {
                   return null;
-                } else if (to.equals(SEEDS.get(0)) && message instanceof Words.Promise) {
-                  final Words.Promise one = (Words.Promise) message;
-                  return new Words.Promise(
+                } else if (to.equals(SEEDS.get(0))
+                    && message instanceof StateStoreMessages.Promise) {
+                  final StateStoreMessages.Promise one = (StateStoreMessages.Promise) message;
+                  return new StateStoreMessages.Promise(
                       one.partition,
                       one.ballot,
                       one.established,
@@ -278,12 +282,12 @@
               @Override
               public Message pass(final String from, final String to, final Message message) {
                 if (to.equals(SEEDS.get(0))
-                    && message instanceof Words.Accepted
-                    && !((Words.Accepted) message).establish) {
-                  final Words.Accepted one = (Words.Accepted) message;
+                    && message instanceof StateStoreMessages.Accepted
+                    && !((StateStoreMessages.Accepted) message).establish) {
+                  final StateStoreMessages.Accepted one = (StateStoreMessages.Accepted) message;
                   final List<Long> more = new ArrayList<>();
-                  Words.list(one.counts).forEach(count -> more.add(count + 5));
-                  return new Words.Accepted(
+                  Protocol.list(one.counts).forEach(count -> more.add(count + 5));
+                  return new StateStoreMessages.Accepted(
                       one.partition,
                       one.ballot,
                       one.establish,
--- a/scale/src/main/java/weldpoint/scale/Hollows.java
+++ b/scale/src/main/java/weldpoint/scale/Hollows.java
@@ -18,9 +18,12 @@
 import weldpoint.jack.Stream;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Meter;
+import weldpoint.trunk.PlacementMessages;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
-import weldpoint.trunk.Words;
 
 /**
  * Switchboards without traffic, many to this process: each has its own link, stream and line, the
@@ -38,10 +41,10 @@
     private Hollow(final Boot boot, final int index, final long incarnation) {
       trunk =
           new Trunk(
-              loop, new Words.Hello(Wire.PROTOCOL, "switchboard", address(index), incarnation));
+              loop, new Protocol.Hello(Wire.PROTOCOL, "switchboard", address(index), incarnation));
       stream = new Stream(trunk, desk, boot, () -> {});
-      final Words.Board self =
-          new Words.Board(
+      final RegistryMessages.Board self =
+          new RegistryMessages.Board(
               address(index),
               address(index) + ":8161",
               boot.site(),
@@ -68,7 +71,7 @@
                 @Override
                 public void outlook(
                     final Dialplan plan,
-                    final Map<Words.Registration, Boolean> changes,
+                    final Map<RegistryMessages.Registration, Boolean> changes,
                     final Set<String> evacuated,
                     final Set<String> suspects,
                     final int switchboards) {
@@ -81,10 +84,10 @@
                 }
 
                 @Override
-                public void trials(final List<Words.Trial> trials, final long mark) {}
+                public void trials(final List<TrialMessages.Trial> trials, final long mark) {}
 
                 @Override
-                public void placements(final Words.Placements placements) {
+                public void placements(final PlacementMessages.Placements placements) {
                   if (ties == null) {
                     ties =
                         new Ties(
@@ -95,7 +98,7 @@
                 }
 
                 @Override
-                public void leased(final Words.LeaseGrant grant) {
+                public void leased(final PlacementMessages.LeaseGrant grant) {
                   if (ties != null) {
                     ties.granted(grant, now());
                   }
--- a/trial/src/main/java/weldpoint/trial/TrialBook.java
+++ b/trial/src/main/java/weldpoint/trial/TrialBook.java
@@ -7,9 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Tally;
-import weldpoint.trunk.Words.Trial;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.TrialMessages;
+import weldpoint.trunk.TrialMessages.Tally;
+import weldpoint.trunk.TrialMessages.Trial;
 
 /**
  * A switchboard's side of trials: which version a request goes to, what became of it, and holding
@@ -113,7 +114,7 @@
       Count.NEW_REHEARSED.more(page.counts);
       return trial.newService;
     }
-    return chance * 100 < Words.list(trial.stages).get(trial.stage)
+    return chance * 100 < Protocol.list(trial.stages).get(trial.stage)
         ? trial.newService
         : trial.oldService;
   }
@@ -262,7 +263,7 @@
    * What is to be reported; everything ever counted, and the digests since the last report, or all
    * after a new stream.
    */
-  public Words.TrialReport report(final boolean all) {
+  public TrialMessages.TrialReport report(final boolean all) {
     if (pages.isEmpty()) {
       return null;
     }
@@ -290,7 +291,7 @@
       }
       page.unreported.clear();
     }
-    return new Words.TrialReport(false, tallies, digests);
+    return new TrialMessages.TrialReport(false, tallies, digests);
   }
 
   /** Whether the new version gets anything from this switchboard, besides the rehearsal. */
--- a/trial/src/main/java/weldpoint/trial/TrialPanel.java
+++ b/trial/src/main/java/weldpoint/trial/TrialPanel.java
@@ -8,9 +8,10 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
-import weldpoint.trunk.Words;
-import weldpoint.trunk.Words.Tally;
-import weldpoint.trunk.Words.Trial;
+import weldpoint.trunk.Protocol;
+import weldpoint.trunk.TrialMessages;
+import weldpoint.trunk.TrialMessages.Tally;
+import weldpoint.trunk.TrialMessages.Trial;
 
 /**
  * An exchange's side of trials: it checks orders, gathers what switchboards have counted, and says
@@ -272,8 +273,8 @@
   }
 
   /** Takes what a switchboard has counted; reports may come late, twice and in any order. */
-  public void report(final Words.TrialReport report, final long now) {
-    for (final Tally tally : Words.list(report.tallies)) {
+  public void report(final TrialMessages.TrialReport report, final long now) {
+    for (final Tally tally : Protocol.list(report.tallies)) {
       final Trial trial = trials.get(tally.route);
       if (trial == null || trial.number != tally.number) {
         continue;
@@ -283,7 +284,7 @@
       final String key = tally.board + "#" + tally.incarnation;
       final Told before = reports.get(key);
       reports.put(key, new Told(before == null ? tally : later(before.tally, tally), now));
-      for (final Long digest : Words.list(report.digests)) {
+      for (final Long digest : Protocol.list(report.digests)) {
         final String other = digests.putIfAbsent(digest, key);
         if (other != null && !other.equals(key)) {
           doubledRoute = tally.route;
@@ -308,7 +309,8 @@
     if (!sameStage) {
       most[Count.STAGE_CONFIRMED.ordinal()] = Count.STAGE_CONFIRMED.in(laterStage ? right : left);
     }
-    final boolean fuller = Words.list(other.attempts).size() >= Words.list(one.attempts).size();
+    final boolean fuller =
+        Protocol.list(other.attempts).size() >= Protocol.list(one.attempts).size();
     final Tally held = other.hold != null || one.hold == null && fuller ? other : one;
     return new Tally(
         one.route,
@@ -353,7 +355,7 @@
         return held(
             trial,
             one.tally.hold + " (switchboard " + one.tally.board + ")",
-            Words.list(one.tally.attempts));
+            Protocol.list(one.tally.attempts));
       }
     }
     if (trial.route.equals(doubledRoute) && !doubles.isEmpty()) {
@@ -403,7 +405,7 @@
   private List<String> lateAttempts(final String route) {
     final List<String> list = new ArrayList<>();
     for (final Told one : told.getOrDefault(route, Map.of()).values()) {
-      list.addAll(Words.list(one.tally.attempts));
+      list.addAll(Protocol.list(one.tally.attempts));
     }
     return list.size() > 20 ? list.subList(0, 20) : list;
   }
--- a/trial/src/main/java/weldpoint/trial/Verdict.java
+++ b/trial/src/main/java/weldpoint/trial/Verdict.java
@@ -1,6 +1,6 @@
 package weldpoint.trial;
 
-import weldpoint.trunk.Words.Trial;
+import weldpoint.trunk.TrialMessages.Trial;
 
 /** Where a trial stands. */
 public enum Verdict {
--- /dev/null
+++ b/trunk/src/main/java/weldpoint/trunk/CacheMessages.java
@@ -0,0 +1,77 @@
+package weldpoint.trunk;
+
+import java.util.List;
+
+/** Purges, and reads of copies from the shared cache tier. */
+public final class CacheMessages {
+  private CacheMessages() {}
+
+  /** What an operator ended for caches: one object by its host and path, or all under a label. */
+  public static final class Purge {
+    public final long serial;
+    public final String host;
+    public final String path;
+    public final String tag;
+
+    public Purge(final long serial, final String host, final String path, final String tag) {
+      this.serial = serial;
+      this.host = host;
+      this.path = path;
+      this.tag = tag;
+    }
+  }
+
+  /**
+   * All purges above the floor up to the mark, in order; whoever knows less than the floor has
+   * missed some.
+   */
+  public static final class Purges implements Message {
+    public final long floor;
+    public final long mark;
+    public final List<Purge> purges;
+
+    public Purges(final long floor, final long mark, final List<Purge> purges) {
+      this.floor = floor;
+      this.mark = mark;
+      this.purges = purges;
+    }
+  }
+
+  /** Asks an announcer for an object. */
+  public static final class CopyAsk implements Message {
+    public final long number;
+    public final String service;
+    public final String host;
+    public final String target;
+    public final long waitMillis;
+
+    public CopyAsk(
+        final long number,
+        final String service,
+        final String host,
+        final String target,
+        final long waitMillis) {
+      this.number = number;
+      this.service = service;
+      this.host = host;
+      this.target = target;
+      this.waitMillis = waitMillis;
+    }
+  }
+
+  /** The object with its headers; status 0 means that it cannot be had from here now. */
+  public static final class CopyAnswer implements Message {
+    public final long number;
+    public final int status;
+    public final List<String> headers;
+    public final byte[] body;
+
+    public CopyAnswer(
+        final long number, final int status, final List<String> headers, final byte[] body) {
+      this.number = number;
+      this.status = status;
+      this.headers = headers;
+      this.body = body;
+    }
+  }
+}
--- a/trunk/src/main/java/weldpoint/trunk/Line.java
+++ b/trunk/src/main/java/weldpoint/trunk/Line.java
@@ -11,7 +11,7 @@
   private static final int MOST_WAITING = 16 << 20;
 
   private final Channel channel;
-  volatile Words.Hello peer;
+  volatile Protocol.Hello peer;
   volatile long heardNanos = System.nanoTime();
   volatile Long peerClock;
   private Object attachment;
@@ -21,7 +21,7 @@
   }
 
   /** Who is at the other end; null before its hello. */
-  public Words.Hello peer() {
+  public Protocol.Hello peer() {
     return peer;
   }
 
--- a/trunk/src/main/java/weldpoint/trunk/OwnershipMessages.java
+++ b/trunk/src/main/java/weldpoint/trunk/OwnershipMessages.java
@@ -110,7 +110,7 @@
 
     /** The ranges; an empty list travels as null. */
     public List<KeyRange> ranges() {
-      return Words.list(ranges);
+      return Protocol.list(ranges);
     }
 
     /** Whether this life of this registry assigns. */
--- /dev/null
+++ b/trunk/src/main/java/weldpoint/trunk/PlacementMessages.java
@@ -0,0 +1,117 @@
+package weldpoint.trunk;
+
+import java.util.List;
+
+/** Where callers that are tied to one upstream are placed, and the leases on that. */
+public final class PlacementMessages {
+  private PlacementMessages() {}
+
+  /** One upstream that callers may be tied to. */
+  public static final class PlacementMember {
+    public final String id;
+    public final int capacity;
+    public final String site;
+
+    public PlacementMember(final String id, final int capacity, final String site) {
+      this.id = id;
+      this.capacity = capacity;
+      this.site = site;
+    }
+  }
+
+  /**
+   * Among which upstreams of a service callers are placed in this epoch, and, where the next epoch
+   * is prepared, among which then.
+   */
+  public static final class Placement {
+    public final String service;
+    public final long serial;
+    public final long epoch;
+    public final List<PlacementMember> members;
+    public final boolean prepared;
+    public final List<PlacementMember> next;
+
+    public Placement(
+        final String service,
+        final long serial,
+        final long epoch,
+        final List<PlacementMember> members,
+        final boolean prepared,
+        final List<PlacementMember> next) {
+      this.service = service;
+      this.serial = serial;
+      this.epoch = epoch;
+      this.members = members;
+      this.prepared = prepared;
+      this.next = next;
+    }
+  }
+
+  /** Which exchange, in which life, changes placements and grants leases on them. */
+  public static final class Keeper {
+    public final long serial;
+    public final String address;
+    public final long incarnation;
+
+    public Keeper(final long serial, final String address, final long incarnation) {
+      this.serial = serial;
+      this.address = address;
+      this.incarnation = incarnation;
+    }
+  }
+
+  /** All placements; the mark rises with each change of any. */
+  public static final class Placements implements Message {
+    public final long mark;
+    public final List<Placement> placements;
+
+    public Placements(final long mark, final List<Placement> placements) {
+      this.mark = mark;
+      this.placements = placements;
+    }
+  }
+
+  /**
+   * A switchboard asks for a lease; it has the placements under this mark, and has finished what
+   * had to be finished for those up to settled. Counts are from its start.
+   */
+  public static final class LeaseAsk implements Message {
+    public final long number;
+    public final String board;
+    public final long incarnation;
+    public final long mark;
+    public final long settled;
+    public final List<Long> counts;
+
+    public LeaseAsk(
+        final long number,
+        final String board,
+        final long incarnation,
+        final long mark,
+        final long settled,
+        final List<Long> counts) {
+      this.number = number;
+      this.board = board;
+      this.incarnation = incarnation;
+      this.mark = mark;
+      this.settled = settled;
+      this.counts = counts;
+    }
+  }
+
+  /** The lease: for so many milliseconds from the asker's question; 0 where none is granted. */
+  public static final class LeaseGrant implements Message {
+    public final long number;
+    public final String board;
+    public final long incarnation;
+    public final long millis;
+
+    public LeaseGrant(
+        final long number, final String board, final long incarnation, final long millis) {
+      this.number = number;
+      this.board = board;
+      this.incarnation = incarnation;
+      this.millis = millis;
+    }
+  }
+}
--- /dev/null
+++ b/trunk/src/main/java/weldpoint/trunk/StateStoreMessages.java
@@ -0,0 +1,442 @@
+package weldpoint.trunk;
+
+import java.util.List;
+
+/** Messages between state stores: ballots, repair and the roster of voters. */
+public final class StateStoreMessages {
+  private StateStoreMessages() {}
+
+  /** One voter of the roster. */
+  public static final class Voter {
+    public final String address;
+    public final String site;
+    public final String region;
+    public final List<Integer> tokens;
+
+    public Voter(
+        final String address, final String site, final String region, final List<Integer> tokens) {
+      this.address = address;
+      this.site = site;
+      this.region = region;
+      this.tokens = tokens;
+    }
+  }
+
+  /** The voters, under a rising number. */
+  public static final class Roster {
+    public final long number;
+    public final List<Voter> voters;
+
+    public Roster(final long number, final List<Voter> voters) {
+      this.number = number;
+      this.voters = voters;
+    }
+
+    /** The place of an address among the voters, or -1. */
+    public int index(final String address) {
+      for (int index = 0; index < voters.size(); index++) {
+        if (voters.get(index).address.equals(address)) {
+          return index;
+        }
+      }
+      return -1;
+    }
+
+    /** The smallest number of voters that is more than half. */
+    public int majority() {
+      return voters.size() / 2 + 1;
+    }
+  }
+
+  /** A register's value under its mark; either whole or as a difference from the base mark. */
+  public static final class Entry {
+    public final String name;
+    public final Mark mark;
+    public final Mark base;
+    public final byte[] difference;
+    public final byte[] whole;
+    public final byte[] audit;
+
+    public Entry(
+        final String name,
+        final Mark mark,
+        final Mark base,
+        final byte[] difference,
+        final byte[] whole) {
+      this(name, mark, base, difference, whole, null);
+    }
+
+    public Entry(
+        final String name,
+        final Mark mark,
+        final Mark base,
+        final byte[] difference,
+        final byte[] whole,
+        final byte[] audit) {
+      this.audit = audit;
+      this.name = name;
+      this.mark = mark;
+      this.base = base;
+      this.difference = difference;
+      this.whole = whole;
+    }
+  }
+
+  /** Asks for a partition's promise under a higher ballot. */
+  public static final class Prepare implements Message {
+    public final int partition;
+    public final long roster;
+    public final Mark ballot;
+
+    public Prepare(final int partition, final long roster, final Mark ballot) {
+      this.partition = partition;
+      this.roster = roster;
+      this.ballot = ballot;
+    }
+  }
+
+  /** The promise, with all that the sender holds of the partition. */
+  public static final class Promise implements Message {
+    public final int partition;
+    public final Mark ballot;
+    public final Mark established;
+    public final List<Entry> entries;
+    public final long incarnation;
+    public final List<Long> known;
+
+    public Promise(
+        final int partition,
+        final Mark ballot,
+        final Mark established,
+        final List<Entry> entries,
+        final long incarnation,
+        final List<Long> known) {
+      this.partition = partition;
+      this.ballot = ballot;
+      this.established = established;
+      this.entries = entries;
+      this.incarnation = incarnation;
+      this.known = known;
+    }
+  }
+
+  /**
+   * Writes registers; an establishing one replaces the whole partition, and tells the incarnations
+   * that its sender knows.
+   */
+  public static final class Accept implements Message {
+    public final int partition;
+    public final long roster;
+    public final Mark ballot;
+    public final boolean establish;
+    public final List<Long> counted;
+    public final List<Entry> entries;
+    public final List<Long> known;
+
+    public Accept(
+        final int partition,
+        final long roster,
+        final Mark ballot,
+        final boolean establish,
+        final List<Long> counted,
+        final List<Entry> entries) {
+      this(partition, roster, ballot, establish, counted, entries, null);
+    }
+
+    public Accept(
+        final int partition,
+        final long roster,
+        final Mark ballot,
+        final boolean establish,
+        final List<Long> counted,
+        final List<Entry> entries,
+        final List<Long> known) {
+      this.known = known;
+      this.partition = partition;
+      this.roster = roster;
+      this.ballot = ballot;
+      this.establish = establish;
+      this.counted = counted;
+      this.entries = entries;
+    }
+  }
+
+  /**
+   * The registers named are on the sender's disk under these marks; those it lacks the base for are
+   * named apart.
+   */
+  public static final class Accepted implements Message {
+    public final int partition;
+    public final Mark ballot;
+    public final boolean establish;
+    public final List<String> names;
+    public final List<Long> counts;
+    public final List<String> lacking;
+    public final long incarnation;
+    public final List<Long> known;
+
+    public Accepted(
+        final int partition,
+        final Mark ballot,
+        final boolean establish,
+        final List<String> names,
+        final List<Long> counts,
+        final List<String> lacking,
+        final long incarnation,
+        final List<Long> known) {
+      this.partition = partition;
+      this.ballot = ballot;
+      this.establish = establish;
+      this.names = names;
+      this.counts = counts;
+      this.lacking = lacking;
+      this.incarnation = incarnation;
+      this.known = known;
+    }
+  }
+
+  /** A holder tells that it still serves these partitions and asks whether its ballots stand. */
+  public static final class Pulse implements Message {
+    public final long roster;
+    public final List<Integer> partitions;
+    public final List<Mark> ballots;
+
+    public Pulse(final long roster, final List<Integer> partitions, final List<Mark> ballots) {
+      this.roster = roster;
+      this.partitions = partitions;
+      this.ballots = ballots;
+    }
+  }
+
+  /**
+   * The ballots that stand, with the count that each pulse carried, and up to where the sender's
+   * disk has the history.
+   */
+  public static final class Pulsed implements Message {
+    public final List<Integer> partitions;
+    public final List<Mark> ballots;
+    public final long incarnation;
+    public final List<Long> known;
+    public final long audited;
+
+    public Pulsed(
+        final List<Integer> partitions,
+        final List<Mark> ballots,
+        final long incarnation,
+        final List<Long> known,
+        final long audited) {
+      this.audited = audited;
+      this.partitions = partitions;
+      this.ballots = ballots;
+      this.incarnation = incarnation;
+      this.known = known;
+    }
+  }
+
+  /** Asks who is on the roster and which incarnation of the sender is known. */
+  public static final class Enquire implements Message {
+    public final long number;
+
+    public Enquire(final long number) {
+      this.number = number;
+    }
+  }
+
+  /** The answer to an enquiry. */
+  public static final class Enquired implements Message {
+    public final long number;
+    public final boolean blank;
+    public final Roster roster;
+    public final long incarnation;
+    public final List<String> holders;
+
+    public Enquired(
+        final long number,
+        final boolean blank,
+        final Roster roster,
+        final long incarnation,
+        final List<String> holders) {
+      this.number = number;
+      this.blank = blank;
+      this.roster = roster;
+      this.incarnation = incarnation;
+      this.holders = holders;
+    }
+  }
+
+  /**
+   * A blank disk asks, under its new incarnation, for the catalogue of all registers behind a name,
+   * in their order, or, where it names registers, for their values; a value is asked for from an
+   * offset on where part of it has come.
+   */
+  public static final class Fetch implements Message {
+    public final long incarnation;
+    public final String after;
+    public final List<String> names;
+    public final int offset;
+    public final long number;
+
+    /** Asks for the beginning of the catalogue. */
+    public Fetch(final long incarnation) {
+      this(incarnation, "", null, 0, 0);
+    }
+
+    public Fetch(
+        final long incarnation,
+        final String after,
+        final List<String> names,
+        final int offset,
+        final long number) {
+      this.number = number;
+      this.incarnation = incarnation;
+      this.after = after;
+      this.names = names;
+      this.offset = offset;
+    }
+  }
+
+  /**
+   * One part of what the sender holds: its promises and how far its partitions were established,
+   * with a page of the catalogue, in which entries for which there is no room come without their
+   * value; or the values that were named, those that it does not hold being listed apart. Of a
+   * value too large for one part, total tells its length and offset where this piece begins.
+   */
+  public static final class Fetched implements Message {
+    public final long incarnation;
+    public final Roster roster;
+    public final List<Mark> promised;
+    public final List<Mark> established;
+    public final List<Entry> entries;
+    public final List<Long> known;
+    public final long audited;
+    public final String after;
+    public final boolean values;
+    public final boolean more;
+    public final List<String> absent;
+    public final int offset;
+    public final int total;
+    public final long number;
+
+    public Fetched(
+        final long incarnation,
+        final Roster roster,
+        final List<Mark> promised,
+        final List<Mark> established,
+        final List<Entry> entries,
+        final List<Long> known,
+        final long audited,
+        final String after,
+        final boolean values,
+        final boolean more,
+        final List<String> absent,
+        final int offset,
+        final int total,
+        final long number) {
+      this.number = number;
+      this.audited = audited;
+      this.incarnation = incarnation;
+      this.roster = roster;
+      this.promised = promised;
+      this.established = established;
+      this.entries = entries;
+      this.known = known;
+      this.after = after;
+      this.values = values;
+      this.more = more;
+      this.absent = absent;
+      this.offset = offset;
+      this.total = total;
+    }
+  }
+
+  /** A roster that a majority holds. */
+  public static final class RosterNews implements Message {
+    public final Roster roster;
+
+    public RosterNews(final Roster roster) {
+      this.roster = roster;
+    }
+  }
+
+  /**
+   * A refusal: a higher ballot was promised, a roster or an incarnation is overtaken, or the sender
+   * cannot vote.
+   */
+  public static final class Refused implements Message {
+    public final int partition;
+    public final Mark ballot;
+    public final Mark promised;
+    public final long roster;
+    public final List<Long> known;
+
+    public Refused(
+        final int partition,
+        final Mark ballot,
+        final Mark promised,
+        final long roster,
+        final List<Long> known) {
+      this.partition = partition;
+      this.ballot = ballot;
+      this.promised = promised;
+      this.roster = roster;
+      this.known = known;
+    }
+  }
+
+  /** A daemon that is no voter offers itself. */
+  public static final class Join implements Message {
+    public final Voter voter;
+
+    public Join(final Voter voter) {
+      this.voter = voter;
+    }
+  }
+
+  /** The sender gives up these partitions, or leaves altogether. */
+  public static final class Resign implements Message {
+    public final boolean leaving;
+    public final List<Integer> partitions;
+
+    public Resign(final boolean leaving, final List<Integer> partitions) {
+      this.leaving = leaving;
+      this.partitions = partitions;
+    }
+  }
+
+  /** To a voter that leaves: a majority holds these partitions without it, under this roster. */
+  public static final class Released implements Message {
+    public final long roster;
+    public final List<Integer> partitions;
+
+    public Released(final long roster, final List<Integer> partitions) {
+      this.roster = roster;
+      this.partitions = partitions;
+    }
+  }
+
+  /** Asks, before any ballot, whether the voters too find a partition vacant. */
+  public static final class Canvass implements Message {
+    public final int partition;
+    public final long roster;
+    public final long number;
+
+    public Canvass(final int partition, final long roster, final long number) {
+      this.partition = partition;
+      this.roster = roster;
+      this.number = number;
+    }
+  }
+
+  /** The sender finds the partition vacant; it tells the highest round that it has promised. */
+  public static final class Canvassed implements Message {
+    public final int partition;
+    public final long number;
+    public final long round;
+
+    public Canvassed(final int partition, final long number, final long round) {
+      this.partition = partition;
+      this.number = number;
+      this.round = round;
+    }
+  }
+}
--- /dev/null
+++ b/trunk/src/main/java/weldpoint/trunk/TrialMessages.java
@@ -0,0 +1,100 @@
+package weldpoint.trunk;
+
+import java.util.List;
+
+/** Trials of a route's new version, and what proxies count in them. */
+public final class TrialMessages {
+  private TrialMessages() {}
+
+  /** A trial of a route's new version, as the frame keeps it. */
+  public static final class Trial {
+    public final String route;
+    public final long number;
+    public final long serial;
+    public final String oldService;
+    public final String newService;
+    public final String token;
+    public final List<Integer> stages;
+    public final int stage;
+    public final int leastWrites;
+    public final double lateAllowance;
+    public final int verdict;
+    public final String reason;
+    public final List<String> attempts;
+    public final long writes;
+
+    public Trial(
+        final String route,
+        final long number,
+        final long serial,
+        final String oldService,
+        final String newService,
+        final String token,
+        final List<Integer> stages,
+        final int stage,
+        final int leastWrites,
+        final double lateAllowance,
+        final int verdict,
+        final String reason,
+        final List<String> attempts,
+        final long writes) {
+      this.route = route;
+      this.number = number;
+      this.serial = serial;
+      this.oldService = oldService;
+      this.newService = newService;
+      this.token = token;
+      this.stages = stages;
+      this.stage = stage;
+      this.leastWrites = leastWrites;
+      this.lateAllowance = lateAllowance;
+      this.verdict = verdict;
+      this.reason = reason;
+      this.attempts = attempts;
+      this.writes = writes;
+    }
+  }
+
+  /**
+   * What one life of a switchboard has counted in one trial, from its beginning: counts only rise.
+   */
+  public static final class Tally {
+    public final String route;
+    public final long number;
+    public final String board;
+    public final long incarnation;
+    public final List<Long> counts;
+    public final String hold;
+    public final List<String> attempts;
+
+    public Tally(
+        final String route,
+        final long number,
+        final String board,
+        final long incarnation,
+        final List<Long> counts,
+        final String hold,
+        final List<String> attempts) {
+      this.route = route;
+      this.number = number;
+      this.board = board;
+      this.incarnation = incarnation;
+      this.counts = counts;
+      this.hold = hold;
+      this.attempts = attempts;
+    }
+  }
+
+  /** Tallies, with digests of the attempts that were sent to the new version. */
+  public static final class TrialReport implements Message {
+    public final boolean relayed;
+    public final List<Tally> tallies;
+    public final List<Long> digests;
+
+    public TrialReport(final boolean relayed, final List<Tally> tallies, final List<Long> digests) {
+      this.relayed = relayed;
+      this.tallies = tallies;
+      this.digests = digests;
+    }
+  }
+}
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -41,7 +41,7 @@
   }
 
   private final EventLoopGroup loop;
-  private final Words.Hello hello;
+  private final Protocol.Hello hello;
   private final Meter meter = new Meter();
 
   /** What has passed over all lines. */
@@ -50,7 +50,7 @@
   }
 
   /** A trunk whose lines open with this hello. */
-  public Trunk(final EventLoopGroup loop, final Words.Hello hello) {
+  public Trunk(final EventLoopGroup loop, final Protocol.Hello hello) {
     this.loop = loop;
     this.hello = hello;
   }
@@ -278,7 +278,7 @@
                 }
                 ringNanos = System.nanoTime();
                 if (dialled) {
-                  channel.writeAndFlush(new Words.Ring(false));
+                  channel.writeAndFlush(new Protocol.Ring(false));
                 }
                 watch(channel);
               },
@@ -304,15 +304,15 @@
         frame.release();
       }
       line.heardNanos = System.nanoTime();
-      if (message instanceof Words.Ring) {
-        if (((Words.Ring) message).echo) {
-          line.heardClock(((Words.Ring) message).clock);
+      if (message instanceof Protocol.Ring) {
+        if (((Protocol.Ring) message).echo) {
+          line.heardClock(((Protocol.Ring) message).clock);
         } else {
-          context.writeAndFlush(new Words.Ring(true, System.nanoTime() / 1_000_000));
+          context.writeAndFlush(new Protocol.Ring(true, System.nanoTime() / 1_000_000));
         }
       } else if (!open) {
-        if (!(message instanceof Words.Hello)
-            || ((Words.Hello) message).protocol != Wire.PROTOCOL) {
+        if (!(message instanceof Protocol.Hello)
+            || ((Protocol.Hello) message).protocol != Wire.PROTOCOL) {
           LOGGER.atWarning().log(
               "a peer at %s speaks another inner protocol than %d and was refused; run the same release everywhere",
               context.channel().remoteAddress(), Wire.PROTOCOL);
@@ -320,7 +320,7 @@
           return;
         }
         open = true;
-        line.peer = (Words.Hello) message;
+        line.peer = (Protocol.Hello) message;
         line.peerClock = line.peer.clock;
         ear.opened(line);
       } else {
@@ -367,6 +367,6 @@
 
   /** The names of all kinds, for tests. */
   public static List<Class<?>> kinds() {
-    return List.of(Words.KINDS);
+    return List.of(Protocol.KINDS);
   }
 }
--- a/trunk/src/main/java/weldpoint/trunk/Wire.java
+++ b/trunk/src/main/java/weldpoint/trunk/Wire.java
@@ -13,7 +13,7 @@
   public static final int PROTOCOL = 1;
 
   private static final Map<Class<?>, Integer> NUMBERS = new HashMap<>();
-  private static final Class<?>[] KINDS = Words.KINDS;
+  private static final Class<?>[] KINDS = Protocol.KINDS;
 
   static {
     for (int index = 0; index < KINDS.length; index++) {
--- a/trunk/src/test/java/weldpoint/trunk/TrunkTest.java
+++ b/trunk/src/test/java/weldpoint/trunk/TrunkTest.java
@@ -34,8 +34,8 @@
     loop.shutdownGracefully();
   }
 
-  private static Words.Hello hello(final int protocol) {
-    return new Words.Hello(protocol, "exchange", "127.0.0.1", 7);
+  private static Protocol.Hello hello(final int protocol) {
+    return new Protocol.Hello(protocol, "exchange", "127.0.0.1", 7);
   }
 
   @BeforeMethod
@@ -68,7 +68,7 @@
 
   @DataProvider
   public Object[][] strangers() throws IOException {
-    final Message word = new Words.Kept(3);
+    final Message word = new RegistryMessages.Kept(3);
     final byte[] kept = frame(Wire.number(word), Wire.bytes(word));
     return new Object[][] {
       {frame(Wire.number(hello(99)), Wire.bytes(hello(99))), kept},
@@ -102,7 +102,7 @@
   @Test
   public void wordsTravelWholeOverADialledLine()
       throws InterruptedException, ExecutionException, TimeoutException {
-    final CompletableFuture<Words.Gossip> answer = new CompletableFuture<>();
+    final CompletableFuture<RegistryMessages.Gossip> answer = new CompletableFuture<>();
     final Trunk.Dialler dialler =
         new Trunk(loop, hello(Wire.PROTOCOL))
             .dial(
@@ -112,11 +112,13 @@
                   @Override
                   public void opened(final Line line) {
                     line.send(
-                        new Words.Gossip(
+                        new RegistryMessages.Gossip(
                             1,
                             42,
-                            new Words.Roster(
-                                3, List.of(new Words.Voter("a", "s", "r", List.of(1, 2)))),
+                            new StateStoreMessages.Roster(
+                                3,
+                                List.of(
+                                    new StateStoreMessages.Voter("a", "s", "r", List.of(1, 2)))),
                             List.of("x"),
                             null,
                             List.of(),
@@ -126,14 +128,14 @@
 
                   @Override
                   public void heard(final Line line, final Message message) {
-                    answer.complete((Words.Gossip) message);
+                    answer.complete((RegistryMessages.Gossip) message);
                   }
                 });
-    final Words.Gossip gossip = answer.get(5, TimeUnit.SECONDS);
+    final RegistryMessages.Gossip gossip = answer.get(5, TimeUnit.SECONDS);
     dialler.close();
     assertEquals(gossip.digest, 42);
     assertEquals(gossip.roster.voters.get(0).tokens, List.of(1, 2));
-    assertTrue(Words.list(gossip.history).isEmpty() && Words.list(gossip.boards).isEmpty());
+    assertTrue(Protocol.list(gossip.history).isEmpty() && Protocol.list(gossip.boards).isEmpty());
     assertEquals(gossip.ages, List.of(5L));
   }
 }
--- a/trunk/src/test/java/weldpoint/trunk/TrunkThreadsTest.java
+++ b/trunk/src/test/java/weldpoint/trunk/TrunkThreadsTest.java
@@ -25,8 +25,8 @@
 
 /** The control thread and the traffic thread take turns at the worst points. */
 public final class TrunkThreadsTest {
-  private static final Words.Hello HELLO =
-      new Words.Hello(Wire.PROTOCOL, "exchange", "127.0.0.1", 7);
+  private static final Protocol.Hello HELLO =
+      new Protocol.Hello(Wire.PROTOCOL, "exchange", "127.0.0.1", 7);
 
   private static int port() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
@@ -70,7 +70,7 @@
   @Test
   public void aLineThatEndsWhileAnotherThreadSendsLosesTheMessageAndNothingElse() {
     for (int looks = 0; looks < 3; looks++) {
-      new Line(closingAfter(looks)).send(new Words.Ring(false));
+      new Line(closingAfter(looks)).send(new Protocol.Ring(false));
     }
   }
 
