State store: the view of control state that registries get stands alone; assigner's outlet apart from the registry's core

Cause: FrameCore and ExchangeCore are too large for what they must be read for. Change: ControlView (from FrameCore), AssignerOutlet and the ranges' status (from ExchangeCore); behaviour unchanged.

--- /dev/null
+++ b/exchange/src/main/java/weldpoint/exchange/AssignerOutlet.java
@@ -0,0 +1,55 @@
+package weldpoint.exchange;
+
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import weldpoint.frame.Deed;
+import weldpoint.ownership.Assigner;
+import weldpoint.ownership.CallResult;
+import weldpoint.trunk.OwnershipMessages.Assignment;
+import weldpoint.trunk.OwnershipMessages.KeyRange;
+import weldpoint.trunk.Wire;
+
+/** What an assigner does, done: writes to the state store and calls of upstreams. */
+final class AssignerOutlet implements Assigner.Outlet {
+  private static final long WRITE_MILLIS = 900;
+
+  private final StoreCaller store;
+  private final UpstreamCalls upstreams;
+  private final LongSupplier clock;
+
+  AssignerOutlet(final StoreCaller store, final UpstreamCalls upstreams, final LongSupplier clock) {
+    this.store = store;
+    this.upstreams = upstreams;
+    this.clock = clock;
+  }
+
+  @Override
+  public void write(final Assignment next, final Runnable done) {
+    store
+        .call(
+            Deed.OWNERSHIP_WRITE,
+            next.service,
+            null,
+            0,
+            0,
+            Wire.bytes(next),
+            null,
+            clock.getAsLong(),
+            WRITE_MILLIS)
+        .whenComplete((answer, problem) -> done.run());
+  }
+
+  @Override
+  public void grant(final KeyRange range, final long sendBy, final Consumer<CallResult> done) {
+    upstreams.grant(range, sendBy, done);
+  }
+
+  @Override
+  public void release(
+      final KeyRange range,
+      final long sendBy,
+      final long answerBy,
+      final Consumer<CallResult> done) {
+    upstreams.release(range, sendBy, answerBy, done);
+  }
+}
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -10,7 +10,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import weldpoint.affinity.PlacementKeeper;
@@ -21,8 +20,6 @@
 import weldpoint.frame.Tokens;
 import weldpoint.frame.Values;
 import weldpoint.metrics.Figure;
-import weldpoint.ownership.Assigner;
-import weldpoint.ownership.CallResult;
 import weldpoint.ownership.HoldTimes;
 import weldpoint.ownership.OwnershipCoordinator;
 import weldpoint.ratelimit.QuotaAllocator;
@@ -33,7 +30,6 @@
 import weldpoint.trunk.OwnershipMessages.AssignerPulse;
 import weldpoint.trunk.OwnershipMessages.Assignment;
 import weldpoint.trunk.OwnershipMessages.Assignments;
-import weldpoint.trunk.OwnershipMessages.KeyRange;
 import weldpoint.trunk.OwnershipMessages.SlotReport;
 import weldpoint.trunk.PermitMessages;
 import weldpoint.trunk.PlacementMessages;
@@ -65,7 +61,6 @@
   private static final long MOST_LEARNING_MILLIS = 10_000;
   private static final long JOINT_MILLIS = 3000;
   private static final long MAJORITY_MILLIS = 2500;
-  private static final long WRITE_MILLIS = 900;
 
   /** What the core does to the world. */
   public interface Outlet {
@@ -234,38 +229,7 @@
             self,
             incarnation,
             times,
-            new Assigner.Outlet() {
-              @Override
-              public void write(final Assignment next, final Runnable done) {
-                store
-                    .call(
-                        Deed.OWNERSHIP_WRITE,
-                        next.service,
-                        null,
-                        0,
-                        0,
-                        Wire.bytes(next),
-                        null,
-                        clock,
-                        WRITE_MILLIS)
-                    .whenComplete((answer, problem) -> done.run());
-              }
-
-              @Override
-              public void grant(
-                  final KeyRange range, final long sendBy, final Consumer<CallResult> done) {
-                upstreams.grant(range, sendBy, done);
-              }
-
-              @Override
-              public void release(
-                  final KeyRange range,
-                  final long sendBy,
-                  final long answerBy,
-                  final Consumer<CallResult> done) {
-                upstreams.release(range, sendBy, answerBy, done);
-              }
-            },
+            new AssignerOutlet(store, upstreams, () -> clock),
             this::tellMembers,
             outlet::member);
   }
@@ -1552,26 +1516,7 @@
         placed,
         writes,
         outlet.disk(),
-        keyRanges());
-  }
-
-  private List<Calls.KeyRangeStatus> keyRanges() {
-    final List<Calls.KeyRangeStatus> list = new ArrayList<>();
-    for (final Assignment assignment :
-        ownership == null ? List.<Assignment>of() : ownership.assignments()) {
-      for (final KeyRange range : assignment.ranges()) {
-        list.add(
-            new Calls.KeyRangeStatus(
-                assignment.service,
-                assignment.assigner,
-                range.first,
-                range.last,
-                range.holder,
-                range.fence,
-                range.state().name().toLowerCase(java.util.Locale.ROOT)));
-      }
-    }
-    return list;
+        ownership == null ? List.of() : ownership.status());
   }
 
   /** What each daemon has in force, as it told last. */
--- a/exchange/src/main/java/weldpoint/exchange/OwnershipEndpoint.java
+++ b/exchange/src/main/java/weldpoint/exchange/OwnershipEndpoint.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -19,6 +20,7 @@
 import weldpoint.trunk.OwnershipMessages.AssignerPulse;
 import weldpoint.trunk.OwnershipMessages.Assignment;
 import weldpoint.trunk.OwnershipMessages.Assignments;
+import weldpoint.trunk.OwnershipMessages.KeyRange;
 import weldpoint.trunk.OwnershipMessages.SlotReport;
 import weldpoint.trunk.RegistryMessages.Registration;
 
@@ -72,8 +74,23 @@
     return all.isEmpty() ? null : new Assignments(all);
   }
 
-  List<Assignment> assignments() {
-    return coordinator.assignments();
+  /** All ranges, for operators. */
+  List<Calls.KeyRangeStatus> status() {
+    final List<Calls.KeyRangeStatus> list = new ArrayList<>();
+    for (final Assignment assignment : coordinator.assignments()) {
+      for (final KeyRange range : assignment.ranges()) {
+        list.add(
+            new Calls.KeyRangeStatus(
+                assignment.service,
+                assignment.assigner,
+                range.first,
+                range.last,
+                range.holder,
+                range.fence,
+                range.state().name().toLowerCase(Locale.ROOT)));
+      }
+    }
+    return list;
   }
 
   /** Another registry's pulse. */
--- a/frame/src/main/java/weldpoint/frame/FrameCore.java
+++ b/frame/src/main/java/weldpoint/frame/FrameCore.java
@@ -17,19 +17,14 @@
 import weldpoint.audit.HeapStore;
 import weldpoint.frame.Partition.Phase;
 import weldpoint.frame.Partition.Waiter;
-import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.Mark;
 import weldpoint.trunk.Message;
-import weldpoint.trunk.OwnershipMessages;
-import weldpoint.trunk.PlacementMessages;
 import weldpoint.trunk.Protocol;
-import weldpoint.trunk.RegionMessages;
 import weldpoint.trunk.StateStoreMessages;
 import weldpoint.trunk.StateStoreMessages.Entry;
 import weldpoint.trunk.StateStoreMessages.Roster;
 import weldpoint.trunk.StateStoreMessages.Voter;
 import weldpoint.trunk.StoreCallMessages;
-import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Wire;
 
 /**
@@ -1697,70 +1692,14 @@
 
   private boolean tellControl(
       final Partition partition, final Held.Work work, final boolean always) {
-    final Held spec = partition.held.get("spec");
-    final Values.Spec value = spec == null ? null : (Values.Spec) spec.committed;
-    long mark = 0;
-    final List<String> evacuated = new ArrayList<>();
-    final List<TrialMessages.Trial> trials = new ArrayList<>();
-    long trialMark = 0;
-    CacheMessages.Purges purges = null;
-    final List<RegionMessages.Electorate> electorates = new ArrayList<>();
-    final List<PlacementMessages.Placement> placements = new ArrayList<>();
-    PlacementMessages.Keeper keeper = null;
-    final List<OwnershipMessages.Assignment> assignments = new ArrayList<>();
-    long placementMark = 0;
-    long others = 0;
-    for (final Held held : partition.held.values()) {
-      if (held.kind == Values.Kind.EVACUATION && held.committed != null) {
-        final Values.Evacuation evacuation = (Values.Evacuation) held.committed;
-        mark += evacuation.serial;
-        if (evacuation.on) {
-          evacuated.add(held.name.substring("evacuation/".length()));
-        }
-      } else if (held.kind == Values.Kind.TRIAL && held.committed != null) {
-        trials.add((TrialMessages.Trial) held.committed);
-        trialMark += ((TrialMessages.Trial) held.committed).serial;
-      } else if (held.kind == Values.Kind.PURGES && held.committed != null) {
-        purges = (CacheMessages.Purges) held.committed;
-        others += purges.mark;
-      } else if (held.kind == Values.Kind.ELECTORATE && held.committed != null) {
-        electorates.add((RegionMessages.Electorate) held.committed);
-        others += ((RegionMessages.Electorate) held.committed).mark;
-      } else if (held.kind == Values.Kind.PLACEMENT && held.committed != null) {
-        placements.add((PlacementMessages.Placement) held.committed);
-        placementMark += ((PlacementMessages.Placement) held.committed).serial;
-      } else if (held.kind == Values.Kind.KEEPER && held.committed != null) {
-        keeper = (PlacementMessages.Keeper) held.committed;
-        others += keeper.serial;
-      } else if (held.kind == Values.Kind.OWNERSHIP && held.committed != null) {
-        assignments.add((OwnershipMessages.Assignment) held.committed);
-        others += ((OwnershipMessages.Assignment) held.committed).serial;
-      }
-    }
-    others += placementMark;
-    final long version = value == null ? 0 : value.version;
-    final boolean news = version > work.call.first || mark + trialMark + others != work.call.second;
-    if (!news && !always) {
+    final ControlView view = new ControlView(partition.held.values());
+    if (!always && !view.newsFor(work.call)) {
       return false;
     }
-    final Values.Control control =
-        new Values.Control(
-            version,
-            version > work.call.first ? value.body : null,
-            evacuated,
-            mark,
-            roster,
-            trials,
-            trialMark,
-            purges,
-            electorates,
-            value != null && value.tied,
-            placementMark,
-            news ? placements : null,
-            keeper,
-            news ? assignments : null);
+    final Values.Control control = view.answer(work.call, roster);
     work.reply.accept(
-        new StoreCallMessages.Answer(work.call.number, 200, version, Wire.bytes(control), null));
+        new StoreCallMessages.Answer(
+            work.call.number, 200, view.version(), Wire.bytes(control), null));
     return true;
   }
 
