Keys: a new life at a holder's address is asked for the release too; it may have been granted the range in its place

Cause: a grant goes to an address. After a restart at the same address the new life took renewals meant for the old one, until its first beat was known; the range then passed on at once, since the old life had surely ended. Change: no shortcut for holders that have ended; grants name the life in Weldpoint-Target-Instance; what another life hands over is not used.

--- a/exchange/src/main/java/weldpoint/exchange/UpstreamCalls.java
+++ b/exchange/src/main/java/weldpoint/exchange/UpstreamCalls.java
@@ -41,6 +41,7 @@
  * it arrives later.
  */
 final class UpstreamCalls {
+  private static final String TARGET = "Weldpoint-Target-Instance";
   private static final String TRANSFER = "Weldpoint-Duty-Transfer";
   private static final int CONNECT_MILLIS = 400;
   private static final int MOST_ANSWER = 8192;
@@ -249,6 +250,7 @@
     final Calls.Grant body =
         new Calls.Grant(range.first, range.last, range.fence, holdMillis, range.transfer);
     final FullHttpRequest request = request(range.address, "/api/grant", Calls.GRANT, body);
+    request.headers().set(TARGET, range.holder);
     final Call call = new Call(request, sendBy, now() + sendMillis, onDesk(done));
     loop.execute(() -> links.computeIfAbsent(range.address, to -> new Link(to, true)).add(call));
   }
@@ -284,7 +286,7 @@
   private static CallResult result(final FullHttpResponse response) {
     return switch (response.status().code()) {
       case 200 -> new CallResult(CallResult.End.DONE, response.headers().get(TRANSFER));
-      case 409 -> CallResult.of(CallResult.End.REFUSED);
+      case 409, 421 -> CallResult.of(CallResult.End.REFUSED);
       default -> CallResult.of(CallResult.End.UNKNOWN);
     };
   }
--- a/ownership/src/main/java/weldpoint/ownership/Assigner.java
+++ b/ownership/src/main/java/weldpoint/ownership/Assigner.java
@@ -70,6 +70,7 @@
   private final boolean[] releaseOut = new boolean[KeySpace.SLOTS];
   private final Map<Integer, String> transfers = new HashMap<>();
   private final Map<Integer, String> targets = new HashMap<>();
+  private Map<String, Member> knownMembers = Map.of();
   private HoldLedger ledger;
   private Assignment assignment;
   private long termSince;
@@ -218,14 +219,14 @@
     }
     final Map<String, Member> known = new HashMap<>();
     members.forEach(member -> known.put(member.id(), member));
+    knownMembers = known;
     for (final KeyRange range : assignment.ranges()) {
       final Member holder = known.get(range.holder);
-      if (holder != null && holder.standing() == Member.Standing.ENDED) {
-        ledger.ended(range);
-      } else if (range.held()) {
-        renew(range, actsUntil, now);
-      } else {
+      final boolean ended = holder != null && holder.standing() == Member.Standing.ENDED;
+      if (!range.held()) {
         askRelease(range, actsUntil, now);
+      } else if (!ended) {
+        renew(range, actsUntil, now);
       }
     }
     if (!writing) {
@@ -351,7 +352,7 @@
     releaseOut[slot] = false;
     if (result.end() == CallResult.End.DONE) {
       ledger.released(range);
-      if (result.transfer() != null) {
+      if (result.transfer() != null && !ended(range.holder)) {
         transfers.put(slot, result.transfer());
       }
     } else {
@@ -359,6 +360,15 @@
     }
   }
 
+  /**
+   * Whether another life has the address of this one: it may have been granted the range in its
+   * place, so it is asked for the release, but what it hands over is not the holder's.
+   */
+  private boolean ended(final String upstream) {
+    final Member member = knownMembers.get(upstream);
+    return member != null && member.standing() == Member.Standing.ENDED;
+  }
+
   // ---- the next assignment
 
   private void plan(final List<Member> members, final Map<String, Member> known, final long now) {
--- a/ownership/src/main/java/weldpoint/ownership/HoldLedger.java
+++ b/ownership/src/main/java/weldpoint/ownership/HoldLedger.java
@@ -77,11 +77,6 @@
     }
   }
 
-  /** The holder's process has surely ended, with all that it held. */
-  void ended(final KeyRange range) {
-    released(range);
-  }
-
   private boolean free(final int slot, final long now) {
     return underWay[slot] == 0 && (released[slot] || now > possibleUntil[slot]);
   }
--- a/ownership/src/main/java/weldpoint/ownership/Member.java
+++ b/ownership/src/main/java/weldpoint/ownership/Member.java
@@ -17,7 +17,7 @@
     KEEPS,
     /** It should give up what it has: it leaves, or its zone is evacuated. */
     LEAVES,
-    /** Its process has surely ended: another life has its address. */
+    /** Its process has ended: another life has its address, and may have been granted its keys. */
     ENDED
   }
 
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -28,6 +28,7 @@
   private final ConcurrentLinkedQueue<Run> runs;
   private final Random random;
   private final HeldKeys heldKeys;
+  private final AtomicLong grants = new AtomicLong();
   private final AtomicLong turnedAway = new AtomicLong();
   private volatile int workMillis = 20;
   private volatile double lostAnswers;
@@ -79,6 +80,11 @@
     }
   }
 
+  /** How many grants came, whatever was answered. */
+  long grants() {
+    return grants.get();
+  }
+
   /** How many requests were turned away since their key was not held. */
   long turnedAway() {
     return turnedAway.get();
@@ -99,6 +105,7 @@
     final int last = (int) field(body, "targetVersion");
     final long fence = field(body, "fenceNumber");
     if (path.equals("/api/grant")) {
+      grants.incrementAndGet();
       answer(exchange, heldKeys.grant(first, last, fence, field(body, "holdMs")), "");
       return true;
     }
