--- a/ownership/src/main/java/weldpoint/ownership/Assigner.java
+++ b/ownership/src/main/java/weldpoint/ownership/Assigner.java
@@ -39,6 +39,10 @@
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long RETRY_MILLIS = 250;
+
+  /** The pause before a holder is asked for a release, in which proxies hear of it. */
+  private static final long PROXIES_TOLD_MILLIS = 50;
+
   private static final long CALM_MILLIS = 3000;
   private static final long MOVE_PAUSE_MILLIS = 500;
   private static final long SETTLE_MILLIS = 6000;
@@ -152,7 +156,7 @@
       return;
     }
     for (int slot = KeySpace.slot(range.first); slot <= KeySpace.slot(range.last); slot++) {
-      dueAt[slot] = now;
+      dueAt[slot] = range.held() ? now : now + PROXIES_TOLD_MILLIS;
       releaseOut[slot] = false;
       transfers.remove(slot);
       if (range.held()) {
