--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -120,6 +120,7 @@
   private long inForceSince;
   private boolean leaving;
   private int next;
+  private volatile long moves;
 
   /** A link for the switchboard that describes itself so. */
   public BoardLink(
@@ -145,6 +146,20 @@
     move(now);
   }
 
+  /** Goes to another exchange, and says why, so that a late configuration can be traced. */
+  private void leave(final String reason, final long now) {
+    moves = moves + 1;
+    LOGGER.atInfo().log(
+        "leaves exchange %s: %s; heard %s ms ago, dialled %s ms ago, open %s, viewed %s",
+        current, reason, now - heardAt, now - dialledAt, open, viewed);
+    move(now);
+  }
+
+  /** How often this process went to another exchange. */
+  public long moves() {
+    return moves;
+  }
+
   private void move(final long now) {
     next = (next + 1) % exchanges.size();
     if (exchanges.get(next).equals(current)) {
@@ -190,7 +205,7 @@
 
   /** The line has ended. */
   public void closed(final long now) {
-    move(now);
+    leave("the line has ended", now);
   }
 
   /** The exchange has said something. */
@@ -282,7 +297,7 @@
     }
     if (nearest < here) {
       next = exchanges.indexOf(best) - 1 + exchanges.size();
-      move(now);
+      leave("a nearer one is known", now);
     }
   }
 
@@ -299,7 +314,8 @@
         plan = Dialplan.compile(Packing.inflate(view.spec));
         version = view.version;
         LOGGER.atInfo().log(
-            "spec %s is in force with %s routes", Long.toHexString(version), plan.routes());
+            "spec %s is in force with %s routes, from %s, dialled %s ms ago",
+            Long.toHexString(version), plan.routes(), current, heardAt - dialledAt);
       } catch (final Breakdown breakdown) {
         LOGGER.atSevere().log(
             "spec %s was not taken: %s", Long.toHexString(view.version), breakdown.getMessage());
@@ -336,7 +352,7 @@
   public void tick(final long now) {
     if (now - heardAt > (open && !viewed ? PATIENT_MILLIS : SILENT_MILLIS)
         || !viewed && now - dialledAt > (open ? PATIENT_MILLIS : VIEW_MILLIS)) {
-      move(now);
+      leave(viewed ? "it is silent" : "it gives no view", now);
     } else if (now - toldAt >= TELL_MILLIS) {
       tell(now);
     }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -331,6 +331,9 @@
         Figure.counter(
             "weldpoint_further_sends", "Sends beyond a request's first.", room.repeated));
     figures.add(Figure.gauge("weldpoint_active", "Requests under way.", room.active));
+    figures.add(
+        Figure.counter(
+            "weldpoint_registry_moves", "Times that another registry was dialled.", link.moves()));
     figures.add(
         Figure.counter(
             "weldpoint_key_waits",
