A proxy keeps its stream until the nearer registry that it goes to has given a view

Cause: break before make. Change: the nearer one is dialled beside the stream there is and takes its place with its first view; one that gives none within 4 s costs nothing.

--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -43,6 +43,7 @@
   private static final long PATIENT_MILLIS = 3500;
   private static final long NEAR_MILLIS = 4000;
   private static final long STAY_MILLIS = 3000;
+  private static final long APPROACH_MILLIS = 4000;
   private static final long GLANCE_MILLIS = 150;
 
   /** What the link does to the world. */
@@ -50,6 +51,17 @@
     /** Makes this exchange the one there is a line to. */
     void dial(String address);
 
+    /**
+     * Opens a line to this exchange beside the one there is, for {@link BoardLink#arrived}; false
+     * where only one line at a time can be had.
+     */
+    default boolean approach(final String address) {
+      return false;
+    }
+
+    /** Closes the line that was opened beside, where there is one. */
+    default void abandonApproach() {}
+
     /** Sends over the line, where there is one. */
     void send(Message message);
 
@@ -121,6 +133,8 @@
   private boolean leaving;
   private int next;
   private volatile long moves;
+  private String approached;
+  private long approachedAt;
 
   /** A link for the switchboard that describes itself so. */
   public BoardLink(
@@ -161,6 +175,7 @@
   }
 
   private void move(final long now) {
+    endApproach();
     next = (next + 1) % exchanges.size();
     if (exchanges.get(next).equals(current)) {
       next = (next + 1) % exchanges.size();
@@ -174,6 +189,37 @@
     outlet.dial(current);
   }
 
+  private void endApproach() {
+    if (approached != null) {
+      approached = null;
+      outlet.abandonApproach();
+    }
+  }
+
+  /** What the exchange at a line that was opened beside is told first. */
+  public Message greeting(final long now) {
+    return new RegistryMessages.BoardState(state(now), Buckets.digests(history.values(), false));
+  }
+
+  /**
+   * The exchange that was approached has given its first view: its line is the one from now on. The
+   * line before was heard until this moment, so that nothing was missed between the two.
+   */
+  public void arrived(final RegistryMessages.View view, final long now) {
+    LOGGER.atInfo().log(
+        "goes from exchange %s to the nearer %s, %s ms after it dialled it",
+        current, approached, now - approachedAt);
+    moves = moves + 1;
+    current = approached;
+    next = Math.max(0, exchanges.indexOf(current));
+    approached = null;
+    dialledAt = now;
+    toldAt = now;
+    viewed = false;
+    open = true;
+    heard(view, now);
+  }
+
   private void tell(final long now) {
     toldAt = now;
     outlet.send(new RegistryMessages.BoardState(state(now)));
@@ -199,8 +245,7 @@
     heardAt = now;
     open = true;
     toldAt = now;
-    outlet.send(
-        new RegistryMessages.BoardState(state(now), Buckets.digests(history.values(), false)));
+    outlet.send(greeting(now));
   }
 
   /** The line has ended. */
@@ -278,7 +323,7 @@
    * one, each switchboard draws for itself.
    */
   private void approach(final long now) {
-    if (now < nearAt) {
+    if (now < nearAt || approached != null) {
       return;
     }
     nearAt = now + 4 * NEAR_MILLIS;
@@ -296,6 +341,11 @@
       }
     }
     if (nearest < here) {
+      if (outlet.approach(best)) {
+        approached = best;
+        approachedAt = now;
+        return;
+      }
       next = exchanges.indexOf(best) - 1 + exchanges.size();
       leave("a nearer one is known", now);
     }
@@ -350,6 +400,9 @@
 
   /** Time has passed. */
   public void tick(final long now) {
+    if (approached != null && now - approachedAt > APPROACH_MILLIS) {
+      endApproach();
+    }
     if (now - heardAt > (open && !viewed ? PATIENT_MILLIS : SILENT_MILLIS)
         || !viewed && now - dialledAt > (open ? PATIENT_MILLIS : VIEW_MILLIS)) {
       leave(viewed ? "it is silent" : "it gives no view", now);
--- a/jack/src/main/java/weldpoint/jack/Stream.java
+++ b/jack/src/main/java/weldpoint/jack/Stream.java
@@ -4,6 +4,7 @@
 import weldpoint.boot.Boot;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.RegistryMessages;
 import weldpoint.trunk.Trunk;
 
 /**
@@ -17,6 +18,7 @@
   private final Runnable ended;
   private BoardLink link;
   private volatile Trunk.Dialler dialler;
+  private Trunk.Dialler beside;
 
   /**
    * A stream without a line; whoever is given is told on the control thread when a line has ended.
@@ -33,8 +35,71 @@
     link = given;
   }
 
+  /**
+   * Opens a line to this exchange beside the one there is. With its first view it takes the other's
+   * place, which is heard until then.
+   */
+  public void approach(final String address) {
+    abandonApproach();
+    final Trunk.Dialler[] mine = new Trunk.Dialler[1];
+    mine[0] =
+        trunk.dial(
+            address,
+            port,
+            Trunk.on(
+                desk,
+                new Trunk.Ear() {
+                  @Override
+                  public void opened(final Line line) {
+                    if (beside == mine[0]) {
+                      line.send(link.greeting(Switchroom.now()));
+                    } else if (dialler == mine[0]) {
+                      link.opened(Switchroom.now());
+                    }
+                  }
+
+                  @Override
+                  public void heard(final Line line, final Message message) {
+                    if (dialler == mine[0]) {
+                      link.heard(message, Switchroom.now());
+                    } else if (beside == mine[0] && message instanceof RegistryMessages.View) {
+                      arrive((RegistryMessages.View) message);
+                    }
+                  }
+
+                  @Override
+                  public void closed(final Line line) {
+                    if (dialler == mine[0]) {
+                      link.closed(Switchroom.now());
+                      ended.run();
+                    }
+                  }
+                }));
+    beside = mine[0];
+  }
+
+  private void arrive(final RegistryMessages.View view) {
+    final Trunk.Dialler before = dialler;
+    dialler = beside;
+    beside = null;
+    if (before != null) {
+      before.close();
+    }
+    link.arrived(view, Switchroom.now());
+    ended.run();
+  }
+
+  /** Closes the line beside, where there is one. */
+  public void abandonApproach() {
+    if (beside != null) {
+      beside.close();
+      beside = null;
+    }
+  }
+
   /** Makes this exchange the one there is a line to. */
   public void dial(final String address) {
+    abandonApproach();
     if (dialler != null) {
       dialler.close();
     }
@@ -73,6 +138,7 @@
 
   /** Ends the line for good. */
   public void close() {
+    abandonApproach();
     final Trunk.Dialler present = dialler;
     dialler = null;
     if (present != null) {
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -118,6 +118,17 @@
                 stream.dial(address);
               }
 
+              @Override
+              public boolean approach(final String address) {
+                stream.approach(address);
+                return true;
+              }
+
+              @Override
+              public void abandonApproach() {
+                stream.abandonApproach();
+              }
+
               @Override
               public void send(final Message message) {
                 stream.send(message);
--- a/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
+++ b/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
@@ -25,8 +25,22 @@
   private final List<Long> specs = new ArrayList<>();
   private final Map<String, Boolean> open = new HashMap<>();
   private final List<String> dialled = new ArrayList<>();
+  private final List<String> approached = new ArrayList<>();
+  private int abandoned;
+  private boolean twoLines;
   private Set<String> evacuated = Set.of();
 
+  /** A link that can have a line beside the one it has. */
+  private BoardLink linkOfTwoLines() {
+    twoLines = true;
+    try {
+      return link();
+    } finally {
+      abandoned = 0;
+      approached.clear();
+    }
+  }
+
   private BoardLink link() {
     specs.clear();
     open.clear();
@@ -42,6 +56,17 @@
                 dialled.add(address);
               }
 
+              @Override
+              public boolean approach(final String address) {
+                approached.add(address);
+                return twoLines;
+              }
+
+              @Override
+              public void abandonApproach() {
+                abandoned++;
+              }
+
               @Override
               public void send(final Message message) {}
 
@@ -151,6 +176,54 @@
     assertEquals(dialled.size(), 2, "no line came about");
   }
 
+  private static final List<String> MEMBERS = List.of("e1", "e2", "e3", "here");
+  private static final List<String> PLACES = List.of("q/x", "q/y", "q/z", "r/a");
+
+  private static void reach(final BoardLink link, final long from, final long until) {
+    for (long now = from; now < until; now += 500) {
+      link.heard(new RegistryMessages.Reach(100, 3, MEMBERS, null, PLACES), now);
+      link.tick(now);
+    }
+  }
+
+  @Test
+  public void itKeepsItsStreamUntilTheNearerOneHasGivenAView() {
+    final BoardLink link = linkOfTwoLines();
+    try {
+      link.opened(10);
+      link.heard(view(5, 0, List.of()), 20);
+      reach(link, 500, 9000);
+      assertEquals(approached, List.of("here"));
+      assertEquals(dialled.size(), 1, "the stream there is was not left");
+      link.heard(view(6, 1, List.of()), 9100);
+      assertEquals(specs, List.of(5L, 6L), "what comes meanwhile is taken");
+      link.arrived(view(6, 1, List.of()), 9200);
+      reach(link, 9500, 40_000);
+      assertEquals(dialled.size(), 1, "the nearer one is the stream now");
+      assertEquals(approached, List.of("here"));
+      link.closed(40_000);
+      assertEquals(dialled.size(), 2);
+      assertNotEquals(dialled.get(1), "here");
+    } finally {
+      twoLines = false;
+    }
+  }
+
+  @Test
+  public void aNearerOneThatGivesNoViewCostsNothing() {
+    final BoardLink link = linkOfTwoLines();
+    try {
+      link.opened(10);
+      link.heard(view(5, 0, List.of()), 20);
+      reach(link, 500, 16_000);
+      assertEquals(approached.size(), 1);
+      assertEquals(abandoned, 1);
+      assertEquals(dialled.size(), 1, "the stream there is was not left");
+    } finally {
+      twoLines = false;
+    }
+  }
+
   @Test
   public void itMovesOnceToAnExchangeOfItsOwnZoneAndStays() {
     final BoardLink link = link();
