--- a/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
+++ b/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
@@ -209,6 +209,26 @@
     }
   }
 
+  /**
+   * Incident 15: on a full link nothing is heard for a while and lines come about late. A stream
+   * that is silent is still the most likely one to bring the next configuration.
+   */
+  @Test
+  public void aSilentStreamIsKeptUntilAnotherOneHasGivenAView() {
+    final BoardLink link = linkOfTwoLines();
+    try {
+      link.opened(10);
+      link.heard(view(5, 0, List.of()), 20);
+      for (long now = 100; now <= 4000; now += 100) {
+        link.tick(now);
+      }
+      assertTrue(!approached.isEmpty(), "another one is sought");
+      assertEquals(dialled.size(), 1, "the stream there is was not left: " + dialled);
+    } finally {
+      twoLines = false;
+    }
+  }
+
   @Test
   public void aNearerOneThatGivesNoViewCostsNothing() {
     final BoardLink link = linkOfTwoLines();
