--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/jack/src/main/java/weldpoint/jack/BoardLink.java
@@ -52,14 +52,14 @@
     void dial(String address);
 
     /**
-     * Opens a line to this exchange beside the one there is, for {@link BoardLink#arrived}; false
-     * where only one line at a time can be had.
+     * Opens one more line, to this exchange, beside the one there is, for {@link
+     * BoardLink#arrived}; false where only one line at a time can be had.
      */
     default boolean approach(final String address) {
       return false;
     }
 
-    /** Closes the line that was opened beside, where there is one. */
+    /** Closes all lines that were opened beside. */
     default void abandonApproach() {}
 
     /** Sends over the line, where there is one. */
@@ -134,6 +134,7 @@
   private int next;
   private volatile long moves;
   private String approached;
+  private boolean seeking;
   private long approachedAt;
 
   /** A link for the switchboard that describes itself so. */
@@ -176,11 +177,7 @@
 
   private void move(final long now) {
     endApproach();
-    next = (next + 1) % exchanges.size();
-    if (exchanges.get(next).equals(current)) {
-      next = (next + 1) % exchanges.size();
-    }
-    current = exchanges.get(next);
+    current = another();
     dialledAt = now;
     heardAt = now;
     viewed = false;
@@ -190,29 +187,61 @@
   }
 
   private void endApproach() {
+    seeking = false;
     if (approached != null) {
       approached = null;
       outlet.abandonApproach();
     }
   }
 
+  /**
+   * The stream there is has fallen silent: others are dialled beside it, one more each time that
+   * none has given a view for a while. The first view wins, and a stream that speaks again ends the
+   * search: on a full link it is the most likely one to bring the next configuration.
+   */
+  private void seek(final long now) {
+    if (seeking && now - approachedAt < VIEW_MILLIS) {
+      return;
+    }
+    final String another = another();
+    if (!outlet.approach(another)) {
+      leave("it is silent", now);
+      return;
+    }
+    LOGGER.atInfo().log(
+        "dials exchange %s beside %s, which is silent for %s ms", another, current, now - heardAt);
+    seeking = true;
+    approached = another;
+    approachedAt = now;
+  }
+
+  /** The next exchange of the list that is not the present one. */
+  private String another() {
+    next = (next + 1) % exchanges.size();
+    if (exchanges.get(next).equals(current)) {
+      next = (next + 1) % exchanges.size();
+    }
+    return exchanges.get(next);
+  }
+
   /** What the exchange at a line that was opened beside is told first. */
   public Message greeting(final long now) {
     return new RegistryMessages.BoardState(state(now), Buckets.digests(history.values(), false));
   }
 
   /**
-   * The exchange that was approached has given its first view: its line is the one from now on. The
+   * An exchange that was approached has given its first view: its line is the one from now on. The
    * line before was heard until this moment, so that nothing was missed between the two.
    */
-  public void arrived(final RegistryMessages.View view, final long now) {
+  public void arrived(final String address, final RegistryMessages.View view, final long now) {
     LOGGER.atInfo().log(
-        "goes from exchange %s to the nearer %s, %s ms after it dialled it",
-        current, approached, now - approachedAt);
+        "goes from exchange %s to %s, %s ms after it dialled one beside",
+        current, address, now - approachedAt);
     moves = moves + 1;
-    current = approached;
+    current = address;
     next = Math.max(0, exchanges.indexOf(current));
     approached = null;
+    seeking = false;
     dialledAt = now;
     toldAt = now;
     viewed = false;
@@ -250,12 +279,19 @@
 
   /** The line has ended. */
   public void closed(final long now) {
+    if (seeking) {
+      open = false;
+      return;
+    }
     leave("the line has ended", now);
   }
 
   /** The exchange has said something. */
   public void heard(final Message message, final long now) {
     heardAt = now;
+    if (seeking) {
+      endApproach();
+    }
     if (message instanceof RegistryMessages.View) {
       final boolean first = !viewed;
       viewed = true;
@@ -400,12 +436,14 @@
 
   /** Time has passed. */
   public void tick(final long now) {
-    if (approached != null && now - approachedAt > APPROACH_MILLIS) {
+    if (approached != null && !seeking && now - approachedAt > APPROACH_MILLIS) {
       endApproach();
     }
-    if (now - heardAt > (open && !viewed ? PATIENT_MILLIS : SILENT_MILLIS)
+    if (viewed && now - heardAt > SILENT_MILLIS) {
+      seek(now);
+    } else if (now - heardAt > (open && !viewed ? PATIENT_MILLIS : SILENT_MILLIS)
         || !viewed && now - dialledAt > (open ? PATIENT_MILLIS : VIEW_MILLIS)) {
-      leave(viewed ? "it is silent" : "it gives no view", now);
+      leave("it gives no view", now);
     } else if (now - toldAt >= TELL_MILLIS) {
       tell(now);
     }
--- a/jack/src/main/java/weldpoint/jack/Stream.java
+++ b/jack/src/main/java/weldpoint/jack/Stream.java
@@ -1,5 +1,7 @@
 package weldpoint.jack;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executor;
 import weldpoint.boot.Boot;
 import weldpoint.trunk.Line;
@@ -12,13 +14,15 @@
  * not heard.
  */
 public final class Stream {
+  private static final int MOST_BESIDE = 3;
+
   private final Trunk trunk;
   private final Executor desk;
   private final int port;
   private final Runnable ended;
   private BoardLink link;
   private volatile Trunk.Dialler dialler;
-  private Trunk.Dialler beside;
+  private final List<Trunk.Dialler> beside = new ArrayList<>();
 
   /**
    * A stream without a line; whoever is given is told on the control thread when a line has ended.
@@ -36,11 +40,14 @@
   }
 
   /**
-   * Opens a line to this exchange beside the one there is. With its first view it takes the other's
-   * place, which is heard until then.
+   * Opens one more line, to this exchange, beside the one there is; the oldest of more than three
+   * is closed. The first that gives a view takes the place of the one there is, which is heard
+   * until then.
    */
   public void approach(final String address) {
-    abandonApproach();
+    if (beside.size() >= MOST_BESIDE) {
+      beside.remove(0).close();
+    }
     final Trunk.Dialler[] mine = new Trunk.Dialler[1];
     mine[0] =
         trunk.dial(
@@ -51,7 +58,7 @@
                 new Trunk.Ear() {
                   @Override
                   public void opened(final Line line) {
-                    if (beside == mine[0]) {
+                    if (beside.contains(mine[0])) {
                       line.send(link.greeting(Switchroom.now()));
                     } else if (dialler == mine[0]) {
                       link.opened(Switchroom.now());
@@ -62,8 +69,9 @@
                   public void heard(final Line line, final Message message) {
                     if (dialler == mine[0]) {
                       link.heard(message, Switchroom.now());
-                    } else if (beside == mine[0] && message instanceof RegistryMessages.View) {
-                      arrive((RegistryMessages.View) message);
+                    } else if (beside.contains(mine[0])
+                        && message instanceof RegistryMessages.View) {
+                      arrive(address, mine[0], (RegistryMessages.View) message);
                     }
                   }
 
@@ -75,26 +83,26 @@
                     }
                   }
                 }));
-    beside = mine[0];
+    beside.add(mine[0]);
   }
 
-  private void arrive(final RegistryMessages.View view) {
+  private void arrive(
+      final String address, final Trunk.Dialler winner, final RegistryMessages.View view) {
     final Trunk.Dialler before = dialler;
-    dialler = beside;
-    beside = null;
+    dialler = winner;
+    beside.remove(winner);
+    abandonApproach();
     if (before != null) {
       before.close();
     }
-    link.arrived(view, Switchroom.now());
+    link.arrived(address, view, Switchroom.now());
     ended.run();
   }
 
-  /** Closes the line beside, where there is one. */
+  /** Closes all lines beside. */
   public void abandonApproach() {
-    if (beside != null) {
-      beside.close();
-      beside = null;
-    }
+    beside.forEach(Trunk.Dialler::close);
+    beside.clear();
   }
 
   /** Makes this exchange the one there is a line to. */
--- a/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
+++ b/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
@@ -197,7 +197,7 @@
       assertEquals(dialled.size(), 1, "the stream there is was not left");
       link.heard(view(6, 1, List.of()), 9100);
       assertEquals(specs, List.of(5L, 6L), "what comes meanwhile is taken");
-      link.arrived(view(6, 1, List.of()), 9200);
+      link.arrived("here", view(6, 1, List.of()), 9200);
       reach(link, 9500, 40_000);
       assertEquals(dialled.size(), 1, "the nearer one is the stream now");
       assertEquals(approached, List.of("here"));
@@ -224,6 +224,11 @@
       }
       assertTrue(!approached.isEmpty(), "another one is sought");
       assertEquals(dialled.size(), 1, "the stream there is was not left: " + dialled);
+      assertTrue(approached.size() >= 3, "one more is tried each time: " + approached);
+      link.heard(view(6, 1, List.of()), 4100);
+      assertEquals(abandoned, 1, "it speaks again");
+      link.tick(4200);
+      assertEquals(dialled.size(), 1);
     } finally {
       twoLines = false;
     }
