Own review: the late answer of a release counts only while the register still says what was asked

Cause: by reading: an answer that comes after the range was waited out and granted again to the same holder would have marked it as given up. Change: first, last, fence and state are compared.

--- a/ownership/src/main/java/weldpoint/ownership/Assigner.java
+++ b/ownership/src/main/java/weldpoint/ownership/Assigner.java
@@ -161,8 +161,6 @@
       transfers.remove(slot);
       if (range.held()) {
         targets.remove(slot);
-      }
-      if (range.held()) {
         movedAt[slot] = now;
       }
     }
@@ -352,6 +350,9 @@
   }
 
   private void releaseEnded(final KeyRange range, final CallResult result) {
+    if (!stillReleasing(range)) {
+      return;
+    }
     final int slot = KeySpace.slot(range.first);
     releaseOut[slot] = false;
     if (result.end() == CallResult.End.DONE) {
@@ -364,6 +365,16 @@
     }
   }
 
+  /** Whether the register still says of this range what it said when its release was asked for. */
+  private boolean stillReleasing(final KeyRange asked) {
+    for (final KeyRange range : assignment.ranges()) {
+      if (range.first == asked.first && range.last == asked.last) {
+        return !range.held() && range.fence == asked.fence;
+      }
+    }
+    return false;
+  }
+
   /**
    * Whether another life has the address of this one: it may have been granted the range in its
    * place, so it is asked for the release, but what it hands over is not the holder's.
