--- a/jack/src/main/java/weldpoint/jack/Stream.java
+++ b/jack/src/main/java/weldpoint/jack/Stream.java
@@ -48,42 +48,7 @@
     if (beside.size() >= MOST_BESIDE) {
       beside.remove(0).close();
     }
-    final Trunk.Dialler[] mine = new Trunk.Dialler[1];
-    mine[0] =
-        trunk.dial(
-            address,
-            port,
-            Trunk.on(
-                desk,
-                new Trunk.Ear() {
-                  @Override
-                  public void opened(final Line line) {
-                    if (beside.contains(mine[0])) {
-                      line.send(link.greeting(Switchroom.now()));
-                    } else if (dialler == mine[0]) {
-                      link.opened(Switchroom.now());
-                    }
-                  }
-
-                  @Override
-                  public void heard(final Line line, final Message message) {
-                    if (dialler == mine[0]) {
-                      link.heard(message, Switchroom.now());
-                    } else if (beside.contains(mine[0])
-                        && message instanceof RegistryMessages.View) {
-                      arrive(address, mine[0], (RegistryMessages.View) message);
-                    }
-                  }
-
-                  @Override
-                  public void closed(final Line line) {
-                    if (dialler == mine[0]) {
-                      link.closed(Switchroom.now());
-                      ended.run();
-                    }
-                  }
-                }));
-    beside.add(mine[0]);
+    beside.add(line(address));
   }
 
   private void arrive(
@@ -111,6 +76,11 @@
     if (dialler != null) {
       dialler.close();
     }
+    dialler = line(address);
+  }
+
+  /** A line to this exchange, heard while it is the one there is or one beside it. */
+  private Trunk.Dialler line(final String address) {
     final Trunk.Dialler[] mine = new Trunk.Dialler[1];
     mine[0] =
         trunk.dial(
@@ -121,7 +91,9 @@
                 new Trunk.Ear() {
                   @Override
                   public void opened(final Line line) {
-                    if (dialler == mine[0]) {
+                    if (beside.contains(mine[0])) {
+                      line.send(link.greeting(Switchroom.now()));
+                    } else if (dialler == mine[0]) {
                       link.opened(Switchroom.now());
                     }
                   }
@@ -130,6 +102,9 @@
                   public void heard(final Line line, final Message message) {
                     if (dialler == mine[0]) {
                       link.heard(message, Switchroom.now());
+                    } else if (beside.contains(mine[0])
+                        && message instanceof RegistryMessages.View) {
+                      arrive(address, mine[0], (RegistryMessages.View) message);
                     }
                   }
 
@@ -141,7 +116,7 @@
                     }
                   }
                 }));
-    dialler = mine[0];
+    return mine[0];
   }
 
   /** Ends the line for good. */
