Review: a second copy of an answer makes a running confirmation count as refused (REFUSED)

The case review/1 sends confirmations to a service that is divided by key while 6 of its 10 upstreams send 0.03 of their answers once more, late. A request that its key's holder turned away is sent to the same holder again, under the same attempt id and mostly on the same connection, where the second copy of the first answer is taken for the answer to the second send: the client is told 503, and the upstream runs the confirmation.

--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -157,7 +157,7 @@
   /** The first of thirty ports that are free on all addresses that a case uses. */
   private static int freePort(final int cores, final int proxies) throws IOException {
     final List<String> hosts = new ArrayList<>(List.of("127.31.4.1"));
-    for (int index = 0; index < 8; index++) {
+    for (int index = 0; index < 10; index++) {
       hosts.add("127.31.3." + (1 + index));
     }
     for (int index = 0; index < cores; index++) {
