--- a/review/standin/Confirms.java
+++ b/review/standin/Confirms.java
@@ -19,6 +19,7 @@
   private static final int GARBLES = 14;
   private static final int DEADLINE_MILLIS = 4000;
   private static final int SEED = 29;
+  private static final long LATEST_MILLIS = 103_000;
   private static final int UPSTREAMS = 10;
   private static final int GARBLERS = 6;
   private static final int PROXIES = Integer.getInteger("proxies", 8);
@@ -66,7 +67,7 @@
       int number = 0;
       final long cycle = GARBLE_MILLIS + PAUSE_MILLIS;
       boolean garbling = false;
-      while (System.nanoTime() - began < GARBLES * cycle * 1_000_000L) {
+      while (System.nanoTime() - began < GARBLES * cycle * 1_000_000L && record.now() < LATEST_MILLIS) {
         final long at = (System.nanoTime() - began) / 1_000_000;
         final boolean now = trouble && at % cycle < GARBLE_MILLIS;
         if (now != garbling) {
