--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -43,6 +43,7 @@
       builder.redirectErrorStream(true);
       builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
       process = builder.start();
+      watched(Long.toString(process.pid()));
     }
 
     boolean alive() {
@@ -78,8 +79,14 @@
     }
   }
 
+  /** Ends what it is told of once this process is gone, whatever ended it. */
+  private static final String WATCHER =
+      "while read -r one; do case $one in done) all=;; *) all=\"$all $one\";; esac; done;"
+          + " for one in $all; do kill -9 $one 2>/dev/null; done; exit 0";
+
   final Path folder;
   final int port;
+  private final Process watcher;
   final List<Daemon> frames = new ArrayList<>();
   final List<Daemon> exchanges = new ArrayList<>();
   final List<Daemon> switchboards = new ArrayList<>();
@@ -89,8 +96,18 @@
   Fleet(final int cores, final int proxies, final Map<String, String> common) throws IOException {
     this.folder = Files.createTempDirectory("weldpoint-review");
     this.common = common;
+    this.watcher = new ProcessBuilder("sh", "-c", WATCHER).start();
     this.port = freePort(cores, proxies);
-    Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  try {
+                    close();
+                  } catch (final IOException left) {
+                    // a temporary folder stays
+                  }
+                }));
     final List<String> seeds = new ArrayList<>();
     for (int index = 0; index < Math.min(3, cores); index++) {
       seeds.add(control(index));
@@ -261,17 +278,32 @@
     return all;
   }
 
-  private void endAll() {
+  /** Tells the watcher of a process that was started, or that all are ended. */
+  private synchronized void watched(final String word) throws IOException {
+    watcher.getOutputStream().write((word + "\n").getBytes());
+    watcher.getOutputStream().flush();
+  }
+
+  private void endAll() throws IOException {
     all().forEach(Daemon::end);
+    watched("done");
+    watcher.getOutputStream().close();
+    try {
+      watcher.waitFor();
+    } catch (final InterruptedException stopped) {
+      Thread.currentThread().interrupt();
+    }
   }
 
+  private boolean closed;
+
   @Override
-  public void close() throws IOException {
-    endAll();
-    if (System.getenv("KEEP") != null) {
-      System.err.println(folder);
+  public synchronized void close() throws IOException {
+    if (closed) {
       return;
     }
+    closed = true;
+    endAll();
     try (Stream<Path> files = Files.walk(folder)) {
       for (final Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.deleteIfExists(file);
