--- a/jack/src/main/java/weldpoint/jack/Session.java
+++ b/jack/src/main/java/weldpoint/jack/Session.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -42,6 +44,9 @@
     }
   }
 
+  private static final long LINGER_MILLIS = 1000;
+  private static final long LEAVING_IDLE_MILLIS = 300;
+
   private final Switchroom room;
   private ChannelHandlerContext context;
   private HttpRequest head;
@@ -53,6 +58,11 @@
   private boolean headOnly;
   private boolean draining;
   private final ArrayDeque<Object> queued = new ArrayDeque<>();
+  private final ArrayDeque<Integer> unwritten = new ArrayDeque<>();
+  private final ChannelFutureListener uponWritten = this::written;
+  private long answerDeadline;
+  private boolean closedByClient;
+  private long lingerUntil;
 
   Session(final Switchroom room) {
     this.room = room;
@@ -119,6 +129,7 @@
           head = null;
           body = null;
           reading = false;
+          room.open.begun();
           trip = new Trip(room, this, whole, bytes);
           trip.start();
         }
@@ -205,26 +216,69 @@
 
   /** Ends the request under way with this answer. */
   void answer(final FullHttpResponse response, final boolean close) {
+    final Trip answered = trip;
     trip = null;
     since = Switchroom.now();
     if (!context.channel().isActive()) {
       response.release();
+      if (answered != null) {
+        room.open.ended();
+      }
       drop();
       return;
     }
-    if (close || room.leaving) {
+    if (answered == null) {
+      room.open.begun();
+    }
+    answerDeadline = answered == null ? since : Math.max(since, answered.deadline());
+    final boolean last = close || room.leaving && queued.isEmpty();
+    if (last) {
       closing = true;
+      closedByClient = answered != null && answered.closesAfter() && queued.isEmpty();
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
       drop();
-      return;
+      context.channel().config().setAutoRead(true);
     }
-    context.writeAndFlush(response, context.voidPromise());
-    if (!draining) {
+    write(response);
+    if (!last && !draining) {
       drain();
     }
   }
 
+  private void write(final FullHttpResponse response) {
+    final int bytes = response.content().readableBytes();
+    unwritten.add(bytes);
+    room.open.answered(bytes);
+    context.writeAndFlush(response).addListener(uponWritten);
+  }
+
+  /** The socket has taken the oldest of the answers that waited, or the connection has ended. */
+  private void written(final ChannelFuture write) {
+    since = Switchroom.now();
+    room.open.written(unwritten.poll());
+    room.open.ended();
+    if (!write.isSuccess()) {
+      cut();
+    } else if (closing && unwritten.isEmpty()) {
+      endOutput();
+    }
+  }
+
+  /**
+   * Ends the connection after its last answer. A connection that is closed while bytes of its
+   * client wait unread is reset, which may take the answer with it: unless the client has said that
+   * it sends no more, the end of the answers is told first, and what still comes is read and
+   * dropped until the client closes, for a limited time.
+   */
+  private void endOutput() {
+    if (closedByClient || !(context.channel() instanceof DuplexChannel)) {
+      context.close();
+      return;
+    }
+    lingerUntil = since + LINGER_MILLIS;
+    ((DuplexChannel) context.channel()).shutdownOutput();
+  }
+
   /**
    * Takes up what a client that does not wait for its answers has sent meanwhile: one request after
    * the other, and none while it does not read its answers.
@@ -271,6 +325,14 @@
 
   /** Closes what has been idle or slow for too long. */
   void sweep(final long now) {
+    if (!unwritten.isEmpty()) {
+      endOverdueAnswer(now);
+      return;
+    }
+    if (lingerUntil > 0 && now > lingerUntil) {
+      context.close();
+      return;
+    }
     if (trip != null || closing || room.plan == null) {
       return;
     }
@@ -281,12 +343,39 @@
           null,
           true);
     } else if (!reading
-        && (now - since > room.plan.idleMillis() || room.leaving && now - since > 300)) {
+        && (now - since > room.plan.idleMillis()
+            || room.leaving && now - since > LEAVING_IDLE_MILLIS)) {
+      closing = true;
+      context.close();
+    }
+  }
+
+  /**
+   * Drops an answer that its client does not take: once the request's deadline has passed, it may
+   * wait as long as a connection may be idle.
+   */
+  private void endOverdueAnswer(final long now) {
+    final long spare = room.plan == null ? LINGER_MILLIS : room.plan.idleMillis();
+    if (now - answerDeadline > spare) {
       closing = true;
       context.close();
     }
   }
 
+  /**
+   * Closes the connection of a process that ends, unless a request is open on it; false where one
+   * is.
+   */
+  boolean endIfIdle() {
+    if (trip != null || !unwritten.isEmpty()) {
+      return false;
+    }
+    if (lingerUntil == 0) {
+      cut();
+    }
+    return true;
+  }
+
   /** The client's address. */
   String address() {
     return context.channel().remoteAddress() instanceof java.net.InetSocketAddress
@@ -307,6 +396,7 @@
     if (trip != null) {
       trip.clientGone();
       trip = null;
+      room.open.ended();
     }
     given.fireChannelInactive();
   }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
@@ -28,6 +28,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import weldpoint.affinity.Ties;
 import weldpoint.boot.Boot;
@@ -63,6 +64,7 @@
   private static final int MOST_HEADER = 65_536;
   private static final long LINGER_MILLIS = 2300;
   private static final int CALM_ROUNDS = 5;
+  private static final long ROUND_MILLIS = 50;
   private static final long TIE_MILLIS = 50;
 
   private final Boot boot;
@@ -295,7 +297,7 @@
                 room.refused,
                 room.failed,
                 room.repeated,
-                room.active,
+                room.open.count(),
                 room.cords.count()
                     + (room.ties == null ? "" : " " + room.ties.counters(Switchroom.now()))
                     + (chief == null ? "" : " " + chief.counters())
@@ -341,7 +343,12 @@
     figures.add(
         Figure.counter(
             "weldpoint_further_sends", "Sends beyond a request's first.", room.repeated));
-    figures.add(Figure.gauge("weldpoint_active", "Requests under way.", room.active));
+    figures.add(Figure.gauge("weldpoint_active", "Requests under way.", room.open.count()));
+    figures.add(
+        Figure.gauge(
+            "weldpoint_unwritten_answer_bytes",
+            "Bytes of answers that clients have not taken yet.",
+            room.open.unwrittenBytes()));
     figures.add(
         Figure.counter(
             "weldpoint_registry_moves", "Times that another registry was dialled.", link.moves()));
@@ -496,7 +503,8 @@
     room.keys.sweep(all, Switchroom.now());
   }
 
-  private void sweep() {
+  /** Closes connections that have rested for too long, and drops answers nobody takes. */
+  void sweep() {
     final long now = Switchroom.now();
     room.cords.sweep(now);
     for (final Session session : new ArrayList<>(sessions)) {
@@ -548,11 +556,25 @@
       }
       int calm = 0;
       while (calm < CALM_ROUNDS && Switchroom.now() - began < longest) {
-        Thread.sleep(50);
-        calm = room.active == 0 ? calm + 1 : 0;
+        Thread.sleep(ROUND_MILLIS);
+        calm = room.open.count() == 0 ? calm + 1 : 0;
+      }
+      while (!loop.submit(this::endIfIdle).get() && Switchroom.now() - began < longest) {
+        Thread.sleep(ROUND_MILLIS);
       }
     } catch (final InterruptedException ended) {
       Thread.currentThread().interrupt();
+    } catch (final ExecutionException problem) {
+      LOGGER.atWarning().withCause(problem).log("connections could not be closed in order");
+    }
+  }
+
+  /** Closes all connections on which no request is open; false where one is. */
+  private boolean endIfIdle() {
+    boolean idle = true;
+    for (final Session session : new ArrayList<>(sessions)) {
+      idle &= session.endIfIdle();
     }
+    return idle;
   }
 }
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/jack/src/main/java/weldpoint/jack/Switchroom.java
@@ -44,7 +44,11 @@
   long revokeMillis;
   Runnable uponPlan;
   volatile boolean leaving;
-  volatile int active;
+  final OpenRequests open = new OpenRequests();
+
+  /** Beyond so many bytes of answers that clients have not taken, no request is begun. */
+  long mostUnwrittenBytes = Runtime.getRuntime().maxMemory() / 4;
+
   long served;
   long refused;
   final TenantCounts tenantCounts = new TenantCounts();
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -94,12 +94,15 @@
   }
 
   void start() {
-    room.active++;
     final Dialplan plan = room.plan;
     if (plan == null) {
       refuse("no configuration is in force yet; come back shortly", "0.3");
       return;
     }
+    if (room.open.unwrittenBytes() > room.mostUnwrittenBytes) {
+      refuse("too many answers wait for clients that do not read; come back", retryAfter());
+      return;
+    }
     final Interpreter interpreter =
         new Interpreter(
             request.headers().get(HttpHeaderNames.HOST), request.uri(), room.random.nextDouble());
@@ -199,6 +202,16 @@
     origin();
   }
 
+  /** When the client's time or the route's is over; 0 where neither is known. */
+  long deadline() {
+    return cutoff;
+  }
+
+  /** Whether the client has said that it sends no further request on its connection. */
+  boolean closesAfter() {
+    return closeAfter;
+  }
+
   /** Finds whose request it is; false where it was refused. */
   private boolean admit(final Dialplan plan) {
     keyed = true;
@@ -970,7 +983,6 @@
   }
 
   private void end() {
-    room.active--;
     endKey();
     if (draft != null) {
       room.recorder.done(draft, Switchroom.now());
--- a/jack/src/test/java/weldpoint/jack/OnceTest.java
+++ b/jack/src/test/java/weldpoint/jack/OnceTest.java
@@ -398,7 +398,7 @@
     }
     await(() -> upstreams.stream().anyMatch(upstream -> upstream.leftAlone.getCount() == 0));
     assertEquals(arrivals.get(), 1);
-    loop.submit(() -> assertEquals(room.active, 0)).sync();
+    loop.submit(() -> assertEquals(room.open.count(), 0)).sync();
   }
 
   private interface Condition {
--- /dev/null
+++ b/jack/src/test/java/weldpoint/jack/SlowReaderTest.java
@@ -0,0 +1,239 @@
+package weldpoint.jack;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import weldpoint.boot.Boot;
+import weldpoint.cord.Cords;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.trunk.RegistryMessages.Registration;
+
+/**
+ * Clients that take large answers slowly, at a proxy that leaves or whose connections may rest only
+ * briefly: an answer that its upstream gave whole is not cut while its client still takes it.
+ */
+public final class SlowReaderTest {
+  private static final int BODY_BYTES = 6 << 20;
+  private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+  private static final long WAIT_MILLIS = 8000;
+  private static final String SEALED =
+      "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: $ID\r\nWeldpoint-Server-Seal: s\r\nContent-Length: ";
+
+  private SwitchboardDaemon proxy;
+  private ScriptedUpstream upstream;
+  private int port;
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  @BeforeMethod
+  public void open() throws IOException, InterruptedException {
+    port = freePort();
+    proxy =
+        new SwitchboardDaemon(
+            Boot.parse(
+                "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\nsites = a:r\nbound.grace-s = 6\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.traffic = 127.0.0.1:"
+                    + port
+                    + "\n"));
+    upstream =
+        new ScriptedUpstream(
+            new AtomicInteger(),
+            arrival ->
+                ScriptedUpstream.Step.answer(
+                    SEALED + BODY_BYTES + "\r\n\r\n" + "x".repeat(BODY_BYTES)));
+  }
+
+  @AfterMethod
+  public void close() throws IOException {
+    proxy.room().loop.shutdownGracefully();
+    upstream.close();
+  }
+
+  /** Puts a configuration in force whose connections may rest for so long. */
+  private void serve(final int idleMillis) throws IOException, InterruptedException {
+    final Dialplan plan =
+        Dialplan.compile(
+            ("{\"version\":\"1\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
+                    + idleMillis
+                    + "},\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"egress\",\"targetLatencyMs\":1000,\"match\":{\"pathPrefix\":\"/r/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":1}}]}],\"pools\":[{\"name\":\"s\"}]}")
+                .getBytes(StandardCharsets.UTF_8));
+    final Registration registration =
+        new Registration("i-0", "s", "127.0.0.1:" + upstream.port(), "a", "v", 4, 0, 1, 0, 0);
+    final List<Cords.Change> changes = List.of(new Cords.Change(registration, true));
+    proxy
+        .room()
+        .loop
+        .submit(() -> proxy.room().take(new Outlook(plan, changes, null, null, 1, null, -1)))
+        .sync();
+    proxy.room().loop.scheduleAtFixedRate(proxy::sweep, 20, 20, TimeUnit.MILLISECONDS);
+  }
+
+  private Socket connect() throws IOException, InterruptedException {
+    final long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+    while (true) {
+      final Socket socket = new Socket();
+      try {
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        socket.setSoTimeout((int) WAIT_MILLIS);
+        return socket;
+      } catch (final IOException notYetOpen) {
+        assertTrue(System.nanoTime() < until, "the proxy opens no door");
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+    }
+  }
+
+  private static void send(final Socket socket, final String id, final int deadlineMillis)
+      throws IOException {
+    socket
+        .getOutputStream()
+        .write(
+            ("GET /r/x HTTP/1.1\r\nHost: h\r\nWeldpoint-Attempt-Id: "
+                    + id
+                    + "\r\nWeldpoint-Deadline-Ms: "
+                    + deadlineMillis
+                    + "\r\n\r\n")
+                .getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void await(final BooleanSupplier reached, final String what) throws InterruptedException {
+    final long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+    while (!reached.getAsBoolean()) {
+      assertTrue(System.nanoTime() < until, what);
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
+  /** Waits until the upstream has answered, and the proxy has what the client does not take yet. */
+  private void awaitAnswer() throws InterruptedException {
+    await(() -> proxy.room().served > 0, "the upstream's answer has not come");
+  }
+
+  /** Reads heads and bodies until the end; the bytes of all bodies together. */
+  private static int bodyBytes(final Socket socket, final int answers) throws IOException {
+    final InputStream in = socket.getInputStream();
+    int whole = 0;
+    for (int answer = 0; answer < answers; answer++) {
+      final ByteArrayOutputStream head = new ByteArrayOutputStream();
+      while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+        final int next = in.read();
+        if (next < 0) {
+          return whole;
+        }
+        head.write(next);
+      }
+      whole += in.readNBytes(BODY_BYTES).length;
+    }
+    return whole;
+  }
+
+  /** Guards against LOST: a proxy that leaves cut answers which their clients were still taking. */
+  @Test
+  public void aLeavingProxyLetsAnAnswerBeTakenWhole() throws IOException, InterruptedException {
+    serve(15_000);
+    try (Socket client = connect()) {
+      send(client, "a1", 6000);
+      awaitAnswer();
+      proxy.room().leaving = true;
+      TimeUnit.MILLISECONDS.sleep(500);
+      assertEquals(bodyBytes(client, 1), BODY_BYTES);
+    }
+    await(() -> proxy.room().open.count() == 0, "the request stays open");
+  }
+
+  /** Guards against LOST: the process ended while answers still waited in their connections. */
+  @Test
+  public void theProcessDoesNotEndBeforeAnAnswerIsTaken() throws Exception {
+    serve(15_000);
+    try (Socket client = connect()) {
+      send(client, "a1", 6000);
+      awaitAnswer();
+      final Thread stopping = new Thread(proxy::stop);
+      stopping.start();
+      TimeUnit.MILLISECONDS.sleep(3200);
+      assertTrue(stopping.isAlive(), "the process has ended before its answer was taken");
+      assertEquals(bodyBytes(client, 1), BODY_BYTES);
+      stopping.join(WAIT_MILLIS);
+      assertFalse(stopping.isAlive());
+    }
+  }
+
+  /** Guards against LOST: an answer that takes longer than connections may rest was cut. */
+  @Test
+  public void anAnswerUnderWayIsNotIdle() throws IOException, InterruptedException {
+    serve(200);
+    try (Socket client = connect()) {
+      send(client, "a1", 6000);
+      awaitAnswer();
+      TimeUnit.MILLISECONDS.sleep(700);
+      assertEquals(bodyBytes(client, 1), BODY_BYTES);
+    }
+  }
+
+  /** Guards against LOST: a leaving proxy dropped the requests that waited behind an answer. */
+  @Test
+  public void aLeavingProxyAnswersWhatItHasRead() throws IOException, InterruptedException {
+    serve(15_000);
+    try (Socket client = connect()) {
+      send(client, "a1", 6000);
+      send(client, "a2", 6000);
+      awaitAnswer();
+      proxy.room().leaving = true;
+      TimeUnit.MILLISECONDS.sleep(300);
+      assertEquals(bodyBytes(client, 2), 2 * BODY_BYTES);
+      assertEquals(client.getInputStream().read(), -1, "the connection ends after the last answer");
+    }
+  }
+
+  @Test
+  public void aClientThatNeverReadsIsGivenUpAfterItsDeadline()
+      throws IOException, InterruptedException {
+    serve(200);
+    try (Socket client = connect()) {
+      send(client, "a1", 500);
+      awaitAnswer();
+      assertEquals(proxy.room().open.count(), 1);
+      await(() -> proxy.room().open.count() == 0, "the request stays open for good");
+      assertTrue(bodyBytes(client, 1) < BODY_BYTES);
+    } catch (final IOException reset) {
+      assertEquals(proxy.room().open.count(), 0);
+    }
+    await(() -> proxy.room().open.unwrittenBytes() == 0, "bytes are counted for good");
+  }
+
+  @Test
+  public void whileTooMuchWaitsForClientsNothingMoreIsBegun()
+      throws IOException, InterruptedException {
+    serve(15_000);
+    proxy.room().mostUnwrittenBytes = 1;
+    try (Socket slow = connect();
+        Socket other = connect()) {
+      send(slow, "a1", 6000);
+      awaitAnswer();
+      send(other, "a2", 6000);
+      final byte[] status = other.getInputStream().readNBytes(12);
+      assertEquals(new String(status, StandardCharsets.UTF_8), "HTTP/1.1 503");
+      assertEquals(bodyBytes(slow, 1), BODY_BYTES);
+    }
+  }
+}
