Upstream connections: a second send of a request never uses a connection that carried it before (REFUSED)

Cause: an answer is matched to its send by Weldpoint-Attempt-Id, which names the client's request and not our send. A holder of a key that turns a request away is asked again under the same id, 60 ms later, mostly on the same connection, which lies first among the idle ones. A late second copy of the first answer, which comes in the place of the next one due on that connection, then passed for the answer to the second send, which ran.

Change: Cords.send is told the earlier attempts of the request and takes only a connection that carried none of them; where there is no such idle connection it opens one. Other requests may use the connection: there the id tells the copy. Weighed against closing each connection on which a request was turned away (a new connection for each refusal) and against no second send at all (refusals that a moment's wait avoids). Services that are not divided never send a request to one upstream twice; cache nodes draw an id for each send.

--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/cord/src/main/java/weldpoint/cord/Cords.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -685,14 +686,28 @@
     settle(attempt, end, head, now);
   }
 
+  /** Sends a request that was never sent before. */
+  public Attempt send(
+      final Upstream upstream,
+      final FullHttpRequest request,
+      final String id,
+      final long now,
+      final long until,
+      final Cord.Done listener) {
+    return send(upstream, request, id, List.of(), now, until, listener);
+  }
+
   /**
    * Sends a request to the chosen upstream; where there is no connection by this time, nothing is
-   * sent.
+   * sent. An upstream may answer twice, the second time in the place of the next answer due on that
+   * connection, and the id in an answer names the request and not the send: so no connection is
+   * used on which one of the earlier attempts of this request went.
    */
   public Attempt send(
       final Upstream upstream,
       final FullHttpRequest request,
       final String id,
+      final List<Attempt> earlier,
       final long now,
       final long until,
       final Cord.Done listener) {
@@ -708,11 +723,7 @@
           conclude(attempt, end, head, System.nanoTime() / 1_000_000);
           listener.done(end, head, body);
         };
-    Cord idle = upstream.idle.pollFirst();
-    while (idle != null && !idle.usable(now)) {
-      idle.close();
-      idle = upstream.idle.pollFirst();
-    }
+    final Cord idle = takeIdle(upstream, earlier, now);
     if (idle != null) {
       attempt.cord = idle;
       idle.send(request, id, done);
@@ -722,6 +733,31 @@
     return attempt;
   }
 
+  /** Takes the resting connection used last that carried none of these attempts; null if none. */
+  private static Cord takeIdle(
+      final Upstream upstream, final List<Attempt> earlier, final long now) {
+    for (final Iterator<Cord> all = upstream.idle.iterator(); all.hasNext(); ) {
+      final Cord cord = all.next();
+      if (!cord.usable(now)) {
+        all.remove();
+        cord.close();
+      } else if (!carried(cord, earlier)) {
+        all.remove();
+        return cord;
+      }
+    }
+    return null;
+  }
+
+  private static boolean carried(final Cord cord, final List<Attempt> attempts) {
+    for (final Attempt attempt : attempts) {
+      if (attempt.cord == cord) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void connect(
       final Upstream upstream,
       final Attempt attempt,
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/jack/src/main/java/weldpoint/jack/Trip.java
@@ -620,6 +620,7 @@
             upstream,
             forward,
             attemptId,
+            attempts,
             now,
             cutoff,
             (end, head, bytes) -> {
--- a/jack/src/test/java/weldpoint/jack/SlowReaderTest.java
+++ b/jack/src/test/java/weldpoint/jack/SlowReaderTest.java
@@ -7,22 +7,13 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import weldpoint.boot.Boot;
-import weldpoint.cord.Cords;
-import weldpoint.dialplan.Dialplan;
-import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
  * Clients that take large answers slowly, at a proxy that leaves or whose connections may rest only
@@ -30,30 +21,19 @@
  */
 public final class SlowReaderTest {
   private static final int BODY_BYTES = 6 << 20;
-  private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
   private static final long WAIT_MILLIS = 8000;
   private static final String SEALED =
       "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: $ID\r\nWeldpoint-Server-Seal: s\r\nContent-Length: ";
 
-  private SwitchboardDaemon proxy;
-  private ScriptedUpstream upstream;
-  private int port;
+  private static final String RULE =
+      "{\"name\":\"r\",\"routeKind\":\"egress\",\"targetLatencyMs\":1000,\"match\":{\"pathPrefix\":\"/r/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":1}}";
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
+  private TestProxy proxy;
+  private ScriptedUpstream upstream;
 
   @BeforeMethod
-  public void open() throws IOException, InterruptedException {
-    port = freePort();
-    proxy =
-        new SwitchboardDaemon(
-            Boot.parse(
-                "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\nsites = a:r\nbound.grace-s = 6\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.traffic = 127.0.0.1:"
-                    + port
-                    + "\n"));
+  public void open() throws IOException {
+    proxy = new TestProxy();
     upstream =
         new ScriptedUpstream(
             new AtomicInteger(),
@@ -64,43 +44,12 @@
 
   @AfterMethod
   public void close() throws IOException {
-    proxy.room().loop.shutdownGracefully();
+    proxy.close();
     upstream.close();
   }
 
-  /** Puts a configuration in force whose connections may rest for so long. */
-  private void serve(final int idleMillis) throws IOException, InterruptedException {
-    final Dialplan plan =
-        Dialplan.compile(
-            ("{\"version\":\"1\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
-                    + idleMillis
-                    + "},\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"egress\",\"targetLatencyMs\":1000,\"match\":{\"pathPrefix\":\"/r/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":1}}]}],\"pools\":[{\"name\":\"s\"}]}")
-                .getBytes(StandardCharsets.UTF_8));
-    final Registration registration =
-        new Registration("i-0", "s", "127.0.0.1:" + upstream.port(), "a", "v", 4, 0, 1, 0, 0);
-    final List<Cords.Change> changes = List.of(new Cords.Change(registration, true));
-    proxy
-        .room()
-        .loop
-        .submit(() -> proxy.room().take(new Outlook(plan, changes, null, null, 1, null, -1)))
-        .sync();
-    proxy.room().loop.scheduleAtFixedRate(proxy::sweep, 20, 20, TimeUnit.MILLISECONDS);
-  }
-
-  private Socket connect() throws IOException, InterruptedException {
-    final long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
-    while (true) {
-      final Socket socket = new Socket();
-      try {
-        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-        socket.setSoTimeout((int) WAIT_MILLIS);
-        return socket;
-      } catch (final IOException notYetOpen) {
-        assertTrue(System.nanoTime() < until, "the proxy opens no door");
-        TimeUnit.MILLISECONDS.sleep(10);
-      }
-    }
+  private void serve(final int idleMillis) throws InterruptedException {
+    proxy.serve(RULE, "{\"name\":\"s\"}", idleMillis, upstream.port());
   }
 
   private static void send(final Socket socket, final String id, final int deadlineMillis)
@@ -116,17 +65,9 @@
                 .getBytes(StandardCharsets.UTF_8));
   }
 
-  private void await(final BooleanSupplier reached, final String what) throws InterruptedException {
-    final long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
-    while (!reached.getAsBoolean()) {
-      assertTrue(System.nanoTime() < until, what);
-      TimeUnit.MILLISECONDS.sleep(5);
-    }
-  }
-
   /** Waits until the upstream has answered, and the proxy has what the client does not take yet. */
   private void awaitAnswer() throws InterruptedException {
-    await(() -> proxy.room().served > 0, "the upstream's answer has not come");
+    TestProxy.await(() -> proxy.room().served > 0, "the upstream's answer has not come");
   }
 
   /** Reads heads and bodies until the end; the bytes of all bodies together. */
@@ -151,24 +92,24 @@
   @Test
   public void aLeavingProxyLetsAnAnswerBeTakenWhole() throws IOException, InterruptedException {
     serve(15_000);
-    try (Socket client = connect()) {
+    try (Socket client = proxy.connect()) {
       send(client, "a1", 6000);
       awaitAnswer();
       proxy.room().leaving = true;
       TimeUnit.MILLISECONDS.sleep(500);
       assertEquals(bodyBytes(client, 1), BODY_BYTES);
     }
-    await(() -> proxy.room().open.count() == 0, "the request stays open");
+    TestProxy.await(() -> proxy.room().open.count() == 0, "the request stays open");
   }
 
   /** Guards against LOST: the process ended while answers still waited in their connections. */
   @Test
   public void theProcessDoesNotEndBeforeAnAnswerIsTaken() throws Exception {
     serve(15_000);
-    try (Socket client = connect()) {
+    try (Socket client = proxy.connect()) {
       send(client, "a1", 6000);
       awaitAnswer();
-      final Thread stopping = new Thread(proxy::stop);
+      final Thread stopping = new Thread(proxy.daemon()::stop);
       stopping.start();
       TimeUnit.MILLISECONDS.sleep(3200);
       assertTrue(stopping.isAlive(), "the process has ended before its answer was taken");
@@ -182,7 +123,7 @@
   @Test
   public void anAnswerUnderWayIsNotIdle() throws IOException, InterruptedException {
     serve(200);
-    try (Socket client = connect()) {
+    try (Socket client = proxy.connect()) {
       send(client, "a1", 6000);
       awaitAnswer();
       TimeUnit.MILLISECONDS.sleep(700);
@@ -194,7 +135,7 @@
   @Test
   public void aLeavingProxyAnswersWhatItHasRead() throws IOException, InterruptedException {
     serve(15_000);
-    try (Socket client = connect()) {
+    try (Socket client = proxy.connect()) {
       send(client, "a1", 6000);
       send(client, "a2", 6000);
       awaitAnswer();
@@ -209,16 +150,16 @@
   public void aClientThatNeverReadsIsGivenUpAfterItsDeadline()
       throws IOException, InterruptedException {
     serve(200);
-    try (Socket client = connect()) {
+    try (Socket client = proxy.connect()) {
       send(client, "a1", 500);
       awaitAnswer();
       assertEquals(proxy.room().open.count(), 1);
-      await(() -> proxy.room().open.count() == 0, "the request stays open for good");
+      TestProxy.await(() -> proxy.room().open.count() == 0, "the request stays open for good");
       assertTrue(bodyBytes(client, 1) < BODY_BYTES);
     } catch (final IOException reset) {
       assertEquals(proxy.room().open.count(), 0);
     }
-    await(() -> proxy.room().open.unwrittenBytes() == 0, "bytes are counted for good");
+    TestProxy.await(() -> proxy.room().open.unwrittenBytes() == 0, "bytes are counted for good");
   }
 
   @Test
@@ -226,8 +167,8 @@
       throws IOException, InterruptedException {
     serve(15_000);
     proxy.room().mostUnwrittenBytes = 1;
-    try (Socket slow = connect();
-        Socket other = connect()) {
+    try (Socket slow = proxy.connect();
+        Socket other = proxy.connect()) {
       send(slow, "a1", 6000);
       awaitAnswer();
       send(other, "a2", 6000);
--- /dev/null
+++ b/jack/src/test/java/weldpoint/jack/TestProxy.java
@@ -0,0 +1,121 @@
+package weldpoint.jack;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import weldpoint.boot.Boot;
+import weldpoint.cord.Cords;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.trunk.RegistryMessages.Registration;
+
+/** A proxy of one process on loopback, with one upstream, whose control state the test gives it. */
+final class TestProxy implements AutoCloseable {
+  /** The host of its routes. */
+  static final String HOST = "h";
+
+  /** The id of its upstream. */
+  static final String UPSTREAM = "i-0";
+
+  private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+  private static final int SWEEP_MILLIS = 20;
+  private static final long WAIT_MILLIS = 8000;
+
+  private final SwitchboardDaemon daemon;
+  private final int port;
+
+  TestProxy() throws IOException {
+    port = freePort();
+    daemon =
+        new SwitchboardDaemon(
+            Boot.parse(
+                "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\nsites = a:r\nbound.grace-s = 6\nbound.retry-slack = 100\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.traffic = 127.0.0.1:"
+                    + port
+                    + "\n"));
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  SwitchboardDaemon daemon() {
+    return daemon;
+  }
+
+  Switchroom room() {
+    return daemon.room();
+  }
+
+  /**
+   * Puts a configuration in force and begins to close what rests for too long.
+   *
+   * @param rule the one rule of its host, as JSON
+   * @param pool the one service, as JSON
+   * @param idleMillis how long a connection may rest
+   */
+  void serve(final String rule, final String pool, final int idleMillis, final int upstreamPort)
+      throws InterruptedException {
+    final Dialplan plan =
+        Dialplan.compile(
+            ("{\"version\":\"1\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
+                    + idleMillis
+                    + "},\"listeners\":[{\"host\":\""
+                    + HOST
+                    + "\",\"rules\":["
+                    + rule
+                    + "]}],\"pools\":["
+                    + pool
+                    + "]}")
+                .getBytes(StandardCharsets.UTF_8));
+    final Registration registration =
+        new Registration(UPSTREAM, "s", "127.0.0.1:" + upstreamPort, "a", "v", 4, 0, 1, 0, 0);
+    final List<Cords.Change> changes = List.of(new Cords.Change(registration, true));
+    room()
+        .loop
+        .submit(() -> room().take(new Outlook(plan, changes, null, null, 1, null, -1)))
+        .sync();
+    room()
+        .loop
+        .scheduleAtFixedRate(daemon::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** A connection of a client whose own buffer is small. */
+  Socket connect() throws IOException, InterruptedException {
+    final long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+    while (true) {
+      final Socket socket = new Socket();
+      try {
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        socket.setSoTimeout((int) WAIT_MILLIS);
+        return socket;
+      } catch (final IOException notYetOpen) {
+        assertTrue(System.nanoTime() < until, "the proxy opens no door");
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+    }
+  }
+
+  /** Waits until something holds. */
+  static void await(final BooleanSupplier reached, final String what) throws InterruptedException {
+    final long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+    while (!reached.getAsBoolean()) {
+      assertTrue(System.nanoTime() < until, what);
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
+  @Override
+  public void close() {
+    room().loop.shutdownGracefully();
+  }
+}
