Grants of keys: a refusal counts only on a connection that carried no other call

A late second copy of an earlier 409 passed for the answer to a grant that was taken; a first grant that counts as refused leaves its keys free, so they could be granted to another upstream at once (ONE holder of a key).

Change: 409 and 421 are a clear refusal only where the call was the first on its connection; elsewhere the outcome is unknown, and the keys count as possibly held until the hold has surely run out. Any answer but 200 ends the connection. Releases have a connection each, as before. A second copy of a 200 is not told from the true one; it can make no release unsafe, since releases fence what comes later.

--- a/exchange/src/main/java/weldpoint/exchange/UpstreamCalls.java
+++ b/exchange/src/main/java/weldpoint/exchange/UpstreamCalls.java
@@ -81,6 +81,7 @@
     private Call sent;
     private ScheduledFuture<?> timer;
     private boolean connecting;
+    private boolean used;
 
     Link(final String address, final boolean kept) {
       this.address = address;
@@ -134,6 +135,7 @@
                 connecting = false;
                 if (future.isSuccess()) {
                   channel = future.channel();
+                  used = false;
                   next();
                 } else {
                   unreachable();
@@ -160,11 +162,13 @@
         from.close();
         return;
       }
-      if (!kept || !HttpUtil.isKeepAlive(response)) {
+      final CallResult result = result(response, !used);
+      used = true;
+      if (!kept || !HttpUtil.isKeepAlive(response) || result.end() != CallResult.End.DONE) {
         channel = null;
         from.close();
       }
-      finish(result(response));
+      finish(result);
     }
 
     private void closed(final Channel which) {
@@ -283,10 +287,15 @@
     return request;
   }
 
-  private static CallResult result(final FullHttpResponse response) {
+  /**
+   * How a call ended. Answers to these calls name no call, and an upstream may answer twice: a
+   * refusal proves that nothing was granted only on a connection that carried no other call, since
+   * elsewhere it may belong to an earlier one.
+   */
+  private static CallResult result(final FullHttpResponse response, final boolean onlyCall) {
     return switch (response.status().code()) {
       case 200 -> new CallResult(CallResult.End.DONE, response.headers().get(TRANSFER));
-      case 409, 421 -> CallResult.of(CallResult.End.REFUSED);
+      case 409, 421 -> CallResult.of(onlyCall ? CallResult.End.REFUSED : CallResult.End.UNKNOWN);
       default -> CallResult.of(CallResult.End.UNKNOWN);
     };
   }
