Soak: slow readers on kept connections, answers that come twice, holders that turn requests away

Its clients read at once and closed their connections, its answers fitted a socket's buffer, and its upstreams never answered twice and never turned anything away for want of a slot.

Change: clients that pull answers of 16 to 640 KB at some 640 KB/s over connections that they keep until these end; stand-in upstreams on plain sockets, which give a share of their answers twice, at once or late in the place of the next one due; holders of keys turn a tenth of their requests away, at times 0.4; writes to the divided service; SIGHUP; configurations that change idleTimeoutMs. The judge counts answers that an upstream gave whole and a proxy cut before the client's time was over (not where the proxy was killed or frozen since 4 s before the request), requests that may run once and ran twice, and refusals of all such requests, keyed or not.

--- a/soak/src/main/java/weldpoint/soak/Bounds.java
+++ b/soak/src/main/java/weldpoint/soak/Bounds.java
@@ -50,7 +50,7 @@
     return most;
   }
 
-  /** Keyed requests that were refused with a promise (429, 503) and ran all the same. */
+  /** Requests that run once at most, were refused with a promise (429, 503) and ran. */
   static List<String> brokenPromises(final List<Call> calls, final List<Run> runs) {
     final Set<String> ran = new HashSet<>();
     runs.forEach(run -> ran.add(run.attemptId()));
@@ -58,13 +58,57 @@
     for (final Call call : calls) {
       final int status = call.reply().status();
       final boolean promised = status == 429 || status == 503;
-      if (promised && !call.key().isEmpty() && ran.contains(call.attemptId())) {
+      if (promised && !call.repeatable() && ran.contains(call.attemptId())) {
         broken.add("refused, and ran: " + call);
       }
     }
     return broken;
   }
 
+  /** Requests that may run once at most and ran more than once. */
+  static List<String> doubledRequests(final List<Call> calls, final List<Run> runs) {
+    final Map<String, Integer> counts = new HashMap<>();
+    runs.forEach(run -> counts.merge(run.attemptId(), 1, Integer::sum));
+    final List<String> broken = new ArrayList<>();
+    for (final Call call : calls) {
+      final int ran = counts.getOrDefault(call.attemptId(), 0);
+      if (!call.repeatable() && ran > 1) {
+        broken.add(ran + " runs of one request: " + call);
+      }
+    }
+    return broken;
+  }
+
+  /**
+   * Answers that an upstream gave whole and that a proxy cut before its client's time was over,
+   * without having been killed or frozen from {@code contactMillis} before the request to its end.
+   */
+  static List<String> cutAnswers(
+      final List<Pull> pulls,
+      final Map<String, Long> answered,
+      final Disturbances disturbances,
+      final long deadlineMillis,
+      final long contactMillis) {
+    final List<String> broken = new ArrayList<>();
+    for (final Pull pull : pulls) {
+      final Long answeredAt = answered.get(pull.attemptId());
+      if (!pull.whole()
+          && answeredAt != null
+          && answeredAt <= pull.endedAt()
+          && pull.endedAt() - pull.sentAt() < deadlineMillis
+          && !disturbances.disturbed(pull.proxy(), pull.sentAt() - contactMillis, pull.endedAt())) {
+        broken.add("an answer given whole was cut: " + pull + ", answered at " + answeredAt);
+      }
+    }
+    return broken;
+  }
+
+  /** Tells whether a proxy was killed or frozen in a span. */
+  interface Disturbances {
+    /** Whether it was, from one moment of the steady clock to another. */
+    boolean disturbed(int proxy, long from, long to);
+  }
+
   /** Keys whose successes differ, or bear the seal of no run of theirs. */
   static List<String> strangeAnswers(final List<Call> calls, final List<Run> runs) {
     final Map<String, Set<String>> seals = new HashMap<>();
--- a/soak/src/main/java/weldpoint/soak/Call.java
+++ b/soak/src/main/java/weldpoint/soak/Call.java
@@ -5,7 +5,8 @@
  *
  * @param attemptId the request's {@code Weldpoint-Attempt-Id}
  * @param key its idempotency key; empty where it bears none
+ * @param repeatable whether it may run more than once
  * @param sentAt when it was sent, in milliseconds of the steady clock
  * @param reply what the client heard
  */
-record Call(String attemptId, String key, long sentAt, Reply reply) {}
+record Call(String attemptId, String key, boolean repeatable, long sentAt, Reply reply) {}
--- a/soak/src/main/java/weldpoint/soak/DaemonProcess.java
+++ b/soak/src/main/java/weldpoint/soak/DaemonProcess.java
@@ -29,6 +29,7 @@
   private boolean paused;
   private int starts;
   private boolean over;
+  private final List<Long> disturbedAt = new ArrayList<>();
 
   DaemonProcess(final String program, final String name, final Path settings) {
     this.program = program;
@@ -112,6 +113,7 @@
   /** Ends the process at once, as a crash does. */
   synchronized void kill() {
     if (process != null) {
+      disturbed();
       process.destroyForcibly();
       await();
     }
@@ -132,6 +134,7 @@
     resume();
     process.destroy();
     if (!await()) {
+      disturbed();
       process.destroyForcibly();
       await();
     }
@@ -150,6 +153,7 @@
   synchronized void pause() {
     if (alive() && !paused) {
       paused = true;
+      disturbed();
       signal("-STOP");
     }
   }
@@ -158,10 +162,33 @@
   synchronized void resume() {
     if (paused && alive()) {
       signal("-CONT");
+      disturbed();
     }
     paused = false;
   }
 
+  /** Tells the process that its settings file has changed (SIGHUP). */
+  synchronized void reload() {
+    if (alive()) {
+      signal("-HUP");
+    }
+  }
+
+  private void disturbed() {
+    synchronized (disturbedAt) {
+      disturbedAt.add(Clock.millis());
+    }
+  }
+
+  /**
+   * Whether the process was killed, frozen or woken in a span, in milliseconds of the steady clock.
+   */
+  boolean disturbed(final long from, final long to) {
+    synchronized (disturbedAt) {
+      return disturbedAt.stream().anyMatch(at -> at >= from && at <= to);
+    }
+  }
+
   private void signal(final String signal) {
     try {
       new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -32,6 +33,12 @@
   /** A route to the service that is divided by key. */
   static final String SHELF_PATH = "/shelf/";
 
+  /** A route to the divided service whose requests run at most once. */
+  static final String SHELF_WRITE_PATH = "/stock/";
+
+  /** A route of large answers. */
+  static final String SHEET_PATH = "/sheet/";
+
   /** The service that is divided by key. */
   static final String SHELF = "shelf";
 
@@ -68,7 +75,8 @@
   private final Size size;
   private final int port;
   private final Path folder;
-  private final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
+  private final RecordingUpstream.Records records =
+      new RecordingUpstream.Records(new ConcurrentLinkedQueue<>(), new ConcurrentHashMap<>());
   private final List<DaemonProcess> stores = new ArrayList<>();
   private final List<DaemonProcess> registries = new ArrayList<>();
   private final List<DaemonProcess> proxies = new ArrayList<>();
@@ -78,11 +86,10 @@
   private final List<TcpRelay> coreRelays = new ArrayList<>();
   private final List<TcpRelay> keyRelays = new ArrayList<>();
   private final HeldKeys.HolderJudge holderJudge = new HeldKeys.HolderJudge();
-  private final Map<Integer, Integer> lives = new java.util.concurrent.ConcurrentHashMap<>();
+  private final Map<Integer, Integer> lives = new ConcurrentHashMap<>();
   private final java.util.concurrent.atomic.AtomicInteger versions =
       new java.util.concurrent.atomic.AtomicInteger(1);
-  private final java.util.Set<Integer> draining =
-      java.util.concurrent.ConcurrentHashMap.newKeySet();
+  private final java.util.Set<Integer> draining = ConcurrentHashMap.newKeySet();
   private final AtomicLong beats = new AtomicLong();
   private final AtomicLong calls = new AtomicLong();
   private final ScheduledExecutorService clock =
@@ -125,7 +132,7 @@
     }
     for (int index = 0; index < size.upstreams(); index++) {
       final String host = "127.9.4." + (1 + index);
-      upstreams.add(new RecordingUpstream("i-" + index, host, port, runs, seed * 31 + index));
+      upstreams.add(new RecordingUpstream("i-" + index, host, port, records, seed * 31 + index));
       relays.add(new TcpRelay("127.9.3." + (1 + index), port, new InetSocketAddress(host, port)));
     }
     keyHolders(seed);
@@ -151,7 +158,7 @@
       final HeldKeys keys =
           new HeldKeys("k-" + index, index % 2 == 0 ? SLOW_CLOCK : 1, holderJudge);
       keyHolders.add(
-          new RecordingUpstream("k-" + index, host, port, runs, seed * 37 + index, keys));
+          new RecordingUpstream("k-" + index, host, port, records, seed * 37 + index, keys));
       final TcpRelay relay =
           new TcpRelay("127.9.5." + (1 + index), port, new InetSocketAddress(host, port));
       relay.loseHeld(true);
@@ -192,10 +199,16 @@
     return "k-" + keyHolder + (life == 0 ? "" : "-" + life);
   }
 
-  /** Sends the workload's configuration under the next version, without waiting for the answer. */
-  void sendNextConfiguration() {
+  /**
+   * Sends the workload's configuration under the next version, without waiting for the answer.
+   *
+   * @param idleMillis how long a connection of a client may rest
+   */
+  void sendNextConfiguration(final int idleMillis) {
     final int version = versions.incrementAndGet();
-    clock.execute(() -> control(version, "configuration.replace", Workload.configuration(version)));
+    clock.execute(
+        () ->
+            control(version, "configuration.replace", Workload.configuration(version, idleMillis)));
   }
 
   private int beatHolder(final int index) {
@@ -261,7 +274,7 @@
             + "\nsites = zone-0:home,zone-1:home,zone-2:home\nbeat.every-ms = "
             + BEAT_MILLIS
             + "\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\n"
-            + "bound.quota-tolerance = 20\nmetrics.port = "
+            + "bound.quota-tolerance = 20\nstation.link-mbps = 20\nmetrics.port = "
             + (port + METRICS_PORT)
             + "\n"
             + extra;
@@ -439,6 +452,20 @@
 
   /** Sends a request for a key of the divided service to a proxy. */
   Reply shelfRequest(final int proxy, final String attemptId, final String shardKey) {
+    return shelfCall(proxy, "GET", SHELF_PATH, attemptId, shardKey);
+  }
+
+  /** Sends a request that changes a key of the divided service, and may run at most once. */
+  Reply shelfWrite(final int proxy, final String attemptId, final String shardKey) {
+    return shelfCall(proxy, "POST", SHELF_WRITE_PATH, attemptId, shardKey);
+  }
+
+  private Reply shelfCall(
+      final int proxy,
+      final String method,
+      final String path,
+      final String attemptId,
+      final String shardKey) {
     final Map<String, String> headers = new java.util.LinkedHashMap<>();
     headers.put("Host", HOST);
     headers.put("Weldpoint-Attempt-Id", attemptId);
@@ -447,12 +474,17 @@
     if (!shardKey.isEmpty()) {
       headers.put("Weldpoint-Shard-Key", shardKey);
     }
-    return HttpCaller.call(proxy(proxy), "GET", SHELF_PATH + "1", headers, "", 2 * CALL_MILLIS);
+    return HttpCaller.call(proxy(proxy), method, path + "1", headers, "", 2 * CALL_MILLIS);
   }
 
   /** All runs that the upstreams noted so far. */
   List<Run> runs() {
-    return new ArrayList<>(runs);
+    return new ArrayList<>(records.runs());
+  }
+
+  /** When the answer to a request was written whole by its upstream, by attempt id. */
+  Map<String, Long> answered() {
+    return records.answered();
   }
 
   List<DaemonProcess> stores() {
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -1,46 +1,54 @@
 package weldpoint.soak;
 
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import weldpoint.soak.UpstreamServer.Answer;
+import weldpoint.soak.UpstreamServer.Request;
+
+/**
+ * A stand-in upstream that notes each request that it runs, works for a while and answers. It turns
+ * a share of its requests away, loses a share of its answers, and gives a share of them twice.
+ */
+final class RecordingUpstream implements AutoCloseable, UpstreamServer.Handler {
+  private static final byte[] EMPTY = new byte[0];
+  private static final Pattern SIZE = Pattern.compile("[?&]size=(\\d{1,7})");
 
-/** A stand-in upstream that notes each request that it runs, works for a while and answers. */
-final class RecordingUpstream implements AutoCloseable {
   private volatile String instance;
-  private final HttpServer server;
-  private final ExecutorService workers =
-      Executors.newCachedThreadPool(
-          task -> {
-            final Thread thread = new Thread(task, "upstream");
-            thread.setDaemon(true);
-            return thread;
-          });
-  private final ConcurrentLinkedQueue<Run> runs;
+  private final UpstreamServer server;
+  private final Records records;
   private final Random random;
   private final HeldKeys heldKeys;
   private final AtomicLong grants = new AtomicLong();
   private final AtomicLong turnedAway = new AtomicLong();
   private volatile int workMillis = 20;
   private volatile double lostAnswers;
+  private volatile double full;
+
+  /**
+   * What all upstreams of a fleet note.
+   *
+   * @param runs requests that began to run
+   * @param answered when a run's answer was written whole, by attempt id
+   */
+  record Records(ConcurrentLinkedQueue<Run> runs, Map<String, Long> answered) {}
 
   RecordingUpstream(
       final String instance,
       final String host,
       final int port,
-      final ConcurrentLinkedQueue<Run> runs,
+      final Records records,
       final long seed)
       throws IOException {
-    this(instance, host, port, runs, seed, null);
+    this(instance, host, port, records, seed, null);
   }
 
   /** An upstream of a divided service, which runs only what it holds the key of. */
@@ -48,18 +56,16 @@
       final String instance,
       final String host,
       final int port,
-      final ConcurrentLinkedQueue<Run> runs,
+      final Records records,
       final long seed,
       final HeldKeys heldKeys)
       throws IOException {
     this.heldKeys = heldKeys;
     this.instance = instance;
-    this.runs = runs;
+    this.records = records;
     this.random = new Random(seed);
-    this.server = HttpServer.create(new InetSocketAddress(host, port), 256);
-    server.setExecutor(workers);
-    server.createContext("/", this::handle);
-    server.start();
+    this.server =
+        new UpstreamServer(new InetSocketAddress(host, port), this, new Random(seed ^ 0x2c));
   }
 
   /** Sets how long a request takes, in milliseconds. */
@@ -72,6 +78,16 @@
     lostAnswers = share;
   }
 
+  /** Sets the share (0 to 1) of requests that are turned away for want of a free slot. */
+  void full(final double share) {
+    full = share;
+  }
+
+  /** Sets the share (0 to 1) of answers that come twice. */
+  void secondCopies(final double share) {
+    server.secondCopies(share);
+  }
+
   /** The process ends with all that it holds, and another life begins at its address. */
   void beginLife(final String id) {
     instance = id;
@@ -95,59 +111,51 @@
     return matcher.find() ? Long.parseLong(matcher.group(1)) : -1;
   }
 
-  /** Answers the calls by which keys are given and taken; false for any other request. */
-  private boolean keyCall(final HttpExchange exchange, final String body) throws IOException {
-    final String path = exchange.getRequestURI().getPath();
-    if (heldKeys == null || !path.equals("/api/grant") && !path.equals("/api/release")) {
-      return false;
-    }
-    final int first = (int) field(body, "source");
-    final int last = (int) field(body, "targetVersion");
-    final long fence = field(body, "fenceNumber");
-    if (path.equals("/api/grant")) {
+  private static Answer answer(final int status) {
+    return new Answer(status, Map.of(), EMPTY);
+  }
+
+  /** Answers the calls by which keys are given and taken. */
+  private Answer keyCall(final Request request) {
+    final int first = (int) field(request.body(), "source");
+    final int last = (int) field(request.body(), "targetVersion");
+    final long fence = field(request.body(), "fenceNumber");
+    if (request.path().equals("/api/grant")) {
       grants.incrementAndGet();
-      answer(exchange, heldKeys.grant(first, last, fence, field(body, "holdMs")), "");
-      return true;
+      return answer(heldKeys.grant(first, last, fence, field(request.body(), "holdMs")));
     }
     try {
-      exchange
-          .getResponseHeaders()
-          .set("Weldpoint-Duty-Transfer", heldKeys.release(first, last, fence));
-      answer(exchange, 200, "");
+      final String transfer = heldKeys.release(first, last, fence);
+      return new Answer(200, Map.of("Weldpoint-Duty-Transfer", transfer), EMPTY);
     } catch (final InterruptedException stopped) {
       Thread.currentThread().interrupt();
+      return null;
     }
-    return true;
   }
 
-  private void handle(final HttpExchange exchange) throws IOException {
-    final String body =
-        new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
-    if (keyCall(exchange, body)) {
-      return;
+  @Override
+  public Answer handle(final Request request) {
+    final String path = request.path();
+    if (heldKeys != null && (path.equals("/api/grant") || path.equals("/api/release"))) {
+      return keyCall(request);
     }
-    exchange.getResponseHeaders().set("Weldpoint-Instance-Id", instance);
-    if (exchange.getRequestURI().getPath().equals("/health")) {
-      answer(exchange, 200, "");
-      return;
+    if (path.equals("/health")) {
+      return new Answer(200, Map.of("Weldpoint-Instance-Id", instance), EMPTY);
     }
-    final String target = header(exchange, "Weldpoint-Target-Instance");
+    final String target = request.header("Weldpoint-Target-Instance");
     if (!target.isEmpty() && !target.equals(instance)) {
-      answer(exchange, 421, "");
-      return;
+      return turnAway(request, 421);
     }
-    final int shardKey = heldKeys == null ? -1 : shardKey(exchange);
+    if (drawn(full)) {
+      return turnAway(request, 503);
+    }
+    final int shardKey = heldKeys == null ? -1 : shardKey(request);
     if (heldKeys != null && !heldKeys.begin(shardKey)) {
       turnedAway.incrementAndGet();
-      exchange.getResponseHeaders().set("Weldpoint-Not-Executed", "1");
-      exchange
-          .getResponseHeaders()
-          .set("Weldpoint-Attempt-Id", header(exchange, "Weldpoint-Attempt-Id"));
-      answer(exchange, 421, "");
-      return;
+      return turnAway(request, 421);
     }
     try {
-      run(exchange);
+      return run(request);
     } finally {
       if (heldKeys != null) {
         heldKeys.end(shardKey);
@@ -155,28 +163,52 @@
     }
   }
 
-  private static int shardKey(final HttpExchange exchange) {
-    final String text = header(exchange, "Weldpoint-Shard-Key");
+  private static Answer turnAway(final Request request, final int status) {
+    final Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Weldpoint-Not-Executed", "1");
+    headers.put("Weldpoint-Attempt-Id", request.header("Weldpoint-Attempt-Id"));
+    return new Answer(status, headers, EMPTY);
+  }
+
+  private static int shardKey(final Request request) {
+    final String text = request.header("Weldpoint-Shard-Key");
     return text.matches("\\d{1,5}") ? Integer.parseInt(text) : -1;
   }
 
-  private void run(final HttpExchange exchange) throws IOException {
-    final String attemptId = header(exchange, "Weldpoint-Attempt-Id");
-    runs.add(
-        new Run(
-            instance,
-            attemptId,
-            header(exchange, "Idempotency-Key"),
-            header(exchange, "Weldpoint-Tenant"),
-            Clock.millis()));
+  private Answer run(final Request request) {
+    final String attemptId = request.header("Weldpoint-Attempt-Id");
+    records
+        .runs()
+        .add(
+            new Run(
+                instance,
+                attemptId,
+                request.header("Idempotency-Key"),
+                request.header("Weldpoint-Tenant"),
+                Clock.millis()));
     work();
-    if (lost()) {
-      exchange.close();
-      return;
+    if (drawn(lostAnswers)) {
+      return null;
+    }
+    final Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Weldpoint-Instance-Id", instance);
+    headers.put("Weldpoint-Attempt-Id", attemptId);
+    headers.put("Weldpoint-Server-Seal", instance + "." + attemptId);
+    return new Answer(200, headers, body(request));
+  }
+
+  private byte[] body(final Request request) {
+    final Matcher size = SIZE.matcher(request.target());
+    return size.find()
+        ? new byte[Integer.parseInt(size.group(1))]
+        : ("done by " + instance).getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void answered(final Request request, final Answer answer) {
+    if (answer.status() == 200) {
+      records.answered().put(request.header("Weldpoint-Attempt-Id"), Clock.millis());
     }
-    exchange.getResponseHeaders().set("Weldpoint-Attempt-Id", attemptId);
-    exchange.getResponseHeaders().set("Weldpoint-Server-Seal", instance + "." + attemptId);
-    answer(exchange, 200, "done by " + instance);
   }
 
   private void work() {
@@ -187,30 +219,14 @@
     }
   }
 
-  private boolean lost() {
+  private boolean drawn(final double share) {
     synchronized (random) {
-      return random.nextDouble() < lostAnswers;
-    }
-  }
-
-  private static String header(final HttpExchange exchange, final String name) {
-    final String value = exchange.getRequestHeaders().getFirst(name);
-    return value == null ? "" : value;
-  }
-
-  private static void answer(final HttpExchange exchange, final int status, final String text)
-      throws IOException {
-    final byte[] body = text.getBytes(StandardCharsets.UTF_8);
-    exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
-    if (body.length > 0) {
-      exchange.getResponseBody().write(body);
+      return random.nextDouble() < share;
     }
-    exchange.close();
   }
 
   @Override
   public void close() {
-    server.stop(0);
-    workers.shutdownNow();
+    server.close();
   }
 }
--- a/soak/src/main/java/weldpoint/soak/SoakCommand.java
+++ b/soak/src/main/java/weldpoint/soak/SoakCommand.java
@@ -107,6 +107,10 @@
         + verdict.fetched()
         + " of "
         + verdict.fetches()
+        + " pulled "
+        + verdict.pulled()
+        + " of "
+        + verdict.pulls()
         + " troubles "
         + verdict.troubles()
         + (broken.isEmpty() ? "" : "\n  " + String.join("\n  ", broken));
--- a/soak/src/main/java/weldpoint/soak/SoakRun.java
+++ b/soak/src/main/java/weldpoint/soak/SoakRun.java
@@ -22,6 +22,7 @@
   private static final long CALM_MILLIS = 4000;
   private static final long STEP_MILLIS = 20;
   private static final long KEY_SPAN_MILLIS = 60_000;
+  private static final long CONTACT_MILLIS = 4000;
   private static final long QUOTA_WINDOW_MILLIS = 5000;
 
   /** The most runs of the limited tenant in a window, by the users' rule. */
@@ -42,6 +43,8 @@
    * @param fetches requests to the divided service
    * @param fetched those that were answered with success
    * @param twoHolders checks that found two holders of one key
+   * @param pulls large answers that slow clients asked for
+   * @param pulled those that came whole
    */
   record Verdict(
       long seed,
@@ -53,7 +56,9 @@
       int mostInWindow,
       int fetches,
       int fetched,
-      int twoHolders) {}
+      int twoHolders,
+      int pulls,
+      int pulled) {}
 
   private final long seed;
   private final LocalFleet.Size size;
@@ -73,6 +78,7 @@
   Verdict play() throws IOException, InterruptedException {
     try (LocalFleet fleet = new LocalFleet(size, seed)) {
       fleet.start(Workload.configuration());
+      fleet.keyHolders().forEach(holder -> holder.full(Trouble.USUALLY_TURNED_AWAY));
       final Workload workload = new Workload(fleet);
       workload.start(CLIENTS, seed);
       trouble(fleet);
@@ -114,6 +120,15 @@
     final List<String> broken = new ArrayList<>(Bounds.doubledKeys(runs, KEY_SPAN_MILLIS));
     broken.addAll(Bounds.brokenPromises(calls, runs));
     broken.addAll(Bounds.strangeAnswers(calls, runs));
+    broken.addAll(Bounds.doubledRequests(calls, runs));
+    final List<Pull> pulls = workload.pulls();
+    broken.addAll(
+        Bounds.cutAnswers(
+            pulls,
+            fleet.answered(),
+            (proxy, from, to) -> fleet.proxies().get(proxy).disturbed(from, to),
+            SlowReader.DEADLINE_MILLIS,
+            CONTACT_MILLIS));
     broken.addAll(fleet.twoHolders());
     final int most = Bounds.mostInWindow(runs, Workload.LIMITED_TENANT, QUOTA_WINDOW_MILLIS);
     if (most > ALLOWED) {
@@ -143,6 +158,8 @@
         most,
         replies.size(),
         fetched,
-        fleet.twoHolders().size());
+        fleet.twoHolders().size(),
+        pulls.size(),
+        (int) pulls.stream().filter(Pull::whole).count());
   }
 }
--- a/soak/src/main/java/weldpoint/soak/Trouble.java
+++ b/soak/src/main/java/weldpoint/soak/Trouble.java
@@ -39,8 +39,16 @@
   HOLDER_DRAIN,
   /** All proxies are asked to end, one after the other, and started again. */
   ROLLING_RESTART,
-  /** A configuration is sent. */
-  CONFIGURATION;
+  /** A configuration is sent; clients' connections may rest for another time than before. */
+  CONFIGURATION,
+  /** An upstream gives a share of its answers twice, at once or late. */
+  SECOND_COPIES,
+  /** All upstreams that hold keys give a share of their answers twice, at once or late. */
+  HOLDER_SECOND_COPIES,
+  /** An upstream that holds keys turns a share of its requests away, since it is full. */
+  HOLDER_FULL,
+  /** A proxy is told that its settings have changed. */
+  PROXY_RELOAD;
 
   /** One trouble that is in force. */
   interface InForce {
@@ -49,6 +57,13 @@
   }
 
   private static final int DELAY_MILLIS = 150;
+  private static final double DOUBLED_ANSWERS = 0.3;
+  private static final double TURNED_AWAY = 0.4;
+
+  /** The share of requests that an upstream which holds keys turns away without any trouble. */
+  static final double USUALLY_TURNED_AWAY = 0.1;
+
+  private static final int[] IDLE_MILLIS = {400, 1000, 15_000};
 
   /** Brings it about at a place that is drawn. */
   InForce begin(final LocalFleet fleet, final Random random) {
@@ -113,7 +128,21 @@
         yield () -> join(restarts);
       }
       case CONFIGURATION -> {
-        fleet.sendNextConfiguration();
+        fleet.sendNextConfiguration(IDLE_MILLIS[random.nextInt(IDLE_MILLIS.length)]);
+        yield () -> {};
+      }
+      case SECOND_COPIES -> doubled(List.of(drawn(fleet.upstreams(), random)));
+      case HOLDER_SECOND_COPIES -> doubled(fleet.keyHolders());
+      case HOLDER_FULL -> {
+        if (fleet.keyHolders().isEmpty()) {
+          yield () -> {};
+        }
+        final RecordingUpstream holder = drawn(fleet.keyHolders(), random);
+        holder.full(TURNED_AWAY);
+        yield () -> holder.full(USUALLY_TURNED_AWAY);
+      }
+      case PROXY_RELOAD -> {
+        drawn(fleet.proxies(), random).reload();
         yield () -> {};
       }
     };
@@ -143,6 +172,11 @@
     return those.get(random.nextInt(those.size()));
   }
 
+  private static InForce doubled(final List<RecordingUpstream> upstreams) {
+    upstreams.forEach(upstream -> upstream.secondCopies(DOUBLED_ANSWERS));
+    return () -> upstreams.forEach(upstream -> upstream.secondCopies(0));
+  }
+
   private static InForce killed(final List<DaemonProcess> processes) {
     processes.forEach(DaemonProcess::kill);
     return () -> processes.forEach(DaemonProcess::startIfDown);
--- a/soak/src/main/java/weldpoint/soak/Workload.java
+++ b/soak/src/main/java/weldpoint/soak/Workload.java
@@ -26,6 +26,7 @@
   static final int BURST = 20;
 
   private static final int DEADLINE_MILLIS = 1500;
+  private static final int IDLE_MILLIS = 15_000;
   private static final int MOST_PRESSES = 4;
   private static final int MOST_PAUSE_MILLIS = 2500;
   private static final int HOT_KEYS = 200;
@@ -34,6 +35,7 @@
   private final LocalFleet fleet;
   private final ConcurrentLinkedQueue<Call> calls = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<Reply> fetched = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Pull> pulls = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean over;
 
@@ -43,15 +45,22 @@
 
   /** The configuration that the workload needs. */
   static String configuration() {
-    return configuration(1);
+    return configuration(1, IDLE_MILLIS);
   }
 
-  /** The same under another version. */
-  static String configuration(final int version) {
+  /**
+   * The same under another version.
+   *
+   * @param idleMillis how long a connection of a client may rest
+   */
+  static String configuration(final int version, final int idleMillis) {
     final String action = "\"action\":{\"service\":\"desk\",\"timeoutMs\":1500,\"maxAttempts\":2}";
     return "{\"version\":\""
         + String.format("%08x", version)
-        + "\",\"tenants\":[{\"name\":\""
+        + "\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,"
+        + "\"idleTimeoutMs\":"
+        + idleMillis
+        + "},\"tenants\":[{\"name\":\""
         + LIMITED_TENANT
         + "\",\"apiKeys\":[\"key-l\"],\"ratePerS\":"
         + RATE
@@ -73,6 +82,14 @@
         + "\"match\":{\"pathPrefix\":\""
         + LocalFleet.SHELF_PATH
         + "\"},\"action\":{\"service\":\"shelf\",\"timeoutMs\":1500,\"maxAttempts\":2}"
+        + "},{\"name\":\"stock\",\"routeKind\":\"mutating\",\"targetLatencyMs\":1000,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.SHELF_WRITE_PATH
+        + "\"},\"action\":{\"service\":\"shelf\",\"timeoutMs\":1500,\"maxAttempts\":2}"
+        + "},{\"name\":\"sheet\",\"routeKind\":\"egress\",\"targetLatencyMs\":1000,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.SHEET_PATH
+        + "\"},\"action\":{\"service\":\"desk\",\"timeoutMs\":2500,\"maxAttempts\":2}"
         + "}]}],\"pools\":[{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":200},"
         + "{\"name\":\"shelf\",\"healthPath\":\"/health\",\"maxConns\":200,"
         + "\"partitioned\":true,\"warmS\":1.0}]}";
@@ -84,8 +101,10 @@
       final long own = seed * 1000 + client;
       thread(() -> write(own));
       thread(() -> read(own));
+      thread(() -> new SlowReader(fleet, own ^ 0x510, pulls, () -> over).run());
       if (fleet.size().keyHolders() > 0) {
         thread(() -> fetch(own));
+        thread(() -> change(own));
       }
     }
   }
@@ -118,7 +137,7 @@
     final long sentAt = Clock.millis();
     final Reply reply =
         fleet.request(proxy, LocalFleet.WRITE_PATH + "1", attemptId, key, FREE, DEADLINE_MILLIS);
-    calls.add(new Call(attemptId, key, sentAt, reply));
+    calls.add(new Call(attemptId, key, false, sentAt, reply));
   }
 
   private void read(final long seed) {
@@ -134,7 +153,7 @@
               "",
               LIMITED,
               DEADLINE_MILLIS);
-      calls.add(new Call(attemptId, "", sentAt, reply));
+      calls.add(new Call(attemptId, "", true, sentAt, reply));
       pause(random.nextInt(READ_PAUSE_MILLIS));
     }
   }
@@ -153,6 +172,27 @@
     }
   }
 
+  /** Changes keys of the divided service, most of them in a few ranges. */
+  private void change(final long seed) {
+    final Random random = new Random(seed ^ 0xcaf);
+    while (!over) {
+      final String attemptId = fleet.attemptId();
+      final long sentAt = Clock.millis();
+      final Reply reply =
+          fleet.shelfWrite(
+              random.nextInt(fleet.size().proxies()),
+              attemptId,
+              Integer.toString(random.nextInt(HeldKeys.KEYS)));
+      calls.add(new Call(attemptId, "", false, sentAt, reply));
+      pause(random.nextInt(READ_PAUSE_MILLIS));
+    }
+  }
+
+  /** What slow clients of large answers had. */
+  List<Pull> pulls() {
+    return new ArrayList<>(pulls);
+  }
+
   /** What clients of the divided service heard. */
   List<Reply> fetched() {
     return new ArrayList<>(fetched);
--- a/soak/src/test/java/weldpoint/soak/SoakTest.java
+++ b/soak/src/test/java/weldpoint/soak/SoakTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import org.testng.annotations.Test;
 
 /** The soak in short, and that its judge sees what it must see. */
@@ -20,6 +21,7 @@
     assertTrue(verdict.keyedRuns() > 10, "writes were made: " + verdict.keyedRuns());
     assertTrue(verdict.served() > verdict.calls() / 10, "something was served");
     assertTrue(verdict.fetched() > verdict.fetches() / 10, "the divided service was served");
+    assertTrue(verdict.pulled() > verdict.pulls() / 10, "large answers came");
   }
 
   private static Run run(final String attemptId, final String key, final long at) {
@@ -28,7 +30,7 @@
 
   private static Call call(
       final String attemptId, final String key, final int status, final String seal) {
-    return new Call(attemptId, key, 0, new Reply(status, seal, "done"));
+    return new Call(attemptId, key, false, 0, new Reply(status, seal, "done"));
   }
 
   @Test
@@ -52,6 +54,39 @@
         2);
   }
 
+  @Test
+  public void theJudgeSeesAnswersThatWereCutWithoutACause() {
+    final Map<String, Long> answered = Map.of("1", 500L);
+    final List<Pull> cut = List.of(new Pull("1", 0, 400, 900, false));
+    assertEquals(cuts(cut, answered, 5000).size(), 1);
+    assertEquals(cuts(cut, Map.of(), 5000), List.of(), "no upstream had answered");
+    assertEquals(cuts(cut, answered, 600), List.of(), "the proxy was killed");
+    assertEquals(cuts(cut, answered, -3000), List.of(), "the proxy was frozen shortly before");
+    assertEquals(cuts(cut, answered, -4000).size(), 1, "the proxy was frozen long before");
+    assertEquals(
+        cuts(List.of(new Pull("1", 0, 400, 2900, false)), answered, 5000),
+        List.of(),
+        "its time was over");
+    assertEquals(cuts(List.of(new Pull("1", 0, 400, 900, true)), answered, 5000), List.of());
+  }
+
+  private static List<String> cuts(
+      final List<Pull> pulls, final Map<String, Long> answered, final long disturbedAt) {
+    return Bounds.cutAnswers(
+        pulls,
+        answered,
+        (proxy, from, to) -> disturbedAt >= from && disturbedAt <= to,
+        SlowReader.DEADLINE_MILLIS,
+        4000);
+  }
+
+  @Test
+  public void theJudgeSeesRequestsThatRanTwice() {
+    final List<Run> runs = List.of(run("1", "", 0), run("1", "", 10));
+    assertEquals(Bounds.doubledRequests(List.of(call("1", "", 200, "")), runs).size(), 1);
+    assertEquals(Bounds.doubledRequests(List.of(call("2", "", 200, "")), runs), List.of());
+  }
+
   @Test
   public void theJudgeCountsWindowsThatSlide() {
     final List<Run> runs =
