--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
@@ -13,11 +13,10 @@
 import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
 import weldpoint.boot.Program;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.jack.BoardLink;
-import weldpoint.jack.PermitPool;
-import weldpoint.jack.Stream;
+import weldpoint.proxy.PermitPool;
+import weldpoint.proxy.RegistryLink;
+import weldpoint.proxy.Stream;
 import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Message;
@@ -27,6 +26,7 @@
 import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
+import weldpoint.upstream.UpstreamPool;
 
 /** The shared cache as a process: copies and reads on one thread, control state on another. */
 public final class AnnouncerDaemon implements Program {
@@ -38,11 +38,11 @@
   private final Desk desk = new Desk("announcer");
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final Trunk trunk;
-  private final Cords cords;
+  private final UpstreamPool upstreamPool;
   private final PermitPool permits;
   private final Reader reader;
   private final AnnouncerCore core;
-  private final BoardLink link;
+  private final RegistryLink link;
   private final Stream stream;
 
   /** A cache for these settings; nothing runs yet. */
@@ -53,22 +53,22 @@
     this.trunk =
         new Trunk(
             loop, new Protocol.Hello(Wire.PROTOCOL, "announcer", boot.address(), incarnation));
-    this.cords = new Cords(loop, boot, random);
+    this.upstreamPool = new UpstreamPool(loop, boot, random);
     this.stream =
         new Stream(trunk, desk, boot, () -> loop.execute(() -> permits().sweep(true, now())));
     this.permits = new PermitPool(stream::send);
-    this.reader = new Reader(loop, boot, cords, permits, random);
+    this.reader = new Reader(loop, boot, upstreamPool, permits, random);
     this.core =
         new AnnouncerCore(
             boot.copyBytes(), boot.purgeFirmMillis(), boot.purgeTrustMillis(), now(), reader);
     final RegistryMessages.Board self =
         new RegistryMessages.Board(
             boot.address(), "", boot.site(), boot.region(), incarnation, false, 0, true);
-    this.link = new BoardLink(self, boot.seeds(), new Random(incarnation + 1), new Outlet());
+    this.link = new RegistryLink(self, boot.seeds(), new Random(incarnation + 1), new Outlet());
     stream.link(link);
   }
 
-  private final class Outlet implements BoardLink.Outlet {
+  private final class Outlet implements RegistryLink.Outlet {
     @Override
     public void dial(final String address) {
       stream.dial(address);
@@ -97,19 +97,20 @@
         final Set<String> evacuated,
         final Set<String> suspects,
         final int switchboards) {
-      final List<Cords.Change> list = new ArrayList<>();
-      changes.forEach((registration, open) -> list.add(new Cords.Change(registration, open)));
+      final List<UpstreamPool.Change> list = new ArrayList<>();
+      changes.forEach(
+          (registration, open) -> list.add(new UpstreamPool.Change(registration, open)));
       loop.execute(
           () -> {
             if (plan != null) {
               core.take(plan);
             }
-            cords.apply(list, now());
+            upstreamPool.apply(list, now());
             if (evacuated != null) {
-              cords.evacuated(evacuated, now());
+              upstreamPool.evacuated(evacuated, now());
             }
             if (suspects != null) {
-              cords.suspects(suspects);
+              upstreamPool.suspects(suspects);
             }
           });
     }
@@ -169,7 +170,7 @@
     loop.scheduleAtFixedRate(
         () -> {
           permits.sweep(false, now());
-          cords.sweep(now());
+          upstreamPool.sweep(now());
           desk.execute(() -> link.tick(now()));
         },
         TICK_MILLIS,
--- a/announcer/src/main/java/weldpoint/announcer/Reader.java
+++ b/announcer/src/main/java/weldpoint/announcer/Reader.java
@@ -17,16 +17,16 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import weldpoint.boot.Boot;
-import weldpoint.cord.Cord;
-import weldpoint.cord.Cords;
-import weldpoint.cord.Fate;
-import weldpoint.cord.Headers;
-import weldpoint.cord.Upstream;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
-import weldpoint.jack.PermitPool;
+import weldpoint.proxy.PermitPool;
 import weldpoint.ratelimit.RateLimit;
 import weldpoint.ratelimit.SlidingWindowCounter;
+import weldpoint.upstream.AttemptOutcome;
+import weldpoint.upstream.Headers;
+import weldpoint.upstream.Upstream;
+import weldpoint.upstream.UpstreamConnection;
+import weldpoint.upstream.UpstreamPool;
 
 /**
  * Reads objects from origins, within the part of their rate that this announcer may use. All of it
@@ -44,7 +44,7 @@
 
   private final EventLoopGroup loop;
   private final Boot boot;
-  private final Cords cords;
+  private final UpstreamPool upstreamPool;
   private final PermitPool permits;
   private final Random random;
   private final Map<String, SlidingWindowCounter> counters = new HashMap<>();
@@ -57,12 +57,12 @@
   Reader(
       final EventLoopGroup loop,
       final Boot boot,
-      final Cords cords,
+      final UpstreamPool upstreamPool,
       final PermitPool permits,
       final Random random) {
     this.loop = loop;
     this.boot = boot;
-    this.cords = cords;
+    this.upstreamPool = upstreamPool;
     this.permits = permits;
     this.random = random;
   }
@@ -200,7 +200,7 @@
     private final long cutoff;
     private final Consumer<AnnouncerCore.Fetched> done;
     private final List<Upstream> tried = new ArrayList<>();
-    private final List<Cords.Attempt> attempts = new ArrayList<>();
+    private final List<UpstreamPool.Attempt> attempts = new ArrayList<>();
     private int tries;
     private boolean over;
 
@@ -256,13 +256,13 @@
       if (over) {
         return;
       }
-      if (cords.choose(service, route, tried, now) != Cords.Choice.CHOSEN) {
+      if (upstreamPool.choose(service, route, tried, now) != UpstreamPool.Choice.CHOSEN) {
         if (running() == 0) {
           end(new AnnouncerCore.Fetched(503, null, null));
         }
         return;
       }
-      final Upstream upstream = cords.chosen();
+      final Upstream upstream = upstreamPool.chosen();
       tried.add(upstream);
       tries++;
       sent++;
@@ -279,7 +279,7 @@
       if (etag != null) {
         request.headers().set(HttpHeaderNames.IF_NONE_MATCH, etag);
       }
-      attempts.add(cords.send(upstream, request, id, now, cutoff, this::ended));
+      attempts.add(upstreamPool.send(upstream, request, id, now, cutoff, this::ended));
       final long patience =
           Math.min(cutoff - now, Math.max(100, (long) (0.6 * route.targetMillis)));
       loop.schedule(
@@ -311,13 +311,14 @@
 
     private int running() {
       int count = 0;
-      for (final Cords.Attempt attempt : attempts) {
+      for (final UpstreamPool.Attempt attempt : attempts) {
         count += attempt.running() ? 1 : 0;
       }
       return count;
     }
 
-    private void ended(final Cord.End end, final HttpResponse head, final ByteBuf body) {
+    private void ended(
+        final UpstreamConnection.End end, final HttpResponse head, final ByteBuf body) {
       final byte[] bytes = new byte[body == null ? 0 : body.readableBytes()];
       if (body != null) {
         body.readBytes(bytes);
@@ -326,12 +327,12 @@
       if (over) {
         return;
       }
-      if (end == Cord.End.UNSENT) {
+      if (end == UpstreamConnection.End.UNSENT) {
         tries--;
       }
       final int status = head == null ? 0 : head.status().code();
       final boolean sound =
-          Fate.of(end, head) == Fate.ANSWERED
+          AttemptOutcome.of(end, head) == AttemptOutcome.ANSWERED
               && !head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
               && (status == 200 && head.headers().contains(Headers.SEAL)
                   || status == 304 && etag != null
@@ -359,7 +360,7 @@
         return;
       }
       over = true;
-      for (final Cords.Attempt attempt : attempts) {
+      for (final UpstreamPool.Attempt attempt : attempts) {
         attempt.abandon();
       }
       done.accept(fetched);
--- a/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
@@ -19,10 +19,10 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.jack.PermitPool;
+import weldpoint.proxy.PermitPool;
 import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.upstream.UpstreamPool;
 
 /** Reads for copies: no read goes to more upstreams than the route allows, whatever they do. */
 public final class ReaderTest {
@@ -54,13 +54,13 @@
           java.util.concurrent.ExecutionException,
           java.util.concurrent.TimeoutException {
     final AtomicInteger arrivals = new AtomicInteger();
-    final List<Cords.Change> changes = new ArrayList<>();
+    final List<UpstreamPool.Change> changes = new ArrayList<>();
     final List<ServerSocket> servers = new ArrayList<>();
     for (int index = 0; index < 6; index++) {
       final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
       servers.add(server);
       changes.add(
-          new Cords.Change(
+          new UpstreamPool.Change(
               new Registration(
                   "i-" + index,
                   "s",
@@ -86,13 +86,13 @@
                     + most
                     + "}}]}],\"pools\":[{\"name\":\"s\"}]}")
                 .getBytes(StandardCharsets.UTF_8));
-    final Cords cords = new Cords(loop, boot, new Random(1));
+    final UpstreamPool upstreamPool = new UpstreamPool(loop, boot, new Random(1));
     final Reader reader =
-        new Reader(loop, boot, cords, new PermitPool(message -> false), new Random(1));
+        new Reader(loop, boot, upstreamPool, new PermitPool(message -> false), new Random(1));
     final CompletableFuture<Integer> status = new CompletableFuture<>();
     loop.execute(
         () -> {
-          cords.apply(changes, System.nanoTime() / 1_000_000);
+          upstreamPool.apply(changes, System.nanoTime() / 1_000_000);
           reader.fetch(
               plan.services().get(0),
               plan.route("r"),
--- a/console/src/main/java/weldpoint/console/Demo.java
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -28,10 +28,10 @@
 import java.nio.file.Path;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
-import weldpoint.cord.Headers;
 import weldpoint.exchange.ExchangeDaemon;
 import weldpoint.frame.FrameDaemon;
-import weldpoint.jack.SwitchboardDaemon;
+import weldpoint.proxy.ProxyDaemon;
+import weldpoint.upstream.Headers;
 
 /**
  * The whole system in one process on the loopback address, with a stand-in upstream: for trying it
@@ -93,7 +93,7 @@
     final Boot boot = boot(trunk);
     new FrameDaemon(boot).start();
     new ExchangeDaemon(boot).start();
-    new SwitchboardDaemon(boot).start();
+    new ProxyDaemon(boot).start();
     standIn(ports[3], 0);
     final String spec =
         "{\"version\":\"00000001\",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"listeners\":[{\"host\":\"demo.example\",\"rules\":["
@@ -170,7 +170,7 @@
     final Boot boot = boot(20_000 + (int) (weldpoint.boot.Chance.fresh() % 20_000));
     new FrameDaemon(boot).start();
     new ExchangeDaemon(boot).start();
-    new SwitchboardDaemon(boot).start();
+    new ProxyDaemon(boot).start();
     standIn(ports[3], 0);
     standIn(ports[4], 4);
     final String split =
@@ -291,7 +291,7 @@
     final Boot boot = boot(20_000 + (int) (weldpoint.boot.Chance.fresh() % 20_000));
     new FrameDaemon(boot).start();
     new ExchangeDaemon(boot).start();
-    new SwitchboardDaemon(boot).start();
+    new ProxyDaemon(boot).start();
     for (int node = 1; node <= 3; node++) {
       standIn(ports[2 + node], 0);
     }
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -20,7 +20,7 @@
 import weldpoint.dialplan.Dialplan;
 import weldpoint.exchange.ExchangeDaemon;
 import weldpoint.frame.FrameDaemon;
-import weldpoint.jack.SwitchboardDaemon;
+import weldpoint.proxy.ProxyDaemon;
 import weldpoint.scale.ScaleCommand;
 
 /** The command line. */
@@ -35,7 +35,7 @@
     SWITCHBOARD("runs the proxy on an edge machine") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
-        return stay(new SwitchboardDaemon(boot("switchboard")));
+        return stay(new ProxyDaemon(boot("switchboard")));
       }
     },
     EXCHANGE("runs the registry on a core machine") {
--- a/jack/src/main/java/weldpoint/jack/Recordings.java
+++ b/proxy/src/main/java/weldpoint/proxy/CacheClient.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -17,7 +17,7 @@
  * hashing, and the next one is asked where one cannot answer. All of it lives on the traffic
  * thread.
  */
-final class Recordings {
+final class CacheClient {
   private static final long DOUBT_MILLIS = 1200;
   private static final long SILENT_MILLIS = 1100;
   private static final long FORGET_MILLIS = 10_000;
@@ -64,7 +64,7 @@
   long answered;
   long missed;
 
-  Recordings(final Lines lines) {
+  CacheClient(final Lines lines) {
     this.lines = lines;
   }
 
--- a/jack/src/main/java/weldpoint/jack/CachedCopies.java
+++ b/proxy/src/main/java/weldpoint/proxy/CachedCopies.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -10,10 +10,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
-import weldpoint.cord.Headers;
 import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Protocol;
+import weldpoint.upstream.Headers;
 
 /** What the door does with keys and copies. */
 final class CachedCopies {
--- a/jack/src/main/java/weldpoint/jack/ChiefDesk.java
+++ b/proxy/src/main/java/weldpoint/proxy/ChiefDesk.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelFuture;
@@ -31,7 +31,7 @@
   private final Trunk trunk;
   private final Executor desk;
   private final EventLoopGroup loop;
-  private final Switchroom room;
+  private final ProxyContext proxyContext;
   private final Lines lines;
   private final Map<String, Line> incoming = new HashMap<>();
   private final ChiefCore core;
@@ -44,14 +44,14 @@
       final Trunk trunk,
       final Executor desk,
       final EventLoopGroup loop,
-      final Switchroom room,
+      final ProxyContext proxyContext,
       final long incarnation) {
     this.boot = boot;
     this.trunk = trunk;
     this.desk = desk;
     this.loop = loop;
-    this.room = room;
-    room.once = new OnceOnly();
+    this.proxyContext = proxyContext;
+    proxyContext.once = new OnceOnly();
     this.lines =
         new Lines(
             trunk,
@@ -67,7 +67,7 @@
 
                       @Override
                       public void heard(final Line line, final Message message) {
-                        core().receive(to, line.peer().incarnation, message, Switchroom.now());
+                        core().receive(to, line.peer().incarnation, message, ProxyContext.now());
                       }
                     }));
     this.core =
@@ -78,7 +78,7 @@
             new ChiefCore.Terms(
                 true, boot.chiefWaitMillis(), boot.chiefTenureMillis(), boot.chiefPulseMillis()),
             new Random(incarnation + 2),
-            Switchroom.now(),
+            ProxyContext.now(),
             new ChiefCore.Outlet() {
               @Override
               public void peers(final List<String> addresses) {
@@ -100,13 +100,13 @@
               @Override
               public RegionMessages.Sight sight() {
                 final RegionMessages.Sight seen = sight;
-                loop.execute(() -> sight = room.sight(Switchroom.now()));
+                loop.execute(() -> sight = proxyContext.sight(ProxyContext.now()));
                 return seen;
               }
 
               @Override
               public void ordered(final RegionMessages.Order order) {
-                loop.execute(() -> room.ordered(order, boot.address()));
+                loop.execute(() -> proxyContext.ordered(order, boot.address()));
               }
             });
     loop.scheduleAtFixedRate(
@@ -118,7 +118,7 @@
   }
 
   private void tick() {
-    final long now = Switchroom.now();
+    final long now = ProxyContext.now();
     core.tick(now);
     counters = core.counters(now);
     if (!serves && core.phase() != weldpoint.chief.Phase.CORE) {
@@ -151,7 +151,7 @@
               @Override
               public void heard(final Line line, final Message message) {
                 core.receive(
-                    line.peer().address, line.peer().incarnation, message, Switchroom.now());
+                    line.peer().address, line.peer().incarnation, message, ProxyContext.now());
               }
 
               @Override
--- a/jack/src/main/java/weldpoint/jack/Session.java
+++ b/proxy/src/main/java/weldpoint/proxy/ClientConnection.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -24,13 +24,13 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import weldpoint.cord.Headers;
+import weldpoint.upstream.Headers;
 
 /**
  * One connection of a client. It carries one request at a time; whatever is ambiguous is refused
  * and never passed on.
  */
-final class Session extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter {
   /** A decoder that refuses a body with both a length and chunks. */
   static final class Decoder extends HttpRequestDecoder {
     Decoder(final int maxHeader) {
@@ -47,13 +47,13 @@
   private static final long LINGER_MILLIS = 1000;
   private static final long LEAVING_IDLE_MILLIS = 300;
 
-  private final Switchroom room;
+  private final ProxyContext proxyContext;
   private ChannelHandlerContext context;
   private HttpRequest head;
   private ByteBuf body;
-  private Trip trip;
+  private ProxiedRequest trip;
   private boolean closing;
-  private long since = Switchroom.now();
+  private long since = ProxyContext.now();
   private boolean reading;
   private boolean headOnly;
   private boolean draining;
@@ -64,8 +64,8 @@
   private boolean closedByClient;
   private long lingerUntil;
 
-  Session(final Switchroom room) {
-    this.room = room;
+  ClientConnection(final ProxyContext proxyContext) {
+    this.proxyContext = proxyContext;
   }
 
   @Override
@@ -112,8 +112,9 @@
           if (body == null) {
             body = context.alloc().buffer(content.readableBytes());
           }
-          if (room.plan != null
-              && body.readableBytes() + content.readableBytes() > room.plan.maxBodyBytes()) {
+          if (proxyContext.plan != null
+              && body.readableBytes() + content.readableBytes()
+                  > proxyContext.plan.maxBodyBytes()) {
             refuse(
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
                 "the body is too large; send less",
@@ -129,8 +130,8 @@
           head = null;
           body = null;
           reading = false;
-          room.open.begun();
-          trip = new Trip(room, this, whole, bytes);
+          proxyContext.open.begun();
+          trip = new ProxiedRequest(proxyContext, this, whole, bytes);
           trip.start();
         }
       }
@@ -142,7 +143,7 @@
   private void begin(final HttpRequest request) {
     reading = true;
     headOnly = request.method().equals(HttpMethod.HEAD);
-    since = Switchroom.now();
+    since = ProxyContext.now();
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)
         || request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
       refuse(
@@ -167,7 +168,8 @@
           true);
       return;
     }
-    if (room.plan != null && HttpUtil.getContentLength(request, 0L) > room.plan.maxBodyBytes()) {
+    if (proxyContext.plan != null
+        && HttpUtil.getContentLength(request, 0L) > proxyContext.plan.maxBodyBytes()) {
       refuse(
           HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
           "the body is too large; send less",
@@ -216,22 +218,22 @@
 
   /** Ends the request under way with this answer. */
   void answer(final FullHttpResponse response, final boolean close) {
-    final Trip answered = trip;
+    final ProxiedRequest answered = trip;
     trip = null;
-    since = Switchroom.now();
+    since = ProxyContext.now();
     if (!context.channel().isActive()) {
       response.release();
       if (answered != null) {
-        room.open.ended();
+        proxyContext.open.ended();
       }
       drop();
       return;
     }
     if (answered == null) {
-      room.open.begun();
+      proxyContext.open.begun();
     }
     answerDeadline = answered == null ? since : Math.max(since, answered.deadline());
-    final boolean last = close || room.leaving && queued.isEmpty();
+    final boolean last = close || proxyContext.leaving && queued.isEmpty();
     if (last) {
       closing = true;
       closedByClient = answered != null && answered.closesAfter() && queued.isEmpty();
@@ -248,15 +250,15 @@
   private void write(final FullHttpResponse response) {
     final int bytes = response.content().readableBytes();
     unwritten.add(bytes);
-    room.open.answered(bytes);
+    proxyContext.open.answered(bytes);
     context.writeAndFlush(response).addListener(uponWritten);
   }
 
   /** The socket has taken the oldest of the answers that waited, or the connection has ended. */
   private void written(final ChannelFuture write) {
-    since = Switchroom.now();
-    room.open.written(unwritten.poll());
-    room.open.ended();
+    since = ProxyContext.now();
+    proxyContext.open.written(unwritten.poll());
+    proxyContext.open.ended();
     if (!write.isSuccess()) {
       cut();
     } else if (closing && unwritten.isEmpty()) {
@@ -333,18 +335,18 @@
       context.close();
       return;
     }
-    if (trip != null || closing || room.plan == null) {
+    if (trip != null || closing || proxyContext.plan == null) {
       return;
     }
-    if (reading && now - since > room.plan.headerMillis()) {
+    if (reading && now - since > proxyContext.plan.headerMillis()) {
       refuse(
           HttpResponseStatus.REQUEST_TIMEOUT,
           "the request came too slowly; send it faster",
           null,
           true);
     } else if (!reading
-        && (now - since > room.plan.idleMillis()
-            || room.leaving && now - since > LEAVING_IDLE_MILLIS)) {
+        && (now - since > proxyContext.plan.idleMillis()
+            || proxyContext.leaving && now - since > LEAVING_IDLE_MILLIS)) {
       closing = true;
       context.close();
     }
@@ -355,7 +357,7 @@
    * wait as long as a connection may be idle.
    */
   private void endOverdueAnswer(final long now) {
-    final long spare = room.plan == null ? LINGER_MILLIS : room.plan.idleMillis();
+    final long spare = proxyContext.plan == null ? LINGER_MILLIS : proxyContext.plan.idleMillis();
     if (now - answerDeadline > spare) {
       closing = true;
       context.close();
@@ -396,7 +398,7 @@
     if (trip != null) {
       trip.clientGone();
       trip = null;
-      room.open.ended();
+      proxyContext.open.ended();
     }
     given.fireChannelInactive();
   }
--- a/jack/src/main/java/weldpoint/jack/Outlook.java
+++ b/proxy/src/main/java/weldpoint/proxy/ControlUpdate.java
@@ -1,15 +1,15 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import java.util.List;
 import java.util.Set;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.trunk.TrialMessages.Trial;
+import weldpoint.upstream.UpstreamPool;
 
 /** What the control thread hands to the traffic thread; parts that did not change are null. */
-record Outlook(
+record ControlUpdate(
     Dialplan plan,
-    List<Cords.Change> changes,
+    List<UpstreamPool.Change> changes,
     Set<String> evacuated,
     Set<String> suspects,
     int switchboards,
--- a/jack/src/main/java/weldpoint/jack/HeldKey.java
+++ b/proxy/src/main/java/weldpoint/proxy/HeldKey.java
@@ -1,13 +1,13 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
-import weldpoint.cord.Fate;
-import weldpoint.cord.Headers;
 import weldpoint.dialplan.Route;
 import weldpoint.ownership.KeyOwners;
 import weldpoint.ownership.KeySpace;
+import weldpoint.upstream.AttemptOutcome;
+import weldpoint.upstream.Headers;
 
 /** The key of one request to a divided service, and how often its holder was tried. */
 final class HeldKey {
@@ -70,12 +70,14 @@
   void ended(
       final KeyOwners owners,
       final String service,
-      final Fate fate,
+      final AttemptOutcome fate,
       final HttpResponse head,
       final long tookMillis) {
-    if (fate == Fate.ANSWERED) {
+    if (fate == AttemptOutcome.ANSWERED) {
       owners.answered(service, key, tookMillis);
-    } else if (fate == Fate.NOT_RUN && head != null && head.status().code() == MISDIRECTED) {
+    } else if (fate == AttemptOutcome.NOT_RUN
+        && head != null
+        && head.status().code() == MISDIRECTED) {
       turnedAwayAt = System.nanoTime() / 1_000_000;
       owners.turnedAway();
     }
--- a/jack/src/main/java/weldpoint/jack/IdempotencyKey.java
+++ b/proxy/src/main/java/weldpoint/proxy/IdempotencyKey.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
--- a/jack/src/main/java/weldpoint/jack/KeyRun.java
+++ b/proxy/src/main/java/weldpoint/proxy/KeyRun.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/jack/src/main/java/weldpoint/jack/KeyRuns.java
+++ b/proxy/src/main/java/weldpoint/proxy/KeyRuns.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -146,7 +146,7 @@
   }
 
   private void again(final Request request) {
-    final long now = Switchroom.now();
+    final long now = ProxyContext.now();
     if (now < request.cutoff) {
       claim(request, now);
     } else {
--- a/jack/src/main/java/weldpoint/jack/OpenRequests.java
+++ b/proxy/src/main/java/weldpoint/proxy/OpenRequests.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 /**
  * Counts requests that are open: from the moment at which they were read whole until the socket has
--- a/jack/src/main/java/weldpoint/jack/OutcomeLines.java
+++ b/proxy/src/main/java/weldpoint/proxy/OutcomeLines.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import io.netty.channel.EventLoopGroup;
 import java.util.concurrent.TimeUnit;
@@ -24,14 +24,17 @@
   private final Trunk trunk;
   private final Boot boot;
   private final EventLoopGroup loop;
-  private final Switchroom room;
+  private final ProxyContext proxyContext;
 
   OutcomeLines(
-      final Trunk trunk, final Boot boot, final EventLoopGroup loop, final Switchroom room) {
+      final Trunk trunk,
+      final Boot boot,
+      final EventLoopGroup loop,
+      final ProxyContext proxyContext) {
     this.trunk = trunk;
     this.boot = boot;
     this.loop = loop;
-    this.room = room;
+    this.proxyContext = proxyContext;
   }
 
   /** Takes the questions of other proxies from now on. */
@@ -51,7 +54,7 @@
 
   private void answer(final OutcomeAsk ask, final Consumer<Message> reply) {
     final boolean[] answered = new boolean[1];
-    room.keys.outcome(
+    proxyContext.keys.outcome(
         ask.claim,
         ask.fingerprint,
         outcome -> {
--- a/jack/src/main/java/weldpoint/jack/Portion.java
+++ b/proxy/src/main/java/weldpoint/proxy/Portion.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 /**
  * The part of a body that a client asked for: a single range that names its first byte. Anything
--- a/jack/src/main/java/weldpoint/jack/Trip.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
@@ -22,12 +22,6 @@
 import weldpoint.affinity.Ties;
 import weldpoint.affinity.Verdict;
 import weldpoint.boot.Invariant;
-import weldpoint.cord.Cord;
-import weldpoint.cord.Cords;
-import weldpoint.cord.Fate;
-import weldpoint.cord.Further;
-import weldpoint.cord.Headers;
-import weldpoint.cord.Upstream;
 import weldpoint.dialplan.Affinity;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Interpreter;
@@ -39,9 +33,15 @@
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.OwnershipMessages;
 import weldpoint.trunk.PlacementMessages;
+import weldpoint.upstream.AttemptOutcome;
+import weldpoint.upstream.Headers;
+import weldpoint.upstream.RetryPolicy;
+import weldpoint.upstream.Upstream;
+import weldpoint.upstream.UpstreamConnection;
+import weldpoint.upstream.UpstreamPool;
 
 /** One request from its arrival to its answer, with its tries at upstreams. */
-final class Trip {
+final class ProxiedRequest {
   private static final long MARGIN_MILLIS = 15;
   private static final long TIE_PAUSE_MILLIS = 25;
   private static final int MOST_UNTIED = 2;
@@ -52,12 +52,12 @@
   private static final long MOST_KEYED_MILLIS = 300_000;
   private static final Invariant HAS_PERMIT = Invariant.named("a limited send has its permit");
 
-  private final Switchroom room;
-  private final Session session;
+  private final ProxyContext proxyContext;
+  private final ClientConnection session;
   private final HttpRequest request;
   private final ByteBuf body;
-  private final long arrivedAt = Switchroom.now();
-  private final List<Cords.Attempt> attempts = new ArrayList<>();
+  private final long arrivedAt = ProxyContext.now();
+  private final List<UpstreamPool.Attempt> attempts = new ArrayList<>();
   private final List<Upstream> tried = new ArrayList<>();
   private Route route;
   private Dialplan.Service service;
@@ -84,9 +84,12 @@
   private ScheduledFuture<?> hedge;
   private FullHttpResponse lastAnswer;
 
-  Trip(
-      final Switchroom room, final Session session, final HttpRequest request, final ByteBuf body) {
-    this.room = room;
+  ProxiedRequest(
+      final ProxyContext proxyContext,
+      final ClientConnection session,
+      final HttpRequest request,
+      final ByteBuf body) {
+    this.proxyContext = proxyContext;
     this.session = session;
     this.request = request;
     this.body = body;
@@ -94,18 +97,20 @@
   }
 
   void start() {
-    final Dialplan plan = room.plan;
+    final Dialplan plan = proxyContext.plan;
     if (plan == null) {
       refuse("no configuration is in force yet; come back shortly", "0.3");
       return;
     }
-    if (room.open.unwrittenBytes() > room.mostUnwrittenBytes) {
+    if (proxyContext.open.unwrittenBytes() > proxyContext.mostUnwrittenBytes) {
       refuse("too many answers wait for clients that do not read; come back", retryAfter());
       return;
     }
     final Interpreter interpreter =
         new Interpreter(
-            request.headers().get(HttpHeaderNames.HOST), request.uri(), room.random.nextDouble());
+            request.headers().get(HttpHeaderNames.HOST),
+            request.uri(),
+            proxyContext.random.nextDouble());
     if (!plan.interpret(interpreter)) {
       finish();
       session.refuse(
@@ -126,11 +131,11 @@
     if (!plan.tenants().isEmpty() && !admit(plan)) {
       return;
     }
-    affinity = Affinity.inForce(route, room.usual);
-    double chance = room.random.nextDouble();
+    affinity = Affinity.inForce(route, proxyContext.usual);
+    double chance = proxyContext.random.nextDouble();
     if (affinity != null) {
       final String name =
-          room.callers.name(
+          proxyContext.callers.name(
               affinity,
               affinity.header() == null ? List.of() : request.headers().getAll(affinity.header()),
               tenant == null ? null : tenant.name(),
@@ -140,10 +145,10 @@
       chance = (drawn >>> 11) / (double) (1L << 53);
       caller = Rendezvous.caller(service.name(), name);
     }
-    if (!room.trials.idle() && room.trials.covers(route.name)) {
+    if (!proxyContext.trials.idle() && proxyContext.trials.covers(route.name)) {
       final int other =
           plan.service(
-              room.trials.choose(
+              proxyContext.trials.choose(
                   route.name, service.name(), request.headers().get(Headers.TRIAL_TOKEN), chance));
       service = other < 0 ? service : plan.services().get(other);
       trialled = true;
@@ -164,33 +169,33 @@
     }
     final long waits = Headers.millis(request.headers(), Headers.DEADLINE, route.timeoutMillis);
     cutoff = arrivedAt + Math.max(1, Math.min(waits, route.timeoutMillis) - MARGIN_MILLIS);
-    if (room.once != null) {
+    if (proxyContext.once != null) {
       if (route.kind.repeatable()) {
-        room.seenRepeatables++;
+        proxyContext.seenRepeatables++;
       } else {
-        room.seenWrites++;
+        proxyContext.seenWrites++;
       }
-      if (!room.admits(route.kind)) {
+      if (!proxyContext.admits(route.kind)) {
         refuse("writes go first while a chief acts; come back", retryAfter());
         return;
       }
     }
-    if (room.recorder != null && room.recorder.on()) {
+    if (proxyContext.recorder != null && proxyContext.recorder.on()) {
       draft =
-          room.recorder.draft(
+          proxyContext.recorder.draft(
               arrivedAt, request, route, service.name(), cutoff - arrivedAt, body.readableBytes());
     }
-    room.cords.budget(service.name()).request(arrivedAt);
-    timer = room.loop.schedule(this::giveUp, cutoff - arrivedAt, TimeUnit.MILLISECONDS);
-    if (room.recordings != null
+    proxyContext.upstreamPool.budget(service.name()).request(arrivedAt);
+    timer = proxyContext.loop.schedule(this::giveUp, cutoff - arrivedAt, TimeUnit.MILLISECONDS);
+    if (proxyContext.recordings != null
         && route.kind == RouteKind.CACHEABLE
         && route.cacheMillis > 0
         && request.method().equals(HttpMethod.GET)
         && !body.isReadable()
-        && room.recordings.any()
+        && proxyContext.recordings.any()
         && route.homes.length == 0
         && (tenant == null || tenant.homes().isEmpty())) {
-      room.recordings.ask(
+      proxyContext.recordings.ask(
           service.name(),
           request.headers().get(HttpHeaderNames.HOST),
           request.uri(),
@@ -249,25 +254,27 @@
 
   /** Asks for its tenant's permit, which a request needs before an upstream may run it. */
   private void permit() {
-    if (room.permits == null || tenant == null || tenant.ratePerSecond() <= 0 && !room.strict) {
+    if (proxyContext.permits == null
+        || tenant == null
+        || tenant.ratePerSecond() <= 0 && !proxyContext.strict) {
       send();
       return;
     }
-    room.permits.ask(
+    proxyContext.permits.ask(
         RateLimit.TENANT.permit(tenant.name()),
         1,
         (granted, version, confirmedAt) -> {
           if (over) {
             return;
           }
-          if (room.strict
-              && (arrivedAt - confirmedAt > room.revokeMillis - REVOKE_MARGIN_MILLIS
-                  || version > room.plan.version())) {
+          if (proxyContext.strict
+              && (arrivedAt - confirmedAt > proxyContext.revokeMillis - REVOKE_MARGIN_MILLIS
+                  || version > proxyContext.plan.version())) {
             refuse("it cannot be told now whether the key still holds; come back", retryAfter());
-          } else if (room.plan.holder(key) == null && route.open) {
+          } else if (proxyContext.plan.holder(key) == null && route.open) {
             tenant = null;
             send();
-          } else if (room.plan.holder(key) == null) {
+          } else if (proxyContext.plan.holder(key) == null) {
             finish();
             session.refuse(
                 HttpResponseStatus.UNAUTHORIZED,
@@ -277,8 +284,8 @@
           } else if (granted < 1 && limited() && confirmedAt == PermitPool.UNANSWERED) {
             refuse("the quota cannot be asked for now; come back", retryAfter());
           } else if (granted < 1) {
-            room.refused++;
-            room.tenantCounts.refused(tenant.name());
+            proxyContext.refused++;
+            proxyContext.tenantCounts.refused(tenant.name());
             finish();
             session.refuse(
                 HttpResponseStatus.TOO_MANY_REQUESTS,
@@ -290,17 +297,17 @@
             send();
           }
         },
-        Switchroom.now());
+        ProxyContext.now());
   }
 
   /** Whether each run of this request counts towards its tenant's limit. */
   private boolean limited() {
-    return room.permits != null && tenant != null && tenant.ratePerSecond() > 0;
+    return proxyContext.permits != null && tenant != null && tenant.ratePerSecond() > 0;
   }
 
   /** Asks for one more permit, which a request that may have run needs before it is sent again. */
   private void furtherPermit(final Runnable granted, final Runnable denied) {
-    room.permits.ask(
+    proxyContext.permits.ask(
         RateLimit.TENANT.permit(tenant.name()),
         1,
         (count, version, confirmedAt) -> {
@@ -310,7 +317,7 @@
           permits += count;
           (count > 0 ? granted : denied).run();
         },
-        Switchroom.now());
+        ProxyContext.now());
   }
 
   /** Sends the request, once its idempotency key, where it bears one, is its own. */
@@ -321,20 +328,21 @@
       return;
     }
     cutoff = Math.min(cutoff, arrivedAt + MOST_KEYED_MILLIS);
-    room.keys.begin(idempotencyKey, cutoff, new KeyListener(), Switchroom.now());
+    proxyContext.keys.begin(idempotencyKey, cutoff, new KeyListener(), ProxyContext.now());
   }
 
   private IdempotencyKey idempotencyKey() {
-    return route.kind.repeatable() || room.keys == null
+    return route.kind.repeatable() || proxyContext.keys == null
         ? null
-        : IdempotencyKey.of(request, body, room.keyHeaders, tenant == null ? null : tenant.name());
+        : IdempotencyKey.of(
+            request, body, proxyContext.keyHeaders, tenant == null ? null : tenant.name());
   }
 
   private final class KeyListener implements KeyRuns.Listener {
     @Override
     public void granted(final KeyRun run) {
       if (over) {
-        room.keys.neverRan(run, Switchroom.now());
+        proxyContext.keys.neverRan(run, ProxyContext.now());
         return;
       }
       keyRun = run;
@@ -374,7 +382,7 @@
           case AT_WORK -> "a request with this key is still at work; ask again later";
           default -> "a request with this key may have run; ask what became of it";
         };
-    room.refused++;
+    proxyContext.refused++;
     finish();
     session.refuse(HttpResponseStatus.CONFLICT, text, null, closeAfter);
   }
@@ -400,32 +408,34 @@
     if (over) {
       return;
     }
-    final long now = Switchroom.now();
+    final long now = ProxyContext.now();
     if (now >= cutoff) {
       giveUp();
       return;
     }
     if (choseHolder(now)) {
-      if (sent > 0 && !room.cords.repeat(service.name(), now)) {
+      if (sent > 0 && !proxyContext.upstreamPool.repeat(service.name(), now)) {
         conclude();
         return;
       }
-      transmit(room.cords.chosen(), now);
+      transmit(proxyContext.upstreamPool.chosen(), now);
     } else if (heldKey.mayWait(arrivedAt, route, now) && session.open()) {
-      heldKey.waits(room.owners);
-      room.loop.schedule(this::sendToHolder, HeldKey.PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+      heldKey.waits(proxyContext.owners);
+      proxyContext.loop.schedule(this::sendToHolder, HeldKey.PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     } else {
       conclude();
     }
   }
 
   private boolean choseHolder(final long now) {
-    final OwnershipMessages.KeyRange range = room.owners.range(service.name(), heldKey.key());
+    final OwnershipMessages.KeyRange range =
+        proxyContext.owners.range(service.name(), heldKey.key());
     if (range == null || !range.held()) {
       return false;
     }
     final int rank = tenant == null ? 0 : tenant.priority();
-    return room.cords.holder(service, route, rank, range.holder, now) == Cords.Choice.CHOSEN;
+    return proxyContext.upstreamPool.holder(service, route, rank, range.holder, now)
+        == UpstreamPool.Choice.CHOSEN;
   }
 
   /** Goes on after a try at a key's holder that brought no answer for the client. */
@@ -433,19 +443,19 @@
     if (over || running() > 0) {
       return;
     }
-    final long now = Switchroom.now();
+    final long now = ProxyContext.now();
     final boolean again =
-        Further.mayGoOn(route, uncertain)
+        RetryPolicy.mayGoOn(route, uncertain)
             && !single
             && sent < HeldKey.MOST_SENDS
-            && Further.fits(route, sent, now, cutoff)
+            && RetryPolicy.fits(route, sent, now, cutoff)
             && heldKey.triesAgain();
     if (!again) {
       conclude();
     } else if (limited() && permits < 1) {
       furtherPermit(this::sendToHolder, this::conclude);
     } else {
-      room.loop.schedule(this::sendToHolder, HeldKey.RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      proxyContext.loop.schedule(this::sendToHolder, HeldKey.RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -454,20 +464,20 @@
     if (over) {
       return;
     }
-    if (Switchroom.now() >= cutoff) {
+    if (ProxyContext.now() >= cutoff) {
       giveUp();
       return;
     }
     final Verdict verdict = tied();
     if (verdict == Verdict.GO) {
-      room.ties.count(verdict);
+      proxyContext.ties.count(verdict);
       return;
     }
-    final long waited = Switchroom.now() - arrivedAt;
-    if (verdict.passing() && waited < room.tieWaitMillis && session.open()) {
-      room.loop.schedule(
+    final long waited = ProxyContext.now() - arrivedAt;
+    if (verdict.passing() && waited < proxyContext.tieWaitMillis && session.open()) {
+      proxyContext.loop.schedule(
           this::sendTied,
-          Math.min(TIE_PAUSE_MILLIS, room.tieWaitMillis - waited),
+          Math.min(TIE_PAUSE_MILLIS, proxyContext.tieWaitMillis - waited),
           TimeUnit.MILLISECONDS);
       return;
     }
@@ -478,53 +488,53 @@
     if (over) {
       return;
     }
-    if (room.ties != null) {
-      room.ties.count(verdict);
+    if (proxyContext.ties != null) {
+      proxyContext.ties.count(verdict);
     }
     refuse(verdict.reason(), retryAfter());
   }
 
   /** Whether the tied write went out, and if not, why. */
   private Verdict tied() {
-    if (room.ties == null) {
+    if (proxyContext.ties == null) {
       return Verdict.NO_PLACEMENT;
     }
-    final long now = Switchroom.now();
+    final long now = ProxyContext.now();
     final Route bound = route;
     final Dialplan.Tenant owner = tenant;
     final java.util.function.Predicate<PlacementMessages.PlacementMember> may =
         member -> {
-          final String region = room.cords.region(member.site);
+          final String region = proxyContext.upstreamPool.region(member.site);
           return bound.home(region) && (owner == null || owner.home(region));
         };
-    final Verdict verdict = room.ties.decide(service.name(), caller, may, now);
+    final Verdict verdict = proxyContext.ties.decide(service.name(), caller, may, now);
     if (verdict != Verdict.GO) {
       return verdict;
     }
-    final String node = room.ties.node().id;
-    final Cords.Choice choice =
-        room.cords.pinned(
+    final String node = proxyContext.ties.node().id;
+    final UpstreamPool.Choice choice =
+        proxyContext.upstreamPool.pinned(
             service,
             route,
             tenant == null ? 0 : tenant.priority(),
             node,
             affinity.pauseMillis(),
             now);
-    if (choice != Cords.Choice.CHOSEN) {
-      return choice == Cords.Choice.FULL ? Verdict.FULL : Verdict.LEAVING;
+    if (choice != UpstreamPool.Choice.CHOSEN) {
+      return choice == UpstreamPool.Choice.FULL ? Verdict.FULL : Verdict.LEAVING;
     }
-    tie = room.ties.begin(service.name(), caller, node, may, cutoff);
-    transmit(room.cords.chosen(), now);
+    tie = proxyContext.ties.begin(service.name(), caller, node, may, cutoff);
+    transmit(proxyContext.upstreamPool.chosen(), now);
     return Verdict.GO;
   }
 
   /** Asks for the origin's permit, where that has a limit. */
   private void origin() {
-    if (room.permits == null || service.ratePerSecond() <= 0) {
+    if (proxyContext.permits == null || service.ratePerSecond() <= 0) {
       permit();
       return;
     }
-    room.permits.ask(
+    proxyContext.permits.ask(
         RateLimit.ORIGIN.permit(service.name()),
         1,
         (granted, version, confirmedAt) -> {
@@ -538,7 +548,7 @@
             permit();
           }
         },
-        Switchroom.now());
+        ProxyContext.now());
   }
 
   /** A request that no upstream could take is refused at once. */
@@ -553,25 +563,27 @@
   }
 
   private boolean attempt(final boolean further, final boolean beside) {
-    final long now = Switchroom.now();
-    if (now >= cutoff || further && (single || !Further.fits(route, sent, now, cutoff))) {
+    final long now = ProxyContext.now();
+    if (now >= cutoff || further && (single || !RetryPolicy.fits(route, sent, now, cutoff))) {
       return false;
     }
-    final Cords.Choice choice =
-        room.cords.choose(service, route, tenant == null ? 0 : tenant.priority(), tried, now);
-    if (choice != Cords.Choice.CHOSEN) {
+    final UpstreamPool.Choice choice =
+        proxyContext.upstreamPool.choose(
+            service, route, tenant == null ? 0 : tenant.priority(), tried, now);
+    if (choice != UpstreamPool.Choice.CHOSEN) {
       return false;
     }
-    if (beside && !room.cords.roomy(now) || sent > 0 && !room.cords.repeat(service.name(), now)) {
+    if (beside && !proxyContext.upstreamPool.roomy(now)
+        || sent > 0 && !proxyContext.upstreamPool.repeat(service.name(), now)) {
       return false;
     }
-    return transmit(room.cords.chosen(), now);
+    return transmit(proxyContext.upstreamPool.chosen(), now);
   }
 
   private boolean transmit(final Upstream upstream, final long now) {
-    if (room.once != null
+    if (proxyContext.once != null
         && !route.kind.repeatable()
-        && !room.once.begin(request.headers().get(Headers.ATTEMPT_ID))) {
+        && !proxyContext.once.begin(request.headers().get(Headers.ATTEMPT_ID))) {
       fail(
           HttpResponseStatus.BAD_GATEWAY,
           "this write was sent before and may have run; ask what became of it");
@@ -583,13 +595,13 @@
     if (limited()) {
       HAS_PERMIT.check(permits > 0, () -> "tenant " + tenant.name() + ", try " + (sent + 1));
       permits--;
-      room.tenantCounts.sent(tenant.name());
+      proxyContext.tenantCounts.sent(tenant.name());
     }
     tried.add(upstream);
     sent++;
     unproved++;
     if (sent > 1) {
-      room.repeated++;
+      proxyContext.repeated++;
     }
     final FullHttpRequest forward =
         new DefaultFullHttpRequest(
@@ -610,13 +622,13 @@
     }
     final String attemptId = request.headers().get(Headers.ATTEMPT_ID);
     if (trialled && attemptId != null) {
-      room.trials.sent(route.name, service.name(), attemptId);
+      proxyContext.trials.sent(route.name, service.name(), attemptId);
     }
     final int recorded = draft == null ? -1 : draft.sent(upstream.id(), now);
-    final Cords.Attempt[] self = new Cords.Attempt[1];
+    final UpstreamPool.Attempt[] self = new UpstreamPool.Attempt[1];
     final boolean[] ended = new boolean[1];
     self[0] =
-        room.cords.send(
+        proxyContext.upstreamPool.send(
             upstream,
             forward,
             attemptId,
@@ -625,38 +637,44 @@
             cutoff,
             (end, head, bytes) -> {
               ended[0] = true;
-              final Fate fate = Fate.named(end, head);
-              if (fate == Fate.NOT_RUN) {
+              final AttemptOutcome fate = AttemptOutcome.named(end, head);
+              if (fate == AttemptOutcome.NOT_RUN) {
                 permits++;
               }
               if (heldKey != null) {
-                heldKey.ended(room.owners, service.name(), fate, head, Switchroom.now() - now);
+                heldKey.ended(
+                    proxyContext.owners, service.name(), fate, head, ProxyContext.now() - now);
               }
-              if (tie != null && end != Cord.End.UNCERTAIN) {
+              if (tie != null && end != UpstreamConnection.End.UNCERTAIN) {
                 tie.ended();
-                room.ties.tick(Switchroom.now());
+                proxyContext.ties.tick(ProxyContext.now());
               }
               if (draft != null) {
-                draft.ended(recorded, end, head, Switchroom.now());
+                draft.ended(recorded, end, head, ProxyContext.now());
               }
-              if (room.once != null && !route.kind.repeatable() && attemptId != null) {
-                if (fate == Fate.NOT_RUN) {
-                  room.once.notRun(attemptId);
+              if (proxyContext.once != null && !route.kind.repeatable() && attemptId != null) {
+                if (fate == AttemptOutcome.NOT_RUN) {
+                  proxyContext.once.notRun(attemptId);
                 } else {
-                  room.once.ran(attemptId, fate == Fate.ANSWERED, Switchroom.now());
+                  proxyContext.once.ran(
+                      attemptId, fate == AttemptOutcome.ANSWERED, ProxyContext.now());
                 }
               }
               tell(
-                  fate == Fate.NOT_RUN
+                  fate == AttemptOutcome.NOT_RUN
                       ? TrialBook.Fate.UNSENT
-                      : fate == Fate.UNCERTAIN ? TrialBook.Fate.LOST : TrialBook.Fate.CONFIRMED);
+                      : fate == AttemptOutcome.UNCERTAIN
+                          ? TrialBook.Fate.LOST
+                          : TrialBook.Fate.CONFIRMED);
               ended(end, fate, head, bytes);
             });
     if (!ended[0]) {
       attempts.add(self[0]);
     }
-    if (!over && !single && heldKey == null && hedge == null && Further.hedges(route, sent)) {
-      hedge = room.loop.schedule(this::hedge, Further.hedgeMillis(route), TimeUnit.MILLISECONDS);
+    if (!over && !single && heldKey == null && hedge == null && RetryPolicy.hedges(route, sent)) {
+      hedge =
+          proxyContext.loop.schedule(
+              this::hedge, RetryPolicy.hedgeMillis(route), TimeUnit.MILLISECONDS);
     }
     return true;
   }
@@ -664,12 +682,12 @@
   private void tell(final TrialBook.Fate fate) {
     final String attemptId = request.headers().get(Headers.ATTEMPT_ID);
     if (trialled && attemptId != null && !over) {
-      room.trials.ended(
+      proxyContext.trials.ended(
           route.name,
           service.name(),
           attemptId,
           fate,
-          Switchroom.now() - arrivedAt,
+          ProxyContext.now() - arrivedAt,
           route.targetMillis);
     }
   }
@@ -693,22 +711,25 @@
 
   private int running() {
     int count = 0;
-    for (final Cords.Attempt attempt : attempts) {
+    for (final UpstreamPool.Attempt attempt : attempts) {
       count += attempt.running() ? 1 : 0;
     }
     return count;
   }
 
   private void ended(
-      final Cord.End end, final Fate fate, final HttpResponse head, final ByteBuf bytes) {
-    if (fate == Fate.NOT_RUN) {
+      final UpstreamConnection.End end,
+      final AttemptOutcome fate,
+      final HttpResponse head,
+      final ByteBuf bytes) {
+    if (fate == AttemptOutcome.NOT_RUN) {
       unproved--;
     }
     if (over) {
       endUnheard(fate, head, bytes);
       return;
     }
-    if (end == Cord.End.UNSENT) {
+    if (end == UpstreamConnection.End.UNSENT) {
       sent--;
       if (affinity != null && ++untied > MOST_UNTIED) {
         refuseTied(Verdict.DECLINED);
@@ -717,12 +738,12 @@
       next();
       return;
     }
-    if (fate == Fate.NOT_RUN) {
+    if (fate == AttemptOutcome.NOT_RUN) {
       release(bytes);
       next();
       return;
     }
-    if (fate == Fate.UNCERTAIN || !proper(head)) {
+    if (fate == AttemptOutcome.UNCERTAIN || !proper(head)) {
       release(bytes);
       uncertain = true;
       next();
@@ -800,7 +821,7 @@
           "the upstream gave no proper answer; the request may have run");
       return;
     }
-    if (!Further.mayGoOn(route, uncertain)) {
+    if (!RetryPolicy.mayGoOn(route, uncertain)) {
       conclude();
     } else if (limited() && permits < 1 && furtherFits()) {
       furtherPermit(this::tryFurther, this::conclude);
@@ -810,7 +831,7 @@
   }
 
   private boolean furtherFits() {
-    return !single && !over && Further.fits(route, sent, Switchroom.now(), cutoff);
+    return !single && !over && RetryPolicy.fits(route, sent, ProxyContext.now(), cutoff);
   }
 
   private void tryFurther() {
@@ -838,14 +859,15 @@
   }
 
   private String retryAfter() {
-    return String.format(java.util.Locale.ROOT, "%.2f", 0.1 + 0.25 * room.random.nextDouble());
+    return String.format(
+        java.util.Locale.ROOT, "%.2f", 0.1 + 0.25 * proxyContext.random.nextDouble());
   }
 
   /** An upstream's answer has come after the client had gone. */
-  private void endUnheard(final Fate fate, final HttpResponse head, final ByteBuf bytes) {
+  private void endUnheard(final AttemptOutcome fate, final HttpResponse head, final ByteBuf bytes) {
     if (keyRun == null) {
       release(bytes);
-    } else if (fate == Fate.ANSWERED && proper(head)) {
+    } else if (fate == AttemptOutcome.ANSWERED && proper(head)) {
       final FullHttpResponse response = response(head, bytes);
       keepForRepeats(response);
       response.release();
@@ -860,7 +882,8 @@
     if (keyRun != null) {
       final byte[] bytes = new byte[response.content().readableBytes()];
       response.content().getBytes(response.content().readerIndex(), bytes);
-      room.keys.ran(keyRun, response.status().code(), CachedCopies.list(response.headers()), bytes);
+      proxyContext.keys.ran(
+          keyRun, response.status().code(), CachedCopies.list(response.headers()), bytes);
     }
   }
 
@@ -870,27 +893,27 @@
       return;
     }
     if (unproved == 0) {
-      room.keys.neverRan(keyRun, Switchroom.now());
+      proxyContext.keys.neverRan(keyRun, ProxyContext.now());
     } else if (running() == 0) {
-      room.keys.uncertain(keyRun);
+      proxyContext.keys.uncertain(keyRun);
     }
   }
 
   private void deliver(final FullHttpResponse response) {
-    room.served++;
+    proxyContext.served++;
     keepForRepeats(response);
     if (draft != null) {
       draft.status(response.status().code());
     }
-    if (!room.trials.idle() && route.kind.repeatable()) {
-      room.trials.other(service.name(), response.status().code() < 500);
+    if (!proxyContext.trials.idle() && route.kind.repeatable()) {
+      proxyContext.trials.other(service.name(), response.status().code() < 500);
     }
     finish();
     session.answer(response, closeAfter);
   }
 
   private void fail(final HttpResponseStatus status, final String text) {
-    room.failed++;
+    proxyContext.failed++;
     finish();
     session.refuse(status, text, null, closeAfter);
   }
@@ -906,8 +929,8 @@
           "the upstream gave no proper answer; the request may have run");
       return;
     }
-    room.refused++;
-    room.refusedWrites += route == null || route.kind.repeatable() ? 0 : 1;
+    proxyContext.refused++;
+    proxyContext.refusedWrites += route == null || route.kind.repeatable() ? 0 : 1;
     finish();
     session.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, text, retryAfter, closeAfter);
   }
@@ -924,8 +947,9 @@
     } else if (uncertain || running() > 0) {
       if (running() > 0) {
         tell(TrialBook.Fate.LOST);
-        if (room.once != null && !route.kind.repeatable()) {
-          room.once.ran(request.headers().get(Headers.ATTEMPT_ID), false, Switchroom.now());
+        if (proxyContext.once != null && !route.kind.repeatable()) {
+          proxyContext.once.ran(
+              request.headers().get(Headers.ATTEMPT_ID), false, ProxyContext.now());
         }
       }
       fail(
@@ -938,15 +962,15 @@
 
   /** Gives up the tries of which not a byte was written: they never run. */
   private void withdraw() {
-    for (final Cords.Attempt attempt : attempts) {
+    for (final UpstreamPool.Attempt attempt : attempts) {
       if (attempt.unwritten()) {
         attempt.abandon();
         unproved--;
         if (tie != null) {
           tie.ended();
         }
-        if (room.once != null && !route.kind.repeatable()) {
-          room.once.notRun(request.headers().get(Headers.ATTEMPT_ID));
+        if (proxyContext.once != null && !route.kind.repeatable()) {
+          proxyContext.once.notRun(request.headers().get(Headers.ATTEMPT_ID));
         }
       }
     }
@@ -968,16 +992,16 @@
     over = true;
     end();
     if (running() > 0) {
-      room.loop.schedule(
-          this::dropUnheard, Math.max(0, cutoff - Switchroom.now()), TimeUnit.MILLISECONDS);
+      proxyContext.loop.schedule(
+          this::dropUnheard, Math.max(0, cutoff - ProxyContext.now()), TimeUnit.MILLISECONDS);
     }
   }
 
   private void dropUnheard() {
-    if (running() > 0 && room.once != null) {
-      room.once.ran(request.headers().get(Headers.ATTEMPT_ID), false, Switchroom.now());
+    if (running() > 0 && proxyContext.once != null) {
+      proxyContext.once.ran(request.headers().get(Headers.ATTEMPT_ID), false, ProxyContext.now());
     }
-    for (final Cords.Attempt attempt : attempts) {
+    for (final UpstreamPool.Attempt attempt : attempts) {
       attempt.abandon();
     }
     endKey();
@@ -986,7 +1010,7 @@
   private void end() {
     endKey();
     if (draft != null) {
-      room.recorder.done(draft, Switchroom.now());
+      proxyContext.recorder.done(draft, ProxyContext.now());
       draft = null;
     }
     if (timer != null) {
@@ -1007,7 +1031,7 @@
       return;
     }
     over = true;
-    for (final Cords.Attempt attempt : attempts) {
+    for (final UpstreamPool.Attempt attempt : attempts) {
       attempt.abandon();
     }
     end();
--- a/jack/src/main/java/weldpoint/jack/Switchroom.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
@@ -8,7 +8,6 @@
 import weldpoint.boot.Boot;
 import weldpoint.chief.Duties;
 import weldpoint.chief.OnceOnly;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Affinity;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.RouteKind;
@@ -16,10 +15,11 @@
 import weldpoint.trial.TrialBook;
 import weldpoint.trunk.Protocol;
 import weldpoint.trunk.RegionMessages;
+import weldpoint.upstream.UpstreamPool;
 
 /** What all sessions of a switchboard share. All of it lives on the traffic thread. */
-final class Switchroom {
-  final Cords cords;
+final class ProxyContext {
+  final UpstreamPool upstreamPool;
   final TrialBook trials;
   final Random random;
   final EventLoopGroup loop;
@@ -39,7 +39,7 @@
   long seenRepeatables;
   long seenWrites;
   long refusedWrites;
-  Recordings recordings;
+  CacheClient recordings;
   boolean strict;
   long revokeMillis;
   Runnable uponPlan;
@@ -55,13 +55,13 @@
   long failed;
   long repeated;
 
-  Switchroom(
+  ProxyContext(
       final EventLoopGroup loop, final Boot boot, final Random random, final TrialBook trials) {
     this.trials = trials;
     this.loop = loop;
     this.random = random;
-    this.cords = new Cords(loop, boot, random);
-    this.cords.surplus(trials::surplus);
+    this.upstreamPool = new UpstreamPool(loop, boot, random);
+    this.upstreamPool.surplus(trials::surplus);
     this.usual = Affinity.setting("affinity.default", boot.affinityUsual());
     this.tieWaitMillis = boot.affinityWaitMillis();
     this.strict = boot.strictRevocation();
@@ -72,7 +72,7 @@
   void ordered(final RegionMessages.Order given, final String self) {
     order = given;
     once.elsewhere(given == null ? java.util.List.of() : Protocol.list(given.uncertain));
-    cords.ordered(
+    upstreamPool.ordered(
         given == null ? 0 : Duties.part(given, self),
         given == null
             ? java.util.Set.of()
@@ -87,7 +87,7 @@
             seenWrites,
             refusedWrites,
             served - servedBefore,
-            cords.silent(now),
+            upstreamPool.silent(now),
             once.unsure(now, UNSURE_MILLIS));
     seenRepeatables = 0;
     seenWrites = 0;
@@ -111,7 +111,7 @@
     return System.nanoTime() / 1_000_000;
   }
 
-  void take(final Outlook outlook) {
+  void take(final ControlUpdate outlook) {
     final long now = now();
     if (outlook.plan() != null && (plan == null || outlook.plan().version() > plan.version())) {
       final boolean first = plan == null;
@@ -126,17 +126,17 @@
       }
     }
     if (outlook.switchboards() > 0) {
-      cords.switchboards(outlook.switchboards(), now);
+      upstreamPool.switchboards(outlook.switchboards(), now);
     }
     if (outlook.trials() != null) {
       trials.take(outlook.trials(), outlook.trialMark());
     }
-    cords.apply(outlook.changes(), now);
+    upstreamPool.apply(outlook.changes(), now);
     if (outlook.evacuated() != null) {
-      cords.evacuated(outlook.evacuated(), now);
+      upstreamPool.evacuated(outlook.evacuated(), now);
     }
     if (outlook.suspects() != null) {
-      cords.suspects(outlook.suspects());
+      upstreamPool.suspects(outlook.suspects());
     }
   }
 }
--- a/jack/src/main/java/weldpoint/jack/SwitchboardDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.ServerBootstrap;
@@ -35,7 +35,6 @@
 import weldpoint.boot.Chance;
 import weldpoint.boot.Desk;
 import weldpoint.boot.Program;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.metrics.Figure;
 import weldpoint.metrics.MetricsServer;
@@ -54,9 +53,10 @@
 import weldpoint.trunk.TrialMessages;
 import weldpoint.trunk.Trunk;
 import weldpoint.trunk.Wire;
+import weldpoint.upstream.UpstreamPool;
 
 /** The proxy as a process: traffic on one thread, control state on another. */
-public final class SwitchboardDaemon implements Program {
+public final class ProxyDaemon implements Program {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 100;
   private static final long REPORT_MILLIS = 1000;
@@ -71,32 +71,32 @@
   private final Desk desk = new Desk("switchboard");
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final Trunk trunk;
-  private final Switchroom room;
-  private final BoardLink link;
-  private final Set<Session> sessions = new HashSet<>();
+  private final ProxyContext proxyContext;
+  private final RegistryLink link;
+  private final Set<ClientConnection> sessions = new HashSet<>();
   private final Stream stream;
   private volatile Channel doors;
   private ChiefDesk chief;
   private final long incarnation;
 
   /** A proxy for these settings; nothing runs yet. */
-  public SwitchboardDaemon(final Boot boot) {
+  public ProxyDaemon(final Boot boot) {
     this.boot = boot;
     this.incarnation = Chance.fresh();
     this.trunk =
         new Trunk(
             loop, new Protocol.Hello(Wire.PROTOCOL, "switchboard", boot.address(), incarnation));
-    this.room =
-        new Switchroom(
+    this.proxyContext =
+        new ProxyContext(
             loop, boot, new Random(incarnation), new TrialBook(boot.address(), incarnation));
-    this.room.trials.alarm(() -> report(false));
+    this.proxyContext.trials.alarm(() -> report(false));
     this.stream =
         new Stream(
             trunk,
             desk,
             boot,
             () -> {
-              if (room().permits != null) {
+              if (proxyContext().permits != null) {
                 loop.execute(() -> sweepAsks(true));
               }
             });
@@ -110,11 +110,11 @@
             false,
             0);
     this.link =
-        new BoardLink(
+        new RegistryLink(
             self,
             boot.seeds(),
             new Random(incarnation + 1),
-            new BoardLink.Outlet() {
+            new RegistryLink.Outlet() {
               @Override
               public void dial(final String address) {
                 stream.dial(address);
@@ -143,13 +143,14 @@
                   final Set<String> evacuated,
                   final Set<String> suspects,
                   final int switchboards) {
-                final List<Cords.Change> list = new ArrayList<>();
+                final List<UpstreamPool.Change> list = new ArrayList<>();
                 changes.forEach(
-                    (registration, open) -> list.add(new Cords.Change(registration, open)));
+                    (registration, open) -> list.add(new UpstreamPool.Change(registration, open)));
                 loop.execute(
                     () ->
-                        room.take(
-                            new Outlook(plan, list, evacuated, suspects, switchboards, null, -1)));
+                        proxyContext.take(
+                            new ControlUpdate(
+                                plan, list, evacuated, suspects, switchboards, null, -1)));
                 if (plan != null || evacuated != null) {
                   inForce();
                 }
@@ -158,13 +159,16 @@
               @Override
               public void trials(final List<TrialMessages.Trial> trials, final long mark) {
                 loop.execute(
-                    () -> room.take(new Outlook(null, List.of(), null, null, 0, trials, mark)));
+                    () ->
+                        proxyContext.take(
+                            new ControlUpdate(null, List.of(), null, null, 0, trials, mark)));
                 inForce();
               }
 
               @Override
               public void neighbours(final List<String> addresses) {
-                loop.execute(() -> room.cords.neighbours(addresses, Switchroom.now()));
+                loop.execute(
+                    () -> proxyContext.upstreamPool.neighbours(addresses, ProxyContext.now()));
               }
 
               @Override
@@ -172,21 +176,21 @@
                 loop.execute(
                     () -> {
                       ties();
-                      room.ties.take(placements, Switchroom.now());
+                      proxyContext.ties.take(placements, ProxyContext.now());
                     });
               }
 
               @Override
               public void assignments(final List<Assignment> assignments) {
-                loop.execute(() -> room.owners.take(assignments));
+                loop.execute(() -> proxyContext.owners.take(assignments));
               }
 
               @Override
               public void leased(final PlacementMessages.LeaseGrant grant) {
                 loop.execute(
                     () -> {
-                      if (room.ties != null) {
-                        room.ties.granted(grant, Switchroom.now());
+                      if (proxyContext.ties != null) {
+                        proxyContext.ties.granted(grant, ProxyContext.now());
                       }
                     });
               }
@@ -207,21 +211,22 @@
               public void reached(
                   final long ageMillis, final int boards, final List<String> announcers) {
                 if (chief != null) {
-                  chief.core(ageMillis, Switchroom.now());
+                  chief.core(ageMillis, ProxyContext.now());
                 }
-                if (room.recordings != null) {
-                  loop.execute(() -> room.recordings.announcers(announcers, Switchroom.now()));
+                if (proxyContext.recordings != null) {
+                  loop.execute(
+                      () -> proxyContext.recordings.announcers(announcers, ProxyContext.now()));
                 }
               }
 
               @Override
               public void claimed(final KeyMessages.ClaimAnswer answer) {
-                loop.execute(() -> room.keys.answered(answer, Switchroom.now()));
+                loop.execute(() -> proxyContext.keys.answered(answer, ProxyContext.now()));
               }
 
               @Override
               public void permitted(final PermitMessages.PermitAnswer answer) {
-                loop.execute(() -> room.permits.answered(answer));
+                loop.execute(() -> proxyContext.permits.answered(answer));
               }
 
               @Override
@@ -230,29 +235,29 @@
               }
             });
     stream.link(link);
-    room.uponTies = this::ties;
-    room.uponPlan = this::openFront;
+    proxyContext.uponTies = this::ties;
+    proxyContext.uponPlan = this::openFront;
   }
 
   /** Notes what is in force, once the traffic thread has taken what was handed to it. */
   private void inForce() {
     final long version = link.version();
     final long mark = link.mark();
-    loop.execute(() -> desk.execute(() -> link.inForce(version, mark, Switchroom.now())));
+    loop.execute(() -> desk.execute(() -> link.inForce(version, mark, ProxyContext.now())));
   }
 
-  Switchroom room() {
-    return room;
+  ProxyContext proxyContext() {
+    return proxyContext;
   }
 
   @Override
   public void start() throws InterruptedException {
     final Boot.Address readiness = boot.requiredAddress("listen.readiness");
     if (boot.chief()) {
-      chief = new ChiefDesk(boot, trunk, desk, loop, room, incarnation);
+      chief = new ChiefDesk(boot, trunk, desk, loop, proxyContext, incarnation);
     }
     if (!boot.firstStart()) {
-      room.cords.restarted(Switchroom.now());
+      proxyContext.upstreamPool.restarted(ProxyContext.now());
     }
     permits();
     keys();
@@ -266,7 +271,7 @@
           boot.metricsPort(),
           () -> CompletableFuture.completedFuture(figures()));
     }
-    desk.execute(() -> link.start(Switchroom.now()));
+    desk.execute(() -> link.start(ProxyContext.now()));
     new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -284,7 +289,7 @@
     loop.scheduleAtFixedRate(
         () -> report(false), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
     loop.scheduleAtFixedRate(
-        () -> room.owners.reports().forEach(stream::send),
+        () -> proxyContext.owners.reports().forEach(stream::send),
         REPORT_MILLIS,
         REPORT_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -293,16 +298,18 @@
         () ->
             LOGGER.atInfo().log(
                 "counters: served %s refused %s failed %s repeated %s active %s upstreams %s spec %s %s",
-                room.served,
-                room.refused,
-                room.failed,
-                room.repeated,
-                room.open.count(),
-                room.cords.count()
-                    + (room.ties == null ? "" : " " + room.ties.counters(Switchroom.now()))
+                proxyContext.served,
+                proxyContext.refused,
+                proxyContext.failed,
+                proxyContext.repeated,
+                proxyContext.open.count(),
+                proxyContext.upstreamPool.count()
+                    + (proxyContext.ties == null
+                        ? ""
+                        : " " + proxyContext.ties.counters(ProxyContext.now()))
                     + (chief == null ? "" : " " + chief.counters())
-                    + room.keys.counters(),
-                room.plan == null ? "none" : Long.toHexString(room.plan.version()),
+                    + proxyContext.keys.counters(),
+                proxyContext.plan == null ? "none" : Long.toHexString(proxyContext.plan.version()),
                 trunk.meter()),
         boot.countersMillis(),
         boot.countersMillis(),
@@ -311,44 +318,51 @@
 
   /** Takes to tying callers to nodes. */
   private void ties() {
-    if (room.ties == null) {
-      room.ties = new Ties(boot.address(), incarnation, boot.affinityLeaseMillis(), stream::send);
+    if (proxyContext.ties == null) {
+      proxyContext.ties =
+          new Ties(boot.address(), incarnation, boot.affinityLeaseMillis(), stream::send);
       loop.scheduleAtFixedRate(
-          () -> room.ties.tick(Switchroom.now()), TIE_MILLIS, TIE_MILLIS, TimeUnit.MILLISECONDS);
+          () -> proxyContext.ties.tick(ProxyContext.now()),
+          TIE_MILLIS,
+          TIE_MILLIS,
+          TimeUnit.MILLISECONDS);
     }
   }
 
   private void record(final RecordingMessages.RecordState state) {
-    if (state.on && room.recorder == null) {
-      room.recorder = new Recorder(boot.address(), boot.site(), boot.region(), incarnation);
+    if (state.on && proxyContext.recorder == null) {
+      proxyContext.recorder = new Recorder(boot.address(), boot.site(), boot.region(), incarnation);
       loop.scheduleAtFixedRate(
           () -> {
-            room.recorder.flush(Switchroom.now(), stream::send);
+            proxyContext.recorder.flush(ProxyContext.now(), stream::send);
           },
           REPORT_MILLIS,
           REPORT_MILLIS,
           TimeUnit.MILLISECONDS);
     }
-    if (room.recorder != null) {
-      room.recorder.state(state);
+    if (proxyContext.recorder != null) {
+      proxyContext.recorder.state(state);
     }
   }
 
   private List<Figure> figures() {
     final String help = "Requests by how they ended.";
     final List<Figure> figures = new ArrayList<>();
-    figures.add(Figure.counter("weldpoint_requests", help, room.served).with("result", "served"));
-    figures.add(Figure.counter("weldpoint_requests", help, room.refused).with("result", "refused"));
-    figures.add(Figure.counter("weldpoint_requests", help, room.failed).with("result", "failed"));
+    figures.add(
+        Figure.counter("weldpoint_requests", help, proxyContext.served).with("result", "served"));
+    figures.add(
+        Figure.counter("weldpoint_requests", help, proxyContext.refused).with("result", "refused"));
+    figures.add(
+        Figure.counter("weldpoint_requests", help, proxyContext.failed).with("result", "failed"));
     figures.add(
         Figure.counter(
-            "weldpoint_further_sends", "Sends beyond a request's first.", room.repeated));
-    figures.add(Figure.gauge("weldpoint_active", "Requests under way.", room.open.count()));
+            "weldpoint_further_sends", "Sends beyond a request's first.", proxyContext.repeated));
+    figures.add(Figure.gauge("weldpoint_active", "Requests under way.", proxyContext.open.count()));
     figures.add(
         Figure.gauge(
             "weldpoint_unwritten_answer_bytes",
             "Bytes of answers that clients have not taken yet.",
-            room.open.unwrittenBytes()));
+            proxyContext.open.unwrittenBytes()));
     figures.add(
         Figure.counter(
             "weldpoint_registry_moves", "Times that another registry was dialled.", link.moves()));
@@ -356,28 +370,28 @@
         Figure.counter(
             "weldpoint_key_waits",
             "Requests that waited for their key's holder.",
-            room.owners.waitedCount()));
+            proxyContext.owners.waitedCount()));
     figures.add(
         Figure.counter(
             "weldpoint_key_turned_away",
             "Requests that an upstream turned away, since it did not hold the key.",
-            room.owners.turnedAwayCount()));
-    figures.addAll(room.tenantCounts.figures());
-    figures.addAll(room.permits.figures());
-    figures.addAll(room.keys.figures());
+            proxyContext.owners.turnedAwayCount()));
+    figures.addAll(proxyContext.tenantCounts.figures());
+    figures.addAll(proxyContext.permits.figures());
+    figures.addAll(proxyContext.keys.figures());
     return figures;
   }
 
   /** Takes to asking for permits: limits hold wherever a configuration has them. */
   private void permits() {
-    room.permits = new PermitPool(stream::send);
+    proxyContext.permits = new PermitPool(stream::send);
   }
 
   /** Takes to claiming idempotency keys. */
   private void keys() throws InterruptedException {
-    final OutcomeLines lines = new OutcomeLines(trunk, boot, loop, room);
-    room.keyHeaders = boot.keyHeaders();
-    room.keys =
+    final OutcomeLines lines = new OutcomeLines(trunk, boot, loop, proxyContext);
+    proxyContext.keyHeaders = boot.keyHeaders();
+    proxyContext.keys =
         new KeyRuns(
             boot.address(),
             incarnation,
@@ -415,19 +429,19 @@
                   @Override
                   public void heard(final Line line, final Message message) {
                     if (message instanceof CacheMessages.CopyAnswer) {
-                      room.recordings.heard(
-                          to, (CacheMessages.CopyAnswer) message, Switchroom.now());
+                      proxyContext.recordings.heard(
+                          to, (CacheMessages.CopyAnswer) message, ProxyContext.now());
                     }
                   }
 
                   @Override
                   public void closed(final Line line) {
-                    room.recordings.closed(to, Switchroom.now());
+                    proxyContext.recordings.closed(to, ProxyContext.now());
                   }
                 });
-    room.recordings =
-        new Recordings(
-            new Recordings.Lines() {
+    proxyContext.recordings =
+        new CacheClient(
+            new CacheClient.Lines() {
               @Override
               public void keep(final List<String> addresses) {
                 lines.keep(addresses);
@@ -444,11 +458,11 @@
               }
             });
     loop.scheduleAtFixedRate(
-        () -> room.recordings.sweep(Switchroom.now()), 100, 100, TimeUnit.MILLISECONDS);
+        () -> proxyContext.recordings.sweep(ProxyContext.now()), 100, 100, TimeUnit.MILLISECONDS);
   }
 
   private void report(final boolean all) {
-    final TrialMessages.TrialReport report = room.trials.report(all);
+    final TrialMessages.TrialReport report = proxyContext.trials.report(all);
     if (report != null) {
       desk.execute(() -> stream.send(report));
     }
@@ -470,13 +484,15 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(final SocketChannel channel) {
-                final Session session = new Session(room);
+                final ClientConnection session = new ClientConnection(proxyContext);
                 sessions.add(session);
                 channel.closeFuture().addListener(closed -> sessions.remove(session));
-                final int most = room.plan == null ? MOST_HEADER : room.plan.maxHeaderBytes();
+                final int most =
+                    proxyContext.plan == null ? MOST_HEADER : proxyContext.plan.maxHeaderBytes();
                 channel
                     .pipeline()
-                    .addLast(new Session.Decoder(most), new HttpResponseEncoder(), session);
+                    .addLast(
+                        new ClientConnection.Decoder(most), new HttpResponseEncoder(), session);
               }
             })
         .bind(front.host(), front.port())
@@ -493,21 +509,21 @@
   }
 
   private void tick() {
-    desk.execute(() -> link.tick(Switchroom.now()));
+    desk.execute(() -> link.tick(ProxyContext.now()));
     sweepAsks(false);
   }
 
   /** Gives up what was asked of a registry, all of it or what has waited for too long. */
   private void sweepAsks(final boolean all) {
-    room.permits.sweep(all, Switchroom.now());
-    room.keys.sweep(all, Switchroom.now());
+    proxyContext.permits.sweep(all, ProxyContext.now());
+    proxyContext.keys.sweep(all, ProxyContext.now());
   }
 
   /** Closes connections that have rested for too long, and drops answers nobody takes. */
   void sweep() {
-    final long now = Switchroom.now();
-    room.cords.sweep(now);
-    for (final Session session : new ArrayList<>(sessions)) {
+    final long now = ProxyContext.now();
+    proxyContext.upstreamPool.sweep(now);
+    for (final ClientConnection session : new ArrayList<>(sessions)) {
       session.sweep(now);
     }
   }
@@ -515,7 +531,7 @@
   private final class Readiness extends SimpleChannelInboundHandler<HttpRequest> {
     @Override
     protected void channelRead0(final ChannelHandlerContext context, final HttpRequest request) {
-      final boolean ready = room.plan != null && !room.leaving;
+      final boolean ready = proxyContext.plan != null && !proxyContext.leaving;
       final DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
@@ -544,9 +560,9 @@
 
   @Override
   public void stop() {
-    final long began = Switchroom.now();
-    desk.execute(() -> link.leave(Switchroom.now()));
-    loop.execute(() -> room.leaving = true);
+    final long began = ProxyContext.now();
+    desk.execute(() -> link.leave(ProxyContext.now()));
+    loop.execute(() -> proxyContext.leaving = true);
     final long longest = Math.max(500, boot.graceMillis() - 700);
     try {
       Thread.sleep(Math.min(LINGER_MILLIS, longest));
@@ -555,11 +571,11 @@
         open.close();
       }
       int calm = 0;
-      while (calm < CALM_ROUNDS && Switchroom.now() - began < longest) {
+      while (calm < CALM_ROUNDS && ProxyContext.now() - began < longest) {
         Thread.sleep(ROUND_MILLIS);
-        calm = room.open.count() == 0 ? calm + 1 : 0;
+        calm = proxyContext.open.count() == 0 ? calm + 1 : 0;
       }
-      while (!loop.submit(this::endIfIdle).get() && Switchroom.now() - began < longest) {
+      while (!loop.submit(this::endIfIdle).get() && ProxyContext.now() - began < longest) {
         Thread.sleep(ROUND_MILLIS);
       }
     } catch (final InterruptedException ended) {
@@ -572,7 +588,7 @@
   /** Closes all connections on which no request is open; false where one is. */
   private boolean endIfIdle() {
     boolean idle = true;
-    for (final Session session : new ArrayList<>(sessions)) {
+    for (final ClientConnection session : new ArrayList<>(sessions)) {
       idle &= session.endIfIdle();
     }
     return idle;
--- a/jack/src/main/java/weldpoint/jack/Recorder.java
+++ b/proxy/src/main/java/weldpoint/proxy/Recorder.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
@@ -7,12 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
-import weldpoint.cord.Cord;
-import weldpoint.cord.Fate;
-import weldpoint.cord.Headers;
 import weldpoint.dialplan.Route;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.RecordingMessages;
+import weldpoint.upstream.AttemptOutcome;
+import weldpoint.upstream.Headers;
+import weldpoint.upstream.UpstreamConnection;
 
 /**
  * Notes what a switchboard carries while an operator records a day; bounded, and what had to be
@@ -61,13 +61,17 @@
       upstreams.add(upstream);
       begun.add(now - at);
       took.add(-1L);
-      ends.add(Fate.OPEN.ordinal());
+      ends.add(AttemptOutcome.OPEN.ordinal());
       return upstreams.size() - 1;
     }
 
-    void ended(final int place, final Cord.End end, final HttpResponse head, final long now) {
+    void ended(
+        final int place,
+        final UpstreamConnection.End end,
+        final HttpResponse head,
+        final long now) {
       took.set(place, now - at - begun.get(place));
-      ends.set(place, Fate.named(end, head).ordinal());
+      ends.set(place, AttemptOutcome.named(end, head).ordinal());
     }
 
     void status(final int given) {
--- a/jack/src/main/java/weldpoint/jack/BoardLink.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
@@ -34,7 +34,7 @@
  * lost touch with the majority, and never goes back to anything older. It runs on the control
  * thread and knows neither sockets nor clocks.
  */
-public final class BoardLink {
+public final class RegistryLink {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long SILENT_MILLIS = 1400;
   private static final long STALE_MILLIS = 2200;
@@ -53,7 +53,7 @@
 
     /**
      * Opens one more line, to this exchange, beside the one there is, for {@link
-     * BoardLink#arrived}; false where only one line at a time can be had.
+     * RegistryLink#arrived}; false where only one line at a time can be had.
      */
     default boolean approach(final String address) {
       return false;
@@ -138,7 +138,7 @@
   private long approachedAt;
 
   /** A link for the switchboard that describes itself so. */
-  public BoardLink(
+  public RegistryLink(
       final Board self, final List<String> seeds, final Random random, final Outlet outlet) {
     this.self = self;
     this.random = random;
--- a/jack/src/main/java/weldpoint/jack/Stream.java
+++ b/proxy/src/main/java/weldpoint/proxy/Stream.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -20,7 +20,7 @@
   private final Executor desk;
   private final int port;
   private final Runnable ended;
-  private BoardLink link;
+  private RegistryLink link;
   private volatile Trunk.Dialler dialler;
   private final List<Trunk.Dialler> beside = new ArrayList<>();
 
@@ -35,7 +35,7 @@
   }
 
   /** Takes the link that hears what comes. */
-  public void link(final BoardLink given) {
+  public void link(final RegistryLink given) {
     link = given;
   }
 
@@ -60,7 +60,7 @@
     if (before != null) {
       before.close();
     }
-    link.arrived(address, view, Switchroom.now());
+    link.arrived(address, view, ProxyContext.now());
     ended.run();
   }
 
@@ -92,16 +92,16 @@
                   @Override
                   public void opened(final Line line) {
                     if (beside.contains(mine[0])) {
-                      line.send(link.greeting(Switchroom.now()));
+                      line.send(link.greeting(ProxyContext.now()));
                     } else if (dialler == mine[0]) {
-                      link.opened(Switchroom.now());
+                      link.opened(ProxyContext.now());
                     }
                   }
 
                   @Override
                   public void heard(final Line line, final Message message) {
                     if (dialler == mine[0]) {
-                      link.heard(message, Switchroom.now());
+                      link.heard(message, ProxyContext.now());
                     } else if (beside.contains(mine[0])
                         && message instanceof RegistryMessages.View) {
                       arrive(address, mine[0], (RegistryMessages.View) message);
@@ -111,7 +111,7 @@
                   @Override
                   public void closed(final Line line) {
                     if (dialler == mine[0]) {
-                      link.closed(Switchroom.now());
+                      link.closed(ProxyContext.now());
                       ended.run();
                     }
                   }
--- a/jack/src/test/java/weldpoint/jack/OnceTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/AtMostOnceTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -33,18 +33,18 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.jack.ScriptedUpstream.Ending;
-import weldpoint.jack.ScriptedUpstream.Step;
+import weldpoint.proxy.ScriptedUpstream.Ending;
+import weldpoint.proxy.ScriptedUpstream.Step;
 import weldpoint.trial.TrialBook;
 import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.upstream.UpstreamPool;
 
 /**
  * Trouble at every byte between clients, the door and upstreams: what may not be repeated runs at
  * most once, and each answer reaches its own caller.
  */
-public final class OnceTest {
+public final class AtMostOnceTest {
   private static final String GOOD =
       "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
   private static final String DECLINED =
@@ -55,7 +55,7 @@
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final List<ScriptedUpstream> upstreams = new ArrayList<>();
   private final AtomicInteger arrivals = new AtomicInteger();
-  private Switchroom room;
+  private ProxyContext proxyContext;
   private Channel front;
 
   @AfterClass
@@ -68,7 +68,7 @@
     final Boot boot =
         Boot.parse(
             "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nsites = a:r\nbound.retry-slack = 100000\n");
-    room = new Switchroom(loop, boot, new Random(1), new TrialBook("one", 1));
+    proxyContext = new ProxyContext(loop, boot, new Random(1), new TrialBook("one", 1));
     arrivals.set(0);
     front =
         new ServerBootstrap()
@@ -81,9 +81,9 @@
                     channel
                         .pipeline()
                         .addLast(
-                            new Session.Decoder(16_384),
+                            new ClientConnection.Decoder(16_384),
                             new HttpResponseEncoder(),
-                            new Session(room));
+                            new ClientConnection(proxyContext));
                   }
                 })
             .bind(InetAddress.getLoopbackAddress(), 0)
@@ -126,7 +126,7 @@
       upstream.close();
     }
     final int from = upstreams.size();
-    final List<Cords.Change> changes = new ArrayList<>();
+    final List<UpstreamPool.Change> changes = new ArrayList<>();
     for (int index = 0; index < 3; index++) {
       if (from > 0) {
         changes.add(change(from - 3 + index, false));
@@ -151,11 +151,12 @@
                     + rule("z", "idempotent", 60, 200, 3)
                     + "]}],\"pools\":[{\"name\":\"s\"}]}")
                 .getBytes(StandardCharsets.UTF_8));
-    loop.submit(() -> room.take(new Outlook(plan, changes, null, null, 1, null, -1))).sync();
+    loop.submit(() -> proxyContext.take(new ControlUpdate(plan, changes, null, null, 1, null, -1)))
+        .sync();
   }
 
-  private Cords.Change change(final int index, final boolean open) {
-    return new Cords.Change(
+  private UpstreamPool.Change change(final int index, final boolean open) {
+    return new UpstreamPool.Change(
         new Registration(
             "i-" + index,
             "s",
@@ -365,7 +366,7 @@
     final int before = upstreams.stream().mapToInt(upstream -> upstream.connections.get()).sum();
     assertTrue(ask(WRITE).endsWith("body"));
     assertEquals(arrivals.get(), 3);
-    assertEquals(room.served, 2);
+    assertEquals(proxyContext.served, 2);
     assertTrue(ask(WRITE).endsWith("body"));
     assertTrue(
         upstreams.stream().mapToInt(upstream -> upstream.connections.get()).sum() >= before,
@@ -398,7 +399,7 @@
     }
     await(() -> upstreams.stream().anyMatch(upstream -> upstream.leftAlone.getCount() == 0));
     assertEquals(arrivals.get(), 1);
-    loop.submit(() -> assertEquals(room.open.count(), 0)).sync();
+    loop.submit(() -> assertEquals(proxyContext.open.count(), 0)).sync();
   }
 
   private interface Condition {
--- a/jack/src/test/java/weldpoint/jack/CachedCopiesTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/CachedCopiesTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
@@ -107,9 +107,9 @@
     final List<String> asked = new ArrayList<>();
     final List<CopyAnswer> answers = new ArrayList<>();
     final java.util.Set<String> dark = new java.util.HashSet<>();
-    final Recordings recordings =
-        new Recordings(
-            new Recordings.Lines() {
+    final CacheClient recordings =
+        new CacheClient(
+            new CacheClient.Lines() {
               @Override
               public void keep(final List<String> addresses) {}
 
--- a/jack/src/test/java/weldpoint/jack/SessionTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/ClientConnectionTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -18,7 +18,7 @@
 import weldpoint.boot.Boot;
 
 /** What is ambiguous is refused at the door, and nothing of it is passed on. */
-public final class SessionTest {
+public final class ClientConnectionTest {
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
 
   @AfterClass
@@ -31,10 +31,10 @@
         Boot.parse(
             "station.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\n");
     return new EmbeddedChannel(
-        new Session.Decoder(2048),
+        new ClientConnection.Decoder(2048),
         new HttpResponseEncoder(),
-        new Session(
-            new Switchroom(loop, boot, new Random(1), new weldpoint.trial.TrialBook("one", 1))));
+        new ClientConnection(
+            new ProxyContext(loop, boot, new Random(1), new weldpoint.trial.TrialBook("one", 1))));
   }
 
   private static String answer(final EmbeddedChannel channel) {
--- a/jack/src/test/java/weldpoint/jack/KeyRunsTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/KeyRunsTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
@@ -46,7 +46,7 @@
     asked.clear();
     later.clear();
     stream = true;
-    now = Switchroom.now();
+    now = ProxyContext.now();
     runs = new KeyRuns("10.0.0.1", 77, WINDOW, this);
   }
 
--- a/jack/src/test/java/weldpoint/jack/TripTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/ProxiedRequestTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -29,17 +29,17 @@
 import org.testng.annotations.Test;
 import weldpoint.affinity.Ties;
 import weldpoint.boot.Boot;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.trial.TrialBook;
 import weldpoint.trunk.PlacementMessages;
 import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.upstream.UpstreamPool;
 
 /**
  * Requests through the whole door to scripted upstreams: what may be repeated is, what may not
  * never runs twice.
  */
-public final class TripTest {
+public final class ProxiedRequestTest {
   private static final String ID = "abc";
   private static final String GOOD =
       "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
@@ -54,7 +54,7 @@
   private static final String GARBLED = "nonsense\r\n\r\n";
 
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
-  private Switchroom room;
+  private ProxyContext proxyContext;
   private Channel front;
   private AtomicInteger arrivals;
 
@@ -68,7 +68,7 @@
     final Boot boot =
         Boot.parse(
             "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nsites = a:r\nbound.retry-slack = 100\n");
-    room = new Switchroom(loop, boot, new Random(1), new TrialBook("one", 1));
+    proxyContext = new ProxyContext(loop, boot, new Random(1), new TrialBook("one", 1));
     arrivals = new AtomicInteger();
     front =
         new ServerBootstrap()
@@ -81,9 +81,9 @@
                     channel
                         .pipeline()
                         .addLast(
-                            new Session.Decoder(16_384),
+                            new ClientConnection.Decoder(16_384),
                             new HttpResponseEncoder(),
-                            new Session(room));
+                            new ClientConnection(proxyContext));
                   }
                 })
             .bind(InetAddress.getLoopbackAddress(), 0)
@@ -113,12 +113,13 @@
                     + "{\"name\":\"t\",\"routeKind\":\"mutating\",\"targetLatencyMs\":5000,\"match\":{\"pathPrefix\":\"/t/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":3,\"affinity\":{\"by\":\"header\",\"header\":\"X-Firm\"}}},"
                     + "{\"name\":\"r\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":5000,\"match\":{\"pathPrefix\":\"/r/\"},\"action\":{\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":3}}]}],\"pools\":[{\"name\":\"s\"}]}")
                 .getBytes(StandardCharsets.UTF_8));
-    final List<Cords.Change> changes =
+    final List<UpstreamPool.Change> changes =
         List.of(
-            new Cords.Change(registrations[0], true),
-            new Cords.Change(registrations[1], true),
-            new Cords.Change(registrations[2], true));
-    loop.submit(() -> room.take(new Outlook(plan, changes, null, null, 1, null, -1))).sync();
+            new UpstreamPool.Change(registrations[0], true),
+            new UpstreamPool.Change(registrations[1], true),
+            new UpstreamPool.Change(registrations[2], true));
+    loop.submit(() -> proxyContext.take(new ControlUpdate(plan, changes, null, null, 1, null, -1)))
+        .sync();
   }
 
   private void serve(final ServerSocket server, final String... script) {
@@ -208,7 +209,7 @@
     loop.submit(
             () -> {
               final long[] number = new long[1];
-              room.ties = new Ties("127.0.0.1", 1, 4000, ask -> number[0] = ask.number);
+              proxyContext.ties = new Ties("127.0.0.1", 1, 4000, ask -> number[0] = ask.number);
               final List<PlacementMessages.PlacementMember> members =
                   List.of(
                       new PlacementMessages.PlacementMember("i-0", 4, "a"),
@@ -216,17 +217,17 @@
                       new PlacementMessages.PlacementMember("i-2", 4, "a"));
               final List<PlacementMessages.PlacementMember> next =
                   List.of(new PlacementMessages.PlacementMember("i-9", 4, "a"));
-              room.ties.take(
+              proxyContext.ties.take(
                   new PlacementMessages.Placements(
                       1,
                       List.of(
                           new PlacementMessages.Placement(
                               "s", 1, 1, members, moving, moving ? next : null))),
-                  Switchroom.now());
+                  ProxyContext.now());
               if (leased) {
-                room.ties.granted(
+                proxyContext.ties.granted(
                     new PlacementMessages.LeaseGrant(number[0], "127.0.0.1", 1, 4000),
-                    Switchroom.now());
+                    ProxyContext.now());
               }
             })
         .sync();
--- a/jack/src/test/java/weldpoint/jack/SwitchboardThreadsTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/ProxyThreadsTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertTrue;
 
@@ -15,7 +15,7 @@
 import weldpoint.dialplan.Dialplan;
 
 /** Threads of a switchboard that take turns at the worst points. */
-public final class SwitchboardThreadsTest {
+public final class ProxyThreadsTest {
   private static int port() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
       return socket.getLocalPort();
@@ -26,8 +26,8 @@
   public void aConfigurationThatComesBeforeTheStartHasEndedOpensTheDoor()
       throws IOException, InterruptedException {
     final int front = port();
-    final SwitchboardDaemon daemon =
-        new SwitchboardDaemon(
+    final ProxyDaemon daemon =
+        new ProxyDaemon(
             Boot.parse(
                 "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.traffic = 127.0.0.1:"
                     + front
@@ -36,9 +36,13 @@
         Dialplan.compile(
             "{\"version\":\"1\",\"listeners\":[],\"pools\":[]}".getBytes(StandardCharsets.UTF_8));
     daemon
-        .room()
+        .proxyContext()
         .loop
-        .submit(() -> daemon.room().take(new Outlook(plan, List.of(), null, null, 1, null, -1)))
+        .submit(
+            () ->
+                daemon
+                    .proxyContext()
+                    .take(new ControlUpdate(plan, List.of(), null, null, 1, null, -1)))
         .sync();
     final long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
     boolean open = false;
@@ -51,6 +55,6 @@
       }
     }
     assertTrue(open, "the door stays shut for good");
-    daemon.room().loop.shutdownGracefully();
+    daemon.proxyContext().loop.shutdownGracefully();
   }
 }
--- a/jack/src/test/java/weldpoint/jack/BoardLinkTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/RegistryLinkTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
@@ -21,7 +21,7 @@
 import weldpoint.trunk.TrialMessages;
 
 /** A switchboard's view never goes back, and a stale or silent exchange is left. */
-public final class BoardLinkTest {
+public final class RegistryLinkTest {
   private final List<Long> specs = new ArrayList<>();
   private final Map<String, Boolean> open = new HashMap<>();
   private final List<String> dialled = new ArrayList<>();
@@ -31,7 +31,7 @@
   private Set<String> evacuated = Set.of();
 
   /** A link that can have a line beside the one it has. */
-  private BoardLink linkOfTwoLines() {
+  private RegistryLink linkOfTwoLines() {
     twoLines = true;
     try {
       return link();
@@ -41,16 +41,16 @@
     }
   }
 
-  private BoardLink link() {
+  private RegistryLink link() {
     specs.clear();
     open.clear();
     dialled.clear();
-    final BoardLink link =
-        new BoardLink(
+    final RegistryLink link =
+        new RegistryLink(
             new RegistryMessages.Board("10.0.0.9", "10.0.0.9:80", "a", "r", 1, false, 0),
             List.of("e1", "e2", "e3"),
             new Random(1),
-            new BoardLink.Outlet() {
+            new RegistryLink.Outlet() {
               @Override
               public void dial(final String address) {
                 dialled.add(address);
@@ -125,7 +125,7 @@
 
   @Test
   public void nothingOlderIsTakenFromAnotherExchange() {
-    final BoardLink link = link();
+    final RegistryLink link = link();
     link.heard(view(5, 2, List.of("a"), upstream(Stage.DRAINING, 3)), 10);
     link.closed(20);
     link.heard(view(4, 1, List.of(), upstream(Stage.JOINED, 9)), 30);
@@ -139,7 +139,7 @@
 
   @Test
   public void aSilentOrStaleExchangeIsLeft() {
-    final BoardLink link = link();
+    final RegistryLink link = link();
     link.heard(view(5, 0, List.of()), 10);
     link.heard(new RegistryMessages.Reach(100, 3, List.of("e1", "e2", "e3")), 500);
     link.tick(1000);
@@ -159,19 +159,19 @@
 
   @Test
   public void aViewThatIsLongOnItsWayIsWaitedForUnlessTheExchangeSaysThatItKnowsNothing() {
-    final BoardLink slow = link();
+    final RegistryLink slow = link();
     slow.opened(10);
     slow.tick(1500);
     slow.tick(3000);
     assertEquals(dialled.size(), 1, "the line is open and a view may be under way");
     slow.heard(view(5, 0, List.of()), 3100);
     assertEquals(specs, List.of(5L));
-    final BoardLink uninformed = link();
+    final RegistryLink uninformed = link();
     uninformed.opened(10);
     uninformed.heard(new RegistryMessages.Reach(Integer.MAX_VALUE, 3, List.of()), 500);
     uninformed.tick(950);
     assertEquals(dialled.size(), 2);
-    final BoardLink dead = link();
+    final RegistryLink dead = link();
     dead.tick(950);
     assertEquals(dialled.size(), 2, "no line came about");
   }
@@ -179,7 +179,7 @@
   private static final List<String> MEMBERS = List.of("e1", "e2", "e3", "here");
   private static final List<String> PLACES = List.of("q/x", "q/y", "q/z", "r/a");
 
-  private static void reach(final BoardLink link, final long from, final long until) {
+  private static void reach(final RegistryLink link, final long from, final long until) {
     for (long now = from; now < until; now += 500) {
       link.heard(new RegistryMessages.Reach(100, 3, MEMBERS, null, PLACES), now);
       link.tick(now);
@@ -188,7 +188,7 @@
 
   @Test
   public void itKeepsItsStreamUntilTheNearerOneHasGivenAView() {
-    final BoardLink link = linkOfTwoLines();
+    final RegistryLink link = linkOfTwoLines();
     try {
       link.opened(10);
       link.heard(view(5, 0, List.of()), 20);
@@ -215,7 +215,7 @@
    */
   @Test
   public void aSilentStreamIsKeptUntilAnotherOneHasGivenAView() {
-    final BoardLink link = linkOfTwoLines();
+    final RegistryLink link = linkOfTwoLines();
     try {
       link.opened(10);
       link.heard(view(5, 0, List.of()), 20);
@@ -236,7 +236,7 @@
 
   @Test
   public void aNearerOneThatGivesNoViewCostsNothing() {
-    final BoardLink link = linkOfTwoLines();
+    final RegistryLink link = linkOfTwoLines();
     try {
       link.opened(10);
       link.heard(view(5, 0, List.of()), 20);
@@ -251,7 +251,7 @@
 
   @Test
   public void itMovesOnceToAnExchangeOfItsOwnZoneAndStays() {
-    final BoardLink link = link();
+    final RegistryLink link = link();
     final List<String> members = List.of("e1", "e2", "e3", "near", "here");
     final List<String> places = List.of("q/x", "q/y", "q/z", "r/b", "r/a");
     link.opened(10);
--- a/jack/src/test/java/weldpoint/jack/ScriptedUpstream.java
+++ b/proxy/src/test/java/weldpoint/proxy/ScriptedUpstream.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
--- a/jack/src/test/java/weldpoint/jack/SecondCopyTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/SecondCopyTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 
@@ -59,7 +59,11 @@
             RangeState.HELD,
             null);
     final Assignment assignment = new Assignment("s", 1, "registry", 1, List.of(all));
-    proxy.room().loop.submit(() -> proxy.room().owners.take(List.of(assignment))).sync();
+    proxy
+        .proxyContext()
+        .loop
+        .submit(() -> proxy.proxyContext().owners.take(List.of(assignment)))
+        .sync();
   }
 
   @AfterMethod
--- a/jack/src/test/java/weldpoint/jack/SlowReaderTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/SlowReaderTest.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -67,7 +67,7 @@
 
   /** Waits until the upstream has answered, and the proxy has what the client does not take yet. */
   private void awaitAnswer() throws InterruptedException {
-    TestProxy.await(() -> proxy.room().served > 0, "the upstream's answer has not come");
+    TestProxy.await(() -> proxy.proxyContext().served > 0, "the upstream's answer has not come");
   }
 
   /** Reads heads and bodies until the end; the bytes of all bodies together. */
@@ -95,11 +95,11 @@
     try (Socket client = proxy.connect()) {
       send(client, "a1", 6000);
       awaitAnswer();
-      proxy.room().leaving = true;
+      proxy.proxyContext().leaving = true;
       TimeUnit.MILLISECONDS.sleep(500);
       assertEquals(bodyBytes(client, 1), BODY_BYTES);
     }
-    TestProxy.await(() -> proxy.room().open.count() == 0, "the request stays open");
+    TestProxy.await(() -> proxy.proxyContext().open.count() == 0, "the request stays open");
   }
 
   /** Guards against LOST: the process ended while answers still waited in their connections. */
@@ -139,7 +139,7 @@
       send(client, "a1", 6000);
       send(client, "a2", 6000);
       awaitAnswer();
-      proxy.room().leaving = true;
+      proxy.proxyContext().leaving = true;
       TimeUnit.MILLISECONDS.sleep(300);
       assertEquals(bodyBytes(client, 2), 2 * BODY_BYTES);
       assertEquals(client.getInputStream().read(), -1, "the connection ends after the last answer");
@@ -153,20 +153,22 @@
     try (Socket client = proxy.connect()) {
       send(client, "a1", 500);
       awaitAnswer();
-      assertEquals(proxy.room().open.count(), 1);
-      TestProxy.await(() -> proxy.room().open.count() == 0, "the request stays open for good");
+      assertEquals(proxy.proxyContext().open.count(), 1);
+      TestProxy.await(
+          () -> proxy.proxyContext().open.count() == 0, "the request stays open for good");
       assertTrue(bodyBytes(client, 1) < BODY_BYTES);
     } catch (final IOException reset) {
-      assertEquals(proxy.room().open.count(), 0);
+      assertEquals(proxy.proxyContext().open.count(), 0);
     }
-    TestProxy.await(() -> proxy.room().open.unwrittenBytes() == 0, "bytes are counted for good");
+    TestProxy.await(
+        () -> proxy.proxyContext().open.unwrittenBytes() == 0, "bytes are counted for good");
   }
 
   @Test
   public void whileTooMuchWaitsForClientsNothingMoreIsBegun()
       throws IOException, InterruptedException {
     serve(15_000);
-    proxy.room().mostUnwrittenBytes = 1;
+    proxy.proxyContext().mostUnwrittenBytes = 1;
     try (Socket slow = proxy.connect();
         Socket other = proxy.connect()) {
       send(slow, "a1", 6000);
--- a/jack/src/test/java/weldpoint/jack/TestProxy.java
+++ b/proxy/src/test/java/weldpoint/proxy/TestProxy.java
@@ -1,4 +1,4 @@
-package weldpoint.jack;
+package weldpoint.proxy;
 
 import static org.testng.Assert.assertTrue;
 
@@ -12,9 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import weldpoint.boot.Boot;
-import weldpoint.cord.Cords;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.upstream.UpstreamPool;
 
 /** A proxy of one process on loopback, with one upstream, whose control state the test gives it. */
 final class TestProxy implements AutoCloseable {
@@ -28,13 +28,13 @@
   private static final int SWEEP_MILLIS = 20;
   private static final long WAIT_MILLIS = 8000;
 
-  private final SwitchboardDaemon daemon;
+  private final ProxyDaemon daemon;
   private final int port;
 
   TestProxy() throws IOException {
     port = freePort();
     daemon =
-        new SwitchboardDaemon(
+        new ProxyDaemon(
             Boot.parse(
                 "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\nsites = a:r\nbound.grace-s = 6\nbound.retry-slack = 100\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.traffic = 127.0.0.1:"
                     + port
@@ -47,12 +47,12 @@
     }
   }
 
-  SwitchboardDaemon daemon() {
+  ProxyDaemon daemon() {
     return daemon;
   }
 
-  Switchroom room() {
-    return daemon.room();
+  ProxyContext proxyContext() {
+    return daemon.proxyContext();
   }
 
   /**
@@ -78,12 +78,13 @@
                 .getBytes(StandardCharsets.UTF_8));
     final Registration registration =
         new Registration(UPSTREAM, "s", "127.0.0.1:" + upstreamPort, "a", "v", 4, 0, 1, 0, 0);
-    final List<Cords.Change> changes = List.of(new Cords.Change(registration, true));
-    room()
+    final List<UpstreamPool.Change> changes = List.of(new UpstreamPool.Change(registration, true));
+    proxyContext()
         .loop
-        .submit(() -> room().take(new Outlook(plan, changes, null, null, 1, null, -1)))
+        .submit(
+            () -> proxyContext().take(new ControlUpdate(plan, changes, null, null, 1, null, -1)))
         .sync();
-    room()
+    proxyContext()
         .loop
         .scheduleAtFixedRate(daemon::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -116,6 +117,6 @@
 
   @Override
   public void close() {
-    room().loop.shutdownGracefully();
+    proxyContext().loop.shutdownGracefully();
   }
 }
--- a/replay/src/main/java/weldpoint/replay/Call.java
+++ b/replay/src/main/java/weldpoint/replay/Call.java
@@ -1,8 +1,8 @@
 package weldpoint.replay;
 
-import weldpoint.cord.Fate;
 import weldpoint.dialplan.RouteKind;
 import weldpoint.trunk.RecordingMessages.Note;
+import weldpoint.upstream.AttemptOutcome;
 
 /**
  * One recorded call on the day's common clock, with what the recording tells of the work it makes.
@@ -22,11 +22,11 @@
     boolean lost = false;
     for (int index = 0; note.ends != null && index < note.ends.size(); index++) {
       final int end = note.ends.get(index);
-      if (end == Fate.ANSWERED.ordinal() && answered < 0) {
+      if (end == AttemptOutcome.ANSWERED.ordinal() && answered < 0) {
         answered = note.took.get(index);
       }
-      lost |= end == Fate.UNCERTAIN.ordinal() && answered < 0;
-      if (end == Fate.UNCERTAIN.ordinal() && answered < 0) {
+      lost |= end == AttemptOutcome.UNCERTAIN.ordinal() && answered < 0;
+      if (end == AttemptOutcome.UNCERTAIN.ordinal() && answered < 0) {
         answered = note.took.get(index);
       }
     }
--- a/replay/src/main/java/weldpoint/replay/World.java
+++ b/replay/src/main/java/weldpoint/replay/World.java
@@ -14,15 +14,15 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import weldpoint.boot.Boot;
-import weldpoint.cord.Cord;
-import weldpoint.cord.Cords;
-import weldpoint.cord.Further;
-import weldpoint.cord.Headers;
-import weldpoint.cord.Upstream;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Interpreter;
 import weldpoint.dialplan.Route;
 import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.upstream.Headers;
+import weldpoint.upstream.RetryPolicy;
+import weldpoint.upstream.Upstream;
+import weldpoint.upstream.UpstreamConnection;
+import weldpoint.upstream.UpstreamPool;
 
 /**
  * A fleet of the day's size on the day's clock under one configuration: the daemons' own plan,
@@ -51,7 +51,7 @@
   private final EventLoopGroup loop;
   private final String extra;
   private final long seed;
-  private final Map<String, Cords> boards = new HashMap<>();
+  private final Map<String, UpstreamPool> boards = new HashMap<>();
   private final Map<String, Boot> boots = new HashMap<>();
   private final Map<String, Random> chances = new HashMap<>();
   private final Map<String, Model> models = new HashMap<>();
@@ -78,19 +78,19 @@
   }
 
   void control(final List<Registration> changes, final List<String> sites) {
-    final List<Cords.Change> list = new ArrayList<>();
+    final List<UpstreamPool.Change> list = new ArrayList<>();
     for (final Registration registration : changes == null ? List.<Registration>of() : changes) {
       registrations.put(registration.id, registration);
       final boolean open = registration.stage == 0 && !registration.service.isEmpty();
       if (open) {
         models.computeIfAbsent(registration.id, id -> new Model(registration.capacity));
       }
-      list.add(new Cords.Change(registration, open));
+      list.add(new UpstreamPool.Change(registration, open));
     }
-    boards.values().forEach(cords -> cords.apply(list, now));
+    boards.values().forEach(upstreamPool -> upstreamPool.apply(list, now));
     if (sites != null) {
       evacuated = sites;
-      boards.values().forEach(cords -> cords.evacuated(new HashSet<>(sites), now));
+      boards.values().forEach(upstreamPool -> upstreamPool.evacuated(new HashSet<>(sites), now));
     }
   }
 
@@ -122,21 +122,21 @@
                 + "\n"
                 + extra);
     final Random chance = new Random(seed);
-    final Cords cords = new Cords(loop, boot, chance);
+    final UpstreamPool upstreamPool = new UpstreamPool(loop, boot, chance);
     boots.put(address, boot);
     chances.put(address, chance);
-    boards.put(address, cords);
-    final List<Cords.Change> list = new ArrayList<>();
+    boards.put(address, upstreamPool);
+    final List<UpstreamPool.Change> list = new ArrayList<>();
     registrations
         .values()
         .forEach(
             registration -> {
               if (registration.stage == 0 && !registration.service.isEmpty()) {
-                list.add(new Cords.Change(registration, true));
+                list.add(new UpstreamPool.Change(registration, true));
               }
             });
-    cords.apply(list, now);
-    cords.evacuated(new HashSet<>(evacuated), now);
+    upstreamPool.apply(list, now);
+    upstreamPool.evacuated(new HashSet<>(evacuated), now);
     boards.values().forEach(one -> one.switchboards(boards.size()));
   }
 
@@ -171,8 +171,8 @@
     private final Consumer<Outcome> done;
     private final Outcome outcome = new Outcome();
     private final List<Upstream> tried = new ArrayList<>();
-    private final List<Cords.Attempt> attempts = new ArrayList<>();
-    private final Cords cords;
+    private final List<UpstreamPool.Attempt> attempts = new ArrayList<>();
+    private final UpstreamPool upstreamPool;
     private Route route;
     private Dialplan.Service service;
     private long cutoff;
@@ -183,7 +183,7 @@
     private Course(final Call call, final Consumer<Outcome> done) {
       this.call = call;
       this.done = done;
-      this.cords = boards.get(call.board);
+      this.upstreamPool = boards.get(call.board);
     }
 
     private void start() {
@@ -203,7 +203,7 @@
               + Math.max(
                   1,
                   Math.min(call.note.waits + MARGIN_MILLIS, route.timeoutMillis) - MARGIN_MILLIS);
-      cords.budget(service.name()).request(now);
+      upstreamPool.budget(service.name()).request(now);
       after(cutoff - now, this::giveUp);
       if (!attempt(false)) {
         end(Outcome.End.REFUSED);
@@ -212,7 +212,7 @@
 
     private int running() {
       int count = 0;
-      for (final Cords.Attempt attempt : attempts) {
+      for (final UpstreamPool.Attempt attempt : attempts) {
         count += attempt.running() ? 1 : 0;
       }
       return count;
@@ -223,25 +223,25 @@
     }
 
     private boolean attempt(final boolean further, final boolean beside) {
-      if (further && !Further.fits(route, outcome.sent, now, cutoff)) {
+      if (further && !RetryPolicy.fits(route, outcome.sent, now, cutoff)) {
         return false;
       }
       chances.get(call.board).setSeed(call.note.id.hashCode() * 31L + outcome.sent + seed);
-      if (cords.choose(service, route, tried, now) != Cords.Choice.CHOSEN
-          || beside && !cords.roomy(now)
-          || outcome.sent > 0 && !cords.repeat(service.name(), now)) {
+      if (upstreamPool.choose(service, route, tried, now) != UpstreamPool.Choice.CHOSEN
+          || beside && !upstreamPool.roomy(now)
+          || outcome.sent > 0 && !upstreamPool.repeat(service.name(), now)) {
         return false;
       }
-      final Upstream upstream = cords.chosen();
+      final Upstream upstream = upstreamPool.chosen();
       tried.add(upstream);
       final boolean first = outcome.sent++ == 0;
-      final Cords.Attempt attempt = cords.begin(upstream, now);
+      final UpstreamPool.Attempt attempt = upstreamPool.begin(upstream, now);
       attempts.add(attempt);
       reach(upstream, attempt, first);
-      if (!hedged && Further.hedges(route, outcome.sent)) {
+      if (!hedged && RetryPolicy.hedges(route, outcome.sent)) {
         hedged = true;
         after(
-            Further.hedgeMillis(route),
+            RetryPolicy.hedgeMillis(route),
             () -> {
               if (!over && running() == 1) {
                 attempt(true, true);
@@ -251,10 +251,11 @@
       return true;
     }
 
-    private void reach(final Upstream upstream, final Cords.Attempt attempt, final boolean first) {
+    private void reach(
+        final Upstream upstream, final UpstreamPool.Attempt attempt, final boolean first) {
       final Model model = models.get(upstream.id());
       if (model.present >= model.slots * (1 + QUEUE)) {
-        after(1, () -> answered(upstream, attempt, model, Cord.End.ANSWERED, false));
+        after(1, () -> answered(upstream, attempt, model, UpstreamConnection.End.ANSWERED, false));
         return;
       }
       model.present++;
@@ -270,16 +271,18 @@
                 upstream,
                 attempt,
                 model,
-                first && call.answerLost ? Cord.End.UNCERTAIN : Cord.End.ANSWERED,
+                first && call.answerLost
+                    ? UpstreamConnection.End.UNCERTAIN
+                    : UpstreamConnection.End.ANSWERED,
                 true);
           });
     }
 
     private void answered(
         final Upstream upstream,
-        final Cords.Attempt attempt,
+        final UpstreamPool.Attempt attempt,
         final Model model,
-        final Cord.End end,
+        final UpstreamConnection.End end,
         final boolean ran) {
       if (!attempt.running()) {
         return;
@@ -300,17 +303,17 @@
       if (!ran) {
         head.headers().set(Headers.NOT_EXECUTED, "1");
       }
-      cords.conclude(attempt, end, head, now);
+      upstreamPool.conclude(attempt, end, head, now);
       if (over) {
         return;
       }
-      if (end == Cord.End.ANSWERED && ran) {
+      if (end == UpstreamConnection.End.ANSWERED && ran) {
         outcome.region = boots.get(call.board).sites().getOrDefault(upstream.site(), "");
         end(Outcome.End.SERVED);
         return;
       }
       uncertain |= ran;
-      if (Further.mayGoOn(route, uncertain) && attempt(true) || running() > 0) {
+      if (RetryPolicy.mayGoOn(route, uncertain) && attempt(true) || running() > 0) {
         return;
       }
       end(uncertain ? Outcome.End.LOST : Outcome.End.REFUSED);
@@ -326,7 +329,7 @@
       over = true;
       outcome.end = end;
       outcome.total = now - call.at;
-      for (final Cords.Attempt attempt : attempts) {
+      for (final UpstreamPool.Attempt attempt : attempts) {
         attempt.abandon(now);
       }
       done.accept(outcome);
--- a/rig/src/main/java/weldpoint/rig/ControlFleet.java
+++ b/rig/src/main/java/weldpoint/rig/ControlFleet.java
@@ -20,7 +20,7 @@
 import weldpoint.exchange.ControlDoor;
 import weldpoint.exchange.ExchangeCore;
 import weldpoint.frame.FrameCore;
-import weldpoint.jack.BoardLink;
+import weldpoint.proxy.RegistryLink;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Protocol;
 import weldpoint.trunk.RegistryMessages;
@@ -194,7 +194,7 @@
     private FrameCore frame;
     private ExchangeCore exchange;
     private ControlDoor door;
-    private BoardLink link;
+    private RegistryLink link;
     private FakeDisk.Writer frameWriter;
     private FakeDisk.Writer exchangeWriter;
     private Dialler boardDialler;
@@ -781,11 +781,11 @@
             false,
             0);
     life.link =
-        new BoardLink(
+        new RegistryLink(
             self,
             machine.seeds,
             new Random(random.nextLong()),
-            new BoardLink.Outlet() {
+            new RegistryLink.Outlet() {
               @Override
               public void dial(final String address) {
                 if (life.boardDialler != null) {
--- a/scale/src/main/java/weldpoint/scale/Hollows.java
+++ b/scale/src/main/java/weldpoint/scale/Hollows.java
@@ -14,8 +14,8 @@
 import weldpoint.affinity.Ties;
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.jack.BoardLink;
-import weldpoint.jack.Stream;
+import weldpoint.proxy.RegistryLink;
+import weldpoint.proxy.Stream;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Meter;
 import weldpoint.trunk.PlacementMessages;
@@ -34,7 +34,7 @@
 
   private final class Hollow {
     private final Trunk trunk;
-    private final BoardLink link;
+    private final RegistryLink link;
     private final Stream stream;
     private Ties ties;
 
@@ -53,11 +53,11 @@
               false,
               0);
       link =
-          new BoardLink(
+          new RegistryLink(
               self,
               boot.seeds(),
               new Random(incarnation),
-              new BoardLink.Outlet() {
+              new RegistryLink.Outlet() {
                 @Override
                 public void dial(final String to) {
                   stream.dial(to);
@@ -113,7 +113,7 @@
       link.start(now());
     }
 
-    private BoardLink link() {
+    private RegistryLink link() {
       return link;
     }
 
--- a/cord/src/main/java/weldpoint/cord/Fate.java
+++ b/upstream/src/main/java/weldpoint/upstream/AttemptOutcome.java
@@ -1,9 +1,9 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import io.netty.handler.codec.http.HttpResponse;
 
 /** How a recorded try ended. */
-public enum Fate {
+public enum AttemptOutcome {
   /** Nothing came while the request was waited for. */
   OPEN,
   /** A proper answer came. */
@@ -17,7 +17,7 @@
    * The fate of a try that ended so. An answer that says both that it did and that it did not run
    * is no proof of either.
    */
-  public static Fate of(final Cord.End end, final HttpResponse head) {
+  public static AttemptOutcome of(final UpstreamConnection.End end, final HttpResponse head) {
     return switch (end) {
       case UNSENT -> NOT_RUN;
       case UNCERTAIN -> UNCERTAIN;
@@ -30,13 +30,13 @@
    * The fate of a client's request: only an answer that names the request by its id counts as its
    * own.
    */
-  public static Fate named(final Cord.End end, final HttpResponse head) {
-    return end == Cord.End.ANSWERED && !head.headers().contains(Headers.ATTEMPT_ID)
+  public static AttemptOutcome named(final UpstreamConnection.End end, final HttpResponse head) {
+    return end == UpstreamConnection.End.ANSWERED && !head.headers().contains(Headers.ATTEMPT_ID)
         ? UNCERTAIN
         : of(end, head);
   }
 
-  private static Fate answered(final int status, final boolean declined) {
+  private static AttemptOutcome answered(final int status, final boolean declined) {
     if (status == 421 || declined && status >= 400) {
       return NOT_RUN;
     }
--- a/cord/src/main/java/weldpoint/cord/Budget.java
+++ b/upstream/src/main/java/weldpoint/upstream/Budget.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 /**
  * This proxy's share of the further tries that all of them together may make at one service. In the
--- a/cord/src/main/java/weldpoint/cord/ColdBound.java
+++ b/upstream/src/main/java/weldpoint/upstream/ColdBound.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import java.util.Collection;
 import java.util.HashMap;
--- a/cord/src/main/java/weldpoint/cord/Headers.java
+++ b/upstream/src/main/java/weldpoint/upstream/Headers.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
--- a/cord/src/main/java/weldpoint/cord/Further.java
+++ b/upstream/src/main/java/weldpoint/upstream/RetryPolicy.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import weldpoint.dialplan.Route;
 
@@ -6,7 +6,7 @@
  * When a request may be tried at a further upstream: the one place that decides it, for traffic and
  * for replays.
  */
-public final class Further {
+public final class RetryPolicy {
   private static final double HEDGE = 0.55;
   private static final long LEAST_LEFT_MILLIS = 20;
   private static final double ROOM_REPEATABLE = 1.6;
@@ -15,7 +15,7 @@
   private static final double TENANT_STEP = 0.1;
   private static final int MOST_RANK = 4;
 
-  private Further() {}
+  private RetryPolicy() {}
 
   /** Whether one more try fits the route's attempts and the time left. */
   public static boolean fits(final Route route, final int sent, final long now, final long cutoff) {
--- a/cord/src/main/java/weldpoint/cord/Upstream.java
+++ b/upstream/src/main/java/weldpoint/upstream/Upstream.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import java.util.ArrayDeque;
 import weldpoint.trunk.RegistryMessages.Registration;
@@ -28,7 +28,7 @@
   int coldRankOf;
   int inFlight;
   Fill fill = new Fill();
-  final ArrayDeque<Cord> idle = new ArrayDeque<>();
+  final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
   private int toldBusy;
   private int toldOwn;
   private long toldAt = Long.MIN_VALUE / 2;
--- a/cord/src/main/java/weldpoint/cord/Cord.java
+++ b/upstream/src/main/java/weldpoint/upstream/UpstreamConnection.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -21,11 +21,11 @@
 import java.util.function.Consumer;
 
 /** One connection to an upstream, which carries one request at a time. */
-public final class Cord extends ChannelInboundHandlerAdapter {
+public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   private static final int MOST_ANSWER = 64 << 20;
   private static final int MOST_RESERVED = 1 << 20;
 
-  /** How a request on a cord ended. */
+  /** How a request on a connection ended. */
   public enum End {
     /** A whole answer came, with the id of the request or with none. */
     ANSWERED,
@@ -47,7 +47,7 @@
    */
   static final class Decoder extends HttpResponseDecoder {
     boolean head;
-    private Cord cord;
+    private UpstreamConnection connection;
 
     Decoder() {
       super(8192, 32_768, 65_536);
@@ -57,7 +57,7 @@
     public void channelRead(final ChannelHandlerContext context, final Object message)
         throws Exception {
       if (((ByteBuf) message).isReadable()) {
-        cord.bytes();
+        connection.bytes();
       }
       super.channelRead(context, message);
     }
@@ -91,11 +91,12 @@
   long idleUntil;
   private long keepMillis = 8000;
 
-  Cord(final Upstream upstream, final Decoder decoder, final Consumer<String> surplus) {
+  UpstreamConnection(
+      final Upstream upstream, final Decoder decoder, final Consumer<String> surplus) {
     this.surplus = surplus;
     this.upstream = upstream;
     this.decoder = decoder;
-    decoder.cord = this;
+    decoder.connection = this;
   }
 
   void connected(final Channel given) {
--- a/cord/src/main/java/weldpoint/cord/Cords.java
+++ b/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -31,7 +31,7 @@
  * The upstreams of all services, their connections, and the choice among them. All of it lives on
  * the traffic thread.
  */
-public final class Cords {
+public final class UpstreamPool {
   private static final double USUAL_MILLIS = 150;
   private static final int SAMPLE = 4;
   private static final double ROOM = 0.8;
@@ -62,7 +62,7 @@
   private long bornAt = Long.MIN_VALUE / 2;
 
   /** No upstreams yet. */
-  public Cords(final EventLoopGroup loop, final Boot boot, final Random random) {
+  public UpstreamPool(final EventLoopGroup loop, final Boot boot, final Random random) {
     this.boot = boot;
     this.site = boot.site();
     this.region = boot.region();
@@ -97,8 +97,8 @@
           known.open = false;
           upstreams.remove(known.id);
           services.get(known.service).remove(known);
-          for (final Cord cord : new ArrayList<>(known.idle)) {
-            cord.close();
+          for (final UpstreamConnection connection : new ArrayList<>(known.idle)) {
+            connection.close();
           }
           known.idle.clear();
         }
@@ -443,7 +443,7 @@
     if (best == null) {
       return any ? Choice.FULL : Choice.NONE;
     }
-    if (best.known(now) >= best.capacity * Further.room(route, tenantRank)) {
+    if (best.known(now) >= best.capacity * RetryPolicy.room(route, tenantRank)) {
       return Choice.FULL;
     }
     paced(best, service, now);
@@ -479,7 +479,7 @@
     reserves = true;
     upstream.tied(now, pauseMillis);
     if (!coldAdmits(upstream, service, now)
-        || upstream.known(now) >= upstream.capacity * Further.room(route, tenantRank)) {
+        || upstream.known(now) >= upstream.capacity * RetryPolicy.room(route, tenantRank)) {
       return Choice.FULL;
     }
     paced(upstream, service, now);
@@ -506,7 +506,7 @@
         || !route.home(upstream.region)) {
       return Choice.NONE;
     }
-    final double most = upstream.capacity * Further.room(route, tenantRank) * HOLDER_ROOM;
+    final double most = upstream.capacity * RetryPolicy.room(route, tenantRank) * HOLDER_ROOM;
     if (!coldAdmits(upstream, service, now) || upstream.known(now) >= most) {
       return Choice.FULL;
     }
@@ -618,7 +618,7 @@
     private final Upstream upstream;
     private final long startedAt;
     private final long[] token;
-    private Cord cord;
+    private UpstreamConnection connection;
     private boolean over;
     private boolean withdrawn;
 
@@ -646,7 +646,7 @@
      * runs.
      */
     public boolean unwritten() {
-      return !over && cord == null;
+      return !over && connection == null;
     }
 
     /** The upstream it was sent to. */
@@ -664,8 +664,8 @@
       if (!over) {
         upstream.left(startedAt, now);
         end();
-        if (cord != null) {
-          cord.abandon();
+        if (connection != null) {
+          connection.abandon();
         }
       }
     }
@@ -681,7 +681,10 @@
 
   /** Counts a request as ended so. */
   public void conclude(
-      final Attempt attempt, final Cord.End end, final HttpResponse head, final long now) {
+      final Attempt attempt,
+      final UpstreamConnection.End end,
+      final HttpResponse head,
+      final long now) {
     attempt.end();
     settle(attempt, end, head, now);
   }
@@ -693,7 +696,7 @@
       final String id,
       final long now,
       final long until,
-      final Cord.Done listener) {
+      final UpstreamConnection.Done listener) {
     return send(upstream, request, id, List.of(), now, until, listener);
   }
 
@@ -710,9 +713,9 @@
       final List<Attempt> earlier,
       final long now,
       final long until,
-      final Cord.Done listener) {
+      final UpstreamConnection.Done listener) {
     final Attempt attempt = begin(upstream, now);
-    final Cord.Done done =
+    final UpstreamConnection.Done done =
         (end, head, body) -> {
           if (attempt.over) {
             if (body != null) {
@@ -723,9 +726,9 @@
           conclude(attempt, end, head, System.nanoTime() / 1_000_000);
           listener.done(end, head, body);
         };
-    final Cord idle = takeIdle(upstream, earlier, now);
+    final UpstreamConnection idle = takeIdle(upstream, earlier, now);
     if (idle != null) {
-      attempt.cord = idle;
+      attempt.connection = idle;
       idle.send(request, id, done);
       return attempt;
     }
@@ -734,24 +737,25 @@
   }
 
   /** Takes the resting connection used last that carried none of these attempts; null if none. */
-  private static Cord takeIdle(
+  private static UpstreamConnection takeIdle(
       final Upstream upstream, final List<Attempt> earlier, final long now) {
-    for (final Iterator<Cord> all = upstream.idle.iterator(); all.hasNext(); ) {
-      final Cord cord = all.next();
-      if (!cord.usable(now)) {
+    for (final Iterator<UpstreamConnection> all = upstream.idle.iterator(); all.hasNext(); ) {
+      final UpstreamConnection connection = all.next();
+      if (!connection.usable(now)) {
         all.remove();
-        cord.close();
-      } else if (!carried(cord, earlier)) {
+        connection.close();
+      } else if (!carried(connection, earlier)) {
         all.remove();
-        return cord;
+        return connection;
       }
     }
     return null;
   }
 
-  private static boolean carried(final Cord cord, final List<Attempt> attempts) {
+  private static boolean carried(
+      final UpstreamConnection connection, final List<Attempt> attempts) {
     for (final Attempt attempt : attempts) {
-      if (attempt.cord == cord) {
+      if (attempt.connection == connection) {
         return true;
       }
     }
@@ -764,10 +768,11 @@
       final FullHttpRequest request,
       final String id,
       final long until,
-      final Cord.Done done) {
+      final UpstreamConnection.Done done) {
     upstream.connecting++;
-    final Cord.Decoder decoder = new Cord.Decoder();
-    final Cord cord = new Cord(upstream, decoder, echoed -> surplus.accept(echoed));
+    final UpstreamConnection.Decoder decoder = new UpstreamConnection.Decoder();
+    final UpstreamConnection connection =
+        new UpstreamConnection(upstream, decoder, echoed -> surplus.accept(echoed));
     final ChannelFuture future =
         bootstrap
             .clone()
@@ -775,7 +780,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(final SocketChannel channel) {
-                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), cord);
+                    channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
                   }
                 })
             .connect(new InetSocketAddress(upstream.host, upstream.port));
@@ -784,30 +789,33 @@
           upstream.connecting--;
           if (!result.isSuccess()) {
             request.release();
-            done.done(Cord.End.UNSENT, null, null);
+            done.done(UpstreamConnection.End.UNSENT, null, null);
             return;
           }
-          cord.connected(future.channel());
+          connection.connected(future.channel());
           if (attempt.over
               || !upstream.open
               || evacuated.contains(upstream.site)
               || System.nanoTime() / 1_000_000 >= until) {
             attempt.withdrawn = true;
             request.release();
-            cord.close();
-            done.done(Cord.End.UNSENT, null, null);
+            connection.close();
+            done.done(UpstreamConnection.End.UNSENT, null, null);
             return;
           }
-          attempt.cord = cord;
+          attempt.connection = connection;
           upstream.sentLate(System.nanoTime() / 1_000_000);
-          cord.send(request, id, done);
+          connection.send(request, id, done);
         });
   }
 
   private void settle(
-      final Attempt attempt, final Cord.End end, final HttpResponse head, final long now) {
+      final Attempt attempt,
+      final UpstreamConnection.End end,
+      final HttpResponse head,
+      final long now) {
     final Upstream upstream = attempt.upstream;
-    if (end != Cord.End.ANSWERED) {
+    if (end != UpstreamConnection.End.ANSWERED) {
       if (!attempt.withdrawn) {
         upstream.failed(now);
       }
@@ -820,7 +828,7 @@
       upstream.told(load, now);
     }
     final long took = now - attempt.startedAt;
-    if (Fate.of(end, head) == Fate.NOT_RUN) {
+    if (AttemptOutcome.of(end, head) == AttemptOutcome.NOT_RUN) {
       upstream.failed(now);
     } else {
       upstream.answered(now, status < 300 ? took : -1);
@@ -829,11 +837,11 @@
             upstream.service, (double) took, (before, after) -> before * 0.98 + after * 0.02);
       }
     }
-    if (attempt.cord != null) {
-      if (upstream.open && status != 421 && attempt.cord.usable(now)) {
-        upstream.idle.addFirst(attempt.cord);
+    if (attempt.connection != null) {
+      if (upstream.open && status != 421 && attempt.connection.usable(now)) {
+        upstream.idle.addFirst(attempt.connection);
       } else {
-        attempt.cord.close();
+        attempt.connection.close();
       }
     }
   }
--- a/cord/src/test/java/weldpoint/cord/BudgetTest.java
+++ b/upstream/src/test/java/weldpoint/upstream/BudgetTest.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import static org.testng.Assert.assertTrue;
 
--- a/cord/src/test/java/weldpoint/cord/ColdBoundTest.java
+++ b/upstream/src/test/java/weldpoint/upstream/ColdBoundTest.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -40,8 +40,8 @@
     loop.shutdownGracefully();
   }
 
-  private Cords board(final int index) {
-    return new Cords(
+  private UpstreamPool board(final int index) {
+    return new UpstreamPool(
         loop,
         Boot.parse(
             "station.name = one\nstation.address = "
@@ -66,11 +66,11 @@
     return list;
   }
 
-  private static List<Cords.Change> cold(final int millis) {
-    final List<Cords.Change> list = new ArrayList<>();
+  private static List<UpstreamPool.Change> cold(final int millis) {
+    final List<UpstreamPool.Change> list = new ArrayList<>();
     for (int index = 0; index < 20; index++) {
       list.add(
-          new Cords.Change(
+          new UpstreamPool.Change(
               new Registration(
                   "i-" + index,
                   "s",
@@ -87,13 +87,14 @@
     return list;
   }
 
-  private void choose(final Cords cords, final List<List<Long>> sent, final long now) {
+  private void choose(
+      final UpstreamPool upstreamPool, final List<List<Long>> sent, final long now) {
     final Interpreter interpreter = new Interpreter("h", "/x", 0);
     plan.interpret(interpreter);
-    if (cords.choose(
+    if (upstreamPool.choose(
             plan.services().get(interpreter.service()), interpreter.route(), List.of(), now)
-        == Cords.Choice.CHOSEN) {
-      sent.get(Integer.parseInt(cords.chosen().id().substring(2))).add(now);
+        == UpstreamPool.Choice.CHOSEN) {
+      sent.get(Integer.parseInt(upstreamPool.chosen().id().substring(2))).add(now);
     }
   }
 
@@ -122,18 +123,18 @@
    */
   @Test
   public void noSecondSeesMoreThanTheBoundWhenAZoneReturnsToALargeFleet() {
-    final List<Cords> fleet = new ArrayList<>();
+    final List<UpstreamPool> fleet = new ArrayList<>();
     for (int index = 0; index < FLEET; index++) {
-      final Cords cords = board(index);
-      cords.switchboards(FLEET, 0);
-      cords.neighbours(site(index % SITES, FLEET), 0);
-      cords.apply(cold(6000), 10_000);
-      fleet.add(cords);
+      final UpstreamPool upstreamPool = board(index);
+      upstreamPool.switchboards(FLEET, 0);
+      upstreamPool.neighbours(site(index % SITES, FLEET), 0);
+      upstreamPool.apply(cold(6000), 10_000);
+      fleet.add(upstreamPool);
     }
     final List<List<Long>> sent = none();
     for (long now = 10_000; now < 16_000; now += 5) {
-      for (final Cords cords : fleet) {
-        choose(cords, sent, now);
+      for (final UpstreamPool upstreamPool : fleet) {
+        choose(upstreamPool, sent, now);
       }
     }
     assertTrue(most(sent) <= BOUND, most(sent) + " in a second");
@@ -152,7 +153,7 @@
   public void switchboardsThatReturnBeginWithoutTokens() {
     for (int seed = 0; seed < 20; seed++) {
       final Random random = new Random(seed);
-      final List<Cords> fleet = new ArrayList<>();
+      final List<UpstreamPool> fleet = new ArrayList<>();
       final long[] starts = new long[FLEET];
       for (int index = 0; index < FLEET; index++) {
         fleet.add(board(index));
@@ -172,16 +173,16 @@
           }
         }
         for (int index = 0; index < FLEET; index++) {
-          final Cords cords = fleet.get(index);
+          final UpstreamPool upstreamPool = fleet.get(index);
           if (starts[index] != 0 && starts[index] <= now) {
             if (starts[index] > now - 5) {
-              cords.apply(cold((int) (13_000 - now)), now);
+              upstreamPool.apply(cold((int) (13_000 - now)), now);
             }
-            cords.switchboards(FLEET - site(0, FLEET).size() + present.size(), now);
-            cords.neighbours(present, now);
+            upstreamPool.switchboards(FLEET - site(0, FLEET).size() + present.size(), now);
+            upstreamPool.neighbours(present, now);
           }
           if (starts[index] <= now && random.nextInt(10) == 0) {
-            choose(cords, sent, now);
+            choose(upstreamPool, sent, now);
           }
         }
       }
--- a/cord/src/test/java/weldpoint/cord/CordTest.java
+++ b/upstream/src/test/java/weldpoint/upstream/UpstreamConnectionTest.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -25,7 +25,7 @@
  * One connection to an upstream, cut, split and spoiled at every byte: each request hears of its
  * own end once, and of no other's.
  */
-public final class CordTest {
+public final class UpstreamConnectionTest {
   private static final String LENGTH =
       "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: abc\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
   private static final String CHUNKS =
@@ -37,21 +37,21 @@
 
   /** One connection with what its requests have heard. */
   private static final class Wire {
-    private final Cord.Decoder decoder = new Cord.Decoder();
+    private final UpstreamConnection.Decoder decoder = new UpstreamConnection.Decoder();
     private final List<String> surplus = new ArrayList<>();
-    private final Cord cord =
-        new Cord(
+    private final UpstreamConnection connection =
+        new UpstreamConnection(
             new Upstream(
                 new Registration("i", "s", "10.0.0.1:80", "a", "v", 4, 0, 1, 0, 0), "r", 0),
             decoder,
             surplus::add);
     private final EmbeddedChannel channel =
-        new EmbeddedChannel(decoder, new HttpRequestEncoder(), cord);
+        new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
     private final List<String> heard = new ArrayList<>();
     private int bytes;
 
     private Wire() {
-      cord.connected(channel);
+      connection.connected(channel);
     }
 
     private Wire ask(final String id) {
@@ -59,7 +59,7 @@
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
       request.headers().set(Headers.ATTEMPT_ID, id);
-      cord.send(request, id, (end, head, body) -> heard.add(told(id, end, head, body)));
+      connection.send(request, id, (end, head, body) -> heard.add(told(id, end, head, body)));
       bytes = written();
       return this;
     }
@@ -87,7 +87,10 @@
   }
 
   private static String told(
-      final String id, final Cord.End end, final HttpResponse head, final ByteBuf body) {
+      final String id,
+      final UpstreamConnection.End end,
+      final HttpResponse head,
+      final ByteBuf body) {
     final String text =
         id
             + " "
@@ -119,7 +122,7 @@
       wire.hear(answer.substring(cut));
       assertEquals(wire.heard, List.of(expected), "at byte " + cut);
       assertEquals(
-          wire.cord.usable(System.nanoTime() / 1_000_000),
+          wire.connection.usable(System.nanoTime() / 1_000_000),
           !answer.startsWith(OTHER),
           "at byte " + cut);
     }
@@ -135,7 +138,7 @@
     for (int cut = 0; cut < answer.length(); cut++) {
       final Wire wire = new Wire().ask("abc").hear(answer.substring(0, cut)).cut();
       assertEquals(wire.heard, List.of("abc UNCERTAIN"), "at byte " + cut);
-      assertFalse(wire.cord.usable(0));
+      assertFalse(wire.connection.usable(0));
     }
   }
 
@@ -184,7 +187,7 @@
         }
         assertEquals(wire.heard, List.of("abc ANSWERED 200 body"));
         assertFalse(
-            wire.cord.usable(System.nanoTime() / 1_000_000),
+            wire.connection.usable(System.nanoTime() / 1_000_000),
             bytes + " surplus bytes, together " + together);
         wire.ask("next");
         assertEquals(wire.heard.get(1), "next UNSENT");
@@ -200,7 +203,7 @@
     final DefaultFullHttpRequest first =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
-    wire.cord.send(
+    wire.connection.send(
         first,
         "abc",
         (end, head, body) -> {
@@ -235,7 +238,7 @@
     for (int cut = 0; cut <= LENGTH.length(); cut++) {
       final Wire wire =
           new Wire().ask("abc").hear(LENGTH.substring(0, Math.min(cut, LENGTH.length() - 1)));
-      wire.cord.abandon();
+      wire.connection.abandon();
       wire.hear(LENGTH.substring(Math.min(cut, LENGTH.length() - 1)));
       assertEquals(wire.heard, List.of());
       assertFalse(wire.channel.isOpen());
@@ -258,7 +261,10 @@
           {200, 0, 0},
           {500, 0, 0}
         };
-    final Fate[] fates = new Fate[] {Fate.ANSWERED, Fate.NOT_RUN, Fate.UNCERTAIN};
+    final AttemptOutcome[] fates =
+        new AttemptOutcome[] {
+          AttemptOutcome.ANSWERED, AttemptOutcome.NOT_RUN, AttemptOutcome.UNCERTAIN
+        };
     for (final int[] one : cases) {
       final HttpResponse head =
           new io.netty.handler.codec.http.DefaultHttpResponse(
@@ -266,19 +272,26 @@
       if (one[1] == 1) {
         head.headers().set(Headers.NOT_EXECUTED, "1");
       }
-      assertEquals(Fate.of(Cord.End.ANSWERED, head), fates[one[2]], one[0] + " declined " + one[1]);
       assertEquals(
-          Fate.named(Cord.End.ANSWERED, head),
-          Fate.UNCERTAIN,
+          AttemptOutcome.of(UpstreamConnection.End.ANSWERED, head),
+          fates[one[2]],
+          one[0] + " declined " + one[1]);
+      assertEquals(
+          AttemptOutcome.named(UpstreamConnection.End.ANSWERED, head),
+          AttemptOutcome.UNCERTAIN,
           "without an id nothing counts for a client's request");
       head.headers().set(Headers.ATTEMPT_ID, "abc");
       assertEquals(
-          Fate.named(Cord.End.ANSWERED, head), fates[one[2]], one[0] + " declined " + one[1]);
+          AttemptOutcome.named(UpstreamConnection.End.ANSWERED, head),
+          fates[one[2]],
+          one[0] + " declined " + one[1]);
     }
-    assertEquals(Fate.of(Cord.End.UNSENT, null), Fate.NOT_RUN);
-    assertEquals(Fate.of(Cord.End.UNCERTAIN, null), Fate.UNCERTAIN);
-    assertEquals(Fate.named(Cord.End.UNSENT, null), Fate.NOT_RUN);
-    assertEquals(Fate.named(Cord.End.UNCERTAIN, null), Fate.UNCERTAIN);
+    assertEquals(AttemptOutcome.of(UpstreamConnection.End.UNSENT, null), AttemptOutcome.NOT_RUN);
+    assertEquals(
+        AttemptOutcome.of(UpstreamConnection.End.UNCERTAIN, null), AttemptOutcome.UNCERTAIN);
+    assertEquals(AttemptOutcome.named(UpstreamConnection.End.UNSENT, null), AttemptOutcome.NOT_RUN);
+    assertEquals(
+        AttemptOutcome.named(UpstreamConnection.End.UNCERTAIN, null), AttemptOutcome.UNCERTAIN);
   }
 
   /**
@@ -365,6 +378,6 @@
       }
     }
     assertEquals(ids.stream().distinct().count(), ids.size(), name + ": heard twice " + wire.heard);
-    assertFalse(wire.cord.usable(0), name);
+    assertFalse(wire.connection.usable(0), name);
   }
 }
--- a/cord/src/test/java/weldpoint/cord/CordsTest.java
+++ b/upstream/src/test/java/weldpoint/upstream/UpstreamPoolTest.java
@@ -1,4 +1,4 @@
-package weldpoint.cord;
+package weldpoint.upstream;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
@@ -36,7 +36,7 @@
  * The choice of upstreams: homes, evacuations, drains, and the bound of cold ones over many
  * switchboards.
  */
-public final class CordsTest {
+public final class UpstreamPoolTest {
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final Dialplan plan =
       Dialplan.compile(
@@ -50,17 +50,17 @@
     loop.shutdownGracefully();
   }
 
-  private Cords cords(final long seed) {
-    return new Cords(
+  private UpstreamPool upstreamPool(final long seed) {
+    return new UpstreamPool(
         loop,
         Boot.parse(
             "station.name = one\nstation.address = 10.0.0.1\nstation.site = a\nstation.region = north\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = a:north,b:south\n"),
         new Random(seed));
   }
 
-  private static Cords.Change change(
+  private static UpstreamPool.Change change(
       final String id, final String site, final long warmup, final boolean open) {
-    return new Cords.Change(
+    return new UpstreamPool.Change(
         new Registration(
             id, "s", "10.9.0." + (1 + id.hashCode() % 9) + ":80", site, "v", 4, 0, 1, 0, warmup),
         open);
@@ -72,45 +72,47 @@
     return interpreter;
   }
 
-  private Cords.Choice choose(final Cords cords, final String path, final long now) {
+  private UpstreamPool.Choice choose(
+      final UpstreamPool upstreamPool, final String path, final long now) {
     final Interpreter interpreter = request(path);
-    return cords.choose(
+    return upstreamPool.choose(
         plan.services().get(interpreter.service()), interpreter.route(), List.of(), now);
   }
 
   @Test
   public void homesEvacuationsAndDrainsBind() {
-    final Cords cords = cords(1);
-    cords.apply(List.of(change("n", "a", 0, true), change("s", "b", 0, true)), 1000);
+    final UpstreamPool upstreamPool = upstreamPool(1);
+    upstreamPool.apply(List.of(change("n", "a", 0, true), change("s", "b", 0, true)), 1000);
     for (int index = 0; index < 50; index++) {
-      assertEquals(choose(cords, "/x", 1000), Cords.Choice.CHOSEN);
-      assertEquals(cords.chosen().id(), "n");
+      assertEquals(choose(upstreamPool, "/x", 1000), UpstreamPool.Choice.CHOSEN);
+      assertEquals(upstreamPool.chosen().id(), "n");
     }
-    cords.evacuated(Set.of("a"), 1000);
-    assertEquals(choose(cords, "/x", 1000), Cords.Choice.NONE);
-    assertEquals(choose(cords, "/any/x", 1000), Cords.Choice.CHOSEN);
-    assertEquals(cords.chosen().id(), "s");
-    cords.apply(List.of(change("s", "b", 0, false)), 1000);
-    assertEquals(choose(cords, "/any/x", 1000), Cords.Choice.NONE);
-    cords.evacuated(Set.of(), 1000);
-    assertNotEquals(choose(cords, "/any/x", 1000), Cords.Choice.NONE);
+    upstreamPool.evacuated(Set.of("a"), 1000);
+    assertEquals(choose(upstreamPool, "/x", 1000), UpstreamPool.Choice.NONE);
+    assertEquals(choose(upstreamPool, "/any/x", 1000), UpstreamPool.Choice.CHOSEN);
+    assertEquals(upstreamPool.chosen().id(), "s");
+    upstreamPool.apply(List.of(change("s", "b", 0, false)), 1000);
+    assertEquals(choose(upstreamPool, "/any/x", 1000), UpstreamPool.Choice.NONE);
+    upstreamPool.evacuated(Set.of(), 1000);
+    assertNotEquals(choose(upstreamPool, "/any/x", 1000), UpstreamPool.Choice.NONE);
   }
 
   @Test
   public void coldUpstreamsGetTheirBoundOverAllSwitchboardsTogether() {
     for (final int boards : new int[] {1, 4, 10, 14}) {
-      final List<Cords> all = new ArrayList<>();
+      final List<UpstreamPool> all = new ArrayList<>();
       for (int index = 0; index < boards; index++) {
-        final Cords cords = cords(index);
-        cords.switchboards(boards);
-        cords.apply(List.of(change("c", "a", 60_000, true)), 0);
-        all.add(cords);
+        final UpstreamPool upstreamPool = upstreamPool(index);
+        upstreamPool.switchboards(boards);
+        upstreamPool.apply(List.of(change("c", "a", 60_000, true)), 0);
+        all.add(upstreamPool);
       }
       final List<Long> sent = new ArrayList<>();
       final Random random = new Random(boards);
       for (long now = 1000; now < 20_000; now += 5) {
-        for (final Cords cords : all) {
-          if (random.nextInt(10) == 0 && choose(cords, "/x", now) == Cords.Choice.CHOSEN) {
+        for (final UpstreamPool upstreamPool : all) {
+          if (random.nextInt(10) == 0
+              && choose(upstreamPool, "/x", now) == UpstreamPool.Choice.CHOSEN) {
             sent.add(now);
           }
         }
@@ -126,9 +128,9 @@
     }
   }
 
-  private Cords board(final int index, final List<Cords.Change> changes) {
-    final Cords cords =
-        new Cords(
+  private UpstreamPool board(final int index, final List<UpstreamPool.Change> changes) {
+    final UpstreamPool upstreamPool =
+        new UpstreamPool(
             loop,
             Boot.parse(
                 "station.name = one\nstation.address = 10.1."
@@ -141,15 +143,15 @@
                     + index % 2
                     + "\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = s0:r0,s1:r1,s2:r0,s3:r1\n"),
             new Random(index));
-    cords.apply(changes, 1000);
-    return cords;
+    upstreamPool.apply(changes, 1000);
+    return upstreamPool;
   }
 
-  private static List<Cords.Change> upstreams(final int count) {
-    final List<Cords.Change> list = new ArrayList<>();
+  private static List<UpstreamPool.Change> upstreams(final int count) {
+    final List<UpstreamPool.Change> list = new ArrayList<>();
     for (int index = 0; index < count; index++) {
       list.add(
-          new Cords.Change(
+          new UpstreamPool.Change(
               new Registration(
                   "i-" + index * 7919, "s", "10.9.0.1:80", "s" + index % 4, "v", 4, 0, 1, 0, 0),
               true));
@@ -162,16 +164,16 @@
     final java.util.Map<String, Integer> callers = new java.util.HashMap<>();
     int moved = 0;
     for (int index = 0; index < 77; index++) {
-      final Cords cords = board(index, upstreams(281));
-      final Set<String> before = new HashSet<>(cords.part("s"));
+      final UpstreamPool upstreamPool = board(index, upstreams(281));
+      final Set<String> before = new HashSet<>(upstreamPool.part("s"));
       assertEquals(before.size(), 24 + 3 * 12);
       before.forEach(id -> callers.merge(id, 1, Integer::sum));
-      cords.apply(
+      upstreamPool.apply(
           List.of(
-              new Cords.Change(
+              new UpstreamPool.Change(
                   new Registration("i-0", "s", "10.9.0.1:80", "s0", "v", 4, 2, 2, 0, 0), false)),
           2000);
-      final Set<String> after = new HashSet<>(cords.part("s"));
+      final Set<String> after = new HashSet<>(upstreamPool.part("s"));
       after.removeAll(before);
       moved += after.size();
     }
@@ -186,15 +188,15 @@
 
   @Test
   public void aPartThatIsFullOrSilentIsWidenedAtOnce() {
-    final Cords cords = board(0, upstreams(281));
-    final Set<String> part = new HashSet<>(cords.part("s"));
+    final UpstreamPool upstreamPool = board(0, upstreams(281));
+    final Set<String> part = new HashSet<>(upstreamPool.part("s"));
     final Set<String> used = new HashSet<>();
     for (int index = 0; index < 600; index++) {
-      assertEquals(choose(cords, "/any/x", 3000), Cords.Choice.CHOSEN);
-      cords.begin(cords.chosen(), 3000);
-      used.add(cords.chosen().id());
+      assertEquals(choose(upstreamPool, "/any/x", 3000), UpstreamPool.Choice.CHOSEN);
+      upstreamPool.begin(upstreamPool.chosen(), 3000);
+      used.add(upstreamPool.chosen().id());
       if (index < 40) {
-        assertTrue(part.contains(cords.chosen().id()));
+        assertTrue(part.contains(upstreamPool.chosen().id()));
       }
     }
     assertTrue(used.size() > part.size(), "others help when the part is full");
@@ -204,13 +206,13 @@
   public void theLowestRankIsRefusedFirstAndWritesLast() {
     final double[] room =
         new double[] {
-          Further.room(ranked("idempotent", 4), 4),
-          Further.room(ranked("idempotent", 0), 4),
-          Further.room(ranked("idempotent", 2), 1),
-          Further.room(ranked("egress", 2), 0),
-          Further.room(ranked("idempotent", 1), 0),
-          Further.room(ranked("mutating", 4), 4),
-          Further.room(ranked("mutating", 1), 0),
+          RetryPolicy.room(ranked("idempotent", 4), 4),
+          RetryPolicy.room(ranked("idempotent", 0), 4),
+          RetryPolicy.room(ranked("idempotent", 2), 1),
+          RetryPolicy.room(ranked("egress", 2), 0),
+          RetryPolicy.room(ranked("idempotent", 1), 0),
+          RetryPolicy.room(ranked("mutating", 4), 4),
+          RetryPolicy.room(ranked("mutating", 1), 0),
         };
     for (int index = 1; index < room.length; index++) {
       assertTrue(room[index] > room[index - 1], java.util.Arrays.toString(room));
@@ -231,37 +233,42 @@
 
   @Test
   public void lookupsLeaveSlotsFreeForTiedWritesAndGetThemBackWhenThoseCease() {
-    final Cords cords = cords(5);
-    cords.apply(List.of(change("n", "a", 0, true)), 0);
-    cords.switchboards(1);
+    final UpstreamPool upstreamPool = upstreamPool(5);
+    upstreamPool.apply(List.of(change("n", "a", 0, true)), 0);
+    upstreamPool.switchboards(1);
     final Interpreter write = request("/x");
     final Interpreter look = request("/any/x");
     final Dialplan.Service service = plan.services().get(0);
-    final List<Cords.Attempt> under = new ArrayList<>();
+    final List<UpstreamPool.Attempt> under = new ArrayList<>();
     long now = 10_000;
     for (int index = 0; index < 30; index++) {
       now += 50;
-      assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.CHOSEN);
+      assertEquals(
+          upstreamPool.pinned(service, write.route(), 0, "n", 60_000, now),
+          UpstreamPool.Choice.CHOSEN);
     }
     int lookups = 0;
-    while (cords.choose(service, look.route(), List.of(), now) == Cords.Choice.CHOSEN
+    while (upstreamPool.choose(service, look.route(), List.of(), now) == UpstreamPool.Choice.CHOSEN
         && lookups < 10) {
-      under.add(cords.begin(cords.chosen(), now));
+      under.add(upstreamPool.begin(upstreamPool.chosen(), now));
       lookups++;
     }
     assertEquals(lookups, 2, "half of four slots is kept for the writes");
     assertEquals(
-        cords.pinned(service, write.route(), 0, "n", 60_000, now),
-        Cords.Choice.CHOSEN,
+        upstreamPool.pinned(service, write.route(), 0, "n", 60_000, now),
+        UpstreamPool.Choice.CHOSEN,
         "a tied write still has room");
     now += 25_000;
     assertEquals(
-        cords.choose(service, look.route(), List.of(), now),
-        Cords.Choice.CHOSEN,
+        upstreamPool.choose(service, look.route(), List.of(), now),
+        UpstreamPool.Choice.CHOSEN,
         "an idle reserve is given back");
-    assertEquals(cords.pinned(service, write.route(), 0, "gone", 60_000, now), Cords.Choice.NONE);
-    cords.evacuated(Set.of("a"), now);
-    assertEquals(cords.pinned(service, write.route(), 0, "n", 60_000, now), Cords.Choice.NONE);
+    assertEquals(
+        upstreamPool.pinned(service, write.route(), 0, "gone", 60_000, now),
+        UpstreamPool.Choice.NONE);
+    upstreamPool.evacuated(Set.of("a"), now);
+    assertEquals(
+        upstreamPool.pinned(service, write.route(), 0, "n", 60_000, now), UpstreamPool.Choice.NONE);
     under.forEach(attempt -> attempt.abandon(0));
   }
 
@@ -272,30 +279,30 @@
     for (int index = 0; index < 9; index++) {
       addresses.add("10.0.0." + (1 + index));
     }
-    final List<Cords.Change> changes = new ArrayList<>();
+    final List<UpstreamPool.Change> changes = new ArrayList<>();
     for (int index = 0; index < upstreams; index++) {
       changes.add(
-          new Cords.Change(
+          new UpstreamPool.Change(
               new Registration("near-" + index, "s", "10.9.0.1:80", "a", "v", 4, 0, 1, 0, 0),
               true));
       changes.add(
-          new Cords.Change(
+          new UpstreamPool.Change(
               new Registration("far-" + index, "s", "10.9.0.1:80", "b", "v", 4, 0, 1, 0, 0), true));
     }
     final java.util.Map<String, Integer> callers = new java.util.HashMap<>();
     for (final String address : addresses) {
-      final Cords cords =
-          new Cords(
+      final UpstreamPool upstreamPool =
+          new UpstreamPool(
               loop,
               Boot.parse(
                   "station.name = one\nstation.address = "
                       + address
                       + "\nstation.site = a\nstation.region = north\ntrunk.ports = 7000,7015\ntrunk.seeds = 10.0.0.1:80\nsites = a:north,b:south\n"),
               new Random(1));
-      cords.apply(changes, 1000);
-      cords.neighbours(addresses, 0);
+      upstreamPool.apply(changes, 1000);
+      upstreamPool.neighbours(addresses, 0);
       final List<String> near =
-          cords.part("s").stream().filter(id -> id.startsWith("near")).toList();
+          upstreamPool.part("s").stream().filter(id -> id.startsWith("near")).toList();
       assertEquals(near.size(), 7);
       near.forEach(id -> callers.merge(id, 1, Integer::sum));
     }
@@ -307,50 +314,50 @@
 
   @Test
   public void lookupsGoToAnotherRegionWhileTheOwnOneIsCrowded() {
-    final Cords cords = cords(9);
-    final List<Cords.Change> changes = new ArrayList<>();
+    final UpstreamPool upstreamPool = upstreamPool(9);
+    final List<UpstreamPool.Change> changes = new ArrayList<>();
     for (int index = 0; index < 6; index++) {
       changes.add(change("near-" + index, "a", 0, true));
       changes.add(change("far-" + index, "b", 0, true));
     }
-    cords.apply(changes, 0);
+    upstreamPool.apply(changes, 0);
     int far = 0;
     for (int round = 0; round < 400; round++) {
       final long now = 10_000 + round * 20;
-      assertEquals(choose(cords, "/any/x", now), Cords.Choice.CHOSEN);
-      final Upstream chosen = cords.chosen();
+      assertEquals(choose(upstreamPool, "/any/x", now), UpstreamPool.Choice.CHOSEN);
+      final Upstream chosen = upstreamPool.chosen();
       final boolean near = chosen.site().equals("a");
       if (round >= 200) {
         far += near ? 0 : 1;
       }
-      final Cords.Attempt attempt = cords.begin(chosen, now);
+      final UpstreamPool.Attempt attempt = upstreamPool.begin(chosen, now);
       chosen.told(near ? "4,1,4" : "1,0,4", now);
       attempt.abandon(now);
       chosen.answered(now, near ? 900 : 400);
     }
     assertTrue(far > 120, "only " + far + " of 200 went to the region with room");
-    assertEquals(choose(cords, "/x", 20_000), Cords.Choice.CHOSEN);
-    assertEquals(cords.chosen().site(), "a", "homes bind all the same");
+    assertEquals(choose(upstreamPool, "/x", 20_000), UpstreamPool.Choice.CHOSEN);
+    assertEquals(upstreamPool.chosen().site(), "a", "homes bind all the same");
   }
 
   /**
    * Sends to an upstream that listens, does something at once, and tells how it ended and how many
    * bytes arrived.
    */
-  private String sent(final long until, final Consumer<Cords> meanwhile)
+  private String sent(final long until, final Consumer<UpstreamPool> meanwhile)
       throws IOException, InterruptedException, ExecutionException, TimeoutException {
     try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
       server.setSoTimeout(8000);
-      final Cords cords = cords(3);
-      final CompletableFuture<Cord.End> ended = new CompletableFuture<>();
+      final UpstreamPool upstreamPool = upstreamPool(3);
+      final CompletableFuture<UpstreamConnection.End> ended = new CompletableFuture<>();
       final DefaultFullHttpRequest request =
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
       loop.execute(
           () -> {
-            cords.apply(
+            upstreamPool.apply(
                 List.of(
-                    new Cords.Change(
+                    new UpstreamPool.Change(
                         new Registration(
                             "n",
                             "s",
@@ -364,15 +371,15 @@
                             0),
                         true)),
                 1000);
-            assertEquals(choose(cords, "/x", 1000), Cords.Choice.CHOSEN);
-            cords.send(
-                cords.chosen(),
+            assertEquals(choose(upstreamPool, "/x", 1000), UpstreamPool.Choice.CHOSEN);
+            upstreamPool.send(
+                upstreamPool.chosen(),
                 request,
                 "abc",
                 1000,
                 until,
                 (end, head, body) -> ended.complete(end));
-            meanwhile.accept(cords);
+            meanwhile.accept(upstreamPool);
           });
       try (Socket socket = server.accept()) {
         socket.setSoTimeout(8000);
@@ -386,17 +393,19 @@
   @Test
   public void aTryThatIsConnectedTooLateIsNeverWritten()
       throws IOException, InterruptedException, ExecutionException, TimeoutException {
-    assertEquals(sent(Long.MAX_VALUE, cords -> {}), "UNCERTAIN bytes");
+    assertEquals(sent(Long.MAX_VALUE, upstreamPool -> {}), "UNCERTAIN bytes");
     assertEquals(
-        sent(System.nanoTime() / 1_000_000 - 1, cords -> {}),
+        sent(System.nanoTime() / 1_000_000 - 1, upstreamPool -> {}),
         "UNSENT nothing",
         "past its deadline, as after a standstill");
     assertEquals(
-        sent(Long.MAX_VALUE, cords -> cords.evacuated(Set.of("a"), 1000)),
+        sent(Long.MAX_VALUE, upstreamPool -> upstreamPool.evacuated(Set.of("a"), 1000)),
         "UNSENT nothing",
         "its zone is evacuated meanwhile");
     assertEquals(
-        sent(Long.MAX_VALUE, cords -> cords.apply(List.of(change("n", "a", 0, false)), 1000)),
+        sent(
+            Long.MAX_VALUE,
+            upstreamPool -> upstreamPool.apply(List.of(change("n", "a", 0, false)), 1000)),
         "UNSENT nothing",
         "it has signed off meanwhile");
   }
