Choice of upstreams: homes of the tenant bind where homes of the route do (HOME)

Cause: the choice of an upstream was told the rank of a request's tenant and not the tenant; homes of tenants were asked for writes tied to a node only.

Change: one predicate, Route.home(region, tenant); UpstreamPool asks it wherever an upstream is chosen (free choice and further tries, holder of a key, node of a caller), the placement asks the same. The tenant is taken from the configuration in force when the request is sent, not from the one in force when it came.

Evidence: UpstreamPoolTest.homesOfRouteAndTenantBothBindHoweverAnUpstreamIsChosen, 7 cases over all three ways to choose; passes.

--- a/dialplan/src/main/java/weldpoint/dialplan/Route.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Route.java
@@ -61,6 +61,14 @@
     return false;
   }
 
+  /**
+   * Whether upstreams in this region may serve it for a tenant, which may be null: where both have
+   * homes, both bind.
+   */
+  public boolean home(final String region, final Dialplan.Tenant tenant) {
+    return home(region) && (tenant == null || tenant.home(region));
+  }
+
   /** The service of the split for a draw from 0 to 1. */
   int service(final double chance) {
     final double wanted = chance * upTo[upTo.length - 1];
--- a/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -234,6 +234,12 @@
     return false;
   }
 
+  /** The tenant as the configuration in force has it, which may be newer than the request. */
+  private Dialplan.Tenant tenantInForce() {
+    final Dialplan.Tenant known = tenant == null ? null : proxyContext.plan.holder(key);
+    return known == null ? tenant : known;
+  }
+
   /** An announcer has answered, or none could. */
   private void copied(final CacheMessages.CopyAnswer answer) {
     if (over) {
@@ -433,8 +439,7 @@
     if (range == null || !range.held()) {
       return false;
     }
-    final int rank = tenant == null ? 0 : tenant.priority();
-    return proxyContext.upstreamPool.holder(service, route, rank, range.holder, now)
+    return proxyContext.upstreamPool.holder(service, route, tenantInForce(), range.holder, now)
         == UpstreamPool.Choice.CHOSEN;
   }
 
@@ -501,11 +506,10 @@
     }
     final long now = ProxyContext.now();
     final Route bound = route;
-    final Dialplan.Tenant owner = tenant;
+    final Dialplan.Tenant owner = tenantInForce();
     final java.util.function.Predicate<PlacementMessages.PlacementMember> may =
         member -> {
-          final String region = proxyContext.upstreamPool.region(member.site);
-          return bound.home(region) && (owner == null || owner.home(region));
+          return bound.home(proxyContext.upstreamPool.region(member.site), owner);
         };
     final Verdict verdict = proxyContext.ties.decide(service.name(), caller, may, now);
     if (verdict != Verdict.GO) {
@@ -514,12 +518,7 @@
     final String node = proxyContext.ties.node().id;
     final UpstreamPool.Choice choice =
         proxyContext.upstreamPool.pinned(
-            service,
-            route,
-            tenant == null ? 0 : tenant.priority(),
-            node,
-            affinity.pauseMillis(),
-            now);
+            service, route, tenantInForce(), node, affinity.pauseMillis(), now);
     if (choice != UpstreamPool.Choice.CHOSEN) {
       return choice == UpstreamPool.Choice.FULL ? Verdict.FULL : Verdict.LEAVING;
     }
@@ -568,8 +567,7 @@
       return false;
     }
     final UpstreamPool.Choice choice =
-        proxyContext.upstreamPool.choose(
-            service, route, tenant == null ? 0 : tenant.priority(), tried, now);
+        proxyContext.upstreamPool.choose(service, route, tenantInForce(), tried, now);
     if (choice != UpstreamPool.Choice.CHOSEN) {
       return false;
     }
--- a/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
+++ b/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
@@ -382,14 +382,14 @@
       final Route route,
       final List<Upstream> tried,
       final long now) {
-    return choose(service, route, 0, tried, now);
+    return choose(service, route, null, tried, now);
   }
 
-  /** Chooses an upstream for a request of a tenant of this rank, not among those tried before. */
+  /** Chooses an upstream for a request of a tenant, not among those tried before. */
   public Choice choose(
       final Dialplan.Service service,
       final Route route,
-      final int tenantRank,
+      final Dialplan.Tenant tenant,
       final List<Upstream> tried,
       final long now) {
     chosen = null;
@@ -416,6 +416,7 @@
                 width == Width.OWN ? spread.own.get(tier) : spread.all.get(tier),
                 service,
                 route,
+                tenant,
                 tried,
                 width,
                 now);
@@ -443,7 +444,7 @@
     if (best == null) {
       return any ? Choice.FULL : Choice.NONE;
     }
-    if (best.known(now) >= best.capacity * RetryPolicy.room(route, tenantRank)) {
+    if (best.known(now) >= best.capacity * RetryPolicy.room(route, rank(tenant))) {
       return Choice.FULL;
     }
     paced(best, service, now);
@@ -463,23 +464,21 @@
   public Choice pinned(
       final Dialplan.Service service,
       final Route route,
-      final int tenantRank,
+      final Dialplan.Tenant tenant,
       final String id,
       final long pauseMillis,
       final long now) {
     chosen = null;
     final Upstream upstream = upstreams.get(id);
     if (upstream == null
-        || !upstream.open
         || !upstream.service.equals(service.name())
-        || evacuated.contains(upstream.site)
-        || !route.home(upstream.region)) {
+        || !mayRun(upstream, route, tenant)) {
       return Choice.NONE;
     }
     reserves = true;
     upstream.tied(now, pauseMillis);
     if (!coldAdmits(upstream, service, now)
-        || upstream.known(now) >= upstream.capacity * RetryPolicy.room(route, tenantRank)) {
+        || upstream.known(now) >= upstream.capacity * RetryPolicy.room(route, rank(tenant))) {
       return Choice.FULL;
     }
     paced(upstream, service, now);
@@ -494,19 +493,17 @@
   public Choice holder(
       final Dialplan.Service service,
       final Route route,
-      final int tenantRank,
+      final Dialplan.Tenant tenant,
       final String id,
       final long now) {
     chosen = null;
     final Upstream upstream = upstreams.get(id);
     if (upstream == null
-        || !upstream.open
         || !upstream.service.equals(service.name())
-        || evacuated.contains(upstream.site)
-        || !route.home(upstream.region)) {
+        || !mayRun(upstream, route, tenant)) {
       return Choice.NONE;
     }
-    final double most = upstream.capacity * RetryPolicy.room(route, tenantRank) * HOLDER_ROOM;
+    final double most = upstream.capacity * RetryPolicy.room(route, rank(tenant)) * HOLDER_ROOM;
     if (!coldAdmits(upstream, service, now) || upstream.known(now) >= most) {
       return Choice.FULL;
     }
@@ -515,6 +512,17 @@
     return Choice.CHOSEN;
   }
 
+  /** Whether an upstream may run a tenant's requests on a route at all, however full it is. */
+  private boolean mayRun(final Upstream upstream, final Route route, final Dialplan.Tenant tenant) {
+    return upstream.open
+        && !evacuated.contains(upstream.site)
+        && route.home(upstream.region, tenant);
+  }
+
+  private static int rank(final Dialplan.Tenant tenant) {
+    return tenant == null ? 0 : tenant.priority();
+  }
+
   private boolean kept(final Upstream upstream, final Route route, final long now) {
     if (!reserves || !route.kind.repeatable()) {
       return false;
@@ -547,15 +555,13 @@
       final List<Upstream> all,
       final Dialplan.Service service,
       final Route route,
+      final Dialplan.Tenant tenant,
       final List<Upstream> tried,
       final Width width,
       final long now) {
     final List<Upstream> fit = new ArrayList<>();
     for (final Upstream upstream : all) {
-      if (!upstream.open
-          || evacuated.contains(upstream.site)
-          || !route.home(upstream.region)
-          || tried.contains(upstream)) {
+      if (!mayRun(upstream, route, tenant) || tried.contains(upstream)) {
         continue;
       }
       if (!coldAdmits(upstream, service, now) || kept(upstream, route, now)) {
--- a/upstream/src/test/java/weldpoint/upstream/UpstreamPoolTest.java
+++ b/upstream/src/test/java/weldpoint/upstream/UpstreamPoolTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.testng.annotations.AfterClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
@@ -97,6 +98,60 @@
     assertNotEquals(choose(upstreamPool, "/any/x", 1000), UpstreamPool.Choice.NONE);
   }
 
+  @DataProvider
+  public Object[][] homes() {
+    return new Object[][] {
+      {"/any/x", List.of(), Set.of("n", "s")},
+      {"/any/x", List.of("south"), Set.of("s")},
+      {"/x", List.of(), Set.of("n")},
+      {"/x", List.of("north"), Set.of("n")},
+      {"/x", List.of("north", "south"), Set.of("n")},
+      {"/x", List.of("south"), Set.of()},
+      {"/any/x", List.of("nowhere"), Set.of()},
+    };
+  }
+
+  /** Guards against HOME: homes of a tenant bound no ordinary request. */
+  @Test(dataProvider = "homes")
+  public void homesOfRouteAndTenantBothBindHoweverAnUpstreamIsChosen(
+      final String path, final List<String> tenantHomes, final Set<String> allowed) {
+    final UpstreamPool upstreamPool = upstreamPool(1);
+    upstreamPool.apply(List.of(change("n", "a", 0, true), change("s", "b", 0, true)), 1000);
+    final Interpreter interpreter = request(path);
+    final Dialplan.Service service = plan.services().get(interpreter.service());
+    final Dialplan.Tenant tenant = tenant(tenantHomes);
+    final Set<String> chosen = new HashSet<>();
+    final List<Upstream> tried = new ArrayList<>();
+    while (upstreamPool.choose(service, interpreter.route(), tenant, tried, 1000)
+        == UpstreamPool.Choice.CHOSEN) {
+      tried.add(upstreamPool.chosen());
+      chosen.add(upstreamPool.chosen().id());
+    }
+    assertEquals(chosen, allowed, "free choice, and further tries");
+    for (final String id : List.of("n", "s")) {
+      final UpstreamPool.Choice wanted =
+          allowed.contains(id) ? UpstreamPool.Choice.CHOSEN : UpstreamPool.Choice.NONE;
+      assertEquals(
+          upstreamPool.holder(service, interpreter.route(), tenant, id, 1000),
+          wanted,
+          "holder of a key " + id);
+      assertEquals(
+          upstreamPool.pinned(service, interpreter.route(), tenant, id, 60_000, 1000),
+          wanted,
+          "node of a caller " + id);
+    }
+  }
+
+  private static Dialplan.Tenant tenant(final List<String> homes) {
+    final String regions = homes.isEmpty() ? "" : "\"" + String.join("\",\"", homes) + "\"";
+    return Dialplan.compile(
+            ("{\"version\":\"1\",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"homeRegions\":["
+                    + regions
+                    + "]}],\"listeners\":[],\"pools\":[]}")
+                .getBytes(StandardCharsets.UTF_8))
+        .holder("k");
+  }
+
   @Test
   public void coldUpstreamsGetTheirBoundOverAllSwitchboardsTogether() {
     for (final int boards : new int[] {1, 4, 10, 14}) {
@@ -244,7 +299,7 @@
     for (int index = 0; index < 30; index++) {
       now += 50;
       assertEquals(
-          upstreamPool.pinned(service, write.route(), 0, "n", 60_000, now),
+          upstreamPool.pinned(service, write.route(), null, "n", 60_000, now),
           UpstreamPool.Choice.CHOSEN);
     }
     int lookups = 0;
@@ -255,7 +310,7 @@
     }
     assertEquals(lookups, 2, "half of four slots is kept for the writes");
     assertEquals(
-        upstreamPool.pinned(service, write.route(), 0, "n", 60_000, now),
+        upstreamPool.pinned(service, write.route(), null, "n", 60_000, now),
         UpstreamPool.Choice.CHOSEN,
         "a tied write still has room");
     now += 25_000;
@@ -264,11 +319,12 @@
         UpstreamPool.Choice.CHOSEN,
         "an idle reserve is given back");
     assertEquals(
-        upstreamPool.pinned(service, write.route(), 0, "gone", 60_000, now),
+        upstreamPool.pinned(service, write.route(), null, "gone", 60_000, now),
         UpstreamPool.Choice.NONE);
     upstreamPool.evacuated(Set.of("a"), now);
     assertEquals(
-        upstreamPool.pinned(service, write.route(), 0, "n", 60_000, now), UpstreamPool.Choice.NONE);
+        upstreamPool.pinned(service, write.route(), null, "n", 60_000, now),
+        UpstreamPool.Choice.NONE);
     under.forEach(attempt -> attempt.abandon(0));
   }
 
