--- a/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -2,9 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -13,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
@@ -602,21 +598,9 @@
       proxyContext.repeated++;
     }
     final FullHttpRequest forward =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, request.method(), request.uri(), body.retainedDuplicate());
-    Headers.copy(request.headers(), forward.headers());
+        ForwardedMessages.request(request, body, upstream.id(), cutoff - now);
     if (keyed) {
-      forward.headers().remove(HttpHeaderNames.AUTHORIZATION);
-      forward.headers().remove(Headers.TENANT);
-      if (tenant != null) {
-        forward.headers().set(Headers.TENANT, tenant.name());
-      }
-    }
-    forward.headers().set(Headers.DEADLINE, Math.max(1, cutoff - now));
-    forward.headers().set(Headers.TARGET, upstream.id());
-    if (body.isReadable()
-        || !request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.HEAD)) {
-      forward.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+      ForwardedMessages.nameTenant(forward, tenant);
     }
     final String attemptId = request.headers().get(Headers.ATTEMPT_ID);
     if (trialled && attemptId != null) {
@@ -741,7 +725,7 @@
       next();
       return;
     }
-    if (fate == AttemptOutcome.UNCERTAIN || !proper(head)) {
+    if (fate == AttemptOutcome.UNCERTAIN || !ForwardedMessages.mayPass(head, route)) {
       release(bytes);
       uncertain = true;
       next();
@@ -752,29 +736,14 @@
       next();
       return;
     }
-    deliver(response(head, bytes));
-  }
-
-  /**
-   * Whether an answer may go to the client as it is: a success has its seal, and what may not run
-   * again gets no status that promises it never ran.
-   */
-  private boolean proper(final HttpResponse head) {
-    final int status = head.status().code();
-    if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
-      return false;
-    }
-    if (status < 300) {
-      return head.headers().contains(Headers.SEAL);
-    }
-    return route.kind.repeatable() || status != 408 && status != 429 && status != 503;
+    deliver(ForwardedMessages.answer(request, head, bytes));
   }
 
   private void keep(final HttpResponse head, final ByteBuf bytes) {
     if (lastAnswer != null) {
       lastAnswer.release();
     }
-    lastAnswer = response(head, bytes);
+    lastAnswer = ForwardedMessages.answer(request, head, bytes);
   }
 
   private static void release(final ByteBuf bytes) {
@@ -783,22 +752,6 @@
     }
   }
 
-  private FullHttpResponse response(final HttpResponse head, final ByteBuf bytes) {
-    final FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, head.status(), bytes == null ? Unpooled.EMPTY_BUFFER : bytes);
-    Headers.copy(head.headers(), response.headers());
-    if (request.method().equals(HttpMethod.HEAD)) {
-      final String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-      if (length != null) {
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-      }
-    } else if (head.status().code() != 204 && head.status().code() != 304) {
-      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-    }
-    return response;
-  }
-
   /** Goes on after a try that brought no answer for the client. */
   private void next() {
     if (heldKey != null) {
@@ -865,8 +818,8 @@
   private void endUnheard(final AttemptOutcome fate, final HttpResponse head, final ByteBuf bytes) {
     if (keyRun == null) {
       release(bytes);
-    } else if (fate == AttemptOutcome.ANSWERED && proper(head)) {
-      final FullHttpResponse response = response(head, bytes);
+    } else if (fate == AttemptOutcome.ANSWERED && ForwardedMessages.mayPass(head, route)) {
+      final FullHttpResponse response = ForwardedMessages.answer(request, head, bytes);
       keepForRepeats(response);
       response.release();
     } else {
--- a/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
+++ b/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
@@ -22,7 +22,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import weldpoint.boot.Boot;
-import weldpoint.boot.Rank;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
 import weldpoint.dialplan.RouteKind;
@@ -38,7 +37,6 @@
   private static final double CROWDED = 0.5;
   private static final double DOUBT = 3;
   private static final long COLD_MARGIN_MILLIS = 300;
-  private static final int LEAST_WIDTH = 4;
   private static final double HOLDER_ROOM = 1.6;
 
   private final Bootstrap bootstrap;
@@ -55,6 +53,7 @@
   private final Map<String, Quiet> quiets = new HashMap<>();
   private Set<String> evacuated = Set.of();
   private final ColdBound coldBound;
+  private final UpstreamSubsets subsets;
   private double ordered;
   private Set<String> orderedSuspects = Set.of();
   private Consumer<String> surplus = id -> {};
@@ -68,6 +67,7 @@
     this.region = boot.region();
     this.regions = boot.sites();
     this.random = random;
+    this.subsets = new UpstreamSubsets(boot);
     this.coldBound =
         new ColdBound(
             boot.address(),
@@ -89,7 +89,9 @@
 
   /** Takes what changed in the registry. */
   public void apply(final List<Change> changes, final long now) {
-    undivided |= !changes.isEmpty();
+    if (!changes.isEmpty()) {
+      subsets.outdated();
+    }
     for (final Change change : changes) {
       final Upstream known = upstreams.get(change.registration.id);
       if (!change.open) {
@@ -230,134 +232,20 @@
     DESPERATE
   }
 
-  /** A service's upstreams by distance: own site, own region, elsewhere. */
-  private static final class Spread {
-    private static final Spread NONE = new Spread(List.of(), false, upstream -> 0);
-
-    private final List<List<Upstream>> own =
-        List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-    private final List<List<Upstream>> all =
-        List.of(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-    private final boolean divided;
-
-    private Spread(
-        final List<Upstream> upstreams,
-        final boolean divided,
-        final java.util.function.ToIntFunction<Upstream> distance) {
-      this.divided = divided;
-      for (final Upstream upstream : upstreams) {
-        final int tier = distance.applyAsInt(upstream);
-        all.get(tier).add(upstream);
-        if (upstream.own) {
-          own.get(tier).add(upstream);
-        }
-      }
-    }
-  }
-
   /** The region of a site. */
   public String region(final String place) {
     return regions.getOrDefault(place, "");
   }
 
-  private int distance(final Upstream upstream) {
-    return upstream.site.equals(site) ? 0 : upstream.region.equals(region) ? 1 : 2;
-  }
-
-  /**
-   * Gives this switchboard its part of every large service: few upstreams, so that their
-   * connections are used again and their load is known.
-   */
-  private void divide() {
-    if (!undivided) {
-      return;
-    }
-    undivided = false;
-    spreads.clear();
-    for (final List<Upstream> all : services.values()) {
-      final boolean large = all.size() > 2 * boot.choiceWidth();
-      final Map<String, List<Upstream>> sites = new HashMap<>();
-      for (final Upstream upstream : all) {
-        upstream.own = !large;
-        sites.computeIfAbsent(upstream.site, name -> new ArrayList<>()).add(upstream);
-      }
-      if (large && place(sites.getOrDefault(site, List.of()).size()) >= 0) {
-        final List<Upstream> near = sites.getOrDefault(site, List.of());
-        window(
-            near,
-            (double) place(near.size()) / neighbours.size(),
-            Math.ceil(boot.choiceSharers() * near.size() / neighbours.size()));
-        final Map<String, List<Upstream>> others = new HashMap<>();
-        for (final Upstream upstream : all) {
-          if (!upstream.site.equals(site)) {
-            others.computeIfAbsent(upstream.region, name -> new ArrayList<>()).add(upstream);
-          }
-        }
-        others.values().forEach(list -> window(list, position(), (boot.choiceWidth() + 1) / 2));
-      } else if (large) {
-        sites.forEach(
-            (place, list) -> {
-              list.sort(
-                  java.util.Comparator.comparingLong(
-                      upstream -> Rank.of(upstream.id, boot.address())));
-              final int most =
-                  place.equals(site) ? boot.choiceWidth() : (boot.choiceWidth() + 1) / 2;
-              list.subList(0, Math.min(most, list.size())).forEach(upstream -> upstream.own = true);
-            });
-      }
-      if (!all.isEmpty()) {
-        spreads.put(all.get(0).service, new Spread(all, large, this::distance));
-      }
-    }
-  }
-
-  /** Takes which switchboards share this site, in an order that all of them are told alike. */
+  /** Takes which proxies share this site, in an order that all of them are told alike. */
   public void neighbours(final List<String> addresses, final long now) {
     coldBound.neighbours(addresses, now);
-    undivided |= !addresses.equals(neighbours);
-    neighbours = addresses;
-  }
-
-  private List<String> neighbours = List.of();
-
-  /**
-   * The place of this switchboard among those of its site; -1 where that is not known, or too few
-   * share too many upstreams.
-   */
-  private int place(final int upstreams) {
-    return neighbours.size() * (long) boot.choiceWidth() < boot.choiceSharers() * upstreams
-        ? -1
-        : neighbours.indexOf(boot.address());
-  }
-
-  /** Where this switchboard stands among all, from 0 to 1, if every site has as many as the own. */
-  private double position() {
-    final List<String> places = new ArrayList<>(regions.keySet());
-    places.sort(null);
-    return (Math.max(0, places.indexOf(site))
-            + (neighbours.indexOf(boot.address()) + 0.5) / neighbours.size())
-        / Math.max(1, places.size());
-  }
-
-  /**
-   * Upstreams stand in one order for all; each switchboard has a stretch of it, so that each
-   * upstream has as many switchboards as the next.
-   */
-  private static void window(
-      final List<Upstream> list, final double position, final double wanted) {
-    list.sort(
-        java.util.Comparator.comparingLong(upstream -> Rank.of(upstream.id, upstream.service)));
-    final int size = list.size();
-    final int width = (int) Math.min(size, Math.max(LEAST_WIDTH, wanted));
-    final int from = (int) (position * size);
-    for (int step = 0; step < width; step++) {
-      list.get((from + step) % size).own = true;
-    }
+    subsets.neighbours(addresses);
   }
 
-  /** The upstreams that are this switchboard's own part of a service. */
+  /** The ids of the upstreams in this proxy's own subset of a service. */
   List<String> part(final String service) {
-    divide();
+    subsets.update(services.values());
     final List<String> ids = new ArrayList<>();
     for (final Upstream upstream : services.getOrDefault(service, List.of())) {
       if (upstream.own) {
@@ -367,8 +255,6 @@
     return ids;
   }
 
-  private final Map<String, Spread> spreads = new HashMap<>();
-  private boolean undivided = true;
   private Upstream chosen;
 
   /** The upstream that the last successful choice found. */
@@ -393,8 +279,8 @@
       final List<Upstream> tried,
       final long now) {
     chosen = null;
-    divide();
-    final Spread spread = spreads.getOrDefault(service.name(), Spread.NONE);
+    subsets.update(services.values());
+    final UpstreamSubsets.Tiers tiers = subsets.tiers(service.name());
     Upstream best = null;
     double bestCost = Double.MAX_VALUE;
     boolean any = false;
@@ -402,7 +288,7 @@
     final boolean crowded =
         near != null && route.kind != RouteKind.EGRESS && near.perSlot(now) > CROWDED;
     for (final Width width : Width.values()) {
-      if (width == Width.ALL && !spread.divided) {
+      if (width == Width.ALL && !tiers.divided) {
         continue;
       }
       if (best != null
@@ -413,7 +299,7 @@
       for (int tier = 0; tier < 3; tier++) {
         final Upstream candidate =
             sample(
-                width == Width.OWN ? spread.own.get(tier) : spread.all.get(tier),
+                width == Width.OWN ? tiers.own.get(tier) : tiers.all.get(tier),
                 service,
                 route,
                 tenant,
