--- a/soak/src/main/java/weldpoint/soak/Trouble.java
+++ b/soak/src/main/java/weldpoint/soak/Trouble.java
@@ -57,11 +57,11 @@
   }
 
   private static final int DELAY_MILLIS = 150;
-  private static final double DOUBLED_ANSWERS = 0.3;
+  private static final double DOUBLED_ANSWERS = 0.5;
   private static final double TURNED_AWAY = 0.4;
 
   /** The share of requests that an upstream which holds keys turns away without any trouble. */
-  static final double USUALLY_TURNED_AWAY = 0.1;
+  static final double USUALLY_TURNED_AWAY = 0.25;
 
   private static final int[] IDLE_MILLIS = {400, 1000, 15_000};
 
