Registry: a late first beat no longer ends another upstream's registration for good

Cause: a life that is not known was taken for the newcomer at its address, and every other life there was ended for good: the order of arrival decided what the wire does not tell. The assigner of keys then took the one that was there for gone.

Change: a life that has not said that it leaves is written off only until its next beat (LAPSED); each registry that learns of a newcomer does so itself; while an address is contested, whoever beats from it writes off those there that have been silent for two beats. The sound upstream is back with its next beat.

--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
@@ -400,15 +400,17 @@
     if (late && !drains) {
       return CompletableFuture.completedFuture(null);
     }
+    final List<Registration> changes = new ArrayList<>();
     if (registrations.put(beat)) {
-      final List<Registration> changes = new ArrayList<>();
       changes.add(beat);
       if (before == null) {
-        changes.addAll(registrations.endOthers(beat));
         LOGGER.atInfo().log("upstream %s joined %s at %s", beat.id, beat.service, beat.address);
       } else if (before.stage != beat.stage) {
         LOGGER.atInfo().log("upstream %s is %s", beat.id, Stage.of(beat));
       }
+    }
+    changes.addAll(claimAddress(beat, before == null, now));
+    if (!changes.isEmpty()) {
       if (drains) {
         streams.registrations(changes);
         return quorum(changes, now);
@@ -422,6 +424,19 @@
         : CompletableFuture.completedFuture(null);
   }
 
+  /** Writes off other lives at the address of an upstream that beats; those that changed. */
+  private List<Registration> claimAddress(
+      final Registration beat, final boolean newcomer, final long now) {
+    final List<Registration> ended =
+        newcomer ? registrations.supersede(beat) : registrations.settleAddress(beat, now);
+    for (final Registration one : ended) {
+      LOGGER.atInfo().log(
+          "upstream %s is %s, since %s beats from its address %s",
+          one.id, Stage.of(one), beat.id, beat.address);
+    }
+    return ended;
+  }
+
   /** An upstream signs off; completes once a majority of disks holds it. */
   public CompletableFuture<Void> deregister(final String id, final long issued, final long now) {
     final Registration before = registrations.get(id);
@@ -1737,6 +1752,11 @@
     final List<Figure> figures = new ArrayList<>();
     figures.add(Figure.gauge("weldpoint_registrations", "Upstreams known.", registrations.size()));
     figures.add(Figure.counter("weldpoint_beats", "Beats of upstreams taken here.", beats));
+    figures.add(
+        Figure.counter(
+            "weldpoint_superseded_registrations",
+            "Upstreams written off since another one beat from their address.",
+            registrations.superseded()));
     figures.add(Figure.gauge("weldpoint_streams", "Streams to proxies.", streams.size()));
     figures.add(Figure.gauge("weldpoint_roster_number", "The roster's number.", roster.number));
     figures.add(
--- a/exchange/src/main/java/weldpoint/exchange/Registrations.java
+++ b/exchange/src/main/java/weldpoint/exchange/Registrations.java
@@ -17,12 +17,15 @@
   private static final int MOST_REMOVED = 2000;
   private static final long SUSPECT_BEATS = 4;
   static final long LAPSE_BEATS = 20;
+  private static final long CONTEST_BEATS = 2;
   private static final int OLD = 255;
 
   private final long beatMillis;
   private final Map<String, Registration> history = new LinkedHashMap<>();
   private final Map<String, Long> beatAt = new HashMap<>();
   private final Set<String> suspects = new HashSet<>();
+  private final Set<String> contested = new HashSet<>();
+  private long superseded;
   private long digest;
   private long revision;
 
@@ -106,26 +109,72 @@
       }
       if (unknown) {
         beatAt.put(registration.id, now);
+        if (Stage.of(registration) == Stage.JOINED) {
+          news.addAll(supersede(registration));
+        }
       }
     }
     return news;
   }
 
-  /** Ends other lives at the address of a newcomer; those that ended. */
-  List<Registration> endOthers(final Registration newcomer) {
+  /**
+   * Writes off the other lives at the address of a newcomer; those that changed. The wire does not
+   * tell which of two lives is the later one, and a first beat may come seconds late: so a life
+   * that has not said that it leaves is written off only until its next beat.
+   */
+  List<Registration> supersede(final Registration newcomer) {
     final List<Registration> changes = new ArrayList<>();
     for (final Registration other : new ArrayList<>(history.values())) {
-      if (!other.id.equals(newcomer.id)
-          && other.address.equals(newcomer.address)
-          && Stage.of(other) != Stage.REMOVED) {
-        final Registration ended = step(other, Stage.REMOVED, newcomer.issued);
-        put(ended);
-        changes.add(ended);
+      if (other.id.equals(newcomer.id) || !other.address.equals(newcomer.address)) {
+        continue;
+      }
+      if (Stage.of(other) == Stage.JOINED) {
+        contested.add(other.address);
+        writeOff(other, Stage.LAPSED, newcomer.issued, changes);
+      } else if (Stage.of(other) != Stage.REMOVED) {
+        writeOff(other, Stage.REMOVED, newcomer.issued, changes);
       }
     }
     return changes;
   }
 
+  /**
+   * Writes off those at the address of an upstream that beats which have themselves been silent for
+   * some beats; those that changed. Only one process can be bound to an address, so of two lives
+   * that claim it the one that goes on beating is there.
+   */
+  List<Registration> settleAddress(final Registration beating, final long now) {
+    if (!contested.contains(beating.address)) {
+      return List.of();
+    }
+    final List<Registration> changes = new ArrayList<>();
+    for (final Registration other : new ArrayList<>(history.values())) {
+      if (!other.id.equals(beating.id)
+          && other.address.equals(beating.address)
+          && Stage.of(other) == Stage.JOINED
+          && now - beatAt.getOrDefault(other.id, now) > CONTEST_BEATS * beatMillis) {
+        writeOff(other, Stage.LAPSED, other.issued, changes);
+      }
+    }
+    return changes;
+  }
+
+  private void writeOff(
+      final Registration one,
+      final Stage stage,
+      final long issued,
+      final List<Registration> changes) {
+    final Registration ended = step(one, stage, issued);
+    put(ended);
+    changes.add(ended);
+    superseded++;
+  }
+
+  /** How many lives were written off since another one beat from their address. */
+  long superseded() {
+    return superseded;
+  }
+
   /** Drops one of those that signed off, where there are too many. */
   void forget() {
     int removed = 0;
