--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -211,6 +211,19 @@
             control(version, "configuration.replace", Workload.configuration(version, idleMillis)));
   }
 
+  /** The first beat of a life that has ended comes from the address of a drawn upstream. */
+  void lateFirstBeat(final Random random) {
+    final String id = "late-" + beats.incrementAndGet();
+    final int registry = random.nextInt(size.cores());
+    final int index = random.nextInt(size.upstreams() + size.keyHolders());
+    if (index < size.upstreams()) {
+      clock.execute(() -> beat(registry, id, SERVICE, "127.9.3." + (1 + index), index, "ready", 1));
+    } else {
+      final int holder = index - size.upstreams();
+      clock.execute(() -> beat(registry, id, SHELF, "127.9.5." + (1 + holder), holder, "ready", 1));
+    }
+  }
+
   private int beatHolder(final int index) {
     final long number = beats.incrementAndGet();
     return beat(
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -136,13 +136,16 @@
   @Override
   public Answer handle(final Request request) {
     final String path = request.path();
+    final String target = request.header("Weldpoint-Target-Instance");
+    if (path.equals("/api/grant") && !target.isEmpty() && !target.equals(instance)) {
+      return answer(421);
+    }
     if (heldKeys != null && (path.equals("/api/grant") || path.equals("/api/release"))) {
       return keyCall(request);
     }
     if (path.equals("/health")) {
       return new Answer(200, Map.of("Weldpoint-Instance-Id", instance), EMPTY);
     }
-    final String target = request.header("Weldpoint-Target-Instance");
     if (!target.isEmpty() && !target.equals(instance)) {
       return turnAway(request, 421);
     }
--- a/soak/src/main/java/weldpoint/soak/Trouble.java
+++ b/soak/src/main/java/weldpoint/soak/Trouble.java
@@ -48,7 +48,9 @@
   /** An upstream that holds keys turns a share of its requests away, since it is full. */
   HOLDER_FULL,
   /** A proxy is told that its settings have changed. */
-  PROXY_RELOAD;
+  PROXY_RELOAD,
+  /** The first beat of a life that has ended comes late, from an upstream's address. */
+  LATE_FIRST_BEAT;
 
   /** One trouble that is in force. */
   interface InForce {
@@ -145,6 +147,10 @@
         drawn(fleet.proxies(), random).reload();
         yield () -> {};
       }
+      case LATE_FIRST_BEAT -> {
+        fleet.lateFirstBeat(random);
+        yield () -> {};
+      }
     };
   }
 
