--- a/affinity/src/main/java/weldpoint/affinity/Verdict.java
+++ b/affinity/src/main/java/weldpoint/affinity/Verdict.java
@@ -17,7 +17,9 @@
   /** Its node leaves or is gone, and the next placement is not in force yet. */
   LEAVING("its caller's node is leaving; come back shortly"),
   /** Its node declined it. */
-  DECLINED("its caller's node did not take it; come back");
+  DECLINED("its caller's node did not take it; come back"),
+  /** No node in its home regions may serve it. */
+  OUTSIDE_HOMES("no node in its home regions may serve its caller now; come back");
 
   private final String reason;
 
--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
@@ -7,9 +7,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.dialplan.Interpreter;
-import weldpoint.dialplan.Route;
 import weldpoint.dialplan.RouteKind;
 import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.CacheMessages.CopyAnswer;
@@ -42,8 +41,7 @@
      * whoever is given hears exactly once.
      */
     void fetch(
-        Dialplan.Service service,
-        Route route,
+        Binding binding,
         String host,
         String target,
         String etag,
@@ -161,15 +159,14 @@
 
   private void serve(final Waiter waiter, final long now) {
     final CopyAsk ask = waiter.ask;
-    final Route route = route(ask);
-    final int service = plan == null ? -1 : plan.service(ask.service);
-    if (route == null || service < 0 || !trusts(now)) {
+    final Binding binding = bind(ask);
+    if (binding == null || !trusts(now)) {
       waiter.reply.accept(new CopyAnswer(ask.number, 0, null, null));
       return;
     }
     final String key = ask.service + ' ' + ask.host.toLowerCase(Locale.ROOT) + ask.target;
     final Copy copy = shelf.get(key);
-    if (copy != null && now - copy.startedAt < route.cacheMillis) {
+    if (copy != null && now - copy.startedAt < binding.route().cacheMillis) {
       hits++;
       waiter.reply.accept(answer(ask, copy));
       return;
@@ -184,8 +181,7 @@
     fetch.waiters.add(waiter);
     fetches.put(key, fetch);
     outlet.fetch(
-        plan.services().get(service),
-        route,
+        binding,
         ask.host,
         ask.target,
         copy == null ? null : copy.etag,
@@ -204,16 +200,20 @@
     return mark;
   }
 
-  private Route route(final CopyAsk ask) {
-    if (plan == null) {
+  /** What the configuration says of an object; null where no copy of it may be kept. */
+  private Binding bind(final CopyAsk ask) {
+    final int service = plan == null ? -1 : plan.service(ask.service);
+    if (service < 0) {
+      return null;
+    }
+    final Binding binding = new Binding(ask.host, ask.target, 0);
+    if (!plan.interpret(binding)
+        || binding.route().kind != RouteKind.CACHEABLE
+        || binding.route().cacheMillis <= 0) {
       return null;
     }
-    final Interpreter interpreter = new Interpreter(ask.host, ask.target, 0);
-    return plan.interpret(interpreter)
-            && interpreter.route().kind == RouteKind.CACHEABLE
-            && interpreter.route().cacheMillis > 0
-        ? interpreter.route()
-        : null;
+    binding.divert(plan.services().get(service));
+    return binding;
   }
 
   private static CopyAnswer answer(final CopyAsk ask, final Copy copy) {
--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerDaemon.java
@@ -104,6 +104,7 @@
           () -> {
             if (plan != null) {
               core.take(plan);
+              upstreamPool.configuration(plan);
             }
             upstreamPool.apply(list, now());
             if (evacuated != null) {
--- a/announcer/src/main/java/weldpoint/announcer/Reader.java
+++ b/announcer/src/main/java/weldpoint/announcer/Reader.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import weldpoint.boot.Boot;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
 import weldpoint.proxy.PermitPool;
@@ -78,15 +79,14 @@
 
   @Override
   public void fetch(
-      final Dialplan.Service service,
-      final Route route,
+      final Binding binding,
       final String host,
       final String target,
       final String etag,
       final IntSupplier weight,
       final long cutoff,
       final Consumer<AnnouncerCore.Fetched> done) {
-    new Read(service, route, host, target, etag, weight, cutoff, done).permit();
+    new Read(binding, host, target, etag, weight, cutoff, done).permit();
   }
 
   private boolean own(final Dialplan.Service service, final long now) {
@@ -192,6 +192,7 @@
   private final class Read {
     private final IntSupplier weight;
     private final long waitsSince = now();
+    private final Binding binding;
     private final Dialplan.Service service;
     private final Route route;
     private final String host;
@@ -205,8 +206,7 @@
     private boolean over;
 
     private Read(
-        final Dialplan.Service service,
-        final Route route,
+        final Binding binding,
         final String host,
         final String target,
         final String etag,
@@ -214,8 +214,9 @@
         final long cutoff,
         final Consumer<AnnouncerCore.Fetched> done) {
       this.weight = weight;
-      this.service = service;
-      this.route = route;
+      this.binding = binding;
+      this.service = binding.service();
+      this.route = binding.route();
       this.host = host;
       this.target = target;
       this.etag = etag;
@@ -256,7 +257,7 @@
       if (over) {
         return;
       }
-      if (upstreamPool.choose(service, route, tried, now) != UpstreamPool.Choice.CHOSEN) {
+      if (upstreamPool.choose(binding, tried, now) != UpstreamPool.Choice.CHOSEN) {
         if (running() == 0) {
           end(new AnnouncerCore.Fetched(503, null, null));
         }
@@ -279,7 +280,7 @@
       if (etag != null) {
         request.headers().set(HttpHeaderNames.IF_NONE_MATCH, etag);
       }
-      attempts.add(upstreamPool.send(upstream, request, id, now, cutoff, this::ended));
+      attempts.add(upstreamPool.send(upstream, binding, request, id, now, cutoff, this::ended));
       final long patience =
           Math.min(cutoff - now, Math.max(100, (long) (0.6 * route.targetMillis)));
       loop.schedule(
--- a/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
@@ -12,8 +12,8 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.testng.annotations.Test;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.dialplan.Route;
 import weldpoint.trunk.CacheMessages;
 import weldpoint.trunk.CacheMessages.CopyAnswer;
 import weldpoint.trunk.CacheMessages.CopyAsk;
@@ -92,8 +92,7 @@
 
     @Override
     public void fetch(
-        final Dialplan.Service service,
-        final Route route,
+        final Binding binding,
         final String host,
         final String target,
         final String etag,
@@ -243,7 +242,7 @@
             1700,
             5000,
             0,
-            (service, route, host, target, etag, weight, cutoff, done) -> fetches.add(done));
+            (binding, host, target, etag, weight, cutoff, done) -> fetches.add(done));
     core.take(Dialplan.compile(SPEC.getBytes(StandardCharsets.UTF_8)));
     core.reached(0, 0);
     final List<CopyAnswer> answers = new ArrayList<>();
@@ -273,7 +272,7 @@
             1700,
             9000,
             0,
-            (service, route, host, target, etag, weight, cutoff, done) -> fetches.add(done));
+            (binding, host, target, etag, weight, cutoff, done) -> fetches.add(done));
     core.take(Dialplan.compile(SPEC.getBytes(StandardCharsets.UTF_8)));
     core.reached(200, 1000);
     final List<Integer> statuses = new ArrayList<>();
--- a/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/ReaderTest.java
@@ -19,6 +19,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.proxy.PermitPool;
 import weldpoint.trunk.RegistryMessages.Registration;
@@ -93,9 +94,10 @@
     loop.execute(
         () -> {
           upstreamPool.apply(changes, System.nanoTime() / 1_000_000);
+          final Binding binding = new Binding("h", "/x", 0);
+          plan.interpret(binding);
           reader.fetch(
-              plan.services().get(0),
-              plan.route("r"),
+              binding,
               "h",
               "/x",
               null,
--- a/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Dialplan.java
@@ -18,14 +18,14 @@
   enum Step {
     FIND_HOST {
       @Override
-      boolean run(final Dialplan plan, final Interpreter request) {
+      boolean run(final Dialplan plan, final Binding request) {
         request.prefixes = plan.hosts.get(request.host);
         return request.prefixes != null;
       }
     },
     FIND_LONGEST_PREFIX {
       @Override
-      boolean run(final Dialplan plan, final Interpreter request) {
+      boolean run(final Dialplan plan, final Binding request) {
         for (int slash = request.pathEnd;
             slash >= 0;
             slash = request.path.lastIndexOf('/', slash - 1)) {
@@ -43,8 +43,8 @@
     },
     CHOOSE_SERVICE {
       @Override
-      boolean run(final Dialplan plan, final Interpreter request) {
-        request.service =
+      boolean run(final Dialplan plan, final Binding request) {
+        request.routed =
             request.route.services.length == 1
                 ? request.route.services[0]
                 : request.route.service(request.chance);
@@ -52,7 +52,7 @@
       }
     };
 
-    abstract boolean run(Dialplan plan, Interpreter request);
+    abstract boolean run(Dialplan plan, Binding request);
   }
 
   private static final Step[] PROGRAM = Step.values();
@@ -292,15 +292,21 @@
   }
 
   /** Runs the program for a request; false where no route matches. */
-  public boolean interpret(final Interpreter request) {
+  public boolean interpret(final Binding request) {
     for (final Step step : PROGRAM) {
       if (!step.run(this, request)) {
         return false;
       }
     }
+    request.found(this);
     return true;
   }
 
+  /** Finds the route of a request whose service was chosen before; false where none matches. */
+  boolean findRoute(final Binding request) {
+    return Step.FIND_HOST.run(this, request) && Step.FIND_LONGEST_PREFIX.run(this, request);
+  }
+
   /** The version of the configuration. */
   public long version() {
     return version;
--- a/dialplan/src/main/java/weldpoint/dialplan/Route.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Route.java
@@ -48,8 +48,8 @@
     this.upTo = upTo;
   }
 
-  /** Whether upstreams in this region may serve it. */
-  public boolean home(final String region) {
+  /** Whether upstreams in this region may serve it; see {@link Binding#home}. */
+  boolean home(final String region) {
     if (homes.length == 0) {
       return true;
     }
@@ -61,12 +61,14 @@
     return false;
   }
 
-  /**
-   * Whether upstreams in this region may serve it for a tenant, which may be null: where both have
-   * homes, both bind.
-   */
-  public boolean home(final String region, final Dialplan.Tenant tenant) {
-    return home(region) && (tenant == null || tenant.home(region));
+  /** Whether the route may lead to the service of this index. */
+  boolean leadsTo(final int service) {
+    for (final int one : services) {
+      if (one == service) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** The service of the split for a draw from 0 to 1. */
--- a/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
+++ b/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
@@ -6,6 +6,9 @@
 import static org.testng.Assert.expectThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import weldpoint.boot.Breakdown;
@@ -26,18 +29,18 @@
   public void theLongestPrefixOfTheHostWins() {
     final Dialplan plan = compile(GOOD);
     assertEquals(plan.version(), 12);
-    final Interpreter deep = new Interpreter("A.example:80", "/x/y/z?q=/1/", 0.95);
+    final Binding deep = new Binding("A.example:80", "/x/y/z?q=/1/", 0.95);
     assertTrue(plan.interpret(deep));
     assertEquals(deep.route().name, "r2");
     assertFalse(deep.route().kind.repeatable());
-    assertEquals(plan.services().get(deep.service()).name(), "t");
-    assertTrue(deep.route().home("north"));
-    assertFalse(deep.route().home("south"));
-    final Interpreter shallow = new Interpreter("a.example", "/x/z", 0.5);
+    assertEquals(deep.service().name(), "t");
+    assertTrue(deep.home("north"));
+    assertFalse(deep.home("south"));
+    final Binding shallow = new Binding("a.example", "/x/z", 0.5);
     assertTrue(plan.interpret(shallow));
     assertEquals(shallow.route().name, "r1");
-    assertFalse(plan.interpret(new Interpreter("a.example", "/y/z", 0.5)));
-    assertFalse(plan.interpret(new Interpreter("b.example", "/x/z", 0.5)));
+    assertFalse(plan.interpret(new Binding("a.example", "/y/z", 0.5)));
+    assertFalse(plan.interpret(new Binding("b.example", "/x/z", 0.5)));
   }
 
   @Test
@@ -128,4 +131,111 @@
   public void whatIsInvalidIsRefusedWithItsKind(final String text, final Breakdown.Kind kind) {
     assertEquals(expectThrows(Breakdown.class, () -> compile(text)).kind(), kind);
   }
+
+  private static Dialplan followed(
+      final String prefix, final String rule, final String action, final String tenant) {
+    return Dialplan.compile(
+        ("{\"version\":\"1\",\"tenants\":["
+                + tenant
+                + "],\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\","
+                + rule
+                + "\"match\":{\"pathPrefix\":\""
+                + prefix
+                + "\"},\"action\":{"
+                + action
+                + "\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"other\"},{\"name\":\"s\"}]}")
+            .getBytes(StandardCharsets.UTF_8));
+  }
+
+  @DataProvider
+  public Object[][] changes() {
+    final String rule = "\"routeKind\":\"idempotent\",";
+    final String toS = "\"service\":\"s\",";
+    final String tenant = "{\"name\":\"t\",\"apiKeys\":[\"k\"]}";
+    return new Object[][] {
+      {"/x/", rule, toS, tenant, Binding.Standing.BOUND, Set.of("north", "south")},
+      {
+        "/x/",
+        rule,
+        toS + "\"homeRegions\":[\"north\"],",
+        tenant,
+        Binding.Standing.BOUND,
+        Set.of("north")
+      },
+      {
+        "/x/",
+        rule,
+        toS,
+        tenant.replace("}", ",\"homeRegions\":[\"south\"]}"),
+        Binding.Standing.BOUND,
+        Set.of("south")
+      },
+      {
+        "/x/",
+        rule,
+        toS + "\"homeRegions\":[\"north\"],",
+        tenant.replace("}", ",\"homeRegions\":[\"south\"]}"),
+        Binding.Standing.BOUND,
+        Set.of()
+      },
+      {"/", rule, toS, tenant, Binding.Standing.BOUND, Set.of("north", "south")},
+      {"/y/", rule, toS, tenant, Binding.Standing.ROUTE_GONE, Set.of()},
+      {"/x/", rule, "\"service\":\"other\",", tenant, Binding.Standing.ROUTE_CHANGED, Set.of()},
+      {
+        "/x/",
+        rule,
+        "\"split\":[{\"service\":\"other\",\"weight\":1},{\"service\":\"s\",\"weight\":1}],",
+        tenant,
+        Binding.Standing.BOUND,
+        Set.of("north", "south")
+      },
+      {"/x/", "\"routeKind\":\"mutating\",", toS, tenant, Binding.Standing.ROUTE_CHANGED, Set.of()},
+      {"/x/", rule, toS, tenant.replace("\"k\"", "\"l\""), Binding.Standing.KEY_UNKNOWN, Set.of()},
+      {
+        "/x/",
+        rule,
+        toS,
+        tenant.replace("\"t\"", "\"u\""),
+        Binding.Standing.TENANT_CHANGED,
+        Set.of()
+      },
+      {
+        "/x/",
+        rule,
+        toS,
+        tenant.replace("}", ",\"ratePerS\":5}"),
+        Binding.Standing.TENANT_CHANGED,
+        Set.of()
+      },
+    };
+  }
+
+  @Test(dataProvider = "changes")
+  public void aBindingFollowsTheConfigurationInForce(
+      final String prefix,
+      final String rule,
+      final String action,
+      final String tenant,
+      final Binding.Standing standing,
+      final Set<String> regions) {
+    final Dialplan first =
+        followed(
+            "/x/",
+            "\"routeKind\":\"idempotent\",",
+            "\"service\":\"s\",",
+            "{\"name\":\"t\",\"apiKeys\":[\"k\"]}");
+    final Binding binding = new Binding("h", "/x/1", 0);
+    assertTrue(first.interpret(binding));
+    binding.identify("k");
+    assertTrue(binding.follow(first));
+    assertEquals(
+        binding.follow(followed(prefix, rule, action, tenant)), standing == Binding.Standing.BOUND);
+    assertEquals(binding.standing(), standing);
+    if (standing == Binding.Standing.BOUND) {
+      final Set<String> allowed = new HashSet<>(List.of("north", "south"));
+      allowed.removeIf(region -> !binding.home(region));
+      assertEquals(allowed, regions);
+      assertEquals(binding.service().name(), "s");
+    }
+  }
 }
--- a/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -14,13 +14,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import weldpoint.affinity.Rendezvous;
 import weldpoint.affinity.Ties;
 import weldpoint.affinity.Verdict;
 import weldpoint.boot.Invariant;
 import weldpoint.dialplan.Affinity;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.dialplan.Interpreter;
 import weldpoint.dialplan.Route;
 import weldpoint.dialplan.RouteKind;
 import weldpoint.ratelimit.RateLimit;
@@ -36,7 +37,11 @@
 import weldpoint.upstream.UpstreamConnection;
 import weldpoint.upstream.UpstreamPool;
 
-/** One request from its arrival to its answer, with its tries at upstreams. */
+/**
+ * One request from its arrival to its answer, with its tries at upstreams. The route that it came
+ * on says how long it may take, how often it may be tried and whether it may be repeated; where it
+ * may go is asked of its binding, at each send.
+ */
 final class ProxiedRequest {
   private static final long MARGIN_MILLIS = 15;
   private static final long TIE_PAUSE_MILLIS = 25;
@@ -56,7 +61,7 @@
   private final List<UpstreamPool.Attempt> attempts = new ArrayList<>();
   private final List<Upstream> tried = new ArrayList<>();
   private Route route;
-  private Dialplan.Service service;
+  private Binding binding;
   private long cutoff;
   private boolean over;
   private int sent;
@@ -66,8 +71,7 @@
   private boolean uncertain;
   private boolean closeAfter;
   private boolean trialled;
-  private Dialplan.Tenant tenant;
-  private String key;
+  private boolean outsideHomes;
   private boolean keyed;
   private boolean single;
   private Affinity affinity;
@@ -102,12 +106,12 @@
       refuse("too many answers wait for clients that do not read; come back", retryAfter());
       return;
     }
-    final Interpreter interpreter =
-        new Interpreter(
+    final Binding bound =
+        new Binding(
             request.headers().get(HttpHeaderNames.HOST),
             request.uri(),
             proxyContext.random.nextDouble());
-    if (!plan.interpret(interpreter)) {
+    if (!plan.interpret(bound)) {
       finish();
       session.refuse(
           HttpResponseStatus.NOT_FOUND, "no route matches; check host and path", null, closeAfter);
@@ -122,9 +126,9 @@
           closeAfter);
       return;
     }
-    route = interpreter.route();
-    service = plan.services().get(interpreter.service());
-    if (!plan.tenants().isEmpty() && !admit(plan)) {
+    binding = bound;
+    route = bound.route();
+    if (!plan.tenants().isEmpty() && !admit()) {
       return;
     }
     affinity = Affinity.inForce(route, proxyContext.usual);
@@ -134,22 +138,27 @@
           proxyContext.callers.name(
               affinity,
               affinity.header() == null ? List.of() : request.headers().getAll(affinity.header()),
-              tenant == null ? null : tenant.name(),
+              tenantName(),
               session.address());
       final long drawn = Rendezvous.caller(route.name, name);
-      service = plan.services().get(route.serviceFor(drawn));
+      binding.draw(route.serviceFor(drawn));
       chance = (drawn >>> 11) / (double) (1L << 53);
-      caller = Rendezvous.caller(service.name(), name);
+      caller = Rendezvous.caller(service().name(), name);
     }
     if (!proxyContext.trials.idle() && proxyContext.trials.covers(route.name)) {
       final int other =
           plan.service(
               proxyContext.trials.choose(
-                  route.name, service.name(), request.headers().get(Headers.TRIAL_TOKEN), chance));
-      service = other < 0 ? service : plan.services().get(other);
+                  route.name,
+                  service().name(),
+                  request.headers().get(Headers.TRIAL_TOKEN),
+                  chance));
+      if (other >= 0) {
+        binding.divert(plan.services().get(other));
+      }
       trialled = true;
     }
-    if (service.partitioned()) {
+    if (service().partitioned()) {
       heldKey = HeldKey.of(request.headers());
       affinity = null;
       if (heldKey == null) {
@@ -179,9 +188,14 @@
     if (proxyContext.recorder != null && proxyContext.recorder.on()) {
       draft =
           proxyContext.recorder.draft(
-              arrivedAt, request, route, service.name(), cutoff - arrivedAt, body.readableBytes());
-    }
-    proxyContext.upstreamPool.budget(service.name()).request(arrivedAt);
+              arrivedAt,
+              request,
+              route,
+              service().name(),
+              cutoff - arrivedAt,
+              body.readableBytes());
+    }
+    proxyContext.upstreamPool.budget(service().name()).request(arrivedAt);
     timer = proxyContext.loop.schedule(this::giveUp, cutoff - arrivedAt, TimeUnit.MILLISECONDS);
     if (proxyContext.recordings != null
         && route.kind == RouteKind.CACHEABLE
@@ -189,10 +203,9 @@
         && request.method().equals(HttpMethod.GET)
         && !body.isReadable()
         && proxyContext.recordings.any()
-        && route.homes.length == 0
-        && (tenant == null || tenant.homes().isEmpty())) {
+        && !binding.homed()) {
       proxyContext.recordings.ask(
-          service.name(),
+          service().name(),
           request.headers().get(HttpHeaderNames.HOST),
           request.uri(),
           cutoff - arrivedAt,
@@ -214,11 +227,10 @@
   }
 
   /** Finds whose request it is; false where it was refused. */
-  private boolean admit(final Dialplan plan) {
+  private boolean admit() {
     keyed = true;
-    key = CachedCopies.key(request.headers());
-    tenant = key == null ? null : plan.holder(key);
-    if (tenant != null || route.open) {
+    binding.identify(CachedCopies.key(request.headers()));
+    if (binding.tenant() != null || route.open) {
       return true;
     }
     finish();
@@ -230,10 +242,36 @@
     return false;
   }
 
-  /** The tenant as the configuration in force has it, which may be newer than the request. */
-  private Dialplan.Tenant tenantInForce() {
-    final Dialplan.Tenant known = tenant == null ? null : proxyContext.plan.holder(key);
-    return known == null ? tenant : known;
+  private Dialplan.Service service() {
+    return binding.service();
+  }
+
+  /** The tenant's name; null where the request is nobody's. */
+  private String tenantName() {
+    return binding.tenant() == null ? null : binding.tenant().name();
+  }
+
+  /**
+   * Whether the configuration in force lets the request go on; where not, it ends as soon as no try
+   * is at work.
+   */
+  private boolean bound() {
+    if (binding.follow(proxyContext.plan)) {
+      return true;
+    }
+    if (over || running() > 0) {
+      return false;
+    }
+    if (lastAnswer != null || uncertain) {
+      conclude();
+    } else if (binding.standing() == Binding.Standing.KEY_UNKNOWN) {
+      finish();
+      session.refuse(
+          HttpResponseStatus.UNAUTHORIZED, binding.standing().reason(), null, closeAfter);
+    } else {
+      refuse(RefusalCounts.Reason.CONFIGURATION_CHANGED, binding.standing().reason());
+    }
+    return false;
   }
 
   /** An announcer has answered, or none could. */
@@ -256,6 +294,7 @@
 
   /** Asks for its tenant's permit, which a request needs before an upstream may run it. */
   private void permit() {
+    final Dialplan.Tenant tenant = binding.tenant();
     if (proxyContext.permits == null
         || tenant == null
         || tenant.ratePerSecond() <= 0 && !proxyContext.strict) {
@@ -263,54 +302,50 @@
       return;
     }
     proxyContext.permits.ask(
-        RateLimit.TENANT.permit(tenant.name()),
-        1,
-        (granted, version, confirmedAt) -> {
-          if (over) {
-            return;
-          }
-          if (proxyContext.strict
-              && (arrivedAt - confirmedAt > proxyContext.revokeMillis - REVOKE_MARGIN_MILLIS
-                  || version > proxyContext.plan.version())) {
-            refuse("it cannot be told now whether the key still holds; come back", retryAfter());
-          } else if (proxyContext.plan.holder(key) == null && route.open) {
-            tenant = null;
-            send();
-          } else if (proxyContext.plan.holder(key) == null) {
-            finish();
-            session.refuse(
-                HttpResponseStatus.UNAUTHORIZED,
-                "the key is unknown; send one of yours",
-                null,
-                closeAfter);
-          } else if (granted < 1 && limited() && confirmedAt == PermitPool.UNANSWERED) {
-            refuse("the quota cannot be asked for now; come back", retryAfter());
-          } else if (granted < 1) {
-            proxyContext.refused++;
-            proxyContext.tenantCounts.refused(tenant.name());
-            finish();
-            session.refuse(
-                HttpResponseStatus.TOO_MANY_REQUESTS,
-                "the quota is used up; come back",
-                retryAfter(),
-                closeAfter);
-          } else {
-            permits += granted;
-            send();
-          }
-        },
-        ProxyContext.now());
+        RateLimit.TENANT.permit(tenant.name()), 1, this::permitted, ProxyContext.now());
+  }
+
+  /** The answer to an ask for its tenant's first permit has come. */
+  private void permitted(final int granted, final long version, final long confirmedAt) {
+    if (over) {
+      return;
+    }
+    if (proxyContext.strict
+        && (arrivedAt - confirmedAt > proxyContext.revokeMillis - REVOKE_MARGIN_MILLIS
+            || version > proxyContext.plan.version())) {
+      refuse("it cannot be told now whether the key still holds; come back", retryAfter());
+    } else if (!bound()) {
+      return;
+    } else if (binding.tenant() == null) {
+      send();
+    } else if (granted < 1 && limited() && confirmedAt == PermitPool.UNANSWERED) {
+      refuse("the quota cannot be asked for now; come back", retryAfter());
+    } else if (granted < 1) {
+      proxyContext.refused++;
+      proxyContext.tenantCounts.refused(tenantName());
+      finish();
+      session.refuse(
+          HttpResponseStatus.TOO_MANY_REQUESTS,
+          "the quota is used up; come back",
+          retryAfter(),
+          closeAfter);
+    } else {
+      permits += granted;
+      send();
+    }
   }
 
   /** Whether each run of this request counts towards its tenant's limit. */
   private boolean limited() {
-    return proxyContext.permits != null && tenant != null && tenant.ratePerSecond() > 0;
+    return proxyContext.permits != null
+        && binding.tenant() != null
+        && binding.tenant().ratePerSecond() > 0;
   }
 
   /** Asks for one more permit, which a request that may have run needs before it is sent again. */
   private void furtherPermit(final Runnable granted, final Runnable denied) {
     proxyContext.permits.ask(
-        RateLimit.TENANT.permit(tenant.name()),
+        RateLimit.TENANT.permit(tenantName()),
         1,
         (count, version, confirmedAt) -> {
           if (over) {
@@ -336,8 +371,7 @@
   private IdempotencyKey idempotencyKey() {
     return route.kind.repeatable() || proxyContext.keys == null
         ? null
-        : IdempotencyKey.of(
-            request, body, proxyContext.keyHeaders, tenant == null ? null : tenant.name());
+        : IdempotencyKey.of(request, body, proxyContext.keyHeaders, tenantName());
   }
 
   private final class KeyListener implements KeyRuns.Listener {
@@ -374,10 +408,7 @@
     }
     LOGGER.atInfo().log(
         "key conflict: attempt %s tenant %s route %s outcome %s",
-        request.headers().get(Headers.ATTEMPT_ID),
-        tenant == null ? "-" : tenant.name(),
-        route.name,
-        first.outcome());
+        request.headers().get(Headers.ATTEMPT_ID), tenantName(), route.name, first.outcome());
     final String text =
         switch (first.outcome()) {
           case OTHER_REQUEST -> "the key was used for another request; take a new one";
@@ -415,12 +446,18 @@
       giveUp();
       return;
     }
-    if (choseHolder(now)) {
-      if (sent > 0 && !proxyContext.upstreamPool.repeat(service.name(), now)) {
+    if (!bound()) {
+      return;
+    }
+    final UpstreamPool.Choice choice = chooseHolder(now);
+    if (choice == UpstreamPool.Choice.CHOSEN) {
+      if (sent > 0 && !proxyContext.upstreamPool.repeat(service().name(), now)) {
         conclude();
         return;
       }
       transmit(proxyContext.upstreamPool.chosen(), now);
+    } else if (choice == UpstreamPool.Choice.OUTSIDE_HOMES) {
+      concludeOutsideHomes(RefusalCounts.Reason.HOLDER_OUTSIDE_HOMES);
     } else if (heldKey.mayWait(arrivedAt, route, now) && session.open()) {
       heldKey.waits(proxyContext.owners);
       proxyContext.loop.schedule(this::sendToHolder, HeldKey.PAUSE_MILLIS, TimeUnit.MILLISECONDS);
@@ -429,14 +466,12 @@
     }
   }
 
-  private boolean choseHolder(final long now) {
+  private UpstreamPool.Choice chooseHolder(final long now) {
     final OwnershipMessages.KeyRange range =
-        proxyContext.owners.range(service.name(), heldKey.key());
-    if (range == null || !range.held()) {
-      return false;
-    }
-    return proxyContext.upstreamPool.holder(service, route, tenantInForce(), range.holder, now)
-        == UpstreamPool.Choice.CHOSEN;
+        proxyContext.owners.range(service().name(), heldKey.key());
+    return range == null || !range.held()
+        ? UpstreamPool.Choice.NONE
+        : proxyContext.upstreamPool.holder(binding, range.holder, now);
   }
 
   /** Goes on after a try at a key's holder that brought no answer for the client. */
@@ -469,6 +504,9 @@
       giveUp();
       return;
     }
+    if (!bound()) {
+      return;
+    }
     final Verdict verdict = tied();
     if (verdict == Verdict.GO) {
       proxyContext.ties.count(verdict);
@@ -492,7 +530,11 @@
     if (proxyContext.ties != null) {
       proxyContext.ties.count(verdict);
     }
-    refuse(verdict.reason(), retryAfter());
+    if (verdict == Verdict.OUTSIDE_HOMES) {
+      refuse(RefusalCounts.Reason.OUTSIDE_HOMES, verdict.reason());
+    } else {
+      refuse(verdict.reason(), retryAfter());
+    }
   }
 
   /** Whether the tied write went out, and if not, why. */
@@ -501,36 +543,31 @@
       return Verdict.NO_PLACEMENT;
     }
     final long now = ProxyContext.now();
-    final Route bound = route;
-    final Dialplan.Tenant owner = tenantInForce();
-    final java.util.function.Predicate<PlacementMessages.PlacementMember> may =
-        member -> {
-          return bound.home(proxyContext.upstreamPool.region(member.site), owner);
-        };
-    final Verdict verdict = proxyContext.ties.decide(service.name(), caller, may, now);
+    final Predicate<PlacementMessages.PlacementMember> may =
+        member -> binding.home(proxyContext.upstreamPool.region(member.site));
+    final Verdict verdict = proxyContext.ties.decide(service().name(), caller, may, now);
     if (verdict != Verdict.GO) {
-      return verdict;
+      return verdict == Verdict.NO_NODE && binding.homed() ? Verdict.OUTSIDE_HOMES : verdict;
     }
     final String node = proxyContext.ties.node().id;
     final UpstreamPool.Choice choice =
-        proxyContext.upstreamPool.pinned(
-            service, route, tenantInForce(), node, affinity.pauseMillis(), now);
+        proxyContext.upstreamPool.pinned(binding, node, affinity.pauseMillis(), now);
     if (choice != UpstreamPool.Choice.CHOSEN) {
       return choice == UpstreamPool.Choice.FULL ? Verdict.FULL : Verdict.LEAVING;
     }
-    tie = proxyContext.ties.begin(service.name(), caller, node, may, cutoff);
+    tie = proxyContext.ties.begin(service().name(), caller, node, may, cutoff);
     transmit(proxyContext.upstreamPool.chosen(), now);
     return Verdict.GO;
   }
 
   /** Asks for the origin's permit, where that has a limit. */
   private void origin() {
-    if (proxyContext.permits == null || service.ratePerSecond() <= 0) {
+    if (proxyContext.permits == null || service().ratePerSecond() <= 0) {
       permit();
       return;
     }
     proxyContext.permits.ask(
-        RateLimit.ORIGIN.permit(service.name()),
+        RateLimit.ORIGIN.permit(service().name()),
         1,
         (granted, version, confirmedAt) -> {
           if (over) {
@@ -549,7 +586,23 @@
   /** A request that no upstream could take is refused at once. */
   private void refuseUnsent() {
     if (!over && sent == 0 && running() == 0) {
-      refuse("no upstream may or can take this now; come back", retryAfter());
+      if (outsideHomes) {
+        concludeOutsideHomes(RefusalCounts.Reason.OUTSIDE_HOMES);
+      } else {
+        refuse("no upstream may or can take this now; come back", retryAfter());
+      }
+    }
+  }
+
+  /** Ends a request whose homes hold no upstream that may run it. */
+  private void concludeOutsideHomes(final RefusalCounts.Reason reason) {
+    if (over || running() > 0) {
+      return;
+    }
+    if (lastAnswer != null || uncertain) {
+      conclude();
+    } else {
+      refuse(reason, "no upstream in its home regions may take this now; come back");
     }
   }
 
@@ -562,13 +615,16 @@
     if (now >= cutoff || further && (single || !RetryPolicy.fits(route, sent, now, cutoff))) {
       return false;
     }
-    final UpstreamPool.Choice choice =
-        proxyContext.upstreamPool.choose(service, route, tenantInForce(), tried, now);
+    if (!bound()) {
+      return false;
+    }
+    final UpstreamPool.Choice choice = proxyContext.upstreamPool.choose(binding, tried, now);
+    outsideHomes = choice == UpstreamPool.Choice.OUTSIDE_HOMES;
     if (choice != UpstreamPool.Choice.CHOSEN) {
       return false;
     }
     if (beside && !proxyContext.upstreamPool.roomy(now)
-        || sent > 0 && !proxyContext.upstreamPool.repeat(service.name(), now)) {
+        || sent > 0 && !proxyContext.upstreamPool.repeat(service().name(), now)) {
       return false;
     }
     return transmit(proxyContext.upstreamPool.chosen(), now);
@@ -587,9 +643,9 @@
         keyRun != null ? keyRun.atWork() : idempotencyKey() == null,
         () -> "attempt " + request.headers().get(Headers.ATTEMPT_ID) + ", " + keyRun);
     if (limited()) {
-      HAS_PERMIT.check(permits > 0, () -> "tenant " + tenant.name() + ", try " + (sent + 1));
+      HAS_PERMIT.check(permits > 0, () -> "tenant " + tenantName() + ", try " + (sent + 1));
       permits--;
-      proxyContext.tenantCounts.sent(tenant.name());
+      proxyContext.tenantCounts.sent(tenantName());
     }
     tried.add(upstream);
     sent++;
@@ -600,11 +656,11 @@
     final FullHttpRequest forward =
         ForwardedMessages.request(request, body, upstream.id(), cutoff - now);
     if (keyed) {
-      ForwardedMessages.nameTenant(forward, tenant);
+      ForwardedMessages.nameTenant(forward, binding.tenant());
     }
     final String attemptId = request.headers().get(Headers.ATTEMPT_ID);
     if (trialled && attemptId != null) {
-      proxyContext.trials.sent(route.name, service.name(), attemptId);
+      proxyContext.trials.sent(route.name, service().name(), attemptId);
     }
     final int recorded = draft == null ? -1 : draft.sent(upstream.id(), now);
     final UpstreamPool.Attempt[] self = new UpstreamPool.Attempt[1];
@@ -612,6 +668,7 @@
     self[0] =
         proxyContext.upstreamPool.send(
             upstream,
+            binding,
             forward,
             attemptId,
             attempts,
@@ -625,7 +682,7 @@
               }
               if (heldKey != null) {
                 heldKey.ended(
-                    proxyContext.owners, service.name(), fate, head, ProxyContext.now() - now);
+                    proxyContext.owners, service().name(), fate, head, ProxyContext.now() - now);
               }
               if (tie != null && end != UpstreamConnection.End.UNCERTAIN) {
                 tie.ended();
@@ -666,7 +723,7 @@
     if (trialled && attemptId != null && !over) {
       proxyContext.trials.ended(
           route.name,
-          service.name(),
+          service().name(),
           attemptId,
           fate,
           ProxyContext.now() - arrivedAt,
@@ -787,7 +844,11 @@
 
   private void tryFurther() {
     if (!attempt(true)) {
-      conclude();
+      if (outsideHomes) {
+        concludeOutsideHomes(RefusalCounts.Reason.OUTSIDE_HOMES);
+      } else {
+        conclude();
+      }
     }
   }
 
@@ -857,7 +918,7 @@
       draft.status(response.status().code());
     }
     if (!proxyContext.trials.idle() && route.kind.repeatable()) {
-      proxyContext.trials.other(service.name(), response.status().code() < 500);
+      proxyContext.trials.other(service().name(), response.status().code() < 500);
     }
     finish();
     session.answer(response, closeAfter);
@@ -869,6 +930,12 @@
     session.refuse(status, text, null, closeAfter);
   }
 
+  /** Refuses because of what the configuration in force says, with a promise where there is one. */
+  private void refuse(final RefusalCounts.Reason reason, final String text) {
+    proxyContext.refusals.count(reason);
+    refuse(text, retryAfter());
+  }
+
   /**
    * Refuses with a promise that it has not run and never will; where that is not proved, there is
    * no promise.
--- a/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
@@ -51,6 +51,7 @@
 
   long served;
   long refused;
+  final RefusalCounts refusals = new RefusalCounts();
   final TenantCounts tenantCounts = new TenantCounts();
   long failed;
   long repeated;
@@ -116,6 +117,7 @@
     if (outlook.plan() != null && (plan == null || outlook.plan().version() > plan.version())) {
       final boolean first = plan == null;
       plan = outlook.plan();
+      upstreamPool.configuration(plan);
       if (ties == null
           && uponTies != null
           && plan.all().stream().anyMatch(route -> Affinity.inForce(route, usual) != null)) {
--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -376,6 +376,7 @@
             "weldpoint_key_turned_away",
             "Requests that an upstream turned away, since it did not hold the key.",
             proxyContext.owners.turnedAwayCount()));
+    figures.addAll(proxyContext.refusals.figures());
     figures.addAll(proxyContext.tenantCounts.figures());
     figures.addAll(proxyContext.permits.figures());
     figures.addAll(proxyContext.keys.figures());
--- a/proxy/src/test/java/weldpoint/proxy/TestProxy.java
+++ b/proxy/src/test/java/weldpoint/proxy/TestProxy.java
@@ -36,7 +36,7 @@
     daemon =
         new ProxyDaemon(
             Boot.parse(
-                "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\nsites = a:r\nbound.grace-s = 6\nbound.retry-slack = 100\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.traffic = 127.0.0.1:"
+                "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\nsites = a:r,b:q\nbound.grace-s = 6\nbound.retry-slack = 100\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.traffic = 127.0.0.1:"
                     + port
                     + "\n"));
   }
@@ -89,6 +89,19 @@
         .scheduleAtFixedRate(daemon::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Puts a whole configuration, as JSON, and changes of upstreams in force. */
+  void configure(final String configuration, final UpstreamPool.Change... changes)
+      throws InterruptedException {
+    final Dialplan plan = Dialplan.compile(configuration.getBytes(StandardCharsets.UTF_8));
+    proxyContext()
+        .loop
+        .submit(
+            () ->
+                proxyContext()
+                    .take(new ControlUpdate(plan, List.of(changes), null, null, 1, null, -1)))
+        .sync();
+  }
+
   /** A connection of a client whose own buffer is small. */
   Socket connect() throws IOException, InterruptedException {
     final long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
--- a/replay/src/main/java/weldpoint/replay/World.java
+++ b/replay/src/main/java/weldpoint/replay/World.java
@@ -14,8 +14,8 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import weldpoint.boot.Boot;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.dialplan.Interpreter;
 import weldpoint.dialplan.Route;
 import weldpoint.trunk.RegistryMessages.Registration;
 import weldpoint.upstream.Headers;
@@ -173,6 +173,7 @@
     private final List<Upstream> tried = new ArrayList<>();
     private final List<UpstreamPool.Attempt> attempts = new ArrayList<>();
     private final UpstreamPool upstreamPool;
+    private Binding binding;
     private Route route;
     private Dialplan.Service service;
     private long cutoff;
@@ -189,14 +190,13 @@
     private void start() {
       final Random chance = chances.get(call.board);
       chance.setSeed(call.note.id.hashCode() * 0x9e3779b97f4a7c15L + seed);
-      final Interpreter interpreter =
-          new Interpreter(call.note.host, call.note.target, chance.nextDouble());
-      if (!plan.interpret(interpreter)) {
+      binding = new Binding(call.note.host, call.note.target, chance.nextDouble());
+      if (!plan.interpret(binding)) {
         end(Outcome.End.UNROUTED);
         return;
       }
-      route = interpreter.route();
-      service = plan.services().get(interpreter.service());
+      route = binding.route();
+      service = binding.service();
       outcome.service = service.name();
       cutoff =
           now
@@ -227,7 +227,7 @@
         return false;
       }
       chances.get(call.board).setSeed(call.note.id.hashCode() * 31L + outcome.sent + seed);
-      if (upstreamPool.choose(service, route, tried, now) != UpstreamPool.Choice.CHOSEN
+      if (upstreamPool.choose(binding, tried, now) != UpstreamPool.Choice.CHOSEN
           || beside && !upstreamPool.roomy(now)
           || outcome.sent > 0 && !upstreamPool.repeat(service.name(), now)) {
         return false;
--- a/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
+++ b/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import weldpoint.boot.Boot;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.Route;
 import weldpoint.dialplan.RouteKind;
@@ -52,6 +53,7 @@
   private final Map<String, Double> usual = new HashMap<>();
   private final Map<String, Quiet> quiets = new HashMap<>();
   private Set<String> evacuated = Set.of();
+  private Dialplan inForce;
   private final ColdBound coldBound;
   private final UpstreamSubsets subsets;
   private double ordered;
@@ -128,6 +130,11 @@
     }
   }
 
+  /** Takes the configuration in force, of which every choice and every late send is judged. */
+  public void configuration(final Dialplan plan) {
+    inForce = plan;
+  }
+
   /** A change in the registry. */
   public record Change(weldpoint.trunk.RegistryMessages.Registration registration, boolean open) {}
 
@@ -220,6 +227,8 @@
     FULL,
     /** There is none that may be used. */
     NONE,
+    /** There is none that may be used; there would be, were it not for homes. */
+    OUTSIDE_HOMES,
   }
 
   /**
@@ -262,23 +271,14 @@
     return chosen;
   }
 
-  /** Chooses an upstream for a request of nobody in particular. */
-  public Choice choose(
-      final Dialplan.Service service,
-      final Route route,
-      final List<Upstream> tried,
-      final long now) {
-    return choose(service, route, null, tried, now);
-  }
-
-  /** Chooses an upstream for a request of a tenant, not among those tried before. */
-  public Choice choose(
-      final Dialplan.Service service,
-      final Route route,
-      final Dialplan.Tenant tenant,
-      final List<Upstream> tried,
-      final long now) {
+  /** Chooses an upstream for a request, not among those tried before. */
+  public Choice choose(final Binding binding, final List<Upstream> tried, final long now) {
     chosen = null;
+    if (!binding.follow(inForce)) {
+      return Choice.NONE;
+    }
+    final Dialplan.Service service = binding.service();
+    final Route route = binding.route();
     subsets.update(services.values());
     final UpstreamSubsets.Tiers tiers = subsets.tiers(service.name());
     Upstream best = null;
@@ -300,9 +300,7 @@
         final Upstream candidate =
             sample(
                 width == Width.OWN ? tiers.own.get(tier) : tiers.all.get(tier),
-                service,
-                route,
-                tenant,
+                binding,
                 tried,
                 width,
                 now);
@@ -328,9 +326,9 @@
       }
     }
     if (best == null) {
-      return any ? Choice.FULL : Choice.NONE;
+      return any ? Choice.FULL : noneMayRun(binding);
     }
-    if (best.known(now) >= best.capacity * RetryPolicy.room(route, rank(tenant))) {
+    if (best.known(now) >= best.capacity * RetryPolicy.room(route, rank(binding))) {
       return Choice.FULL;
     }
     paced(best, service, now);
@@ -348,23 +346,19 @@
 
   /** Chooses this very upstream for a write that is tied to it, or none. */
   public Choice pinned(
-      final Dialplan.Service service,
-      final Route route,
-      final Dialplan.Tenant tenant,
-      final String id,
-      final long pauseMillis,
-      final long now) {
+      final Binding binding, final String id, final long pauseMillis, final long now) {
     chosen = null;
     final Upstream upstream = upstreams.get(id);
-    if (upstream == null
-        || !upstream.service.equals(service.name())
-        || !mayRun(upstream, route, tenant)) {
-      return Choice.NONE;
+    final Choice allowed = allowed(upstream, binding);
+    if (allowed != Choice.CHOSEN) {
+      return allowed;
     }
+    final Dialplan.Service service = binding.service();
     reserves = true;
     upstream.tied(now, pauseMillis);
     if (!coldAdmits(upstream, service, now)
-        || upstream.known(now) >= upstream.capacity * RetryPolicy.room(route, rank(tenant))) {
+        || upstream.known(now)
+            >= upstream.capacity * RetryPolicy.room(binding.route(), rank(binding))) {
       return Choice.FULL;
     }
     paced(upstream, service, now);
@@ -376,20 +370,16 @@
    * Chooses this very upstream for a request whose key it holds, or none: nobody else may run it,
    * so it is given more than an upstream that has others beside it.
    */
-  public Choice holder(
-      final Dialplan.Service service,
-      final Route route,
-      final Dialplan.Tenant tenant,
-      final String id,
-      final long now) {
+  public Choice holder(final Binding binding, final String id, final long now) {
     chosen = null;
     final Upstream upstream = upstreams.get(id);
-    if (upstream == null
-        || !upstream.service.equals(service.name())
-        || !mayRun(upstream, route, tenant)) {
-      return Choice.NONE;
+    final Choice allowed = allowed(upstream, binding);
+    if (allowed != Choice.CHOSEN) {
+      return allowed;
     }
-    final double most = upstream.capacity * RetryPolicy.room(route, rank(tenant)) * HOLDER_ROOM;
+    final Dialplan.Service service = binding.service();
+    final double most =
+        upstream.capacity * RetryPolicy.room(binding.route(), rank(binding)) * HOLDER_ROOM;
     if (!coldAdmits(upstream, service, now) || upstream.known(now) >= most) {
       return Choice.FULL;
     }
@@ -398,15 +388,43 @@
     return Choice.CHOSEN;
   }
 
-  /** Whether an upstream may run a tenant's requests on a route at all, however full it is. */
-  private boolean mayRun(final Upstream upstream, final Route route, final Dialplan.Tenant tenant) {
-    return upstream.open
-        && !evacuated.contains(upstream.site)
-        && route.home(upstream.region, tenant);
+  /** Whether this very upstream may run a request, and if not, whether only homes forbid it. */
+  private Choice allowed(final Upstream upstream, final Binding binding) {
+    if (upstream == null
+        || !binding.follow(inForce)
+        || !upstream.service.equals(binding.service().name())
+        || !available(upstream)) {
+      return Choice.NONE;
+    }
+    return binding.home(upstream.region) ? Choice.CHOSEN : Choice.OUTSIDE_HOMES;
+  }
+
+  /** Whether an upstream may run a request at all, however full it is. */
+  private boolean mayRun(final Upstream upstream, final Binding binding) {
+    return available(upstream) && binding.home(upstream.region);
+  }
+
+  private boolean available(final Upstream upstream) {
+    return upstream.open && !evacuated.contains(upstream.site);
+  }
+
+  /** Why there is no upstream for a request: homes, where one outside of them is available. */
+  private Choice noneMayRun(final Binding binding) {
+    boolean outside = false;
+    for (final Upstream upstream : services.getOrDefault(binding.service().name(), List.of())) {
+      if (!available(upstream)) {
+        continue;
+      }
+      if (binding.home(upstream.region)) {
+        return Choice.NONE;
+      }
+      outside = true;
+    }
+    return outside ? Choice.OUTSIDE_HOMES : Choice.NONE;
   }
 
-  private static int rank(final Dialplan.Tenant tenant) {
-    return tenant == null ? 0 : tenant.priority();
+  private static int rank(final Binding binding) {
+    return binding.tenant() == null ? 0 : binding.tenant().priority();
   }
 
   private boolean kept(final Upstream upstream, final Route route, final long now) {
@@ -439,15 +457,15 @@
 
   private Upstream sample(
       final List<Upstream> all,
-      final Dialplan.Service service,
-      final Route route,
-      final Dialplan.Tenant tenant,
+      final Binding binding,
       final List<Upstream> tried,
       final Width width,
       final long now) {
+    final Dialplan.Service service = binding.service();
+    final Route route = binding.route();
     final List<Upstream> fit = new ArrayList<>();
     for (final Upstream upstream : all) {
-      if (!mayRun(upstream, route, tenant) || tried.contains(upstream)) {
+      if (!mayRun(upstream, binding) || tried.contains(upstream)) {
         continue;
       }
       if (!coldAdmits(upstream, service, now) || kept(upstream, route, now)) {
@@ -584,22 +602,25 @@
   /** Sends a request that was never sent before. */
   public Attempt send(
       final Upstream upstream,
+      final Binding binding,
       final FullHttpRequest request,
       final String id,
       final long now,
       final long until,
       final UpstreamConnection.Done listener) {
-    return send(upstream, request, id, List.of(), now, until, listener);
+    return send(upstream, binding, request, id, List.of(), now, until, listener);
   }
 
   /**
    * Sends a request to the chosen upstream; where there is no connection by this time, nothing is
    * sent. An upstream may answer twice, the second time in the place of the next answer due on that
    * connection, and the id in an answer names the request and not the send: so no connection is
-   * used on which one of the earlier attempts of this request went.
+   * used on which one of the earlier attempts of this request went. Where the upstream must not
+   * have it any more once a connection is there, nothing is sent either.
    */
   public Attempt send(
       final Upstream upstream,
+      final Binding binding,
       final FullHttpRequest request,
       final String id,
       final List<Attempt> earlier,
@@ -624,7 +645,7 @@
       idle.send(request, id, done);
       return attempt;
     }
-    connect(upstream, attempt, request, id, until, done);
+    connect(upstream, binding, attempt, request, id, until, done);
     return attempt;
   }
 
@@ -656,6 +677,7 @@
 
   private void connect(
       final Upstream upstream,
+      final Binding binding,
       final Attempt attempt,
       final FullHttpRequest request,
       final String id,
@@ -686,8 +708,7 @@
           }
           connection.connected(future.channel());
           if (attempt.over
-              || !upstream.open
-              || evacuated.contains(upstream.site)
+              || allowed(upstream, binding) != Choice.CHOSEN
               || System.nanoTime() / 1_000_000 >= until) {
             attempt.withdrawn = true;
             request.release();
--- a/upstream/src/test/java/weldpoint/upstream/ColdBoundTest.java
+++ b/upstream/src/test/java/weldpoint/upstream/ColdBoundTest.java
@@ -13,8 +13,8 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.dialplan.Interpreter;
 import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
@@ -89,11 +89,9 @@
 
   private void choose(
       final UpstreamPool upstreamPool, final List<List<Long>> sent, final long now) {
-    final Interpreter interpreter = new Interpreter("h", "/x", 0);
-    plan.interpret(interpreter);
-    if (upstreamPool.choose(
-            plan.services().get(interpreter.service()), interpreter.route(), List.of(), now)
-        == UpstreamPool.Choice.CHOSEN) {
+    final Binding binding = new Binding("h", "/x", 0);
+    plan.interpret(binding);
+    if (upstreamPool.choose(binding, List.of(), now) == UpstreamPool.Choice.CHOSEN) {
       sent.get(Integer.parseInt(upstreamPool.chosen().id().substring(2))).add(now);
     }
   }
--- a/upstream/src/test/java/weldpoint/upstream/UpstreamPoolTest.java
+++ b/upstream/src/test/java/weldpoint/upstream/UpstreamPoolTest.java
@@ -29,8 +29,8 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import weldpoint.boot.Boot;
+import weldpoint.dialplan.Binding;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.dialplan.Interpreter;
 import weldpoint.trunk.RegistryMessages.Registration;
 
 /**
@@ -39,12 +39,19 @@
  */
 public final class UpstreamPoolTest {
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
-  private final Dialplan plan =
-      Dialplan.compile(
-          ("{\"version\":\"1\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/\"},"
-                  + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[\"north\"]}},{\"name\":\"any\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/any/\"},"
-                  + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\",\"warmupPerS\":12}]}")
-              .getBytes(StandardCharsets.UTF_8));
+  private final Dialplan plan = plan(tenant(List.of()), "");
+
+  private static Dialplan plan(final String tenants, final String homesOfAny) {
+    return Dialplan.compile(
+        ("{\"version\":\"1\","
+                + tenants
+                + "\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"r\",\"routeKind\":\"mutating\",\"match\":{\"pathPrefix\":\"/\"},"
+                + "\"action\":{\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2,\"homeRegions\":[\"north\"]}},{\"name\":\"any\",\"routeKind\":\"idempotent\",\"match\":{\"pathPrefix\":\"/any/\"},"
+                + "\"action\":{"
+                + homesOfAny
+                + "\"service\":\"s\",\"timeoutMs\":2000,\"maxAttempts\":2}}]}],\"pools\":[{\"name\":\"s\",\"warmupPerS\":12}]}")
+            .getBytes(StandardCharsets.UTF_8));
+  }
 
   @AfterClass
   public void end() {
@@ -67,17 +74,20 @@
         open);
   }
 
-  private Interpreter request(final String path) {
-    final Interpreter interpreter = new Interpreter("h", path, 0);
-    plan.interpret(interpreter);
-    return interpreter;
+  private Binding request(final String path) {
+    return request(plan, path);
+  }
+
+  private static Binding request(final Dialplan plan, final String path) {
+    final Binding binding = new Binding("h", path, 0);
+    plan.interpret(binding);
+    binding.identify("k");
+    return binding;
   }
 
   private UpstreamPool.Choice choose(
       final UpstreamPool upstreamPool, final String path, final long now) {
-    final Interpreter interpreter = request(path);
-    return upstreamPool.choose(
-        plan.services().get(interpreter.service()), interpreter.route(), List.of(), now);
+    return upstreamPool.choose(request(path), List.of(), now);
   }
 
   @Test
@@ -89,7 +99,7 @@
       assertEquals(upstreamPool.chosen().id(), "n");
     }
     upstreamPool.evacuated(Set.of("a"), 1000);
-    assertEquals(choose(upstreamPool, "/x", 1000), UpstreamPool.Choice.NONE);
+    assertEquals(choose(upstreamPool, "/x", 1000), UpstreamPool.Choice.OUTSIDE_HOMES);
     assertEquals(choose(upstreamPool, "/any/x", 1000), UpstreamPool.Choice.CHOSEN);
     assertEquals(upstreamPool.chosen().id(), "s");
     upstreamPool.apply(List.of(change("s", "b", 0, false)), 1000);
@@ -117,39 +127,43 @@
       final String path, final List<String> tenantHomes, final Set<String> allowed) {
     final UpstreamPool upstreamPool = upstreamPool(1);
     upstreamPool.apply(List.of(change("n", "a", 0, true), change("s", "b", 0, true)), 1000);
-    final Interpreter interpreter = request(path);
-    final Dialplan.Service service = plan.services().get(interpreter.service());
-    final Dialplan.Tenant tenant = tenant(tenantHomes);
+    final Binding binding = request(plan(tenant(tenantHomes), ""), path);
     final Set<String> chosen = new HashSet<>();
     final List<Upstream> tried = new ArrayList<>();
-    while (upstreamPool.choose(service, interpreter.route(), tenant, tried, 1000)
-        == UpstreamPool.Choice.CHOSEN) {
+    while (upstreamPool.choose(binding, tried, 1000) == UpstreamPool.Choice.CHOSEN) {
       tried.add(upstreamPool.chosen());
       chosen.add(upstreamPool.chosen().id());
     }
     assertEquals(chosen, allowed, "free choice, and further tries");
     for (final String id : List.of("n", "s")) {
       final UpstreamPool.Choice wanted =
-          allowed.contains(id) ? UpstreamPool.Choice.CHOSEN : UpstreamPool.Choice.NONE;
+          allowed.contains(id) ? UpstreamPool.Choice.CHOSEN : UpstreamPool.Choice.OUTSIDE_HOMES;
+      assertEquals(upstreamPool.holder(binding, id, 1000), wanted, "holder of a key " + id);
       assertEquals(
-          upstreamPool.holder(service, interpreter.route(), tenant, id, 1000),
-          wanted,
-          "holder of a key " + id);
-      assertEquals(
-          upstreamPool.pinned(service, interpreter.route(), tenant, id, 60_000, 1000),
-          wanted,
-          "node of a caller " + id);
+          upstreamPool.pinned(binding, id, 60_000, 1000), wanted, "node of a caller " + id);
     }
   }
 
-  private static Dialplan.Tenant tenant(final List<String> homes) {
+  private static String tenant(final List<String> homes) {
     final String regions = homes.isEmpty() ? "" : "\"" + String.join("\",\"", homes) + "\"";
-    return Dialplan.compile(
-            ("{\"version\":\"1\",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"homeRegions\":["
-                    + regions
-                    + "]}],\"listeners\":[],\"pools\":[]}")
-                .getBytes(StandardCharsets.UTF_8))
-        .holder("k");
+    return "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"homeRegions\":[" + regions + "]}],";
+  }
+
+  /** Guards against HOME: what waited for its connection obeyed the homes known before. */
+  @Test
+  public void homesThatComeWhileAConnectionIsOpenedBind()
+      throws IOException, InterruptedException, ExecutionException, TimeoutException {
+    final Dialplan routeHomed = plan("", "\"homeRegions\":[\"south\"],");
+    assertEquals(
+        sent("/any/x", Long.MAX_VALUE, pool -> pool.configuration(plan)), "UNCERTAIN bytes");
+    assertEquals(
+        sent("/any/x", Long.MAX_VALUE, pool -> pool.configuration(routeHomed)), "UNSENT nothing");
+    assertEquals(
+        sent(
+            "/any/x",
+            Long.MAX_VALUE,
+            pool -> pool.configuration(plan(tenant(List.of("south")), ""))),
+        "UNSENT nothing");
   }
 
   @Test
@@ -291,40 +305,33 @@
     final UpstreamPool upstreamPool = upstreamPool(5);
     upstreamPool.apply(List.of(change("n", "a", 0, true)), 0);
     upstreamPool.switchboards(1);
-    final Interpreter write = request("/x");
-    final Interpreter look = request("/any/x");
-    final Dialplan.Service service = plan.services().get(0);
+    final Binding write = request("/x");
+    final Binding look = request("/any/x");
     final List<UpstreamPool.Attempt> under = new ArrayList<>();
     long now = 10_000;
     for (int index = 0; index < 30; index++) {
       now += 50;
-      assertEquals(
-          upstreamPool.pinned(service, write.route(), null, "n", 60_000, now),
-          UpstreamPool.Choice.CHOSEN);
+      assertEquals(upstreamPool.pinned(write, "n", 60_000, now), UpstreamPool.Choice.CHOSEN);
     }
     int lookups = 0;
-    while (upstreamPool.choose(service, look.route(), List.of(), now) == UpstreamPool.Choice.CHOSEN
+    while (upstreamPool.choose(look, List.of(), now) == UpstreamPool.Choice.CHOSEN
         && lookups < 10) {
       under.add(upstreamPool.begin(upstreamPool.chosen(), now));
       lookups++;
     }
     assertEquals(lookups, 2, "half of four slots is kept for the writes");
     assertEquals(
-        upstreamPool.pinned(service, write.route(), null, "n", 60_000, now),
+        upstreamPool.pinned(write, "n", 60_000, now),
         UpstreamPool.Choice.CHOSEN,
         "a tied write still has room");
     now += 25_000;
     assertEquals(
-        upstreamPool.choose(service, look.route(), List.of(), now),
+        upstreamPool.choose(look, List.of(), now),
         UpstreamPool.Choice.CHOSEN,
         "an idle reserve is given back");
-    assertEquals(
-        upstreamPool.pinned(service, write.route(), null, "gone", 60_000, now),
-        UpstreamPool.Choice.NONE);
+    assertEquals(upstreamPool.pinned(write, "gone", 60_000, now), UpstreamPool.Choice.NONE);
     upstreamPool.evacuated(Set.of("a"), now);
-    assertEquals(
-        upstreamPool.pinned(service, write.route(), null, "n", 60_000, now),
-        UpstreamPool.Choice.NONE);
+    assertEquals(upstreamPool.pinned(write, "n", 60_000, now), UpstreamPool.Choice.NONE);
     under.forEach(attempt -> attempt.abandon(0));
   }
 
@@ -400,7 +407,7 @@
    * Sends to an upstream that listens, does something at once, and tells how it ended and how many
    * bytes arrived.
    */
-  private String sent(final long until, final Consumer<UpstreamPool> meanwhile)
+  private String sent(final String path, final long until, final Consumer<UpstreamPool> meanwhile)
       throws IOException, InterruptedException, ExecutionException, TimeoutException {
     try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
       server.setSoTimeout(8000);
@@ -427,9 +434,11 @@
                             0),
                         true)),
                 1000);
-            assertEquals(choose(upstreamPool, "/x", 1000), UpstreamPool.Choice.CHOSEN);
+            final Binding binding = request(path);
+            assertEquals(upstreamPool.choose(binding, List.of(), 1000), UpstreamPool.Choice.CHOSEN);
             upstreamPool.send(
                 upstreamPool.chosen(),
+                binding,
                 request,
                 "abc",
                 1000,
@@ -449,17 +458,18 @@
   @Test
   public void aTryThatIsConnectedTooLateIsNeverWritten()
       throws IOException, InterruptedException, ExecutionException, TimeoutException {
-    assertEquals(sent(Long.MAX_VALUE, upstreamPool -> {}), "UNCERTAIN bytes");
+    assertEquals(sent("/x", Long.MAX_VALUE, upstreamPool -> {}), "UNCERTAIN bytes");
     assertEquals(
-        sent(System.nanoTime() / 1_000_000 - 1, upstreamPool -> {}),
+        sent("/x", System.nanoTime() / 1_000_000 - 1, upstreamPool -> {}),
         "UNSENT nothing",
         "past its deadline, as after a standstill");
     assertEquals(
-        sent(Long.MAX_VALUE, upstreamPool -> upstreamPool.evacuated(Set.of("a"), 1000)),
+        sent("/x", Long.MAX_VALUE, upstreamPool -> upstreamPool.evacuated(Set.of("a"), 1000)),
         "UNSENT nothing",
         "its zone is evacuated meanwhile");
     assertEquals(
         sent(
+            "/x",
             Long.MAX_VALUE,
             upstreamPool -> upstreamPool.apply(List.of(change("n", "a", 0, false)), 1000)),
         "UNSENT nothing",
