Cached copies: none is given or kept once its route or tenant has homes (HOME)

What callers saw: a request that had asked a cache node for a copy got that copy, from another region, after its route or its tenant had got homes; cache nodes kept and gave copies of routes that had got homes, and finished fetches that were under way.

Cause: homes were asked when the cache node was asked, not when its answer came; a cache node never asked them.

Change: the proxy looks at its binding again when the answer is there, and goes to an upstream itself where there are homes. A cache node drops the copies of routes that get homes with the configuration that brings them, fetches none, and gives and keeps none that was under way; it answers that it has none, and the proxy decides.

Evidence: ConfigurationAtSendTest, the three COPY cases, and AnnouncerCoreTest.noCopyIsKeptOrGivenOnceItsRouteHasHomes failed before; none fails now.

--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
@@ -17,7 +17,8 @@
 
 /**
  * The shared cache: one fetch per object at a time, copies no older than their route allows, and
- * nothing that a known purge names. It knows neither threads nor clocks nor sockets.
+ * nothing that a known purge names. Objects of routes with home regions are neither fetched nor
+ * kept nor given, wherever this node stands. It knows neither threads nor clocks nor sockets.
  */
 public class AnnouncerCore {
   /** What came of a fetch. */
@@ -53,6 +54,8 @@
   private record Waiter(CopyAsk ask, Consumer<CopyAnswer> reply, long mark, long cutoff) {}
 
   private static final class Fetch {
+    final Binding binding;
+    final CopyAsk ask;
     final String key;
     final String place;
     final long startedAt;
@@ -61,13 +64,16 @@
     final List<Waiter> waiters = new ArrayList<>();
 
     Fetch(
+        final Binding binding,
+        final CopyAsk ask,
         final String key,
-        final String place,
         final long startedAt,
         final long mark,
         final Copy before) {
+      this.binding = binding;
+      this.ask = ask;
       this.key = key;
-      this.place = place;
+      this.place = place(ask.host, ask.target);
       this.startedAt = startedAt;
       this.mark = mark;
       this.before = before;
@@ -110,9 +116,12 @@
     this.heardAt = now - HEARD_MILLIS;
   }
 
-  /** Takes a configuration. */
+  /** Takes a configuration; copies whose routes have got home regions are dropped. */
   public void take(final Dialplan given) {
     plan = given;
+    if (given.all().stream().anyMatch(route -> route.homes.length > 0)) {
+      shelf.removeIf(copy -> bind(copy.service, copy.host, copy.target) == null);
+    }
   }
 
   /** A majority was heard of that long ago: all purges from before are known. */
@@ -159,7 +168,7 @@
 
   private void serve(final Waiter waiter, final long now) {
     final CopyAsk ask = waiter.ask;
-    final Binding binding = bind(ask);
+    final Binding binding = bind(ask.service, ask.host, ask.target);
     if (binding == null || !trusts(now)) {
       waiter.reply.accept(new CopyAnswer(ask.number, 0, null, null));
       return;
@@ -177,7 +186,7 @@
       return;
     }
     misses++;
-    final Fetch fetch = new Fetch(key, place(ask.host, ask.target), now, mark, copy);
+    final Fetch fetch = new Fetch(binding, ask, key, now, mark, copy);
     fetch.waiters.add(waiter);
     fetches.put(key, fetch);
     outlet.fetch(
@@ -201,15 +210,16 @@
   }
 
   /** What the configuration says of an object; null where no copy of it may be kept. */
-  private Binding bind(final CopyAsk ask) {
-    final int service = plan == null ? -1 : plan.service(ask.service);
+  private Binding bind(final String serviceName, final String host, final String target) {
+    final int service = plan == null ? -1 : plan.service(serviceName);
     if (service < 0) {
       return null;
     }
-    final Binding binding = new Binding(ask.host, ask.target, 0);
+    final Binding binding = new Binding(host, target, 0);
     if (!plan.interpret(binding)
         || binding.route().kind != RouteKind.CACHEABLE
-        || binding.route().cacheMillis <= 0) {
+        || binding.route().cacheMillis <= 0
+        || binding.homed()) {
       return null;
     }
     binding.divert(plan.services().get(service));
@@ -244,6 +254,12 @@
     if (fetches.get(fetch.key) == fetch) {
       fetches.remove(fetch.key);
     }
+    if (!fetch.binding.follow(plan) || fetch.binding.homed()) {
+      for (final Waiter waiter : fetch.waiters) {
+        waiter.reply.accept(new CopyAnswer(waiter.ask.number, 0, null, null));
+      }
+      return;
+    }
     Copy copy = null;
     if (fetched.status == 304 && fetch.before != null) {
       final String tag = header(fetched.headers, "etag");
@@ -256,6 +272,9 @@
       copy =
           new Copy(
               fetch.key,
+              fetch.ask.service,
+              fetch.ask.host,
+              fetch.ask.target,
               fetch.place,
               fetched.headers,
               fetched.body,
--- a/announcer/src/main/java/weldpoint/announcer/Copy.java
+++ b/announcer/src/main/java/weldpoint/announcer/Copy.java
@@ -8,6 +8,9 @@
  */
 final class Copy {
   final String key;
+  final String service;
+  final String host;
+  final String target;
   final String place;
   final List<String> headers;
   final byte[] body;
@@ -18,6 +21,9 @@
 
   Copy(
       final String key,
+      final String service,
+      final String host,
+      final String target,
       final String place,
       final List<String> headers,
       final byte[] body,
@@ -26,6 +32,9 @@
       final long startedAt,
       final long mark) {
     this.key = key;
+    this.service = service;
+    this.host = host;
+    this.target = target;
     this.place = place;
     this.headers = headers;
     this.body = body;
@@ -37,7 +46,7 @@
 
   /** The same object, found unchanged by a question that began then. */
   Copy renewed(final long asOf, final long known) {
-    return new Copy(key, place, headers, body, etag, labels, asOf, known);
+    return new Copy(key, service, host, target, place, headers, body, etag, labels, asOf, known);
   }
 
   long bytes() {
--- a/announcer/src/main/java/weldpoint/announcer/Shelf.java
+++ b/announcer/src/main/java/weldpoint/announcer/Shelf.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Copies, found by key, by place and by label; those used longest ago leave when the bytes run out.
@@ -74,6 +75,15 @@
     }
   }
 
+  /** Removes all copies of which something holds. */
+  void removeIf(final Predicate<Copy> condition) {
+    for (final Copy copy : new java.util.ArrayList<>(copies.values())) {
+      if (condition.test(copy)) {
+        remove(copy.key);
+      }
+    }
+  }
+
   void clear() {
     copies.clear();
     places.clear();
--- a/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
@@ -305,4 +305,45 @@
         9900);
     assertEquals(statuses, List.of(200, 200, 0, 200, 0));
   }
+
+  private static Dialplan homed() {
+    return Dialplan.compile(
+        SPEC.replace("\"version\":\"1\"", "\"version\":\"2\"")
+            .replace("\"timeoutMs\"", "\"homeRegions\":[\"north\"],\"timeoutMs\"")
+            .getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Guards against HOME: copies taken, or under way, before homes came were kept and given. */
+  @Test
+  public void noCopyIsKeptOrGivenOnceItsRouteHasHomes() {
+    final List<Consumer<AnnouncerCore.Fetched>> fetches = new ArrayList<>();
+    final AnnouncerCore core =
+        new AnnouncerCore(
+            100_000,
+            60_000,
+            60_000,
+            0,
+            (binding, host, target, etag, weight, cutoff, done) -> fetches.add(done));
+    core.take(Dialplan.compile(SPEC.getBytes(StandardCharsets.UTF_8)));
+    core.reached(0, 0);
+    final List<Integer> statuses = new ArrayList<>();
+    final AnnouncerCore.Fetched whole =
+        new AnnouncerCore.Fetched(
+            200, List.of("ETag", "e", "Weldpoint-Labels", "all"), new byte[] {1});
+    core.ask(ask(1, "/a/x"), answer -> statuses.add(answer.status), 10);
+    fetches.get(0).accept(whole);
+    core.ask(ask(2, "/a/y"), answer -> statuses.add(answer.status), 20);
+    assertEquals(core.copies(), 1);
+    core.take(homed());
+    assertEquals(core.copies(), 0, "a copy taken before");
+    fetches.get(1).accept(whole);
+    core.ask(ask(3, "/a/x"), answer -> statuses.add(answer.status), 30);
+    assertEquals(core.copies(), 0, "a fetch that was under way");
+    assertEquals(fetches.size(), 2, "nothing is fetched any more");
+    assertEquals(statuses, List.of(200, 0, 0));
+  }
+
+  private static CopyAsk ask(final long number, final String target) {
+    return new CopyAsk(number, "media", "quay.example", target, 1000);
+  }
 }
--- a/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -276,7 +276,11 @@
 
   /** An announcer has answered, or none could. */
   private void copied(final CacheMessages.CopyAnswer answer) {
-    if (over) {
+    if (over || !bound()) {
+      return;
+    }
+    if (binding.homed()) {
+      origin();
       return;
     }
     if (answer.status == 503) {
--- a/proxy/src/test/java/weldpoint/proxy/ConfigurationAtSendTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/ConfigurationAtSendTest.java
@@ -21,6 +21,8 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import weldpoint.affinity.Ties;
+import weldpoint.trunk.CacheMessages.CopyAnswer;
+import weldpoint.trunk.CacheMessages.CopyAsk;
 import weldpoint.trunk.KeyMessages;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.OwnershipMessages.Assignment;
@@ -153,6 +155,22 @@
       void end(final ConfigurationAtSendTest test) throws InterruptedException {
         test.place();
       }
+    },
+    /** A cache node is asked for a copy. */
+    COPY("GET", "cacheable", "", "") {
+      @Override
+      void begin(final ConfigurationAtSendTest test) throws InterruptedException {
+        TestProxy.await(() -> test.asked.get() != null, "no copy is asked for");
+      }
+
+      @Override
+      void end(final ConfigurationAtSendTest test) throws InterruptedException {
+        final long number = ((CopyAsk) test.asked.get()).number;
+        final CopyAnswer copy =
+            new CopyAnswer(number, 200, List.of("Weldpoint-Server-Seal", "s"), new byte[4]);
+        test.onLoop(
+            () -> test.proxy.proxyContext().recordings.heard(CACHE_NODE, copy, ProxyContext.now()));
+      }
     };
 
     private final String method;
@@ -174,6 +192,7 @@
     abstract void end(ConfigurationAtSendTest test) throws InterruptedException;
   }
 
+  private static final String CACHE_NODE = "127.0.0.9";
   private static final long HEDGE_MILLIS = 700;
 
   private final List<String> arrivals = Collections.synchronizedList(new ArrayList<>());
@@ -301,7 +320,7 @@
         + (wait == Wait.PERMIT ? "\"ratePerS\":100," : "")
         + "\"apiKeys\":[\"key\"]}],\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"w\",\"routeKind\":\""
         + wait.kind
-        + "\",\"targetLatencyMs\":"
+        + "\",\"cacheTtlS\":10,\"targetLatencyMs\":"
         + (wait == Wait.HEDGE ? 1000 : 2000)
         + ",\"match\":{\"pathPrefix\":\"/w/\"},\"action\":{\"service\":\"s\","
         + routeHomes
@@ -331,6 +350,10 @@
       context.keyHeaders = List.of("Idempotency-Key");
       context.keys = new KeyRuns("127.0.0.1", 1, 75_000, new Claims());
     }
+    if (wait == Wait.COPY) {
+      context.recordings = new CacheClient(new CacheLines());
+      context.recordings.announcers(List.of(CACHE_NODE), ProxyContext.now());
+    }
   }
 
   private boolean take(final Message message) {
@@ -360,6 +383,24 @@
     }
   }
 
+  /** A cache node that answers when the test says so. */
+  private final class CacheLines implements CacheClient.Lines {
+    @Override
+    public void keep(final List<String> addresses) {
+      assertEquals(addresses, List.of(CACHE_NODE));
+    }
+
+    @Override
+    public boolean send(final String address, final Message message) {
+      return take(message);
+    }
+
+    @Override
+    public long silentMillis(final String address) {
+      return 0;
+    }
+  }
+
   private UpstreamPool.Change upstream(final String id) {
     return new UpstreamPool.Change(
         new Registration(id, "s", "127.0.0.1:" + server.getLocalPort(), "b", "v", 4, 0, 1, 0, 0),
