Soak: what tells two holders of one key apart from a judge that compares too late

Cause of the change: the short soak found two holders of one key once, beside load, and nothing told when a grant was sent, reset, read or counted.

Change: a registry tells each grant and release with its times on the steady clock (FINE; resets at INFO); WELDPOINT_LOG sets the level of our own lines only, so that libraries stay quiet. The stand-in notes when a call was read and when it was counted, and a finding brings both histories and the registries' lines along. All holders of a fleet change what they hold under one lock: a beginning was compared with what the others held when the thread came to it, which on a busy machine may be much later; now it is compared at that very moment, which is as strict and exact. New trouble HOLDER_STALL: an upstream that holds keys stands still for 1.5 s and then reads its calls.

--- a/boot/src/main/java/weldpoint/boot/Logs.java
+++ b/boot/src/main/java/weldpoint/boot/Logs.java
@@ -9,11 +9,16 @@
 
 /** Sets up logging: one line a record on standard error. */
 public final class Logs {
+  /** The environment variable that names the level of our own lines. */
+  public static final String LEVEL_VARIABLE = "WELDPOINT_LOG";
+
+  private static final Logger OWN = Logger.getLogger("weldpoint");
+
   private Logs() {}
 
   /**
    * Directs all logs to standard error, at the level named by WELDPOINT_LOG (INFO where it is
-   * unset).
+   * unset); libraries tell nothing below INFO.
    */
   public static void start(final String program) {
     final Logger root = Logger.getLogger("");
@@ -31,8 +36,10 @@
           }
         });
     root.addHandler(handler);
-    final String level = System.getenv("WELDPOINT_LOG");
-    root.setLevel(level == null || level.isEmpty() ? Level.INFO : Level.parse(level));
+    final String named = System.getenv(LEVEL_VARIABLE);
+    final Level level = named == null || named.isEmpty() ? Level.INFO : Level.parse(named);
+    OWN.setLevel(level);
+    root.setLevel(level.intValue() > Level.INFO.intValue() ? level : Level.INFO);
   }
 
   private static String trace(final Throwable thrown) {
--- a/exchange/src/main/java/weldpoint/exchange/UpstreamCalls.java
+++ b/exchange/src/main/java/weldpoint/exchange/UpstreamCalls.java
@@ -1,5 +1,6 @@
 package weldpoint.exchange;
 
+import com.google.common.flogger.FluentLogger;
 import io.avaje.jsonb.JsonType;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -37,16 +38,22 @@
 /**
  * Grants keys to upstreams and takes them back, over HTTP. Grants to one upstream go one after the
  * other over one connection; each release has a connection of its own, since its answer waits for
- * the work under way. A call without an answer in time has its connection reset, so that nothing of
- * it arrives later.
+ * the work under way. A call without an answer in time has its connection reset. That is no proof
+ * that nothing of it arrives later; see HoldTimes for how long it may still be counted.
  */
 final class UpstreamCalls {
   private static final String TARGET = "Weldpoint-Target-Instance";
   private static final String TRANSFER = "Weldpoint-Duty-Transfer";
   private static final int CONNECT_MILLIS = 400;
   private static final int MOST_ANSWER = 8192;
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+  /** A call of an upstream, and what the log tells of it. Times are of the steady clock. */
   private static final class Call {
+    final String kind;
+    final KeyRange range;
+    final long madeAt = now();
+    long sentAt;
     final FullHttpRequest request;
     final long sendBy;
     final long answerBy;
@@ -54,22 +61,50 @@
     private boolean over;
 
     Call(
+        final String kind,
+        final KeyRange range,
         final FullHttpRequest request,
         final long sendBy,
         final long answerBy,
         final Consumer<CallResult> done) {
+      this.kind = kind;
+      this.range = range;
       this.request = request;
       this.sendBy = sendBy;
       this.answerBy = answerBy;
       this.done = done;
     }
 
+    void sent() {
+      sentAt = now();
+      LOGGER.atFine().log("%s sent at %s: %s", kind, sentAt, this);
+    }
+
     void end(final CallResult result) {
       if (!over) {
         over = true;
+        LOGGER.atFine().log("%s ended at %s: %s, %s", kind, now(), this, result.end());
         done.accept(result);
       }
     }
+
+    @Override
+    public String toString() {
+      return "keys "
+          + range.first
+          + "-"
+          + range.last
+          + " fence "
+          + range.fence
+          + " holder "
+          + range.holder
+          + " at "
+          + range.address
+          + " made "
+          + madeAt
+          + " sent "
+          + sentAt;
+    }
   }
 
   /** One connection, and the calls that wait for it. */
@@ -109,6 +144,7 @@
         return;
       }
       sent = call;
+      call.sent();
       timer = loop.schedule(this::reset, Math.max(1, call.answerBy - now()), TimeUnit.MILLISECONDS);
       channel.writeAndFlush(call.request);
     }
@@ -153,6 +189,7 @@
     }
 
     private void reset() {
+      LOGGER.atInfo().log("%s unanswered at %s, connection reset: %s", sent.kind, now(), sent);
       channel.config().setOption(ChannelOption.SO_LINGER, 0);
       channel.close();
     }
@@ -255,7 +292,7 @@
         new Calls.Grant(range.first, range.last, range.fence, holdMillis, range.transfer);
     final FullHttpRequest request = request(range.address, "/api/grant", Calls.GRANT, body);
     request.headers().set(TARGET, range.holder);
-    final Call call = new Call(request, sendBy, now() + sendMillis, onDesk(done));
+    final Call call = new Call("grant", range, request, sendBy, now() + sendMillis, onDesk(done));
     loop.execute(() -> links.computeIfAbsent(range.address, to -> new Link(to, true)).add(call));
   }
 
@@ -267,7 +304,7 @@
       final Consumer<CallResult> done) {
     final Calls.Release body = new Calls.Release(range.first, range.last, range.fence);
     final FullHttpRequest request = request(range.address, "/api/release", Calls.RELEASE, body);
-    final Call call = new Call(request, sendBy, answerBy, onDesk(done));
+    final Call call = new Call("release", range, request, sendBy, answerBy, onDesk(done));
     loop.execute(() -> new Link(range.address, false).add(call));
   }
 
--- a/ownership/src/main/java/weldpoint/ownership/Assigner.java
+++ b/ownership/src/main/java/weldpoint/ownership/Assigner.java
@@ -437,7 +437,7 @@
       counts.waitedOut();
     }
     LOGGER.atInfo().log(
-        "keys %s-%s of %s pass from %s to %s, fence %s%s",
+        "passed keys %s-%s of %s from %s to %s, fence %s%s",
         range.first,
         range.last,
         service,
--- a/soak/src/main/java/weldpoint/soak/DaemonProcess.java
+++ b/soak/src/main/java/weldpoint/soak/DaemonProcess.java
@@ -12,13 +12,14 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Boot;
+import weldpoint.boot.Logs;
 
 /**
  * One weldpoint daemon as an operating system process that can be killed, paused, resumed and
  * started again. Signals go to this process by its id and to no other.
  */
 final class DaemonProcess {
-  private static final int KEPT_LINES = 400;
+  private static final int KEPT_LINES = 8000;
   private static final long TERMINATION_SECONDS = 12;
 
   private final String program;
@@ -63,6 +64,7 @@
                 program));
     final ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put(Boot.VARIABLE, settings.toString());
+    builder.environment().put(Logs.LEVEL_VARIABLE, "FINE");
     try {
       process = builder.start();
     } catch (final IOException problem) {
--- a/soak/src/main/java/weldpoint/soak/HeldKeys.java
+++ b/soak/src/main/java/weldpoint/soak/HeldKeys.java
@@ -16,6 +16,30 @@
   private static final int OVERTAKEN = 409;
   private static final int MALFORMED = 400;
 
+  private static final int MOST_SHOWN = 12;
+
+  /**
+   * A call that came: when its first byte was read and when it was counted, in milliseconds of the
+   * steady clock.
+   */
+  private record Event(String kind, int first, int last, long fence, long readAt, long countedAt) {
+    @Override
+    public String toString() {
+      return kind
+          + " of keys "
+          + first
+          + "-"
+          + last
+          + " fence "
+          + fence
+          + " read at "
+          + readAt
+          + " counted at "
+          + countedAt;
+    }
+  }
+
+  private final List<Event> events = new ArrayList<>();
   private volatile String instance;
   private final double slowness;
   private final HolderJudge judge;
@@ -39,8 +63,19 @@
     return instance;
   }
 
-  /** Takes a grant; the status to answer with. */
-  synchronized int grant(final int first, final int last, final long fence, final long holdMillis) {
+  /**
+   * Takes a grant; the status to answer with.
+   *
+   * @param readAt when the first byte of the call was read
+   */
+  synchronized int grant(
+      final int first, final int last, final long fence, final long holdMillis, final long readAt) {
+    final int status = grant(first, last, fence, holdMillis);
+    events.add(new Event("grant " + status, first, last, fence, readAt, Clock.millis()));
+    return status;
+  }
+
+  private int grant(final int first, final int last, final long fence, final long holdMillis) {
     if (first < 0 || last >= KEYS || first > last || holdMillis <= 0) {
       return MALFORMED;
     }
@@ -58,8 +93,9 @@
   }
 
   /** Stops new work on these keys, waits for what is under way, and gives the handover's token. */
-  synchronized String release(final int first, final int last, final long fence)
+  synchronized String release(final int first, final int last, final long fence, final long readAt)
       throws InterruptedException {
+    events.add(new Event("release", first, last, fence, readAt, Clock.millis()));
     for (int key = first; key <= last; key++) {
       until[key] = 0;
       fences[key] = Math.max(fences[key], fence);
@@ -67,9 +103,20 @@
     while (busy(first, last)) {
       wait();
     }
+    events.add(new Event("released", first, last, fence, readAt, Clock.millis()));
     return UUID.randomUUID().toString();
   }
 
+  /** What came of a key here, oldest first, for evidence. */
+  private List<String> history(final int key) {
+    final List<String> all =
+        events.stream()
+            .filter(event -> event.first <= key && key <= event.last)
+            .map(event -> instance + " " + event)
+            .toList();
+    return all.subList(Math.max(0, all.size() - MOST_SHOWN), all.size());
+  }
+
   private boolean busy(final int first, final int last) {
     for (int key = first; key <= last; key++) {
       if (running[key] > 0) {
@@ -79,37 +126,45 @@
     return false;
   }
 
-  /** Begins work on a key, if it is held. */
+  /** Begins work on a key, if it is held; whether anybody else holds it is judged with that. */
   boolean begin(final int key) {
-    synchronized (this) {
-      if (!holds(key)) {
+    synchronized (judge) {
+      final long now = Clock.millis();
+      if (!holds(key, now)) {
         return false;
       }
       running[key]++;
+      judge.began(this, key, now);
+      return true;
     }
-    judge.began(this, key);
-    return true;
   }
 
   /** Work on a key has ended. */
-  synchronized void end(final int key) {
-    running[key]--;
-    notifyAll();
+  void end(final int key) {
+    synchronized (judge) {
+      running[key]--;
+      judge.notifyAll();
+    }
   }
 
-  /** Whether new work on a key may begin. */
-  synchronized boolean holds(final int key) {
-    return key >= 0 && key < KEYS && Clock.millis() < until[key];
+  private boolean holds(final int key, final long now) {
+    return key >= 0 && key < KEYS && now < until[key];
   }
 
   /** The process ends with all that it held, and another life begins, which holds nothing. */
-  synchronized void beginLife(final String id) {
-    instance = id;
-    java.util.Arrays.fill(until, 0);
-    java.util.Arrays.fill(fences, 0);
+  void beginLife(final String id) {
+    synchronized (judge) {
+      instance = id;
+      java.util.Arrays.fill(until, 0);
+      java.util.Arrays.fill(fences, 0);
+    }
   }
 
-  /** Sees to it that no two upstreams of one fleet begin work on a key while both hold it. */
+  /**
+   * Sees to it that no two upstreams of one fleet begin work on a key while both hold it. Whatever
+   * changes what an upstream holds does so under the judge's lock, so that a beginning is compared
+   * with what the others hold at that very moment, however busy the machine is.
+   */
   static final class HolderJudge {
     private final List<HeldKeys> all = new ArrayList<>();
     private final List<String> broken = new ArrayList<>();
@@ -118,20 +173,30 @@
       all.add(one);
     }
 
-    private void began(final HeldKeys one, final int key) {
-      final List<HeldKeys> others;
-      synchronized (this) {
-        others = new ArrayList<>(all);
-      }
-      for (final HeldKeys other : others) {
-        if (other != one && other.holds(key)) {
-          note("key " + key + " is held by " + one.instance + " and by " + other.instance);
+    private void began(final HeldKeys one, final int key, final long now) {
+      for (final HeldKeys other : all) {
+        if (other != one && other.holds(key, now)) {
+          broken.add(now + " two holders: " + evidence(key, one, other));
         }
       }
     }
 
-    private synchronized void note(final String evidence) {
-      broken.add(Clock.millis() + " two holders: " + evidence);
+    private static String evidence(final int key, final HeldKeys one, final HeldKeys other) {
+      final List<String> lines = new ArrayList<>();
+      lines.add(
+          "key "
+              + key
+              + " is held by "
+              + one.instance
+              + " until "
+              + one.until[key]
+              + " and by "
+              + other.instance
+              + " until "
+              + other.until[key]);
+      lines.addAll(one.history(key));
+      lines.addAll(other.history(key));
+      return String.join("\n    ", lines);
     }
 
     /** What was seen. */
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -88,6 +88,11 @@
     server.secondCopies(share);
   }
 
+  /** The process stands still for so many milliseconds, and then goes on with what it has read. */
+  void stall(final long millis) {
+    server.stall(millis);
+  }
+
   /** The process ends with all that it holds, and another life begins at its address. */
   void beginLife(final String id) {
     instance = id;
@@ -122,10 +127,11 @@
     final long fence = field(request.body(), "fenceNumber");
     if (request.path().equals("/api/grant")) {
       grants.incrementAndGet();
-      return answer(heldKeys.grant(first, last, fence, field(request.body(), "holdMs")));
+      return answer(
+          heldKeys.grant(first, last, fence, field(request.body(), "holdMs"), request.readAt()));
     }
     try {
-      final String transfer = heldKeys.release(first, last, fence);
+      final String transfer = heldKeys.release(first, last, fence, request.readAt());
       return new Answer(200, Map.of("Weldpoint-Duty-Transfer", transfer), EMPTY);
     } catch (final InterruptedException stopped) {
       Thread.currentThread().interrupt();
--- a/soak/src/main/java/weldpoint/soak/SoakRun.java
+++ b/soak/src/main/java/weldpoint/soak/SoakRun.java
@@ -114,6 +114,14 @@
     fleet.all().forEach(DaemonProcess::startIfDown);
   }
 
+  /** What a registry told of its calls to holders of keys. */
+  private static List<String> keyCalls(final DaemonProcess registry) {
+    return registry.output().stream()
+        .filter(line -> line.contains(" keys ") || line.contains("assigns the keys"))
+        .map(line -> registry.name() + ": " + line)
+        .toList();
+  }
+
   private Verdict judge(final LocalFleet fleet, final Workload workload) {
     final List<Run> runs = fleet.runs();
     final List<Call> calls = workload.calls();
@@ -130,6 +138,9 @@
             SlowReader.DEADLINE_MILLIS,
             CONTACT_MILLIS));
     broken.addAll(fleet.twoHolders());
+    if (!fleet.twoHolders().isEmpty()) {
+      fleet.registries().forEach(registry -> broken.addAll(keyCalls(registry)));
+    }
     final int most = Bounds.mostInWindow(runs, Workload.LIMITED_TENANT, QUOTA_WINDOW_MILLIS);
     if (most > ALLOWED) {
       broken.add(most + " runs of the limited tenant in a window, allowed " + ALLOWED);
--- a/soak/src/main/java/weldpoint/soak/Trouble.java
+++ b/soak/src/main/java/weldpoint/soak/Trouble.java
@@ -47,6 +47,10 @@
   HOLDER_SECOND_COPIES,
   /** An upstream that holds keys turns a share of its requests away, since it is full. */
   HOLDER_FULL,
+  /**
+   * An upstream that holds keys stands still, and then reads the calls that have come meanwhile.
+   */
+  HOLDER_STALL,
   /** A proxy is told that its settings have changed. */
   PROXY_RELOAD,
   /** The first beat of a life that has ended comes late, from an upstream's address. */
@@ -59,6 +63,10 @@
   }
 
   private static final int DELAY_MILLIS = 150;
+
+  /** Less than a call's longest life and the setting ownership.late-ms together. */
+  private static final int STALL_MILLIS = 1500;
+
   private static final double DOUBLED_ANSWERS = 0.5;
   private static final double TURNED_AWAY = 0.4;
 
@@ -143,6 +151,12 @@
         holder.full(TURNED_AWAY);
         yield () -> holder.full(USUALLY_TURNED_AWAY);
       }
+      case HOLDER_STALL -> {
+        if (!fleet.keyHolders().isEmpty()) {
+          drawn(fleet.keyHolders(), random).stall(STALL_MILLIS);
+        }
+        yield () -> {};
+      }
       case PROXY_RELOAD -> {
         drawn(fleet.proxies(), random).reload();
         yield () -> {};
--- a/soak/src/main/java/weldpoint/soak/UpstreamServer.java
+++ b/soak/src/main/java/weldpoint/soak/UpstreamServer.java
@@ -26,8 +26,9 @@
    * A request that was read whole.
    *
    * @param headers by their names in lower case
+   * @param readAt when its first line was read, in milliseconds of the steady clock
    */
-  record Request(String target, Map<String, String> headers, String body) {
+  record Request(String target, Map<String, String> headers, String body, long readAt) {
     String path() {
       final int query = target.indexOf('?');
       return query < 0 ? target : target.substring(0, query);
@@ -59,6 +60,7 @@
   private final Random random;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private volatile double secondCopies;
+  private volatile long stalledUntil;
 
   UpstreamServer(final InetSocketAddress address, final Handler handler, final Random random)
       throws IOException {
@@ -73,6 +75,18 @@
     secondCopies = share;
   }
 
+  /** From now on nothing that was read is looked at for so many milliseconds. */
+  void stall(final long millis) {
+    stalledUntil = Clock.millis() + millis;
+  }
+
+  private void awaitStall() throws InterruptedException {
+    for (long left = stalledUntil - Clock.millis(); left > 0; ) {
+      Thread.sleep(left);
+      left = stalledUntil - Clock.millis();
+    }
+  }
+
   private static void start(final Runnable task) {
     final Thread thread = new Thread(task, "upstream");
     thread.setDaemon(true);
@@ -103,6 +117,7 @@
           out.write(late);
           late = null;
         }
+        awaitStall();
         final Answer answer = handler.handle(request);
         if (answer == null) {
           return;
@@ -139,6 +154,7 @@
     if (first == null) {
       return null;
     }
+    final long readAt = Clock.millis();
     final Map<String, String> headers = new LinkedHashMap<>();
     for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
       final int colon = line.indexOf(':');
@@ -147,7 +163,8 @@
     }
     final int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
     final byte[] body = in.readNBytes(length);
-    return new Request(first.split(" ")[1], headers, new String(body, StandardCharsets.UTF_8));
+    return new Request(
+        first.split(" ")[1], headers, new String(body, StandardCharsets.UTF_8), readAt);
   }
 
   private static String line(final InputStream in) throws IOException {
