Holds of keys: a grant may be counted after its connection was reset (OWNER)

Cause: a grant without an answer was taken for lost once its connection was reset. A reset is no proof: an upstream that stood still reads it from its buffers.

Change: ownership.late-ms (1,000), the longest that a grant may be counted after its reset. The wait for a grant without an answer, and for those of an assigner before, begins that much later; grants that were answered, or keys that were released, wait no longer than before.

The broken variant NOTHING_LATE is caught.

--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -16,6 +16,7 @@
   public static final String VARIABLE = "WELDPOINT_SETTINGS";
 
   private static final String KEY_HEADERS = "Idempotency-Key,Weldpoint-Idempotency-Key";
+  private static final long USUAL_LATE_MILLIS = 1000;
   private static final long USUAL_HOLD_MILLIS = 4000;
   private static final long LEAST_HOLD_MILLIS = 1000;
   private static final int LEAST_TRANSFER = 16 << 10;
@@ -472,6 +473,14 @@
     return (long) number("affinity.lease-ms", 4000, 500, 600_000);
   }
 
+  /**
+   * The longest, in milliseconds, that a grant of keys may still be counted by an upstream after
+   * its connection was reset.
+   */
+  public long ownershipLateMillis() {
+    return (long) number("ownership.late-ms", USUAL_LATE_MILLIS, 0, 60_000);
+  }
+
   /**
    * For how many milliseconds a grant of keys holds: the setting, or the usual 4000 where the bound
    * allows that.
--- a/boot/src/test/java/weldpoint/boot/BootTest.java
+++ b/boot/src/test/java/weldpoint/boot/BootTest.java
@@ -1,6 +1,7 @@
 package weldpoint.boot;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -27,6 +28,10 @@
     assertEquals(Boot.parse(GOOD).ownershipHoldMillis(), 4000);
     assertEquals(Boot.parse(GOOD + "bound.hold-limit-ms = 900\n").ownershipHoldMillis(), 900);
     assertEquals(Boot.parse(GOOD + "ownership.hold-ms = 2000\n").ownershipHoldMillis(), 2000);
+    assertEquals(Boot.parse(GOOD).ownershipLateMillis(), 1000);
+    assertEquals(Boot.parse(GOOD + "ownership.late-ms = 0\n").ownershipLateMillis(), 0);
+    assertThrows(
+        Breakdown.class, () -> Boot.parse(GOOD + "ownership.late-ms = -1\n").ownershipLateMillis());
     for (final String bad : new String[] {"10", "5000"}) {
       final Breakdown breakdown =
           expectThrows(
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
@@ -204,7 +204,7 @@
     core.quotas(
         new weldpoint.ratelimit.QuotaAllocator(
             boot, boot.firstStart() && found.blank() && !found.lost(), now()));
-    final HoldTimes times = HoldTimes.of(boot.ownershipHoldMillis());
+    final HoldTimes times = HoldTimes.of(boot.ownershipHoldMillis(), boot.ownershipLateMillis());
     core.ownership(
         incarnation, times, new UpstreamCalls(loop, desk, times.holdMillis(), times.sendMillis()));
     desk.execute(() -> core.start(found.lost() ? List.of() : found.records(), now()));
--- a/ownership/src/main/java/weldpoint/ownership/HoldLedger.java
+++ b/ownership/src/main/java/weldpoint/ownership/HoldLedger.java
@@ -59,11 +59,12 @@
       if (!range.holder.equals(holder[slot])) {
         continue;
       }
-      if (end == CallResult.End.DONE || end == CallResult.End.UNKNOWN) {
-        possibleUntil[slot] = Math.max(possibleUntil[slot], times.surelyOver(now));
-      }
       if (end == CallResult.End.DONE) {
         acknowledgedAt[slot] = now;
+        possibleUntil[slot] = Math.max(possibleUntil[slot], times.surelyOver(now));
+      } else if (end == CallResult.End.UNKNOWN) {
+        final long countedBy = times.surelyCounted(now);
+        possibleUntil[slot] = Math.max(possibleUntil[slot], times.surelyOver(countedBy));
       }
     }
   }
--- a/ownership/src/main/java/weldpoint/ownership/HoldTimes.java
+++ b/ownership/src/main/java/weldpoint/ownership/HoldTimes.java
@@ -7,8 +7,11 @@
  * @param holdMillis for how long a grant holds, counted by the upstream from its arrival
  * @param leaseMillis for how long a registry acts as assigner after it asked whether it still is
  * @param sendMillis the longest that a grant may be under way: then its connection is reset
+ * @param lateMillis the longest that a grant may still be counted after its connection was reset:
+ *     whoever stands between may pass on what it holds, and an upstream that was stalled reads what
+ *     lies in its buffers
  */
-public record HoldTimes(long holdMillis, long leaseMillis, long sendMillis) {
+public record HoldTimes(long holdMillis, long leaseMillis, long sendMillis, long lateMillis) {
   /** How much slower than ours an upstream's clock may run, with as much again for our own. */
   private static final double SLOWEST_CLOCK = 1.04;
 
@@ -17,19 +20,24 @@
   private static final long USUAL_LEASE_MILLIS = 1500;
   private static final long USUAL_SEND_MILLIS = 800;
 
-  /** The usual spans for holds of this length. */
-  public static HoldTimes of(final long holdMillis) {
-    return new HoldTimes(holdMillis, USUAL_LEASE_MILLIS, USUAL_SEND_MILLIS);
+  /** The usual spans for holds of this length, with grants that may be late by so much. */
+  public static HoldTimes of(final long holdMillis, final long lateMillis) {
+    return new HoldTimes(holdMillis, USUAL_LEASE_MILLIS, USUAL_SEND_MILLIS, lateMillis);
   }
 
-  /** When a grant has surely run out of which nothing was under way any more at this time. */
-  public long surelyOver(final long endedAt) {
-    return endedAt + (long) Math.ceil(holdMillis * SLOWEST_CLOCK) + MARGIN_MILLIS;
+  /** When a grant has surely run out that was counted at this time at the latest. */
+  public long surelyOver(final long countedBy) {
+    return countedBy + (long) Math.ceil(holdMillis * SLOWEST_CLOCK) + MARGIN_MILLIS;
   }
 
-  /** When the last grant of an assigner before has surely arrived or been lost. */
+  /** When a grant whose connection was reset at this time has surely been counted or been lost. */
+  public long surelyCounted(final long resetAt) {
+    return resetAt + lateMillis;
+  }
+
+  /** When the last grant of an assigner before has surely been counted or been lost. */
   public long predecessorSilent(final long takenOverAt) {
-    return takenOverAt + leaseMillis + sendMillis + MARGIN_MILLIS;
+    return surelyCounted(takenOverAt + leaseMillis + sendMillis + MARGIN_MILLIS);
   }
 
   /** The pause between two grants of one range. */
--- a/ownership/src/test/java/weldpoint/ownership/FleetOfKeys.java
+++ b/ownership/src/test/java/weldpoint/ownership/FleetOfKeys.java
@@ -16,9 +16,9 @@
 
 /**
  * A small world for assigners under one fake clock: registries, a register that compares and sets,
- * and upstreams that hold keys by clocks up to 2 in 100 slow. Calls are lost, late or doubled,
- * registries freeze, are killed and cut off from the register, upstreams crash, leave and join.
- * After each event it is judged whether two upstreams hold one key.
+ * and upstreams that hold keys by clocks up to 2 in 100 slow and stall now and then. Calls are
+ * lost, late or doubled, registries freeze, are killed and cut off from the register, upstreams
+ * crash, leave and join. After each event it is judged whether two upstreams hold one key.
  */
 final class FleetOfKeys {
   static final String SERVICE = "store";
@@ -34,6 +34,8 @@
     FORGETS_PREDECESSOR,
     /** Grants go out on what was proposed, before the register has it. */
     GRANT_BEFORE_REGISTER,
+    /** A grant whose connection was reset counts as lost, though the upstream may still read it. */
+    NOTHING_LATE,
     /** A registry that was cut off grants on, without asking whether it still assigns. */
     NO_LEASE
   }
@@ -45,6 +47,10 @@
   private static final long CONFIRM_MILLIS = 300;
   private static final long SEND_MILLIS = 800;
   private static final long LAST_MILLIS = 10_000;
+
+  /** For so long calls may lie unread at an upstream, also after their connection was reset. */
+  private static final long LATE_MILLIS = 1000;
+
   private static final long SAMPLE_MILLIS = 250;
   private static final double SLOWEST = 1 / 0.98;
 
@@ -61,6 +67,7 @@
     boolean up = true;
     boolean leaving;
     boolean cut;
+    long stalledUntil;
     final java.util.Set<String> cutFrom = new java.util.HashSet<>();
     long beatAt;
 
@@ -107,15 +114,17 @@
     Registry(final int place, final long incarnation) {
       this.address = "r" + place;
       this.incarnation = incarnation;
-      final HoldTimes times = HoldTimes.of(HOLD_MILLIS);
+      final HoldTimes times = HoldTimes.of(HOLD_MILLIS, LATE_MILLIS);
       this.coordinator =
           new OwnershipCoordinator(address, incarnation, times, this::pulse, this::assigner);
     }
 
     private Assigner assigner(final String service) {
       return broken == Broken.NOTHING
-          ? new Assigner(service, address, incarnation, HoldTimes.of(HOLD_MILLIS), this)
-          : new BrokenAssigner(service, address, incarnation, HoldTimes.of(HOLD_MILLIS), this);
+          ? new Assigner(
+              service, address, incarnation, HoldTimes.of(HOLD_MILLIS, LATE_MILLIS), this)
+          : new BrokenAssigner(
+              service, address, incarnation, HoldTimes.of(HOLD_MILLIS, LATE_MILLIS), this);
     }
 
     boolean runs() {
@@ -217,6 +226,13 @@
           HOLD_MILLIS);
     }
 
+    private void answered(
+        final boolean lost, final Consumer<CallResult> hears, final CallResult result) {
+      if (!lost) {
+        later(delay(), this, () -> hears.accept(result));
+      }
+    }
+
     private CallResult end(final boolean granted) {
       return CallResult.of(granted ? CallResult.End.DONE : CallResult.End.REFUSED);
     }
@@ -247,20 +263,24 @@
         later(
             Math.min(arrives, SEND_MILLIS),
             null,
-            () -> {
-              if (!upstream.up) {
-                return;
-              }
-              final CallResult result = effect.apply(upstream);
-              if (!answerLost) {
-                later(delay(), this, () -> once.accept(result));
-              }
-            });
+            () -> arrive(upstream, effect, result -> answered(answerLost, once, result)));
       }
       later(lifeMillis, this, () -> once.accept(CallResult.of(CallResult.End.UNKNOWN)));
     }
   }
 
+  /** A call is counted at once, or when an upstream that is stalled goes on. */
+  private void arrive(
+      final Upstream upstream,
+      final java.util.function.Function<Upstream, CallResult> effect,
+      final Consumer<CallResult> done) {
+    if (now < upstream.stalledUntil) {
+      later(upstream.stalledUntil - now, null, () -> arrive(upstream, effect, done));
+    } else if (upstream.up) {
+      done.accept(effect.apply(upstream));
+    }
+  }
+
   /** An assigner without one of its safeguards. */
   private final class BrokenAssigner extends Assigner {
     BrokenAssigner(
@@ -273,7 +293,11 @@
           service,
           self,
           incarnation,
-          broken == Broken.NO_MARGIN ? new NoMargin().times(times) : times,
+          switch (broken) {
+            case NO_MARGIN -> new NoMargin().times(times);
+            case NOTHING_LATE -> HoldTimes.of(times.holdMillis(), 0);
+            default -> times;
+          },
           outlet);
     }
 
@@ -295,7 +319,7 @@
     private static final double SHORT = 0.85;
 
     HoldTimes times(final HoldTimes times) {
-      return new HoldTimes((long) (times.holdMillis() * SHORT), times.leaseMillis(), 0);
+      return new HoldTimes((long) (times.holdMillis() * SHORT), times.leaseMillis(), 0, 0);
     }
   }
 
@@ -473,7 +497,7 @@
     final List<Upstream> all = new ArrayList<>(upstreams.values());
     final Upstream upstream = all.get(random.nextInt(all.size()));
     final int lasting = 200 + random.nextInt(5000);
-    switch (random.nextInt(9)) {
+    switch (random.nextInt(10)) {
       case 0 -> {
         count("freeze");
         registry.frozenUntil = Math.max(registry.frozenUntil, now + lasting);
@@ -519,6 +543,10 @@
           upstream.up = false;
         }
       }
+      case 8 -> {
+        count("upstream stalls");
+        upstream.stalledUntil = Math.max(upstream.stalledUntil, now + LATE_MILLIS);
+      }
       default -> {
         count("joins");
         if (all.stream().filter(one -> one.up).count() < LATEST_UPSTREAMS) {
--- a/ownership/src/test/java/weldpoint/ownership/OneHolderTest.java
+++ b/ownership/src/test/java/weldpoint/ownership/OneHolderTest.java
@@ -34,6 +34,7 @@
     return new Object[][] {
       {FleetOfKeys.Broken.NO_WAIT},
       {FleetOfKeys.Broken.NO_MARGIN},
+      {FleetOfKeys.Broken.NOTHING_LATE},
       {FleetOfKeys.Broken.FORGETS_PREDECESSOR},
       {FleetOfKeys.Broken.GRANT_BEFORE_REGISTER},
       {FleetOfKeys.Broken.NO_LEASE}
