Soak: two regions, and a tenant and a route whose homes change under trouble

The third zone is a region of its own now; a tenant writes on a route with up to three tries, and each configuration draws the homes of both. Under trouble safety alone is judged, since a machine out of touch may hold an older configuration; after the calm, homes change twice, and each run outside of what every configuration that may be in force allows is a finding. SoakTest: the judge sees such runs, and more than ten runs were judged.

--- a/soak/src/main/java/weldpoint/soak/Bounds.java
+++ b/soak/src/main/java/weldpoint/soak/Bounds.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Judges what upstreams and clients saw, apart from the daemons' own counts: each idempotency key
@@ -133,4 +134,38 @@
     }
     return broken;
   }
+
+  /**
+   * Runs outside of the homes that every configuration has which may be in force: the newest one
+   * that was acknowledged longer ago than the bound, and all that were sent after it.
+   *
+   * @param runs runs of the tenant whose homes change, in calm times
+   * @param regionOf the region of an upstream
+   */
+  static List<String> outsideHomes(
+      final List<Run> runs,
+      final List<Homes.Change> changes,
+      final Function<String, String> regionOf,
+      final long boundMillis) {
+    final List<String> broken = new ArrayList<>();
+    for (final Run run : runs) {
+      int oldest = 0;
+      for (final Homes.Change change : changes) {
+        if (change.acknowledgedAt() < run.startedAt() - boundMillis) {
+          oldest = Math.max(oldest, change.version());
+        }
+      }
+      boolean allowed = false;
+      for (final Homes.Change change : changes) {
+        allowed |=
+            change.version() >= oldest
+                && change.sentAt() <= run.startedAt()
+                && change.homes().allow(regionOf.apply(run.instance()));
+      }
+      if (!allowed) {
+        broken.add("outside of its homes: " + run + ", oldest version in force " + oldest);
+      }
+    }
+    return broken;
+  }
 }
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -36,6 +36,9 @@
   /** A route to the divided service whose requests run at most once. */
   static final String SHELF_WRITE_PATH = "/stock/";
 
+  /** A route whose home regions change. */
+  static final String HOMED_PATH = "/deed/";
+
   /** A route of large answers. */
   static final String SHEET_PATH = "/sheet/";
 
@@ -43,6 +46,7 @@
   static final String SHELF = "shelf";
 
   private static final double SLOW_CLOCK = 1.02;
+  private static final int ZONES = 3;
 
   /** The upstreams' service. */
   static final String SERVICE = "desk";
@@ -90,6 +94,9 @@
   private final java.util.concurrent.atomic.AtomicInteger versions =
       new java.util.concurrent.atomic.AtomicInteger(1);
   private final java.util.Set<Integer> draining = ConcurrentHashMap.newKeySet();
+  private final ConcurrentLinkedQueue<Homes.Change> homeChanges =
+      new ConcurrentLinkedQueue<>(
+          List.of(new Homes.Change(1, Homes.NONE, Long.MIN_VALUE, Long.MIN_VALUE)));
   private final AtomicLong beats = new AtomicLong();
   private final AtomicLong calls = new AtomicLong();
   private final ScheduledExecutorService clock =
@@ -204,11 +211,27 @@
    *
    * @param idleMillis how long a connection of a client may rest
    */
-  void sendNextConfiguration(final int idleMillis) {
+  void sendNextConfiguration(final int idleMillis, final Homes homes) {
     final int version = versions.incrementAndGet();
+    final long sentAt = Clock.millis();
+    homeChanges.add(new Homes.Change(version, homes, sentAt, Long.MAX_VALUE));
     clock.execute(
-        () ->
-            control(version, "configuration.replace", Workload.configuration(version, idleMillis)));
+        () -> {
+          final String body = Workload.configuration(version, idleMillis, homes);
+          if (control(version, "configuration.replace", body).status() == 200) {
+            homeChanges.add(new Homes.Change(version, homes, sentAt, Clock.millis()));
+          }
+        });
+  }
+
+  /** The configurations that were sent; one that was acknowledged stands twice. */
+  List<Homes.Change> homeChanges() {
+    return new ArrayList<>(homeChanges);
+  }
+
+  /** The region of a stand-in upstream that is not divided by key. */
+  static String regionOf(final String instance) {
+    return Homes.region(Integer.parseInt(instance.substring(instance.indexOf('-') + 1)) % ZONES);
   }
 
   /** The first beat of a life that has ended comes from the address of a drawn upstream. */
@@ -276,15 +299,17 @@
             + "\nstation.address = "
             + address
             + "\nstation.site = zone-"
-            + index % 3
-            + "\nstation.region = home\nstation.voter = true\nstation.first-start = true\n"
+            + index % ZONES
+            + "\nstation.region = "
+            + Homes.region(index % ZONES)
+            + "\nstation.voter = true\nstation.first-start = true\n"
             + "trunk.ports = "
             + (port + 1)
             + ","
             + (port + 10)
             + "\ntrunk.seeds = "
             + seeds
-            + "\nsites = zone-0:home,zone-1:home,zone-2:home\nbeat.every-ms = "
+            + "\nsites = zone-0:home,zone-1:home,zone-2:away\nbeat.every-ms = "
             + BEAT_MILLIS
             + "\nbound.quota-window-s = 5\nbound.quota-overshoot = 0.1\n"
             + "bound.quota-tolerance = 20\nstation.link-mbps = 20\nmetrics.port = "
@@ -415,7 +440,7 @@
                 + ":"
                 + port
                 + "\",\"zone\":\"zone-"
-                + index % 3
+                + index % ZONES
                 + "\",\"version\":\"v1\",\"capacity\":64,\"state\":\""
                 + state
                 + "\",\"warmupLeftMs\":0,\"callSeq\":"
--- a/soak/src/main/java/weldpoint/soak/SoakCommand.java
+++ b/soak/src/main/java/weldpoint/soak/SoakCommand.java
@@ -111,6 +111,8 @@
         + verdict.pulled()
         + " of "
         + verdict.pulls()
+        + " homed runs "
+        + verdict.homedRuns()
         + " troubles "
         + verdict.troubles()
         + (broken.isEmpty() ? "" : "\n  " + String.join("\n  ", broken));
--- a/soak/src/main/java/weldpoint/soak/SoakRun.java
+++ b/soak/src/main/java/weldpoint/soak/SoakRun.java
@@ -24,6 +24,10 @@
   private static final long KEY_SPAN_MILLIS = 60_000;
   private static final long CONTACT_MILLIS = 4000;
   private static final long QUOTA_WINDOW_MILLIS = 5000;
+  private static final long CONFIGURATION_MILLIS = 3000;
+  private static final long BETWEEN_CHANGES_MILLIS = 1500;
+  private static final int CALM_CHANGES = 2;
+  private static final int IDLE_MILLIS = 15_000;
 
   /** The most runs of the limited tenant in a window, by the users' rule. */
   static final int ALLOWED = (int) ((Workload.RATE * 5 + Workload.BURST) * 1.1 + 20);
@@ -45,6 +49,7 @@
    * @param twoHolders checks that found two holders of one key
    * @param pulls large answers that slow clients asked for
    * @param pulled those that came whole
+   * @param homedRuns runs of the tenant with changing homes, of which was judged where they ran
    */
   record Verdict(
       long seed,
@@ -58,7 +63,8 @@
       int fetched,
       int twoHolders,
       int pulls,
-      int pulled) {}
+      int pulled,
+      int homedRuns) {}
 
   private final long seed;
   private final LocalFleet.Size size;
@@ -66,6 +72,7 @@
   private final Random random;
   private final Map<Trouble, Integer> counts = new EnumMap<>(Trouble.class);
   private final List<String> notes = new ArrayList<>();
+  private long calmSince;
 
   SoakRun(final long seed, final LocalFleet.Size size, final long troubledMillis) {
     this.seed = seed;
@@ -83,11 +90,21 @@
       workload.start(CLIENTS, seed);
       trouble(fleet);
       Thread.sleep(CALM_MILLIS);
+      changeHomes(fleet);
       workload.end();
       return judge(fleet, workload);
     }
   }
 
+  /** Changes homes in the calm, when a change must be in force within the bound. */
+  private void changeHomes(final LocalFleet fleet) throws InterruptedException {
+    calmSince = Clock.millis();
+    for (int change = 0; change < CALM_CHANGES; change++) {
+      fleet.sendNextConfiguration(IDLE_MILLIS, Homes.drawn(random));
+      Thread.sleep(CONFIGURATION_MILLIS + BETWEEN_CHANGES_MILLIS);
+    }
+  }
+
   private void trouble(final LocalFleet fleet) throws InterruptedException {
     final PriorityQueue<Lasting> lasting =
         new PriorityQueue<>(Comparator.comparingLong(Lasting::until));
@@ -137,6 +154,14 @@
             (proxy, from, to) -> fleet.proxies().get(proxy).disturbed(from, to),
             SlowReader.DEADLINE_MILLIS,
             CONTACT_MILLIS));
+    final List<Run> homed =
+        runs.stream()
+            .filter(run -> run.tenant().equals(Workload.HOMED_TENANT))
+            .filter(run -> run.startedAt() >= calmSince)
+            .toList();
+    broken.addAll(
+        Bounds.outsideHomes(
+            homed, fleet.homeChanges(), LocalFleet::regionOf, CONFIGURATION_MILLIS));
     broken.addAll(fleet.twoHolders());
     if (!fleet.twoHolders().isEmpty()) {
       fleet.registries().forEach(registry -> broken.addAll(keyCalls(registry)));
@@ -171,6 +196,7 @@
         fetched,
         fleet.twoHolders().size(),
         pulls.size(),
-        (int) pulls.stream().filter(Pull::whole).count());
+        (int) pulls.stream().filter(Pull::whole).count(),
+        homed.size());
   }
 }
--- a/soak/src/main/java/weldpoint/soak/Trouble.java
+++ b/soak/src/main/java/weldpoint/soak/Trouble.java
@@ -39,7 +39,7 @@
   HOLDER_DRAIN,
   /** All proxies are asked to end, one after the other, and started again. */
   ROLLING_RESTART,
-  /** A configuration is sent; clients' connections may rest for another time than before. */
+  /** A configuration is sent, with other idle times and other home regions. */
   CONFIGURATION,
   /** An upstream gives a share of its answers twice, at once or late. */
   SECOND_COPIES,
@@ -138,7 +138,8 @@
         yield () -> join(restarts);
       }
       case CONFIGURATION -> {
-        fleet.sendNextConfiguration(IDLE_MILLIS[random.nextInt(IDLE_MILLIS.length)]);
+        fleet.sendNextConfiguration(
+            IDLE_MILLIS[random.nextInt(IDLE_MILLIS.length)], Homes.drawn(random));
         yield () -> {};
       }
       case SECOND_COPIES -> doubled(List.of(drawn(fleet.upstreams(), random)));
--- a/soak/src/main/java/weldpoint/soak/Workload.java
+++ b/soak/src/main/java/weldpoint/soak/Workload.java
@@ -43,9 +43,15 @@
     this.fleet = fleet;
   }
 
+  /** The key of the tenant whose home regions change. */
+  static final String HOMED = "key-h";
+
+  /** The tenant whose home regions change. */
+  static final String HOMED_TENANT = "homed";
+
   /** The configuration that the workload needs. */
   static String configuration() {
-    return configuration(1, IDLE_MILLIS);
+    return configuration(1, IDLE_MILLIS, Homes.NONE);
   }
 
   /**
@@ -53,7 +59,7 @@
    *
    * @param idleMillis how long a connection of a client may rest
    */
-  static String configuration(final int version, final int idleMillis) {
+  static String configuration(final int version, final int idleMillis, final Homes homes) {
     final String action = "\"action\":{\"service\":\"desk\",\"timeoutMs\":1500,\"maxAttempts\":2}";
     return "{\"version\":\""
         + String.format("%08x", version)
@@ -66,7 +72,13 @@
         + RATE
         + ",\"burst\":"
         + BURST
-        + "},{\"name\":\"free\",\"apiKeys\":[\"key-f\"]}],\"listeners\":[{\"host\":\""
+        + "},{\"name\":\"free\",\"apiKeys\":[\"key-f\"]},{\"name\":\""
+        + HOMED_TENANT
+        + "\",\"homeRegions\":"
+        + Homes.json(homes.tenant())
+        + ",\"apiKeys\":[\""
+        + HOMED
+        + "\"]}],\"listeners\":[{\"host\":\""
         + LocalFleet.HOST
         + "\",\"rules\":[{\"name\":\"look\",\"routeKind\":\"idempotent\",\"targetLatencyMs\":300,"
         + "\"match\":{\"pathPrefix\":\""
@@ -78,6 +90,12 @@
         + LocalFleet.WRITE_PATH
         + "\"},"
         + action
+        + "},{\"name\":\"deed\",\"routeKind\":\"mutating\",\"targetLatencyMs\":300,"
+        + "\"match\":{\"pathPrefix\":\""
+        + LocalFleet.HOMED_PATH
+        + "\"},\"action\":{\"service\":\"desk\",\"homeRegions\":"
+        + Homes.json(homes.route())
+        + ",\"timeoutMs\":1500,\"maxAttempts\":3}"
         + "},{\"name\":\"shelf\",\"routeKind\":\"egress\",\"targetLatencyMs\":1000,"
         + "\"match\":{\"pathPrefix\":\""
         + LocalFleet.SHELF_PATH
@@ -101,6 +119,7 @@
       final long own = seed * 1000 + client;
       thread(() -> write(own));
       thread(() -> read(own));
+      thread(() -> deed(own));
       thread(() -> new SlowReader(fleet, own ^ 0x510, pulls, () -> over).run());
       if (fleet.size().keyHolders() > 0) {
         thread(() -> fetch(own));
@@ -158,6 +177,25 @@
     }
   }
 
+  /** Writes for the tenant whose home regions change. */
+  private void deed(final long seed) {
+    final Random random = new Random(seed ^ 0xdeed);
+    while (!over) {
+      final String attemptId = fleet.attemptId();
+      final long sentAt = Clock.millis();
+      final Reply reply =
+          fleet.request(
+              random.nextInt(fleet.size().proxies()),
+              LocalFleet.HOMED_PATH + "1",
+              attemptId,
+              "",
+              HOMED,
+              DEADLINE_MILLIS);
+      calls.add(new Call(attemptId, "", false, sentAt, reply));
+      pause(random.nextInt(READ_PAUSE_MILLIS));
+    }
+  }
+
   /** Asks for keys of the divided service, some of them much more often than others. */
   private void fetch(final long seed) {
     final Random random = new Random(seed ^ 0x5eed);
--- a/soak/src/test/java/weldpoint/soak/SoakTest.java
+++ b/soak/src/test/java/weldpoint/soak/SoakTest.java
@@ -22,6 +22,7 @@
     assertTrue(verdict.served() > verdict.calls() / 10, "something was served");
     assertTrue(verdict.fetched() > verdict.fetches() / 10, "the divided service was served");
     assertTrue(verdict.pulled() > verdict.pulls() / 10, "large answers came");
+    assertTrue(verdict.homedRuns() > 10, "homes were judged: " + verdict.homedRuns());
   }
 
   private static Run run(final String attemptId, final String key, final long at) {
@@ -87,6 +88,26 @@
     assertEquals(Bounds.doubledRequests(List.of(call("2", "", 200, "")), runs), List.of());
   }
 
+  @Test
+  public void theJudgeSeesRunsOutsideOfTheHomesInForce() {
+    final Homes near = new Homes(List.of(), List.of(Homes.NEAR));
+    final List<Homes.Change> changes =
+        List.of(
+            new Homes.Change(1, Homes.NONE, 0, 0),
+            new Homes.Change(2, near, 10_000, Long.MAX_VALUE),
+            new Homes.Change(2, near, 10_000, 10_100));
+    assertEquals(outside(changes, "i-2", 13_200).size(), 1);
+    assertEquals(outside(changes, "i-2", 13_000), List.of(), "the bound is not over");
+    assertEquals(outside(changes, "i-1", 13_200), List.of(), "in its homes");
+    assertEquals(outside(changes.subList(0, 2), "i-2", 13_200), List.of(), "not acknowledged");
+  }
+
+  private static List<String> outside(
+      final List<Homes.Change> changes, final String instance, final long at) {
+    final Run run = new Run(instance, "1", "", Workload.HOMED_TENANT, at);
+    return Bounds.outsideHomes(List.of(run), changes, LocalFleet::regionOf, 3000);
+  }
+
   @Test
   public void theJudgeCountsWindowsThatSlide() {
     final List<Run> runs =
