check spec: warns of homes that let requests be refused

A tenant's and a route's homes that exclude each other, and (where WELDPOINT_SETTINGS names a settings file) homes that hold no zone of the deployment, are valid and lead to refusals; `check spec` warned of neither. DialplanTest.homesThatLetRequestsBeRefusedAreWarnedOf.

--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -18,6 +19,7 @@
 import weldpoint.boot.Logs;
 import weldpoint.boot.Program;
 import weldpoint.dialplan.Dialplan;
+import weldpoint.dialplan.HomeWarnings;
 import weldpoint.exchange.ExchangeDaemon;
 import weldpoint.frame.FrameDaemon;
 import weldpoint.proxy.ProxyDaemon;
@@ -168,6 +170,7 @@
                   + " routes, "
                   + plan.services().size()
                   + " services");
+          HomeWarnings.of(plan, regions()).forEach(text -> System.out.println("warning: " + text));
         } else {
           throw new Breakdown(
               Breakdown.Kind.USAGE,
@@ -178,6 +181,14 @@
       }
     };
 
+    /** The regions of the deployment, if a settings file is named; none otherwise. */
+    private static Collection<String> regions() {
+      final String settings = System.getenv(Boot.VARIABLE);
+      return settings == null || settings.isEmpty()
+          ? List.of()
+          : Boot.load(Path.of(settings)).sites().values();
+    }
+
     private final String help;
 
     Command(final String help) {
--- a/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
+++ b/dialplan/src/test/java/weldpoint/dialplan/DialplanTest.java
@@ -238,4 +238,26 @@
       assertEquals(binding.service().name(), "s");
     }
   }
+
+  @Test
+  public void homesThatLetRequestsBeRefusedAreWarnedOf() {
+    final Dialplan plan =
+        followed(
+            "/x/",
+            "\"routeKind\":\"idempotent\",",
+            "\"service\":\"s\",\"homeRegions\":[\"north\"],",
+            "{\"name\":\"t\",\"homeRegions\":[\"south\"]},{\"name\":\"u\",\"homeRegions\":[\"south\"]},"
+                + "{\"name\":\"v\",\"homeRegions\":[\"north\",\"south\"]},{\"name\":\"w\"}");
+    assertEquals(
+        HomeWarnings.of(plan, List.of()),
+        List.of(
+            "tenant t (and 1 more) may be served in [south] and route r in [north]: all requests"
+                + " of the one on the other are refused"));
+    final List<String> known = HomeWarnings.of(plan, List.of("south"));
+    assertEquals(known.size(), 2, known.toString());
+    assertTrue(known.get(0).startsWith("route r may be served in [north] only"), known.toString());
+    assertEquals(
+        HomeWarnings.of(followed("/x/", "", "\"service\":\"s\",", ""), List.of("south")),
+        List.of());
+  }
 }
