Registry: the module, the package and its classes are named for what they are

exchange is registry, ExchangeCore RegistryCore, ExchangeDaemon RegistryDaemon: the field's word, which the rest of the code and the pages use. The program keeps its name on the command line, since deploy/system.toml and the scripts in review/ start it so. No change of logic; builds.

--- a/console/src/main/java/weldpoint/console/Demo.java
+++ b/console/src/main/java/weldpoint/console/Demo.java
@@ -28,9 +28,9 @@
 import java.nio.file.Path;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
-import weldpoint.exchange.ExchangeDaemon;
 import weldpoint.frame.FrameDaemon;
 import weldpoint.proxy.ProxyDaemon;
+import weldpoint.registry.RegistryDaemon;
 import weldpoint.upstream.Headers;
 
 /**
@@ -92,7 +92,7 @@
     final int trunk = 20_000 + new java.security.SecureRandom().nextInt(20_000);
     final Boot boot = boot(trunk);
     new FrameDaemon(boot).start();
-    new ExchangeDaemon(boot).start();
+    new RegistryDaemon(boot).start();
     new ProxyDaemon(boot).start();
     standIn(ports[3], 0);
     final String spec =
@@ -169,7 +169,7 @@
   int trial() throws IOException, InterruptedException {
     final Boot boot = boot(20_000 + (int) (weldpoint.boot.Chance.fresh() % 20_000));
     new FrameDaemon(boot).start();
-    new ExchangeDaemon(boot).start();
+    new RegistryDaemon(boot).start();
     new ProxyDaemon(boot).start();
     standIn(ports[3], 0);
     standIn(ports[4], 4);
@@ -290,7 +290,7 @@
   int affinity() throws IOException, InterruptedException {
     final Boot boot = boot(20_000 + (int) (weldpoint.boot.Chance.fresh() % 20_000));
     new FrameDaemon(boot).start();
-    new ExchangeDaemon(boot).start();
+    new RegistryDaemon(boot).start();
     new ProxyDaemon(boot).start();
     for (int node = 1; node <= 3; node++) {
       standIn(ports[2 + node], 0);
--- a/console/src/main/java/weldpoint/console/HistoryCommand.java
+++ b/console/src/main/java/weldpoint/console/HistoryCommand.java
@@ -9,7 +9,7 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import weldpoint.boot.Breakdown;
-import weldpoint.exchange.Calls;
+import weldpoint.registry.Calls;
 
 /**
  * weldpoint history: the changes of routing, in their order, as any replica gives them; or which
--- a/console/src/main/java/weldpoint/console/RecordCommand.java
+++ b/console/src/main/java/weldpoint/console/RecordCommand.java
@@ -14,7 +14,7 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import weldpoint.boot.Breakdown;
-import weldpoint.exchange.Reels;
+import weldpoint.registry.Reels;
 import weldpoint.replay.DayFile;
 import weldpoint.trunk.Protocol;
 import weldpoint.trunk.RegistryMessages;
--- a/console/src/main/java/weldpoint/console/StatusCommand.java
+++ b/console/src/main/java/weldpoint/console/StatusCommand.java
@@ -8,7 +8,7 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import weldpoint.boot.Breakdown;
-import weldpoint.exchange.Calls;
+import weldpoint.registry.Calls;
 
 /**
  * weldpoint status: what one exchange knows of the core, of all daemons, and of callers tied to
--- a/console/src/main/java/weldpoint/console/TrialCommand.java
+++ b/console/src/main/java/weldpoint/console/TrialCommand.java
@@ -9,7 +9,7 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import weldpoint.boot.Breakdown;
-import weldpoint.exchange.Calls;
+import weldpoint.registry.Calls;
 
 /**
  * weldpoint trial: begins, shows, moves on, holds and finishes the trial of a route's new version.
--- a/console/src/main/java/weldpoint/console/Weldpoint.java
+++ b/console/src/main/java/weldpoint/console/Weldpoint.java
@@ -20,9 +20,9 @@
 import weldpoint.boot.Program;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.dialplan.HomeWarnings;
-import weldpoint.exchange.ExchangeDaemon;
 import weldpoint.frame.FrameDaemon;
 import weldpoint.proxy.ProxyDaemon;
+import weldpoint.registry.RegistryDaemon;
 import weldpoint.scale.ScaleCommand;
 
 /** The command line. */
@@ -43,7 +43,7 @@
     EXCHANGE("runs the registry on a core machine") {
       @Override
       int run(final OptionSet options) throws IOException, InterruptedException {
-        return stay(new ExchangeDaemon(boot("exchange")));
+        return stay(new RegistryDaemon(boot("exchange")));
       }
     },
     FRAME("runs the store on a core machine") {
--- a/proxy/src/test/java/weldpoint/proxy/RegistryLinkTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/RegistryLinkTest.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 import org.testng.annotations.Test;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.exchange.Stage;
+import weldpoint.registry.Stage;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Packing;
 import weldpoint.trunk.RegistryMessages;
--- a/exchange/src/main/java/weldpoint/exchange/AssignerOutlet.java
+++ b/registry/src/main/java/weldpoint/registry/AssignerOutlet.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
--- a/exchange/src/main/java/weldpoint/exchange/Calls.java
+++ b/registry/src/main/java/weldpoint/registry/Calls.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import io.avaje.jsonb.Json;
 import io.avaje.jsonb.JsonType;
--- a/exchange/src/main/java/weldpoint/exchange/ControlDoor.java
+++ b/registry/src/main/java/weldpoint/registry/ControlDoor.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import io.avaje.jsonb.JsonType;
 import io.netty.bootstrap.ServerBootstrap;
@@ -472,7 +472,7 @@
   }
 
   private final Boot boot;
-  private final ExchangeCore core;
+  private final RegistryCore core;
   private final Executor desk;
   private final Map<String, String> regions;
   private final int controlPort;
@@ -480,13 +480,13 @@
   private volatile long awakeAt;
   private volatile long awakeBefore;
 
-  ControlDoor(final Boot boot, final ExchangeCore core, final Executor desk) {
+  ControlDoor(final Boot boot, final RegistryCore core, final Executor desk) {
     this(boot, core, desk, Clock.SYSTEM);
   }
 
   /** The door of a core that runs on this thread, with these clocks. */
   public ControlDoor(
-      final Boot boot, final ExchangeCore core, final Executor desk, final Clock clock) {
+      final Boot boot, final RegistryCore core, final Executor desk, final Clock clock) {
     this.clock = clock;
     awakeAt = clock.steadyMillis();
     awakeBefore = awakeAt;
--- a/exchange/src/main/java/weldpoint/exchange/ControlState.java
+++ b/registry/src/main/java/weldpoint/registry/ControlState.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
--- a/exchange/src/main/java/weldpoint/exchange/HistoryDesk.java
+++ b/registry/src/main/java/weldpoint/registry/HistoryDesk.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import java.nio.charset.StandardCharsets;
 import java.time.DateTimeException;
@@ -309,7 +309,7 @@
   static Calls.ReachAnswer reach(
       final Calls.HistoryAnswer found,
       final AuditEntry change,
-      final List<ExchangeCore.InForce> daemons,
+      final List<RegistryCore.InForce> daemons,
       final long wall) {
     final List<Calls.DaemonReach> list = new ArrayList<>();
     final boolean configuration = change.kind() == ChangeKind.CONFIGURATION;
@@ -318,7 +318,7 @@
             || change.kind() == ChangeKind.EVACUATION_BEGUN
             || change.kind() == ChangeKind.EVACUATION_FINISHED
             || change.kind() == ChangeKind.TRIAL;
-    for (final ExchangeCore.InForce one : daemons) {
+    for (final RegistryCore.InForce one : daemons) {
       final long held = configuration ? one.version() : one.mark();
       final long wanted = configuration ? change.version : change.mark;
       final String heard =
@@ -369,7 +369,7 @@
   /** Answers which daemons had the change of this number in force. */
   CompletableFuture<Calls.ReachAnswer> reach(
       final long sequence,
-      final List<ExchangeCore.InForce> daemons,
+      final List<RegistryCore.InForce> daemons,
       final long wall,
       final long now) {
     if (sequence < 1) {
--- a/exchange/src/main/java/weldpoint/exchange/Neighbourhoods.java
+++ b/registry/src/main/java/weldpoint/registry/Neighbourhoods.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import java.util.HashMap;
 import java.util.List;
--- a/exchange/src/main/java/weldpoint/exchange/QuorumReads.java
+++ b/registry/src/main/java/weldpoint/registry/QuorumReads.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import java.util.Arrays;
 import java.util.HashMap;
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
@@ -49,7 +49,7 @@
  * pushed at once, and the map of tokens that says which daemon keeps whose beats. It knows neither
  * threads nor clocks nor sockets.
  */
-public final class ExchangeCore {
+public final class RegistryCore {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long GOSSIP_MILLIS = 1000;
   private static final long REACH_MILLIS = 500;
@@ -128,7 +128,7 @@
   private long gossips;
 
   /** A core for these settings. */
-  public ExchangeCore(
+  public RegistryCore(
       final String self,
       final List<String> seeds,
       final boolean firstStart,
--- a/exchange/src/main/java/weldpoint/exchange/ExchangeDaemon.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoopGroup;
@@ -39,7 +39,7 @@
  * The registry as a process: it takes all outside calls, keeps the membership and tells
  * switchboards.
  */
-public final class ExchangeDaemon implements Program {
+public final class RegistryDaemon implements Program {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final int FILES = 3;
   private static final int FILE_BYTES = 1 << 19;
@@ -50,7 +50,7 @@
   private final Desk desk = new Desk("exchange");
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final Trunk trunk;
-  private final ExchangeCore core;
+  private final RegistryCore core;
   private final Lines members;
   private final Lines frames;
   private Tape tape;
@@ -60,7 +60,7 @@
   private Message sealed;
 
   /** A registry for these settings; nothing runs yet. */
-  public ExchangeDaemon(final Boot boot) {
+  public RegistryDaemon(final Boot boot) {
     this.boot = boot;
     incarnation = Chance.fresh();
     this.trunk =
@@ -110,13 +110,13 @@
                       }
                     }));
     this.core =
-        new ExchangeCore(
+        new RegistryCore(
             boot.address(),
             boot.seeds(),
             boot.firstStart(),
             boot.beatMillis(),
             new Random(incarnation),
-            new ExchangeCore.Outlet() {
+            new RegistryCore.Outlet() {
               @Override
               public boolean member(final String address, final Message message) {
                 return members.send(address, message);
@@ -161,7 +161,7 @@
             });
   }
 
-  private ExchangeCore core() {
+  private RegistryCore core() {
     return core;
   }
 
--- a/exchange/src/main/java/weldpoint/exchange/Remembered.java
+++ b/registry/src/main/java/weldpoint/registry/Remembered.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import java.util.List;
 import weldpoint.trunk.KeyMessages.Claim;
--- a/exchange/src/main/java/weldpoint/exchange/Switchboards.java
+++ b/registry/src/main/java/weldpoint/registry/Switchboards.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import java.util.ArrayList;
 import java.util.Collection;
--- a/exchange/src/test/java/weldpoint/exchange/ControlDoorFuzzTest.java
+++ b/registry/src/test/java/weldpoint/registry/ControlDoorFuzzTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -94,7 +94,7 @@
   /** Stands still while the thread does, so that a busy machine does not look like a standstill. */
   private final AtomicLong clock = new AtomicLong(1000);
 
-  private ExchangeCore core;
+  private RegistryCore core;
   private int port;
 
   @BeforeClass
@@ -103,13 +103,13 @@
       port = socket.getLocalPort();
     }
     core =
-        new ExchangeCore(
+        new RegistryCore(
             "127.0.0.1",
             List.of("127.0.0.1"),
             true,
             1500,
             new Random(1),
-            new ExchangeCore.Outlet() {
+            new RegistryCore.Outlet() {
               @Override
               public boolean member(final String address, final Message message) {
                 return false;
--- a/exchange/src/test/java/weldpoint/exchange/ControlDoorTest.java
+++ b/registry/src/test/java/weldpoint/registry/ControlDoorTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -38,14 +38,14 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
-    final ExchangeCore core =
-        new ExchangeCore(
+    final RegistryCore core =
+        new RegistryCore(
             "127.0.0.1",
             List.of("127.0.0.1"),
             true,
             1500,
             new Random(1),
-            new ExchangeCore.Outlet() {
+            new RegistryCore.Outlet() {
               @Override
               public boolean member(final String address, final Message message) {
                 return false;
--- a/exchange/src/test/java/weldpoint/exchange/CoreNet.java
+++ b/registry/src/test/java/weldpoint/registry/CoreNet.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -37,7 +37,7 @@
     final Set<String> open = new HashSet<>();
     final Map<String, Long> silentSince = new HashMap<>();
     final List<Runnable> heldUp = new ArrayList<>();
-    ExchangeCore core;
+    RegistryCore core;
     long life;
     boolean frozen;
 
@@ -51,13 +51,13 @@
       told.clear();
       heldUp.clear();
       core =
-          new ExchangeCore(
+          new RegistryCore(
               address,
               seeds,
               first,
               1500,
               new Random(address.hashCode() + life),
-              new ExchangeCore.Outlet() {
+              new RegistryCore.Outlet() {
                 @Override
                 public boolean member(final String to, final Message message) {
                   if (!open.contains(to)) {
--- a/exchange/src/test/java/weldpoint/exchange/CutOffDoorTest.java
+++ b/registry/src/test/java/weldpoint/registry/CutOffDoorTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -55,7 +55,7 @@
       };
 
   private EventLoopGroup loop;
-  private ExchangeCore core;
+  private RegistryCore core;
   private int port;
   private final List<StoreCallMessages.Call> calls = new ArrayList<>();
   private Function<StoreCallMessages.Call, StoreCallMessages.Answer> frames;
@@ -69,13 +69,13 @@
       port = socket.getLocalPort();
     }
     core =
-        new ExchangeCore(
+        new RegistryCore(
             "127.0.0.1",
             VOTERS,
             false,
             1500,
             new Random(1),
-            new ExchangeCore.Outlet() {
+            new RegistryCore.Outlet() {
               @Override
               public boolean member(final String address, final Message message) {
                 return false;
--- a/exchange/src/test/java/weldpoint/exchange/CutOffTest.java
+++ b/registry/src/test/java/weldpoint/registry/CutOffTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
--- a/exchange/src/test/java/weldpoint/exchange/LargeFleetTest.java
+++ b/registry/src/test/java/weldpoint/registry/LargeFleetTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
@@ -34,15 +34,15 @@
     final Map<String, List<Message>> members = new HashMap<>();
     long now = 100_000;
 
-    ExchangeCore exchange(final String self, final int upstreams) {
-      final ExchangeCore core =
-          new ExchangeCore(
+    RegistryCore exchange(final String self, final int upstreams) {
+      final RegistryCore core =
+          new RegistryCore(
               self,
               List.of("10.0.0.1", "10.0.0.2"),
               false,
               1500,
               new Random(1),
-              new ExchangeCore.Outlet() {
+              new RegistryCore.Outlet() {
                 @Override
                 public boolean member(final String to, final Message message) {
                   members.computeIfAbsent(to, key -> new ArrayList<>()).add(message);
@@ -123,7 +123,7 @@
   @Test
   public void aFleetThatReturnsAtOnceCostsOneEncodingAndLittleEach() {
     final Told told = new Told();
-    final ExchangeCore core = told.exchange("10.0.0.1", UPSTREAMS);
+    final RegistryCore core = told.exchange("10.0.0.1", UPSTREAMS);
     for (int index = 0; index < BOARDS; index++) {
       core.boardState("stream-" + index, board(index), null, told.now);
     }
@@ -142,7 +142,7 @@
   @Test
   public void whoReturnsWithWhatItHadIsToldOnlyWhatDiffers() {
     final Told told = new Told();
-    final ExchangeCore core = told.exchange("10.0.0.1", UPSTREAMS);
+    final RegistryCore core = told.exchange("10.0.0.1", UPSTREAMS);
     final List<Registration> had = upstreams(UPSTREAMS);
     long bytes = 0;
     for (int index = 0; index < BOARDS; index++) {
@@ -178,7 +178,7 @@
 
   private static void meet(
       final Told[] told,
-      final ExchangeCore[] cores,
+      final RegistryCore[] cores,
       final int from,
       final Message message,
       final long[] bytes) {
@@ -190,7 +190,7 @@
         told[0].now);
   }
 
-  private static Message gossip(final Told told, final ExchangeCore core, final String to) {
+  private static Message gossip(final Told told, final RegistryCore core, final String to) {
     told.members.clear();
     told.now += 1000;
     core.tick(told.now);
@@ -203,7 +203,7 @@
   @Test
   public void exchangesThatAgreeSpendFewBytesAndThoseThatDifferMeetOnce() {
     final Told[] told = {new Told(), new Told()};
-    final ExchangeCore[] cores = {
+    final RegistryCore[] cores = {
       told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", UPSTREAMS)
     };
     for (int index = 0; index < 100; index++) {
@@ -215,14 +215,14 @@
     meet(told, cores, 0, gossip(told[0], cores[0], "10.0.0.2"), calm);
     assertTrue(
         calm[0] < 2L * (UPSTREAMS + 2 * 100 + 200), calm[0] + " bytes while nothing differs");
-    final ExchangeCore[] wiped = {
+    final RegistryCore[] wiped = {
       told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", 0)
     };
     final long[] refill = new long[1];
     meet(told, wiped, 1, gossip(told[1], wiped[1], "10.0.0.1"), refill);
     assertEquals(wiped[1].history().size(), UPSTREAMS);
     assertTrue(wiped[1].informed(told[1].now) || wiped[1].history().size() == UPSTREAMS);
-    final ExchangeCore[] apart = {
+    final RegistryCore[] apart = {
       told[0].exchange("10.0.0.1", UPSTREAMS), told[1].exchange("10.0.0.2", UPSTREAMS - 2)
     };
     final long[] few = new long[1];
@@ -234,7 +234,7 @@
   @Test
   public void agesAreNotMadeYoungerByTellingThemOn() {
     final Told[] told = {new Told(), new Told()};
-    final ExchangeCore[] cores = {told[0].exchange("10.0.0.1", 4), told[1].exchange("10.0.0.2", 4)};
+    final RegistryCore[] cores = {told[0].exchange("10.0.0.1", 4), told[1].exchange("10.0.0.2", 4)};
     final long silentSince = told[0].now;
     for (int round = 0; round < 12; round++) {
       told[1].now = told[0].now;
@@ -246,7 +246,7 @@
           new long[1]);
       told[0].now = Math.max(told[0].now, told[1].now);
     }
-    for (final ExchangeCore core : cores) {
+    for (final RegistryCore core : cores) {
       core.tick(told[0].now + 600);
     }
     assertTrue(told[0].now - silentSince > 10_000);
@@ -262,7 +262,7 @@
   @Test
   public void neighboursAreToldToTheirZoneOnceAndWhenTheyChange() {
     final Told told = new Told();
-    final ExchangeCore core = told.exchange("10.0.0.1", 10);
+    final RegistryCore core = told.exchange("10.0.0.1", 10);
     for (int index = 0; index < 24; index++) {
       core.boardState("stream-" + index, board(index), null, told.now);
     }
@@ -308,7 +308,7 @@
   @Test
   public void theStatusNamesWhoIsThereAndThatNoMajorityWasHeardOf() {
     final Told told = new Told();
-    final ExchangeCore core = told.exchange("10.0.0.1", 3);
+    final RegistryCore core = told.exchange("10.0.0.1", 3);
     core.boardState("s", board(1), null, told.now);
     final Calls.StatusAnswer status = core.status(told.now + 500);
     assertEquals(status.settled(), false);
--- a/exchange/src/test/java/weldpoint/exchange/ExchangeCoreTest.java
+++ b/registry/src/test/java/weldpoint/registry/RegistryCoreTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -19,11 +19,11 @@
 import weldpoint.trunk.Wire;
 
 /** Three exchanges that talk directly, on a fake clock, with disks that sync when told. */
-public final class ExchangeCoreTest {
+public final class RegistryCoreTest {
   private static final List<String> SEEDS = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
 
   private static final class Net {
-    final Map<String, ExchangeCore> cores = new LinkedHashMap<>();
+    final Map<String, RegistryCore> cores = new LinkedHashMap<>();
     final Map<String, List<Runnable>> syncs = new HashMap<>();
     final List<Runnable> queue = new ArrayList<>();
     final List<String> down = new ArrayList<>();
@@ -34,13 +34,13 @@
         syncs.put(address, new ArrayList<>());
         cores.put(
             address,
-            new ExchangeCore(
+            new RegistryCore(
                 address,
                 SEEDS,
                 true,
                 1500,
                 new Random(address.hashCode()),
-                new ExchangeCore.Outlet() {
+                new RegistryCore.Outlet() {
                   @Override
                   public boolean member(final String to, final Message message) {
                     if (down.contains(to) || down.contains(address) || !cores.containsKey(to)) {
@@ -136,7 +136,7 @@
   @Test
   public void drainIsAcknowledgedOnlyOnceAMajorityOfDisksHasIt() {
     final Net net = new Net();
-    final ExchangeCore first = net.cores.get(SEEDS.get(0));
+    final RegistryCore first = net.cores.get(SEEDS.get(0));
     first.beat(beat("i", "10.9.0.1:80", Stage.JOINED, 1), net.now);
     net.pass(200);
     final CompletableFuture<Void> done =
@@ -178,7 +178,7 @@
   }
 
   private static void everywhere(final Net net, final String id, final Stage stage) {
-    for (final ExchangeCore core : net.cores.values()) {
+    for (final RegistryCore core : net.cores.values()) {
       assertEquals(Stage.of(core.history().get(id)), stage, id);
     }
   }
@@ -186,7 +186,7 @@
   @Test
   public void aNewLifeAtTheAddressOfOneThatDrainsEndsItForGood() {
     final Net net = new Net();
-    final ExchangeCore core = net.cores.get(SEEDS.get(0));
+    final RegistryCore core = net.cores.get(SEEDS.get(0));
     core.beat(beat("old", "10.9.0.1:80", Stage.JOINED, 1), net.now);
     core.beat(beat("old", "10.9.0.1:80", Stage.DRAINING, 2), net.now);
     core.beat(beat("new", "10.9.0.1:80", Stage.JOINED, 1), net.now);
@@ -206,14 +206,14 @@
       final Net net = new Net();
       long sequence = 0;
       for (int beats = 0; beats < 3; beats++) {
-        final ExchangeCore core = net.cores.get(SEEDS.get(beats));
+        final RegistryCore core = net.cores.get(SEEDS.get(beats));
         core.beat(beat("sound", "10.9.0.1:80", Stage.JOINED, ++sequence), net.now);
         net.pass(1500);
       }
       net.cores.get(SEEDS.get(late)).beat(beat("late", "10.9.0.1:80", Stage.JOINED, 1), net.now);
       net.pass(1500);
       for (int beats = 0; beats < 4; beats++) {
-        final ExchangeCore core = net.cores.get(SEEDS.get(beats % 3));
+        final RegistryCore core = net.cores.get(SEEDS.get(beats % 3));
         core.beat(beat("sound", "10.9.0.1:80", Stage.JOINED, ++sequence), net.now);
         net.pass(300);
         everywhere(net, "sound", Stage.JOINED);
@@ -234,7 +234,7 @@
     net.cores.get(SEEDS.get(2)).beat(beat("old", "10.9.0.1:80", Stage.JOINED, 5), net.now);
     for (int beats = 0; beats < 4; beats++) {
       net.pass(1200);
-      final ExchangeCore core = net.cores.get(SEEDS.get(beats % 3));
+      final RegistryCore core = net.cores.get(SEEDS.get(beats % 3));
       core.beat(beat("new", "10.9.0.1:80", Stage.JOINED, ++sequence), net.now);
       net.pass(300);
       everywhere(net, "new", Stage.JOINED);
@@ -257,7 +257,7 @@
   @Test
   public void anAcknowledgedConfigurationIsKeptByAMajorityOfExchangesAndNeverGoesBack() {
     final Net net = new Net();
-    final ExchangeCore first = net.cores.get(SEEDS.get(0));
+    final RegistryCore first = net.cores.get(SEEDS.get(0));
     final CompletableFuture<Void> done = first.spread(7, new byte[] {1}, net.now);
     net.talk();
     net.sync(SEEDS.get(0));
@@ -268,16 +268,16 @@
     assertTrue(done.isDone());
     net.cores.get(SEEDS.get(1)).spread(6, new byte[] {2}, net.now);
     net.pass(300);
-    for (final ExchangeCore core : net.cores.values()) {
+    for (final RegistryCore core : net.cores.values()) {
       assertTrue(core.counters().endsWith("spec 7"), core.counters());
-      final ExchangeCore again =
-          new ExchangeCore(
+      final RegistryCore again =
+          new RegistryCore(
               "10.0.0.9",
               SEEDS,
               false,
               1500,
               new Random(1),
-              new ExchangeCore.Outlet() {
+              new RegistryCore.Outlet() {
                 @Override
                 public boolean member(final String to, final Message message) {
                   return false;
@@ -307,7 +307,7 @@
   @Test
   public void aStaleBeatChangesNothing() {
     final Net net = new Net();
-    final ExchangeCore core = net.cores.get(SEEDS.get(0));
+    final RegistryCore core = net.cores.get(SEEDS.get(0));
     core.beat(beat("i", "10.9.0.1:80", Stage.JOINED, 7), net.now);
     assertTrue(core.beat(beat("i", "10.9.0.2:80", Stage.JOINED, 3), net.now).isDone());
     assertEquals(core.history().get("i").address, "10.9.0.1:80");
--- a/exchange/src/test/java/weldpoint/exchange/StandstillTest.java
+++ b/registry/src/test/java/weldpoint/registry/StandstillTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 
@@ -23,7 +23,7 @@
   private long now;
   private int storeCalls;
   private List<Integer> statuses;
-  private ExchangeCore core;
+  private RegistryCore core;
   private ControlDoor door;
 
   @BeforeMethod
@@ -32,13 +32,13 @@
     storeCalls = 0;
     statuses = new ArrayList<>();
     core =
-        new ExchangeCore(
+        new RegistryCore(
             "127.0.0.1",
             List.of("127.0.0.1"),
             true,
             1500,
             new Random(1),
-            new ExchangeCore.Outlet() {
+            new RegistryCore.Outlet() {
               @Override
               public boolean member(final String address, final Message message) {
                 return false;
--- a/exchange/src/test/java/weldpoint/exchange/TakenVersionTest.java
+++ b/registry/src/test/java/weldpoint/registry/TakenVersionTest.java
@@ -1,4 +1,4 @@
-package weldpoint.exchange;
+package weldpoint.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -36,7 +36,7 @@
 
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final List<StoreCallMessages.Call> calls = new ArrayList<>();
-  private ExchangeCore core;
+  private RegistryCore core;
   private ControlDoor door;
   private StoreCallMessages.Answer next;
   private int port;
@@ -47,13 +47,13 @@
       port = socket.getLocalPort();
     }
     core =
-        new ExchangeCore(
+        new RegistryCore(
             "127.0.0.1",
             List.of("127.0.0.1"),
             true,
             1500,
             new Random(1),
-            new ExchangeCore.Outlet() {
+            new RegistryCore.Outlet() {
               @Override
               public boolean member(final String address, final Message message) {
                 return false;
--- a/rig/src/main/java/weldpoint/rig/ControlFleet.java
+++ b/rig/src/main/java/weldpoint/rig/ControlFleet.java
@@ -17,10 +17,10 @@
 import java.util.function.Consumer;
 import weldpoint.boot.Boot;
 import weldpoint.dialplan.Dialplan;
-import weldpoint.exchange.ControlDoor;
-import weldpoint.exchange.ExchangeCore;
 import weldpoint.frame.FrameCore;
 import weldpoint.proxy.RegistryLink;
+import weldpoint.registry.ControlDoor;
+import weldpoint.registry.RegistryCore;
 import weldpoint.trunk.Message;
 import weldpoint.trunk.Protocol;
 import weldpoint.trunk.RegistryMessages;
@@ -159,7 +159,7 @@
     }
 
     /** The exchange of the moment; null while there is none. */
-    public ExchangeCore exchange() {
+    public RegistryCore exchange() {
       return life == null ? null : life.exchange;
     }
 
@@ -192,7 +192,7 @@
     private long busyUntil;
     private boolean draining;
     private FrameCore frame;
-    private ExchangeCore exchange;
+    private RegistryCore exchange;
     private ControlDoor door;
     private RegistryLink link;
     private FakeDisk.Writer frameWriter;
@@ -699,13 +699,13 @@
             };
     final List<byte[]> found = machine.exchangeRecords.lasting();
     life.exchange =
-        new ExchangeCore(
+        new RegistryCore(
             machine.address,
             machine.seeds,
             first && found.isEmpty(),
             BEAT_MILLIS,
             new Random(random.nextLong()),
-            new ExchangeCore.Outlet() {
+            new RegistryCore.Outlet() {
               @Override
               public boolean member(final String address, final Message message) {
                 return life.members.send(address, message);
