Registry: the calls of the control interface, and trials, stand alone

Logic moved, not changed: RegistryCoreTest, the door's and cut-off tests and the trials' (100 tests) pass.

--- a/registry/src/main/java/weldpoint/registry/ControlDoor.java
+++ b/registry/src/main/java/weldpoint/registry/ControlDoor.java
@@ -34,17 +34,12 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import weldpoint.audit.Authors;
-import weldpoint.audit.CanonicalJson;
-import weldpoint.audit.ConfigurationSummary;
 import weldpoint.boot.Boot;
 import weldpoint.boot.Breakdown;
-import weldpoint.dialplan.Dialplan;
-import weldpoint.dialplan.SpecDocument;
 import weldpoint.frame.Deed;
 import weldpoint.frame.Values;
 import weldpoint.trial.Count;
 import weldpoint.trial.Verdict;
-import weldpoint.trunk.Packing;
 import weldpoint.trunk.Protocol;
 import weldpoint.trunk.RegistryMessages;
 import weldpoint.trunk.StoreCallMessages;
@@ -57,7 +52,7 @@
  */
 public final class ControlDoor {
   private static final int MOST_BYTES = 16 << 20;
-  private static final long CALL_MILLIS = 900;
+  static final long CALL_MILLIS = 900;
   private static final long STANDSTILL_MILLIS = 150;
   private static final int MOST_ADDRESSES = 64;
   private static final int MOST_PURGED = 4096;
@@ -95,382 +90,6 @@
     void answer(int status, byte[] body, String location);
   }
 
-  /** An answer: a status, a JSON body, and for a redirect where to. */
-  private record Reply(int status, byte[] body, String location) {
-    static final Reply EMPTY = new Reply(200, "{}".getBytes(StandardCharsets.UTF_8));
-
-    Reply(final int status, final byte[] body) {
-      this(status, body, null);
-    }
-
-    static <T> Reply of(final int status, final JsonType<T> type, final T value) {
-      return new Reply(status, type.toJson(value).getBytes(StandardCharsets.UTF_8));
-    }
-
-    static Reply problem(final int status, final String message) {
-      return of(status, Calls.PROBLEM, new Calls.Problem(message, null));
-    }
-
-    static Reply problem(final int status, final Breakdown breakdown) {
-      return of(
-          status,
-          Calls.PROBLEM,
-          new Calls.Problem(breakdown.getMessage(), breakdown.kind().name()));
-    }
-  }
-
-  /** Who is behind a call: the author it names, and the address it came from. */
-  private record Origin(String author, String caller) {}
-
-  /** What becomes of a call where this daemon knows itself to be cut off from a majority. */
-  private enum CutOff {
-    /** It is not run, and gets no clear answer. */
-    NOT_RUN,
-    /** It is run for what it tells, which binds nobody, but gets no clear answer. */
-    RUN_UNANSWERED,
-    /** It is answered: the answer itself says how much is known. */
-    ANSWERED
-  }
-
-  /** One decoded call. */
-  private interface Command {
-    CompletableFuture<Reply> run(long now, BooleanSupplier waits);
-
-    default CutOff cutOff() {
-      return CutOff.NOT_RUN;
-    }
-  }
-
-  /** A call with another fate where this daemon is cut off. */
-  private record Fated(Command command, CutOff cutOff) implements Command {
-    @Override
-    public CompletableFuture<Reply> run(final long now, final BooleanSupplier waits) {
-      return command.run(now, waits);
-    }
-  }
-
-  /** The calls of the control interface, by their names on the wire. */
-  private enum Rpc {
-    BEAT("instances.heartbeat", CutOff.RUN_UNANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.beat(id, read(Calls.BEAT, body));
-      }
-    },
-    DEREGISTER("instances.deregister") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            door.core
-                .deregister(named(id), door.clock.dayMillis(), now)
-                .thenApply(done -> Reply.EMPTY);
-      }
-    },
-    SPEC_REPLACE("configuration.replace") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> {
-          final SpecDocument document = Dialplan.read(body);
-          final Dialplan plan = Dialplan.compile(document);
-          final byte[] packed = Packing.deflate(body);
-          final StoreCallMessages.Cause cause =
-              door.core.cause(
-                  origin.author,
-                  origin.caller,
-                  Packing.deflate(Wire.bytes(ConfigurationSummary.of(document, body))));
-          final boolean tied = plan.all().stream().anyMatch(route -> route.affinity != null);
-          return door.core
-              .replace(
-                  plan.version(), tied, packed, CanonicalJson.digest(body), cause, CALL_MILLIS, now)
-              .thenApply(ControlDoor::notTaken)
-              .thenCompose(
-                  answer ->
-                      answer.status != 200
-                          ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
-                          : door.core
-                              .spread(
-                                  plan.version(),
-                                  answer.first == plan.version() ? packed : null,
-                                  now)
-                              .thenApply(done -> Reply.EMPTY));
-        };
-      }
-    },
-    SPEC_READ("configuration.read") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            door.core
-                .call(Deed.SPEC_READ, "", null, 0, 0, null, CALL_MILLIS, now)
-                .thenApply(
-                    answer ->
-                        answer.status == 200
-                            ? new Reply(200, Packing.inflate(answer.body))
-                            : status(
-                                answer,
-                                Reply.problem(
-                                    answer.status,
-                                    "no configuration has been taken yet; send one")));
-      }
-    },
-    EVACUATION_BEGIN("evacuation.begin") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.evacuate(named(id), 1, origin);
-      }
-    },
-    EVACUATION_FINISH("evacuation.finish") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.evacuate(named(id), 0, origin);
-      }
-    },
-    TRIAL_BEGIN("trial.begin") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        final Calls.TrialOrder order = read(Calls.TRIAL_ORDER, body);
-        return (now, waits) ->
-            door.core
-                .beginTrial(
-                    named(id), order, door.core.cause(origin.author, origin.caller, null), now)
-                .thenApply(door::trial);
-      }
-    },
-    TRIAL_ADVANCE("trial.advance") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            door.core
-                .advanceTrial(named(id), door.core.cause(origin.author, origin.caller, null), now)
-                .thenApply(door::trial);
-      }
-    },
-    TRIAL_HOLD("trial.hold") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        final String reason = body.length == 0 ? null : read(Calls.TRIAL_ORDER, body).reason();
-        return (now, waits) ->
-            door.core
-                .holdTrial(
-                    named(id),
-                    reason == null ? "held by an operator" : reason,
-                    door.core.cause(origin.author, origin.caller, null),
-                    now)
-                .thenApply(door::trial);
-      }
-    },
-    TRIAL_FINISH("trial.finish") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            door.core
-                .finishTrial(named(id), door.core.cause(origin.author, origin.caller, null), now)
-                .thenApply(door::trial);
-      }
-    },
-    TRIAL_STATUS("trial.status") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) -> {
-          named(id);
-          return door.core
-              .refresh(now)
-              .thenApply(
-                  done -> {
-                    for (final TrialMessages.Trial trial : door.core.panel().trials()) {
-                      if (trial.route.equals(id)) {
-                        return door.trial(trial);
-                      }
-                    }
-                    throw new Breakdown(
-                        Breakdown.Kind.UNKNOWN_CALL,
-                        "no trial is known on route " + id + "; begin one");
-                  });
-        };
-      }
-    },
-    HISTORY_READ("history.read", CutOff.ANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        final Calls.HistoryQuery query =
-            body.length == 0
-                ? new Calls.HistoryQuery(null, null, null, null, null, null, null)
-                : read(Calls.HISTORY_QUERY, body);
-        return (now, waits) ->
-            door.core
-                .audit()
-                .read(query, door.clock.dayMillis(), now)
-                .thenApply(answer -> Reply.of(200, Calls.HISTORY, answer));
-      }
-    },
-    STATUS_READ("status.read", CutOff.ANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            CompletableFuture.completedFuture(Reply.of(200, Calls.STATUS, door.core.status(now)));
-      }
-    },
-    HISTORY_REACH("history.reach", CutOff.ANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        final long sequence = number("of", named(id));
-        return (now, waits) ->
-            door.core
-                .audit()
-                .reach(sequence, door.core.inForce(now), door.clock.dayMillis(), now)
-                .thenApply(answer -> Reply.of(200, Calls.REACH, answer));
-      }
-    },
-    RECORD_BEGIN("record.begin", CutOff.ANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.record(true);
-      }
-    },
-    RECORD_END("record.end", CutOff.ANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.record(false);
-      }
-    },
-    RECORD_STATUS("record.status", CutOff.ANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            CompletableFuture.completedFuture(
-                Reply.of(200, Calls.STATE, new Calls.State(door.core.recording())));
-      }
-    },
-    RECORD_DRAIN("record.drain", CutOff.ANSWERED) {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            CompletableFuture.completedFuture(new Reply(200, Wire.bytes(door.core.drain(now))));
-      }
-    },
-    LOCK_BEGIN("locks.begin") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.lock(Deed.LOCK_BEGIN, named(id), read(Calls.GRIP, body));
-      }
-    },
-    LOCK_HEARTBEAT("locks.heartbeat") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.lock(Deed.LOCK_HEARTBEAT, named(id), read(Calls.GRIP, body));
-      }
-    },
-    LOCK_FINISH("locks.finish") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return door.finish(named(id), read(Calls.GRIP, body));
-      }
-    },
-    CELL_REPLACE("cells.replace") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        final Calls.CellPut put = read(Calls.CELL_PUT, body);
-        if (put.value() == null) {
-          throw new Breakdown(
-              Breakdown.Kind.UNREADABLE, "a put lacks its value; send value as a string");
-        }
-        return (now, waits) ->
-            door.core
-                .call(
-                    Deed.CELL_REPLACE,
-                    group(named(id)),
-                    put.value(),
-                    put.enabled() == null ? -1 : put.enabled(),
-                    0,
-                    id.getBytes(StandardCharsets.UTF_8),
-                    CALL_MILLIS,
-                    now)
-                .thenApply(
-                    answer ->
-                        status(
-                            answer,
-                            Reply.of(
-                                answer.status, Calls.REVISION, new Calls.Revision(answer.first))));
-      }
-    },
-    CELL_READ("cells.read") {
-      @Override
-      Command decode(
-          final ControlDoor door, final String id, final byte[] body, final Origin origin) {
-        return (now, waits) ->
-            door.core
-                .call(
-                    Deed.CELL_READ,
-                    group(named(id)),
-                    null,
-                    0,
-                    0,
-                    id.getBytes(StandardCharsets.UTF_8),
-                    CALL_MILLIS,
-                    now)
-                .thenApply(
-                    answer ->
-                        answer.status == 200
-                            ? Reply.of(
-                                200,
-                                Calls.CELL,
-                                new Calls.CellAnswer(
-                                    new String(answer.body, StandardCharsets.UTF_8), answer.first))
-                            : status(
-                                answer,
-                                Reply.problem(
-                                    answer.status, "the key holds nothing; put a value first")));
-      }
-    };
-
-    private final String wire;
-    private final CutOff cutOff;
-
-    Rpc(final String wire) {
-      this(wire, CutOff.NOT_RUN);
-    }
-
-    Rpc(final String wire, final CutOff cutOff) {
-      this.wire = wire;
-      this.cutOff = cutOff;
-    }
-
-    static Rpc of(final String wire) {
-      for (final Rpc rpc : values()) {
-        if (rpc.wire.equals(wire)) {
-          return rpc;
-        }
-      }
-      throw new Breakdown(
-          Breakdown.Kind.UNKNOWN_CALL,
-          "the call '" + wire + "' is unknown; see the protocol page for the calls there are");
-    }
-
-    abstract Command decode(ControlDoor door, String id, byte[] body, Origin origin);
-  }
-
   private final Boot boot;
   private final RegistryCore core;
   private final Executor desk;
@@ -497,6 +116,14 @@
     this.controlPort = boot.requiredAddress("listen.control").port();
   }
 
+  RegistryCore core() {
+    return core;
+  }
+
+  Clock clock() {
+    return clock;
+  }
+
   void serve(final EventLoopGroup loop, final Boot.Address address) throws InterruptedException {
     new ServerBootstrap()
         .group(loop)
@@ -589,13 +216,15 @@
       busy = true;
       if (request.decoderResult().isFailure()) {
         settle(
-            context, Reply.problem(400, "the request cannot be read; send proper HTTP/1.1"), false);
+            context,
+            ControlReply.problem(400, "the request cannot be read; send proper HTTP/1.1"),
+            false);
         return;
       }
       if (clock.steadyMillis() - since >= CALL_MILLIS) {
         settle(
             context,
-            Reply.problem(
+            ControlReply.problem(
                 504,
                 "the call waited too long behind the one before it; send it again on a connection of its own"),
             keep);
@@ -612,7 +241,7 @@
 
             @Override
             public void answer(final int status, final byte[] body, final String location) {
-              final Reply reply = new Reply(status, body, location);
+              final ControlReply reply = new ControlReply(status, body, location);
               if (context.executor().inEventLoop()) {
                 settle(context, reply, keep);
               } else {
@@ -623,7 +252,7 @@
     }
 
     private void settle(
-        final ChannelHandlerContext context, final Reply reply, final boolean keep) {
+        final ChannelHandlerContext context, final ControlReply reply, final boolean keep) {
       write(context, reply, keep);
       busy = !keep;
       drain(context);
@@ -664,16 +293,16 @@
    * once where the call cannot be read.
    */
   public void call(final FullHttpRequest request, final String address, final Caller caller) {
-    final Command command;
+    final ControlCommand command;
     try {
       command = decode(request, address);
     } catch (final Breakdown breakdown) {
-      answer(caller, Reply.problem(Math.max(400, breakdown.kind().status()), breakdown));
+      answer(caller, ControlReply.problem(Math.max(400, breakdown.kind().status()), breakdown));
       return;
     } catch (final RuntimeException | StackOverflowError problem) {
       answer(
           caller,
-          Reply.problem(
+          ControlReply.problem(
               400,
               "the call cannot be read ("
                   + problem.getClass().getSimpleName()
@@ -685,8 +314,8 @@
     desk.execute(() -> run(command, uri, receivedAt, caller));
   }
 
-  private static void answer(final Caller caller, final Reply reply) {
-    caller.answer(reply.status, reply.body, reply.location);
+  private static void answer(final Caller caller, final ControlReply reply) {
+    caller.answer(reply.status(), reply.body(), reply.location());
   }
 
   /**
@@ -694,14 +323,14 @@
    * not take effect after what came later.
    */
   private void run(
-      final Command command, final String uri, final long receivedAt, final Caller caller) {
+      final ControlCommand command, final String uri, final long receivedAt, final Caller caller) {
     final long now = clock.steadyMillis();
-    final boolean cutOff = command.cutOff() != CutOff.ANSWERED && core.cutOff(now);
-    if (cutOff && command.cutOff() == CutOff.NOT_RUN) {
+    final boolean cutOff = command.cutOff() != ControlCommand.CutOff.ANSWERED && core.cutOff(now);
+    if (cutOff && command.cutOff() == ControlCommand.CutOff.NOT_RUN) {
       answer(caller, unclear(uri, now));
       return;
     }
-    CompletableFuture<Reply> future;
+    CompletableFuture<ControlReply> future;
     try {
       if (now - receivedAt >= CALL_MILLIS) {
         throw new Breakdown(
@@ -726,13 +355,14 @@
                         problem instanceof CompletionException ? problem.getCause() : problem)));
   }
 
-  private static Reply failure(final Throwable cause) {
+  private static ControlReply failure(final Throwable cause) {
     if (cause instanceof Breakdown) {
-      return Reply.problem(((Breakdown) cause).kind().status(), (Breakdown) cause);
+      return ControlReply.problem(((Breakdown) cause).kind().status(), (Breakdown) cause);
     }
     return cause instanceof StackOverflowError
-        ? Reply.problem(400, "the body is nested too deeply; send it as the protocol page has it")
-        : Reply.problem(500, "internal failure: " + cause + "; send the call again");
+        ? ControlReply.problem(
+            400, "the body is nested too deeply; send it as the protocol page has it")
+        : ControlReply.problem(500, "internal failure: " + cause + "; send the call again");
   }
 
   /**
@@ -740,7 +370,7 @@
    * of silence. A call is sent on once at most, and only to a daemon that told lately that it hears
    * a majority.
    */
-  private Reply unclear(final String uri, final long now) {
+  private ControlReply unclear(final String uri, final long now) {
     final QueryStringDecoder query = new QueryStringDecoder(uri);
     final String other =
         uri.startsWith("/")
@@ -749,13 +379,14 @@
             ? core.authority(now)
             : null;
     if (other == null) {
-      return Reply.problem(
+      return ControlReply.problem(
           504,
           "this daemon is cut off from the majority and does not know the answer; ask another daemon");
     }
-    return new Reply(
+    return new ControlReply(
         307,
-        Reply.problem(307, "this daemon is cut off from the majority; ask the one named").body,
+        ControlReply.problem(307, "this daemon is cut off from the majority; ask the one named")
+            .body(),
         "http://"
             + other
             + ":"
@@ -767,18 +398,18 @@
   }
 
   private static void write(
-      final ChannelHandlerContext context, final Reply reply, final boolean keep) {
+      final ChannelHandlerContext context, final ControlReply reply, final boolean keep) {
     final FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(reply.status),
-            Unpooled.wrappedBuffer(reply.body));
+            HttpResponseStatus.valueOf(reply.status()),
+            Unpooled.wrappedBuffer(reply.body()));
     response
         .headers()
         .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        .set(HttpHeaderNames.CONTENT_LENGTH, reply.body.length);
-    if (reply.location != null) {
-      response.headers().set(HttpHeaderNames.LOCATION, reply.location);
+        .set(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+    if (reply.location() != null) {
+      response.headers().set(HttpHeaderNames.LOCATION, reply.location());
     }
     if (!keep) {
       response.headers().set(HttpHeaderNames.CONNECTION, "close");
@@ -788,25 +419,25 @@
     }
   }
 
-  private Command decode(final FullHttpRequest request, final String caller) {
+  private ControlCommand decode(final FullHttpRequest request, final String caller) {
     final QueryStringDecoder query = new QueryStringDecoder(request.uri());
     final String path = query.path();
     if (path.equals("/api/rpc")) {
-      final Rpc rpc = Rpc.of(parameter(query, "call"));
+      final ControlCall rpc = ControlCall.of(parameter(query, "call"));
       wants(request, HttpMethod.POST);
       final byte[] body = new byte[request.content().readableBytes()];
       request.content().readBytes(body);
-      return new Fated(
+      return new ControlCommand.Fated(
           rpc.decode(
               this,
               parameter(query, "of"),
               body,
-              new Origin(
+              new ControlCall.Origin(
                   Authors.check(
                       orEmpty(request.headers().get(Authors.HEADER)),
                       request.headers().getAll(Authors.HEADER).size()),
                   caller)),
-          rpc.cutOff);
+          rpc.cutOff());
     }
     if (path.startsWith("/api/numbers/")) {
       wants(request, HttpMethod.POST);
@@ -817,7 +448,8 @@
                   answer ->
                       status(
                           answer,
-                          Reply.of(200, Calls.NUMBER, new Calls.NumberAnswer(answer.first))));
+                          ControlReply.of(
+                              200, Calls.NUMBER, new Calls.NumberAnswer(answer.first))));
     }
     if (path.startsWith("/api/watch/")) {
       wants(request, HttpMethod.GET);
@@ -834,8 +466,8 @@
         final List<String> addresses = core.resolve(region, site, MOST_ADDRESSES, now);
         return CompletableFuture.completedFuture(
             addresses.isEmpty()
-                ? Reply.problem(503, "no switchboard is known yet; ask again shortly")
-                : Reply.of(
+                ? ControlReply.problem(503, "no switchboard is known yet; ask again shortly")
+                : ControlReply.of(
                     200,
                     Calls.RESOLUTION,
                     new Calls.Resolution(addresses, Math.min(2, boot.resolutionTtl()))));
@@ -883,7 +515,7 @@
     return text.isEmpty() ? fallback : number(name, text);
   }
 
-  private static long number(final String name, final String text) {
+  static long number(final String name, final String text) {
     try {
       return Long.parseLong(text);
     } catch (final NumberFormatException problem) {
@@ -892,19 +524,19 @@
     }
   }
 
-  private static String named(final String id) {
+  static String named(final String id) {
     if (id.isEmpty()) {
       throw new Breakdown(Breakdown.Kind.UNREADABLE, "the call names nothing; give the id");
     }
     return id;
   }
 
-  private static String group(final String key) {
+  static String group(final String key) {
     final int dot = key.indexOf('.');
     return dot < 0 ? key : key.substring(0, dot + 1);
   }
 
-  private static <T> T read(final JsonType<T> type, final byte[] body) {
+  static <T> T read(final JsonType<T> type, final byte[] body) {
     try {
       final T value = type.fromJson(new String(body, StandardCharsets.UTF_8));
       if (value != null) {
@@ -918,7 +550,7 @@
     throw new Breakdown(Breakdown.Kind.UNREADABLE, "the body is empty; send a JSON object");
   }
 
-  private static StoreCallMessages.Answer notTaken(final StoreCallMessages.Answer answer) {
+  static StoreCallMessages.Answer notTaken(final StoreCallMessages.Answer answer) {
     if (answer.status == 409 && answer.body != null) {
       final Values.TakenVersion taken = Wire.value(answer.body, Values.TakenVersion.class);
       throw new Breakdown(
@@ -932,16 +564,17 @@
     return answer;
   }
 
-  private static Reply status(final StoreCallMessages.Answer answer, final Reply good) {
+  static ControlReply status(final StoreCallMessages.Answer answer, final ControlReply good) {
     return switch (answer.status) {
       case 504 ->
-          Reply.problem(504, "the duty changed hands while the call was under way; send it again");
-      case 409 -> Reply.problem(409, "another holds it, or it was lost; try again later");
+          ControlReply.problem(
+              504, "the duty changed hands while the call was under way; send it again");
+      case 409 -> ControlReply.problem(409, "another holds it, or it was lost; try again later");
       default -> good;
     };
   }
 
-  private Command beat(final String id, final Calls.Beat beat) {
+  ControlCommand beat(final String id, final Calls.Beat beat) {
     named(id);
     final boolean draining = "draining".equals(beat.state());
     if (beat.service() == null
@@ -976,22 +609,22 @@
         core.beat(registration, now)
             .thenApply(
                 done ->
-                    Reply.of(
+                    ControlReply.of(
                         200,
                         Calls.BEAT_ANSWER,
                         new Calls.BeatAnswer(
                             core.keeper(id, beat.zone(), regions, now) + ":" + controlPort)));
   }
 
-  private Command record(final boolean on) {
+  ControlCommand record(final boolean on) {
     return (now, waits) -> {
       core.record(on, clock.dayMillis(), now);
       return CompletableFuture.completedFuture(
-          Reply.of(200, Calls.STATE, new Calls.State(core.recording())));
+          ControlReply.of(200, Calls.STATE, new Calls.State(core.recording())));
     };
   }
 
-  private Command purge(final Calls.PurgeOrder order) {
+  private ControlCommand purge(final Calls.PurgeOrder order) {
     final boolean object =
         order.host() != null
             && !order.host().isEmpty()
@@ -1019,10 +652,10 @@
                 named.getBytes(StandardCharsets.UTF_8),
                 CALL_MILLIS,
                 now)
-            .thenApply(answer -> status(answer, Reply.EMPTY));
+            .thenApply(answer -> status(answer, ControlReply.EMPTY));
   }
 
-  private Command evacuate(final String site, final long on, final Origin origin) {
+  ControlCommand evacuate(final String site, final long on, final ControlCall.Origin origin) {
     return (now, waits) ->
         core.change(
                 Deed.EVACUATE,
@@ -1030,17 +663,17 @@
                 on,
                 0,
                 null,
-                core.cause(origin.author, origin.caller, null),
+                core.cause(origin.author(), origin.caller(), null),
                 CALL_MILLIS,
                 now)
             .thenCompose(
                 answer ->
                     answer.status != 200
-                        ? CompletableFuture.completedFuture(status(answer, Reply.EMPTY))
-                        : core.settle(now).thenApply(done -> Reply.EMPTY));
+                        ? CompletableFuture.completedFuture(status(answer, ControlReply.EMPTY))
+                        : core.settle(now).thenApply(done -> ControlReply.EMPTY));
   }
 
-  private Reply trial(final TrialMessages.Trial trial) {
+  ControlReply trial(final TrialMessages.Trial trial) {
     final List<Calls.Counted> boards = new java.util.ArrayList<>();
     final long[] sum = Count.none();
     core.panel()
@@ -1052,7 +685,7 @@
                 sum[index] += counts[index];
               }
             });
-    return Reply.of(
+    return ControlReply.of(
         200,
         Calls.TRIAL_STATUS,
         new Calls.TrialStatus(
@@ -1096,7 +729,7 @@
         Count.STAGE_CONFIRMED.in(counts));
   }
 
-  private Command finish(final String id, final Calls.Grip grip) {
+  ControlCommand finish(final String id, final Calls.Grip grip) {
     if (grip.owner() == null || grip.owner().isEmpty() || grip.fenceNumber() == null) {
       throw new Breakdown(
           Breakdown.Kind.UNREADABLE,
@@ -1105,7 +738,7 @@
     return (now, waits) -> finish(id, grip, now, waits);
   }
 
-  private CompletableFuture<Reply> finish(
+  CompletableFuture<ControlReply> finish(
       final String id, final Calls.Grip grip, final long began, final BooleanSupplier waits) {
     return core.call(Deed.LOCK_TICKET, id, grip.owner(), 0, 0, null, CALL_MILLIS, began)
         .thenCompose(
@@ -1130,13 +763,13 @@
                   .thenApply(
                       answer ->
                           answer.status == 410
-                              ? Reply.problem(
+                              ? ControlReply.problem(
                                   504, "the lock was granted anew meanwhile; send the call again")
-                              : status(answer, Reply.EMPTY));
+                              : status(answer, ControlReply.EMPTY));
             });
   }
 
-  private Command lock(final Deed deed, final String id, final Calls.Grip grip) {
+  ControlCommand lock(final Deed deed, final String id, final Calls.Grip grip) {
     if (grip.owner() == null
         || grip.owner().isEmpty()
         || deed != Deed.LOCK_BEGIN && grip.fenceNumber() == null
@@ -1156,11 +789,11 @@
                     status(
                         answer,
                         deed == Deed.LOCK_BEGIN
-                            ? Reply.of(200, Calls.FENCE, new Calls.Fence(answer.first))
-                            : Reply.EMPTY));
+                            ? ControlReply.of(200, Calls.FENCE, new Calls.Fence(answer.first))
+                            : ControlReply.EMPTY));
   }
 
-  private Command watch(final String group, final long after, final long wait) {
+  private ControlCommand watch(final String group, final long after, final long wait) {
     final long patience = Math.max(0, Math.min(wait, 60_000));
     return (now, waits) ->
         core.call(Deed.WATCH, group, null, after, patience, null, patience + CALL_MILLIS, now)
@@ -1169,7 +802,7 @@
                   if (answer.status != 200) {
                     return status(
                         answer,
-                        Reply.problem(
+                        ControlReply.problem(
                             answer.status,
                             "the history no longer reaches back to "
                                 + after
@@ -1180,7 +813,8 @@
                   for (final Values.Put put : Protocol.list(events.events)) {
                     list.add(new Calls.Event(put.name, put.value, put.revision));
                   }
-                  return Reply.of(200, Calls.WATCH, new Calls.WatchAnswer(list, events.revision));
+                  return ControlReply.of(
+                      200, Calls.WATCH, new Calls.WatchAnswer(list, events.revision));
                 });
   }
 }
--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -11,9 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongFunction;
-import java.util.function.Supplier;
 import weldpoint.affinity.PlacementKeeper;
-import weldpoint.audit.Authors;
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Affinity;
 import weldpoint.frame.Deed;
@@ -92,6 +90,7 @@
   private final boolean firstStart;
   private final StoreCaller store;
   private final HistoryDesk historyDesk;
+  private final TrialDesk trialDesk;
   private final Registrations registrations;
   private final ControlState control;
   private final Switchboards switchboards = new Switchboards();
@@ -145,6 +144,7 @@
     this.outlet = outlet;
     this.store = new StoreCaller(self, random, outlet::frame);
     this.historyDesk = new HistoryDesk(self, store);
+    this.trialDesk = new TrialDesk(self, control, store, new TrialSurroundings());
     this.reads = new QuorumReads(self);
     this.authority = new Authority(self, outlet::member);
     this.keyClaims =
@@ -154,6 +154,43 @@
             (claims, synced) -> outlet.append(Wire.bytes(Remembered.claims(claims)), synced));
   }
 
+  /** What trials need of this registry. */
+  private final class TrialSurroundings implements TrialDesk.Registry {
+    @Override
+    public CompletableFuture<Void> refresh(final long now) {
+      return RegistryCore.this.refresh(now);
+    }
+
+    @Override
+    public CompletableFuture<Void> settle() {
+      return RegistryCore.this.settle(clock);
+    }
+
+    @Override
+    public long now() {
+      return clock;
+    }
+
+    @Override
+    public List<String> liveProxies(final long now) {
+      final List<String> live = new ArrayList<>();
+      switchboards.live(now).forEach(board -> live.add(board.address));
+      return live;
+    }
+
+    @Override
+    public boolean hearsMajority(final long now) {
+      return now - majorityAt < MAJORITY_MILLIS;
+    }
+
+    @Override
+    public void relay(final TrialMessages.TrialReport report) {
+      for (final String member : members.keySet()) {
+        outlet.member(member, report);
+      }
+    }
+  }
+
   /** Takes other judges of what may be answered, for tests that break them. */
   void judges(
       final Quorums givenQuorums, final QuorumReads givenReads, final Authority givenAuthority) {
@@ -631,7 +668,7 @@
     } else if (message instanceof RegistryMessages.StateHeld) {
       onHeld(from, (RegistryMessages.StateHeld) message, now);
     } else if (message instanceof TrialMessages.TrialReport) {
-      trialReport((TrialMessages.TrialReport) message, now);
+      trialDesk.report((TrialMessages.TrialReport) message, now);
     } else if (message instanceof RecordingMessages.RecordState) {
       if (reels.take((RecordingMessages.RecordState) message)) {
         streams.tell(message);
@@ -1276,119 +1313,9 @@
 
   // ---- trials
 
-  /** A switchboard, or another exchange that passes it on, tells what was counted in trials. */
-  public void trialReport(final TrialMessages.TrialReport report, final long now) {
-    control.panel().report(report, now);
-    if (!report.relayed) {
-      final TrialMessages.TrialReport relayed =
-          new TrialMessages.TrialReport(true, report.tallies, report.digests);
-      for (final String member : members.keySet()) {
-        outlet.member(member, relayed);
-      }
-    }
-    judgeTrials(now);
-  }
-
-  private void judgeTrials(final long now) {
-    if (control.trials().isEmpty() || now - trialJudgedAt < 100) {
-      return;
-    }
-    trialJudgedAt = now;
-    for (final TrialMessages.Trial verdict : control.panel().verdicts(control.plan())) {
-      writeTrial(verdict, new StoreCallMessages.Cause(Authors.SYSTEM, "", self, null), now);
-    }
-  }
-
-  private long trialJudgedAt;
-
-  private CompletableFuture<TrialMessages.Trial> writeTrial(
-      final TrialMessages.Trial next, final StoreCallMessages.Cause cause, final long now) {
-    return store
-        .call(
-            Deed.TRIAL_WRITE,
-            next.route,
-            null,
-            next.serial - 1,
-            0,
-            Wire.bytes(next),
-            cause,
-            now,
-            900)
-        .thenApply(
-            answer -> {
-              if (answer.status == 200) {
-                return next;
-              }
-              throw new Breakdown(
-                  answer.status == 412 ? Breakdown.Kind.CONFLICT : Breakdown.Kind.OUT_OF_REACH,
-                  "the trial has changed meanwhile; look at its status and order again");
-            });
-  }
-
-  /**
-   * Judges an order by what a majority confirms after it came, and acknowledges it once a majority
-   * of exchanges has it.
-   */
-  private CompletableFuture<TrialMessages.Trial> orderTrial(
-      final Supplier<TrialMessages.Trial> next,
-      final StoreCallMessages.Cause cause,
-      final long now) {
-    return refresh(now)
-        .thenCompose(done -> writeTrial(next.get(), cause, clock))
-        .thenCompose(written -> settle(clock).thenApply(done -> written));
-  }
-
-  /** Begins a trial. */
-  public CompletableFuture<TrialMessages.Trial> beginTrial(
-      final String route,
-      final Calls.TrialOrder order,
-      final StoreCallMessages.Cause cause,
-      final long now) {
-    final List<Integer> stages = new ArrayList<>();
-    for (final Double stage : order.stages() == null ? List.<Double>of() : order.stages()) {
-      stages.add(stage == null ? null : stage.intValue());
-    }
-    return orderTrial(
-        () ->
-            control
-                .panel()
-                .begin(
-                    route,
-                    String.valueOf(order.oldService()),
-                    String.valueOf(order.newService()),
-                    order.token(),
-                    stages,
-                    order.leastWrites() == null ? 30 : order.leastWrites().intValue(),
-                    order.lateAllowance() == null ? 0.01 : order.lateAllowance(),
-                    control.plan()),
-        cause,
-        now);
-  }
-
-  /** Moves a trial to its next stage, if the evidence is there. */
-  public CompletableFuture<TrialMessages.Trial> advanceTrial(
-      final String route, final StoreCallMessages.Cause cause, final long now) {
-    final List<String> live = new ArrayList<>();
-    switchboards.live(now).forEach(board -> live.add(board.address));
-    return orderTrial(
-        () -> control.panel().advance(route, live, now - majorityAt < MAJORITY_MILLIS, now),
-        cause,
-        now);
-  }
-
-  /** Holds a trial by an operator's order. */
-  public CompletableFuture<TrialMessages.Trial> holdTrial(
-      final String route,
-      final String reason,
-      final StoreCallMessages.Cause cause,
-      final long now) {
-    return orderTrial(() -> control.panel().hold(route, reason), cause, now);
-  }
-
-  /** Ends a trial. */
-  public CompletableFuture<TrialMessages.Trial> finishTrial(
-      final String route, final StoreCallMessages.Cause cause, final long now) {
-    return orderTrial(() -> control.panel().finish(route), cause, now);
+  /** Trials of services: their reports and operators' orders. */
+  public TrialDesk trials() {
+    return trialDesk;
   }
 
   /** All that is known of trials. */
@@ -1653,7 +1580,7 @@
       switchboards.count(now);
       neighbourhoods.keep(switchboards.sites(now), streams.all(), outlet::board);
       missSwitchboards(now);
-      judgeTrials(now);
+      trialDesk.judge(now);
       tellRecording(now);
       if (electorates != null && now - majorityAt < MAJORITY_MILLIS && writesElectorates()) {
         electorates.keep(switchboards.live(now), now);
--- a/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
@@ -225,7 +225,7 @@
                       now());
                 } else if (message instanceof TrialMessages.TrialReport
                     && "switchboard".equals(line.peer().program)) {
-                  core.trialReport((TrialMessages.TrialReport) message, now());
+                  core.trials().report((TrialMessages.TrialReport) message, now());
                 } else if (message instanceof PlacementMessages.LeaseAsk
                     && "switchboard".equals(line.peer().program)) {
                   core.lease(line, (PlacementMessages.LeaseAsk) message, now());
--- /dev/null
+++ b/registry/src/main/java/weldpoint/registry/TrialDesk.java
@@ -0,0 +1,175 @@
+package weldpoint.registry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import weldpoint.audit.Authors;
+import weldpoint.boot.Breakdown;
+import weldpoint.frame.Deed;
+import weldpoint.trunk.StoreCallMessages;
+import weldpoint.trunk.TrialMessages;
+import weldpoint.trunk.Wire;
+
+/**
+ * A registry's part in trials of services: it counts what proxies report, writes the verdicts that
+ * follow from the counts, and takes operators' orders. Times are milliseconds of the steady clock.
+ */
+public final class TrialDesk {
+  private static final long JUDGE_MILLIS = 100;
+  private static final long WRITE_MILLIS = 900;
+  private static final int USUAL_LEAST_WRITES = 30;
+  private static final double USUAL_LATE_ALLOWANCE = 0.01;
+
+  /** What the registry around it knows and does. */
+  interface Registry {
+    /** Completes once a majority has confirmed what is known, after this moment. */
+    CompletableFuture<Void> refresh(long now);
+
+    /** Completes once a majority of registries has what is known. */
+    CompletableFuture<Void> settle();
+
+    /** The steady clock. */
+    long now();
+
+    /** The addresses of the proxies that were heard of lately. */
+    List<String> liveProxies(long now);
+
+    /** Whether a majority was heard of lately. */
+    boolean hearsMajority(long now);
+
+    /** Passes a report on to all other registries. */
+    void relay(TrialMessages.TrialReport report);
+  }
+
+  private final String self;
+  private final ControlState control;
+  private final StoreCaller store;
+  private final Registry registry;
+  private long judgedAt;
+
+  TrialDesk(
+      final String self,
+      final ControlState control,
+      final StoreCaller store,
+      final Registry registry) {
+    this.self = self;
+    this.control = control;
+    this.store = store;
+    this.registry = registry;
+  }
+
+  /** A proxy, or another registry that passes it on, tells what was counted in trials. */
+  public void report(final TrialMessages.TrialReport report, final long now) {
+    control.panel().report(report, now);
+    if (!report.relayed) {
+      registry.relay(new TrialMessages.TrialReport(true, report.tallies, report.digests));
+    }
+    judge(now);
+  }
+
+  /** Writes the verdicts that follow from what was counted. */
+  void judge(final long now) {
+    if (control.trials().isEmpty() || now - judgedAt < JUDGE_MILLIS) {
+      return;
+    }
+    judgedAt = now;
+    for (final TrialMessages.Trial verdict : control.panel().verdicts(control.plan())) {
+      write(verdict, new StoreCallMessages.Cause(Authors.SYSTEM, "", self, null), now);
+    }
+  }
+
+  private CompletableFuture<TrialMessages.Trial> write(
+      final TrialMessages.Trial next, final StoreCallMessages.Cause cause, final long now) {
+    return store
+        .call(
+            Deed.TRIAL_WRITE,
+            next.route,
+            null,
+            next.serial - 1,
+            0,
+            Wire.bytes(next),
+            cause,
+            now,
+            WRITE_MILLIS)
+        .thenApply(answer -> written(next, answer));
+  }
+
+  private static TrialMessages.Trial written(
+      final TrialMessages.Trial next, final StoreCallMessages.Answer answer) {
+    if (answer.status == 200) {
+      return next;
+    }
+    throw new Breakdown(
+        answer.status == 412 ? Breakdown.Kind.CONFLICT : Breakdown.Kind.OUT_OF_REACH,
+        "the trial has changed meanwhile; look at its status and order again");
+  }
+
+  /**
+   * Judges an order by what a majority confirms after it came, and acknowledges it once a majority
+   * of registries has it.
+   */
+  private CompletableFuture<TrialMessages.Trial> order(
+      final Supplier<TrialMessages.Trial> next,
+      final StoreCallMessages.Cause cause,
+      final long now) {
+    return registry
+        .refresh(now)
+        .thenCompose(done -> write(next.get(), cause, registry.now()))
+        .thenCompose(written -> registry.settle().thenApply(done -> written));
+  }
+
+  /** Begins a trial. */
+  CompletableFuture<TrialMessages.Trial> begin(
+      final String route,
+      final Calls.TrialOrder order,
+      final StoreCallMessages.Cause cause,
+      final long now) {
+    final List<Integer> stages = new ArrayList<>();
+    for (final Double stage : order.stages() == null ? List.<Double>of() : order.stages()) {
+      stages.add(stage == null ? null : stage.intValue());
+    }
+    final int leastWrites =
+        order.leastWrites() == null ? USUAL_LEAST_WRITES : order.leastWrites().intValue();
+    final double lateAllowance =
+        order.lateAllowance() == null ? USUAL_LATE_ALLOWANCE : order.lateAllowance();
+    return order(
+        () ->
+            control
+                .panel()
+                .begin(
+                    route,
+                    String.valueOf(order.oldService()),
+                    String.valueOf(order.newService()),
+                    order.token(),
+                    stages,
+                    leastWrites,
+                    lateAllowance,
+                    control.plan()),
+        cause,
+        now);
+  }
+
+  /** Moves a trial to its next stage, if the evidence is there. */
+  CompletableFuture<TrialMessages.Trial> advance(
+      final String route, final StoreCallMessages.Cause cause, final long now) {
+    final List<String> live = registry.liveProxies(now);
+    return order(
+        () -> control.panel().advance(route, live, registry.hearsMajority(now), now), cause, now);
+  }
+
+  /** Holds a trial by an operator's order. */
+  CompletableFuture<TrialMessages.Trial> hold(
+      final String route,
+      final String reason,
+      final StoreCallMessages.Cause cause,
+      final long now) {
+    return order(() -> control.panel().hold(route, reason), cause, now);
+  }
+
+  /** Ends a trial. */
+  CompletableFuture<TrialMessages.Trial> finish(
+      final String route, final StoreCallMessages.Cause cause, final long now) {
+    return order(() -> control.panel().finish(route), cause, now);
+  }
+}
