Registry: two late first beats before its next beat no longer end a sound upstream for good

What callers would see: 503 for the service of an upstream that beats, each beat answered with 200 and ignored, where two first beats of other lives of its address came before its own next one.

Cause: a newcomer ended for good whatever was neither sound nor ended, also a life that another newcomer had just written off until its next beat.

Evidence: RegistryCoreTest.twoLateFirstBeatsBeforeTheNextBeatEndNobody failed before (REMOVED), passes now.

--- a/registry/src/main/java/weldpoint/registry/Registrations.java
+++ b/registry/src/main/java/weldpoint/registry/Registrations.java
@@ -110,7 +110,7 @@
       if (unknown) {
         beatAt.put(registration.id, now);
         if (Stage.of(registration) == Stage.JOINED) {
-          news.addAll(supersede(registration));
+          news.addAll(supersede(registration, now));
         }
       }
     }
@@ -120,9 +120,10 @@
   /**
    * Writes off the other lives at the address of a newcomer; those that changed. The wire does not
    * tell which of two lives is the later one, and a first beat may come seconds late: so a life
-   * that has not said that it leaves is written off only until its next beat.
+   * that has not said that it leaves is written off only until its next beat, however many
+   * newcomers there are before that. One that was written off and has long been silent is ended.
    */
-  List<Registration> supersede(final Registration newcomer) {
+  List<Registration> supersede(final Registration newcomer, final long now) {
     final List<Registration> changes = new ArrayList<>();
     for (final Registration other : new ArrayList<>(history.values())) {
       if (other.id.equals(newcomer.id) || !other.address.equals(newcomer.address)) {
@@ -131,7 +132,8 @@
       if (Stage.of(other) == Stage.JOINED) {
         contested.add(other.address);
         writeOff(other, Stage.LAPSED, newcomer.issued, changes);
-      } else if (Stage.of(other) != Stage.REMOVED) {
+      } else if (Stage.of(other) == Stage.DRAINING
+          || Stage.of(other) == Stage.LAPSED && longSilent(other, now)) {
         writeOff(other, Stage.REMOVED, newcomer.issued, changes);
       }
     }
@@ -159,6 +161,10 @@
     return changes;
   }
 
+  private boolean longSilent(final Registration one, final long now) {
+    return now - beatAt.getOrDefault(one.id, now) > LAPSE_BEATS * beatMillis;
+  }
+
   private void writeOff(
       final Registration one,
       final Stage stage,
--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -465,7 +465,7 @@
   private List<Registration> claimAddress(
       final Registration beat, final boolean newcomer, final long now) {
     final List<Registration> ended =
-        newcomer ? registrations.supersede(beat) : registrations.settleAddress(beat, now);
+        newcomer ? registrations.supersede(beat, now) : registrations.settleAddress(beat, now);
     for (final Registration one : ended) {
       LOGGER.atInfo().log(
           "upstream %s is %s, since %s beats from its address %s",
--- a/registry/src/test/java/weldpoint/registry/RegistryCoreTest.java
+++ b/registry/src/test/java/weldpoint/registry/RegistryCoreTest.java
@@ -223,6 +223,21 @@
     }
   }
 
+  /** Guards against two late first beats within one beat that ended a sound upstream for good. */
+  @Test
+  public void twoLateFirstBeatsBeforeTheNextBeatEndNobody() {
+    final Net net = new Net();
+    net.cores.get(SEEDS.get(0)).beat(beat("sound", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(300);
+    net.cores.get(SEEDS.get(1)).beat(beat("late-1", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(300);
+    net.cores.get(SEEDS.get(2)).beat(beat("late-2", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(300);
+    net.cores.get(SEEDS.get(0)).beat(beat("sound", "10.9.0.1:80", Stage.JOINED, 2), net.now);
+    net.pass(300);
+    everywhere(net, "sound", Stage.JOINED);
+  }
+
   @Test
   public void aLateBeatOfALifeThatCrashedIsTakenBackWithinBeats() {
     final Net net = new Net();
