Registry: a late drain of a life that is not known writes nobody off

What callers would see: 503 for the service of a sound upstream for up to 2.9 s, after the drain of another life of its address came late, as the first that was heard of it.

Cause: a first beat that says draining wrote off the others at the registry that it reached, and not at those that were told of it. Registries differed; the sound upstream's next beat was no news at one that had not written it off, so only gossip told the others.

Change: a life that leaves claims nothing of its address.

--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -461,9 +461,15 @@
         : CompletableFuture.completedFuture(null);
   }
 
-  /** Writes off other lives at the address of an upstream that beats; those that changed. */
+  /**
+   * Writes off other lives at the address of an upstream that beats; those that changed. One that
+   * leaves claims nothing: it may be a life of which nothing but its end is heard, late.
+   */
   private List<Registration> claimAddress(
       final Registration beat, final boolean newcomer, final long now) {
+    if (Stage.of(beat) != Stage.JOINED) {
+      return List.of();
+    }
     final List<Registration> ended =
         newcomer ? registrations.supersede(beat, now) : registrations.settleAddress(beat, now);
     for (final Registration one : ended) {
--- a/registry/src/test/java/weldpoint/registry/RegistryCoreTest.java
+++ b/registry/src/test/java/weldpoint/registry/RegistryCoreTest.java
@@ -238,6 +238,18 @@
     everywhere(net, "sound", Stage.JOINED);
   }
 
+  /** Guards against a late drain of an unknown life that shut a sound upstream out. */
+  @Test
+  public void aLateDrainOfALifeThatIsNotKnownWritesNobodyOff() {
+    final Net net = new Net();
+    net.cores.get(SEEDS.get(0)).beat(beat("sound", "10.9.0.1:80", Stage.JOINED, 1), net.now);
+    net.pass(300);
+    net.cores.get(SEEDS.get(1)).beat(beat("late", "10.9.0.1:80", Stage.DRAINING, 7), net.now);
+    net.pass(300);
+    everywhere(net, "sound", Stage.JOINED);
+    everywhere(net, "late", Stage.DRAINING);
+  }
+
   @Test
   public void aLateBeatOfALifeThatCrashedIsTakenBackWithinBeats() {
     final Net net = new Net();
