Claims of keys: votes for a claim that was given back count for nothing

Cause, by reading: a proxy gives a claim up through its next registry while the first one still counts its votes. That one dropped the claim from its table, but granted it to nobody when late votes came, and asked for it again, which put it back on the voters' disks.

Change: a registry that hears of a claim given back withdraws it.

Evidence: ClaimCoordinatorTest.votesForAClaimThatWasGivenBackCountForNothing failed before (granted after it was given back); passes now, with KeyClaimsTest and ClaimTableTest (16 tests).

--- a/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
+++ b/idempotency/src/main/java/weldpoint/idempotency/ClaimCoordinator.java
@@ -181,9 +181,15 @@
     voters.accept(new ClaimRelease(claims));
   }
 
-  /** This registry, as a voter, has heard that requests which held claims never ran. */
+  /**
+   * This registry, as a voter, has heard that claims were given back, perhaps through another
+   * registry while their votes were still under way here: those count for nothing any more.
+   */
   public void released(final List<Claim> claims) {
     for (final Claim claim : claims) {
+      if (pending.remove(new Claimant(claim.incarnation, claim.number)) != null) {
+        unsent.removeIf(waiting -> waiting.sameClaimant(claim));
+      }
       final Grant grant = grants.get(claim.high);
       if (grant != null && grant.claim().sameClaimant(claim)) {
         grants.remove(claim.high);
