Cached copies: a fetch goes on over a configuration that does not concern it

Cause, my own of this sitting: a cache node's binding bears no key, and following a configuration with tenants took that for a request whose key is unknown. Each fetch that was under way at any change was thrown away, and all its waiters went to the origin.

Change: a binding says that its answer is for everybody; tenants are not asked of it then.

Evidence: AnnouncerCoreTest.aFetchGoesOnWhenAConfigurationComesThatDoesNotConcernIt failed before, passes now.

--- a/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
+++ b/announcer/src/main/java/weldpoint/announcer/AnnouncerCore.java
@@ -222,6 +222,7 @@
         || binding.homed()) {
       return null;
     }
+    binding.forEverybody();
     binding.divert(plan.services().get(service));
     return binding;
   }
--- a/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
+++ b/announcer/src/test/java/weldpoint/announcer/AnnouncerCoreTest.java
@@ -343,6 +343,37 @@
     assertEquals(statuses, List.of(200, 0, 0));
   }
 
+  /** Guards against fetches that were thrown away since a configuration with tenants came. */
+  @Test
+  public void aFetchGoesOnWhenAConfigurationComesThatDoesNotConcernIt() {
+    final String tenants = "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"]}],\"listeners\"";
+    final String before = SPEC.replace("\"listeners\"", tenants);
+    final List<Consumer<AnnouncerCore.Fetched>> fetches = new ArrayList<>();
+    final AnnouncerCore core =
+        new AnnouncerCore(
+            100_000,
+            60_000,
+            60_000,
+            0,
+            (binding, host, target, etag, weight, cutoff, done) -> fetches.add(done));
+    core.take(Dialplan.compile(before.getBytes(StandardCharsets.UTF_8)));
+    core.reached(0, 0);
+    final List<Integer> statuses = new ArrayList<>();
+    core.ask(ask(1, "/a/x"), answer -> statuses.add(answer.status), 10);
+    core.take(
+        Dialplan.compile(
+            before
+                .replace("\"version\":\"1\"", "\"version\":\"2\"")
+                .getBytes(StandardCharsets.UTF_8)));
+    fetches
+        .get(0)
+        .accept(
+            new AnnouncerCore.Fetched(
+                200, List.of("ETag", "e", "Weldpoint-Labels", "all"), new byte[] {1}));
+    assertEquals(statuses, List.of(200));
+    assertEquals(core.copies(), 1);
+  }
+
   private static CopyAsk ask(final long number, final String target) {
     return new CopyAsk(number, "media", "quay.example", target, 1000);
   }
--- a/dialplan/src/main/java/weldpoint/dialplan/Binding.java
+++ b/dialplan/src/main/java/weldpoint/dialplan/Binding.java
@@ -47,6 +47,7 @@
   private Dialplan.Tenant tenant;
   private String key;
   private boolean keyAsked;
+  private boolean everybodys;
   private Standing standing = Standing.BOUND;
 
   /** A request for this host and path; chance, from 0 to 1, decides in a split. */
@@ -76,6 +77,11 @@
     service = other;
   }
 
+  /** Says that the answer is for everybody who may ask for it, whoever the tenants are. */
+  public void forEverybody() {
+    everybodys = true;
+  }
+
   /** Finds whose request it is; the key may be null. */
   public void identify(final String given) {
     keyAsked = true;
@@ -144,7 +150,7 @@
       return Standing.ROUTE_CHANGED;
     }
     final Dialplan.Tenant owner = key == null ? null : inForce.holder(key);
-    if (owner == null && !route.open && !inForce.tenants().isEmpty()) {
+    if (owner == null && !everybodys && !route.open && !inForce.tenants().isEmpty()) {
       return keyAsked ? Standing.KEY_UNKNOWN : Standing.TENANT_CHANGED;
     }
     if (owner != null && !sameTenant(owner)) {
