--- a/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
@@ -45,6 +45,7 @@
   Runnable uponPlan;
   volatile boolean leaving;
   final OpenRequests open = new OpenRequests();
+  final ControlProof proof = new ControlProof();
 
   /** Beyond so many bytes of answers that clients have not taken, no request is begun. */
   long mostUnwrittenBytes = Runtime.getRuntime().maxMemory() / 4;
--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -229,6 +229,11 @@
                 loop.execute(() -> proxyContext.permits.answered(answer));
               }
 
+              @Override
+              public void proved(final long provedAt) {
+                loop.execute(() -> proxyContext.proof.renew(provedAt, ProxyContext.now()));
+              }
+
               @Override
               public void admitted() {
                 loop.execute(() -> report(true));
@@ -297,7 +302,7 @@
     loop.scheduleAtFixedRate(
         () ->
             LOGGER.atInfo().log(
-                "counters: served %s refused %s failed %s repeated %s active %s upstreams %s spec %s %s",
+                "counters: served %s refused %s failed %s repeated %s active %s upstreams %s spec %s proof %s ms ago %s",
                 proxyContext.served,
                 proxyContext.refused,
                 proxyContext.failed,
@@ -310,6 +315,7 @@
                     + (chief == null ? "" : " " + chief.counters())
                     + proxyContext.keys.counters(),
                 proxyContext.plan == null ? "none" : Long.toHexString(proxyContext.plan.version()),
+                proxyContext.proof.ageMillis(ProxyContext.now()),
                 trunk.meter()),
         boot.countersMillis(),
         boot.countersMillis(),
@@ -376,6 +382,7 @@
             "weldpoint_key_turned_away",
             "Requests that an upstream turned away, since it did not hold the key.",
             proxyContext.owners.turnedAwayCount()));
+    figures.addAll(proxyContext.proof.figures(ProxyContext.now()));
     figures.addAll(proxyContext.refusals.figures());
     figures.addAll(proxyContext.tenantCounts.figures());
     figures.addAll(proxyContext.permits.figures());
--- a/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
@@ -45,6 +45,7 @@
   private static final long STAY_MILLIS = 3000;
   private static final long APPROACH_MILLIS = 4000;
   private static final long GLANCE_MILLIS = 150;
+  private static final long OLD_PROOF_MILLIS = 1500;
 
   /** What the link does to the world. */
   public interface Outlet {
@@ -106,6 +107,12 @@
     /** An answer to an ask for permits. */
     default void permitted(final PermitMessages.PermitAnswer answer) {}
 
+    /**
+     * All that was acknowledged anywhere before this time of the own steady clock, in milliseconds,
+     * has been handed over.
+     */
+    default void proved(final long provedAt) {}
+
     /** A new stream has given its first view. */
     void admitted();
   }
@@ -133,6 +140,7 @@
   private boolean leaving;
   private int next;
   private volatile long moves;
+  private long lastProvedAt;
   private String approached;
   private boolean seeking;
   private long approachedAt;
@@ -354,6 +362,22 @@
     }
   }
 
+  /**
+   * The registry told, on the stream that is heard, that it had given all that was acknowledged
+   * before this time of the own clock. One that has not given its first view proves nothing.
+   */
+  public void proved(final long provedAt, final long now) {
+    if (viewed && provedAt > lastProvedAt) {
+      if (now - lastProvedAt > OLD_PROOF_MILLIS && lastProvedAt > 0) {
+        LOGGER.atInfo().log(
+            "proof from registry %s after %s ms without one; it reaches to %s ms ago",
+            current, now - lastProvedAt, now - provedAt);
+      }
+      lastProvedAt = provedAt;
+      outlet.proved(provedAt);
+    }
+  }
+
   /**
    * Moves to a nearer exchange once all is calm: one of the own site, or of the own region; which
    * one, each switchboard draws for itself.
--- a/proxy/src/main/java/weldpoint/proxy/Stream.java
+++ b/proxy/src/main/java/weldpoint/proxy/Stream.java
@@ -102,6 +102,7 @@
                   public void heard(final Line line, final Message message) {
                     if (dialler == mine[0]) {
                       link.heard(message, ProxyContext.now());
+                      prove(line, message);
                     } else if (beside.contains(mine[0])
                         && message instanceof RegistryMessages.View) {
                       arrive(address, mine[0], (RegistryMessages.View) message);
@@ -119,6 +120,17 @@
     return mine[0];
   }
 
+  /** Tells the link up to when, by its own clock, it was told all that was acknowledged. */
+  private void prove(final Line line, final Message message) {
+    if (message instanceof RegistryMessages.Reach reach && reach.confirmedClock != null) {
+      final long now = ProxyContext.now();
+      final Long provedAt = line.clock().notAfter(reach.confirmedClock, now);
+      if (provedAt != null) {
+        link.proved(provedAt, now);
+      }
+    }
+  }
+
   /** Ends the line for good. */
   public void close() {
     abandonApproach();
--- a/registry/src/main/java/weldpoint/registry/Buckets.java
+++ b/registry/src/main/java/weldpoint/registry/Buckets.java
@@ -28,7 +28,8 @@
 
   private Buckets() {}
 
-  private static int of(final String id) {
+  /** The bucket of the registration of this id. */
+  static int of(final String id) {
     return Math.floorMod(id.hashCode() * 0x9e3779b1, COUNT);
   }
 
--- a/registry/src/main/java/weldpoint/registry/Registrations.java
+++ b/registry/src/main/java/weldpoint/registry/Registrations.java
@@ -1,6 +1,7 @@
 package weldpoint.registry;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -27,6 +28,8 @@
   private final Set<String> contested = new HashSet<>();
   private long superseded;
   private long digest;
+  private final long[] bucketsOfAll = new long[Buckets.COUNT];
+  private final long[] bucketsOfLive = new long[Buckets.COUNT];
   private long revision;
 
   Registrations(final long beatMillis) {
@@ -50,6 +53,22 @@
     return digest;
   }
 
+  /** The digest of each bucket, of all registrations or only of those that have not ended. */
+  List<Long> buckets(final boolean ended) {
+    return Arrays.stream(ended ? bucketsOfAll : bucketsOfLive).boxed().toList();
+  }
+
+  /** Adds a registration to the digests, or with the factor -1 takes it out. */
+  private void count(final Registration registration, final long factor) {
+    final long counted = factor * Stage.digest(registration);
+    final int bucket = Buckets.of(registration.id);
+    digest += counted;
+    bucketsOfAll[bucket] += counted;
+    if (Stage.of(registration) != Stage.REMOVED) {
+      bucketsOfLive[bucket] += counted;
+    }
+  }
+
   /** Rises with each change that matters to those who send requests. */
   long revision() {
     return revision;
@@ -69,7 +88,10 @@
       return false;
     }
     history.put(registration.id, registration);
-    digest += Stage.digest(registration) - (before == null ? 0 : Stage.digest(before));
+    count(registration, 1);
+    if (before != null) {
+      count(before, -1);
+    }
     final boolean matters =
         before == null
             || before.stage != registration.stage
@@ -191,7 +213,7 @@
       for (final Registration registration : new ArrayList<>(history.values())) {
         if (Stage.of(registration) == Stage.REMOVED) {
           history.remove(registration.id);
-          digest -= Stage.digest(registration);
+          count(registration, -1);
           break;
         }
       }
--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -51,6 +51,10 @@
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final long GOSSIP_MILLIS = 1000;
   private static final long REACH_MILLIS = 500;
+
+  /** How long the word to proxies waits for the quorum read that makes it a proof. */
+  private static final long PROOF_MILLIS = 260;
+
   private static final long QUORUM_MILLIS = 900;
   private static final long REFRESH_MILLIS = 400;
   private static final long CONFIRM_MILLIS = 1600;
@@ -118,6 +122,8 @@
   private final List<Runnable> withheld = new ArrayList<>();
   private long gossipAt;
   private long reachAt;
+  private boolean proofDue;
+  private long proofRead;
   private long startedAt;
   private boolean reconciled;
   private long majorityAt = Long.MIN_VALUE / 2;
@@ -736,7 +742,7 @@
         control.version(),
         control.evacuationMark(),
         control.trialMark(),
-        Buckets.digests(registrations.all().values(), true),
+        registrations.buckets(true),
         leaseMillis,
         learning);
   }
@@ -746,12 +752,9 @@
     final boolean evacuations = control.evacuationMark() > read.evacuationMark;
     final boolean trials = control.trialMark() > read.trialMark;
     List<Registration> lacking = List.of();
-    if (read.buckets != null) {
-      lacking =
-          Buckets.differing(
-              registrations.all().values(),
-              Buckets.digests(registrations.all().values(), true),
-              read.buckets);
+    final List<Long> buckets = registrations.buckets(true);
+    if (read.buckets != null && !buckets.equals(read.buckets)) {
+      lacking = Buckets.differing(registrations.all().values(), buckets, read.buckets);
     }
     return new RegistryMessages.StateHeld(
         read.number,
@@ -795,7 +798,7 @@
             && read.version <= control.version()
             && read.evacuationMark <= control.evacuationMark()
             && read.trialMark <= control.trialMark()
-            && read.buckets.equals(Buckets.digests(registrations.all().values(), true));
+            && read.buckets.equals(registrations.buckets(true));
     if (read.leaseMillis > 0 && nothingNew) {
       reads.leased(from, startedAt + read.leaseMillis);
     }
@@ -861,6 +864,10 @@
       learned(now);
     }
     reads.tick(this::question, this::tellVoters, now);
+    if (proofDue && (reads.done() >= proofRead || now - reachAt >= PROOF_MILLIS)) {
+      proofDue = false;
+      streams.tellEverybody(reach(now, false), informed(now), now);
+    }
   }
 
   private void learned(final long now) {
@@ -975,7 +982,7 @@
       registrations.recent(beaten, ages, now);
     }
     final List<Board> list = boardsDiffer ? switchboards.told(now) : new ArrayList<>();
-    final List<Long> here = differs ? Buckets.digests(registrations.all().values(), true) : null;
+    final List<Long> here = differs ? registrations.buckets(true) : null;
     final byte[] packed =
         differs && there != null
             ? Buckets.pack(Buckets.differing(registrations.all().values(), here, there))
@@ -1206,7 +1213,8 @@
         first || news ? named : null,
         caches,
         first || news ? places : null,
-        Math.min(Integer.MAX_VALUE, now - contactAt()));
+        Math.min(Integer.MAX_VALUE, now - contactAt()),
+        reads.done() == 0 ? null : Long.valueOf(reads.confirmedAt()));
   }
 
   private List<String> toldMembers = List.of();
@@ -1591,8 +1599,9 @@
       if (electorates != null && now - majorityAt < MAJORITY_MILLIS && writesElectorates()) {
         electorates.keep(switchboards.live(now), now);
       }
-      final RegistryMessages.Reach reach = reach(now, false);
-      streams.tellEverybody(reach, informed(now), now);
+      proofRead = reads.next();
+      proofDue = true;
+      read(now);
       judge(now);
     }
     quorums.tick(this::tellMembers, now);
--- a/registry/src/main/java/weldpoint/registry/Streams.java
+++ b/registry/src/main/java/weldpoint/registry/Streams.java
@@ -97,7 +97,7 @@
    */
   void admit(final long read, final Consumer<Object> admitted) {
     final RegistryMessages.View view = wholeView();
-    final List<Long> here = Buckets.digests(registrations.all().values(), false);
+    final List<Long> here = registrations.buckets(false);
     final List<Object> due = new ArrayList<>();
     for (final Object stream : hopefuls) {
       if (opening.get(stream).read <= read) {
--- a/trunk/src/main/java/weldpoint/trunk/Line.java
+++ b/trunk/src/main/java/weldpoint/trunk/Line.java
@@ -14,6 +14,7 @@
   volatile Protocol.Hello peer;
   volatile long heardNanos = System.nanoTime();
   volatile Long peerClock;
+  private final PeerClock clock = new PeerClock();
   private Object attachment;
 
   Line(final Channel channel) {
@@ -33,6 +34,11 @@
     return peerClock;
   }
 
+  /** The other end's steady clock as seen from here; known only at the end that dialled. */
+  public PeerClock clock() {
+    return clock;
+  }
+
   /** A message of the other end told this time of its steady clock. */
   public void heardClock(final Long clock) {
     if (clock != null && (peerClock == null || clock > peerClock)) {
--- a/trunk/src/main/java/weldpoint/trunk/RegistryMessages.java
+++ b/trunk/src/main/java/weldpoint/trunk/RegistryMessages.java
@@ -492,6 +492,12 @@
     public final List<String> places;
     public final long contactMillis;
 
+    /**
+     * The time of the sender's steady clock, in milliseconds, up to which this stream was told all
+     * that was acknowledged anywhere; null where that is not known.
+     */
+    public final Long confirmedClock;
+
     public Reach(final long ageMillis, final int boards, final List<String> members) {
       this(ageMillis, boards, members, null, null, ageMillis);
     }
@@ -512,6 +518,19 @@
         final List<String> announcers,
         final List<String> places,
         final long contactMillis) {
+      this(ageMillis, boards, members, announcers, places, contactMillis, null);
+    }
+
+    /** The same with the time up to which all that was acknowledged has been told. */
+    public Reach(
+        final long ageMillis,
+        final int boards,
+        final List<String> members,
+        final List<String> announcers,
+        final List<String> places,
+        final long contactMillis,
+        final Long confirmedClock) {
+      this.confirmedClock = confirmedClock;
       this.contactMillis = contactMillis;
       this.places = places;
       this.announcers = announcers;
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -82,8 +82,15 @@
         .bind(address, port);
   }
 
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
   private Line prepare(final SocketChannel channel, final Ear ear, final boolean dialled) {
     final Line line = new Line(channel);
+    if (dialled) {
+      line.clock().asked(now());
+    }
     channel
         .pipeline()
         .addLast(
@@ -259,7 +266,7 @@
     @Override
     public void channelActive(final ChannelHandlerContext context) {
       line.heardNanos = System.nanoTime();
-      context.writeAndFlush(hello.at(System.nanoTime() / 1_000_000));
+      context.writeAndFlush(hello.at(now()));
       watch(context.channel());
     }
 
@@ -278,6 +285,7 @@
                 }
                 ringNanos = System.nanoTime();
                 if (dialled) {
+                  line.clock().asked(now());
                   channel.writeAndFlush(new Protocol.Ring(false));
                 }
                 watch(channel);
@@ -307,8 +315,9 @@
       if (message instanceof Protocol.Ring) {
         if (((Protocol.Ring) message).echo) {
           line.heardClock(((Protocol.Ring) message).clock);
+          line.clock().answered(((Protocol.Ring) message).clock, now());
         } else {
-          context.writeAndFlush(new Protocol.Ring(true, System.nanoTime() / 1_000_000));
+          context.writeAndFlush(new Protocol.Ring(true, now()));
         }
       } else if (!open) {
         if (!(message instanceof Protocol.Hello)
@@ -322,6 +331,9 @@
         open = true;
         line.peer = (Protocol.Hello) message;
         line.peerClock = line.peer.clock;
+        if (dialled) {
+          line.clock().answered(line.peer.clock, now());
+        }
         ear.opened(line);
       } else {
         ear.heard(line, message);
