--- a/proxy/src/test/java/weldpoint/proxy/RegistryLinkTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/RegistryLinkTest.java
@@ -266,4 +266,85 @@
     assertEquals(dialled.size(), 2, dialled.toString());
     assertEquals(dialled.get(1), "here");
   }
+
+  private static final long WITHIN_MILLIS = 1000;
+
+  /**
+   * Guards against DRAIN: a stream ends while two of the registries are gone without a word, and
+   * the proxy waits for one after the other.
+   */
+  @Test
+  public void aStreamThatEndedIsSoughtAtSeveralRegistriesAtOnce() {
+    final RegistryLink link = linkOfTwoLines();
+    try {
+      link.opened(10);
+      link.heard(view(5, 0, List.of()), 20);
+      link.heard(new RegistryMessages.Reach(100, 3, MEMBERS), 500);
+      link.closed(600);
+      for (long now = 700; now <= 600 + WITHIN_MILLIS; now += 100) {
+        link.tick(now);
+      }
+      final java.util.Set<String> sought = new java.util.HashSet<>(approached);
+      sought.add(dialled.get(dialled.size() - 1));
+      assertTrue(sought.size() >= 3, "sought at " + sought);
+      link.arrived(approached.get(0), view(6, 1, List.of()), 1700);
+      assertEquals(specs, List.of(5L, 6L));
+    } finally {
+      twoLines = false;
+    }
+  }
+
+  /**
+   * Guards against CONFIG: a registry that lost the majority is left before another one has given a
+   * view.
+   */
+  @Test
+  public void aRegistryThatLostTheMajorityIsKeptUntilAnotherOneHasGivenAView() {
+    final RegistryLink link = linkOfTwoLines();
+    try {
+      link.opened(10);
+      link.heard(view(5, 0, List.of()), 20);
+      for (long now = 500; now <= 3000; now += 500) {
+        link.heard(new RegistryMessages.Reach(9000, 3, MEMBERS), now);
+        link.tick(now);
+      }
+      assertEquals(dialled.size(), 1, "the stream there is was left: " + dialled);
+      assertTrue(!approached.isEmpty(), "another one is sought");
+      link.heard(view(6, 1, List.of()), 3100);
+      assertEquals(specs, List.of(5L, 6L), "what comes meanwhile is taken");
+    } finally {
+      twoLines = false;
+    }
+  }
+
+  /** Guards against DRAIN: registries that are gone for good are dialled again each time. */
+  @Test
+  public void aRegistryThatGaveNoViewIsDialledAfterTheOthers() {
+    final RegistryLink link = linkOfTwoLines();
+    try {
+      link.opened(10);
+      link.heard(view(5, 0, List.of()), 20);
+      link.heard(new RegistryMessages.Reach(100, 3, List.of("e4", "e5", "e6")), 500);
+      link.closed(600);
+      long now = 700;
+      for (; approached.size() < 3; now += 100) {
+        link.tick(now);
+        assertTrue(now < 5000, "sought only at " + approached);
+      }
+      final String silent = approached.get(0);
+      final String found = approached.get(2);
+      link.arrived(found, view(6, 1, List.of()), now);
+      approached.clear();
+      link.closed(now + 1000);
+      final long again = now + 1000;
+      for (now = again; now < again + 600; now += 100) {
+        link.tick(now);
+      }
+      assertTrue(
+          !approached.contains(silent) && !silent.equals(dialled.get(dialled.size() - 1)),
+          silent + " is dialled again before others: " + approached);
+    } finally {
+      twoLines = false;
+    }
+  }
 }
--- /dev/null
+++ b/proxy/src/test/java/weldpoint/proxy/StaleControlStateTest.java
@@ -0,0 +1,189 @@
+package weldpoint.proxy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.upstream.UpstreamPool;
+
+/**
+ * A proxy that has heard nothing of its registry for longer than a change may take to be in force,
+ * with bounds of 2 s, and a span of 4 s after which it is out of touch.
+ */
+public final class StaleControlStateTest {
+  /** Older than any change may take, younger than a proxy that is out of touch. */
+  private static final long STALE_MILLIS = 2600;
+
+  private static final long CUT_OFF_MILLIS = 9000;
+  private static final long WAITS_MILLIS = 150;
+  private static final String OK =
+      "HTTP/1.1 200 OK\r\nWeldpoint-Attempt-Id: $ID\r\nWeldpoint-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+  private static final String TURNED_AWAY =
+      "HTTP/1.1 503 Busy\r\nWeldpoint-Attempt-Id: $ID\r\nWeldpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+  private final AtomicInteger arrivals = new AtomicInteger();
+  private String answer;
+  private Runnable uponArrival;
+  private ScriptedUpstream old;
+  private ScriptedUpstream other;
+  private TestProxy proxy;
+
+  @BeforeMethod
+  public void open() throws IOException, InterruptedException {
+    arrivals.set(0);
+    answer = OK;
+    uponArrival = () -> {};
+    old =
+        new ScriptedUpstream(
+            arrivals,
+            number -> {
+              uponArrival.run();
+              return ScriptedUpstream.Step.answer(answer);
+            });
+    other = new ScriptedUpstream(new AtomicInteger(), number -> ScriptedUpstream.Step.answer(OK));
+    proxy = new TestProxy();
+    proxy.configure(
+        configuration(1, "s"),
+        upstream("i-0", "s", old.port()),
+        upstream("i-1", "t", other.port()));
+  }
+
+  @AfterMethod
+  public void close() throws IOException {
+    proxy.close();
+    old.close();
+    other.close();
+  }
+
+  private static String configuration(final int version, final String service) {
+    return "{\"version\":\""
+        + version
+        + "\",\"listeners\":[{\"host\":\"h\",\"rules\":[{\"name\":\"w\",\"routeKind\":\"idempotent\","
+        + "\"targetLatencyMs\":2000,\"match\":{\"pathPrefix\":\"/w/\"},\"action\":{\"service\":\""
+        + service
+        + "\",\"timeoutMs\":6000,\"maxAttempts\":3}}]}],\"pools\":[{\"name\":\"s\"},{\"name\":\"t\"}]}";
+  }
+
+  private static UpstreamPool.Change upstream(
+      final String id, final String service, final int port) {
+    return new UpstreamPool.Change(
+        new Registration(id, service, "127.0.0.1:" + port, "a", "v", 4, 0, 1, 0, 0), true);
+  }
+
+  /** The newest proof is so old. */
+  private void proved(final long ageMillis) {
+    final long now = ProxyContext.now();
+    proxy.proxyContext().proof.renew(now - ageMillis, now);
+  }
+
+  private void onLoop(final Runnable task) throws InterruptedException {
+    proxy.proxyContext().loop.submit(task).sync();
+  }
+
+  private Socket request(final String path) throws IOException, InterruptedException {
+    final Socket client = proxy.connect();
+    client
+        .getOutputStream()
+        .write(
+            ("GET "
+                    + path
+                    + " HTTP/1.1\r\nHost: h\r\nWeldpoint-Attempt-Id: a1\r\nWeldpoint-Deadline-Ms: 6000\r\nConnection: close\r\n\r\n")
+                .getBytes(StandardCharsets.UTF_8));
+    return client;
+  }
+
+  private static String status(final Socket client) throws IOException {
+    final String response =
+        new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    final String status = response.split(" ")[1];
+    if (status.equals("503")) {
+      assertTrue(response.contains("retry-after: "), response);
+    }
+    return status;
+  }
+
+  /** Guards against CONFIG and DRAIN: a proxy that hears nothing sends by what it has. */
+  @Test
+  public void nothingIsSentByControlStateThatMayBeOlderThanItsBound()
+      throws IOException, InterruptedException {
+    onLoop(() -> proved(STALE_MILLIS));
+    try (Socket client = request("/w/x")) {
+      assertEquals(status(client), "503");
+    }
+    assertEquals(arrivals.get(), 0, "it was sent by control state that may have been replaced");
+  }
+
+  /** Guards against CONFIG: a route that was added is denied by a proxy that hears nothing. */
+  @Test
+  public void aRouteThatIsNotKnownYetIsNotDeniedByOldControlState()
+      throws IOException, InterruptedException {
+    onLoop(() -> proved(STALE_MILLIS));
+    try (Socket client = request("/new/x")) {
+      assertEquals(status(client), "503");
+    }
+  }
+
+  /** Guards against CONFIG: a request is handled by the version that is about to be replaced. */
+  @Test
+  public void aRequestWaitsForTheNextProofAndObeysWhatCameBeforeIt()
+      throws IOException, InterruptedException {
+    onLoop(() -> proved(STALE_MILLIS));
+    try (Socket client = request("/w/x")) {
+      TestProxy.await(() -> proxy.proxyContext().open.count() == 1, "no request has come");
+      TimeUnit.MILLISECONDS.sleep(WAITS_MILLIS);
+      proxy.configure(configuration(2, "t"));
+      onLoop(() -> proved(0));
+      assertEquals(status(client), "200");
+    }
+    assertEquals(arrivals.get(), 0, "it went to the service of the version before");
+    assertEquals(other.requests.size(), 1);
+  }
+
+  /** Guards against DRAIN: a further try goes out by control state that has become too old. */
+  @Test
+  public void nothingIsSentAgainOnceControlStateMayBeTooOld()
+      throws IOException, InterruptedException {
+    answer = TURNED_AWAY;
+    proxy.configure(configuration(1, "s"), upstream("i-2", "s", old.port()));
+    final long began = ProxyContext.now();
+    onLoop(() -> proved(0));
+    uponArrival =
+        () -> {
+          try {
+            TimeUnit.MILLISECONDS.sleep(STALE_MILLIS);
+          } catch (final InterruptedException ended) {
+            Thread.currentThread().interrupt();
+          }
+        };
+    try (Socket client = request("/w/x")) {
+      assertEquals(status(client), "503");
+    }
+    assertTrue(ProxyContext.now() - began >= STALE_MILLIS);
+    assertEquals(arrivals.get(), 1, "it was sent again by old control state");
+  }
+
+  /** A proxy that was cut off for longer than it can be in touch serves on with what it has. */
+  @Test
+  public void aProxyThatIsOutOfTouchServesOn() throws IOException, InterruptedException {
+    onLoop(() -> proved(CUT_OFF_MILLIS));
+    try (Socket client = request("/w/x")) {
+      assertEquals(status(client), "200");
+    }
+  }
+
+  /** A proxy that was never given a proof, by registries of an older release, serves. */
+  @Test
+  public void aProxyWithoutAnyProofServes() throws IOException, InterruptedException {
+    try (Socket client = request("/w/x")) {
+      assertEquals(status(client), "200");
+    }
+  }
+}
