Proxies act on control state only while it is proved to be new enough (CONFIG, DRAIN)

Cause: an acknowledgement counts disks of state stores and registries, and nothing bound the proxies to it. A proxy whose stream is silent (its link full of downloads, lost packets sent again after pauses that double) served on by what it had; how soon it obeyed was the sum of its waits. Class: authority without an end. After contactMs without proof, or while a registry's machine answers that none listens there, the proxy is out of touch, or the core unsettled, and it serves on. (2) Another registry is found sooner: after 1.1 s of silence instead of 1.4, up to three at once after a stream's end, beside the stream there is when its registry has lost the majority; those that gave no view come last, and a refused dial is not waited out.

--- a/boot/src/main/java/weldpoint/boot/Boot.java
+++ b/boot/src/main/java/weldpoint/boot/Boot.java
@@ -19,6 +19,7 @@
   private static final long USUAL_LATE_MILLIS = 1000;
   private static final long USUAL_HOLD_MILLIS = 4000;
   private static final long LEAST_HOLD_MILLIS = 1000;
+  private static final long LEAST_DRAIN_MILLIS = 1000;
   private static final int LEAST_TRANSFER = 16 << 10;
   private static final int MOST_TRANSFER = 256 << 10;
   private static final double TRANSFER_SECONDS = 0.1;
@@ -115,6 +116,9 @@
     }
     beatMillis();
     drainMillis();
+    configurationMillis();
+    evacuationMillis();
+    contactMillis();
     graceMillis();
     historyMillis();
     retryRatio();
@@ -336,6 +340,28 @@
     return (long) number("bound.drain-ms", 2000, 0, 600_000);
   }
 
+  /** How long after its acknowledgement a configuration must be in force everywhere. */
+  public long configurationMillis() {
+    return (long) number("bound.config-ms", 2000, 100, 600_000);
+  }
+
+  /** How long after its acknowledgement an evacuation must be in force everywhere. */
+  public long evacuationMillis() {
+    return (long) number("bound.evacuate-ms", 5000, 100, 600_000);
+  }
+
+  /** For how long a machine must have been sound and connected to be held to those bounds. */
+  public long contactMillis() {
+    return (long) number("bound.contact-ms", 4000, 100, 600_000);
+  }
+
+  /** The shortest of the bounds within which proxies must obey what was acknowledged. */
+  public long obeyMillis() {
+    return Math.min(
+        Math.min(configurationMillis(), evacuationMillis()),
+        Math.min(Math.max(LEAST_DRAIN_MILLIS, drainMillis()), revokeMillis()));
+  }
+
   /** How long a process has between SIGTERM and SIGKILL. */
   public long graceMillis() {
     return (long) (1000 * number("bound.grace-s", 6, 0, 3600));
--- a/proxy/src/main/java/weldpoint/proxy/ControlProof.java
+++ b/proxy/src/main/java/weldpoint/proxy/ControlProof.java
@@ -1,17 +1,43 @@
 package weldpoint.proxy;
 
+import java.util.ArrayList;
 import java.util.List;
 import weldpoint.metrics.Figure;
 
 /**
  * Up to when this proxy provably had all that was acknowledged: configurations, evacuations,
- * draining and ended upstreams. Times are of the steady clock, in milliseconds.
+ * draining and ended upstreams. A proof is a lease on acting by what it has, since whatever was
+ * acknowledged later need not be obeyed yet; without a new proof the lease lapses, and nothing is
+ * sent. A proxy that has had none for longer than a machine in touch can be without serves on, for
+ * the sake of its clients, and so does one that knows registries to be down. Times are of the
+ * steady clock, in milliseconds.
  */
 final class ControlProof {
+  /** The way of a request to its upstream, and what a clock may be late by. */
+  private static final long MARGIN_MILLIS = 300;
+
   private static final long[] BOUNDS_MILLIS = {500, 1000, 1500, 2000, 2500, 3000, 5000};
 
+  private final long leaseMillis;
+  private final long outOfTouchMillis;
+  private final long contactMillis;
   private final long[] renewals = new long[BOUNDS_MILLIS.length + 1];
+  private final List<Runnable> waiting = new ArrayList<>();
+  private long waited;
   private long provedAt;
+  private long registriesDownUntil = Long.MIN_VALUE;
+
+  /**
+   * No proof yet.
+   *
+   * @param obeyMillis within which what was acknowledged must be obeyed
+   * @param contactMillis for how long a machine in touch has been sound and connected
+   */
+  ControlProof(final long obeyMillis, final long contactMillis) {
+    this.leaseMillis = Math.max(MARGIN_MILLIS, obeyMillis - MARGIN_MILLIS);
+    this.contactMillis = contactMillis;
+    this.outOfTouchMillis = Math.max(leaseMillis, contactMillis + MARGIN_MILLIS);
+  }
 
   /** All that was acknowledged before this time is in force here. */
   void renew(final long given, final long now) {
@@ -26,6 +52,42 @@
       renewals[bound]++;
     }
     provedAt = given;
+    if (!waiting.isEmpty() && holds(now)) {
+      final List<Runnable> due = List.copyOf(waiting);
+      waiting.clear();
+      due.forEach(Runnable::run);
+    }
+  }
+
+  /**
+   * A registry's machine answered that no registry runs there: the core is unsettled for a while.
+   */
+  void registryDown(final long now) {
+    registriesDownUntil = now + contactMillis;
+  }
+
+  /** Whether requests may be sent by what is in force here. */
+  boolean holds(final long now) {
+    return now < until(now);
+  }
+
+  /** Until when requests may be sent by what is in force here; in the past where they may not. */
+  long until(final long now) {
+    if (provedAt == 0 || now - provedAt >= outOfTouchMillis || now < registriesDownUntil) {
+      return Long.MAX_VALUE;
+    }
+    return provedAt + leaseMillis;
+  }
+
+  /** Has this run with the next proof. */
+  void await(final Runnable task) {
+    waited++;
+    waiting.add(task);
+  }
+
+  /** Does not wait any longer; true where it still did. */
+  boolean cancel(final Runnable task) {
+    return waiting.remove(task);
   }
 
   /** How old the newest proof is; 0 where there was none yet. */
@@ -35,12 +97,17 @@
 
   /** The age of the proof, and how old it was when the next one came. */
   List<Figure> figures(final long now) {
-    final List<Figure> figures = new java.util.ArrayList<>();
+    final List<Figure> figures = new ArrayList<>();
     figures.add(
         Figure.gauge(
             "weldpoint_control_proof_age_seconds",
             "Time since this proxy provably had all that was acknowledged.",
             ageMillis(now) / 1000.0));
+    figures.add(
+        Figure.counter(
+            "weldpoint_control_proof_waits",
+            "Requests that waited for a proof that nothing acknowledged is missing.",
+            waited));
     for (int bound = 0; bound <= BOUNDS_MILLIS.length; bound++) {
       figures.add(
           Figure.counter(
--- a/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -47,6 +47,9 @@
   private static final long TIE_PAUSE_MILLIS = 25;
   private static final int MOST_UNTIED = 2;
   private static final long REVOKE_MARGIN_MILLIS = 300;
+  private static final long PROOF_WAIT_MILLIS = 300;
+  private static final String UNPROVED =
+      "it cannot be told now whether the configuration here is the newest; come back";
 
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final Invariant HAS_KEY = Invariant.named("a keyed send has claimed its key");
@@ -102,15 +105,15 @@
       refuse("no configuration is in force yet; come back shortly", "0.3");
       return;
     }
+    if (!proxyContext.proof.holds(ProxyContext.now())) {
+      awaitProof(plan);
+      return;
+    }
     if (proxyContext.open.unwrittenBytes() > proxyContext.mostUnwrittenBytes) {
       refuse("too many answers wait for clients that do not read; come back", retryAfter());
       return;
     }
-    final Binding bound =
-        new Binding(
-            request.headers().get(HttpHeaderNames.HOST),
-            request.uri(),
-            proxyContext.random.nextDouble());
+    final Binding bound = newBinding();
     if (!plan.interpret(bound)) {
       finish();
       session.refuse(
@@ -196,7 +199,9 @@
               body.readableBytes());
     }
     proxyContext.upstreamPool.budget(service().name()).request(arrivedAt);
-    timer = proxyContext.loop.schedule(this::giveUp, cutoff - arrivedAt, TimeUnit.MILLISECONDS);
+    timer =
+        proxyContext.loop.schedule(
+            this::giveUp, cutoff - ProxyContext.now(), TimeUnit.MILLISECONDS);
     if (proxyContext.recordings != null
         && route.kind == RouteKind.CACHEABLE
         && route.cacheMillis > 0
@@ -216,6 +221,42 @@
     origin();
   }
 
+  private Binding newBinding() {
+    return new Binding(
+        request.headers().get(HttpHeaderNames.HOST),
+        request.uri(),
+        proxyContext.random.nextDouble());
+  }
+
+  /**
+   * Waits for the next proof that nothing acknowledged is missing here, for as long as a client can
+   * still be served in time elsewhere, and refuses then.
+   */
+  private void awaitProof(final Dialplan plan) {
+    final Binding probable = newBinding();
+    final long waits =
+        plan.interpret(probable) ? probable.route().targetMillis / 4 : PROOF_WAIT_MILLIS;
+    final Runnable again =
+        () -> {
+          if (!over) {
+            start();
+          }
+        };
+    proxyContext.proof.await(again);
+    proxyContext.loop.schedule(
+        () -> {
+          if (proxyContext.proof.cancel(again) && !over) {
+            if (proxyContext.proof.holds(ProxyContext.now())) {
+              start();
+            } else {
+              refuse(RefusalCounts.Reason.UNPROVED, UNPROVED);
+            }
+          }
+        },
+        waits,
+        TimeUnit.MILLISECONDS);
+  }
+
   /** When the client's time or the route's is over; 0 where neither is known. */
   long deadline() {
     return cutoff;
@@ -252,11 +293,12 @@
   }
 
   /**
-   * Whether the configuration in force lets the request go on; where not, it ends as soon as no try
-   * is at work.
+   * Whether the configuration in force is provably new enough and lets the request go on; where
+   * not, it ends as soon as no try is at work.
    */
   private boolean bound() {
-    if (binding.follow(proxyContext.plan)) {
+    final boolean proved = proxyContext.proof.holds(ProxyContext.now());
+    if (proved && binding.follow(proxyContext.plan)) {
       return true;
     }
     if (over || running() > 0) {
@@ -264,6 +306,8 @@
     }
     if (lastAnswer != null || uncertain) {
       conclude();
+    } else if (!proved) {
+      refuse(RefusalCounts.Reason.UNPROVED, UNPROVED);
     } else if (binding.standing() == Binding.Standing.KEY_UNKNOWN) {
       finish();
       session.refuse(
@@ -677,7 +721,7 @@
             attemptId,
             attempts,
             now,
-            cutoff,
+            Math.min(cutoff, proxyContext.proof.until(now)),
             (end, head, bytes) -> {
               ended[0] = true;
               final AttemptOutcome fate = AttemptOutcome.named(end, head);
--- a/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
@@ -45,7 +45,7 @@
   Runnable uponPlan;
   volatile boolean leaving;
   final OpenRequests open = new OpenRequests();
-  final ControlProof proof = new ControlProof();
+  final ControlProof proof;
 
   /** Beyond so many bytes of answers that clients have not taken, no request is begun. */
   long mostUnwrittenBytes = Runtime.getRuntime().maxMemory() / 4;
@@ -68,6 +68,7 @@
     this.tieWaitMillis = boot.affinityWaitMillis();
     this.strict = boot.strictRevocation();
     this.revokeMillis = boot.revokeMillis();
+    this.proof = new ControlProof(boot.obeyMillis(), boot.contactMillis());
   }
 
   /** Takes the orders of a chief; null where none are in force any longer. */
--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -229,6 +229,11 @@
                 loop.execute(() -> proxyContext.permits.answered(answer));
               }
 
+              @Override
+              public void registryDown() {
+                loop.execute(() -> proxyContext.proof.registryDown(ProxyContext.now()));
+              }
+
               @Override
               public void proved(final long provedAt) {
                 loop.execute(() -> proxyContext.proof.renew(provedAt, ProxyContext.now()));
--- a/proxy/src/main/java/weldpoint/proxy/RefusalCounts.java
+++ b/proxy/src/main/java/weldpoint/proxy/RefusalCounts.java
@@ -14,7 +14,9 @@
     /** The holder of the request's key stands outside of the homes. */
     HOLDER_OUTSIDE_HOMES,
     /** The configuration has changed while the request waited. */
-    CONFIGURATION_CHANGED
+    CONFIGURATION_CHANGED,
+    /** What is in force here may be older than what was acknowledged elsewhere. */
+    UNPROVED
   }
 
   private final long[] counts = new long[Reason.values().length];
--- a/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.Set;
 import weldpoint.boot.Breakdown;
-import weldpoint.boot.Rank;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.registry.Buckets;
 import weldpoint.registry.Stage;
@@ -36,10 +35,12 @@
  */
 public final class RegistryLink {
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-  private static final long SILENT_MILLIS = 1400;
+  private static final long SILENT_MILLIS = 1100;
   private static final long STALE_MILLIS = 2200;
   private static final long TELL_MILLIS = 500;
   private static final long VIEW_MILLIS = 900;
+  private static final long BESIDE_SILENT_MILLIS = 600;
+  private static final long BESIDE_ENDED_MILLIS = 300;
   private static final long PATIENT_MILLIS = 3500;
   private static final long NEAR_MILLIS = 4000;
   private static final long STAY_MILLIS = 3000;
@@ -60,6 +61,9 @@
       return false;
     }
 
+    /** A registry's machine answers that no registry listens there. */
+    default void registryDown() {}
+
     /** Closes all lines that were opened beside. */
     default void abandonApproach() {}
 
@@ -120,7 +124,7 @@
   private final Outlet outlet;
   private final Random random;
   private final Board self;
-  private final List<String> exchanges = new ArrayList<>();
+  private final RegistryAddresses addresses;
   private final Map<String, Registration> history = new HashMap<>();
   private String current;
   private long dialledAt;
@@ -129,7 +133,6 @@
   private boolean viewed;
   private boolean open;
   private long nearAt;
-  private final Map<String, String> places = new HashMap<>();
   private int disappointments;
   private long version;
   private long evacuationMark = -1;
@@ -138,7 +141,6 @@
   private long inForceMark;
   private long inForceSince;
   private boolean leaving;
-  private int next;
   private volatile long moves;
   private long lastProvedAt;
   private String approached;
@@ -151,17 +153,12 @@
     this.self = self;
     this.random = random;
     this.outlet = outlet;
-    exchanges.addAll(seeds);
-    java.util.Collections.shuffle(exchanges, random);
+    this.addresses = new RegistryAddresses(self, seeds, random);
   }
 
   /** Takes another seed list: what is known of exchanges besides stays known. */
   public void seeds(final List<String> given) {
-    for (final String seed : given) {
-      if (!exchanges.contains(seed)) {
-        exchanges.add(seed);
-      }
-    }
+    addresses.add(given);
   }
 
   /** Begins. */
@@ -173,7 +170,7 @@
   private void leave(final String reason, final long now) {
     moves = moves + 1;
     LOGGER.atInfo().log(
-        "leaves exchange %s: %s; heard %s ms ago, dialled %s ms ago, open %s, viewed %s",
+        "leaves registry %s: %s; heard %s ms ago, dialled %s ms ago, open %s, viewed %s",
         current, reason, now - heardAt, now - dialledAt, open, viewed);
     move(now);
   }
@@ -185,7 +182,10 @@
 
   private void move(final long now) {
     endApproach();
-    current = another();
+    if (current != null && !viewed) {
+      addresses.failed(current, now);
+    }
+    current = addresses.next(current, null, now);
     dialledAt = now;
     heardAt = now;
     viewed = false;
@@ -203,33 +203,28 @@
   }
 
   /**
-   * The stream there is has fallen silent: others are dialled beside it, one more each time that
-   * none has given a view for a while. The first view wins, and a stream that speaks again ends the
-   * search: on a full link it is the most likely one to bring the next configuration.
+   * Looks for another registry beside the line there is: one more is dialled each time that none
+   * has given a view for a while, and the first view wins. A stream that speaks again ends the
+   * search: on a full link it is the most likely one to bring the next configuration. False where
+   * only one line at a time can be had.
    */
-  private void seek(final long now) {
-    if (seeking && now - approachedAt < VIEW_MILLIS) {
-      return;
+  private boolean seek(final long pauseMillis, final long now) {
+    if (seeking && now - approachedAt < pauseMillis) {
+      return true;
     }
-    final String another = another();
+    final String another = addresses.next(current, approached, now);
     if (!outlet.approach(another)) {
-      leave("it is silent", now);
-      return;
+      return false;
+    }
+    if (seeking) {
+      addresses.failed(approached, now);
     }
     LOGGER.atInfo().log(
-        "dials exchange %s beside %s, which is silent for %s ms", another, current, now - heardAt);
+        "dials registry %s beside %s, which is silent for %s ms", another, current, now - heardAt);
     seeking = true;
     approached = another;
     approachedAt = now;
-  }
-
-  /** The next exchange of the list that is not the present one. */
-  private String another() {
-    next = (next + 1) % exchanges.size();
-    if (exchanges.get(next).equals(current)) {
-      next = (next + 1) % exchanges.size();
-    }
-    return exchanges.get(next);
+    return true;
   }
 
   /** What the exchange at a line that was opened beside is told first. */
@@ -243,11 +238,10 @@
    */
   public void arrived(final String address, final RegistryMessages.View view, final long now) {
     LOGGER.atInfo().log(
-        "goes from exchange %s to %s, %s ms after it dialled one beside",
+        "goes from registry %s to %s, %s ms after it dialled one beside",
         current, address, now - approachedAt);
     moves = moves + 1;
     current = address;
-    next = Math.max(0, exchanges.indexOf(current));
     approached = null;
     seeking = false;
     dialledAt = now;
@@ -297,12 +291,13 @@
   /** The exchange has said something. */
   public void heard(final Message message, final long now) {
     heardAt = now;
-    if (seeking) {
+    if (seeking && (viewed || message instanceof RegistryMessages.View)) {
       endApproach();
     }
     if (message instanceof RegistryMessages.View) {
       final boolean first = !viewed;
       viewed = true;
+      addresses.served(current);
       trialMark = Math.max(trialMark, ((RegistryMessages.View) message).trialMark);
       take((RegistryMessages.View) message);
       if (((RegistryMessages.View) message).trialMark >= 0) {
@@ -335,13 +330,9 @@
       final RegistryMessages.Reach reach = (RegistryMessages.Reach) message;
       outlet.reached(reach.ageMillis, reach.boards, Protocol.list(reach.announcers));
       final List<String> members = Protocol.list(reach.members);
-      for (int index = 0; index < members.size(); index++) {
-        if (!exchanges.contains(members.get(index))) {
-          exchanges.add(members.get(index));
-        }
-        if (reach.places != null && index < reach.places.size()) {
-          places.put(members.get(index), reach.places.get(index));
-        }
+      addresses.add(members);
+      for (int index = 0; index < Protocol.list(reach.places).size(); index++) {
+        addresses.place(members.get(index), reach.places.get(index));
       }
       if (!viewed) {
         open = false;
@@ -351,13 +342,13 @@
       if (reach.contactMillis <= STALE_MILLIS) {
         disappointments = 0;
         approach(now);
-      } else if (now - dialledAt
+      } else if (now - Math.max(dialledAt, approachedAt)
           > Math.min(STAY_MILLIS, GLANCE_MILLIS << Math.min(10, disappointments))) {
         disappointments++;
         LOGGER.atInfo().log(
-            "exchange %s has not heard of a majority for %s ms; trying another",
+            "registry %s has not heard of a majority for %s ms; trying another",
             current, reach.contactMillis);
-        move(now);
+        replaceStale(now);
       }
     }
   }
@@ -378,43 +369,37 @@
     }
   }
 
-  /**
-   * Moves to a nearer exchange once all is calm: one of the own site, or of the own region; which
-   * one, each switchboard draws for itself.
-   */
+  /** Dials another registry beside one that is behind; that one is left with the other's view. */
+  private void replaceStale(final long now) {
+    if (approached != null) {
+      addresses.failed(approached, now);
+    }
+    final String another = addresses.next(current, approached, now);
+    if (outlet.approach(another)) {
+      approached = another;
+      approachedAt = now;
+    } else {
+      move(now);
+    }
+  }
+
+  /** Moves to a nearer registry once all is calm. */
   private void approach(final long now) {
     if (now < nearAt || approached != null) {
       return;
     }
     nearAt = now + 4 * NEAR_MILLIS;
-    final int here = distance(places.get(current));
-    String best = current;
-    int nearest = here;
-    for (final String member : exchanges) {
-      final int distance = distance(places.get(member));
-      if (distance < nearest
-          || distance == nearest
-              && distance < here
-              && Rank.of(member, self.address) < Rank.of(best, self.address)) {
-        nearest = distance;
-        best = member;
-      }
+    final String nearer = addresses.nearer(current);
+    if (nearer == null) {
+      return;
     }
-    if (nearest < here) {
-      if (outlet.approach(best)) {
-        approached = best;
-        approachedAt = now;
-        return;
-      }
-      next = exchanges.indexOf(best) - 1 + exchanges.size();
-      leave("a nearer one is known", now);
+    if (outlet.approach(nearer)) {
+      approached = nearer;
+      approachedAt = now;
+      return;
     }
-  }
-
-  private int distance(final String place) {
-    return place == null || !place.startsWith(self.region + "/")
-        ? 2
-        : place.equals(self.region + "/" + self.site) ? 0 : 1;
+    addresses.prefer(nearer);
+    leave("a nearer one is known", now);
   }
 
   private void take(final RegistryMessages.View view) {
@@ -464,15 +449,49 @@
       endApproach();
     }
     if (viewed && now - heardAt > SILENT_MILLIS) {
-      seek(now);
+      if (!seek(BESIDE_SILENT_MILLIS, now)) {
+        leave("it is silent", now);
+      }
+    } else if (!viewed
+        && (seeking || resumes(now))
+        && seek(open ? BESIDE_SILENT_MILLIS : BESIDE_ENDED_MILLIS, now)) {
+      tellInTime(now);
     } else if (now - heardAt > (open && !viewed ? PATIENT_MILLIS : SILENT_MILLIS)
         || !viewed && now - dialledAt > (open ? PATIENT_MILLIS : VIEW_MILLIS)) {
       leave("it gives no view", now);
-    } else if (now - toldAt >= TELL_MILLIS) {
+    } else {
+      tellInTime(now);
+    }
+  }
+
+  private void tellInTime(final long now) {
+    if (now - toldAt >= TELL_MILLIS) {
       tell(now);
     }
   }
 
+  /**
+   * Whether a proxy that had a stream before should dial more registries beside the one it waits
+   * for: what they would give is only what differs.
+   */
+  private boolean resumes(final long now) {
+    return !viewed
+        && version > 0
+        && now - dialledAt >= (open ? BESIDE_SILENT_MILLIS : BESIDE_ENDED_MILLIS);
+  }
+
+  /** No registry listens at this address, though its machine answers. */
+  public void refused(final String address, final long now) {
+    outlet.registryDown();
+    addresses.failed(address, now);
+    if (address.equals(current) && !viewed && !open) {
+      dialledAt = Math.min(dialledAt, now - VIEW_MILLIS);
+    }
+    if (seeking && address.equals(approached)) {
+      approachedAt = Math.min(approachedAt, now - VIEW_MILLIS);
+    }
+  }
+
   /** The process will end: clients should go elsewhere. */
   public void leave(final long now) {
     leaving = true;
--- a/proxy/src/main/java/weldpoint/proxy/Stream.java
+++ b/proxy/src/main/java/weldpoint/proxy/Stream.java
@@ -109,6 +109,11 @@
                     }
                   }
 
+                  @Override
+                  public void refused() {
+                    link.refused(address, ProxyContext.now());
+                  }
+
                   @Override
                   public void closed(final Line line) {
                     if (dialler == mine[0]) {
--- a/proxy/src/test/java/weldpoint/proxy/StaleControlStateTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/StaleControlStateTest.java
@@ -147,12 +147,18 @@
     assertEquals(other.requests.size(), 1);
   }
 
-  /** Guards against DRAIN: a further try goes out by control state that has become too old. */
+  /**
+   * Guards against DRAIN: a further try goes out by control state that has become too old. (A
+   * write, since a lookup would be asked of a second upstream earlier, while the proof still
+   * holds.)
+   */
   @Test
   public void nothingIsSentAgainOnceControlStateMayBeTooOld()
       throws IOException, InterruptedException {
     answer = TURNED_AWAY;
-    proxy.configure(configuration(1, "s"), upstream("i-2", "s", old.port()));
+    proxy.configure(
+        configuration(2, "s").replace("\"idempotent\"", "\"mutating\""),
+        upstream("i-2", "s", old.port()));
     final long began = ProxyContext.now();
     onLoop(() -> proved(0));
     uponArrival =
--- a/trunk/src/main/java/weldpoint/trunk/Trunk.java
+++ b/trunk/src/main/java/weldpoint/trunk/Trunk.java
@@ -10,12 +10,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.MessageToByteEncoder;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +40,9 @@
 
     /** The line has ended. */
     default void closed(final Line line) {}
+
+    /** The peer's machine answered that nobody listens there. */
+    default void refused() {}
   }
 
   private final EventLoopGroup loop;
@@ -165,9 +170,21 @@
                     }
                   })
               .connect(new InetSocketAddress(address, port));
+      attempt.addListener(
+          done -> {
+            if (isRefusal(done.cause())) {
+              ear.refused();
+            }
+          });
       attempt.channel().closeFuture().addListener(done -> again());
     }
 
+    private boolean isRefusal(final Throwable cause) {
+      return !ended
+          && cause instanceof ConnectException
+          && !(cause instanceof ConnectTimeoutException);
+    }
+
     /** Takes a line unless the end came first; the two may come from different threads. */
     private synchronized boolean take(final Line opened) {
       if (!ended) {
@@ -374,6 +391,11 @@
       public void closed(final Line line) {
         executor.execute(() -> ear.closed(line));
       }
+
+      @Override
+      public void refused() {
+        executor.execute(ear::refused);
+      }
     };
   }
 
