--- a/proxy/src/main/java/weldpoint/proxy/ControlProof.java
+++ b/proxy/src/main/java/weldpoint/proxy/ControlProof.java
@@ -13,8 +13,13 @@
  * steady clock, in milliseconds.
  */
 final class ControlProof {
-  /** The way of a request to its upstream, and what a clock may be late by. */
-  private static final long MARGIN_MILLIS = 300;
+  /** What a request may need to its upstream behind a full link, beside its share of the bound. */
+  private static final long WAY_MILLIS = 100;
+
+  /** The part of the bound that the way of a request to its upstream may take. */
+  private static final long WAY_PART = 5;
+
+  private static final long OUT_OF_TOUCH_MARGIN_MILLIS = 300;
 
   private static final long[] BOUNDS_MILLIS = {500, 1000, 1500, 2000, 2500, 3000, 5000};
 
@@ -34,9 +39,9 @@
    * @param contactMillis for how long a machine in touch has been sound and connected
    */
   ControlProof(final long obeyMillis, final long contactMillis) {
-    this.leaseMillis = Math.max(MARGIN_MILLIS, obeyMillis - MARGIN_MILLIS);
+    this.leaseMillis = obeyMillis - Math.min(obeyMillis, obeyMillis / WAY_PART + WAY_MILLIS);
     this.contactMillis = contactMillis;
-    this.outOfTouchMillis = Math.max(leaseMillis, contactMillis + MARGIN_MILLIS);
+    this.outOfTouchMillis = Math.max(leaseMillis, contactMillis + OUT_OF_TOUCH_MARGIN_MILLIS);
   }
 
   /** All that was acknowledged before this time is in force here. */
