Ages that registries tell are counted from when they were said (PURGE)

Callers would see: a cache node gives a copy that was purged, since the word that a majority was heard of, held up on its way for seconds, was taken as if just said. Reach names the sender's clock, and the stream adds the time under way (an upper bound by PeerClock). The same holds for the age by which proxies leave a stale registry and for the chief's. StreamTest.agesAreCountedFromWhenTheyWereSaid cannot be compiled without the field; without the call of delayed() it fails (age 40 instead of 2,607).

--- a/proxy/src/main/java/weldpoint/proxy/Stream.java
+++ b/proxy/src/main/java/weldpoint/proxy/Stream.java
@@ -6,6 +6,7 @@
 import weldpoint.boot.Boot;
 import weldpoint.trunk.Line;
 import weldpoint.trunk.Message;
+import weldpoint.trunk.PeerClock;
 import weldpoint.trunk.RegistryMessages;
 import weldpoint.trunk.Trunk;
 
@@ -101,8 +102,7 @@
                   @Override
                   public void heard(final Line line, final Message message) {
                     if (dialler == mine[0]) {
-                      link.heard(message, ProxyContext.now());
-                      prove(line, message);
+                      take(line.clock(), message, ProxyContext.now());
                     } else if (beside.contains(mine[0])
                         && message instanceof RegistryMessages.View) {
                       arrive(address, mine[0], (RegistryMessages.View) message);
@@ -125,15 +125,23 @@
     return mine[0];
   }
 
-  /** Tells the link up to when, by its own clock, it was told all that was acknowledged. */
-  private void prove(final Line line, final Message message) {
-    if (message instanceof RegistryMessages.Reach reach && reach.confirmedClock != null) {
-      final long now = ProxyContext.now();
-      final Long provedAt = line.clock().notAfter(reach.confirmedClock, now);
-      if (provedAt != null) {
-        link.proved(provedAt, now);
-      }
+  /**
+   * Hands a message to the link. Ages in the word of a registry are counted from when it was said,
+   * not from when it is read, and its proof becomes a time of the own clock.
+   */
+  void take(final PeerClock clock, final Message message, final long now) {
+    if (!(message instanceof RegistryMessages.Reach)) {
+      link.heard(message, now);
+      return;
+    }
+    final RegistryMessages.Reach reach = (RegistryMessages.Reach) message;
+    final Long provedAt =
+        reach.confirmedClock == null ? null : clock.notAfter(reach.confirmedClock, now);
+    if (provedAt != null) {
+      link.proved(provedAt, now);
     }
+    final Long saidAt = reach.sentClock == null ? null : clock.notAfter(reach.sentClock, now);
+    link.heard(saidAt == null ? reach : reach.delayed(Math.max(0, now - saidAt)), now);
   }
 
   /** Ends the line for good. */
--- /dev/null
+++ b/proxy/src/test/java/weldpoint/proxy/StreamTest.java
@@ -0,0 +1,91 @@
+package weldpoint.proxy;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.testng.annotations.Test;
+import weldpoint.dialplan.Dialplan;
+import weldpoint.trunk.Message;
+import weldpoint.trunk.PeerClock;
+import weldpoint.trunk.RegistryMessages;
+import weldpoint.trunk.RegistryMessages.Reach;
+import weldpoint.trunk.RegistryMessages.Registration;
+import weldpoint.trunk.TrialMessages;
+
+/** What a registry says, as a stream hands it to its link. */
+public final class StreamTest {
+  private static final long PEER_AHEAD_MILLIS = 50_000;
+
+  private final List<Long> ages = new ArrayList<>();
+  private final List<Long> proofs = new ArrayList<>();
+
+  private final class Outlet implements RegistryLink.Outlet {
+    @Override
+    public void dial(final String address) {}
+
+    @Override
+    public void send(final Message message) {}
+
+    @Override
+    public void outlook(
+        final Dialplan plan,
+        final Map<Registration, Boolean> changes,
+        final Set<String> evacuated,
+        final Set<String> suspects,
+        final int proxies) {}
+
+    @Override
+    public void trials(final List<TrialMessages.Trial> trials, final long mark) {}
+
+    @Override
+    public void reached(final long ageMillis, final int proxies, final List<String> caches) {
+      ages.add(ageMillis);
+    }
+
+    @Override
+    public void proved(final long provedAt) {
+      proofs.add(provedAt);
+    }
+
+    @Override
+    public void admitted() {}
+  }
+
+  /**
+   * Guards against PURGE: the word that a majority was heard of, held up on its way, makes a cache
+   * believe that it knows of purges acknowledged meanwhile.
+   */
+  @Test
+  public void agesAreCountedFromWhenTheyWereSaid() {
+    final RegistryLink link =
+        new RegistryLink(
+            new RegistryMessages.Board("10.0.0.9", "10.0.0.9:80", "a", "r", 1, false, 0),
+            List.of("e1", "e2"),
+            new Random(1),
+            new Outlet());
+    final Stream stream = new Stream(null, null, weldpoint.boot.Boot.parse(SETTINGS), () -> {});
+    stream.link(link);
+    link.start(0);
+    final PeerClock clock = new PeerClock();
+    clock.asked(100);
+    clock.answered(100 + PEER_AHEAD_MILLIS, 110);
+    stream.take(
+        clock,
+        new RegistryMessages.View(1, null, false, null, 0, null, false, null, 1, null, -1),
+        200);
+    final Reach reach =
+        new Reach(
+            40, 1, List.of(), null, null, 40, 960 + PEER_AHEAD_MILLIS, 1000 + PEER_AHEAD_MILLIS);
+    stream.take(clock, reach, 3500);
+    final long drift = (3500 - 110) / 50;
+    assertEquals(ages, List.of(40 + 2500 + drift), "40 ms old when it was said, 2.5 s under way");
+    assertEquals(proofs, List.of(960 - drift));
+  }
+
+  private static final String SETTINGS =
+      "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\n";
+}
--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -1214,7 +1214,8 @@
         caches,
         first || news ? places : null,
         Math.min(Integer.MAX_VALUE, now - contactAt()),
-        reads.done() == 0 ? null : Long.valueOf(reads.confirmedAt()));
+        reads.done() == 0 ? null : Long.valueOf(reads.confirmedAt()),
+        now);
   }
 
   private List<String> toldMembers = List.of();
--- a/trunk/src/main/java/weldpoint/trunk/RegistryMessages.java
+++ b/trunk/src/main/java/weldpoint/trunk/RegistryMessages.java
@@ -498,6 +498,9 @@
      */
     public final Long confirmedClock;
 
+    /** The time of the sender's steady clock at which this was said; null where it is not told. */
+    public final Long sentClock;
+
     public Reach(final long ageMillis, final int boards, final List<String> members) {
       this(ageMillis, boards, members, null, null, ageMillis);
     }
@@ -518,10 +521,10 @@
         final List<String> announcers,
         final List<String> places,
         final long contactMillis) {
-      this(ageMillis, boards, members, announcers, places, contactMillis, null);
+      this(ageMillis, boards, members, announcers, places, contactMillis, null, null);
     }
 
-    /** The same with the time up to which all that was acknowledged has been told. */
+    /** The same with the time up to which all that was acknowledged has been told, and with now. */
     public Reach(
         final long ageMillis,
         final int boards,
@@ -529,7 +532,9 @@
         final List<String> announcers,
         final List<String> places,
         final long contactMillis,
-        final Long confirmedClock) {
+        final Long confirmedClock,
+        final Long sentClock) {
+      this.sentClock = sentClock;
       this.confirmedClock = confirmedClock;
       this.contactMillis = contactMillis;
       this.places = places;
@@ -538,5 +543,18 @@
       this.boards = boards;
       this.members = members;
     }
+
+    /** The same as it is to be taken when it has been under way for so long. */
+    public Reach delayed(final long delayMillis) {
+      return new Reach(
+          ageMillis + delayMillis,
+          boards,
+          members,
+          announcers,
+          places,
+          contactMillis + delayMillis,
+          confirmedClock,
+          sentClock);
+    }
   }
 }
