Registry: keepers of beats and what daemons have in force stand alone

Four log lines say registry instead of exchange, ControlState's says configuration. Behaviour unchanged; the tests of registry, proxy and rig that touch it pass.

--- a/registry/src/main/java/weldpoint/registry/ControlDoor.java
+++ b/registry/src/main/java/weldpoint/registry/ControlDoor.java
@@ -613,7 +613,7 @@
                         200,
                         Calls.BEAT_ANSWER,
                         new Calls.BeatAnswer(
-                            core.keeper(id, beat.zone(), regions, now) + ":" + controlPort)));
+                            core.keeper(id, beat.zone(), regions) + ":" + controlPort)));
   }
 
   ControlCommand record(final boolean on) {
--- a/registry/src/main/java/weldpoint/registry/ControlState.java
+++ b/registry/src/main/java/weldpoint/registry/ControlState.java
@@ -119,7 +119,7 @@
       version = givenVersion;
       spec = givenSpec;
       newSpec = spec;
-      LOGGER.atInfo().log("exchange %s has spec %s", self, Long.toHexString(version));
+      LOGGER.atInfo().log("registry %s has configuration %s", self, Long.toHexString(version));
     }
     final boolean evacuations = givenEvacuationMark > evacuationMark;
     if (evacuations) {
--- a/registry/src/main/java/weldpoint/registry/HistoryDesk.java
+++ b/registry/src/main/java/weldpoint/registry/HistoryDesk.java
@@ -309,7 +309,7 @@
   static Calls.ReachAnswer reach(
       final Calls.HistoryAnswer found,
       final AuditEntry change,
-      final List<RegistryCore.InForce> daemons,
+      final List<InForce> daemons,
       final long wall) {
     final List<Calls.DaemonReach> list = new ArrayList<>();
     final boolean configuration = change.kind() == ChangeKind.CONFIGURATION;
@@ -318,7 +318,7 @@
             || change.kind() == ChangeKind.EVACUATION_BEGUN
             || change.kind() == ChangeKind.EVACUATION_FINISHED
             || change.kind() == ChangeKind.TRIAL;
-    for (final RegistryCore.InForce one : daemons) {
+    for (final InForce one : daemons) {
       final long held = configuration ? one.version() : one.mark();
       final long wanted = configuration ? change.version : change.mark;
       final String heard =
@@ -368,10 +368,7 @@
 
   /** Answers which daemons had the change of this number in force. */
   CompletableFuture<Calls.ReachAnswer> reach(
-      final long sequence,
-      final List<RegistryCore.InForce> daemons,
-      final long wall,
-      final long now) {
+      final long sequence, final List<InForce> daemons, final long wall, final long now) {
     if (sequence < 1) {
       throw new Breakdown(
           Breakdown.Kind.INVALID, "changes are counted from 1; name one of the history");
--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -15,7 +15,6 @@
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Affinity;
 import weldpoint.frame.Deed;
-import weldpoint.frame.Tokens;
 import weldpoint.frame.Values;
 import weldpoint.metrics.Figure;
 import weldpoint.ownership.HoldTimes;
@@ -349,7 +348,7 @@
     }
     tellPeers(now);
     LOGGER.atInfo().log(
-        "exchange %s starts with %s registrations, roster %s",
+        "registry %s starts with %s registrations, roster %s",
         self, registrations.size(), roster.number);
   }
 
@@ -385,48 +384,12 @@
    * Who keeps the beats of an upstream: the token's owner if it can be reached, otherwise the next
    * of the list.
    */
-  public String keeper(
-      final String id, final String site, final Map<String, String> regions, final long now) {
-    final int size = roster.voters.size();
-    if (size == 0) {
-      return self;
-    }
-    final int token = Math.floorMod(id.hashCode() * 0x9e3779b1, Tokens.COUNT);
-    int first = 0;
-    for (int index = 0; index < size; index++) {
-      if (Protocol.list(roster.voters.get(index).tokens).contains(token)) {
-        first = index;
-      }
-    }
-    final List<Voter> preference = new ArrayList<>();
-    for (int pass = 0; pass < 2; pass++) {
-      for (int step = 0; step < size; step++) {
-        final Voter voter = roster.voters.get((first + step) % size);
-        boolean sameSite = false;
-        for (final Voter before : preference) {
-          sameSite |= before.site.equals(voter.site);
-        }
-        if (!preference.contains(voter) && (pass == 1 || !sameSite)) {
-          preference.add(voter);
-        }
-      }
-    }
-    final String region = regions.get(site);
-    for (int index = 0; index < Math.min(3, preference.size()); index++) {
-      final Voter voter = preference.get(index);
-      if (voter.region.equals(region) && reachable(voter.address, now)) {
-        return voter.address;
-      }
-    }
-    for (final Voter voter : preference) {
-      if (reachable(voter.address, now)) {
-        return voter.address;
-      }
-    }
-    return self;
+  public String keeper(final String id, final String site, final Map<String, String> regions) {
+    final String keeper = BeatKeepers.keeper(roster.voters, id, regions.get(site), this::reachable);
+    return keeper == null ? self : keeper;
   }
 
-  private boolean reachable(final String address, final long now) {
+  private boolean reachable(final String address) {
     return address.equals(self) || connected.contains(address);
   }
 
@@ -859,7 +822,7 @@
         && now - Math.max(rosterAt, startedAt) > MOST_LEARNING_MILLIS
         && now - majorityAt < MAJORITY_MILLIS) {
       LOGGER.atWarning().log(
-          "exchange %s found no majority of exchanges that have all that was acknowledged; it counts with what it has",
+          "registry %s found no majority of registries that have all that was acknowledged; it counts with what it has",
           self);
       learned(now);
     }
@@ -874,7 +837,7 @@
     learning = false;
     keepLearning();
     LOGGER.atInfo().log(
-        "exchange %s has learned what was acknowledged before it came, and counts", self);
+        "registry %s has learned what was acknowledged before it came, and counts", self);
   }
 
   private boolean writesElectorates() {
@@ -905,8 +868,7 @@
     final boolean alike = gossip.digest == registrations.digest();
     merge(Protocol.list(gossip.history), now);
     merge(Buckets.unpack(gossip.packed), now);
-    membersInForce.put(
-        from, new InForce(from, "exchange", gossip.version, gossip.mark, gossip.heldMillis, now));
+    inForceTable.told(from, gossip.version, gossip.mark, gossip.heldMillis, now);
     if (gossip.region != null && !gossip.region.isEmpty()) {
       memberPlaces.put(from, gossip.region + "/" + gossip.site);
     }
@@ -961,7 +923,7 @@
             || gossip.packed != null
             || gossip.history != null)) {
       reconciled = true;
-      LOGGER.atInfo().log("exchange %s has reconciled its history with a peer", self);
+      LOGGER.atInfo().log("registry %s has reconciled its history with a peer", self);
     }
   }
 
@@ -1478,49 +1440,18 @@
 
   /** What each daemon has in force, as it told last. */
   public List<InForce> inForce(final long now) {
-    final List<InForce> list = new ArrayList<>();
-    list.add(
+    final InForce own =
         new InForce(
-            self, "exchange", control.version(), control.mark(), now - control.heldSince(), 0));
-    for (final String member : members.keySet()) {
-      final InForce one = membersInForce.get(member);
-      if (!member.equals(self)) {
-        list.add(
-            one == null
-                ? new InForce(member, "exchange", 0, 0, 0, Long.MAX_VALUE)
-                : new InForce(
-                    member,
-                    "exchange",
-                    one.version(),
-                    one.mark(),
-                    one.heldMillis(),
-                    now - one.ageMillis()));
-      }
-    }
-    for (final Switchboards.Entry entry : switchboards.all()) {
-      final Board board = entry.board;
-      if (!board.leaving) {
-        list.add(
-            new InForce(
-                board.address,
-                board.announcer ? "announcer" : "switchboard",
-                board.version,
-                board.mark,
-                board.heldMillis,
-                now - entry.heardAt));
-      }
-    }
-    return list;
+            self,
+            InForceTable.REGISTRY,
+            control.version(),
+            control.mark(),
+            now - control.heldSince(),
+            0);
+    return inForceTable.all(own, members.keySet(), switchboards.all(), now);
   }
 
-  /**
-   * What one daemon has in force: the configuration, the mark of evacuations and trials, for how
-   * long it had them, and how long ago it told.
-   */
-  public record InForce(
-      String address, String program, long version, long mark, long heldMillis, long ageMillis) {}
-
-  private final Map<String, InForce> membersInForce = new HashMap<>();
+  private final InForceTable inForceTable = new InForceTable();
 
   /** A frame has answered. */
   public void answered(final String from, final StoreCallMessages.Answer answer, final long now) {
@@ -1645,7 +1576,7 @@
     final List<Registration> lapsed = new ArrayList<>();
     for (final Registration registration : silent) {
       if (now - majorityAt < MAJORITY_MILLIS
-          && self.equals(keeper(registration.id, registration.site, Map.of(), now))) {
+          && self.equals(keeper(registration.id, registration.site, Map.of()))) {
         lapsed.add(
             Registrations.step(
                 registration,
--- a/registry/src/test/java/weldpoint/registry/HistoryDeskTest.java
+++ b/registry/src/test/java/weldpoint/registry/HistoryDeskTest.java
@@ -236,11 +236,11 @@
             found,
             AuditEntry.read(bytes),
             List.of(
-                new RegistryCore.InForce("10.0.0.2", "switchboard", 8, 0, 500, 100),
-                new RegistryCore.InForce("10.0.0.3", "switchboard", 7, 0, 9000, 100),
-                new RegistryCore.InForce("10.0.0.4", "switchboard", 9, 0, 500, 20_000),
-                new RegistryCore.InForce("10.0.0.5", "exchange", 0, 0, 0, Long.MAX_VALUE),
-                new RegistryCore.InForce("10.0.0.6", "switchboard", 9, 0, 50, 10)),
+                new InForce("10.0.0.2", "switchboard", 8, 0, 500, 100),
+                new InForce("10.0.0.3", "switchboard", 7, 0, 9000, 100),
+                new InForce("10.0.0.4", "switchboard", 9, 0, 500, 20_000),
+                new InForce("10.0.0.5", "exchange", 0, 0, 0, Long.MAX_VALUE),
+                new InForce("10.0.0.6", "switchboard", 9, 0, 50, 10)),
             WALL);
     assertEquals(
         reach.daemons().stream().map(Calls.DaemonReach::state).toList(),
