Proxies dial registries that are there before those that are gone (DRAIN)

Cause: a registry named all members it ever knew to its proxies, also machines that were removed for good (for a minute, seeds for good), and a proxy whose registry ended dialled them in turn. Change: a registry names those it has a line to, and a proxy dials these first, those that gave no view last. RegistryLinkTest.registriesThatAreGoneAreDialledAfterThoseThatAreThere failed before (dialled [here, e1]).

--- a/proxy/src/main/java/weldpoint/proxy/RegistryAddresses.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryAddresses.java
@@ -6,12 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import weldpoint.boot.Rank;
 import weldpoint.trunk.RegistryMessages.Board;
 
 /**
- * The registries that a proxy knows of, and which one it should dial next: each in turn, but one
- * that lately gave no view only after the others.
+ * The registries that a proxy knows of, and which one it should dial next: each in turn, those that
+ * a registry has no line to, or that lately gave no view, only after the others.
  */
 final class RegistryAddresses {
   private static final long FAILED_MILLIS = 15_000;
@@ -23,6 +24,7 @@
   private final List<String> addresses = new ArrayList<>();
   private final Map<String, String> places = new HashMap<>();
   private final Map<String, Long> failedAt = new HashMap<>();
+  private Set<String> reachable = Set.of();
   private int last;
 
   /** The seeds, in an order of this proxy's own. */
@@ -41,6 +43,14 @@
     }
   }
 
+  /** A registry names those that it has a line to, and itself. */
+  void reachable(final List<String> named) {
+    if (!named.isEmpty()) {
+      add(named);
+      reachable = Set.copyOf(named);
+    }
+  }
+
   /** Takes where one of them stands, as region/zone. */
   void place(final String address, final String place) {
     places.put(address, place);
@@ -57,31 +67,32 @@
     last = Math.max(0, addresses.indexOf(address));
   }
 
-  /** The next one that is none of these: one that did not fail lately, where there is one. */
+  /**
+   * The next one that is none of these: one that was named as reachable and did not fail lately,
+   * else another that did not fail, else the one that failed first.
+   */
   String next(final String present, final String other, final long now) {
-    String fallback = null;
+    int best = -1;
     for (int step = 1; step <= addresses.size(); step++) {
       final int index = (last + step) % addresses.size();
       final String address = addresses.get(index);
-      if (address.equals(present) || address.equals(other)) {
-        continue;
-      }
-      if (now - failedAt.getOrDefault(address, now - FAILED_MILLIS) >= FAILED_MILLIS) {
-        last = index;
-        return address;
+      if (!address.equals(present)
+          && !address.equals(other)
+          && (best < 0 || order(address, now) < order(addresses.get(best), now))) {
+        best = index;
       }
-      fallback = older(address, fallback);
     }
-    if (fallback == null) {
-      last = (last + 1) % addresses.size();
-      return addresses.get(last);
-    }
-    last = addresses.indexOf(fallback);
-    return fallback;
+    last = best < 0 ? (last + 1) % addresses.size() : best;
+    return addresses.get(last);
   }
 
-  private String older(final String one, final String other) {
-    return other == null || failedAt.get(one) < failedAt.get(other) ? one : other;
+  /** Lower for those that should be dialled sooner. */
+  private long order(final String address, final long now) {
+    final long failed = failedAt.getOrDefault(address, now - FAILED_MILLIS);
+    if (now - failed < FAILED_MILLIS) {
+      return FAILED_MILLIS - (now - failed) + 1;
+    }
+    return reachable.contains(address) ? -1 : 0;
   }
 
   /**
--- a/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
@@ -330,7 +330,7 @@
       final RegistryMessages.Reach reach = (RegistryMessages.Reach) message;
       outlet.reached(reach.ageMillis, reach.boards, Protocol.list(reach.announcers));
       final List<String> members = Protocol.list(reach.members);
-      addresses.add(members);
+      addresses.reachable(members);
       for (int index = 0; index < Protocol.list(reach.places).size(); index++) {
         addresses.place(members.get(index), reach.places.get(index));
       }
--- a/proxy/src/test/java/weldpoint/proxy/RegistryLinkTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/RegistryLinkTest.java
@@ -347,4 +347,30 @@
       twoLines = false;
     }
   }
+
+  /**
+   * Guards against DRAIN: machines of the core were replaced one after the other, and a proxy whose
+   * registry ends dials those that are gone before those that are there.
+   */
+  @Test
+  public void registriesThatAreGoneAreDialledAfterThoseThatAreThere() {
+    final RegistryLink link = linkOfTwoLines();
+    try {
+      link.opened(10);
+      link.heard(view(5, 0, List.of()), 20);
+      link.heard(new RegistryMessages.Reach(100, 3, MEMBERS), 500);
+      link.heard(new RegistryMessages.Reach(100, 3, List.of("n1", "n2")), 1000);
+      link.closed(1100);
+      for (long now = 1200; now <= 1500; now += 100) {
+        link.tick(now);
+      }
+      final List<String> sought = new ArrayList<>(approached);
+      sought.add(dialled.get(dialled.size() - 1));
+      assertTrue(sought.size() >= 2, "sought at " + sought);
+      assertTrue(
+          Set.of("n1", "n2").containsAll(sought), "dialled before those that are there: " + sought);
+    } finally {
+      twoLines = false;
+    }
+  }
 }
--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -1155,15 +1155,17 @@
   }
 
   /**
-   * What is told each time, with the members where they have changed since they were told to all.
+   * What is told each time, with the registries that there is a line to where they have changed
+   * since they were told to all. Machines that are gone must not be named: proxies dial them.
    */
   private RegistryMessages.Reach reach(final long now, final boolean first) {
     final List<String> caches = switchboards.announcers(now);
     final List<String> places = new ArrayList<>();
-    for (final String member : members.keySet()) {
+    final List<String> named = new ArrayList<>(members.keySet());
+    named.removeIf(member -> !member.equals(self) && !connected.contains(member));
+    for (final String member : named) {
       places.add(member.equals(self) ? region + "/" + site : memberPlaces.getOrDefault(member, ""));
     }
-    final List<String> named = new ArrayList<>(members.keySet());
     final boolean news = !named.equals(toldMembers) || !places.equals(toldPlaces);
     if (!first) {
       toldMembers = named;
