Proof of control state: an unsettled core binds nobody, and proxies serve on (worth)

Cause: only a refused dial counted as a sign that the core is unsettled, and machines without power refuse nothing. Change: a registry that says itself, not merely late, that it has heard no majority for a second counts too, for contactMs from when it last heard one. By then nothing acknowledged binds a machine in touch. StaleControlStateTest: aProxyWhoseCoreIsUnsettledServesOn, aCoreThatWasUnsettledLongAgoBindsAgain; StreamTest: a slow line is no such sign.

--- a/proxy/src/main/java/weldpoint/proxy/ControlProof.java
+++ b/proxy/src/main/java/weldpoint/proxy/ControlProof.java
@@ -9,7 +9,7 @@
  * draining and ended upstreams. A proof is a lease on acting by what it has, since whatever was
  * acknowledged later need not be obeyed yet; without a new proof the lease lapses, and nothing is
  * sent. A proxy that has had none for longer than a machine in touch can be without serves on, for
- * the sake of its clients, and so does one that knows registries to be down. Times are of the
+ * the sake of its clients, and so does one that knows the core to be unsettled. Times are of the
  * steady clock, in milliseconds.
  */
 final class ControlProof {
@@ -30,7 +30,7 @@
   private final List<Runnable> waiting = new ArrayList<>();
   private long waited;
   private long provedAt;
-  private long registriesDownUntil = Long.MIN_VALUE;
+  private long unsettledUntil = Long.MIN_VALUE;
 
   /**
    * No proof yet.
@@ -57,6 +57,10 @@
       renewals[bound]++;
     }
     provedAt = given;
+    goOn(now);
+  }
+
+  private void goOn(final long now) {
     if (!waiting.isEmpty() && holds(now)) {
       final List<Runnable> due = List.copyOf(waiting);
       waiting.clear();
@@ -65,10 +69,12 @@
   }
 
   /**
-   * A registry's machine answered that no registry runs there: the core is unsettled for a while.
+   * A registry is down or without a majority, for so long: the core is unsettled, and no machine is
+   * held to the bounds until it has been settled for a while.
    */
-  void registryDown(final long now) {
-    registriesDownUntil = now + contactMillis;
+  void coreUnsettled(final long ageMillis, final long now) {
+    unsettledUntil = Math.max(unsettledUntil, now - ageMillis + contactMillis);
+    goOn(now);
   }
 
   /** Whether requests may be sent by what is in force here. */
@@ -78,7 +84,7 @@
 
   /** Until when requests may be sent by what is in force here; in the past where they may not. */
   long until(final long now) {
-    if (provedAt == 0 || now - provedAt >= outOfTouchMillis || now < registriesDownUntil) {
+    if (provedAt == 0 || now - provedAt >= outOfTouchMillis || now < unsettledUntil) {
       return Long.MAX_VALUE;
     }
     return provedAt + leaseMillis;
--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -230,8 +230,8 @@
               }
 
               @Override
-              public void registryDown() {
-                loop.execute(() -> proxyContext.proof.registryDown(ProxyContext.now()));
+              public void coreUnsettled(final long ageMillis) {
+                loop.execute(() -> proxyContext.proof.coreUnsettled(ageMillis, ProxyContext.now()));
               }
 
               @Override
--- a/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
@@ -61,8 +61,8 @@
       return false;
     }
 
-    /** A registry's machine answers that no registry listens there. */
-    default void registryDown() {}
+    /** A registry is down, or said itself that it hears no majority, since so long ago. */
+    default void coreUnsettled(final long ageMillis) {}
 
     /** Closes all lines that were opened beside. */
     default void abandonApproach() {}
@@ -480,9 +480,14 @@
         && now - dialledAt >= (open ? BESIDE_SILENT_MILLIS : BESIDE_ENDED_MILLIS);
   }
 
+  /** The registry said itself that it had heard no majority for so long. */
+  public void majorityLost(final long ageMillis) {
+    outlet.coreUnsettled(ageMillis);
+  }
+
   /** No registry listens at this address, though its machine answers. */
   public void refused(final String address, final long now) {
-    outlet.registryDown();
+    outlet.coreUnsettled(0);
     addresses.failed(address, now);
     if (address.equals(current) && !viewed && !open) {
       dialledAt = Math.min(dialledAt, now - VIEW_MILLIS);
--- a/proxy/src/main/java/weldpoint/proxy/Stream.java
+++ b/proxy/src/main/java/weldpoint/proxy/Stream.java
@@ -17,6 +17,9 @@
 public final class Stream {
   private static final int MOST_BESIDE = 3;
 
+  /** A registry that reads from a majority each half second has lost it after two reads. */
+  private static final long MAJORITY_LOST_MILLIS = 1000;
+
   private final Trunk trunk;
   private final Executor desk;
   private final int port;
@@ -141,7 +144,11 @@
       link.proved(provedAt, now);
     }
     final Long saidAt = reach.sentClock == null ? null : clock.notAfter(reach.sentClock, now);
-    link.heard(saidAt == null ? reach : reach.delayed(Math.max(0, now - saidAt)), now);
+    final long delayMillis = saidAt == null ? 0 : Math.max(0, now - saidAt);
+    if (saidAt != null && reach.contactMillis >= MAJORITY_LOST_MILLIS) {
+      link.majorityLost(reach.contactMillis + delayMillis);
+    }
+    link.heard(reach.delayed(delayMillis), now);
   }
 
   /** Ends the line for good. */
--- a/proxy/src/test/java/weldpoint/proxy/StaleControlStateTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/StaleControlStateTest.java
@@ -185,6 +185,33 @@
     }
   }
 
+  /**
+   * Guards against lost worth: the core has no majority, so that nothing can be acknowledged, and
+   * proxies refuse all the same.
+   */
+  @Test
+  public void aProxyWhoseCoreIsUnsettledServesOn() throws IOException, InterruptedException {
+    onLoop(() -> proved(STALE_MILLIS));
+    try (Socket client = request("/w/x")) {
+      TestProxy.await(() -> proxy.proxyContext().open.count() == 1, "no request has come");
+      onLoop(() -> proxy.proxyContext().proof.coreUnsettled(STALE_MILLIS, ProxyContext.now()));
+      assertEquals(status(client), "200");
+    }
+  }
+
+  /** Guards against CONFIG: a core that has been settled for long is taken for unsettled. */
+  @Test
+  public void aCoreThatWasUnsettledLongAgoBindsAgain() throws IOException, InterruptedException {
+    onLoop(
+        () -> {
+          proved(STALE_MILLIS);
+          proxy.proxyContext().proof.coreUnsettled(CUT_OFF_MILLIS, ProxyContext.now());
+        });
+    try (Socket client = request("/w/x")) {
+      assertEquals(status(client), "503");
+    }
+  }
+
   /** A proxy that was never given a proof, by registries of an older release, serves. */
   @Test
   public void aProxyWithoutAnyProofServes() throws IOException, InterruptedException {
--- a/proxy/src/test/java/weldpoint/proxy/StreamTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/StreamTest.java
@@ -22,6 +22,7 @@
 
   private final List<Long> ages = new ArrayList<>();
   private final List<Long> proofs = new ArrayList<>();
+  private final List<Long> unsettled = new ArrayList<>();
 
   private final class Outlet implements RegistryLink.Outlet {
     @Override
@@ -46,6 +47,11 @@
       ages.add(ageMillis);
     }
 
+    @Override
+    public void coreUnsettled(final long ageMillis) {
+      unsettled.add(ageMillis);
+    }
+
     @Override
     public void proved(final long provedAt) {
       proofs.add(provedAt);
@@ -84,6 +90,12 @@
     final long drift = (3500 - 110) / 50;
     assertEquals(ages, List.of(40 + 2500 + drift), "40 ms old when it was said, 2.5 s under way");
     assertEquals(proofs, List.of(960 - drift));
+    assertEquals(unsettled, List.of(), "the line was slow, the registry had its majority");
+    stream.take(
+        clock,
+        new Reach(1200, 1, List.of(), null, null, 1200, null, 3490 + PEER_AHEAD_MILLIS),
+        3500);
+    assertEquals(unsettled.size(), 1, "it said itself that it had lost the majority");
   }
 
   private static final String SETTINGS =
