--- a/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryLink.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import weldpoint.boot.Breakdown;
 import weldpoint.dialplan.Dialplan;
 import weldpoint.registry.Buckets;
@@ -41,11 +42,13 @@
   private static final long VIEW_MILLIS = 900;
   private static final long BESIDE_SILENT_MILLIS = 600;
   private static final long BESIDE_ENDED_MILLIS = 300;
+  private static final long REFUSED_PAUSE_MILLIS = 150;
   private static final long PATIENT_MILLIS = 3500;
   private static final long NEAR_MILLIS = 4000;
   private static final long STAY_MILLIS = 3000;
   private static final long APPROACH_MILLIS = 4000;
   private static final long GLANCE_MILLIS = 150;
+  private static final int LOG_PAUSE_SECONDS = 1;
   private static final long OLD_PROOF_MILLIS = 1500;
 
   /** What the link does to the world. */
@@ -169,7 +172,7 @@
   /** Goes to another exchange, and says why, so that a late configuration can be traced. */
   private void leave(final String reason, final long now) {
     moves = moves + 1;
-    LOGGER.atInfo().log(
+    LOGGER.atInfo().atMostEvery(LOG_PAUSE_SECONDS, TimeUnit.SECONDS).log(
         "leaves registry %s: %s; heard %s ms ago, dialled %s ms ago, open %s, viewed %s",
         current, reason, now - heardAt, now - dialledAt, open, viewed);
     move(now);
@@ -219,7 +222,7 @@
     if (seeking) {
       addresses.failed(approached, now);
     }
-    LOGGER.atInfo().log(
+    LOGGER.atInfo().atMostEvery(LOG_PAUSE_SECONDS, TimeUnit.SECONDS).log(
         "dials registry %s beside %s, which is silent for %s ms", another, current, now - heardAt);
     seeking = true;
     approached = another;
@@ -490,10 +493,10 @@
     outlet.coreUnsettled(0);
     addresses.failed(address, now);
     if (address.equals(current) && !viewed && !open) {
-      dialledAt = Math.min(dialledAt, now - VIEW_MILLIS);
+      dialledAt = Math.min(dialledAt, now - VIEW_MILLIS + REFUSED_PAUSE_MILLIS);
     }
     if (seeking && address.equals(approached)) {
-      approachedAt = Math.min(approachedAt, now - VIEW_MILLIS);
+      approachedAt = Math.min(approachedAt, now - BESIDE_ENDED_MILLIS + REFUSED_PAUSE_MILLIS);
     }
   }
 
