--- a/review/standin-2/RepeatedKey.java
+++ b/review/standin-2/RepeatedKey.java
@@ -32,7 +32,7 @@
     int exit = 2;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     try (Record record = new Record(arguments[0]);
-        Fleet fleet = new Fleet(record, 5, 3)) {
+        Fleet fleet = new Fleet(record, 5, 10)) {
       fleet.startAll();
       final List<Upstream> desks = new ArrayList<>();
       for (int i = 0; i < 4; i++) {
