--- a/review/standin-2/UnframedAnswer.java
+++ b/review/standin-2/UnframedAnswer.java
@@ -52,7 +52,7 @@
     int exit = 2;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     try (Record record = new Record(arguments[0]);
-        Fleet fleet = new Fleet(record, 5, 2)) {
+        Fleet fleet = new Fleet(record, 5, 3)) {
       fleet.startAll();
       final List<Desk> desks = new ArrayList<>();
       for (int i = 0; i < 4; i++) {
