--- a/review/standin-2/Fleet.java
+++ b/review/standin-2/Fleet.java
@@ -47,6 +47,15 @@
     }
   }
 
+  /**
+   * Reads "+ID" for each process that was started and "-ID" for each that has ended. When its input
+   * ends, this process is gone, whatever ended it: kills what is left, removes the folder.
+   */
+  private static final String WATCHER =
+      "trap '' INT TERM HUP; all=' '; while read -r word; do id=${word#?}; case $word in"
+          + " +*) all=\"$all$id \";; -*) all=\"${all%% $id *} ${all#* $id }\";; esac; done;"
+          + " for id in $all; do kill -9 $id 2>/dev/null; done; sleep 0.2; rm -rf \"$1\"; exit 0";
+
   final Record record;
   final Path folder;
   final int net;
@@ -61,6 +70,7 @@
   final Map<String, String> extraFields = new LinkedHashMap<>();
   private final Map<String, String> commands = new LinkedHashMap<>();
   private final String template;
+  private final Process watcher;
 
   Fleet(Record record, int cores, int edgeCount) throws IOException {
     this(record, cores, edgeCount, 0);
@@ -69,6 +79,8 @@
   Fleet(Record record, int cores, int edgeCount, int storeCount) throws IOException {
     this.record = record;
     this.folder = Files.createTempDirectory("weldpoint-review");
+    this.watcher = new ProcessBuilder("sh", "-c", WATCHER, "watcher", folder.toString()).start();
+    endWithParent();
     this.net = 20 + ThreadLocalRandom.current().nextInt(200);
     final int base = freeBase();
     this.control = base;
@@ -182,10 +194,47 @@
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
     p.process = builder.start();
+    watch(p.process);
     p.started = true;
     record.line("platform starts " + p.name() + " pid " + p.process.pid());
   }
 
+  /** Has a process ended when this one is gone, even by SIGKILL. */
+  void watch(Process process) {
+    tell("+" + process.pid());
+    process.onExit().thenRun(() -> tell("-" + process.pid()));
+  }
+
+  private void tell(String word) {
+    synchronized (watcher) {
+      try {
+        watcher.getOutputStream().write((word + "\n").getBytes());
+        watcher.getOutputStream().flush();
+      } catch (final IOException e) {
+        // the watcher has ended: all processes have been ended before
+      }
+    }
+  }
+
+  /** Ends this process in order when the one that started it is gone. */
+  private static void endWithParent() {
+    final long parent = ProcessHandle.current().parent().map(ProcessHandle::pid).orElse(0L);
+    final Thread thread =
+        new Thread(
+            () -> {
+              try {
+                while (ProcessHandle.current().parent().map(ProcessHandle::pid).orElse(0L) == parent) {
+                  Thread.sleep(500);
+                }
+              } catch (final InterruptedException e) {
+                return;
+              }
+              System.exit(2);
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
   void kill(Proc p) throws InterruptedException {
     record.line("platform kills " + p.name() + " (SIGKILL)");
     p.process.destroyForcibly();
--- a/review/standin-2/FrozenHolder.java
+++ b/review/standin-2/FrozenHolder.java
@@ -29,6 +29,7 @@
       command.add(fleet.controlOf(core));
     }
     final Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+    fleet.watch(process);
     Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     Upstream.daemon(
         () -> {
