Read the key header of the users' pages; a repeat of running work gets 409

Cause: the header was in no setting. keys.headers defaulted to names guessed before the page existed, so no claim was ever asked for; weldpoint_keyed_requests_total stayed 0. The template did not hand on keyWindowS either, so a longer window would have broken the rule with the right header.

Change: the pages' header is the first default, an empty keys.headers is refused, the window follows bound.key-window-s with 15 s to spare. Empty, doubled and overlong keys get 400. Keyed routes without their header are warned of by check spec and by the proxy, keyed requests without a key are counted and logged.

--- a/cli/src/main/java/weldpoint/cli/Weldpoint.java
+++ b/cli/src/main/java/weldpoint/cli/Weldpoint.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
@@ -21,6 +22,7 @@
 import weldpoint.proxy.ProxyDaemon;
 import weldpoint.registry.RegistryDaemon;
 import weldpoint.routing.HomeRegionWarnings;
+import weldpoint.routing.KeyedRouteWarnings;
 import weldpoint.routing.RoutingTable;
 import weldpoint.scale.ScaleCommand;
 import weldpoint.statestore.StateStoreDaemon;
@@ -176,7 +178,8 @@
                   + " routes, "
                   + routingTable.services().size()
                   + " services");
-          HomeRegionWarnings.of(routingTable, regions())
+          final Settings settings = deploymentSettings();
+          warnings(routingTable, settings)
               .forEach(warning -> System.out.println("warning: " + warning));
         } else {
           throw new WeldpointException(
@@ -188,12 +191,21 @@
       }
     };
 
-    /** The regions of the deployment, if a settings file is named; none otherwise. */
-    private static Collection<String> regions() {
-      final String settings = System.getenv(Settings.FILE_VARIABLE);
-      return settings == null || settings.isEmpty()
-          ? List.of()
-          : Settings.load(Path.of(settings)).sites().values();
+    /** The settings of the deployment, if a settings file is named; null otherwise. */
+    private static Settings deploymentSettings() {
+      final String file = System.getenv(Settings.FILE_VARIABLE);
+      return file == null || file.isEmpty() ? null : Settings.load(Path.of(file));
+    }
+
+    private static List<String> warnings(final RoutingTable routingTable, final Settings settings) {
+      final Collection<String> regions = settings == null ? List.of() : settings.sites().values();
+      final List<String> warnings = new ArrayList<>(HomeRegionWarnings.of(routingTable, regions));
+      if (settings != null) {
+        warnings.addAll(
+            KeyedRouteWarnings.of(
+                routingTable, Settings.OPERATION_KEY_HEADER, settings.keyHeaders()));
+      }
+      return warnings;
     }
 
     private final String help;
--- a/common/src/main/java/weldpoint/common/Settings.java
+++ b/common/src/main/java/weldpoint/common/Settings.java
@@ -18,7 +18,15 @@
   /** The environment variable that names the settings file. */
   public static final String FILE_VARIABLE = "WELDPOINT_SETTINGS";
 
-  private static final String DEFAULT_KEY_HEADERS = "Idempotency-Key,Weldpoint-Idempotency-Key";
+  /** The header by which clients name the operation of a request on a keyed route. */
+  public static final String OPERATION_KEY_HEADER = "Weldpoint-Operation-Key";
+
+  private static final String DEFAULT_KEY_HEADERS =
+      OPERATION_KEY_HEADER + ",Idempotency-Key,Weldpoint-Idempotency-Key";
+  private static final String HEADER_NAME_PATTERN = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
+  private static final double DEFAULT_KEY_WINDOW_S = 60;
+  private static final double MAX_KEY_WINDOW_S = 3600;
+  private static final double KEY_WINDOW_MARGIN_S = 15;
   private static final long DEFAULT_LATE_MILLIS = 1000;
   private static final long DEFAULT_HOLD_MILLIS = 4000;
   private static final long MIN_HOLD_MILLIS = 1000;
@@ -421,20 +429,51 @@
     return (long) number("bound.revoke-ms", 5000, 1, 3_600_000);
   }
 
-  /** Returns the headers that may carry an idempotency key; the first one present is used. */
+  /**
+   * Returns the headers that may carry an idempotency key, at least one; the first one present is
+   * used.
+   */
   public List<String> keyHeaders() {
+    final String text = values.getOrDefault("keys.headers", DEFAULT_KEY_HEADERS);
     final List<String> names = new ArrayList<>();
-    for (final String name : values.getOrDefault("keys.headers", DEFAULT_KEY_HEADERS).split(",")) {
-      if (!name.isBlank()) {
-        names.add(name.strip());
+    for (final String name : text.split(",")) {
+      if (name.isBlank()) {
+        continue;
       }
+      if (!name.strip().matches(HEADER_NAME_PATTERN)) {
+        throw invalid("keys.headers", text, "give names of HTTP headers, separated by commas");
+      }
+      names.add(name.strip());
+    }
+    if (names.isEmpty()) {
+      throw invalid(
+          "keys.headers",
+          text,
+          "name at least one header, or keyed requests could run more than once");
     }
     return names;
   }
 
-  /** Returns how long an idempotency key belongs to the request that ran with it. */
+  /**
+   * Returns how long an idempotency key belongs to the request that ran with it. It exceeds {@code
+   * bound.key-window-s}, which counts from the client's send, by the time that a repeat may be
+   * under way.
+   */
   public long keyWindowMillis() {
-    return (long) (1000 * number("keys.window-s", 75, 1, 300));
+    final double bound = number("bound.key-window-s", DEFAULT_KEY_WINDOW_S, 0, MAX_KEY_WINDOW_S);
+    final double windowS =
+        number(
+            "keys.window-s",
+            bound + KEY_WINDOW_MARGIN_S,
+            1,
+            MAX_KEY_WINDOW_S + KEY_WINDOW_MARGIN_S);
+    if (windowS < bound && !values.getOrDefault("bound.key-window-s", "").isEmpty()) {
+      throw invalid(
+          "keys.window-s",
+          values.get("keys.window-s"),
+          "give at least bound.key-window-s, " + bound + ", or leave it out");
+    }
+    return (long) (1000 * windowS);
   }
 
   /** Returns the proxy's metrics port; the registry uses the next one; 0 disables metrics. */
--- a/common/src/test/java/weldpoint/common/SettingsTest.java
+++ b/common/src/test/java/weldpoint/common/SettingsTest.java
@@ -44,6 +44,35 @@
     }
   }
 
+  /** Guards against TWICE: a deployment's key window was longer than that of the claims. */
+  @Test
+  public void keysAreKeptForLongerThanTheirWindow() {
+    assertTrue(Settings.parse(VALID).keyWindowMillis() >= 75_000);
+    for (final int windowSeconds : new int[] {0, 60, 300, 3600}) {
+      final Settings settings =
+          Settings.parse(VALID + "bound.key-window-s = " + windowSeconds + "\n");
+      assertTrue(settings.keyWindowMillis() >= 1000L * windowSeconds + 15_000);
+    }
+    assertEquals(Settings.parse(VALID + "keys.window-s = 30\n").keyWindowMillis(), 30_000);
+  }
+
+  /** Guards against TWICE: the template did not hand the bound on, so the default was used. */
+  @Test
+  public void templateHandsOnTheKeyWindow() throws java.io.IOException {
+    final String template =
+        java.nio.file.Files.readString(java.nio.file.Path.of("../deploy/settings.template"));
+    assertTrue(template.contains("bound.key-window-s = {{bounds.keyWindowS}}"), template);
+  }
+
+  /** Guards against TWICE: the header of the operations' keys was not read by default. */
+  @Test
+  public void operationKeyHeaderIsReadByDefaultAndFirst() {
+    assertEquals(Settings.parse(VALID).keyHeaders().get(0), "Weldpoint-Operation-Key");
+    assertEquals(
+        Settings.parse(VALID + "keys.headers = X-One, X-Two\n").keyHeaders(),
+        java.util.List.of("X-One", "X-Two"));
+  }
+
   @DataProvider
   public Object[][] invalidSettings() {
     return new Object[][] {
@@ -55,6 +84,11 @@
       {"retry-ratio = 0.2", "retry-ratio = much", "bound.retry-ratio"},
       {"sites = a:r,b:q", "sites = a", "sites"},
       {"station.region = r", "station.region r", "line 5"},
+      {"listen.control =", "keys.headers =", "keys.headers"},
+      {"listen.control =", "keys.headers = ,", "keys.headers"},
+      {"listen.control =", "keys.headers = Two Words", "keys.headers"},
+      {"listen.control =", "bound.key-window-s = long", "bound.key-window-s"},
+      {"listen.control =", "bound.key-window-s = 60\nkeys.window-s = 59", "keys.window-s"},
     };
   }
 
--- a/idempotency/src/main/java/weldpoint/idempotency/ClaimTable.java
+++ b/idempotency/src/main/java/weldpoint/idempotency/ClaimTable.java
@@ -17,8 +17,8 @@
  * expires or all but one of the claims have been released.
  */
 public final class ClaimTable {
-  /** The maximum retention of a claim, whatever its sender requests. */
-  static final long MAX_RETENTION_MILLIS = 600_000;
+  /** The maximum retention of a claim; above that of the longest key window and deadline. */
+  static final long MAX_RETENTION_MILLIS = 2 * 3_600_000;
 
   private record Key(long high, long low) {
     static Key of(final Claim claim) {
--- a/proxy/src/main/java/weldpoint/proxy/IdempotencyKey.java
+++ b/proxy/src/main/java/weldpoint/proxy/IdempotencyKey.java
@@ -4,6 +4,7 @@
 import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +20,34 @@
  *     for a different request
  */
 record IdempotencyKey(long high, long low, long fingerprint) {
+  /** The maximum length of a key, in characters. */
+  static final int MAX_LENGTH = 1024;
+
+  /**
+   * Returns why the key of a request cannot be used: it is empty, too long or given more than once.
+   * Null if the request may proceed, with a key or without one.
+   *
+   * @param headerNames the headers that may contain the key; the first one present counts
+   */
+  static String rejection(final HttpHeaders headers, final List<String> headerNames) {
+    for (final String headerName : headerNames) {
+      final List<String> values = headers.getAll(headerName);
+      if (values.size() > 1) {
+        return "the request has more than one " + headerName + " header; send one key";
+      }
+      if (values.size() == 1 && values.get(0).isBlank()) {
+        return "the " + headerName + " header is empty; send a key, or leave the header out";
+      }
+      if (values.size() == 1 && values.get(0).length() > MAX_LENGTH) {
+        return "the " + headerName + " header is longer than " + MAX_LENGTH + " characters";
+      }
+      if (values.size() == 1) {
+        return null;
+      }
+    }
+    return null;
+  }
+
   /**
    * Returns the key of a request; null if it has none.
    *
--- a/proxy/src/main/java/weldpoint/proxy/IdempotentRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/IdempotentRequest.java
@@ -1,8 +1,5 @@
 package weldpoint.proxy;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.function.Consumer;
 import weldpoint.transport.KeyMessages.Claim;
 import weldpoint.transport.KeyMessages.Outcome;
 import weldpoint.transport.KeyMessages.OutcomeResponse;
@@ -17,7 +14,6 @@
   private final Claim claim;
   private final long fingerprint;
   private final long rememberUntil;
-  private final List<Consumer<OutcomeResponse>> listeners = new ArrayList<>();
   private OutcomeResponse outcome = IN_PROGRESS;
 
   /**
@@ -58,24 +54,11 @@
     return outcome.body == null ? 0 : outcome.body.length;
   }
 
-  /** Calls the listener with the outcome, at once or when the request has ended. */
-  void whenEnded(final Consumer<OutcomeResponse> listener) {
-    if (inProgress()) {
-      listeners.add(listener);
-    } else {
-      listener.accept(outcome);
-    }
-  }
-
   /** Ends the request; only the first call has an effect. */
   void end(final OutcomeResponse result) {
-    if (!inProgress()) {
-      return;
+    if (inProgress()) {
+      outcome = result;
     }
-    outcome = result;
-    final List<Consumer<OutcomeResponse>> notified = new ArrayList<>(listeners);
-    listeners.clear();
-    notified.forEach(listener -> listener.accept(result));
   }
 
   /** Drops the stored response; the outcome becomes that the request may have run. */
--- a/proxy/src/main/java/weldpoint/proxy/IdempotentRequests.java
+++ b/proxy/src/main/java/weldpoint/proxy/IdempotentRequests.java
@@ -18,9 +18,9 @@
 
 /**
  * The requests with idempotency keys at one proxy. A request runs only after its key was claimed
- * for it, and no other request of any proxy gets that key for {@code windowMillis}; a later request
- * with the same key gets the first one's response. Used on the traffic thread only; times are
- * milliseconds of the steady clock.
+ * for it, and no other request of any proxy gets that key for {@code windowMillis}. A later request
+ * with the same key gets the first one's response, or learns that the first one is still in
+ * progress. Used on the traffic thread only; times are milliseconds of the steady clock.
  */
 final class IdempotentRequests {
   /** How long a claim waits for the registry's answer. */
@@ -95,6 +95,7 @@
   private long duplicateCount;
   private long conflictCount;
   private long unavailable;
+  private long withoutKeyCount;
 
   /**
    * Requests of the proxy at this address in this incarnation; a key belongs to one request for the
@@ -120,7 +121,7 @@
   private void claim(final Request request, final long now) {
     final IdempotentRequest known = requests.get(new Digest(request.key.high(), request.key.low()));
     if (known != null && now < known.rememberUntil()) {
-      awaitOutcome(request, known);
+      onOutcome(request, outcomeOf(known, request.key.fingerprint()));
       return;
     }
     final long retentionMillis =
@@ -145,13 +146,10 @@
     }
   }
 
-  /** Waits for the end of a request of this proxy that owns the key. */
-  private void awaitOutcome(final Request request, final IdempotentRequest known) {
-    if (known.fingerprint() != request.key.fingerprint()) {
-      duplicate(request, new OutcomeResponse(Outcome.KEY_REUSED));
-      return;
-    }
-    known.whenEnded(original -> onOutcome(request, original));
+  private static OutcomeResponse outcomeOf(final IdempotentRequest known, final long fingerprint) {
+    return known.fingerprint() == fingerprint
+        ? known.outcome()
+        : new OutcomeResponse(Outcome.KEY_REUSED);
   }
 
   /** Handles the outcome of the request that owns the key, known or not. */
@@ -219,7 +217,10 @@
     }
   }
 
-  /** Reports the outcome of a claim's request at this proxy, once it is known. */
+  /**
+   * Reports the outcome of a claim's request at this proxy: at once, or, while the claim itself is
+   * undecided, as soon as that is decided.
+   */
   void queryOutcome(
       final Claim claim, final long fingerprint, final Consumer<OutcomeResponse> callback) {
     final IdempotentRequest known = requests.get(new Digest(claim.high, claim.low));
@@ -230,10 +231,8 @@
       callback.accept(new OutcomeResponse(Outcome.NEVER_RAN));
     } else if (known == null || !known.claim().sameClaimant(claim)) {
       callback.accept(new OutcomeResponse(Outcome.UNCERTAIN));
-    } else if (known.fingerprint() != fingerprint) {
-      callback.accept(new OutcomeResponse(Outcome.KEY_REUSED));
     } else {
-      known.whenEnded(callback);
+      callback.accept(outcomeOf(known, fingerprint));
     }
   }
 
@@ -276,6 +275,11 @@
     }
   }
 
+  /** Counts a request on a keyed route that has no key, so that its repeat could run again. */
+  void recordWithoutKey() {
+    withoutKeyCount++;
+  }
+
   /** Records that a request may have run and that no response is known. */
   void uncertain(final IdempotentRequest request) {
     request.end(new OutcomeResponse(Outcome.UNCERTAIN));
@@ -353,6 +357,8 @@
             .withLabel("decision", "conflict"),
         Metric.counter("weldpoint_keyed_requests", help, unavailable)
             .withLabel("decision", "unavailable"),
+        Metric.counter("weldpoint_keyed_requests", help, withoutKeyCount)
+            .withLabel("decision", "without_key"),
         Metric.gauge("weldpoint_keyed_runs", "Keyed requests remembered here.", requests.size()),
         Metric.gauge("weldpoint_keyed_bytes", "Bytes of answers kept for repeats.", storedBytes));
   }
--- a/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -55,6 +55,8 @@
   private static final String STALE_CONTROL_STATE =
       "this proxy cannot confirm that its configuration is current; retry";
 
+  private static final int MISSING_KEY_LOG_SECONDS = 10;
+
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
   private static final Invariant KEY_CLAIMED = Invariant.named("a keyed send has claimed its key");
   private static final long MAX_KEYED_MILLIS = 300_000;
@@ -141,6 +143,9 @@
     if (!routingTable.tenants().isEmpty() && !authenticate()) {
       return;
     }
+    if (!route.kind.repeatable() && !checkIdempotencyKey()) {
+      return;
+    }
     affinity = Affinity.effective(route, proxyContext.defaultAffinity);
     double fraction = proxyContext.random.nextDouble();
     if (affinity != null) {
@@ -301,6 +306,20 @@
     return false;
   }
 
+  /** Checks that the request has at most one valid idempotency key; false if it was refused. */
+  private boolean checkIdempotencyKey() {
+    if (proxyContext.idempotentRequests == null) {
+      return true;
+    }
+    final String rejection = IdempotencyKey.rejection(request.headers(), proxyContext.keyHeaders);
+    if (rejection == null) {
+      return true;
+    }
+    finish();
+    clientConnection.refuse(HttpResponseStatus.BAD_REQUEST, rejection, null, closeAfterResponse);
+    return false;
+  }
+
   private RoutingTable.Service service() {
     return binding.service();
   }
@@ -433,6 +452,9 @@
   private void claimKeyAndDispatch() {
     final IdempotencyKey idempotencyKey = idempotencyKey();
     if (idempotencyKey == null) {
+      if (route.keyed && proxyContext.idempotentRequests != null) {
+        reportMissingKey();
+      }
       dispatch();
       return;
     }
@@ -441,6 +463,14 @@
         idempotencyKey, deadline, new KeyListener(), ProxyContext.now());
   }
 
+  private void reportMissingKey() {
+    proxyContext.idempotentRequests.recordWithoutKey();
+    LOGGER.atWarning().atMostEvery(MISSING_KEY_LOG_SECONDS, TimeUnit.SECONDS).log(
+        "request without an idempotency key on a keyed route: attempt %s route %s; none of the"
+            + " headers %s is present, so a repeat of it can run again",
+        request.headers().get(Headers.ATTEMPT_ID), route.name, proxyContext.keyHeaders);
+  }
+
   private IdempotencyKey idempotencyKey() {
     return route.kind.repeatable() || proxyContext.idempotentRequests == null
         ? null
--- a/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyContext.java
@@ -1,5 +1,6 @@
 package weldpoint.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
 import java.util.Random;
@@ -10,6 +11,7 @@
 import weldpoint.regionleader.RegionAssessment;
 import weldpoint.regionleader.UncertainWrites;
 import weldpoint.routing.Affinity;
+import weldpoint.routing.KeyedRouteWarnings;
 import weldpoint.routing.RouteKind;
 import weldpoint.routing.RoutingTable;
 import weldpoint.transport.Protocol;
@@ -22,6 +24,8 @@
  * for {@code shuttingDown}, which may be read from any thread.
  */
 final class ProxyContext {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
   final UpstreamPool upstreamPool;
   final TrialTracker trials;
   final Random random;
@@ -29,7 +33,7 @@
   RoutingTable routingTable;
   PermitPool permitPool;
   IdempotentRequests idempotentRequests;
-  List<String> keyHeaders = List.of();
+  List<String> keyHeaders;
   AffinityTable affinity;
   final KeyOwners keyOwners = new KeyOwners();
   Affinity defaultAffinity;
@@ -72,6 +76,7 @@
     this.upstreamPool.onUnsolicitedResponse(trials::recordSurplusAnswer);
     this.defaultAffinity = Affinity.parseSetting("affinity.default", settings.defaultAffinity());
     this.affinityWaitMillis = settings.affinityWaitMillis();
+    this.keyHeaders = settings.keyHeaders();
     this.strictRevocation = settings.strictRevocation();
     this.revokeMillis = settings.revokeMillis();
     this.controlProof =
@@ -131,6 +136,8 @@
       final boolean firstConfiguration = routingTable == null;
       routingTable = update.routingTable();
       upstreamPool.setRoutingTable(routingTable);
+      KeyedRouteWarnings.of(routingTable, Settings.OPERATION_KEY_HEADER, keyHeaders)
+          .forEach(warning -> LOGGER.atWarning().log("configuration in force: %s", warning));
       if (affinity == null
           && onAffinityNeeded != null
           && routingTable.allRoutes().stream()
--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -428,7 +428,6 @@
   /** Sets up idempotency keys. */
   private void startIdempotency() throws InterruptedException {
     final OutcomeClient outcomeClient = new OutcomeClient(transport, settings, loop, proxyContext);
-    proxyContext.keyHeaders = settings.keyHeaders();
     proxyContext.idempotentRequests =
         new IdempotentRequests(
             settings.address(),
--- a/routing/src/main/java/weldpoint/routing/Route.java
+++ b/routing/src/main/java/weldpoint/routing/Route.java
@@ -8,6 +8,10 @@
   public final int index;
   public final String name;
   public final RouteKind kind;
+
+  /** Whether clients name the operation of each request by an idempotency key. */
+  public final boolean keyed;
+
   public final int priority;
   public final long targetLatencyMillis;
   public final long timeoutMillis;
@@ -26,6 +30,7 @@
       final int index,
       final String name,
       final RouteKind kind,
+      final boolean keyed,
       final int priority,
       final long targetLatencyMillis,
       final long timeoutMillis,
@@ -40,6 +45,7 @@
     this.index = index;
     this.name = name;
     this.kind = kind;
+    this.keyed = keyed;
     this.priority = priority;
     this.targetLatencyMillis = targetLatencyMillis;
     this.timeoutMillis = timeoutMillis;
--- a/routing/src/main/java/weldpoint/routing/RoutingTable.java
+++ b/routing/src/main/java/weldpoint/routing/RoutingTable.java
@@ -14,6 +14,7 @@
  * indices. Immutable, so it can be read from any thread; a changed configuration is a new table.
  */
 public final class RoutingTable {
+  private static final String KEYED_ROUTE_KIND = "keyed";
   private static final JsonType<SpecDocument> SPEC_TYPE =
       Jsonb.builder().build().type(SpecDocument.class);
 
@@ -300,6 +301,7 @@
         index,
         name,
         RouteKind.of(rule.routeKind()),
+        KEYED_ROUTE_KIND.equalsIgnoreCase(rule.routeKind()),
         (int) positiveOrDefault(rule.priority(), 0),
         (long) positiveOrDefault(rule.targetLatencyMs(), 1000),
         Math.max(1, action.timeoutMs().longValue()),
--- a/routing/src/test/java/weldpoint/routing/RoutingTableTest.java
+++ b/routing/src/test/java/weldpoint/routing/RoutingTableTest.java
@@ -264,6 +264,22 @@
     }
   }
 
+  /** Guards against TWICE: keyed routes were taken without a word where no key is looked at. */
+  @Test
+  public void keyedRoutesWithoutTheirHeaderCauseWarnings() {
+    final RoutingTable keyed =
+        tableWith("/x/", "\"routeKind\":\"keyed\",", "\"service\":\"s\",", "");
+    assertTrue(keyed.route("r").keyed);
+    assertFalse(keyed.route("r").kind.repeatable());
+    assertEquals(KeyedRouteWarnings.of(keyed, "Op-Key", List.of("X", "op-key")), List.of());
+    final List<String> warnings = KeyedRouteWarnings.of(keyed, "Op-Key", List.of("X"));
+    assertEquals(warnings.size(), 1);
+    assertTrue(warnings.get(0).contains("[r]"), warnings.toString());
+    final RoutingTable plain =
+        tableWith("/x/", "\"routeKind\":\"mutating\",", "\"service\":\"s\",", "");
+    assertEquals(KeyedRouteWarnings.of(plain, "Op-Key", List.of()), List.of());
+  }
+
   @Test
   public void homeRegionsThatRejectRequestsCauseWarnings() {
     final RoutingTable routingTable =
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -526,7 +526,7 @@
     headers.put("Weldpoint-Attempt-Id", attemptId);
     headers.put("Weldpoint-Deadline-Ms", Integer.toString(deadlineMillis));
     if (!key.isEmpty()) {
-      headers.put("Idempotency-Key", key);
+      headers.put("Weldpoint-Operation-Key", key);
     }
     if (!apiKey.isEmpty()) {
       headers.put("Authorization", "Bearer " + apiKey);
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -194,7 +194,7 @@
             new UpstreamRun(
                 instanceId,
                 attemptId,
-                request.header("Idempotency-Key"),
+                request.header("Weldpoint-Operation-Key"),
                 request.header("Weldpoint-Tenant"),
                 Clock.millis()));
     simulateProcessing();
