Answers without a length end with their connection

Cause: UpstreamConnection accepted only answers that delimit themselves, since an orderly end and a reset look alike where a channel just becomes inactive. The record shows the cut right after the head, before any end and without a SIGTERM, which rules out the end and the shutdown.

Change: connections to upstreams allow half-closure, so that the end of the upstream's side is an event of its own; a reset comes as an exception before it. An answer without a length is complete if the upstream ended its side in order, we had not begun to close, and the request was written whole; else it stays uncertain. Interim answers are skipped. KeyGrantClient had the opposite fault: a call that timed out behind a head without a length was counted as done; it is unknown now. Complete and cut answers are counted.

The soak's upstreams answer 15 in 100 successes without a length, a quarter of them reset; its relay passes resets on as resets; two checks are new.

--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -417,6 +417,7 @@
     metrics.addAll(proxyContext.tenantCounts.metrics());
     metrics.addAll(proxyContext.permitPool.metrics());
     metrics.addAll(proxyContext.idempotentRequests.metrics());
+    metrics.addAll(proxyContext.upstreamPool.metrics());
     return metrics;
   }
 
--- a/registry/src/main/java/weldpoint/registry/KeyGrantClient.java
+++ b/registry/src/main/java/weldpoint/registry/KeyGrantClient.java
@@ -200,7 +200,22 @@
           "%s call timed out at %s; resetting the connection, the outcome is unknown: %s",
           inFlight.kind, now(), inFlight);
       channel.config().setOption(ChannelOption.SO_LINGER, 0);
-      channel.close();
+      fail(channel);
+    }
+
+    /**
+     * Closes a channel without a usable response. The channel is given up first: once it is closed,
+     * the codec presents an unfinished response without a length as complete.
+     */
+    private void fail(final Channel failedChannel) {
+      final boolean current = failedChannel == channel;
+      if (current) {
+        channel = null;
+      }
+      failedChannel.close();
+      if (current) {
+        completeInFlight(CallResult.of(CallResult.Outcome.UNKNOWN));
+      }
     }
 
     private void onResponse(final Channel source, final FullHttpResponse response) {
@@ -259,7 +274,7 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-      context.close();
+      connection.fail(context.channel());
     }
   }
 
--- a/registry/src/test/java/weldpoint/registry/KeyGrantClientTest.java
+++ b/registry/src/test/java/weldpoint/registry/KeyGrantClientTest.java
@@ -33,10 +33,12 @@
   private ServerSocket server;
   private KeyGrantClient client;
   private volatile String[] responses;
+  private volatile boolean endsConnection;
 
   @BeforeMethod
   public void open() throws IOException {
     connections.set(0);
+    endsConnection = false;
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     client = new KeyGrantClient(loop, Runnable::run, 4000, 2000);
     final Thread thread = new Thread(this::serve);
@@ -63,6 +65,9 @@
               .write(
                   responses[Math.min(call, responses.length - 1)].getBytes(
                       StandardCharsets.ISO_8859_1));
+          if (endsConnection) {
+            break;
+          }
         }
       } catch (final IOException ended) {
         continue;
@@ -111,6 +116,19 @@
     assertEquals(connections.get(), 2);
   }
 
+  /**
+   * Guards against LOST and its counterpart for grants: a response without a length ends with its
+   * connection, and one whose connection does not end in time proves nothing.
+   */
+  @Test
+  public void responseWithoutLengthCountsOnlyAtTheEndOfItsConnection() throws Exception {
+    responses = new String[] {"HTTP/1.1 200 OK\r\n\r\n"};
+    endsConnection = true;
+    assertEquals(grant(), CallResult.Outcome.DONE);
+    endsConnection = false;
+    assertEquals(grant(), CallResult.Outcome.UNKNOWN, "the call timed out before the end");
+  }
+
   @Test
   public void refusalOfTheOnlyCallIsConclusiveAndClosesConnection() throws Exception {
     responses = new String[] {REFUSED, GRANTED};
--- a/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
+++ b/soak/src/main/java/weldpoint/soak/RecordingUpstream.java
@@ -89,6 +89,11 @@
     server.duplicatedResponseShare(share);
   }
 
+  /** Sets the share (0 to 1) of successful responses that have no length. */
+  void unframedResponseShare(final double share) {
+    server.unframedResponseShare(share);
+  }
+
   /** Stalls for a time in milliseconds, and then handles the requests that were read meanwhile. */
   void stall(final long millis) {
     server.stall(millis);
--- a/soak/src/main/java/weldpoint/soak/SoakChecker.java
+++ b/soak/src/main/java/weldpoint/soak/SoakChecker.java
@@ -153,6 +153,42 @@
     return violations;
   }
 
+  /** Returns successful responses whose body is not the whole body that their upstream sent. */
+  static List<String> cutSuccesses(final List<ClientCall> calls) {
+    final List<String> violations = new ArrayList<>();
+    for (final ClientCall call : calls) {
+      final String seal = call.reply().seal();
+      final int end = seal.lastIndexOf('.');
+      if (call.reply().status() == 200
+          && (end < 0 || !call.reply().body().equals("done by " + seal.substring(0, end)))) {
+        violations.add("success without the whole body of its upstream: " + call);
+      }
+    }
+    return violations;
+  }
+
+  /**
+   * Returns calls that got no success although their upstream had written the complete response
+   * well before the client's deadline.
+   *
+   * @param calls calls from the phase without faults
+   * @param responseTimes when the complete response was written, by attempt id
+   * @param boundMillis the time in which the response must have been written
+   */
+  static List<String> lostResponses(
+      final List<ClientCall> calls, final Map<String, Long> responseTimes, final long boundMillis) {
+    final List<String> violations = new ArrayList<>();
+    for (final ClientCall call : calls) {
+      final Long respondedAt = responseTimes.get(call.attemptId());
+      if (respondedAt != null
+          && respondedAt - call.sentAt() < boundMillis
+          && call.reply().status() != 200) {
+        violations.add("complete response lost: " + call + ", written at " + respondedAt);
+      }
+    }
+    return violations;
+  }
+
   /**
    * Returns runs in a region that no configuration allows that may have been in force at the time.
    * These are the newest configuration acknowledged longer ago than the bound, and all
--- a/soak/src/main/java/weldpoint/soak/SoakRun.java
+++ b/soak/src/main/java/weldpoint/soak/SoakRun.java
@@ -29,6 +29,8 @@
   private static final long CHANGE_INTERVAL_MILLIS = 1500;
   private static final int CHANGES_AFTER_RECOVERY = 2;
   private static final int IDLE_TIMEOUT_MILLIS = 15_000;
+  private static final double UNFRAMED_RESPONSE_SHARE = 0.15;
+  private static final long PROMPT_RESPONSE_MILLIS = 800;
 
   /**
    * The most runs that the users' requirements allow the limited tenant in a window of 5 s: its
@@ -94,6 +96,10 @@
       fleet
           .keyHolders()
           .forEach(keyHolder -> keyHolder.rejectedShare(Fault.BASELINE_REJECTED_SHARE));
+      fleet
+          .upstreams()
+          .forEach(upstream -> upstream.unframedResponseShare(UNFRAMED_RESPONSE_SHARE));
+      fleet.keyHolders().forEach(holder -> holder.unframedResponseShare(UNFRAMED_RESPONSE_SHARE));
       final Workload workload = new Workload(fleet);
       workload.start(CLIENTS, seed);
       injectFaults(fleet);
@@ -155,6 +161,12 @@
     violations.addAll(SoakChecker.refusedButRun(calls, runs));
     violations.addAll(SoakChecker.inconsistentResponses(calls, runs));
     violations.addAll(SoakChecker.duplicateRequestRuns(calls, runs));
+    violations.addAll(SoakChecker.cutSuccesses(calls));
+    violations.addAll(
+        SoakChecker.lostResponses(
+            calls.stream().filter(call -> call.sentAt() >= recoveredAt).toList(),
+            fleet.responseTimes(),
+            PROMPT_RESPONSE_MILLIS));
     final List<LargeDownload> downloads = workload.downloads();
     violations.addAll(
         SoakChecker.truncatedResponses(
--- a/soak/src/main/java/weldpoint/soak/TcpRelay.java
+++ b/soak/src/main/java/weldpoint/soak/TcpRelay.java
@@ -12,9 +12,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * A TCP relay between two processes that can hold bytes back, delay them, and close connections
- * instead of passing a response on. Each direction of a connection has its own thread; the settings
- * may be changed from any thread, also while bytes are held back.
+ * A TCP relay between two processes that can hold bytes back, delay them, and reset connections
+ * instead of passing a response on. An orderly end is passed on as such, anything else as a reset,
+ * since the end of a connection may complete a response. Each direction of a connection has its own
+ * thread; the settings may be changed from any thread, also while bytes are held back.
  */
 final class TcpRelay implements Closeable {
   private static final int BUFFER_BYTES = 16 << 10;
@@ -49,12 +50,12 @@
     blocked = enabled;
   }
 
-  /** Sets whether connections whose bytes were held back are closed, so that the bytes are lost. */
+  /** Sets whether connections whose bytes were held back are reset, so that the bytes are lost. */
   void closeAfterBlock(final boolean enabled) {
     closeAfterBlock = enabled;
   }
 
-  /** Sets whether a connection is closed when response bytes arrive on it. */
+  /** Sets whether a connection is reset when response bytes arrive on it. */
   void closeOnResponse(final boolean enabled) {
     closeOnResponse = enabled;
   }
@@ -93,25 +94,40 @@
 
   private void pump(final Socket from, final Socket to, final boolean fromUpstream) {
     final byte[] buffer = new byte[BUFFER_BYTES];
+    boolean orderlyEnd = false;
     try {
       final InputStream in = from.getInputStream();
       final OutputStream out = to.getOutputStream();
-      for (int count = in.read(buffer); count > 0; count = in.read(buffer)) {
+      int count = in.read(buffer);
+      while (count > 0) {
         final boolean wasBlocked = delayOrBlock();
         if (fromUpstream && closeOnResponse || wasBlocked && closeAfterBlock) {
           break;
         }
         out.write(buffer, 0, count);
         out.flush();
+        count = in.read(buffer);
       }
+      orderlyEnd = count < 0;
     } catch (final IOException e) {
       // both sockets are closed below
     } finally {
+      if (!orderlyEnd) {
+        resetOnClose(to);
+      }
       closeSocket(from);
       closeSocket(to);
     }
   }
 
+  private static void resetOnClose(final Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+    } catch (final IOException e) {
+      // the socket is closed already
+    }
+  }
+
   /** Waits for the delay and while the relay is blocked; returns whether it was blocked. */
   private boolean delayOrBlock() {
     boolean wasBlocked = false;
--- a/soak/src/main/java/weldpoint/soak/UpstreamServer.java
+++ b/soak/src/main/java/weldpoint/soak/UpstreamServer.java
@@ -19,7 +19,8 @@
 /**
  * The HTTP/1.1 server of a stand-in upstream. Each connection has a thread and handles one request
  * at a time. Optionally a share of the responses is sent twice: the duplicate follows immediately,
- * or late, where the next response on that connection is due.
+ * or late, where the next response on that connection is due. A share of the successful responses
+ * has no length and ends with its connection; some of these are reset halfway.
  */
 final class UpstreamServer implements AutoCloseable {
   /**
@@ -56,12 +57,15 @@
 
   private static final int BACKLOG = 256;
   private static final int LATE_DUPLICATE_DELAY_MILLIS = 5;
+  private static final int MAX_PART_PAUSE_MILLIS = 30;
+  private static final double RESET_SHARE_OF_UNFRAMED = 0.25;
 
   private final ServerSocket server;
   private final Handler handler;
   private final Random random;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private volatile double duplicatedResponseShare;
+  private volatile double unframedResponseShare;
   private volatile long stalledUntil;
 
   UpstreamServer(final InetSocketAddress address, final Handler handler, final Random random)
@@ -77,6 +81,11 @@
     duplicatedResponseShare = share;
   }
 
+  /** Sets the share (0 to 1) of successful responses that have no length. */
+  void unframedResponseShare(final double share) {
+    unframedResponseShare = share;
+  }
+
   /** Suspends the handling of requests for a time in milliseconds; they are still read. */
   void stall(final long millis) {
     stalledUntil = Clock.millis() + millis;
@@ -124,6 +133,10 @@
         if (response == null) {
           return;
         }
+        if (response.status() == 200 && chance(unframedResponseShare)) {
+          sendUnframed(socket, request, response);
+          return;
+        }
         final byte[] bytes = encode(response);
         out.write(bytes);
         handler.responseSent(request, response);
@@ -144,6 +157,22 @@
     }
   }
 
+  /** Sends a response without a length in two parts, or only one part and a reset. */
+  private void sendUnframed(final Socket socket, final Request request, final Response response)
+      throws IOException, InterruptedException {
+    final byte[] body = response.body;
+    final OutputStream out = socket.getOutputStream();
+    out.write(encodeHead(response, ""));
+    out.write(body, 0, body.length / 2);
+    Thread.sleep(random.nextInt(MAX_PART_PAUSE_MILLIS));
+    if (chance(RESET_SHARE_OF_UNFRAMED)) {
+      socket.setSoLinger(true, 0);
+      return;
+    }
+    out.write(body, body.length / 2, body.length - body.length / 2);
+    handler.responseSent(request, response);
+  }
+
   private boolean chance(final double share) {
     synchronized (random) {
       return random.nextDouble() < share;
@@ -184,16 +213,20 @@
   }
 
   private static byte[] encode(final Response response) {
-    final StringBuilder head = new StringBuilder("HTTP/1.1 " + response.status + " Answer\r\n");
-    response.headers.forEach(
-        (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
-    head.append("Content-Length: ").append(response.body.length).append("\r\n\r\n");
     final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    bytes.writeBytes(head.toString().getBytes(StandardCharsets.ISO_8859_1));
+    bytes.writeBytes(encodeHead(response, "Content-Length: " + response.body.length + "\r\n"));
     bytes.writeBytes(response.body);
     return bytes.toByteArray();
   }
 
+  private static byte[] encodeHead(final Response response, final String framing) {
+    final StringBuilder head = new StringBuilder("HTTP/1.1 " + response.status + " Answer\r\n");
+    response.headers.forEach(
+        (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+    head.append(framing).append("\r\n");
+    return head.toString().getBytes(StandardCharsets.ISO_8859_1);
+  }
+
   @Override
   public void close() {
     try {
--- a/upstream/src/main/java/weldpoint/upstream/UpstreamConnection.java
+++ b/upstream/src/main/java/weldpoint/upstream/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -26,8 +27,13 @@
  * run on the channel's event loop. Inbound messages are released here.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+  private static final int SWITCHING_PROTOCOLS = 101;
+  private static final int FIRST_FINAL_STATUS = 200;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
   private static final int MAX_RESPONSE_BYTES = 64 << 20;
   private static final int MAX_INITIAL_BUFFER_BYTES = 1 << 20;
+  private static final int MAX_INTERIM_RESPONSES = 16;
 
   /** How a request on a connection completed. */
   public enum CompletionStatus {
@@ -50,10 +56,12 @@
 
   /**
    * A response decoder that rejects a message with both {@code Content-Length} and chunked
-   * encoding, and knows whether undecoded bytes remain.
+   * encoding, and knows whether undecoded bytes remain and whether the upstream has ended its side
+   * of the connection in order. A reset is no such end: it is reported as an exception before.
    */
   static final class Decoder extends HttpResponseDecoder {
     boolean headRequest;
+    private boolean endOfStream;
     private UpstreamConnection connection;
 
     Decoder() {
@@ -76,6 +84,13 @@
           "response has both Content-Length and Transfer-Encoding: chunked");
     }
 
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event)
+        throws Exception {
+      endOfStream |= event instanceof ChannelInputShutdownEvent;
+      super.userEventTriggered(context, event);
+    }
+
     private boolean hasUnreadBytes() {
       return actualReadableBytes() > 0;
     }
@@ -89,6 +104,7 @@
   private final Upstream upstream;
   private final Decoder decoder;
   private final Consumer<String> unsolicitedResponses;
+  private final UnframedResponseCounts unframedResponses;
   private Channel channel;
   private CompletionListener pendingListener;
   private String pendingAttemptId;
@@ -96,12 +112,19 @@
   private ByteBuf body;
   private boolean mismatched;
   private boolean closing;
+  private boolean delimitedByClose;
+  private boolean interim;
+  private int interimCount;
   long idleUntil;
   private long keepAliveMillis = 8000;
 
   UpstreamConnection(
-      final Upstream upstream, final Decoder decoder, final Consumer<String> unsolicitedResponses) {
+      final Upstream upstream,
+      final Decoder decoder,
+      final Consumer<String> unsolicitedResponses,
+      final UnframedResponseCounts unframedResponses) {
     this.unsolicitedResponses = unsolicitedResponses;
+    this.unframedResponses = unframedResponses;
     this.upstream = upstream;
     this.decoder = decoder;
     decoder.connection = this;
@@ -150,6 +173,7 @@
     }
     pendingListener = listener;
     pendingAttemptId = attemptId;
+    interimCount = 0;
     decoder.headRequest = request.method().equals(HttpMethod.HEAD);
     channel.writeAndFlush(request, channel.voidPromise());
   }
@@ -175,6 +199,10 @@
           return;
         }
       }
+      if (interim) {
+        interim = !(message instanceof LastHttpContent);
+        return;
+      }
       if (message instanceof HttpContent && response != null) {
         final ByteBuf content = ((HttpContent) message).content();
         if (!mismatched && content.isReadable()) {
@@ -197,7 +225,11 @@
           body.writeBytes(content);
         }
         if (message instanceof LastHttpContent) {
-          completeResponse();
+          if (delimitedByClose && !endedInOrder()) {
+            fail();
+          } else {
+            completeResponse();
+          }
         }
       }
     } finally {
@@ -206,17 +238,26 @@
   }
 
   private void handleHead(final HttpResponse head) {
-    if (response != null) {
+    final int status = head.status().code();
+    if (response != null || interim) {
       fail();
       return;
     }
-    final boolean selfDelimiting =
-        HttpUtil.isTransferEncodingChunked(head)
-            || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-            || decoder.headRequest
-            || head.status().code() == 204
-            || head.status().code() == 304;
-    if (!selfDelimiting || head.status().code() < 200) {
+    if (status < FIRST_FINAL_STATUS) {
+      interim = true;
+      interimCount++;
+      if (status == SWITCHING_PROTOCOLS || interimCount > MAX_INTERIM_RESPONSES) {
+        fail();
+      }
+      return;
+    }
+    delimitedByClose =
+        !HttpUtil.isTransferEncodingChunked(head)
+            && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+            && !decoder.headRequest
+            && status != NO_CONTENT
+            && status != NOT_MODIFIED;
+    if (delimitedByClose && head.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
       fail();
       return;
     }
@@ -234,6 +275,14 @@
     }
   }
 
+  /**
+   * Whether the end of the connection completes a response without a length: the upstream itself
+   * has ended its side, and had the whole request before.
+   */
+  private boolean endedInOrder() {
+    return decoder.endOfStream && !closing && !hasUnwrittenBytes();
+  }
+
   private void completeResponse() {
     final HttpResponse head = response;
     response = null;
@@ -241,6 +290,9 @@
       mismatched = false;
       return;
     }
+    if (delimitedByClose) {
+      unframedResponses.recordComplete();
+    }
     final CompletionListener listener = pendingListener;
     pendingListener = null;
     final ByteBuf completeBody = body;
@@ -264,6 +316,7 @@
     }
     if (!persistent
         || closing
+        || delimitedByClose
         || decoder.hasUnreadBytes()
         || hasUnwrittenBytes()
         || head.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) {
@@ -291,6 +344,9 @@
       body.release();
       body = null;
     }
+    if (listener != null && response != null && delimitedByClose) {
+      unframedResponses.recordCut();
+    }
     response = null;
     if (listener != null) {
       listener.completed(CompletionStatus.UNCERTAIN, null, null);
@@ -308,6 +364,14 @@
     response = null;
   }
 
+  /** Closes the connection once the upstream has ended its side: it carries no more requests. */
+  @Override
+  public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      close();
+    }
+  }
+
   @Override
   public void channelInactive(final ChannelHandlerContext context) {
     closing = true;
--- a/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
+++ b/upstream/src/main/java/weldpoint/upstream/UpstreamPool.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import weldpoint.common.Settings;
+import weldpoint.metrics.Metric;
 import weldpoint.routing.Route;
 import weldpoint.routing.RouteBinding;
 import weldpoint.routing.RouteKind;
@@ -58,6 +59,7 @@
   private static final double KEY_OWNER_LOAD_FACTOR = 1.6;
 
   private final Bootstrap bootstrap;
+  private final UnframedResponseCounts unframedResponses = new UnframedResponseCounts();
   private final String site;
   private final String region;
   private final Map<String, String> regions;
@@ -100,12 +102,18 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 400);
     if (settings.transferBytes() > 0) {
       bootstrap.option(ChannelOption.SO_RCVBUF, settings.transferBytes());
     }
   }
 
+  /** Metrics of the responses of upstreams. */
+  public List<Metric> metrics() {
+    return unframedResponses.metrics();
+  }
+
   /**
    * Applies changes of the registry. A changed upstream is added or, when deregistered, removed and
    * its idle connections closed.
@@ -742,7 +750,10 @@
     final UpstreamConnection.Decoder decoder = new UpstreamConnection.Decoder();
     final UpstreamConnection connection =
         new UpstreamConnection(
-            upstream, decoder, echoedId -> unsolicitedResponses.accept(echoedId));
+            upstream,
+            decoder,
+            echoedId -> unsolicitedResponses.accept(echoedId),
+            unframedResponses);
     final ChannelFuture future =
         bootstrap
             .clone()
