Accept JSON from outside only if all of it was read

Cause: the binding reads the first value of the text and does not look whether the text ends there. It also forgives a missing or doubled comma, takes the last of two members of one name, and reads numbers beyond a double; malformed UTF-8 was U+FFFD before it looked. It has no strict mode. configuration.read returns the very bytes, so nothing changes them on the way.

Change: StrictJson, one door before any binding: well-formed UTF-8, then one RFC 8259 value by jackson-core's strict token reader, no member twice, nothing after it. Refusals get 400 with line and column, are logged and counted. A configuration that an earlier release accepted stays in force as it was understood then, and registries say so in the log: a daemon that refused what is in force would have none.

--- a/cli/src/main/java/weldpoint/cli/ControlClient.java
+++ b/cli/src/main/java/weldpoint/cli/ControlClient.java
@@ -1,5 +1,6 @@
 package weldpoint.cli;
 
+import io.avaje.jsonb.JsonType;
 import java.io.IOException;
 import java.net.URI;
 import java.net.URLEncoder;
@@ -10,6 +11,7 @@
 import java.time.Duration;
 import java.util.List;
 import weldpoint.audit.Authors;
+import weldpoint.common.StrictJson;
 import weldpoint.common.WeldpointException;
 
 /**
@@ -90,6 +92,24 @@
         "no exchange answered (" + lastError + "); check --control");
   }
 
+  /**
+   * Binds the body of a response to its type.
+   *
+   * @throws WeldpointException of kind UNREADABLE if it is not one complete JSON value
+   */
+  static <T> T parse(final JsonType<T> type, final String body) {
+    final String text = StrictJson.check(body);
+    try {
+      return type.fromJson(text);
+    } catch (final RuntimeException problem) {
+      throw new WeldpointException(
+          WeldpointException.Kind.UNREADABLE,
+          "the response cannot be parsed ("
+              + problem.getMessage()
+              + "); check --control, and that both sides run the same release");
+    }
+  }
+
   /**
    * Returns the body of the first 200 response. A status below 500 ends the search with the
    * response body as the error (409 as CONFLICT, others as INVALID); after a status of 500 or more
--- a/cli/src/main/java/weldpoint/cli/HistoryCommand.java
+++ b/cli/src/main/java/weldpoint/cli/HistoryCommand.java
@@ -84,7 +84,8 @@
     ControlApi.HistoryResponse response;
     do {
       response =
-          RESPONSE.fromJson(
+          ControlClient.parse(
+              RESPONSE,
               client.call(
                   "history.read",
                   "",
@@ -135,7 +136,7 @@
       final PrintStream err)
       throws InterruptedException {
     final String text = client.call("history.reach", options.valueOf(reach).toString(), "");
-    final ControlApi.ReachResponse response = REACH.fromJson(text);
+    final ControlApi.ReachResponse response = ControlClient.parse(REACH, text);
     if (options.has(json)) {
       out.println(text);
     } else {
--- a/cli/src/main/java/weldpoint/cli/StatusCommand.java
+++ b/cli/src/main/java/weldpoint/cli/StatusCommand.java
@@ -37,7 +37,7 @@
           "status takes --control HOST:PORT,... and no further arguments");
     }
     final String text = new ControlClient(options.valuesOf(control)).call("status.read", "", "");
-    final ControlApi.StatusResponse response = STATUS.fromJson(text);
+    final ControlApi.StatusResponse response = ControlClient.parse(STATUS, text);
     if (options.has(json)) {
       out.println(text);
     } else {
--- a/cli/src/main/java/weldpoint/cli/TrialCommand.java
+++ b/cli/src/main/java/weldpoint/cli/TrialCommand.java
@@ -126,9 +126,9 @@
     if (options.has(json)) {
       out.println(response);
     } else {
-      print(STATUS.fromJson(response), out);
+      print(ControlClient.parse(STATUS, response), out);
     }
-    return "HELD".equals(STATUS.fromJson(response).verdict()) && action == Action.STATUS
+    return "HELD".equals(ControlClient.parse(STATUS, response).verdict()) && action == Action.STATUS
         ? EXIT_HELD
         : 0;
   }
--- a/proxy/src/main/java/weldpoint/proxy/RegistryClient.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryClient.java
@@ -429,7 +429,7 @@
     RoutingTable routingTable = null;
     if (view.spec != null && view.version > version) {
       try {
-        routingTable = RoutingTable.compile(Compression.inflate(view.spec));
+        routingTable = RoutingTable.compileAccepted(Compression.inflate(view.spec));
         version = view.version;
         LOGGER.atInfo().log(
             "Configuration %s is in force with %s routes; received from registry %s, dialled %s ms ago",
--- a/registry/src/main/java/weldpoint/registry/ControlCall.java
+++ b/registry/src/main/java/weldpoint/registry/ControlCall.java
@@ -1,6 +1,8 @@
 package weldpoint.registry;
 
 import java.nio.charset.StandardCharsets;
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import weldpoint.audit.CanonicalJson;
 import weldpoint.audit.ConfigurationSummary;
@@ -373,6 +375,18 @@
     }
   };
 
+  private static final Set<ControlCall> WITH_BODY =
+      EnumSet.of(
+          HEARTBEAT,
+          CONFIGURATION_REPLACE,
+          TRIAL_BEGIN,
+          TRIAL_HOLD,
+          HISTORY_READ,
+          LOCK_BEGIN,
+          LOCK_HEARTBEAT,
+          LOCK_FINISH,
+          CELL_REPLACE);
+
   private final String wireName;
   private final CutOffPolicy cutOffPolicy;
 
@@ -396,6 +410,11 @@
         "the call '" + wireName + "' is unknown; see the protocol page for the known calls");
   }
 
+  /** Whether the call has no parameters in its body. */
+  boolean ignoresBody() {
+    return !WITH_BODY.contains(this);
+  }
+
   /** How the call is handled while this daemon is cut off from the majority. */
   CutOffPolicy cutOffPolicy() {
     return cutOffPolicy;
--- a/registry/src/main/java/weldpoint/registry/ControlServer.java
+++ b/registry/src/main/java/weldpoint/registry/ControlServer.java
@@ -1,5 +1,6 @@
 package weldpoint.registry;
 
+import com.google.common.flogger.FluentLogger;
 import io.avaje.jsonb.JsonType;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -32,10 +33,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import weldpoint.audit.Authors;
 import weldpoint.common.Settings;
+import weldpoint.common.StrictJson;
 import weldpoint.common.WeldpointException;
+import weldpoint.metrics.Metric;
 import weldpoint.statestore.StoreOperation;
 import weldpoint.statestore.StoredValues;
 import weldpoint.transport.Protocol;
@@ -54,6 +59,8 @@
  * control thread of the {@link RegistryCore}.
  */
 public final class ControlServer {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int UNREADABLE_LOG_SECONDS = 1;
   private static final int MAX_BODY_BYTES = 16 << 20;
   static final long CALL_TIMEOUT_MILLIS = 900;
   private static final long PAUSE_THRESHOLD_MILLIS = 150;
@@ -99,6 +106,7 @@
   private final Map<String, String> regions;
   private final int controlPort;
   private final Clock clock;
+  private final AtomicLong unreadableCalls = new AtomicLong();
   private volatile long lastTickAt;
   private volatile long previousTickAt;
 
@@ -313,7 +321,7 @@
     try {
       command = decode(request, address);
     } catch (final WeldpointException exception) {
-      respond(callback, ControlReply.problem(Math.max(400, exception.kind().status()), exception));
+      respond(callback, problemReply(request.uri(), address, exception));
       return;
     } catch (final RuntimeException | StackOverflowError problem) {
       respond(
@@ -327,7 +335,7 @@
     }
     final long receivedAt = earliestReceiptAt(clock.monotonicMillis());
     final String uri = request.uri();
-    controlThread.execute(() -> run(command, uri, receivedAt, callback));
+    controlThread.execute(() -> run(command, uri, address, receivedAt, callback));
   }
 
   private static void respond(final ResponseCallback callback, final ControlReply reply) {
@@ -341,6 +349,7 @@
   private void run(
       final ControlCommand command,
       final String uri,
+      final String caller,
       final long receivedAt,
       final ResponseCallback callback) {
     final long now = clock.monotonicMillis();
@@ -374,13 +383,14 @@
                 problem == null
                     ? reply
                     : failureReply(
+                        uri,
+                        caller,
                         problem instanceof CompletionException ? problem.getCause() : problem)));
   }
 
-  private static ControlReply failureReply(final Throwable cause) {
+  private ControlReply failureReply(final String uri, final String caller, final Throwable cause) {
     if (cause instanceof WeldpointException) {
-      return ControlReply.problem(
-          ((WeldpointException) cause).kind().status(), (WeldpointException) cause);
+      return problemReply(uri, caller, (WeldpointException) cause);
     }
     return cause instanceof StackOverflowError
         ? ControlReply.problem(
@@ -450,8 +460,10 @@
     if (path.equals("/api/rpc")) {
       final ControlCall rpc = ControlCall.of(parameter(query, "call"));
       requireMethod(request, HttpMethod.POST);
-      final byte[] body = new byte[request.content().readableBytes()];
-      request.content().readBytes(body);
+      final byte[] body = bytes(request);
+      if (rpc.ignoresBody()) {
+        requireEmptyOrJson(body);
+      }
       return new ControlCommand.WithCutOffPolicy(
           rpc.decode(
               this,
@@ -466,6 +478,7 @@
     }
     if (path.startsWith("/api/numbers/")) {
       requireMethod(request, HttpMethod.POST);
+      requireEmptyOrJson(bytes(request));
       final String id = requireId(path.substring("/api/numbers/".length()));
       return (now, callerWaits) ->
           core.callStore(StoreOperation.NUMBER, id, null, 0, 0, null, CALL_TIMEOUT_MILLIS, now)
@@ -502,9 +515,7 @@
     }
     if (path.equals("/api/invalidation")) {
       requireMethod(request, HttpMethod.POST);
-      final byte[] body = new byte[request.content().readableBytes()];
-      request.content().readBytes(body);
-      return purge(parseBody(ControlApi.PURGE_REQUEST, body));
+      return purge(parseBody(ControlApi.PURGE_REQUEST, bytes(request)));
     }
     throw new WeldpointException(
         WeldpointException.Kind.UNKNOWN_CALL,
@@ -566,18 +577,54 @@
   }
 
   static <T> T parseBody(final JsonType<T> type, final byte[] body) {
+    final String text = StrictJson.decode(body);
     try {
-      final T value = type.fromJson(new String(body, StandardCharsets.UTF_8));
+      final T value = type.fromJson(text);
       if (value != null) {
         return value;
       }
     } catch (final RuntimeException problem) {
       throw new WeldpointException(
           WeldpointException.Kind.UNREADABLE,
-          "the body cannot be parsed (" + problem.getMessage() + "); send complete JSON");
+          "the body cannot be parsed ("
+              + problem.getMessage()
+              + "); send it as the protocol page describes it");
     }
     throw new WeldpointException(
-        WeldpointException.Kind.UNREADABLE, "the body is empty; send a JSON object");
+        WeldpointException.Kind.UNREADABLE, "the body is null; send a JSON object");
+  }
+
+  /** Requires the body of a call that has no parameters in its body to be empty or JSON. */
+  private static void requireEmptyOrJson(final byte[] body) {
+    if (body.length > 0) {
+      StrictJson.decode(body);
+    }
+  }
+
+  private static byte[] bytes(final FullHttpRequest request) {
+    final byte[] body = new byte[request.content().readableBytes()];
+    request.content().readBytes(body);
+    return body;
+  }
+
+  /** Metrics of the calls to the control interface. */
+  List<Metric> metrics() {
+    return List.of(
+        Metric.counter(
+            "weldpoint_unreadable_calls",
+            "Calls refused since they could not be read whole, or are invalid.",
+            unreadableCalls.get()));
+  }
+
+  private ControlReply problemReply(
+      final String uri, final String caller, final WeldpointException problem) {
+    if (problem.kind() == WeldpointException.Kind.UNREADABLE
+        || problem.kind() == WeldpointException.Kind.INVALID) {
+      unreadableCalls.incrementAndGet();
+      LOGGER.atWarning().atMostEvery(UNREADABLE_LOG_SECONDS, TimeUnit.SECONDS).log(
+          "call refused: %s from %s: %s", uri, caller, problem.getMessage());
+    }
+    return ControlReply.problem(Math.max(400, problem.kind().status()), problem);
   }
 
   static StoreMessages.StoreResponse requireVersionFree(
--- a/registry/src/main/java/weldpoint/registry/ControlState.java
+++ b/registry/src/main/java/weldpoint/registry/ControlState.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
+import weldpoint.common.StrictJson;
+import weldpoint.common.WeldpointException;
 import weldpoint.routing.RoutingTable;
 import weldpoint.transport.Compression;
 import weldpoint.transport.Protocol;
@@ -74,11 +76,25 @@
   /** The compiled configuration; null if there is none. */
   RoutingTable routingTable() {
     if (spec != null && (routingTable == null || routingTable.version() < version)) {
-      routingTable = RoutingTable.compile(Compression.inflate(spec));
+      final byte[] body = Compression.inflate(spec);
+      routingTable = RoutingTable.compileAccepted(body);
+      reportUnreadableParts(body);
     }
     return routingTable;
   }
 
+  /** Logs a configuration that an earlier release accepted although it cannot be read whole. */
+  private void reportUnreadableParts(final byte[] body) {
+    try {
+      StrictJson.decode(body);
+    } catch (final WeldpointException unreadable) {
+      LOGGER.atSevere().log(
+          "Configuration %s is in force only up to an error in it (%s); send it again, corrected,"
+              + " under a later version",
+          Long.toHexString(version), unreadable.getMessage());
+    }
+  }
+
   /** Restores what a record on disk holds. */
   void restore(final PersistedRecord persisted) {
     if (persisted.spec != null && persisted.version > version) {
--- a/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
@@ -15,6 +15,7 @@
 import weldpoint.common.SerialExecutor;
 import weldpoint.common.Settings;
 import weldpoint.common.WeldpointException;
+import weldpoint.metrics.Metric;
 import weldpoint.metrics.MetricsServer;
 import weldpoint.ownership.GrantTimings;
 import weldpoint.routing.Affinity;
@@ -277,7 +278,7 @@
           loop,
           settings.address(),
           settings.metricsPort() + 1,
-          () -> CompletableFuture.supplyAsync(() -> core.metrics(now()), executor));
+          () -> CompletableFuture.supplyAsync(() -> metrics(server), executor));
     }
     loop.scheduleWithFixedDelay(
         server::recordTick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -285,6 +286,12 @@
         () -> executor.execute(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  private List<Metric> metrics(final ControlServer server) {
+    final List<Metric> metrics = new ArrayList<>(core.metrics(now()));
+    metrics.addAll(server.metrics());
+    return metrics;
+  }
+
   private void tick() {
     final long now = now();
     core.tick(now);
--- a/registry/src/test/java/weldpoint/registry/ControlServerFuzzTest.java
+++ b/registry/src/test/java/weldpoint/registry/ControlServerFuzzTest.java
@@ -98,6 +98,7 @@
   private final AtomicLong clock = new AtomicLong(1000);
 
   private RegistryCore core;
+  private ControlServer server;
   private int port;
 
   @BeforeClass
@@ -151,7 +152,7 @@
             "station.name = one\nstation.address = 127.0.0.1\nstation.site = a\nstation.region = r\ntrunk.ports = 7000,7015\ntrunk.seeds = 127.0.0.1:80\nlisten.control = 127.0.0.1:"
                 + port
                 + "\n");
-    final ControlServer server =
+    server =
         new ControlServer(
             settings,
             core,
@@ -280,6 +281,71 @@
     }
   }
 
+  private String respond(final String method, final String path, final byte[] body)
+      throws IOException {
+    try (Socket socket = connect()) {
+      final String head =
+          method
+              + " "
+              + path
+              + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+              + body.length
+              + "\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(body);
+      return readResponse(socket.getInputStream());
+    }
+  }
+
+  private static List<byte[]> damagedBodies(final String valid) {
+    final List<byte[]> damaged = new ArrayList<>();
+    final String body = valid.isEmpty() ? "{\"a\":1,\"b\":2}" : valid;
+    final String member =
+        body.substring(1, body.indexOf(',') < 0 ? body.length() - 1 : body.indexOf(','));
+    for (final String text :
+        List.of(
+            body + "}",
+            body + body,
+            body.replaceFirst(",", "},"),
+            body.replaceFirst(",", " "),
+            body.replaceFirst(",", ",,"),
+            body.replaceFirst("\\{", "{" + (member.isEmpty() ? "\"a\":1,\"a\":1" : member + ",")),
+            body.substring(0, body.length() - 1),
+            body + "\u0000")) {
+      if (!text.equals(body)) {
+        damaged.add(text.getBytes(StandardCharsets.UTF_8));
+      }
+    }
+    damaged.add((body + "\u00e9").getBytes(StandardCharsets.ISO_8859_1));
+    damaged.add("{\"\u00e9\":1}".getBytes(StandardCharsets.ISO_8859_1));
+    return damaged;
+  }
+
+  /**
+   * Guards against CONFIG (incident 27): the part of a body before an error was taken for the body,
+   * at whatever call.
+   */
+  @Test
+  public void bodiesThatCannotBeReadWholeAreRefused() throws IOException {
+    final double refusedBefore = server.metrics().get(0).value();
+    int sent = 0;
+    for (final String[] call : CALLS) {
+      for (final byte[] body :
+          call[0].equals("POST") ? damagedBodies(call[2]) : List.<byte[]>of()) {
+        final String response = respond(call[0], call[1], body);
+        final String name = call[1] + " " + new String(body, StandardCharsets.UTF_8);
+        assertTrue(response.startsWith("HTTP/1.1 400"), name + ": " + response);
+        assertTrue(response.contains("cannot be read whole"), name + ": " + response);
+        sent++;
+      }
+      if (call[0].equals("POST") && call[2].isEmpty()) {
+        final String response = respond(call[0], call[1], new byte[] {'{', '}'});
+        assertTrue(!response.startsWith("HTTP/1.1 400"), call[1] + ": " + response);
+      }
+    }
+    assertEquals(server.metrics().get(0).value() - refusedBefore, (double) sent, "all are counted");
+  }
+
   @Test
   public void generatedCallsGetOneValidResponseEach()
       throws IOException, InterruptedException, ExecutionException {
--- a/replay/src/main/java/weldpoint/replay/Replay.java
+++ b/replay/src/main/java/weldpoint/replay/Replay.java
@@ -286,7 +286,8 @@
 
     private void applyControl(final RecordingFile.ControlSnapshot snapshot) {
       if (snapshot.configuration != null) {
-        baseline.routingTable(RoutingTable.compile(inflater.inflate(snapshot.configuration)));
+        baseline.routingTable(
+            RoutingTable.compileAccepted(inflater.inflate(snapshot.configuration)));
       }
       baseline.applyControl(snapshot.registrations, snapshot.evacuatedSites);
       if (proposal != null) {
--- a/routing/src/main/java/weldpoint/routing/RoutingTable.java
+++ b/routing/src/main/java/weldpoint/routing/RoutingTable.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import weldpoint.common.StrictJson;
 import weldpoint.common.WeldpointException;
 
 /**
@@ -141,16 +142,38 @@
     }
   }
 
-  /** Parses, checks and compiles a configuration. */
+  /**
+   * Parses, checks and compiles a configuration.
+   *
+   * @throws WeldpointException if it cannot be read whole or is invalid
+   */
   public static RoutingTable compile(final byte[] body) {
     return compile(parse(body));
   }
 
-  /** Parses the JSON of a configuration without checking its contents. */
+  /**
+   * Compiles a configuration that a registry has accepted. Bytes that are not read whole are
+   * forgiven: an earlier release accepted them, and a daemon that refuses what is in force would
+   * have no configuration at all.
+   */
+  public static RoutingTable compileAccepted(final byte[] body) {
+    return compile(bind(new String(body, StandardCharsets.UTF_8)));
+  }
+
+  /**
+   * Parses the JSON of a configuration without checking its contents.
+   *
+   * @throws WeldpointException of kind UNREADABLE, with the place of the error, if the bytes are
+   *     not one complete JSON value
+   */
   public static SpecDocument parse(final byte[] body) {
+    return bind(StrictJson.decode(body));
+  }
+
+  private static SpecDocument bind(final String text) {
     final SpecDocument document;
     try {
-      document = SPEC_TYPE.fromJson(new String(body, StandardCharsets.UTF_8));
+      document = SPEC_TYPE.fromJson(text);
     } catch (final RuntimeException problem) {
       throw new WeldpointException(
           WeldpointException.Kind.UNREADABLE,
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -48,6 +49,7 @@
   static final String PARTITIONED_SERVICE = "shelf";
 
   private static final double SLOW_CLOCK_FACTOR = 1.02;
+  private static final int DAMAGED_CONFIGURATION_INTERVAL = 3;
   private static final int ZONES = 3;
 
   /** The service of the upstreams without partitioned keys. */
@@ -101,6 +103,7 @@
       new ConcurrentLinkedQueue<>(
           List.of(
               new HomeRegions.Change(1, HomeRegions.UNRESTRICTED, Long.MIN_VALUE, Long.MIN_VALUE)));
+  private final Queue<String> acknowledgedDamage = new ConcurrentLinkedQueue<>();
   private final AtomicLong heartbeatCount = new AtomicLong();
   private final AtomicLong attemptCount = new AtomicLong();
   private final ScheduledExecutorService scheduler =
@@ -239,6 +242,9 @@
     scheduler.execute(
         () -> {
           final String body = Workload.configuration(version, idleTimeoutMillis, homeRegions);
+          if (version % DAMAGED_CONFIGURATION_INTERVAL == 0) {
+            sendDamagedConfiguration(version, body);
+          }
           if (callRegistry(version, "configuration.replace", body).status() == 200) {
             homeRegionChanges.add(
                 new HomeRegions.Change(version, homeRegions, sentAt, Clock.millis()));
@@ -246,6 +252,19 @@
         });
   }
 
+  /** Sends bytes that are no JSON but begin with a configuration; they must be refused. */
+  private void sendDamagedConfiguration(final int version, final String body) {
+    final String damaged = body + ",\"listeners\":[]}";
+    if (callRegistry(version, "configuration.replace", damaged).status() == 200) {
+      acknowledgedDamage.add("damaged configuration acknowledged: version " + version);
+    }
+  }
+
+  /** Returns the damaged configurations that were acknowledged. */
+  List<String> acknowledgedDamage() {
+    return new ArrayList<>(acknowledgedDamage);
+  }
+
   /**
    * Returns the configurations that were sent. One that was acknowledged is listed twice: as sent,
    * and with the time of its acknowledgement.
--- a/soak/src/main/java/weldpoint/soak/SoakRun.java
+++ b/soak/src/main/java/weldpoint/soak/SoakRun.java
@@ -186,6 +186,7 @@
             fleet.homeRegionChanges(),
             LocalFleet::regionOf,
             CONFIGURATION_BOUND_MILLIS));
+    violations.addAll(fleet.acknowledgedDamage());
     violations.addAll(fleet.holderConflicts());
     if (!fleet.holderConflicts().isEmpty()) {
       fleet.registries().forEach(registry -> violations.addAll(keyAssignmentLines(registry)));
