Keep the answers to keyed requests at three registries

Callers saw: a repeat of an operation that had been answered got 409 once the proxy that had the answer was gone (killed, or ended in a rolling restart).

Cause: only that proxy had the answer.

Change: the proxy reports each answer of up to 16 KiB to its registry until two of three voters have it on disk; they are chosen by rendezvous hashing of the key, in different sites first, in home regions only. Where the holder of a key does not know, or does not answer within 0.7 s, the registry asks all three. Peers say in their hello how many message types they know: a type that the peer does not know is not sent, so both releases run side by side.

--- a/proxy/src/main/java/weldpoint/proxy/IdempotentRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/IdempotentRequest.java
@@ -1,5 +1,6 @@
 package weldpoint.proxy;
 
+import java.util.List;
 import weldpoint.transport.KeyMessages.Claim;
 import weldpoint.transport.KeyMessages.Outcome;
 import weldpoint.transport.KeyMessages.OutcomeResponse;
@@ -14,6 +15,7 @@
   private final Claim claim;
   private final long fingerprint;
   private final long rememberUntil;
+  private final List<String> regions;
   private OutcomeResponse outcome = IN_PROGRESS;
 
   /**
@@ -22,8 +24,14 @@
    * @param claim the claim that was granted to it
    * @param fingerprint distinguishes it from other requests with the same key
    * @param rememberUntil how long it is remembered, in milliseconds of the steady clock
+   * @param regions where its response may be kept; empty for all regions
    */
-  IdempotentRequest(final Claim claim, final long fingerprint, final long rememberUntil) {
+  IdempotentRequest(
+      final Claim claim,
+      final long fingerprint,
+      final long rememberUntil,
+      final List<String> regions) {
+    this.regions = regions;
     this.claim = claim;
     this.fingerprint = fingerprint;
     this.rememberUntil = rememberUntil;
@@ -41,6 +49,10 @@
     return rememberUntil;
   }
 
+  List<String> regions() {
+    return regions;
+  }
+
   boolean inProgress() {
     return outcome.outcome() == Outcome.IN_PROGRESS;
   }
--- a/proxy/src/main/java/weldpoint/proxy/IdempotentRequests.java
+++ b/proxy/src/main/java/weldpoint/proxy/IdempotentRequests.java
@@ -12,6 +12,7 @@
 import weldpoint.transport.KeyMessages.ClaimRequest;
 import weldpoint.transport.KeyMessages.ClaimResponse;
 import weldpoint.transport.KeyMessages.ClaimResult;
+import weldpoint.transport.KeyMessages.KeyOutcome;
 import weldpoint.transport.KeyMessages.Outcome;
 import weldpoint.transport.KeyMessages.OutcomeResponse;
 import weldpoint.transport.Message;
@@ -30,6 +31,11 @@
   private static final int MAX_CLAIMS = 4;
   private static final long CLOCK_DRIFT_DIVISOR = 20;
   private static final int MAX_RESPONSE_BYTES = 64 << 10;
+  private static final int MAX_REPLICATED_BYTES = 16 << 10;
+
+  /** How long the holder of a key may take to answer, before the registries are asked. */
+  private static final long HOLDER_TIMEOUT_MILLIS = 700;
+
   private static final long MAX_STORED_BYTES = 8 << 20;
   private static final int MAX_REQUESTS = 50_000;
   private static final int MAX_PENDING_RELEASES = 10_000;
@@ -66,13 +72,19 @@
   private static final class Request {
     final IdempotencyKey key;
     final long deadline;
+    final List<String> regions;
     final Listener listener;
     long claimedAt;
     int claimCount;
 
-    Request(final IdempotencyKey key, final long deadline, final Listener listener) {
+    Request(
+        final IdempotencyKey key,
+        final long deadline,
+        final List<String> regions,
+        final Listener listener) {
       this.key = key;
       this.deadline = deadline;
+      this.regions = regions;
       this.listener = listener;
     }
   }
@@ -83,6 +95,7 @@
   private final long incarnation;
   private final long windowMillis;
   private final Environment environment;
+  private final OutcomeReplicas replicas;
   private final Map<Long, PendingClaim> pending = new HashMap<>();
   private final Map<Digest, IdempotentRequest> requests = new HashMap<>();
   private final ArrayDeque<IdempotentRequest> requestsByAge = new ArrayDeque<>();
@@ -110,18 +123,27 @@
     this.incarnation = incarnation;
     this.windowMillis = windowMillis;
     this.environment = environment;
+    this.replicas = new OutcomeReplicas(environment::sendToRegistry);
   }
 
-  /** Claims the key of a request that has arrived and is not sent after the deadline. */
+  /**
+   * Claims the key of a request that has arrived and is not sent after the deadline.
+   *
+   * @param regions where its response may be kept for later requests; empty for all regions
+   */
   void begin(
-      final IdempotencyKey key, final long deadline, final Listener listener, final long now) {
-    claim(new Request(key, deadline, listener), now);
+      final IdempotencyKey key,
+      final long deadline,
+      final List<String> regions,
+      final Listener listener,
+      final long now) {
+    claim(new Request(key, deadline, regions, listener), now);
   }
 
   private void claim(final Request request, final long now) {
     final IdempotentRequest known = requests.get(new Digest(request.key.high(), request.key.low()));
     if (known != null && now < known.rememberUntil()) {
-      onOutcome(request, outcomeOf(known, request.key.fingerprint()));
+      onHolderOutcome(request, known.claim(), outcomeOf(known, request.key.fingerprint()), now);
       return;
     }
     final long retentionMillis =
@@ -152,6 +174,29 @@
         : new OutcomeResponse(Outcome.KEY_REUSED);
   }
 
+  /**
+   * Handles what the proxy of the request that owns the key says, or that it says nothing: if it
+   * does not know the outcome, the registries may have it.
+   */
+  private void onHolderOutcome(
+      final Request request, final Claim holder, final OutcomeResponse original, final long now) {
+    if (original.outcome() != Outcome.UNCERTAIN) {
+      onOutcome(request, original);
+      return;
+    }
+    replicas.find(
+        holder,
+        request.key.fingerprint(),
+        request.regions,
+        replicated -> onOutcome(request, replicated),
+        now);
+  }
+
+  /** Handles a registry's reply to a report or a lookup of an outcome. */
+  void outcomeReplyReceived(final Message message) {
+    replicas.replyReceived(message);
+  }
+
   /** Handles the outcome of the request that owns the key, known or not. */
   private void onOutcome(final Request request, final OutcomeResponse original) {
     if (original.outcome() != Outcome.NEVER_RAN) {
@@ -199,7 +244,10 @@
     }
     final IdempotentRequest idempotentRequest =
         new IdempotentRequest(
-            pendingClaim.claim(), request.key.fingerprint(), request.deadline + windowMillis);
+            pendingClaim.claim(),
+            request.key.fingerprint(),
+            request.deadline + windowMillis,
+            request.regions);
     requests.put(new Digest(request.key.high(), request.key.low()), idempotentRequest);
     requestsByAge.add(idempotentRequest);
     request.listener.granted(idempotentRequest);
@@ -207,13 +255,16 @@
 
   private void claimHeld(final Request request, final Claim holder, final long now) {
     if (holder.proxy.equals(self)) {
-      queryOutcome(holder, request.key.fingerprint(), original -> onOutcome(request, original));
+      queryOutcome(
+          holder,
+          request.key.fingerprint(),
+          original -> onHolderOutcome(request, holder, original, ProxyContext.now()));
     } else {
       environment.queryOutcome(
           holder,
           request.key.fingerprint(),
-          Math.max(1, request.deadline - now),
-          original -> onOutcome(request, original));
+          Math.max(1, Math.min(HOLDER_TIMEOUT_MILLIS, request.deadline - now)),
+          original -> onHolderOutcome(request, holder, original, ProxyContext.now()));
     }
   }
 
@@ -250,12 +301,13 @@
     request.listener.unavailable();
   }
 
-  /** Stores the response of a request for later requests with its key. */
+  /** Stores the response of a request for later requests with its key, here and at registries. */
   void storeResponse(
       final IdempotentRequest request,
       final int status,
       final List<String> headers,
-      final byte[] body) {
+      final byte[] body,
+      final long now) {
     if (!request.inProgress()) {
       return;
     }
@@ -264,6 +316,14 @@
         storable
             ? new OutcomeResponse(Outcome.ANSWERED, status, headers, body)
             : new OutcomeResponse(Outcome.UNCERTAIN));
+    if (body.length > MAX_REPLICATED_BYTES) {
+      replicas.skip();
+    } else {
+      final Claim claim =
+          request.claim().withKeepMillis(Math.max(1, request.rememberUntil() - now));
+      replicas.report(
+          new KeyOutcome(claim, request.fingerprint(), request.outcome(), request.regions()), now);
+    }
     if (request.responseBytes() > 0) {
       storedBytes += request.responseBytes();
       storedResponses.add(request);
@@ -319,6 +379,7 @@
       expireClaims(all, now);
     }
     sendReleases();
+    replicas.expire(now);
     neverRan.values().removeIf(until -> until <= now);
     while (!requestsByAge.isEmpty()
         && (requestsByAge.peek().rememberUntil() <= now || requestsByAge.size() > MAX_REQUESTS)) {
@@ -347,6 +408,12 @@
 
   /** Metrics of requests with idempotency keys. */
   List<Metric> metrics() {
+    final List<Metric> metrics = new ArrayList<>(requestMetrics());
+    metrics.addAll(replicas.metrics());
+    return metrics;
+  }
+
+  private List<Metric> requestMetrics() {
     final String help = "Requests with an idempotency key, by what was decided.";
     return List.of(
         Metric.counter("weldpoint_keyed_requests", help, claimedCount)
--- a/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxiedRequest.java
@@ -460,7 +460,7 @@
     }
     deadline = Math.min(deadline, arrivedAt + MAX_KEYED_MILLIS);
     proxyContext.idempotentRequests.begin(
-        idempotencyKey, deadline, new KeyListener(), ProxyContext.now());
+        idempotencyKey, deadline, binding.homeRegions(), new KeyListener(), ProxyContext.now());
   }
 
   private void reportMissingKey() {
@@ -1041,7 +1041,8 @@
           idempotentRequest,
           response.status().code(),
           CachedCopies.headerList(response.headers()),
-          bytes);
+          bytes,
+          ProxyContext.now());
     }
   }
 
--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -233,6 +233,11 @@
                         proxyContext.idempotentRequests.claimAnswered(answer, ProxyContext.now()));
               }
 
+              @Override
+              public void outcomeReplyReceived(final Message reply) {
+                loop.execute(() -> proxyContext.idempotentRequests.outcomeReplyReceived(reply));
+              }
+
               @Override
               public void permitAnswered(final PermitMessages.PermitResponse answer) {
                 loop.execute(() -> proxyContext.permitPool.answered(answer));
--- a/proxy/src/main/java/weldpoint/proxy/RegistryClient.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryClient.java
@@ -119,6 +119,9 @@
     /** Reports the answer to a claim of an idempotency key. */
     default void claimAnswered(final KeyMessages.ClaimResponse answer) {}
 
+    /** Called with the registry's reply to a report or a lookup of an outcome. */
+    default void outcomeReplyReceived(final Message reply) {}
+
     /** Reports the answer to a request for rate limit permits. */
     default void permitAnswered(final PermitMessages.PermitResponse response) {}
 
@@ -341,6 +344,9 @@
       environment.recording((RecordingMessages.RecordingState) message);
     } else if (message instanceof KeyMessages.ClaimResponse) {
       environment.claimAnswered((KeyMessages.ClaimResponse) message);
+    } else if (message instanceof KeyMessages.OutcomeStored
+        || message instanceof KeyMessages.OutcomeFound) {
+      environment.outcomeReplyReceived(message);
     } else if (message instanceof PermitMessages.PermitResponse) {
       environment.permitAnswered((PermitMessages.PermitResponse) message);
     } else if (message instanceof RegistryMessages.RegistryStatus) {
--- a/proxy/src/test/java/weldpoint/proxy/IdempotentRequestsTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/IdempotentRequestsTest.java
@@ -23,7 +23,11 @@
 import weldpoint.transport.KeyMessages.ClaimResponse;
 import weldpoint.transport.KeyMessages.ClaimResult;
 import weldpoint.transport.KeyMessages.Outcome;
+import weldpoint.transport.KeyMessages.OutcomeFound;
+import weldpoint.transport.KeyMessages.OutcomeLookup;
+import weldpoint.transport.KeyMessages.OutcomeReport;
 import weldpoint.transport.KeyMessages.OutcomeResponse;
+import weldpoint.transport.KeyMessages.OutcomeStored;
 import weldpoint.transport.Message;
 
 /**
@@ -99,7 +103,7 @@
 
   private RecordingListener begin(final IdempotencyKey key) {
     final RecordingListener heard = new RecordingListener();
-    idempotentRequests.begin(key, now + 2000, heard, now);
+    idempotentRequests.begin(key, now + 2000, List.of("north"), heard, now);
     return heard;
   }
 
@@ -111,6 +115,10 @@
     idempotentRequests.claimAnswered(new ClaimResponse(claim.number, result, holder), now);
   }
 
+  private <T extends Message> List<T> sentOf(final Class<T> type) {
+    return sent.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
   private RecordingListener granted() {
     final RecordingListener heard = begin(KEY);
     answer(lastClaim(), ClaimResult.GRANTED, null);
@@ -132,12 +140,12 @@
     final RecordingListener first = granted();
     final RecordingListener early = begin(KEY);
     assertEquals(early.original.outcome(), Outcome.IN_PROGRESS);
-    idempotentRequests.storeResponse(first.run, 200, List.of("a", "b"), new byte[] {7});
+    idempotentRequests.storeResponse(first.run, 200, List.of("a", "b"), new byte[] {7}, now);
     for (final RecordingListener repeat : List.of(begin(KEY), begin(KEY))) {
       assertEquals(repeat.original.outcome(), Outcome.ANSWERED);
       assertEquals(repeat.original.body, new byte[] {7});
     }
-    assertEquals(sent.size(), 1, "one claim");
+    assertEquals(sentOf(ClaimRequest.class).size(), 1, "one claim");
     assertEquals(early.original.outcome(), Outcome.IN_PROGRESS, "the decision is made once");
     final RecordingListener other = begin(new IdempotencyKey(1, 2, 4));
     assertEquals(other.original.outcome(), Outcome.KEY_REUSED);
@@ -169,7 +177,7 @@
     assertNull(slow.run, "the refusal promised that the request never runs");
     now += 5000;
     final RecordingListener past = new RecordingListener();
-    idempotentRequests.begin(new IdempotencyKey(8, 8, 8), now - 1, past, now);
+    idempotentRequests.begin(new IdempotencyKey(8, 8, 8), now - 1, List.of(), past, now);
     answer(lastClaim(), ClaimResult.GRANTED, null);
     assertNull(past.run);
     assertEquals(past.unavailable, 1);
@@ -198,6 +206,58 @@
     assertEquals(repeat.original.outcome(), Outcome.ANSWERED);
   }
 
+  /** Guards against DENIED: the response was lost with the proxy that had received it. */
+  @Test
+  public void outcomeOfALostOwnerIsLookedUpAtTheRegistries() {
+    final OutcomeResponse first =
+        new OutcomeResponse(Outcome.ANSWERED, 200, List.of("a", "b"), new byte[] {7});
+    final RecordingListener repeat = begin(KEY);
+    answer(lastClaim(), ClaimResult.HELD, foreign());
+    queryCallbacks.get(0).accept(new OutcomeResponse(Outcome.UNCERTAIN));
+    assertNull(repeat.original);
+    final OutcomeLookup lookup = sentOf(OutcomeLookup.class).get(0);
+    assertTrue(lookup.claim.sameClaimant(foreign()));
+    assertEquals(lookup.regions, List.of("north"));
+    idempotentRequests.outcomeReplyReceived(new OutcomeFound(lookup.number, first));
+    assertEquals(repeat.original.body, new byte[] {7});
+    idempotentRequests.outcomeReplyReceived(
+        new OutcomeFound(lookup.number, new OutcomeResponse(Outcome.UNCERTAIN)));
+    assertEquals(repeat.original.outcome(), Outcome.ANSWERED, "the decision is made once");
+  }
+
+  @Test
+  public void lookupEndsUncertainWithoutARegistryOrAnAnswer() {
+    final RecordingListener unanswered = begin(KEY);
+    answer(lastClaim(), ClaimResult.HELD, foreign());
+    queryCallbacks.get(0).accept(new OutcomeResponse(Outcome.UNCERTAIN));
+    idempotentRequests.expire(false, now + 1000);
+    assertEquals(unanswered.original.outcome(), Outcome.UNCERTAIN);
+    final RecordingListener alone = begin(new IdempotencyKey(4, 5, 6));
+    answer(lastClaim(), ClaimResult.HELD, foreign());
+    stream = false;
+    queryCallbacks.get(1).accept(new OutcomeResponse(Outcome.UNCERTAIN));
+    assertEquals(alone.original.outcome(), Outcome.UNCERTAIN);
+  }
+
+  @Test
+  public void responseIsReportedUntilRegistriesHaveIt() {
+    final RecordingListener first = granted();
+    stream = false;
+    idempotentRequests.storeResponse(first.run, 200, List.of("a", "b"), new byte[] {7}, now);
+    assertEquals(sentOf(OutcomeReport.class), List.of());
+    stream = true;
+    idempotentRequests.expire(false, now + 600);
+    idempotentRequests.expire(false, now + 1200);
+    final List<OutcomeReport> reports = sentOf(OutcomeReport.class);
+    assertEquals(reports.size(), 2);
+    assertTrue(reports.get(0).outcome.claim.sameClaimant(first.run.claim()));
+    assertTrue(reports.get(0).outcome.claim.keepMillis >= WINDOW, "kept for the window");
+    assertEquals(reports.get(0).outcome.regions, List.of("north"));
+    idempotentRequests.outcomeReplyReceived(new OutcomeStored(reports.get(0).number));
+    idempotentRequests.expire(false, now + 1800);
+    assertEquals(sentOf(OutcomeReport.class).size(), 2, "not sent again once it is stored");
+  }
+
   @Test
   public void claimsOfAnOwnerThatNeverRanAreLimited() {
     final RecordingListener repeat = begin(KEY);
@@ -248,7 +308,7 @@
     answer(claim, ClaimResult.GRANTED, null);
     scheduledTasks.get(1).run();
     assertEquals(heard.get(0).outcome(), Outcome.IN_PROGRESS);
-    idempotentRequests.storeResponse(first.run, 200, List.of(), new byte[0]);
+    idempotentRequests.storeResponse(first.run, 200, List.of(), new byte[0], now);
     assertEquals(queriedOutcome(claim, 3), Outcome.ANSWERED);
     assertEquals(heard.size(), 1, "one answer to one query");
   }
@@ -259,12 +319,14 @@
     for (int key = 0; key < 200; key++) {
       final RecordingListener heard = begin(new IdempotencyKey(key, key, key));
       answer(lastClaim(), ClaimResult.GRANTED, null);
-      idempotentRequests.storeResponse(heard.run, 200, List.of(), new byte[60 << 10]);
+      idempotentRequests.storeResponse(heard.run, 200, List.of(), new byte[60 << 10], now);
       all.add(heard.run);
     }
     assertEquals(all.get(0).outcome().outcome(), Outcome.UNCERTAIN);
     assertEquals(all.get(199).outcome().outcome(), Outcome.ANSWERED);
     final RecordingListener repeat = begin(new IdempotencyKey(0, 0, 0));
+    assertNull(repeat.original, "the registries are asked");
+    idempotentRequests.expire(false, now + 1000);
     assertEquals(repeat.original.outcome(), Outcome.UNCERTAIN);
     idempotentRequests.expire(false, now + 10 * WINDOW);
     assertTrue(
--- a/registry/src/main/java/weldpoint/registry/PersistedRecord.java
+++ b/registry/src/main/java/weldpoint/registry/PersistedRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import weldpoint.transport.KeyMessages.Claim;
+import weldpoint.transport.KeyMessages.KeyOutcome;
 import weldpoint.transport.RegistryMessages.Registration;
 import weldpoint.transport.StateStoreMessages.Roster;
 import weldpoint.transport.TrialMessages.Trial;
@@ -25,6 +26,7 @@
   final long trialVersion;
   final int bootstrapState;
   final List<Claim> claims;
+  final List<KeyOutcome> outcomes;
 
   PersistedRecord(
       final List<Registration> registrations,
@@ -67,6 +69,7 @@
         trials,
         trialVersion,
         bootstrapState,
+        null,
         null);
   }
 
@@ -80,8 +83,10 @@
       final List<Trial> trials,
       final long trialVersion,
       final int bootstrapState,
-      final List<Claim> claims) {
+      final List<Claim> claims,
+      final List<KeyOutcome> outcomes) {
     this.claims = claims;
+    this.outcomes = outcomes;
     this.registrations = registrations;
     this.roster = roster;
     this.version = version;
@@ -100,7 +105,14 @@
 
   /** A record of claims of idempotency keys. */
   static PersistedRecord claims(final List<Claim> claims) {
-    return new PersistedRecord(null, null, 0, null, null, 0, null, 0, BOOTSTRAP_UNCHANGED, claims);
+    return new PersistedRecord(
+        null, null, 0, null, null, 0, null, 0, BOOTSTRAP_UNCHANGED, claims, null);
+  }
+
+  /** A record of outcomes of requests with idempotency keys. */
+  static PersistedRecord outcomes(final List<KeyOutcome> outcomes) {
+    return new PersistedRecord(
+        null, null, 0, null, null, 0, null, 0, BOOTSTRAP_UNCHANGED, null, outcomes);
   }
 
   /**
--- a/registry/src/main/java/weldpoint/registry/RegistryCore.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryCore.java
@@ -124,6 +124,7 @@
   private CacheMessages.Purges purges;
   private QuotaEndpoint quotaEndpoint;
   private final KeyClaims keyClaims;
+  private final KeyOutcomes keyOutcomes;
   private final SiteMembership siteMembership = new SiteMembership();
   private Electorates electorates;
   private PlacementService placementService;
@@ -178,6 +179,13 @@
             environment::sendToMember,
             (claims, synced) ->
                 environment.append(Serializer.serialize(PersistedRecord.claims(claims)), synced));
+    this.keyOutcomes =
+        new KeyOutcomes(
+            self,
+            environment::sendToMember,
+            (outcomes, synced) ->
+                environment.append(
+                    Serializer.serialize(PersistedRecord.outcomes(outcomes)), synced));
   }
 
   /** What the trial service needs of this registry. */
@@ -363,6 +371,7 @@
       }
       controlState.restore(persisted);
       keyClaims.restore(Protocol.emptyIfNull(persisted.claims), now);
+      keyOutcomes.restore(Protocol.emptyIfNull(persisted.outcomes), now);
     }
     if (bootstrapping && records.isEmpty()) {
       persistBootstrapState();
@@ -406,7 +415,8 @@
                 controlState.trialCoordinator().trials(),
                 controlState.trialVersion(),
                 bootstrapping ? PersistedRecord.BOOTSTRAPPING : PersistedRecord.BOOTSTRAPPED,
-                keyClaims.liveClaims())));
+                keyClaims.liveClaims(),
+                keyOutcomes.liveOutcomes(clock))));
   }
 
   private void persistBootstrapState() {
@@ -743,6 +753,11 @@
         || message instanceof KeyMessages.ClaimRelease) {
       updateKeyRoster(now);
       keyClaims.receive(from, message, reply, now);
+    } else if (message instanceof KeyMessages.OutcomeReport
+        || message instanceof KeyMessages.OutcomeStored
+        || message instanceof KeyMessages.OutcomeLookup
+        || message instanceof KeyMessages.OutcomeFound) {
+      keyOutcomes.receive(from, message, reply, now);
     } else if (message instanceof PlacementMessages.LeaseRequest && placementService != null) {
       reply.accept(
           placementService
@@ -1184,7 +1199,10 @@
         + " dropped here";
   }
 
-  /** Handles a proxy's claim of an idempotency key for a request, or the release of one. */
+  /**
+   * Handles a proxy's claim of an idempotency key for a request, the release of one, and its
+   * reports and lookups of outcomes.
+   */
   public void onKeyMessage(
       final Message message, final java.util.function.Consumer<Message> reply, final long now) {
     if (message instanceof KeyMessages.ClaimRequest && cutOff(now)) {
@@ -1194,12 +1212,14 @@
     }
     updateKeyRoster(now);
     keyClaims.fromProxy(message, reply, now);
+    keyOutcomes.fromProxy(message, reply, now);
   }
 
   private void updateKeyRoster(final long now) {
     final boolean joint = now - rosterChangedAt < JOINT_ROSTER_MILLIS;
     keyClaims.roster(
         roster, joint ? previousRoster : null, !bootstrapping && roster.indexOf(self) >= 0);
+    keyOutcomes.roster(roster, joint ? previousRoster : null);
   }
 
   /** Handles a request for permits against a quota. */
@@ -1684,6 +1704,7 @@
     }
     updateKeyRoster(now);
     keyClaims.tick(now);
+    keyOutcomes.tick(now);
     if (now >= acksWithheldUntil && !withheldAcks.isEmpty()) {
       final List<Runnable> due = new ArrayList<>(withheldAcks);
       withheldAcks.clear();
@@ -1842,6 +1863,7 @@
       metrics.addAll(quotaEndpoint.metrics());
     }
     metrics.addAll(keyClaims.metrics());
+    metrics.addAll(keyOutcomes.metrics());
     if (ownershipEndpoint != null) {
       metrics.addAll(ownershipEndpoint.metrics(now));
     }
--- a/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
@@ -245,7 +245,9 @@
                 } else if (message instanceof RecordingMessages.RecordingBatch) {
                   core.addRecordingBatch((RecordingMessages.RecordingBatch) message, now());
                 } else if (message instanceof KeyMessages.ClaimRequest
-                    || message instanceof KeyMessages.ClaimRelease
+                    || (message instanceof KeyMessages.ClaimRelease
+                            || message instanceof KeyMessages.OutcomeReport
+                            || message instanceof KeyMessages.OutcomeLookup)
                         && "switchboard".equals(connection.peer().program)) {
                   core.onKeyMessage(message, connection::send, now());
                 } else if (message instanceof SlotReport
--- a/routing/src/main/java/weldpoint/routing/RouteBinding.java
+++ b/routing/src/main/java/weldpoint/routing/RouteBinding.java
@@ -1,5 +1,6 @@
 package weldpoint.routing;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
@@ -129,6 +130,17 @@
     return route.homeRegions.length > 0 || tenant != null && !tenant.homeRegions().isEmpty();
   }
 
+  /** The regions that the route and the tenant both allow; empty if neither is restricted. */
+  public List<String> homeRegions() {
+    final List<String> ofRoute = List.of(route.homeRegions);
+    if (tenant == null || tenant.homeRegions().isEmpty()) {
+      return ofRoute;
+    }
+    return ofRoute.isEmpty()
+        ? tenant.homeRegions()
+        : ofRoute.stream().filter(tenant::allowsRegion).toList();
+  }
+
   /**
    * Whether upstreams in this region may serve the request and its response may be cached there. If
    * both the route and the tenant have home regions, the region must be among both.
--- a/soak/src/main/java/weldpoint/soak/LocalFleet.java
+++ b/soak/src/main/java/weldpoint/soak/LocalFleet.java
@@ -414,12 +414,21 @@
         HEARTBEAT_INTERVAL_MILLIS,
         HEARTBEAT_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
+    awaitReady(deadline);
+    Thread.sleep(HEARTBEAT_INTERVAL_MILLIS);
+  }
+
+  /** Waits until all proxies are ready. */
+  void awaitReady() throws InterruptedException {
+    awaitReady(Clock.millis() + START_TIMEOUT_MILLIS);
+  }
+
+  private void awaitReady(final long deadline) throws InterruptedException {
     for (int index = 0; index < size.proxies(); index++) {
       while (!isReady(index)) {
         pauseUntil(deadline, "proxy " + index + " is not ready");
       }
     }
-    Thread.sleep(HEARTBEAT_INTERVAL_MILLIS);
   }
 
   private void pauseUntil(final long deadline, final String problem) throws InterruptedException {
--- a/soak/src/test/java/weldpoint/soak/FleetBoundsTest.java
+++ b/soak/src/test/java/weldpoint/soak/FleetBoundsTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -24,6 +25,7 @@
   private static final int WINDOW_MILLIS = 5000;
   private static final int MAX_RUNS_IN_WINDOW = SoakRun.MAX_RUNS_IN_WINDOW;
   private static final int DEADLINE_MILLIS = 2000;
+  private static final int KEYS_OF_KILLED_PROXY = 8;
 
   private LocalFleet fleet;
 
@@ -99,6 +101,30 @@
     assertEquals(SoakChecker.duplicateKeyRuns(fleet.runs(), 60_000), List.of());
   }
 
+  /** Guards against DENIED: the first response was lost with the proxy that had received it. */
+  @Test
+  public void aRepeatGetsTheFirstResponseAfterItsProxyIsKilled() throws InterruptedException {
+    final List<ClientReply> first = new ArrayList<>();
+    for (int key = 0; key < KEYS_OF_KILLED_PROXY; key++) {
+      first.add(write(0, "killed-" + key));
+      assertEquals(first.get(key).status(), 200, first.get(key).toString());
+    }
+    Thread.sleep(500);
+    fleet.proxies().get(0).kill();
+    try {
+      for (int key = 0; key < KEYS_OF_KILLED_PROXY; key++) {
+        assertEquals(write(1, "killed-" + key), first.get(key));
+      }
+    } finally {
+      fleet.proxies().get(0).startIfDown();
+    }
+    fleet.awaitReady();
+    for (int key = 0; key < KEYS_OF_KILLED_PROXY; key++) {
+      assertEquals(write(0, "killed-" + key), first.get(key), "the same proxy, restarted");
+    }
+    assertEquals(SoakChecker.duplicateKeyRuns(fleet.runs(), 60_000), List.of());
+  }
+
   @Test
   public void aTenantGetsNoMoreThanItsLimitInAnyWindow() throws InterruptedException {
     final ExecutorService callers = Executors.newFixedThreadPool(16);
--- a/transport/src/main/java/weldpoint/transport/Connection.java
+++ b/transport/src/main/java/weldpoint/transport/Connection.java
@@ -48,10 +48,11 @@
 
   /**
    * Sends a message, in order. If more than 16 MiB are pending because the peer does not read, the
-   * connection is closed instead; on a closed connection the message is dropped.
+   * connection is closed instead; on a closed connection the message is dropped. A message of a
+   * type that the peer's release does not know is dropped too: the peer would close the connection.
    */
   public void send(final Message message) {
-    if (!channel.isActive()) {
+    if (!channel.isActive() || !peerKnows(message)) {
       return;
     }
     final ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
@@ -62,6 +63,14 @@
     channel.writeAndFlush(message, channel.voidPromise());
   }
 
+  private boolean peerKnows(final Message message) {
+    final Protocol.Hello hello = peer;
+    final int typeNumber = Transport.typeNumber(message);
+    return hello == null
+        ? typeNumber < Protocol.UNANNOUNCED_MESSAGE_TYPES
+        : hello.knows(typeNumber);
+  }
+
   /** Closes the connection. */
   public void close() {
     channel.close();
--- a/transport/src/main/java/weldpoint/transport/KeyMessages.java
+++ b/transport/src/main/java/weldpoint/transport/KeyMessages.java
@@ -207,4 +207,79 @@
       return Outcome.values()[outcome];
     }
   }
+
+  /** The response of a request that owned a key, kept for later requests with that key. */
+  public static final class KeyOutcome {
+    public final Claim claim;
+    public final long fingerprint;
+    public final OutcomeResponse response;
+
+    /** The regions in which it may be kept; null or empty for all. */
+    public final List<String> regions;
+
+    /** Creates the outcome of a claim's request, to be kept for the claim's retention period. */
+    public KeyOutcome(
+        final Claim claim,
+        final long fingerprint,
+        final OutcomeResponse response,
+        final List<String> regions) {
+      this.claim = claim;
+      this.fingerprint = fingerprint;
+      this.response = response;
+      this.regions = regions;
+    }
+  }
+
+  /** Asks a registry to replicate an outcome, or a replica to keep it. */
+  public static final class OutcomeReport implements Message {
+    public final long number;
+    public final KeyOutcome outcome;
+
+    /** Creates a report; its sender chooses the number, which the reply repeats. */
+    public OutcomeReport(final long number, final KeyOutcome outcome) {
+      this.number = number;
+      this.outcome = outcome;
+    }
+  }
+
+  /** The outcome of a report is on disk: at a replica, or at enough of them. */
+  public static final class OutcomeStored implements Message {
+    public final long number;
+
+    /** Creates the reply to the report of this number. */
+    public OutcomeStored(final long number) {
+      this.number = number;
+    }
+  }
+
+  /** Asks a registry, or a replica, for the outcome of a claim's request. */
+  public static final class OutcomeLookup implements Message {
+    public final long number;
+    public final Claim claim;
+    public final long fingerprint;
+
+    /** The regions in which it may be kept; null or empty for all. */
+    public final List<String> regions;
+
+    /** Creates a lookup; its sender chooses the number, which the reply repeats. */
+    public OutcomeLookup(
+        final long number, final Claim claim, final long fingerprint, final List<String> regions) {
+      this.number = number;
+      this.claim = claim;
+      this.fingerprint = fingerprint;
+      this.regions = regions;
+    }
+  }
+
+  /** The reply to a lookup; its outcome is {@code UNCERTAIN} where none is kept. */
+  public static final class OutcomeFound implements Message {
+    public final long number;
+    public final OutcomeResponse response;
+
+    /** Creates the reply to the lookup of this number. */
+    public OutcomeFound(final long number, final OutcomeResponse response) {
+      this.number = number;
+      this.response = response;
+    }
+  }
 }
--- a/transport/src/main/java/weldpoint/transport/Protocol.java
+++ b/transport/src/main/java/weldpoint/transport/Protocol.java
@@ -67,8 +67,15 @@
     OwnershipMessages.Assignments.class,
     OwnershipMessages.AssignerHeartbeat.class,
     OwnershipMessages.SlotReport.class,
+    KeyMessages.OutcomeReport.class,
+    KeyMessages.OutcomeStored.class,
+    KeyMessages.OutcomeLookup.class,
+    KeyMessages.OutcomeFound.class,
   };
 
+  /** How many message types a peer knows that does not say so in its hello. */
+  static final int UNANNOUNCED_MESSAGE_TYPES = 59;
+
   private Protocol() {}
 
   /** Returns the list, or an empty one if it is null. */
@@ -83,6 +90,7 @@
     public final String address;
     public final long incarnation;
     public final Long clockMillis;
+    public final Integer messageTypes;
 
     public Hello(
         final int protocolVersion,
@@ -103,6 +111,12 @@
       this.address = address;
       this.incarnation = incarnation;
       this.clockMillis = clockMillis;
+      this.messageTypes = MESSAGE_TYPES.length;
+    }
+
+    /** Whether the sender of this hello knows the type of this number. */
+    boolean knows(final int typeNumber) {
+      return typeNumber < (messageTypes == null ? UNANNOUNCED_MESSAGE_TYPES : messageTypes);
     }
 
     /** Returns this hello with the time of its sender's monotonic clock, in milliseconds. */
--- a/transport/src/main/java/weldpoint/transport/Transport.java
+++ b/transport/src/main/java/weldpoint/transport/Transport.java
@@ -259,6 +259,13 @@
     return new EncodedMessage(Serializer.typeNumber(message), Serializer.serialize(message));
   }
 
+  /** Returns the number that stands for a message's type on the wire. */
+  static int typeNumber(final Message message) {
+    return message instanceof EncodedMessage
+        ? ((EncodedMessage) message).typeNumber
+        : Serializer.typeNumber(message);
+  }
+
   private final class MessageEncoder extends MessageToByteEncoder<Message> {
     @Override
     protected void encode(
@@ -268,8 +275,7 @@
       trafficCounters.recordSent(body.length + 5);
       out.ensureWritable(body.length + 5);
       out.writeInt(body.length + 1);
-      out.writeByte(
-          encoded ? ((EncodedMessage) message).typeNumber : Serializer.typeNumber(message));
+      out.writeByte(typeNumber(message));
       out.writeBytes(body);
     }
   }
--- a/transport/src/test/java/weldpoint/transport/TransportTest.java
+++ b/transport/src/test/java/weldpoint/transport/TransportTest.java
@@ -1,6 +1,7 @@
 package weldpoint.transport;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -99,6 +100,36 @@
     assertEquals(received.get(), 0);
   }
 
+  /** Guards against connections that an earlier release closes at a type it does not know. */
+  @Test
+  public void typesThatThePeerDoesNotKnowAreNotSent() {
+    final Protocol.Hello current = hello(Serializer.PROTOCOL_VERSION);
+    final Message latest = new KeyMessages.OutcomeStored(1);
+    final Message early = new RegistryMessages.ChangesAck(3);
+    assertTrue(current.knows(Transport.typeNumber(latest)));
+    assertTrue(current.knows(Transport.typeNumber(Transport.encodeOnce(latest))));
+    final Protocol.Hello earlier =
+        Serializer.deserialize(
+            Serializer.serialize(new EarlierHello(Serializer.PROTOCOL_VERSION)),
+            Protocol.Hello.class);
+    assertEquals(earlier.program, "exchange");
+    assertTrue(earlier.knows(Transport.typeNumber(early)));
+    assertFalse(earlier.knows(Transport.typeNumber(latest)));
+  }
+
+  /** The hello of releases that do not announce how many types of message they know. */
+  static final class EarlierHello {
+    final int protocolVersion;
+    final String program = "exchange";
+    final String address = "127.0.0.1";
+    final long incarnation = 7;
+    final Long clockMillis = null;
+
+    EarlierHello(final int protocolVersion) {
+      this.protocolVersion = protocolVersion;
+    }
+  }
+
   @Test
   public void messagesRoundTripOverAnOutgoingConnection()
       throws InterruptedException, ExecutionException, TimeoutException {
