Let the expiry of a lock not overflow

Cause: the state store adds holdMs to its clock; the sum overflows.

Change: the expiry is the end of time where the sum overflows: taken, renewed, committed, and given anew by a new leader.

--- a/statestore/src/main/java/weldpoint/statestore/RegisterState.java
+++ b/statestore/src/main/java/weldpoint/statestore/RegisterState.java
@@ -38,6 +38,11 @@
     }
   }
 
+  /** When a lock that is held for a time from now expires; the end of time if that overflows. */
+  static long lockExpiry(final long now, final long holdMillis) {
+    return holdMillis > Long.MAX_VALUE - now ? Long.MAX_VALUE : now + holdMillis;
+  }
+
   final String name;
   final StoredValues.Kind kind;
   final long historyRetentionMillis;
--- a/statestore/src/main/java/weldpoint/statestore/StateStoreReplica.java
+++ b/statestore/src/main/java/weldpoint/statestore/StateStoreReplica.java
@@ -1155,7 +1155,8 @@
     for (final RegisterState register : partition.registers.values()) {
       register.committed = register.proposed;
       if (register.kind == StoredValues.Kind.LOCK) {
-        register.expiresAt = now + ((StoredValues.Lock) register.committed).holdMillis;
+        register.expiresAt =
+            RegisterState.lockExpiry(now, ((StoredValues.Lock) register.committed).holdMillis);
       } else if (register.kind == StoredValues.Kind.GROUP) {
         for (final StoredValues.Put put : ((StoredValues.CellGroup) register.committed).history) {
           register.putTimes.add(new long[] {put.revision, now});
@@ -1591,7 +1592,9 @@
     valuesCommitted++;
     if (register.kind == StoredValues.Kind.LOCK) {
       register.expiresAt =
-          Math.max(register.expiresAt, now + ((StoredValues.Lock) register.committed).holdMillis);
+          Math.max(
+              register.expiresAt,
+              RegisterState.lockExpiry(now, ((StoredValues.Lock) register.committed).holdMillis));
       if (((StoredValues.Lock) register.committed).owner.isEmpty()) {
         register.expiresAt = 0;
       }
--- a/statestore/src/main/java/weldpoint/statestore/StoreOperation.java
+++ b/statestore/src/main/java/weldpoint/statestore/StoreOperation.java
@@ -166,7 +166,7 @@
         return extend(register, lock, call, now);
       }
       register.ticketCount++;
-      register.expiresAt = now + call.first;
+      register.expiresAt = RegisterState.lockExpiry(now, call.first);
       return Decision.write(new Lock(call.owner, lock.fence + 1, call.first), null, lock.fence + 1);
     }
   },
@@ -403,7 +403,7 @@
   private static Decision extend(
       final RegisterState register, final Lock lock, final StoreRequest call, final long now) {
     register.ticketCount++;
-    register.expiresAt = Math.max(register.expiresAt, now + call.first);
+    register.expiresAt = Math.max(register.expiresAt, RegisterState.lockExpiry(now, call.first));
     return call.first > lock.holdMillis
         ? Decision.write(new Lock(lock.owner, lock.fence, call.first), null, lock.fence)
         : Decision.confirm(200, lock.fence);
