Send answers of routes with homes through registries in them only

Cause: replicas were chosen in the homes, but the proxy's report passed through its registry, which after a loss may lie in another region.

Change: a registry says its region in its hello.

Measured: IdempotentRequestsTest.responseIsSentOnlyThroughRegistriesInIts Regions and TransportTest.messagesAreSentOnlyToPeersInTheGivenRegions fail without it and pass; FleetBoundsTest (6) and the tests of keys (22) pass.

--- a/proxy/src/main/java/weldpoint/proxy/IdempotentRequests.java
+++ b/proxy/src/main/java/weldpoint/proxy/IdempotentRequests.java
@@ -45,6 +45,12 @@
     /** Sends to the current registry; false if there is no stream. */
     boolean sendToRegistry(Message message);
 
+    /**
+     * Sends a message that contains a response, or asks for one, to the current registry; false if
+     * there is no stream, or if the registry is in none of these regions (empty for any).
+     */
+    boolean sendToRegistryWithin(Message message, List<String> regions);
+
     /**
      * Asks another proxy for the outcome of a claim's request; the callback is called exactly once.
      */
@@ -123,7 +129,7 @@
     this.incarnation = incarnation;
     this.windowMillis = windowMillis;
     this.environment = environment;
-    this.replicas = new OutcomeReplicas(environment::sendToRegistry);
+    this.replicas = new OutcomeReplicas(environment::sendToRegistryWithin);
   }
 
   /**
--- a/proxy/src/main/java/weldpoint/proxy/OutcomeReplicas.java
+++ b/proxy/src/main/java/weldpoint/proxy/OutcomeReplicas.java
@@ -4,8 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import weldpoint.metrics.Metric;
 import weldpoint.transport.KeyMessages.Claim;
 import weldpoint.transport.KeyMessages.KeyOutcome;
@@ -41,7 +41,7 @@
 
   private record PendingLookup(Consumer<OutcomeResponse> callback, long until) {}
 
-  private final Predicate<Message> registry;
+  private final BiPredicate<Message, List<String>> registry;
   private final Map<Long, PendingReport> reports = new LinkedHashMap<>();
   private final Map<Long, PendingLookup> lookups = new LinkedHashMap<>();
   private long lastNumber;
@@ -53,9 +53,10 @@
   /**
    * Creates the client of the registries.
    *
-   * @param registry sends a message to the current registry; false if there is none
+   * @param registry sends a message to the current registry if it is in one of the given regions,
+   *     or if none are given; false if it was not sent
    */
-  OutcomeReplicas(final Predicate<Message> registry) {
+  OutcomeReplicas(final BiPredicate<Message, List<String>> registry) {
     this.registry = registry;
   }
 
@@ -72,7 +73,8 @@
   }
 
   private void send(final PendingReport pending, final long now) {
-    pending.resendAt = registry.test(pending.report) ? now + RESEND_MILLIS : now;
+    final List<String> regions = pending.report.outcome.regions;
+    pending.resendAt = registry.test(pending.report, regions) ? now + RESEND_MILLIS : now;
   }
 
   /** Counts an outcome that is too large to be replicated. */
@@ -89,7 +91,7 @@
       final long now) {
     final long number = ++lastNumber;
     lookups.put(number, new PendingLookup(callback, now + LOOKUP_MILLIS));
-    if (!registry.test(new OutcomeLookup(number, claim, fingerprint, regions))) {
+    if (!registry.test(new OutcomeLookup(number, claim, fingerprint, regions), regions)) {
       complete(number, new OutcomeResponse(Outcome.UNCERTAIN));
     }
   }
--- a/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
+++ b/proxy/src/main/java/weldpoint/proxy/ProxyDaemon.java
@@ -445,6 +445,12 @@
                 return stream.send(message);
               }
 
+              @Override
+              public boolean sendToRegistryWithin(
+                  final Message message, final List<String> regions) {
+                return stream.sendWithin(message, regions);
+              }
+
               @Override
               public void queryOutcome(
                   final KeyMessages.Claim holder,
--- a/proxy/src/main/java/weldpoint/proxy/RegistryStream.java
+++ b/proxy/src/main/java/weldpoint/proxy/RegistryStream.java
@@ -175,6 +175,15 @@
     }
   }
 
+  /**
+   * Sends over the current connection if its registry is in one of these regions, or if there are
+   * none; false if it was not sent.
+   */
+  public boolean sendWithin(final Message message, final List<String> regions) {
+    final Transport.Connector current = connector;
+    return current != null && current.sendWithin(message, regions);
+  }
+
   /** Sends over the current connection; false if there is none or it did not accept the message. */
   public boolean send(final Message message) {
     final Transport.Connector current = connector;
--- a/proxy/src/test/java/weldpoint/proxy/ConfigurationAtSendTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/ConfigurationAtSendTest.java
@@ -373,6 +373,12 @@
       return true;
     }
 
+    @Override
+    public boolean sendToRegistryWithin(
+        final Message message, final java.util.List<String> regions) {
+      return sendToRegistry(message);
+    }
+
     @Override
     public void queryOutcome(
         final KeyMessages.Claim holder,
--- a/proxy/src/test/java/weldpoint/proxy/IdempotentRequestsTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/IdempotentRequestsTest.java
@@ -43,6 +43,7 @@
   private final List<Consumer<OutcomeResponse>> queryCallbacks = new ArrayList<>();
   private final List<Runnable> scheduledTasks = new ArrayList<>();
   private boolean stream;
+  private String registryRegion;
   private IdempotentRequests idempotentRequests;
   private long now;
 
@@ -53,6 +54,7 @@
     queryCallbacks.clear();
     scheduledTasks.clear();
     stream = true;
+    registryRegion = "north";
     now = ProxyContext.now();
     idempotentRequests = new IdempotentRequests("10.0.0.1", 77, WINDOW, this);
   }
@@ -65,6 +67,11 @@
     return stream;
   }
 
+  @Override
+  public boolean sendToRegistryWithin(final Message message, final List<String> regions) {
+    return regions.isEmpty() || regions.contains(registryRegion) ? sendToRegistry(message) : false;
+  }
+
   @Override
   public void queryOutcome(
       final Claim holder,
@@ -258,6 +265,24 @@
     assertEquals(sentOf(OutcomeReport.class).size(), 2, "not sent again once it is stored");
   }
 
+  /** Guards against HOME: a response passed through a registry outside of its home regions. */
+  @Test
+  public void responseIsSentOnlyThroughRegistriesInItsRegions() {
+    final RecordingListener first = granted();
+    registryRegion = "south";
+    idempotentRequests.storeResponse(first.run, 200, List.of("a", "b"), new byte[] {7}, now);
+    idempotentRequests.expire(false, now + 100);
+    assertEquals(sentOf(OutcomeReport.class), List.of());
+    final RecordingListener repeat = begin(new IdempotencyKey(4, 5, 6));
+    answer(lastClaim(), ClaimResult.HELD, foreign());
+    queryCallbacks.get(0).accept(new OutcomeResponse(Outcome.UNCERTAIN));
+    assertEquals(sentOf(OutcomeLookup.class), List.of());
+    assertEquals(repeat.original.outcome(), Outcome.UNCERTAIN);
+    registryRegion = "north";
+    idempotentRequests.expire(false, now + 200);
+    assertEquals(sentOf(OutcomeReport.class).size(), 1, "sent once the stream is in its regions");
+  }
+
   @Test
   public void claimsOfAnOwnerThatNeverRanAreLimited() {
     final RecordingListener repeat = begin(KEY);
--- a/proxy/src/test/java/weldpoint/proxy/OperationKeyTest.java
+++ b/proxy/src/test/java/weldpoint/proxy/OperationKeyTest.java
@@ -75,6 +75,12 @@
       return true;
     }
 
+    @Override
+    public boolean sendToRegistryWithin(
+        final Message message, final java.util.List<String> regions) {
+      return sendToRegistry(message);
+    }
+
     @Override
     public void queryOutcome(
         final Claim holder,
--- a/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
+++ b/registry/src/main/java/weldpoint/registry/RegistryDaemon.java
@@ -69,7 +69,8 @@
         new Transport(
             loop,
             new Protocol.Hello(
-                Serializer.PROTOCOL_VERSION, "exchange", settings.address(), incarnation));
+                    Serializer.PROTOCOL_VERSION, "exchange", settings.address(), incarnation)
+                .withRegion(settings.region()));
     this.memberConnections =
         new PeerConnections(
             transport,
--- a/transport/src/main/java/weldpoint/transport/Protocol.java
+++ b/transport/src/main/java/weldpoint/transport/Protocol.java
@@ -92,12 +92,15 @@
     public final Long clockMillis;
     public final Integer messageTypes;
 
+    /** The region of the sender; null if it does not say. */
+    public final String region;
+
     public Hello(
         final int protocolVersion,
         final String program,
         final String address,
         final long incarnation) {
-      this(protocolVersion, program, address, incarnation, null);
+      this(protocolVersion, program, address, incarnation, null, null);
     }
 
     private Hello(
@@ -105,7 +108,9 @@
         final String program,
         final String address,
         final long incarnation,
-        final Long clockMillis) {
+        final Long clockMillis,
+        final String region) {
+      this.region = region;
       this.protocolVersion = protocolVersion;
       this.program = program;
       this.address = address;
@@ -121,7 +126,12 @@
 
     /** Returns this hello with the time of its sender's monotonic clock, in milliseconds. */
     public Hello withClock(final long millis) {
-      return new Hello(protocolVersion, program, address, incarnation, millis);
+      return new Hello(protocolVersion, program, address, incarnation, millis, region);
+    }
+
+    /** Returns this hello with the region of its sender. */
+    public Hello withRegion(final String senderRegion) {
+      return new Hello(protocolVersion, program, address, incarnation, clockMillis, senderRegion);
     }
   }
 
--- a/transport/src/main/java/weldpoint/transport/Transport.java
+++ b/transport/src/main/java/weldpoint/transport/Transport.java
@@ -221,6 +221,23 @@
       return true;
     }
 
+    /**
+     * Sends a message if the peer of the current connection is in one of these regions, or if there
+     * are none; returns whether it was sent.
+     */
+    public boolean sendWithin(final Message message, final List<String> regions) {
+      final Connection current = connection;
+      if (current == null || !regions.isEmpty() && !isWithin(current.peer, regions)) {
+        return false;
+      }
+      current.send(message);
+      return true;
+    }
+
+    private static boolean isWithin(final Protocol.Hello peer, final List<String> regions) {
+      return peer != null && peer.region != null && regions.contains(peer.region);
+    }
+
     /** Sends the message made for the current connection; returns whether there was one. */
     public boolean send(final Function<Connection, Message> messageFactory) {
       final Connection current = connection;
--- a/transport/src/test/java/weldpoint/transport/TransportTest.java
+++ b/transport/src/test/java/weldpoint/transport/TransportTest.java
@@ -117,6 +117,51 @@
     assertFalse(earlier.knows(Transport.typeNumber(latest)));
   }
 
+  /** Guards against HOME: a message with a response was sent to a peer in another region. */
+  @Test
+  public void messagesAreSentOnlyToPeersInTheGivenRegions()
+      throws IOException, InterruptedException, ExecutionException, TimeoutException {
+    final int portInNorth;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      portInNorth = socket.getLocalPort();
+    }
+    new Transport(eventLoopGroup, hello(Serializer.PROTOCOL_VERSION).withRegion("north"))
+        .bind("127.0.0.1", portInNorth, (connection, message) -> received.incrementAndGet());
+    final Message message = new RegistryMessages.ChangesAck(3);
+    final Transport.Connector north = connector(portInNorth);
+    assertTrue(north.sendWithin(message, List.of("south", "north")));
+    assertTrue(north.sendWithin(message, List.of()));
+    assertFalse(north.sendWithin(message, List.of("south")));
+    final Transport.Connector anywhere = connector(port);
+    assertFalse(anywhere.sendWithin(message, List.of("north")), "it does not say where it is");
+    assertTrue(anywhere.sendWithin(message, List.of()));
+    north.close();
+    anywhere.close();
+  }
+
+  private Transport.Connector connector(final int target)
+      throws InterruptedException, ExecutionException, TimeoutException {
+    final CompletableFuture<Void> opened = new CompletableFuture<>();
+    final Transport.Connector connector =
+        new Transport(eventLoopGroup, hello(Serializer.PROTOCOL_VERSION))
+            .connectTo(
+                "127.0.0.1",
+                target,
+                new Transport.Listener() {
+                  @Override
+                  public void opened(final Connection connection) {
+                    opened.complete(null);
+                  }
+
+                  @Override
+                  public void messageReceived(final Connection connection, final Message message) {
+                    received.incrementAndGet();
+                  }
+                });
+    opened.get(5, java.util.concurrent.TimeUnit.SECONDS);
+    return connector;
+  }
+
   /** The hello of releases that do not announce how many types of message they know. */
   static final class EarlierHello {
     final int protocolVersion;
